Fix the interfaces between the parts

Cause: five parts are to be built side by side, so their interfaces come first. Conclusion: nothing serves yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# `make demo` runs the main job; `make test` runs the tests. Each sets up all it needs.
+PYTHON ?= python3
+VENV ?= .venv
+RUN := $(VENV)/bin/python -m
+READY := $(VENV)/.ready-$(shell cksum < requirements.lock | cut -d' ' -f1)
+
+.PHONY: setup demo test check format lint types contracts generate binary clean
+
+setup: $(READY)
+
+$(READY): requirements.lock
+	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/python -m pip install --quiet --disable-pip-version-check --requirement requirements.lock
+	touch $@
+
+demo: setup
+	$(RUN) dewridge demo
+
+test: setup
+	$(RUN) pytest
+
+check: setup format lint types contracts test
+
+format: setup
+	$(RUN) ruff format --check .
+
+lint: setup
+	$(RUN) ruff check .
+
+types: setup
+	$(RUN) mypy
+
+contracts: setup
+	$(VENV)/bin/lint-imports
+
+# Needs the thrift compiler; its result is committed, so that a build does not.
+generate:
+	cp dewridge/peers/__init__.py build-init.tmp
+	thrift --gen py:slots -out dewridge/peers dewridge/peers/dewridge.thrift
+	mv build-init.tmp dewridge/peers/__init__.py
+	echo '"""Generated from dewridge.thrift by `make generate`."""' > dewridge/peers/wire/constants.py
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/dewridge/client/__init__.py
@@ -0,0 +1,1 @@
+"""What a caller uses: entry list, submission numbers, resume."""
--- /dev/null
+++ b/dewridge/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One small module for each command of the command line."""
--- /dev/null
+++ b/dewridge/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Profiles and services: revisions, acceptance and spreading."""
--- /dev/null
+++ b/dewridge/front/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers and operators."""
--- /dev/null
+++ b/dewridge/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which entry hosts are there: probes, incarnations, ranking."""
--- /dev/null
+++ b/dewridge/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Counters, latency histograms and what each profile cost and lost."""
--- /dev/null
+++ b/dewridge/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Frames and connections between the system's own processes."""
--- /dev/null
+++ b/dewridge/peers/dewridge.thrift
@@ -0,0 +1,208 @@
+/**
+ * Messages between the system's own processes. Each frame is a four-byte
+ * big-endian length and one Envelope in the binary protocol.
+ * Fields are only ever added, as optional ones, with a new number, so that two
+ * releases run side by side. `make generate` writes wire/ from this file.
+ */
+namespace py wire
+
+// ---- connections ----------------------------------------------------------
+
+struct Hello {
+  1: string magic          // "dewridge"
+  2: i32 version           // newest protocol version spoken
+  3: i32 oldest_version    // oldest one still understood
+  4: string deployment     // hosts of another deployment are refused
+  5: string host
+  6: i64 incarnation
+  7: string failure_domain
+}
+
+struct Refusal { 1: i32 code, 2: string reason, 3: optional double retry_after }
+
+// ---- membership -------------------------------------------------------------
+
+struct MemberRecord {
+  1: string host
+  2: i64 incarnation
+  3: string failure_domain
+  4: string address
+  5: string front_address
+  6: i32 state             // MemberState
+  7: i32 refutation
+}
+
+// Something every host should hear of, spread with the membership's probes.
+struct Rumour {
+  1: string kind           // "server_leaving", "configuration", "fenced", ...
+  2: string subject
+  3: i64 version           // a higher version replaces a lower one
+  4: binary payload
+}
+
+struct Probe { 1: i64 sequence, 2: list<MemberRecord> members, 3: list<Rumour> rumours }
+struct ProbeReply { 1: i64 sequence, 2: list<MemberRecord> members, 3: list<Rumour> rumours }
+struct RelayProbe { 1: MemberRecord target, 2: double timeout }
+struct RelayProbeReply { 1: bool reached }
+struct Join { 1: MemberRecord me }
+struct JoinReply { 1: list<MemberRecord> members, 2: list<Rumour> rumours }
+
+// ---- configuration ------------------------------------------------------------
+
+struct PullConfiguration { 1: i64 revision }
+struct ConfigurationObject { 1: string name, 2: i64 revision, 3: binary value }
+struct ConfigurationChanges {
+  1: i64 revision
+  2: list<ConfigurationObject> changed
+  3: bool complete         // false: `changed` is the whole, not a delta
+  4: list<string> names    // all object names at this revision
+}
+
+// ---- requests -------------------------------------------------------------------
+
+struct RequestRecord {
+  1: string request        // account/key
+  2: string service_name
+  3: string operation
+  4: i32 number            // highest submission number seen
+  5: double deadline
+  6: string input
+  7: i32 max_tokens
+  8: bool idempotent
+  9: string profile
+  10: double accepted_at
+  11: string owner
+  12: i64 owner_incarnation
+  13: i64 generation
+  14: list<string> keepers // hosts that keep a copy
+  15: i32 attempts
+  16: i32 recomputed
+  17: double cost
+  18: bool claimed         // a claim was asked for; the call may have been sent
+  19: optional string cache_handle
+  20: i64 epoch            // raised with each change of owner; a higher one wins
+}
+
+struct RequestEnd {
+  1: i32 code
+  2: string reason
+  3: double retry_after    // below 0: none
+  4: string body
+  5: i32 tokens
+  6: i32 attempts
+  7: i32 recomputed
+  8: double cost
+  9: string backend_server
+  10: string failure_domain
+  11: string profile
+  12: i32 number           // submission number that a refusal holds for
+}
+
+// Tokens of one request for a keeper or a follower.
+struct TokenRun {
+  1: string request
+  2: i64 generation
+  3: i32 offset
+  4: list<string> tokens
+  5: optional RequestEnd ended
+  6: i64 epoch
+}
+
+struct Keep { 1: RequestRecord record, 2: list<string> tokens }
+// `other_owner` is set when the keeper knows the request under another owner.
+struct KeepReply { 1: bool kept, 2: optional RequestRecord known, 3: optional RequestEnd ended }
+
+// One frame for all streams of a pair of hosts, every few tens of milliseconds.
+struct KeepTokens { 1: list<TokenRun> runs }
+// Requests that the keeper does not know or knows under a higher epoch.
+struct KeepTokensReply { 1: list<string> unknown, 2: list<string> superseded }
+
+struct Find { 1: string request }
+struct FindReply {
+  1: bool found
+  2: optional RequestRecord record
+  3: optional RequestEnd ended
+  4: i32 tokens
+}
+
+// A follower is sent FollowTokens under `stream` until it has the end.
+struct Follow { 1: string request, 2: i64 generation, 3: i32 offset, 4: i64 stream }
+struct FollowReply { 1: bool found, 2: i64 generation }
+struct FollowTokens {
+  1: i64 stream
+  2: i64 generation
+  3: i32 offset
+  4: list<string> tokens
+  5: optional RequestEnd ended
+  6: bool moved
+}
+struct StopFollow { 1: i64 stream }
+
+// A leaving owner gives a request with its state to a keeper.
+struct Handover { 1: RequestRecord record, 2: list<string> tokens, 3: bool released }
+struct HandoverReply { 1: bool taken }
+
+struct Cancel { 1: string request }
+struct CancelReply { 1: bool found, 2: optional RequestEnd ended }
+
+// ---- claims ------------------------------------------------------------------------
+
+struct ClaimWish {
+  1: string request
+  2: string holder
+  3: i64 holder_incarnation
+  4: i64 epoch
+  5: bool release          // the holder proves that it sent nothing
+}
+struct Claim { 1: string bucket, 2: list<ClaimWish> wishes }
+// One result a wish: 0 granted, otherwise a result code with the holder.
+struct ClaimResult { 1: i32 code, 2: string holder, 3: i64 holder_incarnation, 4: string reason }
+struct ClaimReply { 1: list<ClaimResult> results }
+
+// ---- accounting ---------------------------------------------------------------------
+
+struct Tally {
+  1: string profile
+  2: map<string, double> counters
+}
+struct InheritTallies { 1: string host, 2: i64 incarnation, 3: list<Tally> tallies }
+struct InheritTalliesReply { 1: bool taken }
+struct ReadTallies { 1: string profile }
+struct ReadTalliesReply { 1: list<InheritTallies> tallies }
+
+// ---- envelope -----------------------------------------------------------------------
+
+struct Envelope {
+  1: i64 call               // 0: no reply is wanted
+  2: i64 reply_to           // 0: not a reply
+  3: optional Hello hello
+  4: optional Refusal refusal
+  10: optional Probe probe
+  11: optional ProbeReply probe_reply
+  12: optional RelayProbe relay_probe
+  13: optional RelayProbeReply relay_probe_reply
+  14: optional Join join
+  15: optional JoinReply join_reply
+  20: optional PullConfiguration pull_configuration
+  21: optional ConfigurationChanges configuration_changes
+  30: optional Keep keep
+  31: optional KeepReply keep_reply
+  32: optional KeepTokens keep_tokens
+  33: optional KeepTokensReply keep_tokens_reply
+  34: optional Find find
+  35: optional FindReply find_reply
+  36: optional Follow follow
+  37: optional FollowReply follow_reply
+  38: optional FollowTokens follow_tokens
+  39: optional StopFollow stop_follow
+  40: optional Handover handover
+  41: optional HandoverReply handover_reply
+  42: optional Cancel cancel
+  43: optional CancelReply cancel_reply
+  50: optional Claim claim
+  51: optional ClaimReply claim_reply
+  60: optional InheritTallies inherit_tallies
+  61: optional InheritTalliesReply inherit_tallies_reply
+  62: optional ReadTallies read_tallies
+  63: optional ReadTalliesReply read_tallies_reply
+}
--- /dev/null
+++ b/dewridge/peers/wire/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/dewridge/peers/wire/constants.py
@@ -0,0 +1,1 @@
+"""Generated from dewridge.thrift by `make generate`."""
--- /dev/null
+++ b/dewridge/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load, free of input and output."""
--- /dev/null
+++ b/dewridge/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests from acceptance to answer: records, keepers, claims, takeover."""
--- /dev/null
+++ b/dewridge/sentinels.py
@@ -0,0 +1,33 @@
+"""Sentinel values that stand for a failure and carry its reason."""
+
+from dataclasses import dataclass
+
+from dewridge.codes import TABLE, Outcome, ResultCode
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """A result that could not be had; false in a condition.
+
+    Attributes:
+        code: the numbered result code.
+        reason: one plain line for people, without tokens, prompts or answers.
+        retry_after: seconds until it makes sense to come back, if known.
+    """
+
+    code: ResultCode
+    reason: str = ""
+    retry_after: float | None = None
+
+    def __bool__(self) -> bool:
+        return False
+
+    @property
+    def outcome(self) -> Outcome:
+        """What the code says about the caller's request."""
+        return TABLE[self.code].outcome
+
+    @property
+    def is_not_run(self) -> bool:
+        """Whether this promises that no backend server worked on the request."""
+        return self.outcome is Outcome.NOT_RUN
--- /dev/null
+++ b/dewridge/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The settings file: its schema, its loading and its checks."""
--- /dev/null
+++ b/dewridge/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and for backend servers."""
--- /dev/null
+++ b/dewridge/supervision/__init__.py
@@ -0,0 +1,1 @@
+"""The supervisor tree, mailboxes and state dumps."""
--- /dev/null
+++ b/dewridge/supervision/mailbox.py
@@ -0,0 +1,77 @@
+"""Bounded mailboxes by which tasks talk."""
+
+from typing import Any, Generic, TypeVar
+
+import trio
+
+from dewridge.codes import ResultCode
+from dewridge.sentinels import Failure
+
+T = TypeVar("T")
+
+
+class Mailbox(Generic[T]):
+    """A bounded queue of messages owned by the one task that receives them."""
+
+    def __init__(self, capacity: int) -> None:
+        self._send: trio.MemorySendChannel[T]
+        self._receive: trio.MemoryReceiveChannel[T]
+        self._send, self._receive = trio.open_memory_channel[T](capacity)
+        self.dropped = 0
+
+    def post(self, message: T) -> bool:
+        """Leave a message without waiting; False, counted, when it is full."""
+        try:
+            self._send.send_nowait(message)
+        except trio.WouldBlock:
+            self.dropped += 1
+            return False
+        return True
+
+    async def put(self, message: T) -> None:
+        """Leave a message, waiting while the mailbox is full."""
+        await self._send.send(message)
+
+    async def take(self) -> T:
+        """Wait for the next message."""
+        return await self._receive.receive()
+
+    def take_all(self) -> list[T]:
+        """Take what lies here now, without waiting."""
+        messages: list[T] = []
+        while True:
+            try:
+                messages.append(self._receive.receive_nowait())
+            except trio.WouldBlock:
+                return messages
+
+    def __len__(self) -> int:
+        return self._send.statistics().current_buffer_used
+
+
+class Promise(Generic[T]):
+    """A place for one reply to a message."""
+
+    def __init__(self) -> None:
+        self._event = trio.Event()
+        self._value: T | Failure = Failure(ResultCode.INTERNAL, "no reply")
+
+    def fulfil(self, value: T | Failure) -> None:
+        """Give the reply; later ones are ignored."""
+        if not self._event.is_set():
+            self._value = value
+            self._event.set()
+
+    @property
+    def is_fulfilled(self) -> bool:
+        """Whether the reply has been given."""
+        return self._event.is_set()
+
+    async def wait(self, timeout: float, on_timeout: Failure) -> T | Failure:
+        """Wait for the reply, or return `on_timeout` after `timeout` seconds."""
+        with trio.move_on_after(timeout):
+            await self._event.wait()
+        return self._value if self._event.is_set() else on_timeout
+
+
+AnyMailbox = Mailbox[Any]
--- /dev/null
+++ b/dewridge/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, laid out as the package is."""
--- /dev/null
+++ b/dewridge/tests/conftest.py
@@ -0,0 +1,55 @@
+"""Shared by all tests: runs trio tests and passes over what KNOWN-RED.txt names."""
+
+import inspect
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+import trio
+
+KNOWN_RED = Path(__file__).parents[2] / "KNOWN-RED.txt"
+
+
+def read_known_red() -> dict[str, str]:
+    """Return each line (`TEST | COMMAND | SEEN | CAUSE | ISSUE`) by its test id."""
+    if not KNOWN_RED.exists():
+        return {}
+    lines = [line for line in KNOWN_RED.read_text().splitlines() if line.strip()]
+    return {line.split("|")[0].strip(): line for line in lines}
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Mark exactly the tests that KNOWN-RED.txt names; they still run."""
+    known = read_known_red()
+    for item in items:
+        if item.nodeid in known:
+            item.add_marker(pytest.mark.xfail(reason=known[item.nodeid], strict=False))
+
+
+@pytest.hookimpl(tryfirst=True)
+def pytest_pyfunc_call(pyfuncitem: pytest.Function) -> bool | None:
+    """Run a coroutine test under trio."""
+    if not inspect.iscoroutinefunction(pyfuncitem.obj):
+        return None
+    names = pyfuncitem._fixtureinfo.argnames
+    arguments: dict[str, Any] = {name: pyfuncitem.funcargs[name] for name in names}
+
+    async def call() -> None:
+        await pyfuncitem.obj(**arguments)
+
+    trio.run(call)
+    return True
+
+
+@pytest.fixture
+def clock() -> Iterator[Any]:
+    """Return a clock for tests that step time themselves."""
+
+    class Clock:
+        now = 1_000_000.0
+
+        def __call__(self) -> float:
+            return self.now
+
+    yield Clock()
