--- a/dewridge/codes.py
+++ b/dewridge/codes.py
@@ -46,7 +46,7 @@
     QUEUE_FULL = 201
     SHARE_EXCEEDED = 202
     COST_LIMIT_REACHED = 203
-    NO_KEEPER = 204
+    NO_REPLICA = 204
     NO_BACKEND_SERVER = 205
     HOST_LEAVING = 206
     CLAIM_UNAVAILABLE = 207
@@ -179,7 +179,7 @@
         "The profile's cost limit is reached",
         "Come back later, or raise the limit.",
     ),
-    ResultCode.NO_KEEPER: CodeEntry(
+    ResultCode.NO_REPLICA: CodeEntry(
         503,
         _NOT_RUN,
         "No peer could keep a copy of the request",
--- a/dewridge/membership/model.py
+++ b/dewridge/membership/model.py
@@ -26,7 +26,7 @@
 
     Attributes:
         address: IP number and port for peers.
-        front_address: IP number and port for callers.
+        frontend_address: IP number and port for callers.
         refutation: counter by which a suspected member overrules suspicion.
     """
 
@@ -34,7 +34,7 @@
     incarnation: Incarnation
     failure_domain: FailureDomain
     address: str
-    front_address: str
+    frontend_address: str
     state: MemberState = MemberState.ALIVE
     refutation: int = 0
 
@@ -59,3 +59,30 @@
 
     def subscribe(self, listener: Callable[[Member], None]) -> None:
         """Call `listener` at once and briefly on each change of a member."""
+
+
+@dataclass(frozen=True, slots=True)
+class Rumor:
+    """Something that every entry host should hear of.
+
+    Attributes:
+        version: a higher version of the same kind and subject replaces a lower.
+    """
+
+    kind: str
+    subject: str
+    version: int
+    payload: bytes
+
+
+class Rumors(Protocol):
+    """Spreading of small facts along with the membership's probes."""
+
+    def spread(self, rumor: Rumor) -> None:
+        """Tell all members, unless a version as high is known already."""
+
+    def subscribe_rumors(self, kind: str, listener: Callable[[Rumor], None]) -> None:
+        """Call `listener` on each new version, and now with those known.
+
+        A listener returns at once and is also called for what this host spreads.
+        """
--- a/dewridge/peers/dewridge.thrift
+++ b/dewridge/peers/dewridge.thrift
@@ -27,25 +27,25 @@
   2: i64 incarnation
   3: string failure_domain
   4: string address
-  5: string front_address
+  5: string frontend_address
   6: i32 state             // MemberState
   7: i32 refutation
 }
 
 // Something every host should hear of, spread with the membership's probes.
-struct Rumour {
+struct Rumor {
   1: string kind           // "server_leaving", "configuration", "fenced", ...
   2: string subject
   3: i64 version           // a higher version replaces a lower one
   4: binary payload
 }
 
-struct Probe { 1: i64 sequence, 2: list<MemberRecord> members, 3: list<Rumour> rumours }
-struct ProbeReply { 1: i64 sequence, 2: list<MemberRecord> members, 3: list<Rumour> rumours }
+struct Probe { 1: i64 sequence, 2: list<MemberRecord> members, 3: list<Rumor> rumors }
+struct ProbeReply { 1: i64 sequence, 2: list<MemberRecord> members, 3: list<Rumor> rumors }
 struct RelayProbe { 1: MemberRecord target, 2: double timeout }
 struct RelayProbeReply { 1: bool reached }
 struct Join { 1: MemberRecord me }
-struct JoinReply { 1: list<MemberRecord> members, 2: list<Rumour> rumours }
+struct JoinReply { 1: list<MemberRecord> members, 2: list<Rumor> rumors }
 
 // ---- configuration ------------------------------------------------------------
 
@@ -74,7 +74,7 @@
   11: string owner
   12: i64 owner_incarnation
   13: i64 generation
-  14: list<string> keepers // hosts that keep a copy
+  14: list<string> replicas // hosts that keep a copy
   15: i32 attempts
   16: i32 recomputed
   17: double cost
@@ -98,7 +98,7 @@
   12: i32 number           // submission number that a refusal holds for
 }
 
-// Tokens of one request for a keeper or a follower.
+// Tokens of one request for a replica or a follower.
 struct TokenRun {
   1: string request
   2: i64 generation
@@ -108,14 +108,14 @@
   6: i64 epoch
 }
 
-struct Keep { 1: RequestRecord record, 2: list<string> tokens }
-// `other_owner` is set when the keeper knows the request under another owner.
-struct KeepReply { 1: bool kept, 2: optional RequestRecord known, 3: optional RequestEnd ended }
+struct Replicate { 1: RequestRecord record, 2: list<string> tokens }
+// `other_owner` is set when the replica knows the request under another owner.
+struct ReplicateReply { 1: bool stored, 2: optional RequestRecord known, 3: optional RequestEnd ended }
 
 // One frame for all streams of a pair of hosts, every few tens of milliseconds.
-struct KeepTokens { 1: list<TokenRun> runs }
-// Requests that the keeper does not know or knows under a higher epoch.
-struct KeepTokensReply { 1: list<string> unknown, 2: list<string> superseded }
+struct ReplicateTokens { 1: list<TokenRun> runs }
+// Requests that the replica does not know or knows under a higher epoch.
+struct ReplicateTokensReply { 1: list<string> unknown, 2: list<string> superseded }
 
 struct Find { 1: string request }
 struct FindReply {
@@ -138,37 +138,37 @@
 }
 struct StopFollow { 1: i64 stream }
 
-// A leaving owner gives a request with its state to a keeper.
-struct Handover { 1: RequestRecord record, 2: list<string> tokens, 3: bool released }
-struct HandoverReply { 1: bool taken }
+// A leaving owner gives a request with its state to a replica.
+struct Handoff { 1: RequestRecord record, 2: list<string> tokens, 3: bool released }
+struct HandoffReply { 1: bool taken }
 
 struct Cancel { 1: string request }
 struct CancelReply { 1: bool found, 2: optional RequestEnd ended }
 
 // ---- claims ------------------------------------------------------------------------
 
-struct ClaimWish {
+struct ClaimRequest {
   1: string request
   2: string holder
   3: i64 holder_incarnation
   4: i64 epoch
   5: bool release          // the holder proves that it sent nothing
 }
-struct Claim { 1: string bucket, 2: list<ClaimWish> wishes }
-// One result a wish: 0 granted, otherwise a result code with the holder.
+struct Claim { 1: string bucket, 2: list<ClaimRequest> requests }
+// One result a request: 0 granted, otherwise a result code with the holder.
 struct ClaimResult { 1: i32 code, 2: string holder, 3: i64 holder_incarnation, 4: string reason }
 struct ClaimReply { 1: list<ClaimResult> results }
 
 // ---- accounting ---------------------------------------------------------------------
 
-struct Tally {
+struct Usage {
   1: string profile
   2: map<string, double> counters
 }
-struct InheritTallies { 1: string host, 2: i64 incarnation, 3: list<Tally> tallies }
-struct InheritTalliesReply { 1: bool taken }
-struct ReadTallies { 1: string profile }
-struct ReadTalliesReply { 1: list<InheritTallies> tallies }
+struct MergeUsage { 1: string host, 2: i64 incarnation, 3: list<Usage> usages }
+struct MergeUsageReply { 1: bool taken }
+struct ReadUsage { 1: string profile }
+struct ReadUsageReply { 1: list<MergeUsage> usages }
 
 // ---- envelope -----------------------------------------------------------------------
 
@@ -185,24 +185,24 @@
   15: optional JoinReply join_reply
   20: optional PullConfiguration pull_configuration
   21: optional ConfigurationChanges configuration_changes
-  30: optional Keep keep
-  31: optional KeepReply keep_reply
-  32: optional KeepTokens keep_tokens
-  33: optional KeepTokensReply keep_tokens_reply
+  30: optional Replicate replicate
+  31: optional ReplicateReply replicate_reply
+  32: optional ReplicateTokens replicate_tokens
+  33: optional ReplicateTokensReply replicate_tokens_reply
   34: optional Find find
   35: optional FindReply find_reply
   36: optional Follow follow
   37: optional FollowReply follow_reply
   38: optional FollowTokens follow_tokens
   39: optional StopFollow stop_follow
-  40: optional Handover handover
-  41: optional HandoverReply handover_reply
+  40: optional Handoff handoff
+  41: optional HandoffReply handoff_reply
   42: optional Cancel cancel
   43: optional CancelReply cancel_reply
   50: optional Claim claim
   51: optional ClaimReply claim_reply
-  60: optional InheritTallies inherit_tallies
-  61: optional InheritTalliesReply inherit_tallies_reply
-  62: optional ReadTallies read_tallies
-  63: optional ReadTalliesReply read_tallies_reply
+  60: optional MergeUsage merge_usage
+  61: optional MergeUsageReply merge_usage_reply
+  62: optional ReadUsage read_usage
+  63: optional ReadUsageReply read_usage_reply
 }
--- a/dewridge/peers/wire/ttypes.py
+++ b/dewridge/peers/wire/ttypes.py
@@ -255,7 +255,7 @@
      - incarnation
      - failure_domain
      - address
-     - front_address
+     - frontend_address
      - state
      - refutation
 
@@ -266,18 +266,18 @@
         'incarnation',
         'failure_domain',
         'address',
-        'front_address',
+        'frontend_address',
         'state',
         'refutation',
     )
 
 
-    def __init__(self, host=None, incarnation=None, failure_domain=None, address=None, front_address=None, state=None, refutation=None,):
+    def __init__(self, host=None, incarnation=None, failure_domain=None, address=None, frontend_address=None, state=None, refutation=None,):
         self.host = host
         self.incarnation = incarnation
         self.failure_domain = failure_domain
         self.address = address
-        self.front_address = front_address
+        self.frontend_address = frontend_address
         self.state = state
         self.refutation = refutation
 
@@ -312,7 +312,7 @@
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.STRING:
-                    self.front_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.frontend_address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
@@ -351,9 +351,9 @@
             oprot.writeFieldBegin('address', TType.STRING, 4)
             oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
             oprot.writeFieldEnd()
-        if self.front_address is not None:
-            oprot.writeFieldBegin('front_address', TType.STRING, 5)
-            oprot.writeString(self.front_address.encode('utf-8') if sys.version_info[0] == 2 else self.front_address)
+        if self.frontend_address is not None:
+            oprot.writeFieldBegin('frontend_address', TType.STRING, 5)
+            oprot.writeString(self.frontend_address.encode('utf-8') if sys.version_info[0] == 2 else self.frontend_address)
             oprot.writeFieldEnd()
         if self.state is not None:
             oprot.writeFieldBegin('state', TType.I32, 6)
@@ -388,7 +388,7 @@
         return not (self == other)
 
 
-class Rumour(object):
+class Rumor(object):
     """
     Attributes:
      - kind
@@ -450,7 +450,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Rumour')
+        oprot.writeStructBegin('Rumor')
         if self.kind is not None:
             oprot.writeFieldBegin('kind', TType.STRING, 1)
             oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
@@ -497,21 +497,21 @@
     Attributes:
      - sequence
      - members
-     - rumours
+     - rumors
 
     """
 
     __slots__ = (
         'sequence',
         'members',
-        'rumours',
+        'rumors',
     )
 
 
-    def __init__(self, sequence=None, members=None, rumours=None,):
+    def __init__(self, sequence=None, members=None, rumors=None,):
         self.sequence = sequence
         self.members = members
-        self.rumours = rumours
+        self.rumors = rumors
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -540,12 +540,12 @@
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
-                    self.rumours = []
+                    self.rumors = []
                     (_etype9, _size6) = iprot.readListBegin()
                     for _i10 in range(_size6):
-                        _elem11 = Rumour()
+                        _elem11 = Rumor()
                         _elem11.read(iprot)
-                        self.rumours.append(_elem11)
+                        self.rumors.append(_elem11)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -570,10 +570,10 @@
                 iter12.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.rumours is not None:
-            oprot.writeFieldBegin('rumours', TType.LIST, 3)
-            oprot.writeListBegin(TType.STRUCT, len(self.rumours))
-            for iter13 in self.rumours:
+        if self.rumors is not None:
+            oprot.writeFieldBegin('rumors', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.rumors))
+            for iter13 in self.rumors:
                 iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -607,21 +607,21 @@
     Attributes:
      - sequence
      - members
-     - rumours
+     - rumors
 
     """
 
     __slots__ = (
         'sequence',
         'members',
-        'rumours',
+        'rumors',
     )
 
 
-    def __init__(self, sequence=None, members=None, rumours=None,):
+    def __init__(self, sequence=None, members=None, rumors=None,):
         self.sequence = sequence
         self.members = members
-        self.rumours = rumours
+        self.rumors = rumors
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -650,12 +650,12 @@
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
-                    self.rumours = []
+                    self.rumors = []
                     (_etype23, _size20) = iprot.readListBegin()
                     for _i24 in range(_size20):
-                        _elem25 = Rumour()
+                        _elem25 = Rumor()
                         _elem25.read(iprot)
-                        self.rumours.append(_elem25)
+                        self.rumors.append(_elem25)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -680,10 +680,10 @@
                 iter26.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.rumours is not None:
-            oprot.writeFieldBegin('rumours', TType.LIST, 3)
-            oprot.writeListBegin(TType.STRUCT, len(self.rumours))
-            for iter27 in self.rumours:
+        if self.rumors is not None:
+            oprot.writeFieldBegin('rumors', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.rumors))
+            for iter27 in self.rumors:
                 iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -934,19 +934,19 @@
     """
     Attributes:
      - members
-     - rumours
+     - rumors
 
     """
 
     __slots__ = (
         'members',
-        'rumours',
+        'rumors',
     )
 
 
-    def __init__(self, members=None, rumours=None,):
+    def __init__(self, members=None, rumors=None,):
         self.members = members
-        self.rumours = rumours
+        self.rumors = rumors
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -970,12 +970,12 @@
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
-                    self.rumours = []
+                    self.rumors = []
                     (_etype37, _size34) = iprot.readListBegin()
                     for _i38 in range(_size34):
-                        _elem39 = Rumour()
+                        _elem39 = Rumor()
                         _elem39.read(iprot)
-                        self.rumours.append(_elem39)
+                        self.rumors.append(_elem39)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -996,10 +996,10 @@
                 iter40.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.rumours is not None:
-            oprot.writeFieldBegin('rumours', TType.LIST, 2)
-            oprot.writeListBegin(TType.STRUCT, len(self.rumours))
-            for iter41 in self.rumours:
+        if self.rumors is not None:
+            oprot.writeFieldBegin('rumors', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.rumors))
+            for iter41 in self.rumors:
                 iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -1325,7 +1325,7 @@
      - owner
      - owner_incarnation
      - generation
-     - keepers
+     - replicas
      - attempts
      - recomputed
      - cost
@@ -1349,7 +1349,7 @@
         'owner',
         'owner_incarnation',
         'generation',
-        'keepers',
+        'replicas',
         'attempts',
         'recomputed',
         'cost',
@@ -1359,7 +1359,7 @@
     )
 
 
-    def __init__(self, request=None, service_name=None, operation=None, number=None, deadline=None, input=None, max_tokens=None, idempotent=None, profile=None, accepted_at=None, owner=None, owner_incarnation=None, generation=None, keepers=None, attempts=None, recomputed=None, cost=None, claimed=None, cache_handle=None, epoch=None,):
+    def __init__(self, request=None, service_name=None, operation=None, number=None, deadline=None, input=None, max_tokens=None, idempotent=None, profile=None, accepted_at=None, owner=None, owner_incarnation=None, generation=None, replicas=None, attempts=None, recomputed=None, cost=None, claimed=None, cache_handle=None, epoch=None,):
         self.request = request
         self.service_name = service_name
         self.operation = operation
@@ -1373,7 +1373,7 @@
         self.owner = owner
         self.owner_incarnation = owner_incarnation
         self.generation = generation
-        self.keepers = keepers
+        self.replicas = replicas
         self.attempts = attempts
         self.recomputed = recomputed
         self.cost = cost
@@ -1457,11 +1457,11 @@
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
-                    self.keepers = []
+                    self.replicas = []
                     (_etype59, _size56) = iprot.readListBegin()
                     for _i60 in range(_size56):
                         _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.keepers.append(_elem61)
+                        self.replicas.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1557,10 +1557,10 @@
             oprot.writeFieldBegin('generation', TType.I64, 13)
             oprot.writeI64(self.generation)
             oprot.writeFieldEnd()
-        if self.keepers is not None:
-            oprot.writeFieldBegin('keepers', TType.LIST, 14)
-            oprot.writeListBegin(TType.STRING, len(self.keepers))
-            for iter62 in self.keepers:
+        if self.replicas is not None:
+            oprot.writeFieldBegin('replicas', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRING, len(self.replicas))
+            for iter62 in self.replicas:
                 oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -1950,7 +1950,7 @@
         return not (self == other)
 
 
-class Keep(object):
+class Replicate(object):
     """
     Attributes:
      - record
@@ -2002,7 +2002,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Keep')
+        oprot.writeStructBegin('Replicate')
         if self.record is not None:
             oprot.writeFieldBegin('record', TType.STRUCT, 1)
             self.record.write(oprot)
@@ -2039,24 +2039,24 @@
         return not (self == other)
 
 
-class KeepReply(object):
+class ReplicateReply(object):
     """
     Attributes:
-     - kept
+     - stored
      - known
      - ended
 
     """
 
     __slots__ = (
-        'kept',
+        'stored',
         'known',
         'ended',
     )
 
 
-    def __init__(self, kept=None, known=None, ended=None,):
-        self.kept = kept
+    def __init__(self, stored=None, known=None, ended=None,):
+        self.stored = stored
         self.known = known
         self.ended = ended
 
@@ -2071,7 +2071,7 @@
                 break
             if fid == 1:
                 if ftype == TType.BOOL:
-                    self.kept = iprot.readBool()
+                    self.stored = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -2095,10 +2095,10 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('KeepReply')
-        if self.kept is not None:
-            oprot.writeFieldBegin('kept', TType.BOOL, 1)
-            oprot.writeBool(self.kept)
+        oprot.writeStructBegin('ReplicateReply')
+        if self.stored is not None:
+            oprot.writeFieldBegin('stored', TType.BOOL, 1)
+            oprot.writeBool(self.stored)
             oprot.writeFieldEnd()
         if self.known is not None:
             oprot.writeFieldBegin('known', TType.STRUCT, 2)
@@ -2133,7 +2133,7 @@
         return not (self == other)
 
 
-class KeepTokens(object):
+class ReplicateTokens(object):
     """
     Attributes:
      - runs
@@ -2177,7 +2177,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('KeepTokens')
+        oprot.writeStructBegin('ReplicateTokens')
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.runs))
@@ -2210,7 +2210,7 @@
         return not (self == other)
 
 
-class KeepTokensReply(object):
+class ReplicateTokensReply(object):
     """
     Attributes:
      - unknown
@@ -2266,7 +2266,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('KeepTokensReply')
+        oprot.writeStructBegin('ReplicateTokensReply')
         if self.unknown is not None:
             oprot.writeFieldBegin('unknown', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.unknown))
@@ -2869,7 +2869,7 @@
         return not (self == other)
 
 
-class Handover(object):
+class Handoff(object):
     """
     Attributes:
      - record
@@ -2929,7 +2929,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Handover')
+        oprot.writeStructBegin('Handoff')
         if self.record is not None:
             oprot.writeFieldBegin('record', TType.STRUCT, 1)
             self.record.write(oprot)
@@ -2970,7 +2970,7 @@
         return not (self == other)
 
 
-class HandoverReply(object):
+class HandoffReply(object):
     """
     Attributes:
      - taken
@@ -3008,7 +3008,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('HandoverReply')
+        oprot.writeStructBegin('HandoffReply')
         if self.taken is not None:
             oprot.writeFieldBegin('taken', TType.BOOL, 1)
             oprot.writeBool(self.taken)
@@ -3187,7 +3187,7 @@
         return not (self == other)
 
 
-class ClaimWish(object):
+class ClaimRequest(object):
     """
     Attributes:
      - request
@@ -3257,7 +3257,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('ClaimWish')
+        oprot.writeStructBegin('ClaimRequest')
         if self.request is not None:
             oprot.writeFieldBegin('request', TType.STRING, 1)
             oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
@@ -3307,19 +3307,19 @@
     """
     Attributes:
      - bucket
-     - wishes
+     - requests
 
     """
 
     __slots__ = (
         'bucket',
-        'wishes',
+        'requests',
     )
 
 
-    def __init__(self, bucket=None, wishes=None,):
+    def __init__(self, bucket=None, requests=None,):
         self.bucket = bucket
-        self.wishes = wishes
+        self.requests = requests
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3337,12 +3337,12 @@
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
-                    self.wishes = []
+                    self.requests = []
                     (_etype115, _size112) = iprot.readListBegin()
                     for _i116 in range(_size112):
-                        _elem117 = ClaimWish()
+                        _elem117 = ClaimRequest()
                         _elem117.read(iprot)
-                        self.wishes.append(_elem117)
+                        self.requests.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3360,10 +3360,10 @@
             oprot.writeFieldBegin('bucket', TType.STRING, 1)
             oprot.writeString(self.bucket.encode('utf-8') if sys.version_info[0] == 2 else self.bucket)
             oprot.writeFieldEnd()
-        if self.wishes is not None:
-            oprot.writeFieldBegin('wishes', TType.LIST, 2)
-            oprot.writeListBegin(TType.STRUCT, len(self.wishes))
-            for iter118 in self.wishes:
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.requests))
+            for iter118 in self.requests:
                 iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -3573,7 +3573,7 @@
         return not (self == other)
 
 
-class Tally(object):
+class Usage(object):
     """
     Attributes:
      - profile
@@ -3625,7 +3625,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Tally')
+        oprot.writeStructBegin('Usage')
         if self.profile is not None:
             oprot.writeFieldBegin('profile', TType.STRING, 1)
             oprot.writeString(self.profile.encode('utf-8') if sys.version_info[0] == 2 else self.profile)
@@ -3663,26 +3663,26 @@
         return not (self == other)
 
 
-class InheritTallies(object):
+class MergeUsage(object):
     """
     Attributes:
      - host
      - incarnation
-     - tallies
+     - usages
 
     """
 
     __slots__ = (
         'host',
         'incarnation',
-        'tallies',
+        'usages',
     )
 
 
-    def __init__(self, host=None, incarnation=None, tallies=None,):
+    def __init__(self, host=None, incarnation=None, usages=None,):
         self.host = host
         self.incarnation = incarnation
-        self.tallies = tallies
+        self.usages = usages
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3705,12 +3705,12 @@
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
-                    self.tallies = []
+                    self.usages = []
                     (_etype138, _size135) = iprot.readListBegin()
                     for _i139 in range(_size135):
-                        _elem140 = Tally()
+                        _elem140 = Usage()
                         _elem140.read(iprot)
-                        self.tallies.append(_elem140)
+                        self.usages.append(_elem140)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3723,7 +3723,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('InheritTallies')
+        oprot.writeStructBegin('MergeUsage')
         if self.host is not None:
             oprot.writeFieldBegin('host', TType.STRING, 1)
             oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
@@ -3732,10 +3732,10 @@
             oprot.writeFieldBegin('incarnation', TType.I64, 2)
             oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
-        if self.tallies is not None:
-            oprot.writeFieldBegin('tallies', TType.LIST, 3)
-            oprot.writeListBegin(TType.STRUCT, len(self.tallies))
-            for iter141 in self.tallies:
+        if self.usages is not None:
+            oprot.writeFieldBegin('usages', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.usages))
+            for iter141 in self.usages:
                 iter141.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -3764,7 +3764,7 @@
         return not (self == other)
 
 
-class InheritTalliesReply(object):
+class MergeUsageReply(object):
     """
     Attributes:
      - taken
@@ -3802,7 +3802,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('InheritTalliesReply')
+        oprot.writeStructBegin('MergeUsageReply')
         if self.taken is not None:
             oprot.writeFieldBegin('taken', TType.BOOL, 1)
             oprot.writeBool(self.taken)
@@ -3832,7 +3832,7 @@
         return not (self == other)
 
 
-class ReadTallies(object):
+class ReadUsage(object):
     """
     Attributes:
      - profile
@@ -3870,7 +3870,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('ReadTallies')
+        oprot.writeStructBegin('ReadUsage')
         if self.profile is not None:
             oprot.writeFieldBegin('profile', TType.STRING, 1)
             oprot.writeString(self.profile.encode('utf-8') if sys.version_info[0] == 2 else self.profile)
@@ -3900,20 +3900,20 @@
         return not (self == other)
 
 
-class ReadTalliesReply(object):
+class ReadUsageReply(object):
     """
     Attributes:
-     - tallies
+     - usages
 
     """
 
     __slots__ = (
-        'tallies',
+        'usages',
     )
 
 
-    def __init__(self, tallies=None,):
-        self.tallies = tallies
+    def __init__(self, usages=None,):
+        self.usages = usages
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3926,12 +3926,12 @@
                 break
             if fid == 1:
                 if ftype == TType.LIST:
-                    self.tallies = []
+                    self.usages = []
                     (_etype145, _size142) = iprot.readListBegin()
                     for _i146 in range(_size142):
-                        _elem147 = InheritTallies()
+                        _elem147 = MergeUsage()
                         _elem147.read(iprot)
-                        self.tallies.append(_elem147)
+                        self.usages.append(_elem147)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3944,11 +3944,11 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('ReadTalliesReply')
-        if self.tallies is not None:
-            oprot.writeFieldBegin('tallies', TType.LIST, 1)
-            oprot.writeListBegin(TType.STRUCT, len(self.tallies))
-            for iter148 in self.tallies:
+        oprot.writeStructBegin('ReadUsageReply')
+        if self.usages is not None:
+            oprot.writeFieldBegin('usages', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.usages))
+            for iter148 in self.usages:
                 iter148.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -3992,26 +3992,26 @@
      - join_reply
      - pull_configuration
      - configuration_changes
-     - keep
-     - keep_reply
-     - keep_tokens
-     - keep_tokens_reply
+     - replicate
+     - replicate_reply
+     - replicate_tokens
+     - replicate_tokens_reply
      - find
      - find_reply
      - follow
      - follow_reply
      - follow_tokens
      - stop_follow
-     - handover
-     - handover_reply
+     - handoff
+     - handoff_reply
      - cancel
      - cancel_reply
      - claim
      - claim_reply
-     - inherit_tallies
-     - inherit_tallies_reply
-     - read_tallies
-     - read_tallies_reply
+     - merge_usage
+     - merge_usage_reply
+     - read_usage
+     - read_usage_reply
 
     """
 
@@ -4028,30 +4028,30 @@
         'join_reply',
         'pull_configuration',
         'configuration_changes',
-        'keep',
-        'keep_reply',
-        'keep_tokens',
-        'keep_tokens_reply',
+        'replicate',
+        'replicate_reply',
+        'replicate_tokens',
+        'replicate_tokens_reply',
         'find',
         'find_reply',
         'follow',
         'follow_reply',
         'follow_tokens',
         'stop_follow',
-        'handover',
-        'handover_reply',
+        'handoff',
+        'handoff_reply',
         'cancel',
         'cancel_reply',
         'claim',
         'claim_reply',
-        'inherit_tallies',
-        'inherit_tallies_reply',
-        'read_tallies',
-        'read_tallies_reply',
+        'merge_usage',
+        'merge_usage_reply',
+        'read_usage',
+        'read_usage_reply',
     )
 
 
-    def __init__(self, call=None, reply_to=None, hello=None, refusal=None, probe=None, probe_reply=None, relay_probe=None, relay_probe_reply=None, join=None, join_reply=None, pull_configuration=None, configuration_changes=None, keep=None, keep_reply=None, keep_tokens=None, keep_tokens_reply=None, find=None, find_reply=None, follow=None, follow_reply=None, follow_tokens=None, stop_follow=None, handover=None, handover_reply=None, cancel=None, cancel_reply=None, claim=None, claim_reply=None, inherit_tallies=None, inherit_tallies_reply=None, read_tallies=None, read_tallies_reply=None,):
+    def __init__(self, call=None, reply_to=None, hello=None, refusal=None, probe=None, probe_reply=None, relay_probe=None, relay_probe_reply=None, join=None, join_reply=None, pull_configuration=None, configuration_changes=None, replicate=None, replicate_reply=None, replicate_tokens=None, replicate_tokens_reply=None, find=None, find_reply=None, follow=None, follow_reply=None, follow_tokens=None, stop_follow=None, handoff=None, handoff_reply=None, cancel=None, cancel_reply=None, claim=None, claim_reply=None, merge_usage=None, merge_usage_reply=None, read_usage=None, read_usage_reply=None,):
         self.call = call
         self.reply_to = reply_to
         self.hello = hello
@@ -4064,26 +4064,26 @@
         self.join_reply = join_reply
         self.pull_configuration = pull_configuration
         self.configuration_changes = configuration_changes
-        self.keep = keep
-        self.keep_reply = keep_reply
-        self.keep_tokens = keep_tokens
-        self.keep_tokens_reply = keep_tokens_reply
+        self.replicate = replicate
+        self.replicate_reply = replicate_reply
+        self.replicate_tokens = replicate_tokens
+        self.replicate_tokens_reply = replicate_tokens_reply
         self.find = find
         self.find_reply = find_reply
         self.follow = follow
         self.follow_reply = follow_reply
         self.follow_tokens = follow_tokens
         self.stop_follow = stop_follow
-        self.handover = handover
-        self.handover_reply = handover_reply
+        self.handoff = handoff
+        self.handoff_reply = handoff_reply
         self.cancel = cancel
         self.cancel_reply = cancel_reply
         self.claim = claim
         self.claim_reply = claim_reply
-        self.inherit_tallies = inherit_tallies
-        self.inherit_tallies_reply = inherit_tallies_reply
-        self.read_tallies = read_tallies
-        self.read_tallies_reply = read_tallies_reply
+        self.merge_usage = merge_usage
+        self.merge_usage_reply = merge_usage_reply
+        self.read_usage = read_usage
+        self.read_usage_reply = read_usage_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4166,26 +4166,26 @@
                     iprot.skip(ftype)
             elif fid == 30:
                 if ftype == TType.STRUCT:
-                    self.keep = Keep()
-                    self.keep.read(iprot)
+                    self.replicate = Replicate()
+                    self.replicate.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 31:
                 if ftype == TType.STRUCT:
-                    self.keep_reply = KeepReply()
-                    self.keep_reply.read(iprot)
+                    self.replicate_reply = ReplicateReply()
+                    self.replicate_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 32:
                 if ftype == TType.STRUCT:
-                    self.keep_tokens = KeepTokens()
-                    self.keep_tokens.read(iprot)
+                    self.replicate_tokens = ReplicateTokens()
+                    self.replicate_tokens.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 33:
                 if ftype == TType.STRUCT:
-                    self.keep_tokens_reply = KeepTokensReply()
-                    self.keep_tokens_reply.read(iprot)
+                    self.replicate_tokens_reply = ReplicateTokensReply()
+                    self.replicate_tokens_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 34:
@@ -4226,14 +4226,14 @@
                     iprot.skip(ftype)
             elif fid == 40:
                 if ftype == TType.STRUCT:
-                    self.handover = Handover()
-                    self.handover.read(iprot)
+                    self.handoff = Handoff()
+                    self.handoff.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 41:
                 if ftype == TType.STRUCT:
-                    self.handover_reply = HandoverReply()
-                    self.handover_reply.read(iprot)
+                    self.handoff_reply = HandoffReply()
+                    self.handoff_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 42:
@@ -4262,26 +4262,26 @@
                     iprot.skip(ftype)
             elif fid == 60:
                 if ftype == TType.STRUCT:
-                    self.inherit_tallies = InheritTallies()
-                    self.inherit_tallies.read(iprot)
+                    self.merge_usage = MergeUsage()
+                    self.merge_usage.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 61:
                 if ftype == TType.STRUCT:
-                    self.inherit_tallies_reply = InheritTalliesReply()
-                    self.inherit_tallies_reply.read(iprot)
+                    self.merge_usage_reply = MergeUsageReply()
+                    self.merge_usage_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 62:
                 if ftype == TType.STRUCT:
-                    self.read_tallies = ReadTallies()
-                    self.read_tallies.read(iprot)
+                    self.read_usage = ReadUsage()
+                    self.read_usage.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 63:
                 if ftype == TType.STRUCT:
-                    self.read_tallies_reply = ReadTalliesReply()
-                    self.read_tallies_reply.read(iprot)
+                    self.read_usage_reply = ReadUsageReply()
+                    self.read_usage_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -4342,21 +4342,21 @@
             oprot.writeFieldBegin('configuration_changes', TType.STRUCT, 21)
             self.configuration_changes.write(oprot)
             oprot.writeFieldEnd()
-        if self.keep is not None:
-            oprot.writeFieldBegin('keep', TType.STRUCT, 30)
-            self.keep.write(oprot)
+        if self.replicate is not None:
+            oprot.writeFieldBegin('replicate', TType.STRUCT, 30)
+            self.replicate.write(oprot)
             oprot.writeFieldEnd()
-        if self.keep_reply is not None:
-            oprot.writeFieldBegin('keep_reply', TType.STRUCT, 31)
-            self.keep_reply.write(oprot)
+        if self.replicate_reply is not None:
+            oprot.writeFieldBegin('replicate_reply', TType.STRUCT, 31)
+            self.replicate_reply.write(oprot)
             oprot.writeFieldEnd()
-        if self.keep_tokens is not None:
-            oprot.writeFieldBegin('keep_tokens', TType.STRUCT, 32)
-            self.keep_tokens.write(oprot)
+        if self.replicate_tokens is not None:
+            oprot.writeFieldBegin('replicate_tokens', TType.STRUCT, 32)
+            self.replicate_tokens.write(oprot)
             oprot.writeFieldEnd()
-        if self.keep_tokens_reply is not None:
-            oprot.writeFieldBegin('keep_tokens_reply', TType.STRUCT, 33)
-            self.keep_tokens_reply.write(oprot)
+        if self.replicate_tokens_reply is not None:
+            oprot.writeFieldBegin('replicate_tokens_reply', TType.STRUCT, 33)
+            self.replicate_tokens_reply.write(oprot)
             oprot.writeFieldEnd()
         if self.find is not None:
             oprot.writeFieldBegin('find', TType.STRUCT, 34)
@@ -4382,13 +4382,13 @@
             oprot.writeFieldBegin('stop_follow', TType.STRUCT, 39)
             self.stop_follow.write(oprot)
             oprot.writeFieldEnd()
-        if self.handover is not None:
-            oprot.writeFieldBegin('handover', TType.STRUCT, 40)
-            self.handover.write(oprot)
+        if self.handoff is not None:
+            oprot.writeFieldBegin('handoff', TType.STRUCT, 40)
+            self.handoff.write(oprot)
             oprot.writeFieldEnd()
-        if self.handover_reply is not None:
-            oprot.writeFieldBegin('handover_reply', TType.STRUCT, 41)
-            self.handover_reply.write(oprot)
+        if self.handoff_reply is not None:
+            oprot.writeFieldBegin('handoff_reply', TType.STRUCT, 41)
+            self.handoff_reply.write(oprot)
             oprot.writeFieldEnd()
         if self.cancel is not None:
             oprot.writeFieldBegin('cancel', TType.STRUCT, 42)
@@ -4406,21 +4406,21 @@
             oprot.writeFieldBegin('claim_reply', TType.STRUCT, 51)
             self.claim_reply.write(oprot)
             oprot.writeFieldEnd()
-        if self.inherit_tallies is not None:
-            oprot.writeFieldBegin('inherit_tallies', TType.STRUCT, 60)
-            self.inherit_tallies.write(oprot)
+        if self.merge_usage is not None:
+            oprot.writeFieldBegin('merge_usage', TType.STRUCT, 60)
+            self.merge_usage.write(oprot)
             oprot.writeFieldEnd()
-        if self.inherit_tallies_reply is not None:
-            oprot.writeFieldBegin('inherit_tallies_reply', TType.STRUCT, 61)
-            self.inherit_tallies_reply.write(oprot)
+        if self.merge_usage_reply is not None:
+            oprot.writeFieldBegin('merge_usage_reply', TType.STRUCT, 61)
+            self.merge_usage_reply.write(oprot)
             oprot.writeFieldEnd()
-        if self.read_tallies is not None:
-            oprot.writeFieldBegin('read_tallies', TType.STRUCT, 62)
-            self.read_tallies.write(oprot)
+        if self.read_usage is not None:
+            oprot.writeFieldBegin('read_usage', TType.STRUCT, 62)
+            self.read_usage.write(oprot)
             oprot.writeFieldEnd()
-        if self.read_tallies_reply is not None:
-            oprot.writeFieldBegin('read_tallies_reply', TType.STRUCT, 63)
-            self.read_tallies_reply.write(oprot)
+        if self.read_usage_reply is not None:
+            oprot.writeFieldBegin('read_usage_reply', TType.STRUCT, 63)
+            self.read_usage_reply.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -4470,12 +4470,12 @@
     (2, TType.I64, 'incarnation', None, None, ),  # 2
     (3, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'address', 'UTF8', None, ),  # 4
-    (5, TType.STRING, 'front_address', 'UTF8', None, ),  # 5
+    (5, TType.STRING, 'frontend_address', 'UTF8', None, ),  # 5
     (6, TType.I32, 'state', None, None, ),  # 6
     (7, TType.I32, 'refutation', None, None, ),  # 7
 )
-all_structs.append(Rumour)
-Rumour.thrift_spec = (
+all_structs.append(Rumor)
+Rumor.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'kind', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'subject', 'UTF8', None, ),  # 2
@@ -4487,14 +4487,14 @@
     None,  # 0
     (1, TType.I64, 'sequence', None, None, ),  # 1
     (2, TType.LIST, 'members', (TType.STRUCT, [MemberRecord, None], False), None, ),  # 2
-    (3, TType.LIST, 'rumours', (TType.STRUCT, [Rumour, None], False), None, ),  # 3
+    (3, TType.LIST, 'rumors', (TType.STRUCT, [Rumor, None], False), None, ),  # 3
 )
 all_structs.append(ProbeReply)
 ProbeReply.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'sequence', None, None, ),  # 1
     (2, TType.LIST, 'members', (TType.STRUCT, [MemberRecord, None], False), None, ),  # 2
-    (3, TType.LIST, 'rumours', (TType.STRUCT, [Rumour, None], False), None, ),  # 3
+    (3, TType.LIST, 'rumors', (TType.STRUCT, [Rumor, None], False), None, ),  # 3
 )
 all_structs.append(RelayProbe)
 RelayProbe.thrift_spec = (
@@ -4516,7 +4516,7 @@
 JoinReply.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'members', (TType.STRUCT, [MemberRecord, None], False), None, ),  # 1
-    (2, TType.LIST, 'rumours', (TType.STRUCT, [Rumour, None], False), None, ),  # 2
+    (2, TType.LIST, 'rumors', (TType.STRUCT, [Rumor, None], False), None, ),  # 2
 )
 all_structs.append(PullConfiguration)
 PullConfiguration.thrift_spec = (
@@ -4554,7 +4554,7 @@
     (11, TType.STRING, 'owner', 'UTF8', None, ),  # 11
     (12, TType.I64, 'owner_incarnation', None, None, ),  # 12
     (13, TType.I64, 'generation', None, None, ),  # 13
-    (14, TType.LIST, 'keepers', (TType.STRING, 'UTF8', False), None, ),  # 14
+    (14, TType.LIST, 'replicas', (TType.STRING, 'UTF8', False), None, ),  # 14
     (15, TType.I32, 'attempts', None, None, ),  # 15
     (16, TType.I32, 'recomputed', None, None, ),  # 16
     (17, TType.DOUBLE, 'cost', None, None, ),  # 17
@@ -4588,26 +4588,26 @@
     (5, TType.STRUCT, 'ended', [RequestEnd, None], None, ),  # 5
     (6, TType.I64, 'epoch', None, None, ),  # 6
 )
-all_structs.append(Keep)
-Keep.thrift_spec = (
+all_structs.append(Replicate)
+Replicate.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'record', [RequestRecord, None], None, ),  # 1
     (2, TType.LIST, 'tokens', (TType.STRING, 'UTF8', False), None, ),  # 2
 )
-all_structs.append(KeepReply)
-KeepReply.thrift_spec = (
+all_structs.append(ReplicateReply)
+ReplicateReply.thrift_spec = (
     None,  # 0
-    (1, TType.BOOL, 'kept', None, None, ),  # 1
+    (1, TType.BOOL, 'stored', None, None, ),  # 1
     (2, TType.STRUCT, 'known', [RequestRecord, None], None, ),  # 2
     (3, TType.STRUCT, 'ended', [RequestEnd, None], None, ),  # 3
 )
-all_structs.append(KeepTokens)
-KeepTokens.thrift_spec = (
+all_structs.append(ReplicateTokens)
+ReplicateTokens.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'runs', (TType.STRUCT, [TokenRun, None], False), None, ),  # 1
 )
-all_structs.append(KeepTokensReply)
-KeepTokensReply.thrift_spec = (
+all_structs.append(ReplicateTokensReply)
+ReplicateTokensReply.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'unknown', (TType.STRING, 'UTF8', False), None, ),  # 1
     (2, TType.LIST, 'superseded', (TType.STRING, 'UTF8', False), None, ),  # 2
@@ -4654,15 +4654,15 @@
     None,  # 0
     (1, TType.I64, 'stream', None, None, ),  # 1
 )
-all_structs.append(Handover)
-Handover.thrift_spec = (
+all_structs.append(Handoff)
+Handoff.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'record', [RequestRecord, None], None, ),  # 1
     (2, TType.LIST, 'tokens', (TType.STRING, 'UTF8', False), None, ),  # 2
     (3, TType.BOOL, 'released', None, None, ),  # 3
 )
-all_structs.append(HandoverReply)
-HandoverReply.thrift_spec = (
+all_structs.append(HandoffReply)
+HandoffReply.thrift_spec = (
     None,  # 0
     (1, TType.BOOL, 'taken', None, None, ),  # 1
 )
@@ -4677,8 +4677,8 @@
     (1, TType.BOOL, 'found', None, None, ),  # 1
     (2, TType.STRUCT, 'ended', [RequestEnd, None], None, ),  # 2
 )
-all_structs.append(ClaimWish)
-ClaimWish.thrift_spec = (
+all_structs.append(ClaimRequest)
+ClaimRequest.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'request', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'holder', 'UTF8', None, ),  # 2
@@ -4690,7 +4690,7 @@
 Claim.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'bucket', 'UTF8', None, ),  # 1
-    (2, TType.LIST, 'wishes', (TType.STRUCT, [ClaimWish, None], False), None, ),  # 2
+    (2, TType.LIST, 'requests', (TType.STRUCT, [ClaimRequest, None], False), None, ),  # 2
 )
 all_structs.append(ClaimResult)
 ClaimResult.thrift_spec = (
@@ -4705,33 +4705,33 @@
     None,  # 0
     (1, TType.LIST, 'results', (TType.STRUCT, [ClaimResult, None], False), None, ),  # 1
 )
-all_structs.append(Tally)
-Tally.thrift_spec = (
+all_structs.append(Usage)
+Usage.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'profile', 'UTF8', None, ),  # 1
     (2, TType.MAP, 'counters', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 2
 )
-all_structs.append(InheritTallies)
-InheritTallies.thrift_spec = (
+all_structs.append(MergeUsage)
+MergeUsage.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
     (2, TType.I64, 'incarnation', None, None, ),  # 2
-    (3, TType.LIST, 'tallies', (TType.STRUCT, [Tally, None], False), None, ),  # 3
+    (3, TType.LIST, 'usages', (TType.STRUCT, [Usage, None], False), None, ),  # 3
 )
-all_structs.append(InheritTalliesReply)
-InheritTalliesReply.thrift_spec = (
+all_structs.append(MergeUsageReply)
+MergeUsageReply.thrift_spec = (
     None,  # 0
     (1, TType.BOOL, 'taken', None, None, ),  # 1
 )
-all_structs.append(ReadTallies)
-ReadTallies.thrift_spec = (
+all_structs.append(ReadUsage)
+ReadUsage.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'profile', 'UTF8', None, ),  # 1
 )
-all_structs.append(ReadTalliesReply)
-ReadTalliesReply.thrift_spec = (
+all_structs.append(ReadUsageReply)
+ReadUsageReply.thrift_spec = (
     None,  # 0
-    (1, TType.LIST, 'tallies', (TType.STRUCT, [InheritTallies, None], False), None, ),  # 1
+    (1, TType.LIST, 'usages', (TType.STRUCT, [MergeUsage, None], False), None, ),  # 1
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
@@ -4765,18 +4765,18 @@
     None,  # 27
     None,  # 28
     None,  # 29
-    (30, TType.STRUCT, 'keep', [Keep, None], None, ),  # 30
-    (31, TType.STRUCT, 'keep_reply', [KeepReply, None], None, ),  # 31
-    (32, TType.STRUCT, 'keep_tokens', [KeepTokens, None], None, ),  # 32
-    (33, TType.STRUCT, 'keep_tokens_reply', [KeepTokensReply, None], None, ),  # 33
+    (30, TType.STRUCT, 'replicate', [Replicate, None], None, ),  # 30
+    (31, TType.STRUCT, 'replicate_reply', [ReplicateReply, None], None, ),  # 31
+    (32, TType.STRUCT, 'replicate_tokens', [ReplicateTokens, None], None, ),  # 32
+    (33, TType.STRUCT, 'replicate_tokens_reply', [ReplicateTokensReply, None], None, ),  # 33
     (34, TType.STRUCT, 'find', [Find, None], None, ),  # 34
     (35, TType.STRUCT, 'find_reply', [FindReply, None], None, ),  # 35
     (36, TType.STRUCT, 'follow', [Follow, None], None, ),  # 36
     (37, TType.STRUCT, 'follow_reply', [FollowReply, None], None, ),  # 37
     (38, TType.STRUCT, 'follow_tokens', [FollowTokens, None], None, ),  # 38
     (39, TType.STRUCT, 'stop_follow', [StopFollow, None], None, ),  # 39
-    (40, TType.STRUCT, 'handover', [Handover, None], None, ),  # 40
-    (41, TType.STRUCT, 'handover_reply', [HandoverReply, None], None, ),  # 41
+    (40, TType.STRUCT, 'handoff', [Handoff, None], None, ),  # 40
+    (41, TType.STRUCT, 'handoff_reply', [HandoffReply, None], None, ),  # 41
     (42, TType.STRUCT, 'cancel', [Cancel, None], None, ),  # 42
     (43, TType.STRUCT, 'cancel_reply', [CancelReply, None], None, ),  # 43
     None,  # 44
@@ -4795,10 +4795,10 @@
     None,  # 57
     None,  # 58
     None,  # 59
-    (60, TType.STRUCT, 'inherit_tallies', [InheritTallies, None], None, ),  # 60
-    (61, TType.STRUCT, 'inherit_tallies_reply', [InheritTalliesReply, None], None, ),  # 61
-    (62, TType.STRUCT, 'read_tallies', [ReadTallies, None], None, ),  # 62
-    (63, TType.STRUCT, 'read_tallies_reply', [ReadTalliesReply, None], None, ),  # 63
+    (60, TType.STRUCT, 'merge_usage', [MergeUsage, None], None, ),  # 60
+    (61, TType.STRUCT, 'merge_usage_reply', [MergeUsageReply, None], None, ),  # 61
+    (62, TType.STRUCT, 'read_usage', [ReadUsage, None], None, ),  # 62
+    (63, TType.STRUCT, 'read_usage_reply', [ReadUsageReply, None], None, ),  # 63
 )
 fix_spec(all_structs)
 del all_structs
--- a/dewridge/policy/model.py
+++ b/dewridge/policy/model.py
@@ -104,7 +104,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class GivenUp:
+class Abandoned:
     """A request that gets its final answer now."""
 
     request: RequestId
@@ -127,7 +127,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Tally:
+class Usage:
     """What a profile cost and lost on this host, by counter name."""
 
     counters: dict[str, float]
--- a/dewridge/policy/scheduler.py
+++ b/dewridge/policy/scheduler.py
@@ -6,13 +6,13 @@
 from dewridge.configuration.model import Profile, Service
 from dewridge.ids import BackendServerId, RequestId
 from dewridge.policy.model import (
+    Abandoned,
     Assignment,
     AttemptOutcome,
-    GivenUp,
     Move,
     Retry,
     ServerView,
-    Tally,
+    Usage,
     Work,
 )
 from dewridge.sentinels import Failure
@@ -59,7 +59,7 @@
         """Take the next request that can be sent now; call until None."""
         raise NotImplementedError
 
-    def expire(self, now: float) -> list[GivenUp]:
+    def expire(self, now: float) -> list[Abandoned]:
         """Take out queued requests whose deadline can't be met any more."""
         raise NotImplementedError
 
@@ -84,7 +84,7 @@
         outcome: AttemptOutcome,
         tokens_done: int,
         now: float,
-    ) -> Retry | GivenUp | None:
+    ) -> Retry | Abandoned | None:
         """Record an attempt's end and decide what follows; None after DONE."""
         raise NotImplementedError
 
@@ -94,7 +94,7 @@
         """Decide which running requests leave a reclaimed server, and when."""
         raise NotImplementedError
 
-    def read_tally(self) -> Tally:
+    def read_usage(self) -> Usage:
         """Return what the profile cost and lost here so far."""
         raise NotImplementedError
 
--- a/dewridge/requests/__init__.py
+++ b/dewridge/requests/__init__.py
@@ -1,1 +1,1 @@
-"""Requests from acceptance to answer: records, keepers, claims, takeover."""
+"""Requests from acceptance to answer: records, replicas, claims, takeover."""
--- a/dewridge/requests/model.py
+++ b/dewridge/requests/model.py
@@ -1,4 +1,4 @@
-"""Requests as callers, owners and keepers see them."""
+"""Requests as callers, owners and replicas see them."""
 
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass, field
@@ -56,7 +56,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Accepted:
-    """The request is kept by this host and at least one keeper.
+    """The request is kept by this host and at least one replica.
 
     Attributes:
         attached: whether an earlier submission of the key was joined.
@@ -85,7 +85,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MovedEvent:
-    """This host goes; continue at one of these front addresses."""
+    """This host goes; continue at one of these frontend addresses."""
 
     addresses: tuple[str, ...]
 
@@ -152,7 +152,7 @@
 
 
 class Requests(Protocol):
-    """What the front asks of the requests part of an entry host."""
+    """What the frontend asks of the requests part of an entry host."""
 
     async def submit(self, submission: Submission) -> Accepted | Failure:
         """Accept a request, join the one that runs, or refuse it."""
--- a/dewridge/settings/schema.py
+++ b/dewridge/settings/schema.py
@@ -60,7 +60,7 @@
 
 
 @dataclass(frozen=True)
-class FrontSettings:
+class FrontendSettings:
     """HTTP towards callers and operators."""
 
     address: str = option("IP number to listen on.", default="127.0.0.1")
@@ -164,7 +164,7 @@
         high=600,
     )
     retransmissions: int = option(
-        "Times a rumour is sent, times the logarithm of the member count.",
+        "Times a rumor is sent, times the logarithm of the member count.",
         default=3,
         low=1,
         high=20,
@@ -175,7 +175,7 @@
 class RequestSettings:
     """Acceptance, keeping and recovery of requests."""
 
-    keepers: int = option(
+    replicas: int = option(
         "Copies of a request in other failure domains.", default=2, low=1, high=4
     )
     retention: float = option(
@@ -192,15 +192,15 @@
         low=0,
         high=300,
     )
-    keep_timeout: float = option(
-        "Time to wait for a keeper's acknowledgement.",
+    replica_timeout: float = option(
+        "Time to wait for a replica's acknowledgement.",
         default=0.5,
         unit="s",
         low=0.02,
         high=30,
     )
     token_batch: float = option(
-        "Longest time that tokens wait for a batch to a keeper.",
+        "Longest time that tokens wait for a batch to a replica.",
         default=0.01,
         unit="s",
         low=0,
@@ -344,8 +344,8 @@
 
     host: HostSettings = option("Who this host is.", required=True)
     platform: PlatformSettings = option("The platform's services.", required=True)
-    front: FrontSettings = option(
-        "HTTP towards callers and operators.", default=FrontSettings
+    frontend: FrontendSettings = option(
+        "HTTP towards callers and operators.", default=FrontendSettings
     )
     peers: PeerSettings = option(
         "Connections to other entry hosts.", default=PeerSettings
