--- a/dewridge/membership/ranking.py
+++ b/dewridge/membership/ranking.py
@@ -18,7 +18,7 @@
 
 
 def _score(subject: str, member: Member) -> tuple[int, str]:
-    return xxhash.xxh3_64_intdigest(f"{subject}|{member.host}"), member.host
+    return xxhash.xxh3_64_intdigest(f"{subject}|{member.host}".encode()), member.host
 
 
 def find_home(request: RequestId, members: Iterable[Member]) -> list[Member]:
