--- /dev/null
+++ b/dewridge/configuration/checks.py
@@ -0,0 +1,43 @@
+"""Checks of what operators publish: all problems at once, a plain line each."""
+
+from dewridge.configuration.model import Configuration, Profile, Service
+
+
+def check_profile_change(profile: Profile) -> list[str]:
+    """Return what is wrong with a profile."""
+    problems = [] if profile.name else ["the profile has no name"]
+    if "/" in profile.name:
+        problems.append("a profile's name holds no slash")
+    targets = profile.targets
+    for name in ("first_token", "between_tokens", "whole_answer"):
+        if getattr(targets, name) <= 0:
+            problems.append(f"targets.{name} must be above 0 seconds")
+    for name in ("per_hour", "per_answer"):
+        if getattr(profile.limits, name) < 0:
+            problems.append(f"limits.{name} must not be below 0")
+    return problems
+
+
+def check_service_change(service: Service, configuration: Configuration) -> list[str]:
+    """Return what is wrong with a service, also with regard to its profile."""
+    problems = [] if service.name else ["the service has no name"]
+    if "/" in service.name:
+        problems.append("a service's name holds no slash")
+    profile = configuration.profiles.get(service.profile)
+    if profile is None:
+        known = ", ".join(sorted(configuration.profiles)) or "none"
+        problems.append(f"no profile {service.profile!r}; known: {known}")
+    elif profile.retired:
+        problems.append(f"profile {service.profile!r} is retired")
+    if not service.operations:
+        problems.append("the service has no operations")
+    names = [operation.name for operation in service.operations]
+    for name in sorted({name for name in names if names.count(name) > 1}):
+        problems.append(f"operation {name!r} is given twice")
+    for operation in service.operations:
+        if operation.expected_tokens < 1:
+            problems.append(f"operation {operation.name!r}: expected_tokens below 1")
+    for account, weight in service.shares.items():
+        if weight <= 0:
+            problems.append(f"shares.{account} must be above 0")
+    return problems
--- a/dewridge/tests/conftest.py
+++ b/dewridge/tests/conftest.py
@@ -1,12 +1,12 @@
 """Shared by all tests: runs trio tests and passes over what KNOWN-RED.txt names."""
 
 import inspect
-from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
 import pytest
 import trio
+import trio.testing
 
 KNOWN_RED = Path(__file__).parents[2] / "KNOWN-RED.txt"
 
@@ -38,18 +38,12 @@
     async def call() -> None:
         await pyfuncitem.obj(**arguments)
 
-    trio.run(call)
+    clock = arguments.get("autojump_clock")
+    trio.run(call, clock=clock)
     return True
 
 
 @pytest.fixture
-def clock() -> Iterator[Any]:
-    """Return a clock for tests that step time themselves."""
-
-    class Clock:
-        now = 1_000_000.0
-
-        def __call__(self) -> float:
-            return self.now
-
-    yield Clock()
+def autojump_clock() -> trio.testing.MockClock:
+    """Return a clock by which a test's waits pass at once."""
+    return trio.testing.MockClock(autojump_threshold=0)
--- /dev/null
+++ b/dewridge/tests/fakes.py
@@ -0,0 +1,159 @@
+"""Fakes at the interfaces, in memory, for tests of single parts."""
+
+from collections.abc import Callable
+
+import trio
+
+from dewridge.codes import ResultCode
+from dewridge.ids import FailureDomain, HostId, Incarnation
+from dewridge.membership.model import Member, Rumor
+from dewridge.platform.model import Entry
+from dewridge.sentinels import Failure
+
+
+class MemoryKeyValue:
+    """A key-value service in memory, with faults to order.
+
+    Attributes:
+        is_down: every call fails as if it had not been sent.
+        lost_answers: so many writes take effect while their answer is lost.
+        lost_writes: so many writes are lost before they take effect, unknown.
+    """
+
+    def __init__(self) -> None:
+        self.entries: dict[str, Entry] = {}
+        self.is_down = False
+        self.lost_answers = 0
+        self.lost_writes = 0
+        self.calls: list[str] = []
+        self._revision = 0
+        self._changed = trio.Event()
+        self.before_swap: Callable[[str], None] = lambda key: None
+
+    def _note(self, call: str) -> Failure | None:
+        self.calls.append(call)
+        return Failure(ResultCode.KEY_VALUE_DOWN, "down") if self.is_down else None
+
+    async def get(self, key: str) -> Entry | Failure:
+        await trio.lowlevel.checkpoint()
+        return self._note("get") or self.entries.get(key, Entry(key, b"", 0))
+
+    async def list_entries(self, prefix: str) -> list[Entry] | Failure:
+        await trio.lowlevel.checkpoint()
+        failure = self._note("list")
+        if failure is not None:
+            return failure
+        return [e for k, e in sorted(self.entries.items()) if k.startswith(prefix)]
+
+    async def compare_and_swap(
+        self, key: str, value: bytes, expected_revision: int
+    ) -> Entry | Failure:
+        await trio.lowlevel.checkpoint()
+        failure = self._note("swap")
+        if failure is not None:
+            return failure
+        self.before_swap(key)
+        if self.lost_writes > 0:
+            self.lost_writes -= 1
+            return Failure(ResultCode.KEY_VALUE_UNKNOWN, "lost")
+        present = self.entries.get(key)
+        if (present.revision if present else 0) != expected_revision:
+            return Failure(ResultCode.KEY_VALUE_CONFLICT, "conflict")
+        return self._answer(self.write(key, value))
+
+    def _answer(self, entry: Entry) -> Entry | Failure:
+        if self.lost_answers > 0:
+            self.lost_answers -= 1
+            return Failure(ResultCode.KEY_VALUE_UNKNOWN, "answer lost")
+        return entry
+
+    def write(self, key: str, value: bytes) -> Entry:
+        """Write a key whatever it holds, as somebody else would."""
+        self._revision += 1
+        self.entries[key] = Entry(key, value, self._revision)
+        self._changed.set()
+        self._changed = trio.Event()
+        return self.entries[key]
+
+    async def delete(self, key: str, expected_revision: int) -> Entry | Failure:
+        await trio.lowlevel.checkpoint()
+        failure = self._note("delete")
+        if failure is not None:
+            return failure
+        present = self.entries.get(key)
+        if (present.revision if present else 0) != expected_revision:
+            return Failure(ResultCode.KEY_VALUE_CONFLICT, "conflict")
+        self.entries.pop(key, None)
+        return self._answer(Entry(key, b"", 0))
+
+    async def watch(
+        self, key: str, after_revision: int, timeout: float
+    ) -> Entry | Failure:
+        failure = self._note("watch")
+        if failure is not None:
+            await trio.lowlevel.checkpoint()
+            return failure
+        with trio.move_on_after(timeout):
+            while True:
+                entry = self.entries.get(key, Entry(key, b"", 0))
+                if entry.revision != after_revision:
+                    await trio.lowlevel.checkpoint()
+                    return entry
+                await self._changed.wait()
+        return Failure(ResultCode.KEY_VALUE_TIMEOUT, "no change")
+
+
+class FakeMembership:
+    """A membership that a test sets by hand; rumors reach its other fakes."""
+
+    def __init__(self, members: list[Member], host: str) -> None:
+        self.all = {member.host: member for member in members}
+        self._host = HostId(host)
+        self._listeners: list[Callable[[Member], None]] = []
+        self._rumor_listeners: dict[str, list[Callable[[Rumor], None]]] = {}
+        self.rumors: dict[tuple[str, str], Rumor] = {}
+        self.others: list[FakeMembership] = []
+
+    @property
+    def me(self) -> Member:
+        return self.all[self._host]
+
+    def members(self) -> list[Member]:
+        return [m for m in self.all.values() if m.state.value < 3]
+
+    def find(self, host: HostId) -> Member | None:
+        return self.all.get(host)
+
+    def subscribe(self, listener: Callable[[Member], None]) -> None:
+        self._listeners.append(listener)
+
+    def change(self, member: Member) -> None:
+        """Change a member, as probes would."""
+        self.all[member.host] = member
+        for listener in self._listeners:
+            listener(member)
+
+    def spread(self, rumor: Rumor) -> None:
+        place = rumor.kind, rumor.subject
+        known = self.rumors.get(place)
+        if known is not None and known.version >= rumor.version:
+            return
+        self.rumors[place] = rumor
+        for listener in self._rumor_listeners.get(rumor.kind, []):
+            listener(rumor)
+        for other in self.others:
+            other.spread(rumor)
+
+    def subscribe_rumors(self, kind: str, listener: Callable[[Rumor], None]) -> None:
+        self._rumor_listeners.setdefault(kind, []).append(listener)
+
+
+def make_member(number: int, failure_domain: str | None = None) -> Member:
+    """Return an entry host `host-N`; by default one of four failure domains."""
+    return Member(
+        HostId(f"host-{number}"),
+        Incarnation(number + 1),
+        FailureDomain(failure_domain or f"domain-{number % 4}"),
+        f"127.0.0.1:{20_000 + number}",
+        f"127.0.0.1:{30_000 + number}",
+    )
