Close submissions between hosts; records, keys and their codec

A refusal must be remembered where a delayed copy of the submission could be accepted, so hosts need a message that closes a submission number, and a replica that takes over needs to know whether an attempt may have started and the tokens that another replica holds. All new fields are optional with new numbers.

--- a/dewridge/peers/dewridge.thrift
+++ b/dewridge/peers/dewridge.thrift
@@ -81,6 +81,9 @@
   18: bool claimed         // a claim was asked for; the call may have been sent
   19: optional string cache_handle
   20: i64 epoch            // raised with each change of owner; a higher one wins
+  21: optional bool maybe_run  // an attempt may have started; unset counts as true
+  22: optional bool pending    // its owner has not accepted it yet
+  23: optional string digest   // of the input, in hexadecimal
 }
 
 struct RequestEnd {
@@ -108,21 +111,43 @@
   6: i64 epoch
 }
 
-struct Replicate { 1: RequestRecord record, 2: list<string> tokens }
-// `other_owner` is set when the replica knows the request under another owner.
+struct Replicate {
+  1: RequestRecord record
+  2: list<string> tokens
+  3: optional RequestEnd ended
+}
+// `known` is set when the replica knows the request under another owner.
 struct ReplicateReply { 1: bool stored, 2: optional RequestRecord known, 3: optional RequestEnd ended }
 
+// Closes a submission and all earlier ones, so that no copy of them runs later.
+// With `withdraw` the sender takes its own record back and nothing is closed.
+struct CloseSubmission {
+  1: string request
+  2: RequestEnd ended      // its number says up to which submission
+  3: string owner
+  4: i64 owner_incarnation
+  5: i64 epoch
+  6: bool withdraw
+}
+// `known` or `known_end`: the request lives or has ended here; it is not closed.
+struct CloseSubmissionReply {
+  1: bool closed
+  2: optional RequestRecord known
+  3: optional RequestEnd known_end
+}
+
 // One frame for all streams of a pair of hosts, every few tens of milliseconds.
 struct ReplicateTokens { 1: list<TokenRun> runs }
 // Requests that the replica does not know or knows under a higher epoch.
 struct ReplicateTokensReply { 1: list<string> unknown, 2: list<string> superseded }
 
-struct Find { 1: string request }
+struct Find { 1: string request, 2: optional bool with_tokens }
 struct FindReply {
   1: bool found
   2: optional RequestRecord record
   3: optional RequestEnd ended
   4: i32 tokens
+  5: optional list<string> token_list
 }
 
 // A follower is sent FollowTokens under `stream` until it has the end.
@@ -199,6 +224,8 @@
   41: optional HandoffReply handoff_reply
   42: optional Cancel cancel
   43: optional CancelReply cancel_reply
+  44: optional CloseSubmission close_submission
+  45: optional CloseSubmissionReply close_submission_reply
   50: optional Claim claim
   51: optional ClaimReply claim_reply
   60: optional MergeUsage merge_usage
--- a/dewridge/peers/wire/ttypes.py
+++ b/dewridge/peers/wire/ttypes.py
@@ -1332,6 +1332,9 @@
      - claimed
      - cache_handle
      - epoch
+     - maybe_run
+     - pending
+     - digest
 
     """
 
@@ -1356,10 +1359,13 @@
         'claimed',
         'cache_handle',
         'epoch',
+        'maybe_run',
+        'pending',
+        'digest',
     )
 
 
-    def __init__(self, request=None, service_name=None, operation=None, number=None, deadline=None, input=None, max_tokens=None, idempotent=None, profile=None, accepted_at=None, owner=None, owner_incarnation=None, generation=None, replicas=None, attempts=None, recomputed=None, cost=None, claimed=None, cache_handle=None, epoch=None,):
+    def __init__(self, request=None, service_name=None, operation=None, number=None, deadline=None, input=None, max_tokens=None, idempotent=None, profile=None, accepted_at=None, owner=None, owner_incarnation=None, generation=None, replicas=None, attempts=None, recomputed=None, cost=None, claimed=None, cache_handle=None, epoch=None, maybe_run=None, pending=None, digest=None,):
         self.request = request
         self.service_name = service_name
         self.operation = operation
@@ -1380,6 +1386,9 @@
         self.claimed = claimed
         self.cache_handle = cache_handle
         self.epoch = epoch
+        self.maybe_run = maybe_run
+        self.pending = pending
+        self.digest = digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1495,6 +1504,21 @@
                     self.epoch = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.BOOL:
+                    self.maybe_run = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.BOOL:
+                    self.pending = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1588,6 +1612,18 @@
             oprot.writeFieldBegin('epoch', TType.I64, 20)
             oprot.writeI64(self.epoch)
             oprot.writeFieldEnd()
+        if self.maybe_run is not None:
+            oprot.writeFieldBegin('maybe_run', TType.BOOL, 21)
+            oprot.writeBool(self.maybe_run)
+            oprot.writeFieldEnd()
+        if self.pending is not None:
+            oprot.writeFieldBegin('pending', TType.BOOL, 22)
+            oprot.writeBool(self.pending)
+            oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 23)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1955,18 +1991,21 @@
     Attributes:
      - record
      - tokens
+     - ended
 
     """
 
     __slots__ = (
         'record',
         'tokens',
+        'ended',
     )
 
 
-    def __init__(self, record=None, tokens=None,):
+    def __init__(self, record=None, tokens=None, ended=None,):
         self.record = record
         self.tokens = tokens
+        self.ended = ended
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1993,6 +2032,12 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.ended = RequestEnd()
+                    self.ended.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2014,6 +2059,10 @@
                 oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.ended is not None:
+            oprot.writeFieldBegin('ended', TType.STRUCT, 3)
+            self.ended.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2133,6 +2182,229 @@
         return not (self == other)
 
 
+class CloseSubmission(object):
+    """
+    Attributes:
+     - request
+     - ended
+     - owner
+     - owner_incarnation
+     - epoch
+     - withdraw
+
+    """
+
+    __slots__ = (
+        'request',
+        'ended',
+        'owner',
+        'owner_incarnation',
+        'epoch',
+        'withdraw',
+    )
+
+
+    def __init__(self, request=None, ended=None, owner=None, owner_incarnation=None, epoch=None, withdraw=None,):
+        self.request = request
+        self.ended = ended
+        self.owner = owner
+        self.owner_incarnation = owner_incarnation
+        self.epoch = epoch
+        self.withdraw = withdraw
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.ended = RequestEnd()
+                    self.ended.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.owner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.owner_incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.withdraw = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CloseSubmission')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRING, 1)
+            oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
+            oprot.writeFieldEnd()
+        if self.ended is not None:
+            oprot.writeFieldBegin('ended', TType.STRUCT, 2)
+            self.ended.write(oprot)
+            oprot.writeFieldEnd()
+        if self.owner is not None:
+            oprot.writeFieldBegin('owner', TType.STRING, 3)
+            oprot.writeString(self.owner.encode('utf-8') if sys.version_info[0] == 2 else self.owner)
+            oprot.writeFieldEnd()
+        if self.owner_incarnation is not None:
+            oprot.writeFieldBegin('owner_incarnation', TType.I64, 4)
+            oprot.writeI64(self.owner_incarnation)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 5)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.withdraw is not None:
+            oprot.writeFieldBegin('withdraw', TType.BOOL, 6)
+            oprot.writeBool(self.withdraw)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CloseSubmissionReply(object):
+    """
+    Attributes:
+     - closed
+     - known
+     - known_end
+
+    """
+
+    __slots__ = (
+        'closed',
+        'known',
+        'known_end',
+    )
+
+
+    def __init__(self, closed=None, known=None, known_end=None,):
+        self.closed = closed
+        self.known = known
+        self.known_end = known_end
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.closed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.known = RequestRecord()
+                    self.known.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.known_end = RequestEnd()
+                    self.known_end.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CloseSubmissionReply')
+        if self.closed is not None:
+            oprot.writeFieldBegin('closed', TType.BOOL, 1)
+            oprot.writeBool(self.closed)
+            oprot.writeFieldEnd()
+        if self.known is not None:
+            oprot.writeFieldBegin('known', TType.STRUCT, 2)
+            self.known.write(oprot)
+            oprot.writeFieldEnd()
+        if self.known_end is not None:
+            oprot.writeFieldBegin('known_end', TType.STRUCT, 3)
+            self.known_end.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ReplicateTokens(object):
     """
     Attributes:
@@ -2310,16 +2582,19 @@
     """
     Attributes:
      - request
+     - with_tokens
 
     """
 
     __slots__ = (
         'request',
+        'with_tokens',
     )
 
 
-    def __init__(self, request=None,):
+    def __init__(self, request=None, with_tokens=None,):
         self.request = request
+        self.with_tokens = with_tokens
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2335,6 +2610,11 @@
                     self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.with_tokens = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2349,6 +2629,10 @@
             oprot.writeFieldBegin('request', TType.STRING, 1)
             oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
             oprot.writeFieldEnd()
+        if self.with_tokens is not None:
+            oprot.writeFieldBegin('with_tokens', TType.BOOL, 2)
+            oprot.writeBool(self.with_tokens)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2381,6 +2665,7 @@
      - record
      - ended
      - tokens
+     - token_list
 
     """
 
@@ -2389,14 +2674,16 @@
         'record',
         'ended',
         'tokens',
+        'token_list',
     )
 
 
-    def __init__(self, found=None, record=None, ended=None, tokens=None,):
+    def __init__(self, found=None, record=None, ended=None, tokens=None, token_list=None,):
         self.found = found
         self.record = record
         self.ended = ended
         self.tokens = tokens
+        self.token_list = token_list
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2429,6 +2716,16 @@
                     self.tokens = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.token_list = []
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.token_list.append(_elem103)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2455,6 +2752,13 @@
             oprot.writeFieldBegin('tokens', TType.I32, 4)
             oprot.writeI32(self.tokens)
             oprot.writeFieldEnd()
+        if self.token_list is not None:
+            oprot.writeFieldBegin('token_list', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.token_list))
+            for iter104 in self.token_list:
+                oprot.writeString(iter104.encode('utf-8') if sys.version_info[0] == 2 else iter104)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2721,10 +3025,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.tokens = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.tokens.append(_elem103)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.tokens.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2764,8 +3068,8 @@
         if self.tokens is not None:
             oprot.writeFieldBegin('tokens', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.tokens))
-            for iter104 in self.tokens:
-                oprot.writeString(iter104.encode('utf-8') if sys.version_info[0] == 2 else iter104)
+            for iter111 in self.tokens:
+                oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ended is not None:
@@ -2908,10 +3212,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.tokens = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.tokens.append(_elem110)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.tokens.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2937,8 +3241,8 @@
         if self.tokens is not None:
             oprot.writeFieldBegin('tokens', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.tokens))
-            for iter111 in self.tokens:
-                oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
+            for iter118 in self.tokens:
+                oprot.writeString(iter118.encode('utf-8') if sys.version_info[0] == 2 else iter118)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.released is not None:
@@ -3338,11 +3642,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.requests = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = ClaimRequest()
-                        _elem117.read(iprot)
-                        self.requests.append(_elem117)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = ClaimRequest()
+                        _elem124.read(iprot)
+                        self.requests.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3363,8 +3667,8 @@
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.requests))
-            for iter118 in self.requests:
-                iter118.write(oprot)
+            for iter125 in self.requests:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3523,11 +3827,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.results = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = ClaimResult()
-                        _elem124.read(iprot)
-                        self.results.append(_elem124)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = ClaimResult()
+                        _elem131.read(iprot)
+                        self.results.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3544,8 +3848,8 @@
         if self.results is not None:
             oprot.writeFieldBegin('results', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.results))
-            for iter125 in self.results:
-                iter125.write(oprot)
+            for iter132 in self.results:
+                iter132.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3608,11 +3912,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.counters = {}
-                    (_ktype127, _vtype128, _size126) = iprot.readMapBegin()
-                    for _i130 in range(_size126):
-                        _key131 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val132 = iprot.readDouble()
-                        self.counters[_key131] = _val132
+                    (_ktype134, _vtype135, _size133) = iprot.readMapBegin()
+                    for _i137 in range(_size133):
+                        _key138 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val139 = iprot.readDouble()
+                        self.counters[_key138] = _val139
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -3633,9 +3937,9 @@
         if self.counters is not None:
             oprot.writeFieldBegin('counters', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.counters))
-            for kiter133, viter134 in self.counters.items():
-                oprot.writeString(kiter133.encode('utf-8') if sys.version_info[0] == 2 else kiter133)
-                oprot.writeDouble(viter134)
+            for kiter140, viter141 in self.counters.items():
+                oprot.writeString(kiter140.encode('utf-8') if sys.version_info[0] == 2 else kiter140)
+                oprot.writeDouble(viter141)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3706,11 +4010,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.usages = []
-                    (_etype138, _size135) = iprot.readListBegin()
-                    for _i139 in range(_size135):
-                        _elem140 = Usage()
-                        _elem140.read(iprot)
-                        self.usages.append(_elem140)
+                    (_etype145, _size142) = iprot.readListBegin()
+                    for _i146 in range(_size142):
+                        _elem147 = Usage()
+                        _elem147.read(iprot)
+                        self.usages.append(_elem147)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3735,8 +4039,8 @@
         if self.usages is not None:
             oprot.writeFieldBegin('usages', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.usages))
-            for iter141 in self.usages:
-                iter141.write(oprot)
+            for iter148 in self.usages:
+                iter148.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3927,11 +4231,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.usages = []
-                    (_etype145, _size142) = iprot.readListBegin()
-                    for _i146 in range(_size142):
-                        _elem147 = MergeUsage()
-                        _elem147.read(iprot)
-                        self.usages.append(_elem147)
+                    (_etype152, _size149) = iprot.readListBegin()
+                    for _i153 in range(_size149):
+                        _elem154 = MergeUsage()
+                        _elem154.read(iprot)
+                        self.usages.append(_elem154)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3948,8 +4252,8 @@
         if self.usages is not None:
             oprot.writeFieldBegin('usages', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.usages))
-            for iter148 in self.usages:
-                iter148.write(oprot)
+            for iter155 in self.usages:
+                iter155.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4006,6 +4310,8 @@
      - handoff_reply
      - cancel
      - cancel_reply
+     - close_submission
+     - close_submission_reply
      - claim
      - claim_reply
      - merge_usage
@@ -4042,6 +4348,8 @@
         'handoff_reply',
         'cancel',
         'cancel_reply',
+        'close_submission',
+        'close_submission_reply',
         'claim',
         'claim_reply',
         'merge_usage',
@@ -4051,7 +4359,7 @@
     )
 
 
-    def __init__(self, call=None, reply_to=None, hello=None, refusal=None, probe=None, probe_reply=None, relay_probe=None, relay_probe_reply=None, join=None, join_reply=None, pull_configuration=None, configuration_changes=None, replicate=None, replicate_reply=None, replicate_tokens=None, replicate_tokens_reply=None, find=None, find_reply=None, follow=None, follow_reply=None, follow_tokens=None, stop_follow=None, handoff=None, handoff_reply=None, cancel=None, cancel_reply=None, claim=None, claim_reply=None, merge_usage=None, merge_usage_reply=None, read_usage=None, read_usage_reply=None,):
+    def __init__(self, call=None, reply_to=None, hello=None, refusal=None, probe=None, probe_reply=None, relay_probe=None, relay_probe_reply=None, join=None, join_reply=None, pull_configuration=None, configuration_changes=None, replicate=None, replicate_reply=None, replicate_tokens=None, replicate_tokens_reply=None, find=None, find_reply=None, follow=None, follow_reply=None, follow_tokens=None, stop_follow=None, handoff=None, handoff_reply=None, cancel=None, cancel_reply=None, close_submission=None, close_submission_reply=None, claim=None, claim_reply=None, merge_usage=None, merge_usage_reply=None, read_usage=None, read_usage_reply=None,):
         self.call = call
         self.reply_to = reply_to
         self.hello = hello
@@ -4078,6 +4386,8 @@
         self.handoff_reply = handoff_reply
         self.cancel = cancel
         self.cancel_reply = cancel_reply
+        self.close_submission = close_submission
+        self.close_submission_reply = close_submission_reply
         self.claim = claim
         self.claim_reply = claim_reply
         self.merge_usage = merge_usage
@@ -4248,6 +4558,18 @@
                     self.cancel_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 44:
+                if ftype == TType.STRUCT:
+                    self.close_submission = CloseSubmission()
+                    self.close_submission.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 45:
+                if ftype == TType.STRUCT:
+                    self.close_submission_reply = CloseSubmissionReply()
+                    self.close_submission_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             elif fid == 50:
                 if ftype == TType.STRUCT:
                     self.claim = Claim()
@@ -4398,6 +4720,14 @@
             oprot.writeFieldBegin('cancel_reply', TType.STRUCT, 43)
             self.cancel_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.close_submission is not None:
+            oprot.writeFieldBegin('close_submission', TType.STRUCT, 44)
+            self.close_submission.write(oprot)
+            oprot.writeFieldEnd()
+        if self.close_submission_reply is not None:
+            oprot.writeFieldBegin('close_submission_reply', TType.STRUCT, 45)
+            self.close_submission_reply.write(oprot)
+            oprot.writeFieldEnd()
         if self.claim is not None:
             oprot.writeFieldBegin('claim', TType.STRUCT, 50)
             self.claim.write(oprot)
@@ -4561,6 +4891,9 @@
     (18, TType.BOOL, 'claimed', None, None, ),  # 18
     (19, TType.STRING, 'cache_handle', 'UTF8', None, ),  # 19
     (20, TType.I64, 'epoch', None, None, ),  # 20
+    (21, TType.BOOL, 'maybe_run', None, None, ),  # 21
+    (22, TType.BOOL, 'pending', None, None, ),  # 22
+    (23, TType.STRING, 'digest', 'UTF8', None, ),  # 23
 )
 all_structs.append(RequestEnd)
 RequestEnd.thrift_spec = (
@@ -4593,6 +4926,7 @@
     None,  # 0
     (1, TType.STRUCT, 'record', [RequestRecord, None], None, ),  # 1
     (2, TType.LIST, 'tokens', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.STRUCT, 'ended', [RequestEnd, None], None, ),  # 3
 )
 all_structs.append(ReplicateReply)
 ReplicateReply.thrift_spec = (
@@ -4601,6 +4935,23 @@
     (2, TType.STRUCT, 'known', [RequestRecord, None], None, ),  # 2
     (3, TType.STRUCT, 'ended', [RequestEnd, None], None, ),  # 3
 )
+all_structs.append(CloseSubmission)
+CloseSubmission.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request', 'UTF8', None, ),  # 1
+    (2, TType.STRUCT, 'ended', [RequestEnd, None], None, ),  # 2
+    (3, TType.STRING, 'owner', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'owner_incarnation', None, None, ),  # 4
+    (5, TType.I64, 'epoch', None, None, ),  # 5
+    (6, TType.BOOL, 'withdraw', None, None, ),  # 6
+)
+all_structs.append(CloseSubmissionReply)
+CloseSubmissionReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'closed', None, None, ),  # 1
+    (2, TType.STRUCT, 'known', [RequestRecord, None], None, ),  # 2
+    (3, TType.STRUCT, 'known_end', [RequestEnd, None], None, ),  # 3
+)
 all_structs.append(ReplicateTokens)
 ReplicateTokens.thrift_spec = (
     None,  # 0
@@ -4616,6 +4967,7 @@
 Find.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'request', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'with_tokens', None, None, ),  # 2
 )
 all_structs.append(FindReply)
 FindReply.thrift_spec = (
@@ -4624,6 +4976,7 @@
     (2, TType.STRUCT, 'record', [RequestRecord, None], None, ),  # 2
     (3, TType.STRUCT, 'ended', [RequestEnd, None], None, ),  # 3
     (4, TType.I32, 'tokens', None, None, ),  # 4
+    (5, TType.LIST, 'token_list', (TType.STRING, 'UTF8', False), None, ),  # 5
 )
 all_structs.append(Follow)
 Follow.thrift_spec = (
@@ -4779,8 +5132,8 @@
     (41, TType.STRUCT, 'handoff_reply', [HandoffReply, None], None, ),  # 41
     (42, TType.STRUCT, 'cancel', [Cancel, None], None, ),  # 42
     (43, TType.STRUCT, 'cancel_reply', [CancelReply, None], None, ),  # 43
-    None,  # 44
-    None,  # 45
+    (44, TType.STRUCT, 'close_submission', [CloseSubmission, None], None, ),  # 44
+    (45, TType.STRUCT, 'close_submission_reply', [CloseSubmissionReply, None], None, ),  # 45
     None,  # 46
     None,  # 47
     None,  # 48
