Add stand-ins of the platform and of backend servers

Demos, tests and proofs need the platform's services and backend servers as processes of their own, with faults that a test can put in force. One process may hold several servers, since each interpreter with an HTTP server holds about 55 MB. A listener that is taken down keeps its port by a socket that is bound and never listens; rebinding the port later was ruled out, since the kernel may give it to an outgoing connection meanwhile. An engine's tokens are a hash of its prompt and their place, so that a checker can tell a whole answer from any other.

--- a/dewridge/__main__.py
+++ b/dewridge/__main__.py
@@ -3,8 +3,10 @@
 import typer
 
 from dewridge import __version__
+from dewridge.commands import standin
 
 app = typer.Typer(no_args_is_help=True, add_completion=False)
+app.add_typer(standin.app, name="standin")
 
 
 @app.callback()
--- a/dewridge/standins/__init__.py
+++ b/dewridge/standins/__init__.py
@@ -1,1 +1,4 @@
-"""Small stand-ins for the platform and for backend servers."""
+"""Small stand-ins of the platform's services and of backend servers.
+
+They exist for demos, tests and measurements; the product never imports them.
+"""
--- /dev/null
+++ b/dewridge/standins/backend.py
@@ -0,0 +1,206 @@
+"""Backend servers of one process: listeners, registration and control."""
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+import trio
+from quart import Response
+from quart_trio import QuartTrio
+
+from dewridge.standins.engine import Engine, EngineOptions, Execution
+from dewridge.standins.enginehttp import build_engine_app
+from dewridge.standins.hostlist import HostRecord
+from dewridge.standins.misbehaviour import Misbehaviour, Mode
+from dewridge.standins.plain import PlainOptions, PlainService, build_plain_app
+from dewridge.standins.serving import Listener, make_app, read_body, reply
+
+REGISTER_PAUSE = 0.2
+REGISTER_TIMEOUT = 2.0
+
+
+class BackendPlan(msgspec.Struct, frozen=True):
+    """The backend servers to run in this process.
+
+    Attributes:
+        platform: URL of the host list to register at; empty: nowhere.
+        failure_domains: taken in turn by the servers.
+        prices: taken in turn by the servers.
+        first_port: port of the first, the next ones after it; 0: the kernel's.
+    """
+
+    name: str
+    count: int
+    services: tuple[str, ...]
+    failure_domains: tuple[str, ...]
+    platform: str = ""
+    prices: tuple[float, ...] = (1.0,)
+    machine_class: str = "standard"
+    reclaimable: bool = True
+    first_port: int = 0
+
+
+class LeavingOrder(msgspec.Struct):
+    """Puts a server into its leaving state; after `dies_in` it refuses all."""
+
+    server: str = ""
+    leaving: bool = True
+    dies_in: float = math.inf
+
+
+@dataclass
+class Backend:
+    """One backend server with its listener and its misbehaviour."""
+
+    worker: Engine | PlainService
+    wrong: Misbehaviour
+    listener: Listener
+
+
+class BackendGroup:
+    """The backend servers of one process and their common control endpoint."""
+
+    def __init__(
+        self, plan: BackendPlan, options: EngineOptions | PlainOptions
+    ) -> None:
+        self._plan = plan
+        self._options = options
+        self._backends = [self._make(index) for index in range(plan.count)]
+        port = plan.first_port + plan.count if plan.first_port else 0
+        self._control = Listener(build_control_app(self), port)
+        self._nursery: trio.Nursery | None = None
+
+    def _make(self, index: int) -> Backend:
+        plan = self._plan
+        name = f"{plan.name}-{index + 1}" if plan.count > 1 else plan.name
+        wrong = Misbehaviour()
+        port = plan.first_port + index if plan.first_port else 0
+        worker: Engine | PlainService
+        if isinstance(self._options, EngineOptions):
+            worker = Engine(name, plan.services, self._options)
+            app = build_engine_app(
+                worker, wrong, lambda: self._backends[index].listener.address
+            )
+        else:
+            worker = PlainService(name, self._options)
+            app = build_plain_app(worker, wrong)
+        return Backend(worker, wrong, Listener(app, port))
+
+    async def start(self, nursery: trio.Nursery) -> dict[str, Any]:
+        """Listen, register, and return the addresses."""
+        self._nursery = nursery
+        await nursery.start(self._control.run)
+        for backend in self._backends:
+            await nursery.start(backend.listener.run)
+            if isinstance(backend.worker, Engine):
+                nursery.start_soon(backend.worker.run)
+        if self._plan.platform:
+            await register(self._plan.platform, self._list_records())
+        return {
+            "standin": "engine" if self._is_engine else "plain",
+            "control": self._control.url,
+            "servers": {b.worker.name: b.listener.address for b in self._backends},
+        }
+
+    @property
+    def _is_engine(self) -> bool:
+        return isinstance(self._options, EngineOptions)
+
+    def _list_records(self) -> list[HostRecord]:
+        plan = self._plan
+        domains = plan.failure_domains
+        fences = getattr(self._options, "checks_fencing", True)
+        return [
+            HostRecord(
+                backend.worker.name,
+                backend.listener.address,
+                domains[index % len(domains)],
+                "engine" if self._is_engine else "plain",
+                plan.services,
+                plan.machine_class,
+                plan.prices[index % len(plan.prices)],
+                plan.reclaimable,
+                self._options.capacity,
+                fences,
+            )
+            for index, backend in enumerate(self._backends)
+        ]
+
+    def find(self, server: str) -> list[Backend]:
+        """Return the server of a name, or all for an empty one."""
+        return [b for b in self._backends if server in ("", b.worker.name)]
+
+    def misbehave(self, order: Misbehaviour) -> bool:
+        """Put a misbehaviour in force; False if there is no such server."""
+        found = self.find(order.server)
+        for backend in found:
+            for name in ("mode", "factor", "seconds", "events"):
+                setattr(backend.wrong, name, getattr(order, name))
+            slow = order.mode is Mode.SLOW
+            backend.worker.slowdown = order.factor if slow else 1.0
+            if order.mode is Mode.DOWN:
+                self._stop(backend)
+            else:
+                backend.listener.bring_up()
+        return bool(found)
+
+    def leave(self, order: LeavingOrder) -> bool:
+        """Put servers into or out of their leaving state."""
+        found = self.find(order.server)
+        for backend in found:
+            backend.worker.leaving = order.leaving
+            if math.isfinite(order.dies_in) and self._nursery is not None:
+                self._nursery.start_soon(self._die, backend, order.dies_in)
+        return bool(found)
+
+    async def _die(self, backend: Backend, seconds: float) -> None:
+        await trio.sleep(seconds)
+        self._stop(backend)
+
+    def _stop(self, backend: Backend) -> None:
+        backend.listener.take_down()
+        if isinstance(backend.worker, Engine):
+            backend.worker.abort_all()
+
+    def read_log(self) -> list[Execution]:
+        """Return what ran on all servers, in order of time."""
+        lines = [line for backend in self._backends for line in backend.worker.log]
+        return sorted(lines, key=lambda line: line.at)
+
+
+def build_control_app(group: BackendGroup) -> QuartTrio:
+    """Return the application by which tests steer the servers."""
+    app = make_app("backend-control")
+
+    @app.post("/control/fault")
+    async def set_fault() -> Response:
+        known = group.misbehave(await read_body(Misbehaviour))
+        return reply({}, 200 if known else 404)
+
+    @app.post("/control/leaving")
+    async def set_leaving() -> Response:
+        known = group.leave(await read_body(LeavingOrder))
+        return reply({}, 200 if known else 404)
+
+    @app.get("/control/log")
+    async def read_log() -> Response:
+        return reply(group.read_log())
+
+    return app
+
+
+async def register(platform: str, records: Sequence[HostRecord]) -> None:
+    """Enter servers in the host list, trying until it takes them."""
+    import httpx  # noqa: PLC0415 - needed once, and heavy
+
+    async with httpx.AsyncClient(timeout=REGISTER_TIMEOUT) as client:
+        for record in records:
+            body = msgspec.json.encode(record)
+            while True:
+                try:
+                    await client.post(f"{platform}/v1/hosts", content=body)
+                    break
+                except httpx.HTTPError:
+                    await trio.sleep(REGISTER_PAUSE)
--- /dev/null
+++ b/dewridge/standins/engine.py
@@ -0,0 +1,316 @@
+"""Model engine that batches step by step and streams tokens."""
+
+import time
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+from enum import Enum
+
+import msgspec
+import trio
+
+from dewridge.standins.prefixcache import PrefixCache
+from dewridge.standins.tokens import digest_prompt, make_token, split_prompt
+
+LOG_KEPT = 200_000
+CANCELLED_KEPT = 100_000
+EXPORTS_KEPT = 1000
+LOADS_KEPT = 2000
+
+
+class EngineOptions(msgspec.Struct, frozen=True):
+    """How an engine works.
+
+    Attributes:
+        step: seconds of one step, in which each running stream gets a token.
+        prefill: prompt tokens computed in one step, over all streams.
+        capacity: streams in the batch.
+        queue: streams that may wait for a place in it.
+        cache_tokens: memory of the prefix cache.
+        load_lag: age in seconds of the reported load.
+        event_lag: age in seconds at which cache events are seen.
+        event_loss: share of the cache events that are lost.
+        checks_fencing: whether orders with an old fencing number are refused.
+    """
+
+    step: float = 0.008
+    prefill: int = 2048
+    capacity: int = 8
+    queue: int = 64
+    cache_tokens: int = 65_536
+    load_lag: float = 0.5
+    event_lag: float = 0.5
+    event_loss: float = 0.05
+    checks_fencing: bool = True
+
+
+class Completion(msgspec.Struct):
+    """Body of a call for a completion; see the README's table of the wire."""
+
+    prompt: str
+    max_tokens: int = 16
+    attempt: str = ""
+    key: str = ""
+    account: str = ""
+    model: str = ""
+    operation: str = ""
+    stream: bool = True
+    priority: int = 0
+    tokens_done: tuple[str, ...] = ()
+    cache_salt: str = ""
+    cache_handle: str | None = None
+
+
+class Execution(msgspec.Struct):
+    """One line of the log of what ran."""
+
+    at: float
+    server: str
+    operation: str
+    key: str
+    attempt: str
+    account: str
+    tokens_done: int
+    tokens: int = 0
+    state: str = "running"
+    serial: str = ""
+
+
+class StreamState(Enum):
+    """How far a stream has come."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    DONE = "done"
+    CANCELLED = "cancelled"
+
+
+class Exported(msgspec.Struct, frozen=True):
+    """A KV cache that another engine may import."""
+
+    handle: str
+    digest: int
+    salt: str
+    tokens: int
+
+
+@dataclass(eq=False)
+class EngineStream:
+    """One completion in the engine.
+
+    Attributes:
+        next_index: index of the next token of the answer.
+        prefill_left: tokens still to be computed before the next token.
+        outbox: tokens computed and not yet written, from `written` on.
+    """
+
+    completion: Completion
+    digest: int
+    prompt: list[str]
+    next_index: int
+    execution: Execution
+    imported: int = 0
+    prefill_left: int = 0
+    cached: int = 0
+    recomputed: int = 0
+    written: int = 0
+    outbox: deque[str] = field(default_factory=deque)
+    state: StreamState = StreamState.WAITING
+    news: trio.Event = field(default_factory=trio.Event)
+
+    def wake(self) -> None:
+        """Let the response know that there is something to write."""
+        self.news.set()
+
+    @property
+    def is_over(self) -> bool:
+        """Whether no token will follow."""
+        return self.state in (StreamState.DONE, StreamState.CANCELLED)
+
+
+class Engine:
+    """One engine: its batch, caches, log and what was ordered of it."""
+
+    def __init__(self, name: str, services: tuple[str, ...], options: EngineOptions):
+        self.name = name
+        self.services = set(services)
+        self.options = options
+        self.leaving = False
+        self.slowdown = 1.0
+        self.role = "mixed"
+        self.fence = 0
+        self.cache = PrefixCache(
+            options.cache_tokens, options.event_lag, options.event_loss
+        )
+        self.log: deque[Execution] = deque(maxlen=LOG_KEPT)
+        self._waiting: list[EngineStream] = []
+        self._running: list[EngineStream] = []
+        self._cancelled: OrderedDict[str, None] = OrderedDict()
+        self._exports: OrderedDict[str, Exported] = OrderedDict()
+        self._loads: deque[tuple[float, int, int]] = deque(maxlen=LOADS_KEPT)
+        self._work = trio.Event()
+
+    async def run(self) -> None:
+        """Step while there is work."""
+        while True:
+            if not (self._running or self._waiting):
+                self._work = trio.Event()
+                await self._work.wait()
+            await trio.sleep(self.options.step * self.slowdown)
+            self.step()
+
+    def find_refusal(self, completion: Completion) -> tuple[int, str] | None:
+        """Return status and type of a refusal, before anything has started."""
+        if self.leaving:
+            return 503, "leaving"
+        if completion.attempt in self._cancelled:
+            return 409, "cancelled"
+        if completion.model and completion.model not in self.services:
+            return 404, "model_not_loaded"
+        if completion.max_tokens < 1 or not completion.prompt:
+            return 422, "invalid"
+        if len(self._waiting) >= self.options.queue:
+            return 503, "overloaded"
+        return None
+
+    def accept(self, completion: Completion, imported: int) -> EngineStream:
+        """Queue a completion that was not refused."""
+        done = len(completion.tokens_done)
+        execution = Execution(
+            time.time(),
+            self.name,
+            completion.operation,
+            completion.key,
+            completion.attempt,
+            completion.account,
+            done,
+        )
+        self.log.append(execution)
+        stream = EngineStream(
+            completion,
+            digest_prompt(completion.prompt),
+            split_prompt(completion.prompt),
+            done,
+            execution,
+            imported,
+            written=done,
+        )
+        self._waiting.append(stream)
+        self._waiting.sort(key=lambda waiting: waiting.completion.priority)
+        self._work.set()
+        self._note_load()
+        return stream
+
+    def step(self) -> None:
+        """Fill the batch, compute prompts, and give each stream its next token."""
+        while self._waiting and len(self._running) < self.options.capacity:
+            self._begin(self._waiting.pop(0))
+        budget = self.options.prefill
+        for stream in list(self._running):
+            computed = min(budget, stream.prefill_left)
+            budget -= computed
+            stream.prefill_left -= computed
+            if stream.prefill_left == 0:
+                self._decode(stream)
+        self._note_load()
+
+    def _begin(self, stream: EngineStream) -> None:
+        salt = stream.completion.cache_salt
+        total = len(stream.prompt) + stream.next_index
+        stream.cached = self.cache.match(salt, stream.prompt)
+        known = max(stream.cached, min(stream.imported, total))
+        stream.prefill_left = total - known
+        if stream.next_index:
+            stream.recomputed = stream.prefill_left
+        self.cache.store(salt, stream.prompt, time.time())
+        stream.state = StreamState.RUNNING
+        self._running.append(stream)
+
+    def _decode(self, stream: EngineStream) -> None:
+        stream.outbox.append(make_token(stream.digest, stream.next_index))
+        stream.next_index += 1
+        stream.execution.tokens += 1
+        if stream.next_index >= stream.completion.max_tokens:
+            self._end(stream, StreamState.DONE, "done")
+        stream.wake()
+
+    def _end(self, stream: EngineStream, state: StreamState, word: str) -> None:
+        if stream in self._running:
+            self._running.remove(stream)
+        if stream in self._waiting:
+            self._waiting.remove(stream)
+        stream.state = state
+        stream.execution.state = word
+        stream.wake()
+        self._note_load()
+
+    def abort(self, stream: EngineStream) -> None:
+        """End a stream whose caller has gone."""
+        if not stream.is_over:
+            self._end(stream, StreamState.CANCELLED, "aborted")
+
+    def abort_all(self) -> None:
+        """End all streams, as the end of the process would."""
+        for stream in self._running + self._waiting:
+            self.abort(stream)
+
+    def cancel(self, attempt: str) -> tuple[str, int]:
+        """End an attempt, and refuse it if it only arrives later.
+
+        Returns:
+            `cancelled`, `done` or `unknown`, and its count of tokens.
+        """
+        self._cancelled[attempt] = None
+        while len(self._cancelled) > CANCELLED_KEPT:
+            self._cancelled.popitem(last=False)
+        stream = self._find(attempt)
+        if stream is not None:
+            self._end(stream, StreamState.CANCELLED, "cancelled")
+            return "cancelled", stream.next_index
+        for execution in reversed(self.log):
+            if execution.attempt == attempt:
+                return execution.state, execution.tokens_done + execution.tokens
+        return "unknown", 0
+
+    def export(self, attempt: str, address: str) -> Exported | None:
+        """Export the KV cache of a running attempt."""
+        stream = self._find(attempt)
+        if stream is None or stream.state is not StreamState.RUNNING:
+            return None
+        tokens = len(stream.prompt) + stream.next_index - stream.prefill_left
+        handle = f"{address}/{attempt}"
+        salt = stream.completion.cache_salt
+        exported = Exported(handle, stream.digest, salt, tokens)
+        self._exports[handle] = exported
+        while len(self._exports) > EXPORTS_KEPT:
+            self._exports.popitem(last=False)
+        return exported
+
+    def find_export(self, handle: str) -> Exported | None:
+        """Look up an exported KV cache."""
+        return self._exports.get(handle)
+
+    def take_order(self, kind: str, subject: str, fence: int) -> bool:
+        """Carry out an order; False if its fencing number is checked and old."""
+        if self.options.checks_fencing and fence < self.fence:
+            return False
+        self.fence = max(self.fence, fence)
+        if kind == "load":
+            self.services.add(subject)
+        elif kind == "unload":
+            self.services.discard(subject)
+        elif kind == "role":
+            self.role = subject
+        return True
+
+    def read_load(self) -> tuple[float, int, int]:
+        """Return time, queued and running as they were `load_lag` seconds ago."""
+        seen = time.time() - self.options.load_lag
+        past = [load for load in self._loads if load[0] <= seen]
+        return past[-1] if past else (seen, 0, 0)
+
+    def _note_load(self) -> None:
+        self._loads.append((time.time(), len(self._waiting), len(self._running)))
+
+    def _find(self, attempt: str) -> EngineStream | None:
+        streams = self._running + self._waiting
+        return next((s for s in streams if s.completion.attempt == attempt), None)
--- /dev/null
+++ b/dewridge/standins/enginehttp.py
@@ -0,0 +1,221 @@
+"""HTTP of a model engine: completions as server-sent events, cancel, export."""
+
+import time
+from collections.abc import AsyncIterator, Callable
+
+import msgspec
+import trio
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from dewridge.standins.engine import Completion, Engine, EngineStream, Exported
+from dewridge.standins.misbehaviour import Misbehaviour, Mode, spoil
+from dewridge.standins.serving import make_app, read_body, reply
+from dewridge.standins.tokens import make_token
+
+KEEPALIVE_SECONDS = 0.5
+"""An engine that computes a long prompt says so this often."""
+IMPORT_TIMEOUT = 1.0
+KEEPALIVE = b": waiting\n\n"
+LAST = b"data: [DONE]\n\n"
+
+
+class Choice(msgspec.Struct):
+    """The text of an event, as callers of the usual protocol read it."""
+
+    text: str
+    finish_reason: str | None = None
+    index: int = 0
+
+
+class CompletionUsage(msgspec.Struct):
+    """What a completion took."""
+
+    prompt_tokens: int
+    completion_tokens: int
+    cached_tokens: int
+    recomputed_tokens: int
+
+
+class CompletionEvent(msgspec.Struct, omit_defaults=True):
+    """One server-sent event; `sequence` is the place of its first token."""
+
+    attempt: str
+    sequence: int
+    tokens: list[str]
+    choices: list[Choice]
+    usage: CompletionUsage | None = None
+
+
+class EngineOrder(msgspec.Struct):
+    """An order to an engine."""
+
+    kind: str
+    subject: str
+    fence: int = 0
+
+
+def build_engine_app(
+    engine: Engine, wrong: Misbehaviour, find_address: Callable[[], str]
+) -> QuartTrio:
+    """Return an engine's HTTP application."""
+    app = make_app(engine.name)
+
+    @app.post("/v1/completions")
+    async def complete() -> Response:
+        completion = await read_body(Completion)
+        refusal = engine.find_refusal(completion)
+        if refusal is not None:
+            return reply({"error": {"type": refusal[1]}}, refusal[0])
+        imported = await import_cache(engine, completion)
+        stream = engine.accept(completion, imported)
+        events = spoil(
+            write_events(engine, stream), wrong, make_stranger(stream), make_error()
+        )
+        answer = Response(events, content_type="text/event-stream")
+        answer.timeout = None
+        return answer
+
+    @app.post("/v1/attempts/<attempt>/cancel")
+    async def cancel(attempt: str) -> Response:
+        await stay_silent(wrong)
+        state, tokens = engine.cancel(attempt)
+        return reply({"attempt": attempt, "state": state, "tokens": tokens})
+
+    @app.post("/v1/attempts/<attempt>/export")
+    async def export(attempt: str) -> Response:
+        await stay_silent(wrong)
+        exported = engine.export(attempt, find_address())
+        if exported is None:
+            return reply({"error": {"type": "unknown_attempt"}}, 404)
+        return reply({"cache_handle": exported.handle, "tokens": exported.tokens})
+
+    add_state_routes(app, engine, wrong)
+    return app
+
+
+def add_state_routes(app: QuartTrio, engine: Engine, wrong: Misbehaviour) -> None:
+    """Add orders and what an engine reports of itself."""
+
+    @app.get("/v1/cache/<path:handle>")
+    async def read_cache(handle: str) -> Response:
+        found = engine.find_export(handle)
+        return reply(found, 200 if found else 404)
+
+    @app.get("/v1/load")
+    async def read_load() -> Response:
+        await stay_silent(wrong)
+        at, queued, running = engine.read_load()
+        return reply({"at": at, "queued": queued, "running": running})
+
+    @app.get("/v1/cache-events")
+    async def read_cache_events() -> Response:
+        after = request.args.get("after", 0, type=int)
+        return reply({"events": engine.cache.list_events(after, time.time())})
+
+    @app.post("/v1/orders")
+    async def take_order() -> Response:
+        await stay_silent(wrong)
+        order = await read_body(EngineOrder)
+        if engine.take_order(order.kind, order.subject, order.fence):
+            return reply(describe(engine))
+        return reply({"error": {"type": "stale_fence"}, "fence": engine.fence}, 409)
+
+    @app.get("/v1/state")
+    async def read_state() -> Response:
+        return reply(describe(engine))
+
+
+def describe(engine: Engine) -> dict[str, object]:
+    """Return an engine's state."""
+    return {
+        "services": sorted(engine.services),
+        "role": engine.role,
+        "fence": engine.fence,
+        "leaving": engine.leaving,
+    }
+
+
+async def stay_silent(wrong: Misbehaviour) -> None:
+    """Never return while the server is silent."""
+    if wrong.mode is Mode.SILENT:
+        await trio.sleep_forever()
+
+
+async def import_cache(engine: Engine, completion: Completion) -> int:
+    """Fetch an exported KV cache from its engine; 0 tokens if it can't be had."""
+    handle = completion.cache_handle
+    if not handle:
+        return 0
+    import httpx  # noqa: PLC0415 - only engines that import need a client
+
+    address = handle.split("/", 1)[0]
+    try:
+        async with httpx.AsyncClient(timeout=IMPORT_TIMEOUT) as client:
+            answer = await client.get(f"http://{address}/v1/cache/{handle}")
+        exported = msgspec.json.decode(answer.content, type=Exported)
+    except (httpx.HTTPError, msgspec.DecodeError):
+        return 0
+    fits = exported.salt == completion.cache_salt
+    return exported.tokens if fits else 0
+
+
+async def write_events(engine: Engine, stream: EngineStream) -> AsyncIterator[bytes]:
+    """Yield a stream's events; a caller that goes ends the stream."""
+    yield KEEPALIVE
+    try:
+        while True:
+            with trio.move_on_after(KEEPALIVE_SECONDS):
+                await stream.news.wait()
+            if not stream.news.is_set():
+                yield KEEPALIVE
+                continue
+            stream.news = trio.Event()
+            over = stream.is_over
+            if stream.outbox:
+                yield encode_tokens(stream)
+            if over:
+                break
+        if stream.execution.state == "done":
+            yield encode_end(stream)
+            yield LAST
+    finally:
+        engine.abort(stream)
+
+
+def encode_tokens(stream: EngineStream) -> bytes:
+    """Encode what the stream has computed since the last event."""
+    tokens = list(stream.outbox)
+    stream.outbox.clear()
+    sequence = stream.written
+    stream.written += len(tokens)
+    choices = [Choice("".join(tokens))]
+    attempt = stream.completion.attempt
+    return encode(CompletionEvent(attempt, sequence, tokens, choices))
+
+
+def encode_end(stream: EngineStream) -> bytes:
+    """Encode the end of a whole answer."""
+    usage = CompletionUsage(
+        len(stream.prompt), stream.next_index, stream.cached, stream.recomputed
+    )
+    attempt = stream.completion.attempt
+    choices = [Choice("", "length")]
+    return encode(CompletionEvent(attempt, stream.next_index, [], choices, usage))
+
+
+def make_stranger(stream: EngineStream) -> bytes:
+    """Encode an event of an attempt that is not the stream's."""
+    token = make_token(stream.digest + 1 & 0xFFFFFFFFFFFFFFFF, stream.next_index)
+    attempt = f"other-{stream.completion.attempt}"
+    return encode(CompletionEvent(attempt, stream.next_index, [token], [Choice(token)]))
+
+
+def make_error() -> bytes:
+    """Encode an event that says the engine failed."""
+    return b'data: {"error": {"type": "failed"}}\n\n'
+
+
+def encode(event: CompletionEvent) -> bytes:
+    """Encode an event as the protocol has it."""
+    return b"data: " + msgspec.json.encode(event) + b"\n\n"
--- /dev/null
+++ b/dewridge/standins/hostlist.py
@@ -0,0 +1,106 @@
+"""Host list, which lags, and the cloud's notices."""
+
+import time
+from collections import deque
+
+import msgspec
+from quart import Response
+from quart_trio import QuartTrio
+
+from dewridge.standins.faults import FaultBoard, suffer_after, suffer_before
+from dewridge.standins.serving import make_app, read_body, reply
+
+CHANGES_KEPT = 100_000
+
+
+class HostRecord(msgspec.Struct, frozen=True):
+    """A backend server as it registered itself."""
+
+    backend_server: str
+    address: str
+    failure_domain: str
+    kind: str
+    services: tuple[str, ...]
+    machine_class: str = "standard"
+    price: float = 1.0
+    reclaimable: bool = True
+    capacity: int = 8
+    checks_fencing: bool = True
+    state: str = "live"
+
+
+class Notice(msgspec.Struct, frozen=True):
+    """The cloud's word that a host goes at a time (seconds since 1970)."""
+
+    subject: str
+    at: float
+
+
+class HostDirectory:
+    """All that was registered, as it is and as it was `lag` seconds ago."""
+
+    def __init__(self) -> None:
+        self.lag = 0.0
+        self.notices: dict[str, Notice] = {}
+        self._changes: deque[tuple[float, HostRecord]] = deque(maxlen=CHANGES_KEPT)
+
+    def register(self, record: HostRecord) -> None:
+        """Add or replace a backend server."""
+        self._changes.append((time.time(), record))
+
+    def set_state(self, backend_server: str, state: str) -> bool:
+        """Set the state of a backend server."""
+        found = self._read(time.time()).get(backend_server)
+        if found is None:
+            return False
+        self.register(msgspec.structs.replace(found, state=state))
+        return True
+
+    def list_lagging(self) -> list[HostRecord]:
+        """Return the list as callers see it."""
+        seen = self._read(time.time() - self.lag)
+        return [record for record in seen.values() if record.state != "gone"]
+
+    def list_now(self) -> list[HostRecord]:
+        """Return the list without its lag."""
+        return list(self._read(time.time()).values())
+
+    def _read(self, until: float) -> dict[str, HostRecord]:
+        records: dict[str, HostRecord] = {}
+        for at, record in self._changes:
+            if at <= until:
+                records[record.backend_server] = record
+        return records
+
+
+def build_host_list_app(directory: HostDirectory, faults: FaultBoard) -> QuartTrio:
+    """Return the host list's HTTP application."""
+    app = make_app("host-list")
+
+    @app.get("/v1/hosts")
+    async def list_hosts() -> Response:
+        fault = faults.strike("host_list", "list")
+        early = await suffer_before(fault)
+        found = {"hosts": directory.list_lagging()}
+        return early or await suffer_after(fault, reply(found))
+
+    @app.post("/v1/hosts")
+    async def register() -> Response:
+        directory.register(await read_body(HostRecord))
+        return reply({})
+
+    return app
+
+
+def build_cloud_app(directory: HostDirectory, faults: FaultBoard) -> QuartTrio:
+    """Return the cloud's HTTP application."""
+    app = make_app("cloud")
+
+    @app.get("/v1/notices")
+    async def list_notices() -> Response:
+        fault = faults.strike("cloud", "list")
+        early = await suffer_before(fault)
+        found = {"notices": list(directory.notices.values())}
+        return early or await suffer_after(fault, reply(found))
+
+    return app
--- /dev/null
+++ b/dewridge/standins/serving.py
@@ -0,0 +1,166 @@
+"""Serves the HTTP listeners of a stand-in process and ends them cleanly."""
+
+import os
+import signal
+import socket
+from collections.abc import Awaitable, Callable
+from contextlib import ExitStack
+from typing import Any, TypeVar
+
+import msgspec
+import trio
+from hypercorn.config import Config, Sockets
+from hypercorn.trio.run import worker_serve
+from hypercorn.utils import wrap_app
+from quart import Response, request
+from quart_trio import QuartTrio
+
+HOST = "127.0.0.1"
+BACKLOG = 512
+IDLE_SECONDS = 600.0
+REQUESTS_PER_CONNECTION = 1_000_000_000
+
+T = TypeVar("T")
+
+
+class Listener:
+    """One HTTP listener that can be taken down and brought back on its port.
+
+    A socket that is bound and never listens keeps the port while the listener
+    is down; without it another process could be given the port meanwhile, and
+    callers would talk to a stranger in place of being refused.
+    """
+
+    def __init__(self, app: QuartTrio, port: int = 0) -> None:
+        self._app = app
+        self._holder = make_socket(port)
+        self._port = int(self._holder.getsockname()[1])
+        self._up = trio.Event()
+        self._up.set()
+        self._down = trio.Event()
+
+    @property
+    def address(self) -> str:
+        """IP number and port."""
+        return f"{HOST}:{self._port}"
+
+    @property
+    def url(self) -> str:
+        """Address as a URL."""
+        return f"http://{self.address}"
+
+    def take_down(self) -> None:
+        """Cut all connections and refuse new ones."""
+        self._up = trio.Event()
+        self._down.set()
+
+    def bring_up(self) -> None:
+        """Listen again."""
+        self._down = trio.Event()
+        self._up.set()
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Listen whenever the listener is up."""
+        with ExitStack() as stack:
+            stack.callback(self._holder.close)
+            started: trio.TaskStatus[Any] = task_status
+            while True:
+                await self._up.wait()
+                await self._serve_once(started)
+                started = trio.TASK_STATUS_IGNORED
+
+    async def _serve_once(self, task_status: trio.TaskStatus[Any]) -> None:
+        listening = make_socket(self._port)
+        listening.listen(BACKLOG)
+        config = make_config()
+        await worker_serve(
+            wrap_app(self._app, config.wsgi_max_body_size, "asgi"),
+            config,
+            sockets=Sockets([], [listening], []),
+            shutdown_trigger=self._down.wait,
+            task_status=task_status,
+        )
+
+
+def make_socket(port: int) -> socket.socket:
+    """Bind a TCP socket to a port; 0 lets the kernel choose."""
+    made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    made.bind((HOST, port))
+    made.setblocking(False)
+    return made
+
+
+def make_config() -> Config:
+    """Return the HTTP server's configuration."""
+    config = Config()
+    config.accesslog = None
+    config.errorlog = None
+    config.graceful_timeout = 0
+    config.keep_alive_timeout = IDLE_SECONDS
+    config.keep_alive_max_requests = REQUESTS_PER_CONNECTION
+    return config
+
+
+def make_app(name: str) -> QuartTrio:
+    """Return an application that answers a malformed body with status 400."""
+    app = QuartTrio(name)
+    app.config["RESPONSE_TIMEOUT"] = None
+
+    async def refuse(error: Exception) -> Response:
+        return reply({"error": {"type": "malformed", "message": str(error)}}, 400)
+
+    app.register_error_handler(msgspec.DecodeError, refuse)
+    return app
+
+
+def reply(value: Any, status: int = 200) -> Response:
+    """Answer with a value as JSON."""
+    return Response(
+        msgspec.json.encode(value), status=status, content_type="application/json"
+    )
+
+
+async def read_body(kind: type[T]) -> T:
+    """Decode the body of the current request."""
+    body = await request.get_data(as_text=False)
+    return msgspec.json.decode(body or b"{}", type=kind)
+
+
+Start = Callable[[trio.Nursery], Awaitable[dict[str, Any]]]
+"""Starts a stand-in's tasks and returns the line that it announces."""
+
+
+def run_process(start: Start, die_with_parent: bool) -> None:
+    """Run a stand-in until SIGTERM, SIGINT or the end of its standard input."""
+    trio.run(_run_until_ended, start, die_with_parent)
+
+
+async def _run_until_ended(start: Start, die_with_parent: bool) -> None:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_end_on_signal)
+        if die_with_parent:
+            nursery.start_soon(_end_with_standard_input)
+        line = await start(nursery)
+        print(msgspec.json.encode(line).decode(), flush=True)
+
+
+async def _end_on_signal() -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            os._exit(0)
+
+
+async def _end_with_standard_input() -> None:
+    # The parent of a demo may be killed without a chance to stop its
+    # stand-ins. The pipe to their standard input closes with it, which is the
+    # one thing they are sure to notice.
+    def wait_for_end() -> None:
+        while os.read(0, 4096):
+            pass
+
+    await trio.to_thread.run_sync(wait_for_end, abandon_on_cancel=True)
+    os._exit(0)
