--- /dev/null
+++ b/dewridge/testbed/deployment.py
@@ -0,0 +1,354 @@
+"""One deployment as separate processes: platform, backend servers, entry hosts."""
+
+import hashlib
+import json
+import secrets
+import tempfile
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import httpx
+import trio
+
+from dewridge.testbed.places import EnginePlan, Place
+from dewridge.testbed.processes import (
+    Process,
+    StartError,
+    choose_ports,
+    end_processes,
+    start_process,
+)
+
+READY_LIMIT = 40.0
+"""Seconds for the entry hosts to find each other and take work."""
+
+OPERATOR = "testbed"
+
+Tell = Callable[[str], None]
+"""Says on the terminal how far a start has come."""
+
+
+@dataclass(frozen=True)
+class DeploymentOptions:
+    """What a testbed starts.
+
+    Attributes:
+        hosts: entry hosts, spread over the failure domains in turn.
+        counts: backend servers per failure domain and plan; None: the place's.
+        step: milliseconds of an engine's step.
+        overrides: settings by section that replace the testbed's own.
+    """
+
+    hosts: int = 3
+    host_domains: int = 4
+    counts: tuple[int, ...] | None = None
+    step: float = 5.0
+    capacity: int = 8
+    work: float = 5.0
+    overrides: dict[str, dict[str, Any]] = field(default_factory=dict)
+
+
+@dataclass
+class EntryHost:
+    """An entry host of the testbed.
+
+    Attributes:
+        settings: its settings, as in its file.
+    """
+
+    name: str
+    failure_domain: str
+    frontend: str
+    peers: str
+    settings_path: Path
+    process: Process
+
+    @property
+    def url(self) -> str:
+        """URL for callers and operators."""
+        return f"http://{self.frontend}"
+
+
+@dataclass
+class BackendProcess:
+    """A process that holds the backend servers of a plan in a failure domain."""
+
+    plan: EnginePlan
+    failure_domain: str
+    process: Process
+
+    @property
+    def control(self) -> str:
+        """URL of its control endpoint."""
+        return str(self.process.ready["control"])
+
+    @property
+    def servers(self) -> list[str]:
+        """Ids of its backend servers."""
+        return list(self.process.ready["servers"])
+
+
+class Deployment:
+    """The running processes of a place, with what steers and watches them."""
+
+    def __init__(
+        self, place: Place, options: DeploymentOptions, folder: Path, tell: Tell
+    ) -> None:
+        self.place = place
+        self.options = options
+        self.folder = folder
+        self.tell = tell
+        self.hosts: list[EntryHost] = []
+        self.backends: list[BackendProcess] = []
+        self.platform: Process | None = None
+        self.tokens = {name: secrets.token_hex(16) for name in place.accounts}
+        self.operator_token = secrets.token_hex(16)
+        self.http = httpx.AsyncClient(timeout=5.0)
+        self._past: list[Process] = []
+        self._started = 0
+
+    # ---- starting -------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Start everything and publish the place's profiles and services.
+
+        Raises:
+            StartError: a process did not come up, or the hosts take no work.
+        """
+        self.tell("starting the platform's stand-ins")
+        self.platform = await self._start_process("platform", ["standin", "platform"])
+        self.tell("starting backend servers and entry hosts")
+        async with trio.open_nursery() as nursery:
+            for plan in self.place.plans:
+                for index, domain in enumerate(self.place.failure_domains):
+                    count = self._count_servers(plan, index)
+                    if count:
+                        nursery.start_soon(self.start_backend, plan, domain, count)
+            domains = self.place.failure_domains[: self.options.host_domains]
+            peer_ports = choose_ports(self.options.hosts)
+            seeds = [f"127.0.0.1:{port}" for port in peer_ports]
+            for index in range(self.options.hosts):
+                domain = domains[index % len(domains)]
+                nursery.start_soon(self.start_host, domain, peer_ports[index], seeds)
+        await self._wait_ready()
+        await self.publish_all()
+
+    def _count_servers(self, plan: EnginePlan, index: int) -> int:
+        counts = self.options.counts
+        if counts is None:
+            return plan.counts[index]
+        return counts[index % len(counts)]
+
+    async def _start_process(self, name: str, arguments: list[str]) -> Process:
+        process = await start_process(
+            name, [*arguments, "--die-with-parent"], self.folder, waits_for_line=True
+        )
+        self._past.append(process)
+        return process
+
+    async def start_backend(
+        self, plan: EnginePlan, domain: str, count: int
+    ) -> BackendProcess:
+        """Start backend servers of a plan in a failure domain."""
+        self._started += 1
+        assert self.platform is not None
+        price = plan.prices[self.place.failure_domains.index(domain)]
+        kind = "engine" if plan.is_model else "plain"
+        name = f"{plan.service}-{domain}-{self._started}"
+        arguments = [
+            *("standin", kind, "--service", plan.service),
+            *("--failure-domain", domain, "--name", name, "--count", str(count)),
+            *("--price", str(price), "--machine-class", plan.machine_class),
+            *("--platform", str(self.platform.ready["host_list"])),
+        ]
+        if plan.is_model:
+            arguments += ["--step", str(self.options.step)]
+            arguments += ["--capacity", str(self.options.capacity)]
+        else:
+            arguments += ["--work", str(self.options.work)]
+        process = await self._start_process(name, arguments)
+        backend = BackendProcess(plan, domain, process)
+        self.backends.append(backend)
+        return backend
+
+    async def start_host(
+        self, domain: str, peer_port: int = 0, seeds: list[str] | None = None
+    ) -> EntryHost:
+        """Start an entry host; without seeds it asks the key-value service."""
+        self._started += 1
+        name = f"entry-{self._started}"
+        frontend_port = choose_ports(1)[0]
+        peer_port = peer_port or choose_ports(1)[0]
+        settings = self._make_settings(
+            name, domain, frontend_port, peer_port, seeds or []
+        )
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings, indent=2))
+        process = await start_process(
+            name, ["serve", "--settings", str(path)], self.folder, waits_for_line=False
+        )
+        self._past.append(process)
+        host = EntryHost(
+            name,
+            domain,
+            f"127.0.0.1:{frontend_port}",
+            f"127.0.0.1:{peer_port}",
+            path,
+            process,
+        )
+        self.hosts.append(host)
+        return host
+
+    def _make_settings(
+        self, name: str, domain: str, frontend: int, peers: int, seeds: list[str]
+    ) -> dict[str, Any]:
+        assert self.platform is not None
+        urls = self.platform.ready
+        settings: dict[str, Any] = {
+            "host": {
+                "id": name,
+                "deployment": self.place.name,
+                "region": self.place.region,
+                "failure_domain": domain,
+            },
+            "platform": {
+                "key_value": urls["key_value"],
+                "host_list": urls["host_list"],
+                "cloud": urls["cloud"],
+            },
+            "frontend": {"port": frontend},
+            "peers": {"port": peers, "seeds": seeds},
+            "accounts": [
+                {"name": account, "token_sha256": _digest(token)}
+                for account, token in self.tokens.items()
+            ],
+            "operators": [
+                {"name": OPERATOR, "token_sha256": _digest(self.operator_token)}
+            ],
+        }
+        for section, values in self.options.overrides.items():
+            settings[section] = {**settings.get(section, {}), **values}
+        return settings
+
+    async def _wait_ready(self) -> None:
+        self.tell("waiting for the entry hosts to find each other")
+        until = trio.current_time() + READY_LIMIT
+        for host in self.hosts:
+            while not await self.is_joined(host):
+                ended = not host.process.is_running
+                if ended or trio.current_time() > until:
+                    text = host.process.log_path.read_text()[-1500:]
+                    raise StartError(f"{host.name} did not come up:\n{text}")
+                await trio.sleep(0.05)
+
+    async def is_joined(self, host: EntryHost) -> bool:
+        """Whether an entry host answers and sees as many members as there are."""
+        dump = await self.read_dump(host)
+        members = dump.get("parts", {}).get("membership", {}).get("members", [])
+        live = [member for member in members if member.get("state") == "ALIVE"]
+        running = [h for h in self.hosts if h.process.is_running]
+        return len(live) >= len(running)
+
+    # ---- operators ------------------------------------------------------------
+
+    async def publish_all(self) -> None:
+        """Publish the place's profiles, then its services under them."""
+        for profile in self.place.profiles:
+            await self.put(f"/v1/profiles/{profile['name']}", profile)
+        for service in self.place.services:
+            await self.put(f"/v1/services/{service['name']}", service)
+
+    async def put(
+        self, path: str, content: Any, etag: str | None = None
+    ) -> httpx.Response:
+        """Change something as an operator; new without an etag.
+
+        Raises:
+            StartError: no entry host accepted the change.
+        """
+        condition = {"If-Match": etag} if etag else {"If-None-Match": "*"}
+        response = None
+        for _ in range(20):
+            for host in self.hosts:
+                if not host.process.is_running:
+                    continue
+                try:
+                    response = await self.http.put(
+                        f"{host.url}{path}",
+                        json=content,
+                        headers={**self.operator_headers, **condition},
+                    )
+                except httpx.HTTPError:
+                    continue
+                if response.status_code < 300:
+                    return response
+            await trio.sleep(0.3)
+        detail = response.text if response is not None else "no answer"
+        raise StartError(f"PUT {path}: {detail}")
+
+    @property
+    def operator_headers(self) -> dict[str, str]:
+        """Headers that name the operator."""
+        return {"Authorization": f"Bearer {self.operator_token}"}
+
+    async def read_dump(self, host: EntryHost) -> dict[str, Any]:
+        """Return an entry host's state; empty when it does not answer."""
+        try:
+            response = await self.http.get(
+                f"{host.url}/v1/dump", headers=self.operator_headers
+            )
+        except httpx.HTTPError:
+            return {}
+        return dict(response.json()) if response.status_code == 200 else {}
+
+    # ---- faults ----------------------------------------------------------------
+
+    @property
+    def control(self) -> str:
+        """URL of the platform's control endpoint."""
+        assert self.platform is not None
+        return str(self.platform.ready["control"])
+
+    async def order(self, url: str, content: dict[str, Any]) -> None:
+        """Post an order to a control endpoint."""
+        (await self.http.post(url, json=content)).raise_for_status()
+
+    async def announce_reclaim(self, subject: str, notice: float) -> float:
+        """Let the cloud announce a reclaim; returns when, in seconds since 1970."""
+        await self.order(
+            f"{self.control}/control/notice", {"subject": subject, "in_seconds": notice}
+        )
+        return time.time() + notice
+
+    def list_frontends(self) -> list[str]:
+        """Return the frontend addresses of the entry hosts that run."""
+        return [host.frontend for host in self.hosts if host.process.is_running]
+
+    async def close(self) -> None:
+        """End all processes that were started."""
+        await end_processes(self._past)
+        with trio.CancelScope(shield=True):
+            await self.http.aclose()
+
+
+def _digest(token: str) -> str:
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+@asynccontextmanager
+async def open_deployment(
+    place: Place, options: DeploymentOptions, tell: Tell = lambda line: None
+) -> AsyncIterator[Deployment]:
+    """Start a deployment, and end all its processes on the way out."""
+    async with AsyncExitStack() as stack:
+        folder = Path(
+            stack.enter_context(tempfile.TemporaryDirectory(prefix="dewridge-"))
+        )
+        deployment = Deployment(place, options, folder, tell)
+        stack.push_async_callback(deployment.close)
+        await deployment.start()
+        yield deployment
