Decide admission, queueing, placement and recovery in pure code

Requests need one scheduler a service: what to take in, what goes next, where, and what follows a failure. Each part is a small module; policies are closures made by registered name, state is in classes, time and randomness come in as arguments.

Ruled out: deciding by reported load, since all entry hosts see one report and would choose alike; credits learned from a server's own answers stand in for it. An index of cached prefixes, since cache events come late and with gaps; rendezvous hashing with bounded load needs none.

--- /dev/null
+++ b/dewridge/policy/servers.py
@@ -0,0 +1,304 @@
+"""The backend servers that one entry host sends a service's work to."""
+
+import random
+from collections.abc import Sequence
+from statistics import median
+from typing import Any
+
+import xxhash
+
+from dewridge.configuration.model import LatencyTargets
+from dewridge.ids import BackendServerId, FailureDomain, RequestId
+from dewridge.policy.cost import find_slot_price
+from dewridge.policy.credits import Health, ServerCredits
+from dewridge.policy.model import AttemptOutcome, ServerView, Work
+from dewridge.policy.subsets import choose_subset, find_sharers
+
+REFRESH = 0.1
+"""Seconds between two looks at all servers of the subset. A slow server keeps
+getting work for this long at most; each look costs some tens of microseconds."""
+
+SLOW_FACTOR = 4.0
+"""Multiple of the median at which a server counts as slow. Twice happens from
+chance and from long prompts; ten times must be caught in its first answers."""
+
+SLOW_FLOOR = 0.02
+"""Seconds to a first token under which no server counts as slow."""
+
+NOTICE_MEMORY = 60.0
+"""Seconds that a failure domain counts as under notice after its last notice.
+Reclaims come in waves, so the next is likely where the last one was."""
+
+PRIOR_SHARE = 0.25
+"""Part of the targets that an answer is reckoned to take before any came. Low on
+purpose: reckoning high would refuse the very work that teaches the truth."""
+
+
+class Servers:
+    """Views of the whole fleet, and credits for the subset that is in use."""
+
+    def __init__(
+        self, targets: LatencyTargets, is_plain: bool, rng: random.Random
+    ) -> None:
+        self.records: dict[BackendServerId, ServerCredits] = {}
+        self.subset: list[ServerCredits] = []
+        self.fleet: list[ServerView] = []
+        self.first_token = 0.0
+        self.token_time = 0.0
+        self.mean_in_flight = 0.0
+        self.total_limit = 0.0
+        self.has_suspended = False
+        self._targets = targets
+        self._is_plain = is_plain
+        self._rng = rng
+        self._host_index = 0
+        self._host_count = 1
+        self._least = 16
+        self._views: dict[BackendServerId, ServerView] = {}
+        self._member_ids: frozenset[BackendServerId] = frozenset()
+        self._notices: dict[FailureDomain, float] = {}
+        self._refresh_at = 0.0
+        self.least_price = 0.0
+        self._use_priors()
+
+    def configure(self, targets: LatencyTargets, least: int) -> None:
+        """Take over a profile's targets and size of the subset."""
+        self._targets = targets
+        if least != self._least:
+            self._least = least
+            self._choose_subset()
+
+    def set_hosts(self, host_index: int, host_count: int) -> None:
+        """Say which of how many entry hosts this is."""
+        if (host_index, host_count) != (self._host_index, self._host_count):
+            self._host_index = host_index
+            self._host_count = host_count
+            self._choose_subset()
+
+    def update(self, views: Sequence[ServerView], now: float) -> None:
+        """Replace what is known of the fleet.
+
+        A server known to be leaving stays so, whatever an older, lagging list
+        says: new work sent there would be lost.
+        """
+        fresh = {}
+        for view in views:
+            known = self._views.get(view.id)
+            if view.leaving_at is not None and (
+                known is None or known.leaving_at is None
+            ):
+                self._notices[view.failure_domain] = now
+            fresh[view.id] = view
+            if known is not None and known.leaving_at is not None:
+                fresh[view.id] = _mark_leaving(view, known.leaving_at)
+            record = self.records.get(view.id)
+            if record is not None:
+                record.view = fresh[view.id]
+        for gone in self._views.keys() - fresh.keys():
+            self._forget(gone)
+        self._views = fresh
+        self.fleet = [view for view in fresh.values() if view.leaving_at is None]
+        members = frozenset(view.id for view in self.fleet)
+        if members != self._member_ids:
+            self._member_ids = members
+            self._choose_subset()
+
+    def note_leaving(
+        self, server: BackendServerId, leaving_at: float, now: float
+    ) -> None:
+        """Give a server no new work from now on."""
+        view = self._views.get(server)
+        if view is None:
+            return
+        view = _mark_leaving(view, leaving_at)
+        self._notices[view.failure_domain] = now
+        self._views[server] = view
+        record = self.records.get(server)
+        if record is not None:
+            record.view = view
+        self.fleet = [other for other in self.fleet if other.id != server]
+        self._member_ids -= {server}
+        self._choose_subset()
+
+    def find(self, server: BackendServerId) -> ServerCredits | None:
+        """Return a server's record; one outside the subset is made when known."""
+        record = self.records.get(server)
+        view = self._views.get(server)
+        if record is None and view is not None:
+            record = self._make_record(view)
+        return record
+
+    def is_under_notice(self, domain: FailureDomain, now: float) -> bool:
+        """Whether servers of a failure domain were reclaimed lately."""
+        noticed_at = self._notices.get(domain)
+        return noticed_at is not None and now - noticed_at < NOTICE_MEMORY
+
+    def learn_first_token(
+        self, server: BackendServerId, request: RequestId, now: float
+    ) -> None:
+        """Learn from the first token of a request."""
+        record = self.records.get(server)
+        sample = record.note_first_token(request, now) if record else None
+        if record is None or sample is None:
+            return
+        if record.probe == request:
+            self._judge_probe(record, sample, now)
+        elif record.health is Health.GOOD and self._is_congested(record, sample):
+            record.cut(now)
+        elif record.health is Health.GOOD:
+            record.note_success()
+            record.grow()
+
+    def learn_end(
+        self,
+        record: ServerCredits,
+        request: RequestId,
+        outcome: AttemptOutcome,
+        now: float,
+    ) -> None:
+        """Learn from how an attempt ended."""
+        if outcome is AttemptOutcome.LOST:
+            record.note_failure(now, self._rng.random())
+        elif outcome is AttemptOutcome.NOT_STARTED:
+            record.note_refusal(request, now, self._rng.random())
+        else:
+            record.drop_probe(request)
+
+    def predict_duration(
+        self, work: Work, record: ServerCredits | None = None
+    ) -> float:
+        """Return the seconds that an attempt is expected to take."""
+        first = self.first_token
+        between = self.token_time
+        if record is not None:
+            first = record.first_token or first
+            between = record.token_time or between
+        if self._is_plain:
+            return first
+        return first + between * max(0, work.expected_tokens - work.tokens_done - 1)
+
+    def refresh(self, now: float) -> None:
+        """Look at all servers of the subset, at most once in REFRESH seconds."""
+        if now < self._refresh_at:
+            return
+        self._refresh_at = now + REFRESH
+        self._learn(now)
+        for record in self.subset:
+            is_suspended = record.health is Health.SUSPENDED
+            if not is_suspended and self._is_slow(record, now):
+                record.suspend(now, self._rng.random())
+        healths = [record.health for record in self.subset]
+        self.has_suspended = Health.SUSPENDED in healths
+
+    def find_probe_time(self, now: float) -> float | None:
+        """Return when a suspended server may be tried again, if one is to be."""
+        times = [
+            record.retry_at
+            for record in self.subset
+            if record.health is Health.SUSPENDED and record.retry_at > now
+        ]
+        return min(times, default=None)
+
+    def describe(self) -> dict[str, Any]:
+        """Return what is known of each server of the subset."""
+        return {
+            record.view.id: {
+                "health": record.health.value,
+                "limit": round(record.limit, 2),
+                "in_flight": record.in_flight,
+                "first_token": round(record.first_token, 4),
+                "token_time": round(record.token_time, 5),
+                "leaving_at": record.view.leaving_at,
+            }
+            for record in self.subset
+        }
+
+    def _learn(self, now: float) -> None:
+        good = [r for r in self.subset if r.health is Health.GOOD]
+        firsts = [r.first_token for r in good if r.first_token]
+        betweens = [r.token_time for r in good if r.token_time]
+        if firsts:
+            self.first_token = median(firsts)
+        if betweens:
+            self.token_time = median(betweens)
+        self.total_limit = sum(r.limit for r in good)
+        self.mean_in_flight = sum(r.in_flight for r in good) / max(1, len(good))
+
+    def _is_slow(self, record: ServerCredits, now: float) -> bool:
+        if len(self.subset) < 2:
+            return False
+        if record.health is Health.PROBING:
+            sent_at = record.waiting.get(record.probe, now) if record.probe else now
+            return not self._is_good(now - sent_at)
+        if not self._is_good(record.find_first_token(now)):
+            return True
+        return record.token_time > SLOW_FACTOR * self.token_time
+
+    def _is_good(self, sample: float) -> bool:
+        return sample <= max(SLOW_FLOOR, SLOW_FACTOR * self.first_token)
+
+    def _is_congested(self, record: ServerCredits, sample: float) -> bool:
+        # Half of the target, since the request also waited in the queue here;
+        # and twice the usual time, so that a target which no server of the
+        # fleet can meet does not take away everyone's credits.
+        target = self._targets.first_token
+        if self._is_plain:
+            target = self._targets.whole_answer
+        is_late = sample > max(0.5 * target, 2 * self.first_token)
+        return is_late or record.token_time > self._targets.between_tokens
+
+    def _judge_probe(self, record: ServerCredits, sample: float, now: float) -> None:
+        if self._is_good(sample):
+            record.recover(sample)
+        else:
+            record.suspend(now, self._rng.random())
+
+    def _use_priors(self) -> None:
+        target = self._targets.first_token
+        if self._is_plain:
+            target = self._targets.whole_answer
+        self.first_token = PRIOR_SHARE * target
+        self.token_time = PRIOR_SHARE * self._targets.between_tokens
+
+    def _choose_subset(self) -> None:
+        views = choose_subset(
+            self.fleet, self._host_index, self._host_count, self._least
+        )
+        self.subset = [self.records.get(v.id) or self._make_record(v) for v in views]
+        self._refresh_at = 0.0
+        prices = [find_slot_price(view) for view in views]
+        self.least_price = min(prices, default=0.0)
+        kept = {view.id for view in views}
+        for server, record in list(self.records.items()):
+            if server not in kept and record.in_flight == 0:
+                del self.records[server]
+
+    def _make_record(self, view: ServerView) -> ServerCredits:
+        # The first guess is this host's part of the server's capacity, so that
+        # all hosts together start at what the server can run and not above it.
+        sharers = find_sharers(len(self.fleet), self._host_count, self._least)
+        limit = max(1.0, view.capacity / sharers)
+        record = ServerCredits(view, limit, xxhash.xxh3_64_intdigest(view.id.encode()))
+        self.records[view.id] = record
+        return record
+
+    def _forget(self, server: BackendServerId) -> None:
+        record = self.records.get(server)
+        if record is not None and record.in_flight == 0:
+            del self.records[server]
+
+
+def _mark_leaving(view: ServerView, leaving_at: float) -> ServerView:
+    if view.leaving_at is not None:
+        return view
+    return ServerView(
+        id=view.id,
+        failure_domain=view.failure_domain,
+        machine_class=view.machine_class,
+        price=view.price,
+        reclaimable=view.reclaimable,
+        capacity=view.capacity,
+        leaving_at=leaving_at,
+        load=view.load,
+        load_at=view.load_at,
+    )
--- /dev/null
+++ b/dewridge/tests/policy/registry_tests.py
@@ -0,0 +1,60 @@
+"""Policies by name, and the check of a profile that is published."""
+
+from collections.abc import Collection
+
+from dewridge.configuration.model import LatencyTargets, PolicyChoice, Profile
+from dewridge.ids import ProfileName
+from dewridge.policy import admission, placement, recovery
+from dewridge.policy.registry import (
+    PolicyKind,
+    check_profile,
+    list_policies,
+    resolve_policy,
+)
+from dewridge.tests.policy.builders import make_profile
+
+
+def test_a_sound_profile_has_no_problems() -> None:
+    assert check_profile(make_profile()) == []
+
+
+def test_all_problems_are_told_at_once_with_the_nearest_name() -> None:
+    profile = Profile(
+        name=ProfileName("p"),
+        placement=PolicyChoice("cost_awere"),
+        admission=PolicyChoice("fair", {"queue_second": 3, "background_share": 2}),
+        recovery=PolicyChoice("resume", {"attempts": float("nan")}),
+        targets=LatencyTargets(first_token=-1),
+    )
+    problems = check_profile(profile)
+    assert [problem.split(":")[0] for problem in problems] == [
+        "placement.name",
+        "admission.parameters.queue_second",
+        "admission.parameters.background_share",
+        "recovery.parameters.attempts",
+        "targets.first_token",
+    ]
+    assert "did you mean 'cost_aware'?" in problems[0]
+    assert "did you mean 'queue_seconds'?" in problems[1]
+
+
+def test_each_policy_can_be_made_and_has_a_baseline_beside_it() -> None:
+    makers: dict[PolicyKind, Collection[str]] = {
+        PolicyKind.PLACEMENT: placement.MAKERS,
+        PolicyKind.ADMISSION: admission.MAKERS,
+        PolicyKind.RECOVERY: recovery.MAKERS,
+    }
+    for kind, known in makers.items():
+        specs = [spec for spec in list_policies() if spec.kind is kind]
+        assert {spec.name for spec in specs} == set(known)
+        assert {spec.is_baseline for spec in specs} == {True, False}
+
+
+def test_a_policy_of_a_newer_release_does_not_stop_an_older_host() -> None:
+    # During a rolling upgrade an operator publishes a policy that the hosts
+    # still to be upgraded do not know. They go on with the default.
+    spec, parameters = resolve_policy(
+        PolicyKind.RECOVERY, PolicyChoice("newer", {"attempts": 1e9})
+    )
+    assert spec.name == "resume"
+    assert parameters["attempts"] == 100
