--- a/dewridge/peers/dewridge.thrift
+++ b/dewridge/peers/dewridge.thrift
@@ -38,15 +38,46 @@
   2: string subject
   3: i64 version           // a higher version replaces a lower one
   4: binary payload
+  5: optional double age   // seconds since it was first spread
+  6: optional bool routine // it can wait for the next probe
 }
 
-struct Probe { 1: i64 sequence, 2: list<MemberRecord> members, 3: list<Rumor> rumors }
-struct ProbeReply { 1: i64 sequence, 2: list<MemberRecord> members, 3: list<Rumor> rumors }
+// `target_incarnation` is the one that the prober means; 0: whoever answers.
+struct Probe {
+  1: i64 sequence
+  2: list<MemberRecord> members
+  3: list<Rumor> rumors
+  4: optional i64 target_incarnation
+}
+struct ProbeReply {
+  1: i64 sequence
+  2: list<MemberRecord> members
+  3: list<Rumor> rumors
+  4: optional i64 incarnation
+}
 struct RelayProbe { 1: MemberRecord target, 2: double timeout }
 struct RelayProbeReply { 1: bool reached }
 struct Join { 1: MemberRecord me }
 struct JoinReply { 1: list<MemberRecord> members, 2: list<Rumor> rumors }
 
+// Two hosts compare all they know: first a hash for each bucket of it, then the
+// versions in the buckets that differ, then what one of them lacks.
+struct MemberVersion { 1: string host, 2: i64 incarnation, 3: i32 refutation, 4: i32 state }
+struct RumorVersion { 1: string kind, 2: string subject, 3: i64 version }
+struct CompareState { 1: list<i64> hashes }
+struct CompareStateReply {
+  1: list<i32> differing
+  2: list<MemberVersion> members
+  3: list<RumorVersion> rumors
+}
+struct ExchangeState {
+  1: list<MemberRecord> members
+  2: list<Rumor> rumors
+  3: list<string> wanted_members
+  4: list<RumorVersion> wanted_rumors
+}
+struct ExchangeStateReply { 1: list<MemberRecord> members, 2: list<Rumor> rumors }
+
 // ---- configuration ------------------------------------------------------------
 
 struct PullConfiguration { 1: i64 revision }
@@ -208,6 +239,10 @@
   13: optional RelayProbeReply relay_probe_reply
   14: optional Join join
   15: optional JoinReply join_reply
+  16: optional CompareState compare_state
+  17: optional CompareStateReply compare_state_reply
+  18: optional ExchangeState exchange_state
+  19: optional ExchangeStateReply exchange_state_reply
   20: optional PullConfiguration pull_configuration
   21: optional ConfigurationChanges configuration_changes
   30: optional Replicate replicate
--- a/dewridge/peers/wire/ttypes.py
+++ b/dewridge/peers/wire/ttypes.py
@@ -395,6 +395,8 @@
      - subject
      - version
      - payload
+     - age
+     - routine
 
     """
 
@@ -403,14 +405,18 @@
         'subject',
         'version',
         'payload',
+        'age',
+        'routine',
     )
 
 
-    def __init__(self, kind=None, subject=None, version=None, payload=None,):
+    def __init__(self, kind=None, subject=None, version=None, payload=None, age=None, routine=None,):
         self.kind = kind
         self.subject = subject
         self.version = version
         self.payload = payload
+        self.age = age
+        self.routine = routine
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -441,6 +447,16 @@
                     self.payload = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.age = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.routine = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -467,6 +483,14 @@
             oprot.writeFieldBegin('payload', TType.STRING, 4)
             oprot.writeBinary(self.payload)
             oprot.writeFieldEnd()
+        if self.age is not None:
+            oprot.writeFieldBegin('age', TType.DOUBLE, 5)
+            oprot.writeDouble(self.age)
+            oprot.writeFieldEnd()
+        if self.routine is not None:
+            oprot.writeFieldBegin('routine', TType.BOOL, 6)
+            oprot.writeBool(self.routine)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -498,6 +522,7 @@
      - sequence
      - members
      - rumors
+     - target_incarnation
 
     """
 
@@ -505,13 +530,15 @@
         'sequence',
         'members',
         'rumors',
+        'target_incarnation',
     )
 
 
-    def __init__(self, sequence=None, members=None, rumors=None,):
+    def __init__(self, sequence=None, members=None, rumors=None, target_incarnation=None,):
         self.sequence = sequence
         self.members = members
         self.rumors = rumors
+        self.target_incarnation = target_incarnation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -549,6 +576,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.target_incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -577,6 +609,10 @@
                 iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.target_incarnation is not None:
+            oprot.writeFieldBegin('target_incarnation', TType.I64, 4)
+            oprot.writeI64(self.target_incarnation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -608,6 +644,7 @@
      - sequence
      - members
      - rumors
+     - incarnation
 
     """
 
@@ -615,13 +652,554 @@
         'sequence',
         'members',
         'rumors',
+        'incarnation',
+    )
+
+
+    def __init__(self, sequence=None, members=None, rumors=None, incarnation=None,):
+        self.sequence = sequence
+        self.members = members
+        self.rumors = rumors
+        self.incarnation = incarnation
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = MemberRecord()
+                        _elem19.read(iprot)
+                        self.members.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.rumors = []
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = Rumor()
+                        _elem25.read(iprot)
+                        self.rumors.append(_elem25)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ProbeReply')
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 1)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter26 in self.members:
+                iter26.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.rumors is not None:
+            oprot.writeFieldBegin('rumors', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.rumors))
+            for iter27 in self.rumors:
+                iter27.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 4)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RelayProbe(object):
+    """
+    Attributes:
+     - target
+     - timeout
+
+    """
+
+    __slots__ = (
+        'target',
+        'timeout',
+    )
+
+
+    def __init__(self, target=None, timeout=None,):
+        self.target = target
+        self.timeout = timeout
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.target = MemberRecord()
+                    self.target.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.timeout = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayProbe')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRUCT, 1)
+            self.target.write(oprot)
+            oprot.writeFieldEnd()
+        if self.timeout is not None:
+            oprot.writeFieldBegin('timeout', TType.DOUBLE, 2)
+            oprot.writeDouble(self.timeout)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RelayProbeReply(object):
+    """
+    Attributes:
+     - reached
+
+    """
+
+    __slots__ = (
+        'reached',
+    )
+
+
+    def __init__(self, reached=None,):
+        self.reached = reached
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.reached = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RelayProbeReply')
+        if self.reached is not None:
+            oprot.writeFieldBegin('reached', TType.BOOL, 1)
+            oprot.writeBool(self.reached)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Join(object):
+    """
+    Attributes:
+     - me
+
+    """
+
+    __slots__ = (
+        'me',
+    )
+
+
+    def __init__(self, me=None,):
+        self.me = me
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.me = MemberRecord()
+                    self.me.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Join')
+        if self.me is not None:
+            oprot.writeFieldBegin('me', TType.STRUCT, 1)
+            self.me.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class JoinReply(object):
+    """
+    Attributes:
+     - members
+     - rumors
+
+    """
+
+    __slots__ = (
+        'members',
+        'rumors',
+    )
+
+
+    def __init__(self, members=None, rumors=None,):
+        self.members = members
+        self.rumors = rumors
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = MemberRecord()
+                        _elem33.read(iprot)
+                        self.members.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.rumors = []
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = Rumor()
+                        _elem39.read(iprot)
+                        self.rumors.append(_elem39)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('JoinReply')
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter40 in self.members:
+                iter40.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.rumors is not None:
+            oprot.writeFieldBegin('rumors', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.rumors))
+            for iter41 in self.rumors:
+                iter41.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class MemberVersion(object):
+    """
+    Attributes:
+     - host
+     - incarnation
+     - refutation
+     - state
+
+    """
+
+    __slots__ = (
+        'host',
+        'incarnation',
+        'refutation',
+        'state',
+    )
+
+
+    def __init__(self, host=None, incarnation=None, refutation=None, state=None,):
+        self.host = host
+        self.incarnation = incarnation
+        self.refutation = refutation
+        self.state = state
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.refutation = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.state = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MemberVersion')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.refutation is not None:
+            oprot.writeFieldBegin('refutation', TType.I32, 3)
+            oprot.writeI32(self.refutation)
+            oprot.writeFieldEnd()
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.I32, 4)
+            oprot.writeI32(self.state)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RumorVersion(object):
+    """
+    Attributes:
+     - kind
+     - subject
+     - version
+
+    """
+
+    __slots__ = (
+        'kind',
+        'subject',
+        'version',
     )
 
 
-    def __init__(self, sequence=None, members=None, rumors=None,):
-        self.sequence = sequence
-        self.members = members
-        self.rumors = rumors
+    def __init__(self, kind=None, subject=None, version=None,):
+        self.kind = kind
+        self.subject = subject
+        self.version = version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -633,30 +1211,18 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.I64:
-                    self.sequence = iprot.readI64()
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.LIST:
-                    self.members = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = MemberRecord()
-                        _elem19.read(iprot)
-                        self.members.append(_elem19)
-                    iprot.readListEnd()
+                if ftype == TType.STRING:
+                    self.subject = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.LIST:
-                    self.rumors = []
-                    (_etype23, _size20) = iprot.readListBegin()
-                    for _i24 in range(_size20):
-                        _elem25 = Rumor()
-                        _elem25.read(iprot)
-                        self.rumors.append(_elem25)
-                    iprot.readListEnd()
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -668,24 +1234,18 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('ProbeReply')
-        if self.sequence is not None:
-            oprot.writeFieldBegin('sequence', TType.I64, 1)
-            oprot.writeI64(self.sequence)
+        oprot.writeStructBegin('RumorVersion')
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 1)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
             oprot.writeFieldEnd()
-        if self.members is not None:
-            oprot.writeFieldBegin('members', TType.LIST, 2)
-            oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter26 in self.members:
-                iter26.write(oprot)
-            oprot.writeListEnd()
+        if self.subject is not None:
+            oprot.writeFieldBegin('subject', TType.STRING, 2)
+            oprot.writeString(self.subject.encode('utf-8') if sys.version_info[0] == 2 else self.subject)
             oprot.writeFieldEnd()
-        if self.rumors is not None:
-            oprot.writeFieldBegin('rumors', TType.LIST, 3)
-            oprot.writeListBegin(TType.STRUCT, len(self.rumors))
-            for iter27 in self.rumors:
-                iter27.write(oprot)
-            oprot.writeListEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 3)
+            oprot.writeI64(self.version)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -712,23 +1272,20 @@
         return not (self == other)
 
 
-class RelayProbe(object):
+class CompareState(object):
     """
     Attributes:
-     - target
-     - timeout
+     - hashes
 
     """
 
     __slots__ = (
-        'target',
-        'timeout',
+        'hashes',
     )
 
 
-    def __init__(self, target=None, timeout=None,):
-        self.target = target
-        self.timeout = timeout
+    def __init__(self, hashes=None,):
+        self.hashes = hashes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -740,14 +1297,13 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.target = MemberRecord()
-                    self.target.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.DOUBLE:
-                    self.timeout = iprot.readDouble()
+                if ftype == TType.LIST:
+                    self.hashes = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readI64()
+                        self.hashes.append(_elem47)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -759,14 +1315,13 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('RelayProbe')
-        if self.target is not None:
-            oprot.writeFieldBegin('target', TType.STRUCT, 1)
-            self.target.write(oprot)
-            oprot.writeFieldEnd()
-        if self.timeout is not None:
-            oprot.writeFieldBegin('timeout', TType.DOUBLE, 2)
-            oprot.writeDouble(self.timeout)
+        oprot.writeStructBegin('CompareState')
+        if self.hashes is not None:
+            oprot.writeFieldBegin('hashes', TType.LIST, 1)
+            oprot.writeListBegin(TType.I64, len(self.hashes))
+            for iter48 in self.hashes:
+                oprot.writeI64(iter48)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -793,20 +1348,26 @@
         return not (self == other)
 
 
-class RelayProbeReply(object):
+class CompareStateReply(object):
     """
     Attributes:
-     - reached
+     - differing
+     - members
+     - rumors
 
     """
 
     __slots__ = (
-        'reached',
+        'differing',
+        'members',
+        'rumors',
     )
 
 
-    def __init__(self, reached=None,):
-        self.reached = reached
+    def __init__(self, differing=None, members=None, rumors=None,):
+        self.differing = differing
+        self.members = members
+        self.rumors = rumors
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -818,8 +1379,35 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.BOOL:
-                    self.reached = iprot.readBool()
+                if ftype == TType.LIST:
+                    self.differing = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readI32()
+                        self.differing.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = MemberVersion()
+                        _elem60.read(iprot)
+                        self.members.append(_elem60)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.rumors = []
+                    (_etype64, _size61) = iprot.readListBegin()
+                    for _i65 in range(_size61):
+                        _elem66 = RumorVersion()
+                        _elem66.read(iprot)
+                        self.rumors.append(_elem66)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -831,10 +1419,27 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('RelayProbeReply')
-        if self.reached is not None:
-            oprot.writeFieldBegin('reached', TType.BOOL, 1)
-            oprot.writeBool(self.reached)
+        oprot.writeStructBegin('CompareStateReply')
+        if self.differing is not None:
+            oprot.writeFieldBegin('differing', TType.LIST, 1)
+            oprot.writeListBegin(TType.I32, len(self.differing))
+            for iter67 in self.differing:
+                oprot.writeI32(iter67)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter68 in self.members:
+                iter68.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.rumors is not None:
+            oprot.writeFieldBegin('rumors', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.rumors))
+            for iter69 in self.rumors:
+                iter69.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -861,20 +1466,29 @@
         return not (self == other)
 
 
-class Join(object):
+class ExchangeState(object):
     """
     Attributes:
-     - me
+     - members
+     - rumors
+     - wanted_members
+     - wanted_rumors
 
     """
 
     __slots__ = (
-        'me',
+        'members',
+        'rumors',
+        'wanted_members',
+        'wanted_rumors',
     )
 
 
-    def __init__(self, me=None,):
-        self.me = me
+    def __init__(self, members=None, rumors=None, wanted_members=None, wanted_rumors=None,):
+        self.members = members
+        self.rumors = rumors
+        self.wanted_members = wanted_members
+        self.wanted_rumors = wanted_rumors
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -886,9 +1500,46 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.me = MemberRecord()
-                    self.me.read(iprot)
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = MemberRecord()
+                        _elem75.read(iprot)
+                        self.members.append(_elem75)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.rumors = []
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = Rumor()
+                        _elem81.read(iprot)
+                        self.rumors.append(_elem81)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.wanted_members = []
+                    (_etype85, _size82) = iprot.readListBegin()
+                    for _i86 in range(_size82):
+                        _elem87 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.wanted_members.append(_elem87)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.wanted_rumors = []
+                    (_etype91, _size88) = iprot.readListBegin()
+                    for _i92 in range(_size88):
+                        _elem93 = RumorVersion()
+                        _elem93.read(iprot)
+                        self.wanted_rumors.append(_elem93)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -900,10 +1551,34 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Join')
-        if self.me is not None:
-            oprot.writeFieldBegin('me', TType.STRUCT, 1)
-            self.me.write(oprot)
+        oprot.writeStructBegin('ExchangeState')
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter94 in self.members:
+                iter94.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.rumors is not None:
+            oprot.writeFieldBegin('rumors', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.rumors))
+            for iter95 in self.rumors:
+                iter95.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.wanted_members is not None:
+            oprot.writeFieldBegin('wanted_members', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.wanted_members))
+            for iter96 in self.wanted_members:
+                oprot.writeString(iter96.encode('utf-8') if sys.version_info[0] == 2 else iter96)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.wanted_rumors is not None:
+            oprot.writeFieldBegin('wanted_rumors', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.wanted_rumors))
+            for iter97 in self.wanted_rumors:
+                iter97.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -930,7 +1605,7 @@
         return not (self == other)
 
 
-class JoinReply(object):
+class ExchangeStateReply(object):
     """
     Attributes:
      - members
@@ -960,22 +1635,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = MemberRecord()
-                        _elem33.read(iprot)
-                        self.members.append(_elem33)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = MemberRecord()
+                        _elem103.read(iprot)
+                        self.members.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.rumors = []
-                    (_etype37, _size34) = iprot.readListBegin()
-                    for _i38 in range(_size34):
-                        _elem39 = Rumor()
-                        _elem39.read(iprot)
-                        self.rumors.append(_elem39)
+                    (_etype107, _size104) = iprot.readListBegin()
+                    for _i108 in range(_size104):
+                        _elem109 = Rumor()
+                        _elem109.read(iprot)
+                        self.rumors.append(_elem109)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -988,19 +1663,19 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('JoinReply')
+        oprot.writeStructBegin('ExchangeStateReply')
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter40 in self.members:
-                iter40.write(oprot)
+            for iter110 in self.members:
+                iter110.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rumors is not None:
             oprot.writeFieldBegin('rumors', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.rumors))
-            for iter41 in self.rumors:
-                iter41.write(oprot)
+            for iter111 in self.rumors:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1229,11 +1904,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.changed = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = ConfigurationObject()
-                        _elem47.read(iprot)
-                        self.changed.append(_elem47)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = ConfigurationObject()
+                        _elem117.read(iprot)
+                        self.changed.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1245,10 +1920,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.names = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.names.append(_elem53)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.names.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1269,8 +1944,8 @@
         if self.changed is not None:
             oprot.writeFieldBegin('changed', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.changed))
-            for iter54 in self.changed:
-                iter54.write(oprot)
+            for iter124 in self.changed:
+                iter124.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.complete is not None:
@@ -1280,8 +1955,8 @@
         if self.names is not None:
             oprot.writeFieldBegin('names', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.names))
-            for iter55 in self.names:
-                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
+            for iter125 in self.names:
+                oprot.writeString(iter125.encode('utf-8') if sys.version_info[0] == 2 else iter125)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1467,10 +2142,10 @@
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.replicas = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.replicas.append(_elem61)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.replicas.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1584,8 +2259,8 @@
         if self.replicas is not None:
             oprot.writeFieldBegin('replicas', TType.LIST, 14)
             oprot.writeListBegin(TType.STRING, len(self.replicas))
-            for iter62 in self.replicas:
-                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            for iter132 in self.replicas:
+                oprot.writeString(iter132.encode('utf-8') if sys.version_info[0] == 2 else iter132)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.attempts is not None:
@@ -1906,10 +2581,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.tokens = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.tokens.append(_elem68)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.tokens.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1949,8 +2624,8 @@
         if self.tokens is not None:
             oprot.writeFieldBegin('tokens', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.tokens))
-            for iter69 in self.tokens:
-                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
+            for iter139 in self.tokens:
+                oprot.writeString(iter139.encode('utf-8') if sys.version_info[0] == 2 else iter139)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ended is not None:
@@ -2025,10 +2700,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.tokens = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.tokens.append(_elem75)
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.tokens.append(_elem145)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2055,8 +2730,8 @@
         if self.tokens is not None:
             oprot.writeFieldBegin('tokens', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.tokens))
-            for iter76 in self.tokens:
-                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
+            for iter146 in self.tokens:
+                oprot.writeString(iter146.encode('utf-8') if sys.version_info[0] == 2 else iter146)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ended is not None:
@@ -2432,11 +3107,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.runs = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = TokenRun()
-                        _elem82.read(iprot)
-                        self.runs.append(_elem82)
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = TokenRun()
+                        _elem152.read(iprot)
+                        self.runs.append(_elem152)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2453,8 +3128,8 @@
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.runs))
-            for iter83 in self.runs:
-                iter83.write(oprot)
+            for iter153 in self.runs:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2512,20 +3187,20 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.unknown = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.unknown.append(_elem89)
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.unknown.append(_elem159)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.superseded = []
-                    (_etype93, _size90) = iprot.readListBegin()
-                    for _i94 in range(_size90):
-                        _elem95 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.superseded.append(_elem95)
+                    (_etype163, _size160) = iprot.readListBegin()
+                    for _i164 in range(_size160):
+                        _elem165 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.superseded.append(_elem165)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2542,15 +3217,15 @@
         if self.unknown is not None:
             oprot.writeFieldBegin('unknown', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.unknown))
-            for iter96 in self.unknown:
-                oprot.writeString(iter96.encode('utf-8') if sys.version_info[0] == 2 else iter96)
+            for iter166 in self.unknown:
+                oprot.writeString(iter166.encode('utf-8') if sys.version_info[0] == 2 else iter166)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.superseded is not None:
             oprot.writeFieldBegin('superseded', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.superseded))
-            for iter97 in self.superseded:
-                oprot.writeString(iter97.encode('utf-8') if sys.version_info[0] == 2 else iter97)
+            for iter167 in self.superseded:
+                oprot.writeString(iter167.encode('utf-8') if sys.version_info[0] == 2 else iter167)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2719,10 +3394,10 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.token_list = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.token_list.append(_elem103)
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.token_list.append(_elem173)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2755,8 +3430,8 @@
         if self.token_list is not None:
             oprot.writeFieldBegin('token_list', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.token_list))
-            for iter104 in self.token_list:
-                oprot.writeString(iter104.encode('utf-8') if sys.version_info[0] == 2 else iter104)
+            for iter174 in self.token_list:
+                oprot.writeString(iter174.encode('utf-8') if sys.version_info[0] == 2 else iter174)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3025,10 +3700,10 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.tokens = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.tokens.append(_elem110)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.tokens.append(_elem180)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3068,8 +3743,8 @@
         if self.tokens is not None:
             oprot.writeFieldBegin('tokens', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.tokens))
-            for iter111 in self.tokens:
-                oprot.writeString(iter111.encode('utf-8') if sys.version_info[0] == 2 else iter111)
+            for iter181 in self.tokens:
+                oprot.writeString(iter181.encode('utf-8') if sys.version_info[0] == 2 else iter181)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ended is not None:
@@ -3212,10 +3887,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.tokens = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.tokens.append(_elem117)
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.tokens.append(_elem187)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3241,8 +3916,8 @@
         if self.tokens is not None:
             oprot.writeFieldBegin('tokens', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.tokens))
-            for iter118 in self.tokens:
-                oprot.writeString(iter118.encode('utf-8') if sys.version_info[0] == 2 else iter118)
+            for iter188 in self.tokens:
+                oprot.writeString(iter188.encode('utf-8') if sys.version_info[0] == 2 else iter188)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.released is not None:
@@ -3642,11 +4317,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.requests = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = ClaimRequest()
-                        _elem124.read(iprot)
-                        self.requests.append(_elem124)
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = ClaimRequest()
+                        _elem194.read(iprot)
+                        self.requests.append(_elem194)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3667,8 +4342,8 @@
         if self.requests is not None:
             oprot.writeFieldBegin('requests', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.requests))
-            for iter125 in self.requests:
-                iter125.write(oprot)
+            for iter195 in self.requests:
+                iter195.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3827,11 +4502,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.results = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = ClaimResult()
-                        _elem131.read(iprot)
-                        self.results.append(_elem131)
+                    (_etype199, _size196) = iprot.readListBegin()
+                    for _i200 in range(_size196):
+                        _elem201 = ClaimResult()
+                        _elem201.read(iprot)
+                        self.results.append(_elem201)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3848,8 +4523,8 @@
         if self.results is not None:
             oprot.writeFieldBegin('results', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.results))
-            for iter132 in self.results:
-                iter132.write(oprot)
+            for iter202 in self.results:
+                iter202.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3912,11 +4587,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.counters = {}
-                    (_ktype134, _vtype135, _size133) = iprot.readMapBegin()
-                    for _i137 in range(_size133):
-                        _key138 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val139 = iprot.readDouble()
-                        self.counters[_key138] = _val139
+                    (_ktype204, _vtype205, _size203) = iprot.readMapBegin()
+                    for _i207 in range(_size203):
+                        _key208 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val209 = iprot.readDouble()
+                        self.counters[_key208] = _val209
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -3937,9 +4612,9 @@
         if self.counters is not None:
             oprot.writeFieldBegin('counters', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.counters))
-            for kiter140, viter141 in self.counters.items():
-                oprot.writeString(kiter140.encode('utf-8') if sys.version_info[0] == 2 else kiter140)
-                oprot.writeDouble(viter141)
+            for kiter210, viter211 in self.counters.items():
+                oprot.writeString(kiter210.encode('utf-8') if sys.version_info[0] == 2 else kiter210)
+                oprot.writeDouble(viter211)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4010,11 +4685,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.usages = []
-                    (_etype145, _size142) = iprot.readListBegin()
-                    for _i146 in range(_size142):
-                        _elem147 = Usage()
-                        _elem147.read(iprot)
-                        self.usages.append(_elem147)
+                    (_etype215, _size212) = iprot.readListBegin()
+                    for _i216 in range(_size212):
+                        _elem217 = Usage()
+                        _elem217.read(iprot)
+                        self.usages.append(_elem217)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4039,8 +4714,8 @@
         if self.usages is not None:
             oprot.writeFieldBegin('usages', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.usages))
-            for iter148 in self.usages:
-                iter148.write(oprot)
+            for iter218 in self.usages:
+                iter218.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4231,11 +4906,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.usages = []
-                    (_etype152, _size149) = iprot.readListBegin()
-                    for _i153 in range(_size149):
-                        _elem154 = MergeUsage()
-                        _elem154.read(iprot)
-                        self.usages.append(_elem154)
+                    (_etype222, _size219) = iprot.readListBegin()
+                    for _i223 in range(_size219):
+                        _elem224 = MergeUsage()
+                        _elem224.read(iprot)
+                        self.usages.append(_elem224)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4252,8 +4927,8 @@
         if self.usages is not None:
             oprot.writeFieldBegin('usages', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.usages))
-            for iter155 in self.usages:
-                iter155.write(oprot)
+            for iter225 in self.usages:
+                iter225.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4294,6 +4969,10 @@
      - relay_probe_reply
      - join
      - join_reply
+     - compare_state
+     - compare_state_reply
+     - exchange_state
+     - exchange_state_reply
      - pull_configuration
      - configuration_changes
      - replicate
@@ -4332,6 +5011,10 @@
         'relay_probe_reply',
         'join',
         'join_reply',
+        'compare_state',
+        'compare_state_reply',
+        'exchange_state',
+        'exchange_state_reply',
         'pull_configuration',
         'configuration_changes',
         'replicate',
@@ -4359,7 +5042,7 @@
     )
 
 
-    def __init__(self, call=None, reply_to=None, hello=None, refusal=None, probe=None, probe_reply=None, relay_probe=None, relay_probe_reply=None, join=None, join_reply=None, pull_configuration=None, configuration_changes=None, replicate=None, replicate_reply=None, replicate_tokens=None, replicate_tokens_reply=None, find=None, find_reply=None, follow=None, follow_reply=None, follow_tokens=None, stop_follow=None, handoff=None, handoff_reply=None, cancel=None, cancel_reply=None, close_submission=None, close_submission_reply=None, claim=None, claim_reply=None, merge_usage=None, merge_usage_reply=None, read_usage=None, read_usage_reply=None,):
+    def __init__(self, call=None, reply_to=None, hello=None, refusal=None, probe=None, probe_reply=None, relay_probe=None, relay_probe_reply=None, join=None, join_reply=None, compare_state=None, compare_state_reply=None, exchange_state=None, exchange_state_reply=None, pull_configuration=None, configuration_changes=None, replicate=None, replicate_reply=None, replicate_tokens=None, replicate_tokens_reply=None, find=None, find_reply=None, follow=None, follow_reply=None, follow_tokens=None, stop_follow=None, handoff=None, handoff_reply=None, cancel=None, cancel_reply=None, close_submission=None, close_submission_reply=None, claim=None, claim_reply=None, merge_usage=None, merge_usage_reply=None, read_usage=None, read_usage_reply=None,):
         self.call = call
         self.reply_to = reply_to
         self.hello = hello
@@ -4370,6 +5053,10 @@
         self.relay_probe_reply = relay_probe_reply
         self.join = join
         self.join_reply = join_reply
+        self.compare_state = compare_state
+        self.compare_state_reply = compare_state_reply
+        self.exchange_state = exchange_state
+        self.exchange_state_reply = exchange_state_reply
         self.pull_configuration = pull_configuration
         self.configuration_changes = configuration_changes
         self.replicate = replicate
@@ -4462,6 +5149,30 @@
                     self.join_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.compare_state = CompareState()
+                    self.compare_state.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRUCT:
+                    self.compare_state_reply = CompareStateReply()
+                    self.compare_state_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRUCT:
+                    self.exchange_state = ExchangeState()
+                    self.exchange_state.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.STRUCT:
+                    self.exchange_state_reply = ExchangeStateReply()
+                    self.exchange_state_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             elif fid == 20:
                 if ftype == TType.STRUCT:
                     self.pull_configuration = PullConfiguration()
@@ -4656,6 +5367,22 @@
             oprot.writeFieldBegin('join_reply', TType.STRUCT, 15)
             self.join_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.compare_state is not None:
+            oprot.writeFieldBegin('compare_state', TType.STRUCT, 16)
+            self.compare_state.write(oprot)
+            oprot.writeFieldEnd()
+        if self.compare_state_reply is not None:
+            oprot.writeFieldBegin('compare_state_reply', TType.STRUCT, 17)
+            self.compare_state_reply.write(oprot)
+            oprot.writeFieldEnd()
+        if self.exchange_state is not None:
+            oprot.writeFieldBegin('exchange_state', TType.STRUCT, 18)
+            self.exchange_state.write(oprot)
+            oprot.writeFieldEnd()
+        if self.exchange_state_reply is not None:
+            oprot.writeFieldBegin('exchange_state_reply', TType.STRUCT, 19)
+            self.exchange_state_reply.write(oprot)
+            oprot.writeFieldEnd()
         if self.pull_configuration is not None:
             oprot.writeFieldBegin('pull_configuration', TType.STRUCT, 20)
             self.pull_configuration.write(oprot)
@@ -4811,6 +5538,8 @@
     (2, TType.STRING, 'subject', 'UTF8', None, ),  # 2
     (3, TType.I64, 'version', None, None, ),  # 3
     (4, TType.STRING, 'payload', 'BINARY', None, ),  # 4
+    (5, TType.DOUBLE, 'age', None, None, ),  # 5
+    (6, TType.BOOL, 'routine', None, None, ),  # 6
 )
 all_structs.append(Probe)
 Probe.thrift_spec = (
@@ -4818,6 +5547,7 @@
     (1, TType.I64, 'sequence', None, None, ),  # 1
     (2, TType.LIST, 'members', (TType.STRUCT, [MemberRecord, None], False), None, ),  # 2
     (3, TType.LIST, 'rumors', (TType.STRUCT, [Rumor, None], False), None, ),  # 3
+    (4, TType.I64, 'target_incarnation', None, None, ),  # 4
 )
 all_structs.append(ProbeReply)
 ProbeReply.thrift_spec = (
@@ -4825,6 +5555,7 @@
     (1, TType.I64, 'sequence', None, None, ),  # 1
     (2, TType.LIST, 'members', (TType.STRUCT, [MemberRecord, None], False), None, ),  # 2
     (3, TType.LIST, 'rumors', (TType.STRUCT, [Rumor, None], False), None, ),  # 3
+    (4, TType.I64, 'incarnation', None, None, ),  # 4
 )
 all_structs.append(RelayProbe)
 RelayProbe.thrift_spec = (
@@ -4848,6 +5579,47 @@
     (1, TType.LIST, 'members', (TType.STRUCT, [MemberRecord, None], False), None, ),  # 1
     (2, TType.LIST, 'rumors', (TType.STRUCT, [Rumor, None], False), None, ),  # 2
 )
+all_structs.append(MemberVersion)
+MemberVersion.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I32, 'refutation', None, None, ),  # 3
+    (4, TType.I32, 'state', None, None, ),  # 4
+)
+all_structs.append(RumorVersion)
+RumorVersion.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'kind', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'subject', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'version', None, None, ),  # 3
+)
+all_structs.append(CompareState)
+CompareState.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'hashes', (TType.I64, None, False), None, ),  # 1
+)
+all_structs.append(CompareStateReply)
+CompareStateReply.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'differing', (TType.I32, None, False), None, ),  # 1
+    (2, TType.LIST, 'members', (TType.STRUCT, [MemberVersion, None], False), None, ),  # 2
+    (3, TType.LIST, 'rumors', (TType.STRUCT, [RumorVersion, None], False), None, ),  # 3
+)
+all_structs.append(ExchangeState)
+ExchangeState.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'members', (TType.STRUCT, [MemberRecord, None], False), None, ),  # 1
+    (2, TType.LIST, 'rumors', (TType.STRUCT, [Rumor, None], False), None, ),  # 2
+    (3, TType.LIST, 'wanted_members', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.LIST, 'wanted_rumors', (TType.STRUCT, [RumorVersion, None], False), None, ),  # 4
+)
+all_structs.append(ExchangeStateReply)
+ExchangeStateReply.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'members', (TType.STRUCT, [MemberRecord, None], False), None, ),  # 1
+    (2, TType.LIST, 'rumors', (TType.STRUCT, [Rumor, None], False), None, ),  # 2
+)
 all_structs.append(PullConfiguration)
 PullConfiguration.thrift_spec = (
     None,  # 0
@@ -5104,10 +5876,10 @@
     (13, TType.STRUCT, 'relay_probe_reply', [RelayProbeReply, None], None, ),  # 13
     (14, TType.STRUCT, 'join', [Join, None], None, ),  # 14
     (15, TType.STRUCT, 'join_reply', [JoinReply, None], None, ),  # 15
-    None,  # 16
-    None,  # 17
-    None,  # 18
-    None,  # 19
+    (16, TType.STRUCT, 'compare_state', [CompareState, None], None, ),  # 16
+    (17, TType.STRUCT, 'compare_state_reply', [CompareStateReply, None], None, ),  # 17
+    (18, TType.STRUCT, 'exchange_state', [ExchangeState, None], None, ),  # 18
+    (19, TType.STRUCT, 'exchange_state_reply', [ExchangeStateReply, None], None, ),  # 19
     (20, TType.STRUCT, 'pull_configuration', [PullConfiguration, None], None, ),  # 20
     (21, TType.STRUCT, 'configuration_changes', [ConfigurationChanges, None], None, ),  # 21
     None,  # 22
