--- /dev/null
+++ b/dewridge/fleet/dispatch.py
@@ -0,0 +1,244 @@
+"""Sends attempts to backend servers and streams what comes back."""
+
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import AbstractAsyncContextManager, aclosing, asynccontextmanager
+from typing import TYPE_CHECKING
+from urllib.parse import quote
+
+import msgspec
+import trio
+
+from dewridge.codes import ResultCode
+from dewridge.fleet.events import EventReader, LineBuffer
+from dewridge.fleet.model import (
+    AttemptEnd,
+    AttemptEvent,
+    AttemptOrder,
+    AttemptTokens,
+    BackendServer,
+    Dispatch,
+)
+from dewridge.fleet.refusals import STATUS_OK, read_refusal
+from dewridge.metrics.registry import Metrics
+from dewridge.platform.model import ServerKind
+from dewridge.sentinels import Failure
+
+if TYPE_CHECKING:
+    import httpx
+
+KEEPALIVE_SECONDS = 4.0
+"""Idle connections are dropped before servers commonly drop them (5 s): an attempt
+on a connection that closes at that moment may or may not have started."""
+IDLE_CONNECTIONS = 64
+BODY_LIMIT = 8_000_000
+"""Bytes of a plain service's answer; more would not fit the memory of a host that
+holds a hundred of them."""
+REFUSAL_LIMIT = 10_000
+DRAIN_SECONDS = 0.05
+HEADERS = {"content-type": "application/json", "accept-encoding": "identity"}
+
+
+class CompletionBody(msgspec.Struct, omit_defaults=True):
+    """What an engine is sent."""
+
+    prompt: str
+    max_tokens: int
+    attempt: str
+    key: str
+    account: str
+    model: str
+    operation: str
+    priority: int
+    cache_salt: str
+    stream: bool = True
+    tokens_done: tuple[str, ...] = ()
+    cache_handle: str | None = None
+
+
+class OperationBody(msgspec.Struct):
+    """What a plain service is sent."""
+
+    input: str
+    attempt: str
+    key: str
+    account: str
+
+
+class OperationAnswer(msgspec.Struct):
+    """What a plain service answers."""
+
+    attempt: str
+    body: msgspec.Raw
+
+
+@asynccontextmanager
+async def make_dispatch(
+    *, metrics: Metrics, connect_timeout: float
+) -> AsyncIterator[Dispatch]:
+    """Open what sends attempts; it owns the connections to backend servers."""
+    import httpx  # noqa: PLC0415 - heavy
+
+    limits = httpx.Limits(
+        max_connections=None,
+        max_keepalive_connections=IDLE_CONNECTIONS,
+        keepalive_expiry=KEEPALIVE_SECONDS,
+    )
+    async with httpx.AsyncClient(
+        limits=limits, trust_env=False, verify=False, headers=HEADERS
+    ) as client:
+        yield Sender(client, metrics, connect_timeout).dispatch
+
+
+class Sender:
+    """Sends attempts over one pool of connections."""
+
+    def __init__(
+        self, client: "httpx.AsyncClient", metrics: Metrics, connect_timeout: float
+    ) -> None:
+        self._client = client
+        self._metrics = metrics
+        self._connect_timeout = connect_timeout
+
+    def dispatch(
+        self, server: BackendServer, order: AttemptOrder
+    ) -> AbstractAsyncContextManager[AsyncIterator[AttemptEvent]]:
+        """Send one attempt; leaving the context closes its connection."""
+        return aclosing(self._run(server, order))
+
+    async def _run(
+        self, server: BackendServer, order: AttemptOrder
+    ) -> AsyncGenerator[AttemptEvent, None]:
+        import httpx  # noqa: PLC0415 - heavy
+
+        self._metrics.add("attempts_total", service=order.service)
+        try:
+            async with self._open(server, order) as response:
+                if response.status_code != STATUS_OK:
+                    content = await read_bounded(response, REFUSAL_LIMIT) or b""
+                    refusal = read_refusal(response.status_code, content)
+                    yield self._fail(order, refusal)
+                elif server.listed.kind is ServerKind.ENGINE:
+                    async for event in self._read_stream(response, order):
+                        yield event
+                else:
+                    yield await self._read_answer(response, order)
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout):
+            # No connection was made, so that no byte of the attempt has left.
+            yield self._fail(order, Failure(ResultCode.NOT_STARTED, "no connection"))
+        except httpx.TimeoutException:
+            # Something between the two ends may have lost track of the
+            # connection: it stays open, and nothing ever comes. Without this
+            # bound the caller would wait until its deadline.
+            reason = f"nothing came for {order.timeout:g} s"
+            yield self._fail(order, Failure(ResultCode.BACKEND_SERVER_SILENT, reason))
+        except httpx.HTTPError as error:
+            reason = type(error).__name__
+            yield self._fail(order, Failure(ResultCode.CONNECTION_LOST, reason))
+
+    def _open(
+        self, server: BackendServer, order: AttemptOrder
+    ) -> "AbstractAsyncContextManager[httpx.Response]":
+        import httpx  # noqa: PLC0415 - heavy
+
+        path, content = encode_order(server, order)
+        return self._client.stream(
+            "POST",
+            f"http://{server.listed.address}{path}",
+            content=content,
+            timeout=httpx.Timeout(order.timeout, connect=self._connect_timeout),
+        )
+
+    async def _read_stream(
+        self, response: "httpx.Response", order: AttemptOrder
+    ) -> AsyncIterator[AttemptEvent]:
+        lines = LineBuffer()
+        reader = EventReader(order.attempt, order.first_sequence)
+        chunks = response.aiter_raw()
+        async for chunk in chunks:
+            whole = lines.feed(chunk)
+            if whole is None:
+                reason = "an event is too long"
+                yield self._fail(order, Failure(ResultCode.ANSWER_MISMATCHED, reason))
+                return
+            for event in reader.read(whole):
+                is_last = not isinstance(event, AttemptTokens)
+                if is_last:
+                    self._count_drops(order, reader)
+                if isinstance(event, Failure):
+                    self._fail(order, event)
+                yield event
+                if is_last:
+                    await drain(chunks)
+                    return
+        self._count_drops(order, reader)
+        yield self._fail(order, reader.finish())
+
+    async def _read_answer(
+        self, response: "httpx.Response", order: AttemptOrder
+    ) -> AttemptEvent:
+        content = await read_bounded(response, BODY_LIMIT)
+        if content is None:
+            reason = "the answer is too long"
+            return self._fail(order, Failure(ResultCode.BACKEND_SERVER_FAILED, reason))
+        try:
+            answer = msgspec.json.decode(content, type=OperationAnswer)
+        except msgspec.DecodeError:
+            reason = "the answer is malformed"
+            return self._fail(order, Failure(ResultCode.BACKEND_SERVER_FAILED, reason))
+        if answer.attempt != order.attempt:
+            self._metrics.add("attempt_events_dropped_total", reason="other_attempt")
+            reason = "the answer is another attempt's"
+            return self._fail(order, Failure(ResultCode.ANSWER_MISMATCHED, reason))
+        return AttemptEnd(body=bytes(answer.body).decode())
+
+    def _fail(self, order: AttemptOrder, failure: Failure) -> Failure:
+        self._metrics.add(
+            "attempt_failures_total", service=order.service, code=failure.code.name
+        )
+        return failure
+
+    def _count_drops(self, order: AttemptOrder, reader: EventReader) -> None:
+        for reason, count in reader.dropped.items():
+            self._metrics.add(
+                "attempt_events_dropped_total", count, reason=reason.value
+            )
+
+
+def encode_order(server: BackendServer, order: AttemptOrder) -> tuple[str, bytes]:
+    """Return path and body of the call for an attempt."""
+    if server.listed.kind is ServerKind.PLAIN:
+        call = OperationBody(order.input, order.attempt, order.key, order.account)
+        return f"/v1/operations/{quote(order.operation)}", msgspec.json.encode(call)
+    completion = CompletionBody(
+        prompt=order.input,
+        max_tokens=order.max_tokens,
+        attempt=order.attempt,
+        key=order.key,
+        account=order.account,
+        model=order.service,
+        operation=order.operation,
+        priority=order.priority.value,
+        cache_salt=order.cache_salt,
+        tokens_done=order.tokens_done,
+        cache_handle=order.cache_handle,
+    )
+    return "/v1/completions", msgspec.json.encode(completion)
+
+
+async def read_bounded(response: "httpx.Response", limit: int) -> bytes | None:
+    """Read a body; None if it is longer than the limit."""
+    parts: list[bytes] = []
+    size = 0
+    async for chunk in response.aiter_raw():
+        size += len(chunk)
+        if size > limit:
+            return None
+        parts.append(chunk)
+    return b"".join(parts)
+
+
+async def drain(chunks: AsyncIterator[bytes]) -> None:
+    """Read what follows the end for a moment, so that the connection is reused."""
+    with trio.move_on_after(DRAIN_SECONDS):
+        async for _ in chunks:
+            pass
--- a/dewridge/standins/serving.py
+++ b/dewridge/standins/serving.py
@@ -51,13 +51,15 @@
 
     def take_down(self) -> None:
         """Cut all connections and refuse new ones."""
-        self._up = trio.Event()
-        self._down.set()
+        if self._up.is_set():
+            self._up = trio.Event()
+            self._down.set()
 
     def bring_up(self) -> None:
         """Listen again."""
-        self._down = trio.Event()
-        self._up.set()
+        if not self._up.is_set():
+            self._down = trio.Event()
+            self._up.set()
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
