Serve callers and operators over HTTP; load settings; add the client

Callers and operators need one way in, and a file's faults are to be shown at once. The HTTP library's own serving loop was tried and replaced by one that differs in three points, each shown by a test: it accepted connections without a limit; a write to a caller that reads nothing waited for ever; and a connection that its caller had closed counted until its keep-alive time was over (the test of the limit failed with 429 in place of 200 until the idle task was stopped). Ruled out: the kernel's user timeout alone, which does not bound the count of connections.

A refusal by the frontend itself for want of room says "unknown", not "not run": an earlier submission of the key may run elsewhere and was not asked for.

--- a/dewridge/__main__.py
+++ b/dewridge/__main__.py
@@ -1,12 +1,32 @@
 """The command line: options in, one call out."""
 
+import sys
+
 import typer
+from typer._click.exceptions import (  # typer brings its own click
+    ClickException,
+    NoArgsIsHelpError,
+)
 
-from dewridge import __version__
 from dewridge.commands import standin
-
-app = typer.Typer(no_args_is_help=True, add_completion=False)
-app.add_typer(standin.app, name="standin")
+from dewridge.commands.check_settings import check_settings
+from dewridge.commands.codes import codes
+from dewridge.commands.entry_hosts import entry_hosts
+from dewridge.commands.options import STATUSES_HELP, ExitStatus
+from dewridge.commands.request import request
+from dewridge.commands.version import version
+
+INTERRUPTED = 130
+"""Exit status after Ctrl-C, as shells expect it."""
+
+app = typer.Typer(
+    no_args_is_help=True,
+    add_completion=False,
+    rich_markup_mode=None,
+    # Its tracebacks print the values of variables, tokens and prompts included.
+    pretty_exceptions_enable=False,
+    epilog=STATUSES_HELP,
+)
 
 
 @app.callback()
@@ -14,15 +34,28 @@
     """Serve language models and plain services on reclaimable hosts."""
 
 
-@app.command()
-def version() -> None:
-    """Print the version."""
-    typer.echo(__version__)
+app.command("check-settings")(check_settings)
+app.command("entry-hosts")(entry_hosts)
+app.command()(request)
+app.command()(codes)
+app.command()(version)
+app.add_typer(standin.app, name="standin")
 
 
 def run() -> None:
-    """Run the command line."""
-    app()
+    """Run the command line; a wrong call ends with one plain line."""
+    try:
+        status = app(standalone_mode=False)
+    except NoArgsIsHelpError as error:
+        error.show()
+        sys.exit(ExitStatus.USAGE)
+    except ClickException as error:
+        text = " ".join(error.format_message().split())
+        typer.echo(f"dewridge: {text}", err=True)
+        sys.exit(ExitStatus.USAGE)
+    except (typer.Abort, KeyboardInterrupt):
+        sys.exit(INTERRUPTED)
+    sys.exit(status if isinstance(status, int) else ExitStatus.DONE)
 
 
 if __name__ == "__main__":
--- a/dewridge/client/__init__.py
+++ b/dewridge/client/__init__.py
@@ -1,1 +1,1 @@
-"""What a caller uses: entry list, submission numbers, resume."""
+"""What a caller uses: the entry list, submissions, and answers that resume."""
--- /dev/null
+++ b/dewridge/client/progress.py
@@ -0,0 +1,154 @@
+"""How far one call has come; pure state, so that it is tested without sockets."""
+
+from enum import Enum
+
+from dewridge.codes import Outcome, ResultCode
+from dewridge.requests.model import (
+    AnswerEvent,
+    EndedEvent,
+    MovedEvent,
+    RestartEvent,
+    TokensEvent,
+)
+from dewridge.sentinels import Failure
+
+FINAL_REFUSALS = frozenset(
+    {
+        ResultCode.MALFORMED_REQUEST,
+        ResultCode.MALFORMED_KEY,
+        ResultCode.KEY_TOO_OLD,
+        ResultCode.KEY_IN_FUTURE,
+        ResultCode.BODY_TOO_LARGE,
+        ResultCode.KEY_REUSED,
+        ResultCode.UNAUTHENTICATED,
+        ResultCode.FORBIDDEN,
+        ResultCode.DEADLINE_PASSED,
+        ResultCode.CANCELLED,
+    }
+)
+"""Refusals that another try with the same input and deadline does not change."""
+
+LAGGING_REFUSALS = frozenset({ResultCode.UNKNOWN_SERVICE, ResultCode.UNKNOWN_OPERATION})
+"""Refusals by a host that may not have heard of a new service yet."""
+LAGGING_TRIES = 3
+"""Hosts asked before such a refusal is believed; more would hide a wrong name."""
+
+
+class Step(Enum):
+    """What a client does after an event."""
+
+    READ_ON = "read_on"
+    REJOIN = "rejoin"
+    """Follow the answer on another connection."""
+    RESUBMIT = "resubmit"
+    """Send the call again, with the next submission number."""
+    FINISH = "finish"
+
+
+class Progress:
+    """The answer so far and what is known of the request's fate.
+
+    Attributes:
+        accepted: whether a host has accepted it; then it is followed by key.
+        in_doubt: whether a submission went out whose fate is not known.
+    """
+
+    def __init__(self) -> None:
+        self.submissions = 0
+        self.restarts = 0
+        self.generation = 0
+        self.tokens: list[str] = []
+        self.accepted = False
+        self.in_doubt = False
+        self.last_failure: Failure | None = None
+        self.ended: EndedEvent | None = None
+        self.retry_after = 0.0
+        self._doubt_before = False
+        self._lagging = 0
+
+    def note_sending(self) -> int:
+        """Number one more submission."""
+        self.submissions += 1
+        self._doubt_before = self.in_doubt
+        self.in_doubt = True
+        self.ended = None
+        return self.submissions
+
+    def note_never_sent(self) -> None:
+        """Take back the last submission, which never left this client."""
+        if not self.accepted:
+            self.in_doubt = self._doubt_before
+
+    def note_accepted(self, generation: int) -> None:
+        """Record that a host keeps the request now."""
+        self.accepted = True
+        self._begin(generation)
+
+    def note_refused(self, failure: Failure, is_not_run: bool) -> Step:
+        """Record an error answer and decide what follows."""
+        self.last_failure = failure
+        self.retry_after = failure.retry_after or 0.0
+        if is_not_run and not self.accepted:
+            self.in_doubt = False
+        if failure.code is ResultCode.UNKNOWN_REQUEST:
+            # Accepted once, known nowhere now: its copies are lost. The same
+            # key sent again joins it, runs it, or is told what became of it.
+            self.accepted = False
+            return Step.RESUBMIT
+        if failure.code in LAGGING_REFUSALS:
+            self._lagging += 1
+        if failure.code in FINAL_REFUSALS or self._lagging >= LAGGING_TRIES:
+            return Step.FINISH
+        return Step.REJOIN if self.accepted else Step.RESUBMIT
+
+    def note_event(self, event: AnswerEvent) -> Step:
+        """Take in an event and decide what follows."""
+        match event:
+            case TokensEvent():
+                return self._take_tokens(event)
+            case RestartEvent():
+                self._begin(event.generation)
+                return Step.READ_ON
+            case MovedEvent():
+                return Step.REJOIN
+            case EndedEvent():
+                return self._take_end(event)
+        return Step.READ_ON
+
+    def _begin(self, generation: int) -> None:
+        if generation == self.generation:
+            return
+        if self.tokens:
+            self.restarts += 1
+        self.generation = generation
+        self.tokens.clear()
+
+    def _take_tokens(self, event: TokensEvent) -> Step:
+        # A late copy of an earlier generation, or a gap, must not get into the
+        # answer: the first is dropped, the second is asked for again.
+        if event.generation < self.generation:
+            return Step.READ_ON
+        if event.generation > self.generation:
+            self._begin(event.generation)
+        if event.offset > len(self.tokens):
+            return Step.REJOIN
+        known = len(self.tokens) - event.offset
+        self.tokens.extend(event.tokens[known:])
+        return Step.READ_ON
+
+    def _take_end(self, event: EndedEvent) -> Step:
+        is_short = event.summary.tokens > len(self.tokens) and not event.body
+        if event.code is ResultCode.OK and is_short:
+            return Step.REJOIN  # the end overtook tokens
+        self.ended = event
+        failure = Failure(event.code, event.reason, event.retry_after)
+        self.last_failure = failure
+        self.retry_after = event.retry_after or 0.0
+        if event.code is ResultCode.OK or failure.outcome is Outcome.FAILED:
+            return Step.FINISH
+        if failure.is_not_run:
+            self.accepted = False
+            self.in_doubt = False
+            return Step.FINISH if event.code in FINAL_REFUSALS else Step.RESUBMIT
+        # The outcome is unknown; its holder may yet deliver, so ask again.
+        return Step.REJOIN if event.retry_after is not None else Step.FINISH
--- a/dewridge/codes.py
+++ b/dewridge/codes.py
@@ -68,6 +68,7 @@
     PROFILE_IN_USE = 502
     MALFORMED_PROFILE = 503
     CHANGE_UNKNOWN = 504
+    PRECONDITION_REQUIRED = 505
 
     KEY_VALUE_DOWN = 600
     KEY_VALUE_CONFLICT = 601
@@ -251,6 +252,9 @@
     ResultCode.CHANGE_UNKNOWN: CodeEntry(
         502, _NOTE, "The change may have taken effect", "Read it back first."
     ),
+    ResultCode.PRECONDITION_REQUIRED: CodeEntry(
+        428, _NOTE, "The change names no revision", "Read it and send its revision."
+    ),
     ResultCode.KEY_VALUE_DOWN: CodeEntry(
         503, _NOTE, "The key-value service is down", "Wait for it."
     ),
--- /dev/null
+++ b/dewridge/commands/check_settings.py
@@ -0,0 +1,47 @@
+"""`dewridge check-settings`: all errors and warnings of a settings file."""
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from dewridge.commands.options import AsJson, ExitStatus, print_json
+from dewridge.settings.loading import LoadedSettings, load_settings
+from dewridge.settings.problems import Problem
+
+
+def check_settings(
+    file: Annotated[Path, typer.Argument(help="The settings file.")],
+    as_json: AsJson = False,
+) -> None:
+    """Check a settings file and show every error and warning at once.
+
+    Example: dewridge check-settings examples/sello-verde.json
+    """
+    loaded = load_settings(file)
+    if as_json:
+        print_json(
+            {
+                "errors": [describe(each) for each in loaded.errors],
+                "warnings": [describe(each) for each in loaded.warnings],
+            }
+        )
+    else:
+        print_problems(loaded)
+        if loaded.settings is not None:
+            typer.echo("settings are valid")
+    if loaded.settings is None:
+        raise typer.Exit(ExitStatus.USAGE)
+
+
+def describe(problem: Problem) -> dict[str, str]:
+    """Return a problem for machines."""
+    return {"path": problem.path, "text": problem.text}
+
+
+def print_problems(loaded: LoadedSettings) -> None:
+    """Print the problems of a settings file, one line each."""
+    for problem in loaded.errors:
+        typer.echo(f"error: {problem}", err=True)
+    for problem in loaded.warnings:
+        typer.echo(f"warning: {problem}", err=True)
--- /dev/null
+++ b/dewridge/commands/codes.py
@@ -0,0 +1,41 @@
+"""`dewridge codes`: the table of result codes."""
+
+from typing import Annotated
+
+import typer
+
+from dewridge.codes import TABLE
+from dewridge.commands.options import AsJson, end_usage, print_json
+
+
+def codes(
+    number: Annotated[
+        int | None, typer.Argument(help="Show only this code.", show_default=False)
+    ] = None,
+    as_json: AsJson = False,
+) -> None:
+    """List the result codes with what each says and what to do.
+
+    Example: dewridge codes 204
+    """
+    shown = {code: TABLE[code] for code in TABLE if number in (None, int(code))}
+    if not shown:
+        end_usage(f"there is no code {number}")
+    if as_json:
+        print_json(
+            [
+                {
+                    "code": int(code),
+                    "name": code.name,
+                    "http_status": entry.http_status,
+                    "outcome": entry.outcome.value,
+                    "title": entry.title,
+                    "advice": entry.advice,
+                }
+                for code, entry in shown.items()
+            ]
+        )
+        return
+    for code, entry in shown.items():
+        typer.echo(f"{int(code):>4}  {entry.outcome.value:<14}  {entry.title}.")
+        typer.echo(f"      {entry.advice}")
--- /dev/null
+++ b/dewridge/frontend/connections.py
@@ -0,0 +1,114 @@
+"""Connections of callers: how many, and how long one may stall."""
+
+import msgspec
+import trio
+
+from dewridge.codes import Outcome, ResultCode
+from dewridge.frontend.problems import PROBLEM_TYPE, make_problem
+from dewridge.sentinels import Failure
+
+TURN_AWAY_TIMEOUT = 0.5
+"""Seconds for telling a caller that there is no room; it costs a task meanwhile."""
+TURN_AWAY_LIMIT = 128
+"""Callers told so at once; beyond it a flood's connections are closed unanswered."""
+RETRY_AFTER = 1
+
+
+class BoundedStream:
+    """A connection whose writes must get on.
+
+    A caller that stops reading, or that a hop has lost track of, raises no
+    error: the kernel's buffer fills and the write waits for ever, and with it
+    the answer's buffers. The write gets a deadline; the caller may resume from
+    the place that it has reached.
+    """
+
+    def __init__(self, stream: trio.SocketStream, timeout: float) -> None:
+        self._stream = stream
+        self._timeout = timeout
+        self.socket = stream.socket
+
+    async def send_all(self, data: bytes) -> None:
+        """Send all, or break the connection after the timeout."""
+        with trio.move_on_after(self._timeout) as scope:
+            await self._stream.send_all(data)
+        if scope.cancelled_caught:
+            await trio.aclose_forcefully(self._stream)
+            raise trio.BrokenResourceError("the caller takes nothing")
+
+    async def receive_some(self, limit: int) -> bytes:
+        """Receive what there is."""
+        return bytes(await self._stream.receive_some(limit))
+
+    async def send_eof(self) -> None:
+        """Say that nothing more will be sent."""
+        await self._stream.send_eof()
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
+
+
+class ConnectionGate:
+    """Bounds the connections open at once.
+
+    Made for a flood of connections. Each costs memory before its token is
+    known, so without a bound a flood would end the process and every answer in
+    flight with it. The ones turned away are told when to come back.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._open = 0
+        self._turning_away = 0
+        self._refusal = _write_refusal()
+
+    def enter(self) -> bool:
+        """Count one more connection; False if there is no room."""
+        if self._open >= self._limit:
+            return False
+        self._open += 1
+        return True
+
+    def leave(self) -> None:
+        """Count one connection less."""
+        self._open -= 1
+
+    async def turn_away(self, stream: trio.SocketStream) -> None:
+        """Tell a caller that there is no room, and close."""
+        if self._turning_away < TURN_AWAY_LIMIT:
+            self._turning_away += 1
+            try:
+                await self._send_refusal(stream)
+            finally:
+                self._turning_away -= 1
+        await trio.aclose_forcefully(stream)
+
+    async def _send_refusal(self, stream: trio.SocketStream) -> None:
+        with trio.move_on_after(TURN_AWAY_TIMEOUT):
+            try:
+                await stream.send_all(self._refusal)
+                await stream.send_eof()
+                await _drop_input(stream)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                pass
+
+
+async def _drop_input(stream: trio.SocketStream) -> None:
+    # Closing with input unread resets the connection, and the caller would see
+    # an error in place of the refusal.
+    while await stream.receive_some(4096):
+        pass
+
+
+def _write_refusal() -> bytes:
+    reason = "this host serves as many connections as it may"
+    failure = Failure(ResultCode.TOO_MANY_CONNECTIONS, reason, RETRY_AFTER)
+    # What the caller asked was not read, so nothing is known of its request.
+    body = msgspec.json.encode(make_problem(failure, outcome=Outcome.UNKNOWN))
+    head = (
+        f"HTTP/1.1 429 Too Many Requests\r\nContent-Type: {PROBLEM_TYPE}\r\n"
+        f"Content-Length: {len(body)}\r\nRetry-After: {RETRY_AFTER}\r\n"
+        "Connection: close\r\n\r\n"
+    )
+    return head.encode() + body
--- /dev/null
+++ b/dewridge/frontend/operators.py
@@ -0,0 +1,245 @@
+"""Routes for operators: profiles, services, dumps and metrics."""
+
+from collections.abc import Awaitable, Callable
+from functools import wraps
+from typing import Annotated, Any, TypeVar
+
+import msgspec
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from dewridge.codes import ResultCode
+from dewridge.configuration.model import Profile, Service
+from dewridge.frontend.bodies import NAME_LIMIT, decode_body, parse_count
+from dewridge.frontend.callers import read_body
+from dewridge.frontend.model import FrontendParts
+from dewridge.frontend.problems import answer_failure, answer_json
+from dewridge.ids import OperatorName, ProfileName, ServiceName
+from dewridge.sentinels import Failure
+
+MUST_BE_NEW = 0
+"""Expected revision of an object that must not exist yet."""
+
+T = TypeVar("T", bound=msgspec.Struct)
+Handler = Callable[..., Awaitable[Response]]
+
+
+class MoveBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Names the profile that a service is to run under."""
+
+    profile: Annotated[str, msgspec.Meta(min_length=1, max_length=NAME_LIMIT)]
+
+
+class Published(msgspec.Struct, frozen=True):
+    """An object with the revision at which it was last changed."""
+
+    revision: int
+    value: Any
+
+
+class Changed(msgspec.Struct, frozen=True):
+    """An accepted change."""
+
+    name: str
+    revision: int
+
+
+class Report(msgspec.Struct, frozen=True):
+    """What a profile cost and lost."""
+
+    profile: str
+    counters: dict[str, float]
+
+
+def add_operator_routes(app: QuartTrio, parts: FrontendParts) -> None:
+    """Add the routes that operators use."""
+    add_profile_routes(app, parts)
+    add_service_routes(app, parts)
+    add_state_routes(app, parts)
+
+
+def add_profile_routes(app: QuartTrio, parts: FrontendParts) -> None:
+    """Add the routes for profiles."""
+
+    @app.get("/v1/profiles")
+    @_for_operators(parts)
+    async def list_profiles(operator: OperatorName) -> Response:
+        return _answer_all(parts, "profile", parts.configuration.current().profiles)
+
+    @app.get("/v1/profiles/<name>")
+    @_for_operators(parts)
+    async def show_profile(operator: OperatorName, name: str) -> Response:
+        profiles = parts.configuration.current().profiles
+        if name not in profiles:
+            return answer_failure(_unknown_profile(name))
+        return _answer_one(parts, f"profile/{name}", profiles[name])
+
+    @app.put("/v1/profiles/<name>")
+    @_for_operators(parts)
+    async def publish_profile(operator: OperatorName, name: str) -> Response:
+        profile = await _read_object(Profile, name)
+        if isinstance(profile, Failure):
+            return answer_failure(profile)
+        return await _change(
+            name, parts.configuration.publish_profile, profile, operator
+        )
+
+    @app.delete("/v1/profiles/<name>")
+    @_for_operators(parts)
+    async def retire_profile(operator: OperatorName, name: str) -> Response:
+        retire = parts.configuration.retire_profile
+        return await _change(name, retire, ProfileName(name), operator)
+
+    @app.get("/v1/profiles/<name>/report")
+    @_for_operators(parts)
+    async def report_profile(operator: OperatorName, name: str) -> Response:
+        if name not in parts.configuration.current().profiles:
+            return answer_failure(_unknown_profile(name))
+        counters = await parts.usage(ProfileName(name))
+        return answer_json(Report(name, dict(sorted(counters.items()))))
+
+
+def add_service_routes(app: QuartTrio, parts: FrontendParts) -> None:
+    """Add the routes for services."""
+
+    @app.get("/v1/services")
+    @_for_operators(parts)
+    async def list_services(operator: OperatorName) -> Response:
+        return _answer_all(parts, "service", parts.configuration.current().services)
+
+    @app.get("/v1/services/<name>")
+    @_for_operators(parts)
+    async def show_service(operator: OperatorName, name: str) -> Response:
+        services = parts.configuration.current().services
+        if name not in services:
+            return answer_failure(Failure(ResultCode.UNKNOWN_SERVICE, f"`{name}`"))
+        return _answer_one(parts, f"service/{name}", services[name])
+
+    @app.put("/v1/services/<name>")
+    @_for_operators(parts)
+    async def publish_service(operator: OperatorName, name: str) -> Response:
+        service = await _read_object(Service, name)
+        if isinstance(service, Failure):
+            return answer_failure(service)
+        return await _change(
+            name, parts.configuration.publish_service, service, operator
+        )
+
+    @app.put("/v1/services/<name>/profile")
+    @_for_operators(parts)
+    async def move_service(operator: OperatorName, name: str) -> Response:
+        body = decode_body(await read_body(), MoveBody)
+        if isinstance(body, Failure):
+            return answer_failure(body)
+        expected = _read_precondition()
+        if isinstance(expected, Failure):
+            return answer_failure(expected)
+        service, profile = ServiceName(name), ProfileName(body.profile)
+        move = parts.configuration.move_service
+        return _answer_change(name, await move(service, profile, expected, operator))
+
+
+def add_state_routes(app: QuartTrio, parts: FrontendParts) -> None:
+    """Add the routes that show what this process does."""
+
+    @app.get("/v1/dump")
+    @_for_operators(parts)
+    async def dump_state(operator: OperatorName) -> Response:
+        return answer_json(await parts.dumps.collect())
+
+    @app.get("/metrics")
+    @_for_operators(parts)
+    async def show_metrics(operator: OperatorName) -> Response:
+        from dewridge.metrics.exposition import CONTENT_TYPE, expose  # noqa: PLC0415
+
+        return Response(expose(parts.metrics), content_type=CONTENT_TYPE)
+
+
+def _for_operators(parts: FrontendParts) -> Callable[[Handler], Handler]:
+    def decorate(handler: Handler) -> Handler:
+        @wraps(handler)
+        async def check(**names: str) -> Response:
+            header = request.headers.get("Authorization")
+            operator = parts.tokens.find_operator(header)
+            if isinstance(operator, Failure):
+                parts.metrics.add("frontend_refused_tokens", side="operator")
+                return answer_failure(operator)
+            return await handler(operator, **names)
+
+        return check
+
+    return decorate
+
+
+def _unknown_profile(name: str) -> Failure:
+    return Failure(ResultCode.UNKNOWN_PROFILE, f"`{name[:NAME_LIMIT]}`")
+
+
+async def _read_object(kind: type[T], name: str) -> T | Failure:
+    code = ResultCode.MALFORMED_PROFILE
+    decoded = decode_body(await read_body(), kind, code)
+    if isinstance(decoded, Failure):
+        return decoded
+    if getattr(decoded, "name", name) != name:
+        return Failure(code, "the name in the body is not the one in the path")
+    return decoded
+
+
+def _read_precondition() -> int | Failure:
+    # Without the revision that a change was made from, the later of two
+    # operators would undo the earlier one's change and neither would hear of it.
+    match, none_match = request.headers.get("If-Match"), _read_none_match()
+    if match is None and none_match is None:
+        reason = (
+            "name the revision that you read (If-Match), or say that it must be new "
+            "(If-None-Match: *)"
+        )
+        return Failure(ResultCode.PRECONDITION_REQUIRED, reason)
+    if match is None and none_match == "*":
+        return MUST_BE_NEW
+    revision = parse_count((match or "").strip().strip('"') or None, "If-Match")
+    if none_match is not None or isinstance(revision, Failure) or not revision:
+        reason = 'give If-Match: "REVISION" or If-None-Match: *, and only one'
+        return Failure(ResultCode.MALFORMED_REQUEST, reason)
+    return revision
+
+
+def _read_none_match() -> str | None:
+    header = request.headers.get("If-None-Match")
+    return None if header is None else header.strip()
+
+
+async def _change(
+    name: str,
+    change: Callable[[Any, int | None, OperatorName], Awaitable[int | Failure]],
+    subject: Any,
+    operator: OperatorName,
+) -> Response:
+    expected = _read_precondition()
+    if isinstance(expected, Failure):
+        return answer_failure(expected)
+    return _answer_change(name, await change(subject, expected, operator))
+
+
+def _answer_change(name: str, result: int | Failure) -> Response:
+    if isinstance(result, Failure):
+        return answer_failure(result)
+    answer = answer_json(Changed(name, result))
+    answer.headers["ETag"] = f'"{result}"'
+    return answer
+
+
+def _answer_one(parts: FrontendParts, object_name: str, value: Any) -> Response:
+    revision = parts.configuration.current().versions.get(object_name, 0)
+    answer = answer_json(Published(revision, value))
+    answer.headers["ETag"] = f'"{revision}"'
+    return answer
+
+
+def _answer_all(parts: FrontendParts, kind: str, objects: dict[str, Any]) -> Response:
+    versions = parts.configuration.current().versions
+    published = {
+        name: Published(versions.get(f"{kind}/{name}", 0), value)
+        for name, value in sorted(objects.items())
+    }
+    return answer_json(published)
--- /dev/null
+++ b/dewridge/frontend/problems.py
@@ -0,0 +1,70 @@
+"""Failures as problem details (RFC 9457)."""
+
+import math
+from typing import Any
+
+import msgspec
+from quart import Response
+
+from dewridge.codes import TABLE, Outcome, ResultCode
+from dewridge.sentinels import Failure
+
+PROBLEM_TYPE = "application/problem+json"
+JSON_TYPE = "application/json"
+
+
+class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The body of an error.
+
+    Attributes:
+        type: names the result code.
+        code: the numbered result code.
+        outcome: whether the request was not run, or may have run.
+        retry_after: seconds until it makes sense to come back.
+        advice: what the receiver should do.
+    """
+
+    type: str
+    title: str
+    status: int
+    code: int
+    outcome: str
+    advice: str = ""
+    detail: str = ""
+    retry_after: float | None = None
+
+
+def make_problem(
+    failure: Failure, *, status: int | None = None, outcome: Outcome | None = None
+) -> Problem:
+    """Describe a failure, with the table's words unless others are given."""
+    entry = TABLE[failure.code]
+    return Problem(
+        type=f"urn:dewridge:code:{int(failure.code)}",
+        title=entry.title,
+        status=status or entry.http_status,
+        code=int(failure.code),
+        outcome=(outcome or entry.outcome).value,
+        advice=entry.advice,
+        detail=failure.reason,
+        retry_after=failure.retry_after,
+    )
+
+
+def answer_failure(
+    failure: Failure, *, status: int | None = None, outcome: Outcome | None = None
+) -> Response:
+    """Return the HTTP answer for a failure."""
+    problem = make_problem(failure, status=status, outcome=outcome)
+    answer = answer_json(problem, problem.status)
+    answer.content_type = PROBLEM_TYPE
+    if problem.retry_after is not None:
+        answer.headers["Retry-After"] = str(max(0, math.ceil(problem.retry_after)))
+    if failure.code is ResultCode.UNAUTHENTICATED:
+        answer.headers["WWW-Authenticate"] = "Bearer"
+    return answer
+
+
+def answer_json(content: Any, status: int = 200) -> Response:
+    """Return an HTTP answer with JSON content."""
+    return Response(msgspec.json.encode(content), status, content_type=JSON_TYPE)
--- /dev/null
+++ b/dewridge/frontend/tokens.py
@@ -0,0 +1,75 @@
+"""Tokens of client accounts and operators."""
+
+import hashlib
+import hmac
+from collections.abc import Iterable
+
+from dewridge.codes import ResultCode
+from dewridge.ids import ClientAccount, OperatorName
+from dewridge.sentinels import Failure
+from dewridge.settings.schema import AccountSettings, OperatorSettings
+
+SCHEME = "bearer"
+TOKEN_LIMIT = 512
+"""Characters of a token; longer ones are refused before they are hashed."""
+
+Digests = list[tuple[bytes, str]]
+
+
+class TokenBook:
+    """Finds out whose token an Authorization header carries."""
+
+    def __init__(
+        self,
+        accounts: Iterable[AccountSettings],
+        operators: Iterable[OperatorSettings],
+    ) -> None:
+        self._accounts = _list_digests(accounts)
+        self._operators = _list_digests(operators)
+
+    def find_account(self, header: str | None) -> ClientAccount | Failure:
+        """Return the client account of a token."""
+        digest = _digest_header(header)
+        account = _find(self._accounts, digest)
+        if account is not None:
+            return ClientAccount(account)
+        return self._refuse(digest, self._operators, "a client account's")
+
+    def find_operator(self, header: str | None) -> OperatorName | Failure:
+        """Return the operator of a token."""
+        digest = _digest_header(header)
+        operator = _find(self._operators, digest)
+        if operator is not None:
+            return OperatorName(operator)
+        return self._refuse(digest, self._accounts, "an operator's")
+
+    def _refuse(self, digest: bytes | None, others: Digests, needed: str) -> Failure:
+        if _find(others, digest) is not None:
+            return Failure(ResultCode.FORBIDDEN, f"this needs {needed} token")
+        return Failure(ResultCode.UNAUTHENTICATED, f"this needs {needed} token")
+
+
+def _list_digests(
+    identities: Iterable[AccountSettings] | Iterable[OperatorSettings],
+) -> Digests:
+    return [(bytes.fromhex(each.token_sha256), each.name) for each in identities]
+
+
+def _digest_header(header: str | None) -> bytes | None:
+    scheme, _, token = (header or "").partition(" ")
+    token = token.strip()
+    if scheme.lower() != SCHEME or not 0 < len(token) <= TOKEN_LIMIT:
+        return None
+    return hashlib.sha256(token.encode()).digest()
+
+
+def _find(digests: Digests, wanted: bytes | None) -> str | None:
+    # Every digest is compared, each in constant time: how long a refusal took
+    # must not say how near a guess came or whose token it resembles.
+    if wanted is None:
+        return None
+    found = None
+    for digest, name in digests:
+        if hmac.compare_digest(digest, wanted):
+            found = name
+    return found
--- a/dewridge/metrics/registry.py
+++ b/dewridge/metrics/registry.py
@@ -41,3 +41,16 @@
     def read(self, name: str, **labels: str) -> float:
         """Return a counter's value; 0 if it never counted."""
         return self._counters.get((name, tuple(sorted(labels.items()))), 0.0)
+
+    def list_counters(self) -> list[tuple[str, Labels, float]]:
+        """Return the counters by name and labels."""
+        return [(*place, value) for place, value in sorted(self._counters.items())]
+
+    def list_gauges(self) -> list[tuple[str, Labels, float]]:
+        """Return the gauges by name and labels."""
+        return [(*place, value) for place, value in sorted(self._gauges.items())]
+
+    def list_histograms(self) -> list[tuple[str, Labels, HdrHistogram]]:
+        """Return the histograms by name and labels."""
+        places = sorted(self._histograms.items(), key=lambda item: item[0])
+        return [(*place, histogram) for place, histogram in places]
--- a/dewridge/settings/schema.py
+++ b/dewridge/settings/schema.py
@@ -110,6 +110,48 @@
         low=0,
         high=3600,
     )
+    default_deadline: float = option(
+        "Deadline of a request that names none.",
+        default=60.0,
+        unit="s",
+        low=0.1,
+        high=86_400,
+    )
+    deadline_limit: float = option(
+        "Longest deadline that a request may name.",
+        default=600.0,
+        unit="s",
+        low=1,
+        high=86_400,
+    )
+    header_limit: int = option(
+        "Largest head of a request.",
+        default=16_384,
+        unit="bytes",
+        low=1024,
+        high=1_000_000,
+    )
+    body_timeout: float = option(
+        "Time that a caller has to send the body.",
+        default=30.0,
+        unit="s",
+        low=0.1,
+        high=600,
+    )
+    keep_alive: float = option(
+        "Time that a connection may stay without a request.",
+        default=20.0,
+        unit="s",
+        low=0.1,
+        high=600,
+    )
+    write_timeout: float = option(
+        "A caller that takes nothing this long is cut off and may resume.",
+        default=15.0,
+        unit="s",
+        low=0.1,
+        high=600,
+    )
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/dewridge/tests/frontend/server_tests.py
@@ -0,0 +1,180 @@
+"""The server over real connections: long streams, shutdown, floods."""
+
+import httpx
+import trio
+
+from dewridge.codes import ResultCode
+from dewridge.ids import Generation
+from dewridge.requests.model import AnswerEvent, EndedEvent, TokensEvent
+from dewridge.tests.frontend.fakes import (
+    AUDITOR,
+    RIVAL,
+    FakeRequests,
+    authorize,
+    make_body,
+    run_frontend,
+    wait_until,
+)
+
+FINDINGS = "/v1/services/findings/requests"
+
+
+def make_script(count: int, pause: float) -> list[AnswerEvent | float]:
+    script: list[AnswerEvent | float] = []
+    for offset in range(count):
+        script += [TokensEvent(Generation(1), offset, (f" {offset}",)), pause]
+    return [*script, EndedEvent(ResultCode.OK)]
+
+
+async def read_stream(address: str, token: str = AUDITOR) -> list[str]:
+    async with (
+        httpx.AsyncClient(timeout=10) as client,
+        client.stream(
+            "POST",
+            f"http://{address}{FINDINGS}",
+            json=make_body(stream=True),
+            headers=authorize(token),
+        ) as answer,
+    ):
+        lines = [line async for line in answer.aiter_lines()]
+    return [line[7:] for line in lines if line.startswith("event: ")]
+
+
+async def test_a_stream_outlives_every_limit_on_connections() -> None:
+    # A long draft streams for longer than any timeout of the server or of its
+    # libraries. Each of them, left alone, would cut the draft off midway. Here
+    # the limits are a fraction of the stream's length.
+    limits = {"keep_alive": 0.1, "body_timeout": 0.1, "write_timeout": 0.1}
+    requests = FakeRequests([0.7, *make_script(3, 0.4)])
+    async with run_frontend(requests, heartbeat=0.1, **limits) as frontend:
+        names = await read_stream(frontend.address)
+    assert names[0] == "accepted"
+    assert names[-1] == "end"
+    assert names.count("tokens") == 3
+    assert names.count("heartbeat") >= 5
+
+
+async def test_a_shutdown_cuts_off_no_answer() -> None:
+    # The host is told to stop while answers stream. Every caller still gets
+    # its end, and new connections are refused at once so that callers go on to
+    # another host.
+    requests = FakeRequests(make_script(5, 0.1))
+    found: list[list[str]] = []
+    async with run_frontend(requests) as frontend:
+
+        async def read() -> None:
+            found.append(await read_stream(frontend.address))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(5):
+                nursery.start_soon(read)
+            await wait_until(lambda: requests.open_streams == 5)
+            frontend.shutdown.set()
+            await trio.sleep(0.05)
+            host, port = frontend.address.split(":")
+            try:
+                stream = await trio.open_tcp_stream(host, int(port))
+                await stream.aclose()
+                raise AssertionError("a new connection was accepted")
+            except OSError:
+                pass
+        with trio.fail_after(2):
+            await frontend.ended.wait()
+    assert [names[-1] for names in found] == ["end"] * 5
+
+
+async def test_a_caller_that_goes_away_ends_only_its_follower() -> None:
+    # A caller's connection breaks. The request itself must go on, and what
+    # followed it on this host must not stay behind.
+    requests = FakeRequests(make_script(100, 0.05))
+    async with run_frontend(requests) as frontend:
+        with trio.move_on_after(0.3):
+            await read_stream(frontend.address)
+        await wait_until(lambda: not requests.open_streams)
+    assert len(requests.submissions) == 1
+
+
+async def test_a_reader_that_stops_is_cut_off() -> None:
+    # A caller stops reading, or a hop has lost track of the connection. Its
+    # answer must not stay in memory for good; the caller may resume.
+    tokens = tuple("x" * 100 for _ in range(500))
+    events = [TokensEvent(Generation(1), 500 * n, tokens) for n in range(1000)]
+    requests = FakeRequests(events)
+    async with run_frontend(requests, write_timeout=0.2) as frontend:
+        host, port = frontend.address.split(":")
+        stream = await trio.open_tcp_stream(host, int(port))
+        async with stream:
+            body = httpx.Request(
+                "POST",
+                f"http://{frontend.address}{FINDINGS}",
+                json=make_body(stream=True),
+                headers=authorize(AUDITOR),
+            )
+            head = "".join(f"{k}: {v}\r\n" for k, v in body.headers.items())
+            text = f"POST {FINDINGS} HTTP/1.1\r\n{head}\r\n".encode()
+            await stream.send_all(text + body.content)
+            await wait_until(lambda: requests.open_streams == 1)
+            await wait_until(lambda: requests.open_streams == 0)
+
+
+async def test_a_body_that_never_comes_is_given_up() -> None:
+    # A caller, by a fault or on purpose, sends a head and then a byte now and
+    # then. Each such connection would hold a handler for good.
+    async with run_frontend(FakeRequests(), body_timeout=0.2) as frontend:
+        host, port = frontend.address.split(":")
+        async with await trio.open_tcp_stream(host, int(port)) as stream:
+            head = f"POST {FINDINGS} HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n"
+            token = f"Authorization: Bearer {AUDITOR}\r\n\r\n"
+            await stream.send_all((head + token).encode())
+            with trio.fail_after(3):
+                answer = await stream.receive_some(4096)
+    assert answer.startswith(b"HTTP/1.1 408")
+
+
+async def test_a_head_that_never_ends_is_given_up() -> None:
+    # The same with the head; no handler has it yet, so only the server can act.
+    async with run_frontend(FakeRequests(), keep_alive=0.2) as frontend:
+        host, port = frontend.address.split(":")
+        async with await trio.open_tcp_stream(host, int(port)) as stream:
+            with trio.fail_after(3):
+                await stream.send_all(b"GET /v1/entry-hosts HTTP/1.1\r\nA: b")
+                while await stream.receive_some(4096):
+                    pass
+
+
+async def test_connections_over_the_limit_are_told_to_come_back() -> None:
+    # A flood of connections. The host must stay up for the answers in flight,
+    # and the ones turned away must hear why.
+    async with run_frontend(FakeRequests(), connection_limit=8) as frontend:
+        host, port = frontend.address.split(":")
+        held = [await trio.open_tcp_stream(host, int(port)) for _ in range(8)]
+        await trio.sleep(0.1)
+        async with httpx.AsyncClient() as client:
+            url = f"http://{frontend.address}/v1/entry-hosts"
+            refused = await client.get(url, headers=authorize(AUDITOR))
+        for stream in held:
+            await stream.aclose()
+        await trio.sleep(0.1)
+        async with httpx.AsyncClient() as client:
+            served = await client.get(url, headers=authorize(AUDITOR))
+    assert (refused.status_code, refused.json()["outcome"]) == (429, "unknown")
+    assert refused.headers["Retry-After"] == "1"
+    assert served.status_code == 200
+
+
+async def test_an_account_at_its_limit_does_not_shut_out_another() -> None:
+    # One account opens streams without end. Its rival, on the same host, must
+    # not notice.
+    requests = FakeRequests([30.0])
+    async with (
+        run_frontend(requests, account_stream_limit=2) as frontend,
+        trio.open_nursery() as nursery,
+    ):
+        for _ in range(2):
+            nursery.start_soon(read_stream, frontend.address)
+        await wait_until(lambda: requests.open_streams == 2)
+        requests.script = [EndedEvent(ResultCode.OK)]
+        assert await read_stream(frontend.address) == []
+        assert await read_stream(frontend.address, RIVAL) == ["accepted", "end"]
+        nursery.cancel_scope.cancel()
+    assert len(requests.submissions) == 3
