--- a/dewridge/__main__.py
+++ b/dewridge/__main__.py
@@ -12,6 +12,7 @@
 from dewridge.commands.check_settings import check_settings
 from dewridge.commands.codes import codes
 from dewridge.commands.entry_hosts import entry_hosts
+from dewridge.commands.load import load
 from dewridge.commands.options import STATUSES_HELP, ExitStatus
 from dewridge.commands.request import request
 from dewridge.commands.version import version
@@ -40,6 +41,7 @@
 app.command()(codes)
 app.command()(version)
 app.add_typer(standin.app, name="standin")
+app.command()(load)
 
 
 def run() -> None:
--- /dev/null
+++ b/dewridge/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator: open-loop arrivals of a deployment's mix of calls."""
