--- a/dewridge/requests/acceptance.py
+++ b/dewridge/requests/acceptance.py
@@ -21,6 +21,7 @@
     make_record,
 )
 from dewridge.requests.refusals import Refuser
+from dewridge.requests.replicas import may_reopen
 from dewridge.requests.replication import Replicator, make_copy
 from dewridge.requests.scheduling import Scheduling
 from dewridge.requests.shared import Shared
@@ -126,6 +127,7 @@
             profile=service.profile,
             now=self._shared.clock(),
         )
+        record.maybe_run = self._may_have_run(request)
         self._replicator.choose(record)
         if not record.replicas:
             failure = Failure(ResultCode.NO_REPLICA, "no other entry host", RETRY_AFTER)
@@ -148,7 +150,7 @@
         if record.outcome is Outcome.NOT_RUN:
             if is_later or not self._shared.is_own(record.ballot):
                 return None
-        elif record.outcome is Outcome.UNKNOWN and record.idempotent and is_later:
+        elif is_later and may_reopen(record):
             return None
         elif record.ended is None:
             record.number = max(record.number, submission.number)
@@ -161,6 +163,10 @@
         )
         return record.digest not in (0, digest)
 
+    def _may_have_run(self, request: RequestId) -> bool:
+        before = self._shared.table.find(request)
+        return before is not None and before.maybe_run
+
     def _check(self, submission: Submission, request: RequestId) -> Failure | None:
         closed = self._shared.table.find_closed(request)
         if closed is not None and submission.number <= closed.number:
--- a/dewridge/requests/attempts.py
+++ b/dewridge/requests/attempts.py
@@ -37,12 +37,16 @@
 from dewridge.requests.shared import Shared
 from dewridge.sentinels import Failure
 
-CLAIM_ON_SLOT = 0.25
+CLAIM_ON_SLOT = 0.1
 """Seconds that a call waits for its claim while it holds a backend server's slot.
 A claim takes tens of milliseconds; while the key-value service is down it takes
 seconds, and waiting calls would hold every slot of a service against work that
 needs no claim."""
 
+SLOW_CLAIMS = 2.0
+"""Seconds after a slow claim during which calls wait for theirs off the slots from
+the start; otherwise each of them would hold one for `CLAIM_ON_SLOT` first."""
+
 
 class StopCause:
     """Why an attempt was stopped from outside."""
@@ -110,6 +114,7 @@
         self._running: dict[RequestId, Attempt] = {}
         self._parked: set[RequestId] = set()
         self._numbers = count(1)
+        self._claims_slow_until = 0.0
         self.on_denied: Callable[[Answer, Ballot], None] = lambda *_: None
         scheduling.on_assigned = self.start
         scheduling.on_move = self._plan_move
@@ -203,9 +208,13 @@
         record = attempt.record
         verdict: Grant | Failure | None = None
         record.claim_asked = True
+        if trio.current_time() < self._claims_slow_until:
+            self.park(attempt.answer)
+            return None
         with trio.move_on_after(CLAIM_ON_SLOT):
             verdict = await self._claims.acquire(record, record.deadline)
         if verdict is None:
+            self._claims_slow_until = trio.current_time() + SLOW_CLAIMS
             self.park(attempt.answer)
             return None
         if isinstance(verdict, Failure):
--- a/dewridge/requests/committer.py
+++ b/dewridge/requests/committer.py
@@ -7,6 +7,7 @@
 from loguru import logger as log
 
 from dewridge.codes import ResultCode
+from dewridge.membership.model import MemberState
 from dewridge.membership.ranking import has_duty
 from dewridge.platform.model import Entry, KeyValue
 from dewridge.requests.claims import (
@@ -33,11 +34,12 @@
 
 
 @dataclass
-class Batch:
-    """The wishes of one bucket that wait for the next write."""
+class Waiting:
+    """A wish that waits for the next write of its bucket."""
 
-    wishes: list[ClaimWish] = field(default_factory=list)
-    promises: list[Promise[Grant]] = field(default_factory=list)
+    wish: ClaimWish
+    expires: float
+    promise: Promise[Grant] = field(default_factory=Promise)
 
 
 class WriteBudget:
@@ -70,7 +72,7 @@
         self._key_value = key_value
         self._prefix = f"{prefix}claims/"
         self._budget = WriteBudget(writes_per_second)
-        self._batches: dict[str, Batch] = {}
+        self._batches: dict[str, list[Waiting]] = {}
         self._entries: dict[str, Entry] = {}
         self._busy: set[str] = set()
         self.is_down = False
@@ -85,17 +87,15 @@
         bucket = find_bucket(
             wish.request, settings.claim_window, settings.claim_buckets
         )
-        promise: Promise[Grant] = Promise()
-        batch = self._batches.setdefault(bucket, Batch())
-        batch.wishes.append(wish)
-        batch.promises.append(promise)
+        waiting = Waiting(wish, trio.current_time() + timeout)
+        self._batches.setdefault(bucket, []).append(waiting)
         if bucket not in self._busy:
             self._busy.add(bucket)
             self._shared.jobs.start(self._work, bucket)
         late = Failure(
             ResultCode.CLAIM_UNAVAILABLE, "the claim was not recorded in time", 1.0
         )
-        return await promise.wait(timeout, late)
+        return await waiting.promise.wait(timeout, late)
 
     async def _work(self, bucket: str) -> None:
         try:
@@ -106,21 +106,39 @@
         finally:
             self._busy.discard(bucket)
 
-    async def _write(self, bucket: str, batch: Batch) -> None:
+    async def _write(self, bucket: str, batch: list[Waiting]) -> None:
         limit = trio.current_time() + self._shared.settings.claim_timeout
         pause = RETRY_PAUSE
-        verdict: list[Grant] | Failure | None = None
-        while verdict is None and trio.current_time() < limit:
-            verdict = await self._try(bucket, batch.wishes)
-            if verdict is None and self.is_down:
+        while trio.current_time() < limit:
+            batch = [waiting for waiting in batch if self._is_wanted(waiting)]
+            if not batch:
+                return
+            verdict = await self._try(bucket, [waiting.wish for waiting in batch])
+            if verdict is not None:
+                fulfil(batch, verdict)
+                return
+            if self.is_down:
                 await trio.sleep(pause)
                 pause = min(LAST_RETRY_PAUSE, pause * 2)
-        if verdict is None:
-            verdict = Failure(
-                ResultCode.CLAIM_UNAVAILABLE, "the key-value service is down", 1.0
-            )
-        for place, promise in enumerate(batch.promises):
-            promise.fulfil(verdict if isinstance(verdict, Failure) else verdict[place])
+        down = "the key-value service is down"
+        fulfil(batch, Failure(ResultCode.CLAIM_UNAVAILABLE, down, 1.0))
+
+    def _is_wanted(self, waiting: Waiting) -> bool:
+        """Whether anybody still waits for a wish.
+
+        During an outage wishes of hosts that die pile up here. Written after
+        it, they would give calls to holders that are gone: callers would hear
+        "unknown" of calls that nobody ever sent.
+        """
+        ballot = waiting.wish.ballot
+        member = self._shared.membership.find(ballot.host)
+        is_live = (
+            member is not None
+            and member.incarnation == ballot.incarnation
+            and member.state in (MemberState.ALIVE, MemberState.LEAVING)
+        )
+        on_time = trio.current_time() < waiting.expires
+        return on_time and (is_live or waiting.wish.release)
 
     async def _try(
         self, bucket: str, wishes: list[ClaimWish]
@@ -226,5 +244,12 @@
 
     def describe(self) -> dict[str, object]:
         """Return the state for a dump."""
-        waiting = {name: len(batch.wishes) for name, batch in self._batches.items()}
+        waiting = {name: len(batch) for name, batch in self._batches.items()}
         return {"is_down": self.is_down, "waiting": waiting}
+
+
+def fulfil(batch: list[Waiting], verdict: list[Grant] | Failure) -> None:
+    """Give each wish of a batch its verdict."""
+    for place, waiting in enumerate(batch):
+        own = verdict if isinstance(verdict, Failure) else verdict[place]
+        waiting.promise.fulfil(own)
--- a/dewridge/requests/ending.py
+++ b/dewridge/requests/ending.py
@@ -5,6 +5,7 @@
 import trio
 
 from dewridge.codes import TABLE, Outcome, ResultCode
+from dewridge.ids import HostId
 from dewridge.membership.ranking import find_home
 from dewridge.policy.model import Abandoned
 from dewridge.requests.answers import Answer
@@ -34,6 +35,7 @@
         self._replicator = replicator
         self._usage = usage
         self.on_refused: Callable[[Record], None] = lambda _: None
+        replicator.on_superseded = self._bring_answer
 
     def finish(
         self, answer: Answer, body: str, backend_server: str, failure_domain: str
@@ -76,12 +78,15 @@
             self.on_refused(record)
         if answer.lost:
             record.end(event, self._shared.clock())
-            if not record.idempotent and outcome is Outcome.DONE:
-                self._shared.jobs.start(self.deliver_late, record)
+            self._bring_answer(record)
             return
         self._shared.table.end(record, event, self._shared.clock())
         self._shared.jobs.start(self._replicator.settle_end, answer)
 
+    def _bring_answer(self, record: Record) -> None:
+        if not record.idempotent and record.outcome is Outcome.DONE:
+            self._shared.jobs.start(self.deliver_late, record)
+
     async def deliver_late(self, record: Record) -> None:
         """Bring the whole answer of a call whose callers heard "unknown".
 
@@ -92,15 +97,18 @@
         hosts = set(record.replicas)
         home = find_home(record.request, self._shared.membership.members())
         hosts |= {m.host for m in home[: self._shared.settings.replicas + 1]}
-        hosts.discard(self._shared.me.host)
         self._shared.metrics.add("requests_delivered_late")
         self._shared.table.store(record, self._shared.clock())
         message = make_copy(record)
+        reached = {self._shared.me.host}
         for _ in range(LATE_TRIES):
-            for host in list(hosts):
+            for host in hosts - reached:
                 reply = await self._shared.call(host, message)
-                if not isinstance(reply, Failure):
-                    hosts.discard(host)
-            if not hosts:
+                if isinstance(reply, Failure):
+                    continue
+                reached.add(host)
+                if reply.known is not None:
+                    hosts |= {HostId(name) for name in reply.known.replicas}
+            if hosts <= reached:
                 return
             await trio.sleep(LATE_PAUSE)
--- a/dewridge/requests/handlers.py
+++ b/dewridge/requests/handlers.py
@@ -9,7 +9,7 @@
 from dewridge.requests.attempts import Attempts
 from dewridge.requests.codec import decode_end, decode_record, encode_end, encode_record
 from dewridge.requests.records import Ballot, Record
-from dewridge.requests.replicas import RunReply, TokenRun
+from dewridge.requests.replicas import RunReply, TokenRun, is_late_answer
 from dewridge.requests.replication import Replicator
 from dewridge.requests.shared import Shared
 from dewridge.requests.usage import (
@@ -57,7 +57,11 @@
         if offered.ballot.host != peer.host:
             self._shared.metrics.add("replicas_foreign_records")
             return wire.ReplicateReply(stored=False)
+        before = self._shared.table.find(offered.request)
         reply = self._shared.table.store(offered, self._shared.clock())
+        if reply.stored and before is not None and is_late_answer(before, offered):
+            # Its other copies still say "unknown"; the sender must reach them.
+            return wire.ReplicateReply(stored=True, known=encode_record(before))
         return wire.ReplicateReply(
             stored=reply.stored,
             known=encode_record(reply.known) if reply.known else None,
--- a/dewridge/requests/replicas.py
+++ b/dewridge/requests/replicas.py
@@ -152,8 +152,8 @@
     def _end_gives_way(have: Record, offered: Record) -> bool:
         if have.outcome is Outcome.NOT_RUN:
             return offered.number > have.number
-        if have.outcome is Outcome.UNKNOWN and have.idempotent:
-            return offered.number > have.number
+        if offered.number > have.number and may_reopen(have):
+            return True
         return is_late_answer(have, offered)
 
     def _replace(self, have: Record | None, offered: Record, now: float) -> None:
@@ -304,3 +304,14 @@
         return False
     gave_up = have.ended is None or have.outcome is Outcome.UNKNOWN
     return gave_up and offered.outcome is Outcome.DONE
+
+
+def may_reopen(record: Record) -> bool:
+    """Whether a later submission may try a request again that ended unknown.
+
+    An idempotent one may simply run again. One whose holder was lost may ask
+    for the claim again: it is granted only if the holder released it unsent.
+    """
+    if record.ended is None or record.outcome is not Outcome.UNKNOWN:
+        return False
+    return record.idempotent or record.ended.code is ResultCode.HOLDER_LOST
--- a/dewridge/requests/replication.py
+++ b/dewridge/requests/replication.py
@@ -1,5 +1,6 @@
 """Copies of this host's requests on their replicas: one sender for each peer."""
 
+from collections.abc import Callable
 from typing import Any
 
 import trio
@@ -30,12 +31,17 @@
 
 
 class Replicator:
-    """Keeps the replicas of this host's requests up to date."""
+    """Keeps the replicas of this host's requests up to date.
+
+    Attributes:
+        on_superseded: told of a record that another ownership has replaced.
+    """
 
     def __init__(self, shared: Shared) -> None:
         self._shared = shared
         self._answers: dict[RequestId, Answer] = {}
         self._senders: dict[HostId, PeerSender] = {}
+        self.on_superseded: Callable[[Record], None] = lambda _: None
 
     def find(self, request: RequestId) -> Answer | None:
         """Return the answer to a request of this host, live or just ended."""
@@ -273,6 +279,7 @@
         answer.lose()
         self._replicator.remove(answer)
         self._shared.table.lose(answer.record)
+        self._replicator.on_superseded(answer.record)
 
     def _note_failure(self, answers: list[Answer]) -> None:
         self._failures += 1
--- a/dewridge/requests/service.py
+++ b/dewridge/requests/service.py
@@ -291,8 +291,7 @@
                 return
             attempt.stop(StopCause.LOST)
         self._scheduling.withdraw(old)
-        if attempt is not None:
-            self._attempts.release(old)
+        self._attempts.release(old)
 
     async def drain(self, timeout: float) -> None:
         """Leave gracefully: finish or hand off every request, then return."""
