--- a/dewridge/commands/load.py
+++ b/dewridge/commands/load.py
@@ -1,11 +1,11 @@
 """`dewridge load`: puts a deployment's mix of calls on entry hosts or on servers."""
 
 import json
-from typing import Annotated, NoReturn
+from typing import Annotated
 
 import typer
 
-from dewridge.commands.options import ExitStatus
+from dewridge.commands.options import ExitStatus, end_usage
 
 DEFAULT_RATE = 20.0
 DEFAULT_SECONDS = 20.0
@@ -73,9 +73,9 @@
     try:
         figures = trio.run(run_load, options)
     except OptionError as error:
-        fail(str(error))
+        end_usage(str(error))
     except httpx.HTTPError as error:
-        fail(f"no entry list from {entry_host[0]}: {error}")
+        end_usage(f"no entry list from {entry_host[0]}: {error}")
     typer.echo(json.dumps(figures) if as_json else format_report(figures))
     if set(figures["total"]["outcomes"]) - {ANSWERED}:
         raise typer.Exit(ExitStatus.FAILED)
@@ -85,11 +85,5 @@
     """Split options of the form NAME=VALUE; the value is never repeated."""
     split = [pair.partition("=") for pair in pairs]
     if not all(name and value for name, _, value in split):
-        fail(f"write {form}")
+        end_usage(f"write {form}")
     return [(name, value) for name, _, value in split]
-
-
-def fail(reason: str) -> NoReturn:
-    """End with one plain line."""
-    typer.echo(f"dewridge load: {reason}", err=True)
-    raise typer.Exit(ExitStatus.USAGE)
--- a/dewridge/fleet/dispatch.py
+++ b/dewridge/fleet/dispatch.py
@@ -9,6 +9,7 @@
 import trio
 
 from dewridge.codes import ResultCode
+from dewridge.fleet.clients import ClientTable, open_clients
 from dewridge.fleet.events import EventReader, LineBuffer
 from dewridge.fleet.model import (
     AttemptEnd,
@@ -26,16 +27,11 @@
 if TYPE_CHECKING:
     import httpx
 
-KEEPALIVE_SECONDS = 4.0
-"""Idle connections are dropped before servers commonly drop them (5 s): an attempt
-on a connection that closes at that moment may or may not have started."""
-IDLE_CONNECTIONS = 64
 BODY_LIMIT = 8_000_000
 """Bytes of a plain service's answer; more would not fit the memory of a host that
 holds a hundred of them."""
 REFUSAL_LIMIT = 10_000
-DRAIN_SECONDS = 0.05
-HEADERS = {"content-type": "application/json", "accept-encoding": "identity"}
+DRAIN_SECONDS = 0.01
 
 
 class CompletionBody(msgspec.Struct, omit_defaults=True):
@@ -76,26 +72,17 @@
     *, metrics: Metrics, connect_timeout: float
 ) -> AsyncIterator[Dispatch]:
     """Open what sends attempts; it owns the connections to backend servers."""
-    import httpx  # noqa: PLC0415 - heavy
-
-    limits = httpx.Limits(
-        max_connections=None,
-        max_keepalive_connections=IDLE_CONNECTIONS,
-        keepalive_expiry=KEEPALIVE_SECONDS,
-    )
-    async with httpx.AsyncClient(
-        limits=limits, trust_env=False, verify=False, headers=HEADERS
-    ) as client:
-        yield Sender(client, metrics, connect_timeout).dispatch
+    async with open_clients() as clients:
+        yield Sender(clients, metrics, connect_timeout).dispatch
 
 
 class Sender:
-    """Sends attempts over one pool of connections."""
+    """Sends attempts over the connections of a table of clients."""
 
     def __init__(
-        self, client: "httpx.AsyncClient", metrics: Metrics, connect_timeout: float
+        self, clients: ClientTable, metrics: Metrics, connect_timeout: float
     ) -> None:
-        self._client = client
+        self._clients = clients
         self._metrics = metrics
         self._connect_timeout = connect_timeout
 
@@ -111,6 +98,7 @@
         import httpx  # noqa: PLC0415 - heavy
 
         self._metrics.add("attempts_total", service=order.service)
+        await self._clients.trim()
         try:
             async with self._open(server, order) as response:
                 if response.status_code != STATUS_OK:
@@ -118,7 +106,10 @@
                     refusal = read_refusal(response.status_code, content)
                     yield self._fail(order, refusal)
                 elif server.listed.kind is ServerKind.ENGINE:
-                    async for event in self._read_stream(response, order):
+                    chunks = response.aiter_raw()
+                    async for event in self._read_stream(chunks, order):
+                        if isinstance(event, AttemptEnd):
+                            await drain(chunks)
                         yield event
                 else:
                     yield await self._read_answer(response, order)
@@ -135,25 +126,25 @@
             reason = type(error).__name__
             yield self._fail(order, Failure(ResultCode.CONNECTION_LOST, reason))
 
-    def _open(
+    @asynccontextmanager
+    async def _open(
         self, server: BackendServer, order: AttemptOrder
-    ) -> "AbstractAsyncContextManager[httpx.Response]":
+    ) -> "AsyncIterator[httpx.Response]":
         import httpx  # noqa: PLC0415 - heavy
 
         path, content = encode_order(server, order)
-        return self._client.stream(
-            "POST",
-            f"http://{server.listed.address}{path}",
-            content=content,
-            timeout=httpx.Timeout(order.timeout, connect=self._connect_timeout),
-        )
+        timeout = httpx.Timeout(order.timeout, connect=self._connect_timeout)
+        with self._clients.use(server.listed.address) as client:
+            async with client.stream(
+                "POST", path, content=content, timeout=timeout
+            ) as response:
+                yield response
 
     async def _read_stream(
-        self, response: "httpx.Response", order: AttemptOrder
+        self, chunks: AsyncIterator[bytes], order: AttemptOrder
     ) -> AsyncIterator[AttemptEvent]:
         lines = LineBuffer()
         reader = EventReader(order.attempt, order.first_sequence)
-        chunks = response.aiter_raw()
         async for chunk in chunks:
             whole = lines.feed(chunk)
             if whole is None:
@@ -168,7 +159,6 @@
                     self._fail(order, event)
                 yield event
                 if is_last:
-                    await drain(chunks)
                     return
         self._count_drops(order, reader)
         yield self._fail(order, reader.finish())
@@ -238,7 +228,11 @@
 
 
 async def drain(chunks: AsyncIterator[bytes]) -> None:
-    """Read what follows the end for a moment, so that the connection is reused."""
+    """Read what follows the end, so that the connection can be used again.
+
+    It comes with the end or right after it; a server that holds it back costs
+    the caller no more than the bound.
+    """
     with trio.move_on_after(DRAIN_SECONDS):
         async for _ in chunks:
             pass
