Complete the command line; examples of both deployments; tests of bad input

Operators had no commands and newcomers no settings to start from.

Ruled out: trying a change at a second host when the first did not answer, since the second one's conflict would hide that the change took effect.

--- a/dewridge/__main__.py
+++ b/dewridge/__main__.py
@@ -8,9 +8,10 @@
     NoArgsIsHelpError,
 )
 
-from dewridge.commands import standin
+from dewridge.commands import profile, service, standin
 from dewridge.commands.check_settings import check_settings
 from dewridge.commands.codes import codes
+from dewridge.commands.dump import dump
 from dewridge.commands.entry_hosts import entry_hosts
 from dewridge.commands.load import load
 from dewridge.commands.options import STATUSES_HELP, ExitStatus
@@ -38,6 +39,9 @@
 app.command("check-settings")(check_settings)
 app.command("entry-hosts")(entry_hosts)
 app.command()(request)
+app.add_typer(profile.app, name="profile")
+app.add_typer(service.app, name="service")
+app.command()(dump)
 app.command()(codes)
 app.command()(version)
 app.add_typer(standin.app, name="standin")
--- a/dewridge/client/client.py
+++ b/dewridge/client/client.py
@@ -260,10 +260,10 @@
 
     def _make_answer(self, run: _Run) -> Answer:
         progress = run.progress
-        failure = progress.last_failure or Failure(
-            ResultCode.PEER_UNREACHABLE, "no entry host could be reached"
-        )
-        ended = progress.ended
+        failure, ended = progress.last_failure, progress.ended
+        if failure is None:
+            reason = "no entry host could be reached"
+            failure = Failure(ResultCode.PEER_UNREACHABLE, reason)
         if ended is None and (progress.in_doubt or progress.accepted):
             reason = "no final answer came before the deadline"
             failure = Failure(ResultCode.OUTCOME_UNKNOWN, reason)
--- /dev/null
+++ b/dewridge/client/operators.py
@@ -0,0 +1,114 @@
+"""A client for operators: reads and changes profiles and services."""
+
+from collections.abc import Sequence
+from contextlib import AsyncExitStack
+from types import TracebackType
+from typing import Any, Self
+
+import httpx
+import msgspec
+
+from dewridge.client.frames import decode_problem
+from dewridge.codes import ResultCode
+from dewridge.sentinels import Failure
+
+CONNECT_TIMEOUT = 1.0
+CALL_TIMEOUT = 15.0
+"""Seconds for one call: a change waits for the key-value service, which may be
+slow by seconds."""
+MUST_BE_NEW = 0
+"""Revision that says: this object must not exist yet."""
+
+
+class OperatorClient:
+    """Asks the given entry hosts in turn; the first that answers counts."""
+
+    def __init__(self, addresses: Sequence[str], token: str) -> None:
+        self._addresses = list(addresses)
+        self._stack = AsyncExitStack()
+        self._http = httpx.AsyncClient(
+            headers={"Authorization": f"Bearer {token}"},
+            timeout=httpx.Timeout(CALL_TIMEOUT, connect=CONNECT_TIMEOUT),
+            trust_env=False,
+        )
+
+    async def __aenter__(self) -> Self:
+        await self._stack.enter_async_context(self._http)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc_value: BaseException | None,
+        tb: TracebackType | None,
+    ) -> None:
+        await self._stack.__aexit__(exc_type, exc_value, tb)
+
+    async def read(self, path: str) -> Any | Failure:
+        """Read a document from the first host that answers."""
+        found: Any = Failure(ResultCode.PEER_UNREACHABLE, "no address was given")
+        for address in self._addresses:
+            found = await self.read_at(address, path)
+            if not _is_unreachable(found):
+                break
+        return found
+
+    async def read_at(self, address: str, path: str) -> Any | Failure:
+        """Read a document from one host."""
+        try:
+            answer = await self._http.get(f"http://{address}{path}")
+        except httpx.HTTPError as error:
+            return _describe_unreachable(address, error)
+        return _decode(answer)
+
+    async def change(
+        self, method: str, path: str, expected: int, body: Any = None
+    ) -> Any | Failure:
+        """Make a change from the revision expected, at the first host reached.
+
+        A host that was reached and did not answer may have made the change, so
+        no other one is asked: its refusal of a revision that is no longer the
+        expected one would hide that the change took effect.
+        """
+        failure = Failure(ResultCode.PEER_UNREACHABLE, "no address was given")
+        for address in self._addresses:
+            try:
+                answer = await self._http.request(
+                    method,
+                    f"http://{address}{path}",
+                    content=msgspec.json.encode(body) if body is not None else None,
+                    headers=_make_precondition(expected),
+                )
+            except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+                failure = _describe_unreachable(address, error)
+            except httpx.HTTPError as error:
+                reason = f"{address} did not answer ({type(error).__name__})"
+                return Failure(ResultCode.CHANGE_UNKNOWN, reason)
+            else:
+                return _decode(answer)
+        return failure
+
+
+def _make_precondition(expected: int) -> dict[str, str]:
+    if expected == MUST_BE_NEW:
+        return {"If-None-Match": "*"}
+    return {"If-Match": f'"{expected}"'}
+
+
+def _decode(answer: httpx.Response) -> Any | Failure:
+    if not answer.is_success:
+        header = answer.headers.get("Retry-After")
+        return decode_problem(answer.content, answer.status_code, header).failure
+    try:
+        return msgspec.json.decode(answer.content)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Failure(ResultCode.INTERNAL, f"the answer is malformed: {error}")
+
+
+def _describe_unreachable(address: str, error: Exception) -> Failure:
+    reason = f"{address} ({type(error).__name__})"
+    return Failure(ResultCode.PEER_UNREACHABLE, reason)
+
+
+def _is_unreachable(found: Any) -> bool:
+    return isinstance(found, Failure) and found.code is ResultCode.PEER_UNREACHABLE
--- /dev/null
+++ b/dewridge/commands/operating.py
@@ -0,0 +1,81 @@
+"""What the operators' commands share."""
+
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated, Any
+from urllib.parse import quote
+
+import typer
+
+from dewridge.commands.options import (
+    check_addresses,
+    end_failed,
+    end_usage,
+    print_json,
+    read_file,
+    read_token,
+)
+from dewridge.sentinels import Failure
+
+if TYPE_CHECKING:
+    from dewridge.client.operators import OperatorClient
+
+Revision = Annotated[
+    int,
+    typer.Option(
+        "--revision", "-r", min=1, help="Revision that the change was made from."
+    ),
+]
+ObjectFile = Annotated[
+    Path, typer.Argument(help="JSON file, comments allowed; - is standard input.")
+]
+Name = Annotated[str, typer.Argument(help="Its name.")]
+
+
+def run_call(
+    addresses: list[str],
+    token_file: Path | None,
+    as_json: bool,
+    call: "Callable[[OperatorClient], Awaitable[Any]]",
+) -> Any:
+    """Make one call of the operators' interface; ends the command if it fails."""
+    import trio  # noqa: PLC0415
+
+    from dewridge.client.operators import OperatorClient  # noqa: PLC0415
+
+    checked, token = check_addresses(addresses), read_token(token_file)
+
+    async def run() -> Any:
+        async with OperatorClient(checked, token) as client:
+            return await call(client)
+
+    result = trio.run(run)
+    if isinstance(result, Failure):
+        end_failed(result, as_json)
+    return result
+
+
+def read_object(path: Path) -> dict[str, Any]:
+    """Return the object of a JSON file with comments; ends if it is none."""
+    import json5  # noqa: PLC0415
+
+    try:
+        content = json5.loads(read_file(path), allow_duplicate_keys=False)
+    except (ValueError, RecursionError) as error:
+        end_usage(f"{path}: not JSON: {str(error).splitlines()[0][:200]}")
+    if not isinstance(content, dict) or not isinstance(content.get("name"), str):
+        end_usage(f"{path}: expected an object with a `name`")
+    return content
+
+
+def make_path(*parts: str) -> str:
+    """Return a path of the interface, its parts quoted."""
+    return "/v1/" + "/".join(quote(part, safe="") for part in parts)
+
+
+def print_change(change: Any, as_json: bool) -> None:
+    """Print an accepted change."""
+    if as_json:
+        print_json(change)
+    else:
+        typer.echo(f"{change['name']} is at revision {change['revision']}")
--- a/dewridge/frontend/callers.py
+++ b/dewridge/frontend/callers.py
@@ -48,9 +48,10 @@
         entries = make_entry_list(
             parts.membership,
             account,
-            frontend.entry_list_size,
-            frontend.entry_list_seconds,
-            parts.is_leaving(),
+            request.remote_addr or "",
+            size=frontend.entry_list_size,
+            ttl=frontend.entry_list_seconds,
+            is_leaving=parts.is_leaving(),
         )
         return answer_json(entries)
 
--- a/dewridge/frontend/entry.py
+++ b/dewridge/frontend/entry.py
@@ -3,8 +3,8 @@
 import msgspec
 
 from dewridge.ids import ClientAccount
-from dewridge.membership.model import Member, MembershipView
-from dewridge.membership.ranking import rank_members
+from dewridge.membership.model import MembershipView
+from dewridge.policy.entry import choose_entry_hosts
 
 
 class EntryHost(msgspec.Struct, frozen=True):
@@ -24,30 +24,20 @@
 def make_entry_list(
     membership: MembershipView,
     account: ClientAccount,
+    caller: str,
+    *,
     size: int,
     ttl: float,
     is_leaving: bool,
 ) -> EntryList:
-    """Choose entry hosts for an account, spread over failure domains.
+    """Choose entry hosts for a caller, spread over failure domains.
 
     Hosts that are leaving or silent are not in it. A host that is alone still
     names itself, unless it leaves.
     """
-    members = [member for member in membership.members() if member.takes_work]
+    members = list(membership.members())
     if is_leaving:
         members = [member for member in members if member.host != membership.me.host]
-    chosen = _alternate_domains(rank_members(account, members))[:size]
+    chosen = choose_entry_hosts(account, members, size, caller)
     hosts = (EntryHost(each.frontend_address, each.failure_domain) for each in chosen)
     return EntryList(tuple(hosts), ttl)
-
-
-def _alternate_domains(ranked: list[Member]) -> list[Member]:
-    # A reclaim takes a failure domain at once; the next address of a caller
-    # must then not be in the same one.
-    rounds: dict[str, int] = {}
-    placed: list[tuple[int, Member]] = []
-    for member in ranked:
-        turn = rounds.get(member.failure_domain, 0)
-        rounds[member.failure_domain] = turn + 1
-        placed.append((turn, member))
-    return [member for _, member in sorted(placed, key=lambda pair: pair[0])]
--- a/dewridge/frontend/operators.py
+++ b/dewridge/frontend/operators.py
@@ -15,6 +15,7 @@
 from dewridge.frontend.model import FrontendParts
 from dewridge.frontend.problems import answer_failure, answer_json
 from dewridge.ids import OperatorName, ProfileName, ServiceName
+from dewridge.policy.registry import check_profile
 from dewridge.sentinels import Failure
 
 MUST_BE_NEW = 0
@@ -80,6 +81,10 @@
         profile = await _read_object(Profile, name)
         if isinstance(profile, Failure):
             return answer_failure(profile)
+        problems = check_profile(profile)
+        if problems:
+            reason = "; ".join(problems)
+            return answer_failure(Failure(ResultCode.MALFORMED_PROFILE, reason))
         return await _change(
             name, parts.configuration.publish_profile, profile, operator
         )
--- a/dewridge/metrics/exposition.py
+++ b/dewridge/metrics/exposition.py
@@ -1,6 +1,9 @@
 """The counters in the text format that monitoring systems read."""
 
 from collections.abc import Iterator
+from itertools import groupby
+from operator import itemgetter
+from typing import Any, TypeVar
 
 from prometheus_client.core import (
     CounterMetricFamily,
@@ -11,11 +14,14 @@
 from prometheus_client.exposition import CONTENT_TYPE_PLAIN_0_0_4, generate_latest
 from prometheus_client.registry import Collector, CollectorRegistry
 
-from dewridge.metrics.registry import Labels, Metrics
+from dewridge.metrics.registry import Metrics
 
 CONTENT_TYPE = CONTENT_TYPE_PLAIN_0_0_4
 PREFIX = "dewridge_"
-QUANTILES = (50.0, 95.0, 99.0, 100.0)
+PERCENTILES = (50.0, 95.0, 99.0, 100.0)
+MICROSECONDS = 1e6
+
+Entry = TypeVar("Entry", bound=tuple[Any, ...])
 
 
 def expose(metrics: Metrics) -> bytes:
@@ -32,33 +38,37 @@
         self._metrics = metrics
 
     def collect(self) -> Iterator[Metric]:
-        """Yield every counter, gauge and histogram."""
-        for name, labels, value in self._metrics.list_counters():
-            counter = CounterMetricFamily(PREFIX + name, name, labels=_names(labels))
-            counter.add_metric(_values(labels), value)
+        """Yield every counter, gauge and histogram, one family a name."""
+        for name, counters in _group(self._metrics.list_counters()):
+            counter = CounterMetricFamily(PREFIX + name, name)
+            for _, labels, value in counters:
+                counter.add_sample(f"{PREFIX}{name}_total", dict(labels), value)
             yield counter
-        for name, labels, value in self._metrics.list_gauges():
-            gauge = GaugeMetricFamily(PREFIX + name, name, labels=_names(labels))
-            gauge.add_metric(_values(labels), value)
+        for name, gauges in _group(self._metrics.list_gauges()):
+            gauge = GaugeMetricFamily(PREFIX + name, name)
+            for _, labels, value in gauges:
+                gauge.add_sample(PREFIX + name, dict(labels), value)
             yield gauge
-        yield from self._collect_histograms()
-
-    def _collect_histograms(self) -> Iterator[Metric]:
-        for name, labels, histogram in self._metrics.list_histograms():
-            family = SummaryMetricFamily(PREFIX + name, name, labels=_names(labels))
-            total = histogram.get_total_count()
-            seconds = histogram.get_mean_value() * total / 1e6 if total else 0.0
-            family.add_metric(_values(labels), total, seconds)
-            for quantile in QUANTILES:
-                value = histogram.get_value_at_percentile(quantile) / 1e6
-                shown = {**dict(labels), "quantile": f"{quantile / 100:g}"}
-                family.add_sample(PREFIX + name, shown, value)
-            yield family
+        for name, histograms in _group(self._metrics.list_histograms()):
+            summary = SummaryMetricFamily(PREFIX + name, name)
+            for _, labels, histogram in histograms:
+                _add_histogram(summary, PREFIX + name, dict(labels), histogram)
+            yield summary
 
 
-def _names(labels: Labels) -> list[str]:
-    return [name for name, _ in labels]
+def _add_histogram(
+    summary: SummaryMetricFamily, name: str, labels: dict[str, str], histogram: Any
+) -> None:
+    total = histogram.get_total_count()
+    seconds = histogram.get_mean_value() * total / MICROSECONDS if total else 0.0
+    for percentile in PERCENTILES:
+        value = histogram.get_value_at_percentile(percentile) / MICROSECONDS
+        quantile = f"{percentile / 100:g}"
+        summary.add_sample(name, {**labels, "quantile": quantile}, value)
+    summary.add_sample(f"{name}_count", labels, total)
+    summary.add_sample(f"{name}_sum", labels, seconds)
 
 
-def _values(labels: Labels) -> list[str]:
-    return [value for _, value in labels]
+def _group(entries: list[Entry]) -> Iterator[tuple[str, list[Entry]]]:
+    for name, group in groupby(entries, key=itemgetter(0)):
+        yield name, list(group)
--- /dev/null
+++ b/dewridge/tests/client/progress_tests.py
@@ -0,0 +1,92 @@
+"""What a client makes of events and refusals, without sockets."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dewridge.client.progress import Progress, Step
+from dewridge.codes import ResultCode
+from dewridge.ids import Generation
+from dewridge.requests.model import (
+    AnswerEvent,
+    AnswerSummary,
+    EndedEvent,
+    RestartEvent,
+    TokensEvent,
+)
+from dewridge.sentinels import Failure
+
+WHOLE = {1: ["a", "b", "c", "d"], 2: ["w", "x", "y", "z"]}
+
+
+def make_tokens(generation: int, offset: int, end: int) -> TokensEvent:
+    tokens = tuple(WHOLE[generation][offset:end])
+    return TokensEvent(Generation(generation), offset, tokens)
+
+
+places = st.tuples(st.integers(0, 3), st.integers(1, 4))
+events = st.one_of(
+    st.builds(
+        lambda generation, place: make_tokens(generation, place[0], sum(place)),
+        st.sampled_from([1, 2]),
+        places,
+    ),
+    st.builds(lambda: RestartEvent(Generation(2))),
+)
+
+
+@given(st.lists(events, max_size=20))
+def test_no_order_of_events_garbles_the_answer(arrived: list[AnswerEvent]) -> None:
+    # Events come late, twice, with gaps, or from a generation that was given
+    # up. What the client holds is always the beginning of one generation.
+    progress = Progress()
+    progress.note_accepted(1)
+    for event in arrived:
+        progress.note_event(event)
+        whole = WHOLE[progress.generation]
+        assert progress.tokens == whole[: len(progress.tokens)]
+
+
+def test_an_end_that_overtook_tokens_is_not_the_end() -> None:
+    # The end of an answer arrives though a part of its tokens got lost on the
+    # way. Taken as it is the caller would hold a finding without its last lines.
+    progress = Progress()
+    progress.note_accepted(1)
+    progress.note_event(make_tokens(1, 0, 2))
+    end = EndedEvent(ResultCode.OK, summary=AnswerSummary(tokens=4))
+    assert progress.note_event(end) is Step.REJOIN
+    progress.note_event(make_tokens(1, 2, 4))
+    assert progress.note_event(end) is Step.FINISH
+
+
+def test_a_refusal_ends_the_doubt_about_earlier_submissions() -> None:
+    # The first submission's connection broke; nobody knows whether it was
+    # accepted. A later refusal holds for all submissions up to its own.
+    progress = Progress()
+    progress.note_sending()
+    assert progress.in_doubt
+    progress.note_sending()
+    refusal = Failure(ResultCode.QUEUE_FULL, retry_after=1.0)
+    assert progress.note_refused(refusal, True) is Step.RESUBMIT
+    assert not progress.in_doubt
+
+
+def test_a_refusal_for_want_of_room_leaves_the_doubt() -> None:
+    # A host without room asked nobody about the key. The request may be running
+    # at the host that the first submission reached.
+    progress = Progress()
+    progress.note_sending()
+    progress.note_sending()
+    progress.note_refused(Failure(ResultCode.TOO_MANY_CONNECTIONS), False)
+    assert progress.in_doubt
+
+
+def test_an_unknown_outcome_is_asked_for_again() -> None:
+    # The host that held a call went silent. It may yet deliver; a client that
+    # gave up now, or sent a new key, might get two letters.
+    progress = Progress()
+    progress.note_accepted(1)
+    end = EndedEvent(ResultCode.OUTCOME_UNKNOWN, retry_after=0.5)
+    assert progress.note_event(end) is Step.REJOIN
+    assert progress.retry_after == 0.5
+    progress.note_event(make_tokens(1, 0, 4))
+    assert progress.note_event(EndedEvent(ResultCode.OK)) is Step.FINISH
--- a/dewridge/tests/frontend/callers_tests.py
+++ b/dewridge/tests/frontend/callers_tests.py
@@ -67,7 +67,7 @@
 async def test_a_stream_names_its_events() -> None:
     requests = FakeRequests([two_tokens(1), DONE])
     answer = await send(requests, make_body(stream=True))
-    text = (await answer.get_data()).decode()
+    text = await answer.get_data(as_text=True)
     names = [line[7:] for line in text.splitlines() if line.startswith("event: ")]
     assert names == ["accepted", "tokens", "end"]
 
--- a/dewridge/tests/frontend/fakes.py
+++ b/dewridge/tests/frontend/fakes.py
@@ -1,10 +1,10 @@
 """Fakes at the interfaces that the frontend uses."""
 
 import hashlib
-import uuid
+import zlib
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import trio
@@ -92,7 +92,7 @@
         incarnation=Incarnation(1),
         failure_domain=FailureDomain(domain),
         address="127.0.0.1:1",
-        frontend_address=f"10.0.0.1:{uuid.uuid5(uuid.NAMESPACE_DNS, name).int % 60000}",
+        frontend_address=f"127.0.0.1:{1 + zlib.crc32(name.encode()) % 1000}",
         state=state,
     )
 
@@ -114,6 +114,9 @@
     def subscribe(self, listener: Any) -> None:
         pass
 
+    def set_address(self, address: str) -> None:
+        self._members[0] = replace(self._members[0], frontend_address=address)
+
 
 @dataclass
 class FakeRequests:
@@ -299,7 +302,8 @@
     requests: FakeRequests, **frontend: Any
 ) -> AsyncIterator[Running]:
     settings = make_settings(**frontend)
-    app = make_app(requests, settings)
+    membership = FakeMembership([make_member("host-1", "zona-a")])
+    app = make_app(requests, settings, membership)
     send, receive = trio.open_memory_channel[str](1)
     shutdown, ended = trio.Event(), trio.Event()
 
@@ -309,7 +313,9 @@
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(run)
-        yield Running(await receive.receive(), shutdown, ended)
+        address = await receive.receive()
+        membership.set_address(address)
+        yield Running(address, shutdown, ended)
         shutdown.set()
         with trio.move_on_after(5):
             await ended.wait()
--- /dev/null
+++ b/dewridge/tests/settings/loading_tests.py
@@ -0,0 +1,129 @@
+"""The settings file: every fault at once, each with its place."""
+
+import hashlib
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dewridge.settings.loading import LoadedSettings, load_settings, parse_settings
+
+EXAMPLES = Path(__file__).parents[3] / "examples"
+DIGEST = hashlib.sha256(b"a token").hexdigest()
+
+
+def make_document() -> dict[str, Any]:
+    return {
+        "host": {"id": "h", "region": "r", "failure_domain": "zona-a"},
+        "platform": {
+            "key_value": "http://127.0.0.1:1",
+            "host_list": "http://127.0.0.1:2",
+            "cloud": "http://127.0.0.1:3",
+        },
+        "accounts": [{"name": "auditor", "token_sha256": DIGEST}],
+    }
+
+
+def load(document: Any) -> LoadedSettings:
+    return parse_settings(json.dumps(document).encode())
+
+
+def find_errors(document: Any) -> dict[str, str]:
+    return {problem.path: problem.text for problem in load(document).errors}
+
+
+def test_all_errors_are_told_at_once_with_their_places() -> None:
+    # An operator has made several slips in one file. Told one at a time they
+    # would cost a restart each.
+    document = make_document()
+    document["host"].pop("region")
+    document["host"]["failure_domian"] = "zona-a"
+    document["frontend"] = {"port": 70000, "heartbeat": "2", "body_limit": True}
+    document["log"] = {"format": "xml"}
+    document["accounts"].append({"name": 3})
+    errors = find_errors(document)
+    assert set(errors) == {
+        "host.region",
+        "host.failure_domian",
+        "frontend.port",
+        "frontend.heartbeat",
+        "frontend.body_limit",
+        "log.format",
+        "accounts[1].name",
+        "accounts[1].token_sha256",
+    }
+    assert "did you mean `failure_domain`" in errors["host.failure_domian"]
+    assert errors["frontend.port"] == "70000 is above 65535"
+
+
+def test_a_name_given_twice_is_an_error() -> None:
+    # The later of two values would win silently.
+    text = json.dumps(make_document())[:-1] + ', "log": {}, "log": {}}'
+    loaded = parse_settings(text.encode())
+    assert [str(each) for each in loaded.errors] == ["log: is given twice"]
+
+
+def test_checks_across_settings() -> None:
+    # Two accounts with one token can't be told apart: rivals would read each
+    # other's answers. A retention below the deadline would let a key be
+    # forgotten, and the call run twice, while its caller still waits.
+    document = make_document()
+    document["accounts"].append({"name": "auditor", "token_sha256": DIGEST.upper()})
+    document["operators"] = [{"name": "olga", "token_sha256": "abc"}]
+    document["requests"] = {"retention": 300}
+    document["frontend"] = {"address": "0.0.0.0"}
+    document["peers"] = {"seeds": ["host:1"]}
+    errors = find_errors(document)
+    assert set(errors) == {
+        "accounts[1].name",
+        "accounts[1].token_sha256",
+        "operators[0].token_sha256",
+        "frontend.deadline_limit",
+        "frontend.advertised",
+        "peers.seeds[0]",
+    }
+    assert all(DIGEST not in text for text in errors.values())
+
+
+def test_warnings_do_not_hinder() -> None:
+    loaded = load(make_document())
+    assert loaded.settings is not None
+    assert {each.path for each in loaded.warnings} == {"operators", "peers.seeds"}
+
+
+@pytest.mark.parametrize("name", ["sello-verde", "karoo"])
+def test_the_example_settings_are_valid(name: str) -> None:
+    loaded = load_settings(EXAMPLES / f"{name}.json")
+    assert (loaded.errors, loaded.warnings) == ((), ())
+
+
+values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=9),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=9), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+sections = st.sampled_from(
+    ["host", "platform", "frontend", "peers", "requests", "accounts", "log", "x"]
+)
+options = st.sampled_from(["id", "address", "port", "seeds", "retention", "name"])
+
+
+@given(st.dictionaries(sections, values | st.dictionaries(options, values)))
+def test_no_document_breaks_the_loader(changes: dict[str, Any]) -> None:
+    loaded = load({**make_document(), **changes})
+    assert (loaded.settings is None) == bool(loaded.errors)
+
+
+@given(st.binary(max_size=60) | st.text(max_size=60).map(str.encode))
+def test_no_bytes_break_the_loader(raw: bytes) -> None:
+    assert parse_settings(raw).errors
+
+
+def test_deep_nesting_is_an_error() -> None:
+    assert parse_settings(b"[" * 50_000).errors
