--- a/dewridge/commands/load.py
+++ b/dewridge/commands/load.py
@@ -1,11 +1,12 @@
 """`dewridge load`: puts a deployment's mix of calls on entry hosts or on servers."""
 
 import json
+from pathlib import Path
 from typing import Annotated
 
 import typer
 
-from dewridge.commands.options import ExitStatus, end_usage
+from dewridge.commands.options import ExitStatus, end_usage, read_file
 
 DEFAULT_RATE = 20.0
 DEFAULT_SECONDS = 20.0
@@ -25,7 +26,12 @@
     only_these: Annotated[
         bool, typer.Option(help="Use these hosts, not their entry list.")
     ] = False,
-    token: Annotated[list[str], typer.Option(help="ACCOUNT=TOKEN; repeatable.")] = [],  # noqa: B006
+    token: Annotated[
+        list[str], typer.Option(help="ACCOUNT=TOKEN; repeatable, largest first.")
+    ] = [],  # noqa: B006
+    token_file: Annotated[
+        Path | None, typer.Option(help="File with ACCOUNT=TOKEN lines.")
+    ] = None,
     direct: Annotated[
         list[str],
         typer.Option(help="SERVICE=a.b.c.d:port, past the entry hosts; repeatable."),
@@ -54,6 +60,7 @@
         run_load,
     )
 
+    pairs = token + (read_file(token_file).split() if token_file else [])
     direct_addresses: dict[str, list[str]] = {}
     for service, address in split_pairs(direct, "--direct SERVICE=ADDRESS"):
         direct_addresses.setdefault(service, []).append(address)
@@ -64,7 +71,7 @@
         warmup=warmup,
         entry_hosts=tuple(entry_host),
         only_these=only_these,
-        tokens=dict(split_pairs(token, "--token ACCOUNT=TOKEN")),
+        tokens=dict(split_pairs(pairs, "each token as ACCOUNT=TOKEN")),
         direct=direct_addresses,
         only=only,
         seed=seed,
--- a/dewridge/load/mixes.py
+++ b/dewridge/load/mixes.py
@@ -11,6 +11,9 @@
     reading relief history site street pressure certificate plant shift record
     """.split()  # noqa: SIM905 - a list of quoted words reads worse
 )
+ACCOUNT_WEIGHTS = (0.40, 0.30, 0.20, 0.06, 0.04)
+"""Shares of the client accounts, in the order in which they are named: a few large
+ones and several small ones. More than five share like the last."""
 COMMON_WORDS = 64
 """Words that all prompts of an account and operation begin with, as a template
 would; the engines' prefix caches see them again."""
@@ -45,11 +48,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Mix:
-    """The calls of a deployment and the weights of its client accounts."""
+    """The calls of a deployment."""
 
     name: str
     calls: tuple[CallShape, ...]
-    accounts: dict[str, float]
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,14 +74,6 @@
         CallShape("registry", "issue_letter", PLAIN, 0.10),
         CallShape("findings", "draft_finding", MODEL, 0.30, 600, 200, 120.0),
     ),
-    # A few large accounts and several small ones.
-    {
-        "cooperativa": 0.40,
-        "gulf-imports": 0.30,
-        "puerto-brokers": 0.20,
-        "quetzal-customs": 0.06,
-        "izabal-customs": 0.04,
-    },
 )
 KAROO = Mix(
     "karoo",
@@ -90,43 +84,46 @@
         CallShape("portal", "lookup_tester", PLAIN, 0.25),
         CallShape("portal", "file_certificate", PLAIN, 0.05),
     ),
-    {
-        "rand-valves": 0.40,
-        "highveld-testing": 0.35,
-        "vaal-plumbing": 0.15,
-        "city-inspectors": 0.06,
-        "depot-inspectors": 0.04,
-    },
 )
 MIXES = {mix.name: mix for mix in (SELLO_VERDE, KAROO)}
 
 
-def make_calls(
-    mix: Mix, rate: float, seconds: float, seed: int, only: str = ""
-) -> Iterator[Call]:
-    """Draw the calls of a run, in order of time.
-
-    Callers do not know of each other, so that arrivals are a Poisson process:
-    it has the bursts that an even spacing hides.
+@dataclass(frozen=True, slots=True)
+class Arrivals:
+    """When calls arrive, and whose they are.
 
-    Args:
-        mix: the deployment's calls.
+    Attributes:
         rate: calls a second.
-        seconds: length of the run.
+        accounts: client accounts, the largest first.
         seed: makes a run repeatable.
         only: the one operation to call; empty: all of the mix.
     """
-    drawn = random.Random(seed)
-    shapes = [shape for shape in mix.calls if only in ("", shape.operation)]
+
+    rate: float
+    seconds: float
+    accounts: tuple[str, ...]
+    seed: int = 1
+    only: str = ""
+
+
+def make_calls(mix: Mix, arrivals: Arrivals) -> Iterator[Call]:
+    """Draw the calls of a run, in order of time.
+
+    Callers do not know of each other, so that arrivals are a Poisson process:
+    it has the bursts that an even spacing hides.
+    """
+    drawn = random.Random(arrivals.seed)
+    shapes = [s for s in mix.calls if arrivals.only in ("", s.operation)]
     weights = [shape.weight for shape in shapes]
-    accounts = list(mix.accounts)
-    account_weights = list(mix.accounts.values())
-    at = drawn.expovariate(rate)
-    while at < seconds:
+    surplus = len(arrivals.accounts) - len(ACCOUNT_WEIGHTS)
+    shares = [*ACCOUNT_WEIGHTS, *([ACCOUNT_WEIGHTS[-1]] * max(0, surplus))]
+    shares = shares[: len(arrivals.accounts)]
+    at = drawn.expovariate(arrivals.rate)
+    while at < arrivals.seconds:
         shape = drawn.choices(shapes, weights)[0]
-        account = drawn.choices(accounts, account_weights)[0]
+        account = drawn.choices(arrivals.accounts, shares)[0]
         yield make_call(at, account, shape, drawn)
-        at += drawn.expovariate(rate)
+        at += drawn.expovariate(arrivals.rate)
 
 
 def make_call(at: float, account: str, shape: CallShape, drawn: random.Random) -> Call:
--- a/dewridge/load/session.py
+++ b/dewridge/load/session.py
@@ -1,10 +1,10 @@
 """Puts together a run of the load generator from its options."""
 
 from contextlib import AsyncExitStack
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Any
 
-from dewridge.load.mixes import MIXES, Mix, make_calls
+from dewridge.load.mixes import MIXES, Arrivals, Mix, make_calls
 from dewridge.load.runner import Run, RunPlan
 from dewridge.load.targets import (
     call_backend_servers,
@@ -13,6 +13,9 @@
     make_client,
 )
 
+DIRECT_ACCOUNTS = tuple(f"account-{n}" for n in range(1, 6))
+"""Names that salt prompts when there is no entry host to give accounts."""
+
 
 class OptionError(Exception):
     """The options do not go together."""
@@ -25,7 +28,7 @@
     Attributes:
         entry_hosts: addresses to ask for the entry list.
         only_these: whether to use just these, not the list.
-        tokens: token by client account; accounts without one make no calls.
+        tokens: token by client account, the largest account first.
         direct: addresses of backend servers by service.
         only: the one operation to call; empty: all of the mix.
     """
@@ -63,29 +66,31 @@
         if missing:
             raise OptionError(f"give --direct for {missing}, or another --only")
         return mix
-    known = options.tokens or {}
-    accounts = {name: mix.accounts[name] for name in mix.accounts if name in known}
-    if not accounts:
-        names = ", ".join(mix.accounts)
-        raise OptionError(f"give a --token ACCOUNT=TOKEN for some of {names}")
-    return replace(mix, accounts=accounts)
+    if not options.tokens:
+        raise OptionError("give --token ACCOUNT=TOKEN or --token-file")
+    return mix
 
 
 async def run_load(options: LoadOptions) -> dict[str, Any]:
     """Run the generator and return the figures."""
     mix = check_options(options)
-    length = options.warmup + options.seconds
-    calls = make_calls(mix, options.rate, length, options.seed, options.only)
+    tokens = options.tokens or {}
+    arrivals = Arrivals(
+        rate=options.rate,
+        seconds=options.warmup + options.seconds,
+        accounts=tuple(tokens) or DIRECT_ACCOUNTS,
+        seed=options.seed,
+        only=options.only,
+    )
     async with AsyncExitStack() as stack:
         client = await stack.enter_async_context(make_client())
         if options.direct:
             send = call_backend_servers(client, options.direct)
         else:
-            tokens = options.tokens or {}
             hosts = list(options.entry_hosts)
             if not options.only_these:
-                token = tokens[next(iter(mix.accounts))]
+                token = next(iter(tokens.values()))
                 hosts = await fetch_entry_list(client, hosts[0], token)
             send = call_entry_hosts(client, hosts, tokens)
         plan = RunPlan(options.seconds, options.warmup)
-        return await Run(plan, send, options.quiet).run(calls)
+        return await Run(plan, send, options.quiet).run(make_calls(mix, arrivals))
