Let a Failure be told apart by its type, never by its truth

Cause: the first run of the demo from end to end printed PEER_UNREACHABLE for three answers that were whole: a Failure was false in a condition, so `last_failure or Failure(PEER_UNREACHABLE)` always took the right side; the in-memory key-value service of the tests had the same slip and was never down. Ruled out: the client's network errors; its trace showed the end event with code 0.

--- a/dewridge/requests/scheduling.py
+++ b/dewridge/requests/scheduling.py
@@ -48,7 +48,7 @@
 
     def note_leaving(
         self, server: BackendServerId, at: float | None, source: str, /
-    ) -> None:
+    ) -> object:
         """Record that a backend server is leaving."""
 
 
--- a/dewridge/sentinels.py
+++ b/dewridge/sentinels.py
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Failure:
-    """A result that could not be had; false in a condition.
+    """A result that could not be had; told apart by `isinstance`.
 
     Attributes:
         code: the numbered result code.
@@ -19,9 +19,6 @@
     reason: str = ""
     retry_after: float | None = None
 
-    def __bool__(self) -> bool:
-        return False
-
     @property
     def outcome(self) -> Outcome:
         """What the code says about the caller's request."""
