Run scenarios of faults on real processes and check what was seen

Cause: the promises are to be proved under kills, freezes, reclaims, outages and spoiled answers, on entry hosts as plain processes. A profile's policies are checked when published.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN := $(VENV)/bin/python -m
 READY := $(VENV)/.ready-$(shell cksum < requirements.lock | cut -d' ' -f1)
 
-.PHONY: setup demo test check format lint types contracts generate binary clean
+.PHONY: proofs setup demo test check format lint types contracts generate binary clean
 
 setup: $(READY)
 
@@ -27,6 +27,10 @@
 lint: setup
 	$(RUN) ruff check .
 
+# SEED=n and SCENARIO=name choose; histories go to build/proofs.
+proofs: setup
+	$(RUN) dewridge proofs --runs $(or $(RUNS),1)
+
 types: setup
 	$(RUN) mypy
 
--- a/dewridge/configuration/checks.py
+++ b/dewridge/configuration/checks.py
@@ -1,6 +1,7 @@
 """Checks of what operators publish: all problems at once, a plain line each."""
 
 from dewridge.configuration.model import Configuration, Profile, Service
+from dewridge.policy.registry import check_profile
 
 
 def check_profile_change(profile: Profile) -> list[str]:
@@ -8,14 +9,7 @@
     problems = [] if profile.name else ["the profile has no name"]
     if "/" in profile.name:
         problems.append("a profile's name holds no slash")
-    targets = profile.targets
-    for name in ("first_token", "between_tokens", "whole_answer"):
-        if getattr(targets, name) <= 0:
-            problems.append(f"targets.{name} must be above 0 seconds")
-    for name in ("per_hour", "per_answer"):
-        if getattr(profile.limits, name) < 0:
-            problems.append(f"limits.{name} must not be below 0")
-    return problems
+    return problems + check_profile(profile)
 
 
 def check_service_change(service: Service, configuration: Configuration) -> list[str]:
--- a/dewridge/proofs/history.py
+++ b/dewridge/proofs/history.py
@@ -187,6 +187,7 @@
         """Write all events as JSON lines, by time."""
         ordered = sorted(self.events, key=lambda event: event.at)
         lines = [msgspec.json.encode(event) for event in ordered]
+        path.parent.mkdir(parents=True, exist_ok=True)
         path.write_bytes(b"\n".join(lines) + b"\n")
 
 
--- /dev/null
+++ b/dewridge/proofs/scenarios.py
@@ -0,0 +1,250 @@
+"""Scenarios: a deployment, a load, faults at seeded times, promises to hold."""
+
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from random import Random
+
+import trio
+
+from dewridge.proofs.history import History, Leaving
+from dewridge.proofs.workload import MIX, CallKind
+from dewridge.testbed.deployment import (
+    BackendProcess,
+    Deployment,
+    DeploymentOptions,
+    EntryHost,
+)
+
+Strike = Callable[["Run"], Awaitable[None]]
+"""Injects the faults of a scenario while the load runs."""
+
+NOTICE = (2.0, 5.0)
+"""Seconds of notice before an announced reclaim; the brief's range."""
+
+OUTAGE = 10.0
+"""Seconds of an outage of the key-value service."""
+
+LEASE_LONG = 8.0
+"""Seconds of a freeze: longer than suspicion, claims and every timeout."""
+
+EIGHT_HOSTS = DeploymentOptions(hosts=8)
+
+
+@dataclass
+class Run:
+    """One run of a scenario."""
+
+    deployment: Deployment
+    history: History
+    random: Random
+    reclaimed: set[str] = field(default_factory=set)
+
+    def choose_host(self) -> EntryHost:
+        """Return an entry host that runs."""
+        running = [h for h in self.deployment.hosts if h.process.is_running]
+        return self.random.choice(running)
+
+    def choose_backends(self, domain: str) -> list[BackendProcess]:
+        """Return the backend processes of a failure domain that run."""
+        return [
+            backend
+            for backend in self.deployment.backends
+            if backend.failure_domain == domain
+            and backend.control not in self.reclaimed
+        ]
+
+    async def reclaim_backend(
+        self, backend: BackendProcess, *, is_announced_by_cloud: bool = True
+    ) -> None:
+        """Announce the reclaim of a process's servers, then take them away.
+
+        The process itself stays, so that its log of what ran can be read.
+        """
+        notice = self.random.uniform(*NOTICE)
+        leaving = {"leaving": not is_announced_by_cloud, "dies_in": notice}
+        for server in backend.servers:
+            gone_at = time.time() + notice
+            if is_announced_by_cloud:
+                gone_at = await self.deployment.announce_reclaim(server, notice)
+            self.history.add(Leaving(time.time(), server, gone_at))
+            self.history.inject("reclaim of a backend server", server)
+        await self.deployment.order(f"{backend.control}/control/leaving", leaving)
+        self.reclaimed.add(backend.control)
+        await trio.sleep(notice)
+
+    async def reclaim_host(self, host: EntryHost) -> None:
+        """Announce the reclaim of an entry host, then take it away."""
+        notice = self.random.uniform(*NOTICE)
+        await self.deployment.announce_reclaim(host.name, notice)
+        self.history.inject("reclaim of an entry host", host.name)
+        await trio.sleep(notice)
+        host.process.kill()
+
+    async def reclaim_domain(self, domain: str) -> None:
+        """Take a whole failure domain: its backend servers and its entry hosts."""
+        hosts = [
+            h
+            for h in self.deployment.hosts
+            if h.failure_domain == domain and h.process.is_running
+        ]
+        async with trio.open_nursery() as nursery:
+            for backend in self.choose_backends(domain):
+                nursery.start_soon(self.reclaim_backend, backend)
+            for host in hosts:
+                nursery.start_soon(self.reclaim_host, host)
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """A named proof.
+
+    Attributes:
+        promises: by their numbers in the brief's order; those that always hold
+            are checked besides.
+        before: seconds of load before the first fault.
+        after: seconds of load after the last one.
+        rate: calls a second.
+    """
+
+    name: str
+    fault: str
+    promises: tuple[int, ...]
+    strike: Strike
+    options: DeploymentOptions = EIGHT_HOSTS
+    mix: tuple[CallKind, ...] = MIX
+    rate: float = 20.0
+    before: float = 2.0
+    after: float = 3.0
+    deadline: float = 30.0
+
+
+async def reclaim_servers(run: Run) -> None:
+    """Reclaim the backend servers of one failure domain."""
+    domain = run.random.choice(run.deployment.place.failure_domains)
+    async with trio.open_nursery() as nursery:
+        for backend in run.choose_backends(domain):
+            nursery.start_soon(run.reclaim_backend, backend)
+
+
+async def reclaim_entry_host(run: Run) -> None:
+    """Reclaim one entry host."""
+    await run.reclaim_host(run.choose_host())
+
+
+async def reclaim_failure_domain(run: Run) -> None:
+    """Reclaim a failure domain with all that is in it."""
+    await run.reclaim_domain(run.random.choice(run.deployment.place.failure_domains))
+
+
+async def reclaim_two_domains(run: Run) -> None:
+    """Reclaim a second failure domain while the first is still going."""
+    first, second = run.random.sample(run.deployment.place.failure_domains, 2)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(run.reclaim_domain, first)
+        await trio.sleep(1.0)
+        nursery.start_soon(run.reclaim_domain, second)
+
+
+async def kill_hosts(run: Run) -> None:
+    """Kill two entry hosts, one after the other."""
+    for _ in range(2):
+        host = run.choose_host()
+        run.history.inject("kill -9 of an entry host", host.name)
+        host.process.kill()
+        await trio.sleep(run.random.uniform(1.0, 3.0))
+
+
+async def freeze_host(run: Run) -> None:
+    """Freeze an entry host for longer than every lease, then wake it."""
+    host = run.choose_host()
+    run.history.inject("freeze of an entry host", host.name)
+    host.process.freeze()
+    await trio.sleep(LEASE_LONG)
+    host.process.thaw()
+
+
+async def stop_gracefully(run: Run) -> None:
+    """Shut two entry hosts down together."""
+    running = [h for h in run.deployment.hosts if h.process.is_running]
+    chosen = run.random.sample(running, 2)
+    for host in chosen:
+        run.history.inject("graceful shutdown", host.name)
+        host.process.terminate()
+    for host in chosen:
+        await host.process.wait_ended()
+
+
+async def restart_in_turn(run: Run) -> None:
+    """Restart every entry host, one after the other, under load."""
+    for host in list(run.deployment.hosts):
+        run.history.inject("graceful shutdown", host.name)
+        replacement = await run.deployment.start_host(host.failure_domain)
+        await run.deployment.wait_joined(replacement)
+        host.process.terminate()
+        await host.process.wait_ended()
+
+
+async def lose_key_value(run: Run) -> None:
+    """Take the key-value service down for a while."""
+    run.history.inject("outage of the key-value service", "key_value")
+    await run.deployment.set_platform_fault("key_value", "down")
+    await trio.sleep(OUTAGE)
+    await run.deployment.set_platform_fault("key_value", "none")
+
+
+async def slow_key_value(run: Run) -> None:
+    """Let each call of the key-value service take a second longer."""
+    run.history.inject("key-value service slow", "key_value")
+    await run.deployment.set_platform_fault("key_value", "slow", seconds=1.0)
+    await trio.sleep(OUTAGE)
+    await run.deployment.set_platform_fault("key_value", "none")
+
+
+async def lose_key_value_answers(run: Run) -> None:
+    """Lose the answers to half the writes, which take effect all the same."""
+    run.history.inject("answers of the key-value service lost", "key_value")
+    await run.deployment.set_platform_fault(
+        "key_value", "lose_answers", share=0.5, kinds=["compare_and_swap"]
+    )
+    await trio.sleep(OUTAGE)
+    await run.deployment.set_platform_fault("key_value", "none")
+
+
+def spoil_answers(mode: str) -> Strike:
+    """Return a strike that spoils the answers of one failure domain's servers."""
+
+    async def strike(run: Run) -> None:
+        domain = run.random.choice(run.deployment.place.failure_domains)
+        for backend in run.choose_backends(domain):
+            run.history.inject(f"answers {mode}", backend.servers[0])
+            order = {"mode": mode, "seconds": 0.3}
+            await run.deployment.order(f"{backend.control}/control/fault", order)
+        await trio.sleep(6.0)
+        for backend in run.choose_backends(domain):
+            await run.deployment.order(
+                f"{backend.control}/control/fault", {"mode": "none"}
+            )
+
+    return strike
+
+
+SCENARIOS: tuple[Scenario, ...] = (
+    Scenario("reclaim-servers", "backend servers reclaimed", (1, 5), reclaim_servers),
+    Scenario("reclaim-host", "entry host reclaimed", (1, 6), reclaim_entry_host),
+    Scenario(
+        "reclaim-domain", "failure domain reclaimed", (1, 5), reclaim_failure_domain
+    ),
+    Scenario("reclaim-two", "two failure domains", (1, 5), reclaim_two_domains),
+    Scenario("kill-hosts", "entry hosts killed", (), kill_hosts),
+    Scenario("freeze-host", "entry host frozen and woken", (), freeze_host),
+    Scenario("stop-two", "two hosts shut down together", (6,), stop_gracefully),
+    Scenario("rolling", "rolling restart", (6,), restart_in_turn),
+    Scenario("kv-down", "key-value service down", (), lose_key_value),
+    Scenario("kv-slow", "key-value service slow", (), slow_key_value),
+    Scenario("kv-lost", "answers of writes lost", (), lose_key_value_answers),
+    *(
+        Scenario(f"answers-{mode}", f"answers {mode}", (), spoil_answers(mode))
+        for mode in ("late", "duplicate", "reorder", "truncate", "misdirect", "silent")
+    ),
+)
--- a/dewridge/testbed/deployment.py
+++ b/dewridge/testbed/deployment.py
@@ -38,14 +38,15 @@
 
     Attributes:
         hosts: entry hosts, spread over the failure domains in turn.
-        counts: backend servers per failure domain and plan; None: the place's.
+        counts: backend servers per failure domain, by service; the place's own
+            for a service that is not named.
         step: milliseconds of an engine's step.
         overrides: settings by section that replace the testbed's own.
     """
 
     hosts: int = 3
     host_domains: int = 4
-    counts: tuple[int, ...] | None = None
+    counts: dict[str, tuple[int, ...]] = field(default_factory=dict)
     step: float = 5.0
     capacity: int = 8
     work: float = 5.0
@@ -138,10 +139,8 @@
         await self.publish_all()
 
     def _count_servers(self, plan: EnginePlan, index: int) -> int:
-        counts = self.options.counts
-        if counts is None:
-            return plan.counts[index]
-        return counts[index % len(counts)]
+        counts = self.options.counts.get(plan.service, plan.counts)
+        return counts[index]
 
     async def _start_process(self, name: str, arguments: list[str]) -> Process:
         process = await start_process(
@@ -236,22 +235,30 @@
 
     async def _wait_ready(self) -> None:
         self.tell("waiting for the entry hosts to find each other")
-        until = trio.current_time() + READY_LIMIT
         for host in self.hosts:
-            while not await self.is_joined(host):
-                ended = not host.process.is_running
-                if ended or trio.current_time() > until:
-                    text = host.process.log_path.read_text()[-1500:]
-                    raise StartError(f"{host.name} did not come up:\n{text}")
-                await trio.sleep(0.05)
-
-    async def is_joined(self, host: EntryHost) -> bool:
-        """Whether an entry host answers and sees as many members as there are."""
+            await self.wait_joined(host)
+
+    async def wait_joined(self, host: EntryHost) -> None:
+        """Wait until an entry host answers and sees all that run.
+
+        Raises:
+            StartError: it has ended, or does not in time.
+        """
+        until = trio.current_time() + READY_LIMIT
+        while not await self._is_joined(host):
+            ended = not host.process.is_running
+            if ended or trio.current_time() > until:
+                text = host.process.log_path.read_text()[-1500:]
+                raise StartError(f"{host.name} did not come up:\n{text}")
+            await trio.sleep(0.05)
+
+    async def _is_joined(self, host: EntryHost) -> bool:
+        """Whether an entry host answers and sees as many members as run."""
         dump = await self.read_dump(host)
         members = dump.get("parts", {}).get("membership", {}).get("members", [])
         live = [member for member in members if member.get("state") == "ALIVE"]
         running = [h for h in self.hosts if h.process.is_running]
-        return len(live) >= len(running)
+        return len(live) + 1 >= len(running)
 
     # ---- operators ------------------------------------------------------------
 
@@ -290,6 +297,14 @@
         detail = response.text if response is not None else "no answer"
         raise StartError(f"PUT {path}: {detail}")
 
+    async def read_etag(self, path: str) -> str:
+        """Return the revision of an object, as an operator reads it."""
+        response = await self.http.get(
+            f"{self.hosts[0].url}{path}", headers=self.operator_headers
+        )
+        response.raise_for_status()
+        return str(response.headers["ETag"])
+
     @property
     def operator_headers(self) -> dict[str, str]:
         """Headers that name the operator."""
@@ -324,6 +339,24 @@
         )
         return time.time() + notice
 
+    async def set_platform_fault(self, target: str, mode: str, **more: Any) -> None:
+        """Put a fault of the platform in force; mode `none` ends it."""
+        order = {"target": target, "mode": mode, **more}
+        await self.order(f"{self.control}/control/fault", order)
+
+    async def read_logs(self) -> list[dict[str, Any]]:
+        """Return what ran on all backend servers that were ever started."""
+        lines: list[dict[str, Any]] = []
+        for backend in self.backends:
+            response = await self.http.get(f"{backend.control}/control/log")
+            lines += response.json()
+        return lines
+
+    async def read_platform_calls(self) -> dict[str, int]:
+        """Return how often the platform was called, by service and kind."""
+        response = await self.http.get(f"{self.control}/control/calls")
+        return dict(response.json()["calls"])
+
     def list_frontends(self) -> list[str]:
         """Return the frontend addresses of the entry hosts that run."""
         return [host.frontend for host in self.hosts if host.process.is_running]
--- a/dewridge/tests/configuration/service_tests.py
+++ b/dewridge/tests/configuration/service_tests.py
@@ -87,8 +87,12 @@
 
 
 def make_profile(name: str, first_token: float = 0.4) -> Profile:
-    plain = PolicyChoice("plain")
-    profile = Profile(ProfileName(name), plain, plain, plain)
+    profile = Profile(
+        ProfileName(name),
+        PolicyChoice("balanced"),
+        PolicyChoice("fair"),
+        PolicyChoice("resume"),
+    )
     targets = msgspec.structs.replace(profile.targets, first_token=first_token)
     return msgspec.structs.replace(profile, targets=targets)
 
