Serve the connections that wait when listening ends

A shutdown looked like a cut-off answer to callers that connected at its moment: the kernel had completed their connections, the process had not accepted them, and closing the listener reset them. A duplicate of the listening socket is emptied and closed in one step, and connections just accepted get half a second for their head. Ruled out: a longer time of accepting, which moves the moment and does not remove it. What is left: a caller whose handshake is under way across the network at the close is reset.

Acceptance under a shield has a limit now, so that a hung one can't hold up a shutdown; a whole answer is given only if it has all tokens that its end counts; connections refused and cut off are counted.

--- a/dewridge/client/client.py
+++ b/dewridge/client/client.py
@@ -73,6 +73,7 @@
             ),
             limits=httpx.Limits(max_connections=POOL_CONNECTIONS),
             trust_env=False,
+            verify=False,  # hosts are reached by IP number, without TLS
         )
         self._book = AddressBook(addresses, self._fetch_list)
 
--- a/dewridge/client/operators.py
+++ b/dewridge/client/operators.py
@@ -30,6 +30,7 @@
             headers={"Authorization": f"Bearer {token}"},
             timeout=httpx.Timeout(CALL_TIMEOUT, connect=CONNECT_TIMEOUT),
             trust_env=False,
+            verify=False,  # hosts are reached by IP number, without TLS
         )
 
     async def __aenter__(self) -> Self:
--- a/dewridge/frontend/callers.py
+++ b/dewridge/frontend/callers.py
@@ -8,7 +8,7 @@
 from quart import Response, request
 from quart_trio import QuartTrio
 
-from dewridge.codes import Outcome
+from dewridge.codes import Outcome, ResultCode
 from dewridge.frontend.bodies import (
     RequestBody,
     decode_body,
@@ -35,6 +35,10 @@
 """Seconds past the deadline that a whole answer is waited for, so that the final
 word on a missed deadline still arrives on the same connection."""
 
+SUBMIT_LIMIT = 30.0
+"""Seconds for accepting a submission; the steps in it have shorter timeouts."""
+RETRY_AFTER = 1.0
+
 
 def add_caller_routes(app: QuartTrio, parts: FrontendParts) -> None:
     """Add the routes that client accounts use."""
@@ -149,9 +153,13 @@
 async def _submit(parts: FrontendParts, submission: Submission) -> Accepted | Failure:
     started = trio.current_time()
     # The server cancels this handler when the caller drops its connection.
-    # Halfway through acceptance that could leave copies that nobody owns;
-    # acceptance has its own timeouts, so it may end.
-    with parts.streams.hold(submission.account), trio.CancelScope(shield=True):
+    # Halfway through acceptance that could leave copies that nobody owns, so
+    # acceptance may end; the limit keeps a hung one from holding up a shutdown.
+    accepted: Accepted | Failure = Failure(
+        ResultCode.OUTCOME_UNKNOWN, "acceptance took too long", RETRY_AFTER
+    )
+    scope = trio.CancelScope(shield=True, deadline=started + SUBMIT_LIMIT)
+    with parts.streams.hold(submission.account), scope:
         accepted = await parts.requests.submit(submission)
     parts.metrics.observe("frontend_submit_seconds", trio.current_time() - started)
     code = accepted.code if isinstance(accepted, Failure) else 1
--- a/dewridge/frontend/connections.py
+++ b/dewridge/frontend/connections.py
@@ -5,6 +5,7 @@
 
 from dewridge.codes import Outcome, ResultCode
 from dewridge.frontend.problems import PROBLEM_TYPE, make_problem
+from dewridge.metrics.registry import Metrics
 from dewridge.sentinels import Failure
 
 TURN_AWAY_TIMEOUT = 0.5
@@ -23,9 +24,12 @@
     the place that it has reached.
     """
 
-    def __init__(self, stream: trio.SocketStream, timeout: float) -> None:
+    def __init__(
+        self, stream: trio.SocketStream, timeout: float, metrics: Metrics
+    ) -> None:
         self._stream = stream
         self._timeout = timeout
+        self._metrics = metrics
         self.socket = stream.socket
 
     async def send_all(self, data: bytes) -> None:
@@ -33,6 +37,7 @@
         with trio.move_on_after(self._timeout) as scope:
             await self._stream.send_all(data)
         if scope.cancelled_caught:
+            self._metrics.add("frontend_stalled_connections")
             await trio.aclose_forcefully(self._stream)
             raise trio.BrokenResourceError("the caller takes nothing")
 
@@ -57,8 +62,9 @@
     flight with it. The ones turned away are told when to come back.
     """
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, metrics: Metrics) -> None:
         self._limit = limit
+        self._metrics = metrics
         self._open = 0
         self._turning_away = 0
         self._refusal = _write_refusal()
@@ -66,13 +72,18 @@
     def enter(self) -> bool:
         """Count one more connection; False if there is no room."""
         if self._open >= self._limit:
+            self._metrics.add("frontend_refused_connections")
             return False
-        self._open += 1
+        self._note(self._open + 1)
         return True
 
     def leave(self) -> None:
         """Count one connection less."""
-        self._open -= 1
+        self._note(self._open - 1)
+
+    def _note(self, count: int) -> None:
+        self._open = count
+        self._metrics.set_gauge("frontend_connections", count)
 
     async def turn_away(self, stream: trio.SocketStream) -> None:
         """Tell a caller that there is no room, and close."""
--- a/dewridge/frontend/server.py
+++ b/dewridge/frontend/server.py
@@ -1,8 +1,9 @@
 """The HTTP server: connections with limits, and a shutdown that cuts off nothing."""
 
 import socket
-from collections.abc import Callable
-from functools import partial
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from typing import Any
 
 import trio
 from hypercorn.config import Config
@@ -14,11 +15,15 @@
 from quart_trio import QuartTrio
 
 from dewridge.frontend.connections import BoundedStream, ConnectionGate
+from dewridge.metrics.registry import Metrics
 from dewridge.settings.schema import FrontendSettings
 
 BACKLOG = 512
 """Connections that may wait to be accepted: a reclaim sends the callers of a
 whole failure domain to the other hosts within the same second."""
+HEAD_GRACE = 0.5
+"""Seconds at a shutdown in which connections just accepted may send the head of
+their request, before those without a request are closed."""
 
 
 async def serve(
@@ -26,6 +31,7 @@
     settings: FrontendSettings,
     shutdown: trio.Event,
     on_listening: Callable[[str], None],
+    metrics: Metrics | None = None,
 ) -> None:
     """Serve until `shutdown` is set and every answer in flight has ended.
 
@@ -34,7 +40,9 @@
         settings: limits and the address to listen on.
         shutdown: set it to refuse new connections and let answers end.
         on_listening: called with the address once connections are accepted.
+        metrics: counts connections, and those refused or cut off.
     """
+    metrics = metrics or Metrics()
     config = make_config(settings)
     state: LifespanState = {}
     wrapped = wrap_app(app, settings.body_limit, "asgi")
@@ -44,7 +52,9 @@
         await lifespan.wait_for_startup()
         listener = await _listen(settings)
         on_listening(_name_address(listener))
-        await _serve_connections(wrapped, config, settings, listener, shutdown)
+        context = WorkerContext(None)
+        handle = _make_handler(wrapped, settings, context, metrics)
+        await _serve_connections(handle, listener, shutdown, context, settings)
         await lifespan.wait_for_shutdown()
         nursery.cancel_scope.cancel()
 
@@ -88,36 +98,76 @@
     return f"[{host}]:{port}" if is_v6 else f"{host}:{port}"
 
 
-async def _serve_connections(
+Handle = Callable[[trio.SocketStream], Awaitable[None]]
+
+
+def _make_handler(
     app: AppWrapper,
-    config: Config,
     settings: FrontendSettings,
-    listener: trio.SocketListener,
-    shutdown: trio.Event,
-) -> None:
+    context: WorkerContext,
+    metrics: Metrics,
+) -> Handle:
     # The library's own loop accepts without a limit and lets a write wait for
     # ever on a caller that takes nothing; this one differs in these two.
-    context = WorkerContext(None)
-    gate = ConnectionGate(settings.connection_limit)
+    config = make_config(settings)
+    gate = ConnectionGate(settings.connection_limit, metrics)
 
     async def handle(stream: trio.SocketStream) -> None:
         if not gate.enter():
             await gate.turn_away(stream)
             return
         try:
-            bounded = BoundedStream(stream, settings.write_timeout)
+            bounded: Any = BoundedStream(stream, settings.write_timeout, metrics)
             state = ConnectionState({})
-            await CallerConnection(app, config, context, state, bounded)  # type: ignore[arg-type]
+            await CallerConnection(app, config, context, state, bounded)
         finally:
             gate.leave()
 
+    return handle
+
+
+async def _serve_connections(
+    handle: Handle,
+    listener: trio.SocketListener,
+    shutdown: trio.Event,
+    context: WorkerContext,
+    settings: FrontendSettings,
+) -> None:
+    # Accepting closes its socket when it is cancelled; this one goes on listening.
+    bound = listener.socket
+    spare = socket.fromfd(bound.fileno(), bound.family, socket.SOCK_STREAM)
     async with trio.open_nursery() as connections:
         async with trio.open_nursery() as accepting:
-            accept = partial(
-                trio.serve_listeners, handle, [listener], handler_nursery=connections
-            )
-            accepting.start_soon(accept)
+            accepting.start_soon(_accept, listener, handle, connections)
             await shutdown.wait()
             accepting.cancel_scope.cancel()
+        for stream in _take_waiting(spare):
+            connections.start_soon(handle, stream)
+        await trio.sleep(HEAD_GRACE)
         await context.terminated.set()
-        connections.cancel_scope.deadline = trio.current_time() + settings.drain_seconds
+        drain = settings.drain_seconds
+        connections.cancel_scope.deadline = trio.current_time() + drain
+
+
+def _take_waiting(listening: socket.socket) -> list[trio.SocketStream]:
+    """Stop listening and return the connections not accepted until now.
+
+    The kernel completes connections before the process accepts them, and
+    resets those that wait when listening ends; to their callers that looks
+    like an answer cut off. Nothing runs between the last one taken and the
+    close.
+    """
+    waiting = []
+    with listening:
+        listening.setblocking(False)
+        with suppress(BlockingIOError):
+            while True:
+                connection, _ = listening.accept()
+                waiting.append(trio.socket.from_stdlib_socket(connection))
+    return [trio.SocketStream(each) for each in waiting]
+
+
+async def _accept(
+    listener: trio.SocketListener, handle: Handle, connections: trio.Nursery
+) -> None:
+    await trio.serve_listeners(handle, [listener], handler_nursery=connections)
--- a/dewridge/frontend/streams.py
+++ b/dewridge/frontend/streams.py
@@ -190,9 +190,7 @@
         """Add an event; True if it was the last."""
         match event:
             case TokensEvent():
-                self.generation = event.generation
-                del self.tokens[event.offset :]
-                self.tokens.extend(event.tokens)
+                self._take_tokens(event)
             case RestartEvent():
                 self.generation = event.generation
                 self.tokens.clear()
@@ -202,6 +200,22 @@
                 self.ended = event
         return is_last(event)
 
+    def _take_tokens(self, event: TokensEvent) -> None:
+        if event.generation != self.generation:
+            self.generation = event.generation
+            self.tokens.clear()
+        known = len(self.tokens) - event.offset
+        if known >= 0:  # below 0 tokens are missing, and `is_whole` will say so
+            self.tokens.extend(event.tokens[known:])
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether every token that the end counts has come."""
+        if self.ended is None:
+            return False
+        has_all = len(self.tokens) >= self.ended.summary.tokens
+        return self.ended.code is not ResultCode.OK or bool(self.ended.body) or has_all
+
 
 async def answer_whole(
     parts: FrontendParts, follower: Follower, timeout: float
@@ -214,7 +228,7 @@
             async for event in channel:
                 if gathered.take(event):
                     break
-    if gathered.ended is None:
+    if gathered.ended is None or not gathered.is_whole:
         return _answer_unfinished(follower.key, gathered.addresses)
     return _answer_ended(follower.key, gathered, gathered.ended)
 
--- a/dewridge/logs.py
+++ b/dewridge/logs.py
@@ -34,4 +34,4 @@
         """Write a library's record as a line of ours."""
         kind = record.exc_info[0] if record.exc_info else None
         fault = kind.__name__ if kind else ""
-        log.log(record.levelname, "{}: {} {}", record.name, record.msg, fault)
+        log.log(record.levelno, "{}: {} {}", record.name, record.msg, fault)
--- a/dewridge/tests/frontend/server_tests.py
+++ b/dewridge/tests/frontend/server_tests.py
@@ -1,7 +1,11 @@
 """The server over real connections: long streams, shutdown, floods."""
 
+from collections import Counter
+from contextlib import AsyncExitStack
+
 import httpx
 import trio
+import trio.lowlevel
 
 from dewridge.codes import ResultCode
 from dewridge.ids import Generation
@@ -26,16 +30,26 @@
     return [*script, EndedEvent(ResultCode.OK)]
 
 
-async def read_stream(address: str, token: str = AUDITOR) -> list[str]:
-    async with (
-        httpx.AsyncClient(timeout=10) as client,
-        client.stream(
-            "POST",
-            f"http://{address}{FINDINGS}",
-            json=make_body(stream=True),
-            headers=authorize(token),
-        ) as answer,
-    ):
+def make_client() -> httpx.AsyncClient:
+    # No keep-alive: each stream has a connection of its own.
+    limits = httpx.Limits(max_keepalive_connections=0)
+    return httpx.AsyncClient(timeout=10, verify=False, limits=limits)
+
+
+async def read_stream(
+    address: str, token: str = AUDITOR, client: httpx.AsyncClient | None = None
+) -> list[str]:
+    async with AsyncExitStack() as stack:
+        if client is None:
+            client = await stack.enter_async_context(make_client())
+        answer = await stack.enter_async_context(
+            client.stream(
+                "POST",
+                f"http://{address}{FINDINGS}",
+                json=make_body(stream=True),
+                headers=authorize(token),
+            )
+        )
         lines = [line async for line in answer.aiter_lines()]
     return [line[7:] for line in lines if line.startswith("event: ")]
 
@@ -178,3 +192,29 @@
         assert await read_stream(frontend.address, RIVAL) == ["accepted", "end"]
         nursery.cancel_scope.cancel()
     assert len(requests.submissions) == 3
+
+
+async def test_callers_that_connect_during_a_shutdown_are_served_or_refused() -> None:
+    # Callers connect at the very moment at which the host stops listening. A
+    # connection that the kernel took and the process dropped looks to its
+    # caller like an answer cut off.
+    found: Counter[str] = Counter()
+    requests = FakeRequests([EndedEvent(ResultCode.OK)])
+    async with run_frontend(requests) as frontend, make_client() as client:
+
+        async def call() -> None:
+            try:
+                names = await read_stream(frontend.address, AUDITOR, client)
+                found[names[-1]] += 1
+            except httpx.TransportError as error:
+                found[type(error).__name__] += 1
+
+        async with trio.open_nursery() as nursery:
+            for place in range(200):
+                nursery.start_soon(call)
+                if place == 100:
+                    frontend.shutdown.set()
+                if place % 10 == 0:
+                    await trio.lowlevel.checkpoint()
+    assert set(found) <= {"end", "ConnectError"}, found
+    assert found["end"] and found["ConnectError"]
