--- a/dewridge/configuration/service.py
+++ b/dewridge/configuration/service.py
@@ -447,7 +447,9 @@
         revision = self._configuration.revision
         stamp = int(time.time() * 1000)
         payload = revision.to_bytes(8, "big")
-        self._rumors.spread(Rumor(CONFIRMED_RUMOR, "head", stamp, payload))
+        self._rumors.spread(
+            Rumor(CONFIRMED_RUMOR, "head", stamp, payload, routine=True)
+        )
 
 
 def _accept_any(head: Head) -> Failure | None:
--- a/dewridge/fleet/watcher.py
+++ b/dewridge/fleet/watcher.py
@@ -45,6 +45,10 @@
 JITTER = 0.2
 """Share by which periods vary, so that hosts do not poll at the same moment."""
 
+GONE_KEPT = 3_600.0
+"""Seconds that members remember a server as gone: longer than the host list lags.
+For ever, the servers replaced in a year would fill every host's memory."""
+
 KIND_SERVER = "server"
 KIND_LEAVING = "server_leaving"
 KIND_HOST_RECLAIM = "host_reclaim"
@@ -209,7 +213,8 @@
         subject = listed.backend_server
         version = max(int(self._clock() * 1000), self._versions.get(subject, 0) + 1)
         payload = msgspec.json.encode(ServerPayload(listed, gone))
-        self._spread(Rumor(KIND_SERVER, subject, version, payload))
+        lifetime = GONE_KEPT if gone else None
+        self._spread(Rumor(KIND_SERVER, subject, version, payload, lifetime=lifetime))
 
     def _spread_leaving(
         self, server: BackendServerId, at: float | None, source: str
@@ -226,7 +231,7 @@
     def _spread_heartbeat(self) -> None:
         payload = msgspec.json.encode(ListingPayload(self._find_digest()))
         version = int(self._clock() * 1000)
-        self._spread(Rumor(KIND_LISTING, "host_list", version, payload))
+        self._spread(Rumor(KIND_LISTING, "host_list", version, payload, routine=True))
 
     def _spread(self, rumor: Rumor) -> None:
         self._metrics.add("fleet_rumors_total", kind=rumor.kind)
--- a/dewridge/membership/messages.py
+++ b/dewridge/membership/messages.py
@@ -79,6 +79,7 @@
         payload=rumor.payload,
         age=age,
         routine=rumor.routine or None,
+        lifetime=rumor.lifetime,
     )
 
 
@@ -89,7 +90,12 @@
         texts = _are(str, item.kind, item.subject)
         if texts and _are(int, item.version) and _are(bytes, item.payload):
             rumor = Rumor(
-                item.kind, item.subject, item.version, item.payload, bool(item.routine)
+                item.kind,
+                item.subject,
+                item.version,
+                item.payload,
+                bool(item.routine),
+                item.lifetime,
             )
             found.append((rumor, max(0.0, item.age or 0.0)))
     return found
--- a/dewridge/membership/model.py
+++ b/dewridge/membership/model.py
@@ -71,6 +71,8 @@
         version: a higher version of the same kind and subject replaces a lower.
         routine: whether it may wait for the next probe, in place of being told at
             once; for what is repeated every second or two anyway.
+        lifetime: seconds after which every member forgets it; None: never, and
+            only what has a bounded number of subjects may go without.
     """
 
     kind: str
@@ -78,6 +80,7 @@
     version: int
     payload: bytes
     routine: bool = False
+    lifetime: float | None = None
 
 
 FENCED_RUMOR = "fenced"
--- a/dewridge/membership/rumors.py
+++ b/dewridge/membership/rumors.py
@@ -15,11 +15,12 @@
 """Bounds on what is kept: four rumors for each of 4,900 workers in a sixteenth of the
 64 MB for control. A part that spreads without end would otherwise fill every host's
 memory at once."""
-LIFETIMES = {"server": 3_600.0, "fenced": 172_800.0}
-"""Seconds after which rumors of a kind that begins so are forgotten everywhere. A
-backend server that was seen leaving is gone within minutes and the host list lags by
-less than an hour; a host that woke up after two days has no work left to harm.
-Without it a year of replaced servers would be told to each new host."""
+LIFETIMES = {"server_leaving": 3_600.0, "host_reclaim": 3_600.0, "fenced": 172_800.0}
+"""Seconds after which rumors of a kind are forgotten everywhere, unless they bring a
+lifetime of their own. A backend server that was seen leaving is gone within minutes
+and the host list lags by less than an hour; a host that woke up after two days has no
+work left to harm. Without it a year of replaced servers would be told to each new host
+and fill COUNT_LIMIT, and then new servers would not be heard of."""
 
 ITEM_OVERHEAD = 40
 """Bytes that a rumor takes on the wire besides its texts."""
@@ -54,7 +55,7 @@
         known = self._kept.get(place)
         if known is not None and known.rumor.version >= rumor.version:
             return Reception.KNOWN
-        if age > find_lifetime(rumor.kind):
+        if age > find_lifetime(rumor):
             return Reception.EXPIRED
         size = measure(rumor)
         if len(rumor.payload) > PAYLOAD_LIMIT or not self._has_room(size, known):
@@ -88,7 +89,7 @@
         old = [
             place
             for place, kept in self._kept.items()
-            if now - kept.born > find_lifetime(kept.rumor.kind)
+            if now - kept.born > find_lifetime(kept.rumor)
         ]
         for place in old:
             self._drop(place)
@@ -121,12 +122,11 @@
     return ITEM_OVERHEAD + texts
 
 
-def find_lifetime(kind: str) -> float:
-    """Return the seconds that rumors of a kind are kept."""
-    for prefix, seconds in LIFETIMES.items():
-        if kind.startswith(prefix):
-            return seconds
-    return float("inf")
+def find_lifetime(rumor: Rumor) -> float:
+    """Return the seconds that a rumor is kept."""
+    if rumor.lifetime is not None:
+        return rumor.lifetime
+    return LIFETIMES.get(rumor.kind, float("inf"))
 
 
 def _name(rumor: Rumor) -> str:
--- a/dewridge/peers/dewridge.thrift
+++ b/dewridge/peers/dewridge.thrift
@@ -40,6 +40,7 @@
   4: binary payload
   5: optional double age   // seconds since it was first spread
   6: optional bool routine // it can wait for the next probe
+  7: optional double lifetime // seconds after which all forget it; absent: never
 }
 
 // `target_incarnation` is the one that the prober means; 0: whoever answers.
--- a/dewridge/peers/wire/ttypes.py
+++ b/dewridge/peers/wire/ttypes.py
@@ -397,6 +397,7 @@
      - payload
      - age
      - routine
+     - lifetime
 
     """
 
@@ -407,16 +408,18 @@
         'payload',
         'age',
         'routine',
+        'lifetime',
     )
 
 
-    def __init__(self, kind=None, subject=None, version=None, payload=None, age=None, routine=None,):
+    def __init__(self, kind=None, subject=None, version=None, payload=None, age=None, routine=None, lifetime=None,):
         self.kind = kind
         self.subject = subject
         self.version = version
         self.payload = payload
         self.age = age
         self.routine = routine
+        self.lifetime = lifetime
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -457,6 +460,11 @@
                     self.routine = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.DOUBLE:
+                    self.lifetime = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -491,6 +499,10 @@
             oprot.writeFieldBegin('routine', TType.BOOL, 6)
             oprot.writeBool(self.routine)
             oprot.writeFieldEnd()
+        if self.lifetime is not None:
+            oprot.writeFieldBegin('lifetime', TType.DOUBLE, 7)
+            oprot.writeDouble(self.lifetime)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5540,6 +5552,7 @@
     (4, TType.STRING, 'payload', 'BINARY', None, ),  # 4
     (5, TType.DOUBLE, 'age', None, None, ),  # 5
     (6, TType.BOOL, 'routine', None, None, ),  # 6
+    (7, TType.DOUBLE, 'lifetime', None, None, ),  # 7
 )
 all_structs.append(Probe)
 Probe.thrift_spec = (
