--- /dev/null
+++ b/dewridge/commands/pages.py
@@ -0,0 +1,142 @@
+"""Pages of the documentation that are made from declarations in the code.
+
+`python -m dewridge.commands.pages` writes them; a test compares.
+"""
+
+from collections.abc import Iterator
+from dataclasses import is_dataclass
+from pathlib import Path
+from typing import Any, get_args, get_origin
+
+from dewridge.codes import TABLE
+from dewridge.commands.options import ExitStatus
+from dewridge.settings.loading import find_default, list_options
+from dewridge.settings.schema import Settings
+
+DOCS = Path(__file__).parents[2] / "docs"
+NOTE = "<!-- Made by `python -m dewridge.commands.pages`; edit the code instead. -->\n"
+
+STATUS_MEANINGS = {
+    ExitStatus.DONE: "Done as asked.",
+    ExitStatus.FAILED: "It ran and failed.",
+    ExitStatus.USAGE: "A wrong call: an option, a file or the settings.",
+    ExitStatus.NOT_RUN: "Refused: nothing was run or changed. Come back later.",
+    ExitStatus.UNKNOWN: "The outcome is unknown. Ask again by the key, or read back.",
+    ExitStatus.UNREACHABLE: "No entry host could be reached.",
+    ExitStatus.CONFLICT: "Someone changed it first. Read it again and redo.",
+    ExitStatus.REFUSED: "The token does not allow this, or there is none.",
+}
+
+
+def make_codes_page() -> str:
+    """Return the page of result codes and exit statuses."""
+    lines = [
+        "# Result codes",
+        "",
+        NOTE,
+        "Every error of the HTTP interface is a problem document (RFC 9457) with one",
+        "of these numbers in `code`, what is known of the request in `outcome`, and",
+        "the seconds until it makes sense to come back in `retry_after`.",
+        "`dewridge codes 204` shows one of them.",
+        "",
+        "An answer may carry a more careful `outcome` than the table: a host without",
+        "room asks nobody about the key and says `unknown`.",
+        "",
+        "| Code | Name | HTTP | Outcome | Meaning | What to do |",
+        "| ---: | --- | ---: | --- | --- | --- |",
+    ]
+    for code, entry in TABLE.items():
+        cells = [
+            str(int(code)),
+            f"`{code.name}`",
+            str(entry.http_status),
+            f"`{entry.outcome.value}`",
+            entry.title,
+            entry.advice,
+        ]
+        lines.append(f"| {' | '.join(cells)} |")
+    lines += ["", "## Exit statuses", "", "| Status | Meaning |", "| ---: | --- |"]
+    lines += [
+        f"| {int(status)} | {meaning} |" for status, meaning in STATUS_MEANINGS.items()
+    ]
+    return "\n".join([*lines, ""])
+
+
+def make_settings_page() -> str:
+    """Return the page of settings."""
+    lines = [
+        "# Settings",
+        "",
+        NOTE,
+        "The settings file is JSON with comments. `dewridge check-settings FILE` shows",
+        "all errors and warnings at once, each with its path in the file.",
+        "",
+    ]
+    for option, kind in list_options(Settings):
+        section = find_section(kind)
+        suffix = "[]" if get_origin(kind) is tuple else ""
+        needed = " Required." if option.metadata["required"] else ""
+        lines += [f"## `{option.name}{suffix}`", ""]
+        lines += [f"{option.metadata['description']}{needed}", ""]
+        lines += ["| Setting | Type | Default | Bounds | Meaning |"]
+        lines += ["| --- | --- | --- | --- | --- |"]
+        lines += list(_list_rows(section))
+        lines.append("")
+    return "\n".join(lines)
+
+
+def find_section(kind: Any) -> Any:
+    """Return the dataclass of a section or of the items of a list."""
+    return kind if is_dataclass(kind) else get_args(kind)[0]
+
+
+def _list_rows(section: Any) -> Iterator[str]:
+    for option, kind in list_options(section):
+        cells = [
+            f"`{option.name}`",
+            _name_kind(kind),
+            _format_default(option),
+            _format_bounds(option.metadata),
+            option.metadata["description"],
+        ]
+        yield f"| {' | '.join(cells)} |"
+
+
+def _name_kind(kind: Any) -> str:
+    names = {str: "string", int: "whole number", float: "number", bool: "true/false"}
+    if get_origin(kind) is tuple:
+        return f"list of {names[get_args(kind)[0]]}s"
+    return names[kind]
+
+
+def _format_default(option: Any) -> str:
+    if option.metadata["required"]:
+        return "required"
+    default = find_default(option)
+    if default in ("", ()):
+        return "empty"
+    unit = option.metadata["unit"]
+    number = f"{default:g}" if isinstance(default, float) else str(default)
+    return f"{number} {unit}".strip()
+
+
+def _format_bounds(metadata: Any) -> str:
+    if metadata["choices"]:
+        return ", ".join(f"`{choice}`" for choice in metadata["choices"])
+    if metadata["low"] is None and metadata["high"] is None:
+        return ""
+    return f"{metadata['low']:,} to {metadata['high']:,} {metadata['unit']}".strip()
+
+
+PAGES = {"result-codes.md": make_codes_page, "settings.md": make_settings_page}
+
+
+def write_pages() -> None:
+    """Write all pages."""
+    DOCS.mkdir(exist_ok=True)
+    for name, make in PAGES.items():
+        (DOCS / name).write_text(make())
+
+
+if __name__ == "__main__":
+    write_pages()
--- /dev/null
+++ b/dewridge/tests/commands/logs_tests.py
@@ -0,0 +1,47 @@
+"""Logs: a line each, for people or machines, without what callers sent."""
+
+import json
+import logging
+from collections.abc import Iterator
+
+import pytest
+from loguru import logger as log
+
+from dewridge.logs import set_up_logs
+from dewridge.settings.schema import LogSettings
+
+
+@pytest.fixture(autouse=True)
+def restore() -> Iterator[None]:
+    handlers = logging.root.handlers[:]
+    yield
+    log.remove()
+    logging.root.handlers[:] = handlers
+
+
+def test_tracebacks_do_not_print_the_values_of_variables(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    # A task fails while it holds a token. The library's usual tracebacks print
+    # the value of each variable beside its line.
+    set_up_logs(LogSettings(format="json"))
+    token = "".join(["very", "-", "secret"])
+    try:
+        len(token) / 0
+    except ZeroDivisionError as error:
+        log.opt(exception=error).error("a task failed")
+    captured = capsys.readouterr().err
+    line = json.loads(captured.splitlines()[0])
+    assert line["record"]["message"] == "a task failed"
+    assert "very-secret" not in captured
+
+
+def test_what_libraries_log_keeps_its_arguments_to_itself(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    set_up_logs(LogSettings(level="debug"))
+    logging.getLogger("some.library").warning("bad header %s", "very-secret")
+    logging.getLogger("some.library").log(35, "an odd level")
+    captured = capsys.readouterr().err
+    assert "bad header %s" in captured and "very-secret" not in captured
+    assert "an odd level" in captured
