Bind a fake stream's script when the stream opens

Cause: test_an_account_at_its_limit_does_not_shut_out_another failed in 2 of 5 runs of its file. The fake counted a stream as open before it had read its script, so the test's next line gave the running stream the later script, it ended at once, and the limit had room. Ruled out: the limit itself, which is taken before the fake counts. Conclusion: the fault was the fake's.

--- a/dewridge/tests/frontend/fakes.py
+++ b/dewridge/tests/frontend/fakes.py
@@ -146,15 +146,19 @@
         self.open_streams += 1
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._play, send)
+                nursery.start_soon(self._play, send, tuple(self.script))
                 yield receive
                 nursery.cancel_scope.cancel()
         finally:
             self.open_streams -= 1
 
-    async def _play(self, send: trio.MemorySendChannel[AnswerEvent]) -> None:
+    async def _play(
+        self,
+        send: trio.MemorySendChannel[AnswerEvent],
+        script: Sequence[AnswerEvent | float],
+    ) -> None:
         async with send:
-            for step in self.script:
+            for step in script:
                 if isinstance(step, float):
                     await trio.sleep(step)
                 else:
