Wire an entry host together; the demo runs the main job from end to end

Cause: the parts were built side by side; this is the composition root that makes one process of them, with `serve`, `demo` and `proofs`. Ruled out: starting the frontend before the peers (its imports hold up the join); a fenced host that ends its process (it starts anew in the same one).

--- a/dewridge/__main__.py
+++ b/dewridge/__main__.py
@@ -11,11 +11,14 @@
 from dewridge.commands import profile, service, standin
 from dewridge.commands.check_settings import check_settings
 from dewridge.commands.codes import codes
+from dewridge.commands.demo import demo
 from dewridge.commands.dump import dump
 from dewridge.commands.entry_hosts import entry_hosts
 from dewridge.commands.load import load
 from dewridge.commands.options import STATUSES_HELP, ExitStatus
+from dewridge.commands.proofs import prove
 from dewridge.commands.request import request
+from dewridge.commands.serve import serve
 from dewridge.commands.version import version
 
 INTERRUPTED = 130
@@ -36,6 +39,8 @@
     """Serve language models and plain services on reclaimable hosts."""
 
 
+app.command()(serve)
+app.command()(demo)
 app.command("check-settings")(check_settings)
 app.command("entry-hosts")(entry_hosts)
 app.command()(request)
@@ -46,6 +51,7 @@
 app.command()(version)
 app.add_typer(standin.app, name="standin")
 app.command()(load)
+app.command("proofs")(prove)
 
 
 def run() -> None:
--- /dev/null
+++ b/dewridge/composition.py
@@ -0,0 +1,301 @@
+"""The one composition root: builds an entry host's parts and runs them."""
+
+import signal
+import time
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+import trio
+from loguru import logger as log
+
+from dewridge.codes import ResultCode
+from dewridge.configuration.service import ConfigurationService
+from dewridge.fleet.dispatch import make_dispatch
+from dewridge.fleet.model import Dispatch
+from dewridge.fleet.table import ServerTable
+from dewridge.fleet.watcher import FleetWatcher
+from dewridge.ids import FailureDomain, HostId, Incarnation
+from dewridge.lifecycle import Ending, Lifecycle
+from dewridge.membership.model import Member
+from dewridge.membership.registration import Registration
+from dewridge.membership.service import MembershipService
+from dewridge.metrics.registry import Metrics
+from dewridge.peers.model import PeerIdentity
+from dewridge.peers.transport import PeerTransport
+from dewridge.platform.cloud import make_cloud
+from dewridge.platform.hostlist import make_host_list
+from dewridge.platform.keyvalue import make_key_value
+from dewridge.platform.model import Cloud, HostList, KeyValue
+from dewridge.requests.service import RequestService
+from dewridge.sentinels import Failure
+from dewridge.settings.schema import Settings
+from dewridge.supervision.dumps import DumpBoard
+from dewridge.supervision.tree import RestartLimitError, Supervisor
+
+
+async def run_host(settings: Settings) -> Ending:
+    """Run an entry host until it has left; a fenced one starts anew.
+
+    Returns:
+        LEFT after a graceful shutdown, FAILED when restarts did not help.
+    """
+    while True:
+        ending = await _run_incarnation(settings)
+        if ending is not Ending.FENCED:
+            return ending
+        log.warning("starting as a new incarnation")
+
+
+async def _run_incarnation(settings: Settings) -> Ending:
+    lifecycle = Lifecycle()
+    async with AsyncExitStack() as stack:
+        outside = await _open_outside(settings, stack)
+        host = _build_host(settings, lifecycle, outside)
+        ending = Ending.LEFT
+        try:
+            await _run_parts(host)
+        except* RestartLimitError as group:
+            log.error("giving up: {}", group.exceptions[0])
+            ending = Ending.FAILED
+    return Ending.FENCED if lifecycle.fenced.is_set() else ending
+
+
+async def _run_parts(host: "Host") -> None:
+    """Run an incarnation's parts until it has left or was fenced."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_watch_signals, host.lifecycle)
+        nursery.start_soon(host.supervisor.run)
+        await host.lifecycle.wait()
+        if not host.lifecycle.fenced.is_set():
+            await host.leave()
+        nursery.cancel_scope.cancel()
+
+
+async def _watch_signals(lifecycle: Lifecycle) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            lifecycle.start_leaving()
+
+
+@dataclass(frozen=True)
+class Outside:
+    """What an incarnation uses outside of its process, and what counts it."""
+
+    metrics: Metrics
+    key_value: KeyValue
+    host_list: HostList
+    cloud: Cloud
+    dispatch: Dispatch
+
+
+async def _open_outside(settings: Settings, stack: AsyncExitStack) -> Outside:
+    metrics = Metrics()
+    enter = stack.enter_async_context
+    platform = settings.platform
+    timeout = platform.call_timeout
+    connect_timeout = settings.peers.connect_timeout
+    return Outside(
+        metrics,
+        await enter(
+            make_key_value(platform.key_value, timeout=timeout, metrics=metrics)
+        ),
+        await enter(
+            make_host_list(platform.host_list, timeout=timeout, metrics=metrics)
+        ),
+        await enter(make_cloud(platform.cloud, timeout=timeout, metrics=metrics)),
+        await enter(make_dispatch(metrics=metrics, connect_timeout=connect_timeout)),
+    )
+
+
+@dataclass(frozen=True)
+class Host:
+    """The parts of one incarnation, wired together."""
+
+    settings: Settings
+    lifecycle: Lifecycle
+    outside: Outside
+    peers: PeerTransport
+    membership: MembershipService
+    registration: Registration
+    configuration: ConfigurationService
+    watcher: FleetWatcher
+    requests: RequestService
+    supervisor: Supervisor
+    dumps: DumpBoard
+    close_frontend: trio.Event = field(default_factory=trio.Event)
+    frontend_closed: trio.Event = field(default_factory=trio.Event)
+
+    async def leave(self) -> None:
+        """Go without losing a request: no new ones, hand off, then close.
+
+        The order matters. Peers and callers hear first, so that nothing new is
+        sent here; the frontend closes last, since callers read to the end.
+        """
+        longest = self.settings.frontend.drain_seconds
+        await self.membership.leave()
+        await self.registration.remove()
+        await self.requests.drain(self.lifecycle.find_drain_time(longest))
+        self.close_frontend.set()
+        with trio.move_on_after(self.lifecycle.find_drain_time(longest)):
+            await self.frontend_closed.wait()
+        log.info("left")
+
+    async def run_frontend(self) -> None:
+        """Serve callers and operators."""
+        # quart and hypercorn take long to import; what peers need is up before.
+        from dewridge.frontend.app import build_app  # noqa: PLC0415
+        from dewridge.frontend.server import serve  # noqa: PLC0415
+
+        app = build_app(
+            settings=self.settings,
+            requests=self.requests,
+            configuration=self.configuration,
+            membership=self.membership,
+            usage=self.requests.read_usage_everywhere,
+            dumps=self.dumps,
+            metrics=self.outside.metrics,
+            is_leaving=self.lifecycle.leaving.is_set,
+        )
+        name = self.settings.host.id
+        await serve(
+            app,
+            self.settings.frontend,
+            self.close_frontend,
+            lambda address: log.info("host {} serves at {}", name, address),
+        )
+        self.frontend_closed.set()
+
+
+def make_member(settings: Settings, incarnation: Incarnation) -> Member:
+    """Return this host's own membership entry, from its settings."""
+    peers, frontend = settings.peers, settings.frontend
+    return Member(
+        HostId(settings.host.id),
+        incarnation,
+        FailureDomain(settings.host.failure_domain),
+        peers.advertised or f"{peers.address}:{peers.port}",
+        frontend.advertised or f"{frontend.address}:{frontend.port}",
+    )
+
+
+def _build_host(settings: Settings, lifecycle: Lifecycle, outside: Outside) -> Host:
+    """Build all parts of one incarnation and wire them together."""
+    me = make_member(settings, Incarnation(time.time_ns() // 1000))
+    seed = Random(f"{me.host}/{me.incarnation}").randrange(2**32)
+    metrics, platform = outside.metrics, settings.platform
+    peers = PeerTransport(
+        settings=settings.peers,
+        deployment=settings.host.deployment,
+        me=PeerIdentity(me.host, me.incarnation, me.failure_domain),
+        metrics=metrics,
+    )
+    registration = Registration(
+        outside.key_value, platform.prefix, settings.peers.seeds, me
+    )
+    membership = MembershipService(
+        settings=settings.membership,
+        peers=peers,
+        me=me,
+        seeds=registration.find_seeds,
+        metrics=metrics,
+        seed=seed,
+        on_fenced=lifecycle.fenced.set,
+    )
+    peers.is_refused = membership.check_peer
+    configuration = ConfigurationService(
+        settings=platform,
+        key_value=outside.key_value,
+        peers=peers,
+        membership=membership,
+        rumors=membership,
+        metrics=metrics,
+        seed=seed,
+    )
+    servers = ServerTable()
+    watcher = FleetWatcher(
+        settings=platform,
+        table=servers,
+        host_list=outside.host_list,
+        cloud=outside.cloud,
+        membership=membership,
+        rumors=membership,
+        metrics=metrics,
+        on_own_notice=lifecycle.start_leaving,
+    )
+    requests = RequestService(
+        settings=settings.requests,
+        peers=peers,
+        membership=membership,
+        rumors=membership,
+        key_value=outside.key_value,
+        key_prefix=platform.prefix,
+        writes_per_second=platform.writes_per_second,
+        configuration=configuration.current,
+        servers=servers,
+        dispatch=outside.dispatch,
+        admission_gate=_make_gate(lifecycle, configuration),
+        metrics=metrics,
+        seed=seed,
+    )
+    supervision = settings.supervision
+    host = Host(
+        settings,
+        lifecycle,
+        outside,
+        peers,
+        membership,
+        registration,
+        configuration,
+        watcher,
+        requests,
+        Supervisor("host", supervision.restarts, supervision.window),
+        DumpBoard(supervision.dump_timeout),
+    )
+    _add_tasks(host)
+    _add_dumps(host)
+    return host
+
+
+def _make_gate(
+    lifecycle: Lifecycle, configuration: ConfigurationService
+) -> Callable[[], Failure | None]:
+    def check_admission() -> Failure | None:
+        if lifecycle.leaving.is_set():
+            return Failure(ResultCode.HOST_LEAVING, "use another entry host", 0.0)
+        return configuration.check_fresh()
+
+    return check_admission
+
+
+def _add_tasks(host: Host) -> None:
+    add = host.supervisor.add
+    add("peers", host.peers.run)
+    add("membership", host.membership.run)
+    add("registration", host.registration.run)
+    add("configuration", host.configuration.run)
+    add("fleet", host.watcher.run)
+    for name, run in host.requests.list_tasks():
+        add(f"requests/{name}", run)
+    add("frontend", host.run_frontend)
+
+
+def _add_dumps(host: Host) -> None:
+    add = host.dumps.add
+    add("peers", host.peers.describe)
+    add("membership", host.membership.describe)
+    add("configuration", host.configuration.describe)
+    add("fleet", host.watcher.describe)
+    add("requests", host.requests.describe)
+    add("tasks", _describe_later(host.supervisor.describe))
+
+
+def _describe_later(
+    describe: Callable[[], dict[str, object]],
+) -> Callable[[], Awaitable[Any]]:
+    async def answer() -> Any:
+        return describe()
+
+    return answer
--- a/dewridge/testbed/demonstration.py
+++ b/dewridge/testbed/demonstration.py
@@ -118,5 +118,5 @@
     summary = answer.summary
     tell(
         f"  ran on {summary.backend_server} in {summary.failure_domain} under "
-        f"{summary.profile}, {summary.tokens} tokens, cost {summary.cost:.6f}"
+        f"{summary.profile}, {summary.tokens} tokens, cost {summary.cost:.2g}"
     )
