--- a/dewridge/load/targets.py
+++ b/dewridge/load/targets.py
@@ -28,6 +28,7 @@
     """All fields of an entry host's events and of an engine's."""
 
     tokens: tuple[str, ...] = ()
+    generation: int = 0
     code: int = -1
     choices: list[dict[str, Any]] = []
 
@@ -130,24 +131,44 @@
     """Read a stream of tokens to its end and return the outcome."""
     buffer = LineBuffer()
     decoder = msgspec.json.Decoder(Frame)
-    received: list[str] = []
-    outcome = "truncated"
+    answer = Answer()
     async for chunk in chunks:
-        before = len(received)
+        before = answer.arrived
         for line in buffer.feed(chunk) or []:
-            if not line.startswith(b"data:") or b"[DONE]" in line:
-                continue
-            frame = decoder.decode(line[5:])
-            received.extend(frame.tokens)
-            if frame.code >= 0:
-                outcome = ANSWERED if frame.code == CODE_OK else f"code_{frame.code}"
-            elif frame.choices and frame.choices[0].get("finish_reason"):
-                outcome = ANSWERED
-        if len(received) > before:
-            sample.token_times.append((time.monotonic(), len(received) - before))
-    if outcome == ANSWERED and not check_answer(call.input, call.tokens, received):
-        return "wrong_answer"
-    return outcome
+            if line.startswith(b"data:") and b"[DONE]" not in line:
+                answer.take(decoder.decode(line[5:]))
+        if answer.arrived > before:
+            sample.token_times.append((time.monotonic(), answer.arrived - before))
+    whole = check_answer(call.input, call.tokens, answer.tokens)
+    return (
+        "wrong_answer" if answer.outcome == ANSWERED and not whole else answer.outcome
+    )
+
+
+class Answer:
+    """An answer as it comes; a later generation voids the earlier ones.
+
+    Attributes:
+        arrived: tokens that came, void ones included.
+    """
+
+    def __init__(self) -> None:
+        self.tokens: list[str] = []
+        self.arrived = 0
+        self.outcome = "truncated"
+        self._generation = 0
+
+    def take(self, frame: Frame) -> None:
+        """Take in one event."""
+        if frame.generation > self._generation:
+            self._generation = frame.generation
+            self.tokens.clear()
+        self.tokens.extend(frame.tokens)
+        self.arrived += len(frame.tokens)
+        if frame.code >= 0:
+            self.outcome = ANSWERED if frame.code == CODE_OK else f"code_{frame.code}"
+        elif frame.choices and frame.choices[0].get("finish_reason"):
+            self.outcome = ANSWERED
 
 
 def read_refusal(status: int, content: bytes) -> str:
