Tell an operator the revision of their own change, not of a later one

Cause: the proof with racing operators and lost answers found two accepted changes at one revision. A writer whose answer was lost read back, found its mark in a head that already held another operator's later change, and took that head's revision for its own: it told the operator a revision whose value was another's, and its host would have served its own value under it. Ruled out: the head's compare-and-swap (the chain of marks was whole). Conclusion: the revision is the mark's, the head only says that it holds it.

--- a/dewridge/configuration/service.py
+++ b/dewridge/configuration/service.py
@@ -256,19 +256,20 @@
             return check(head)
 
         change = ProposedChange(name, value, expected, operator, check_head)
-        head = await self._store.commit(change)
-        if isinstance(head, Failure):
-            self._metrics.add("configuration_changes_refused", code=head.code.name)
-            return head
-        place = head.objects[name]
-        own = StoredObject(name, place.revision, value)
+        accepted = await self._store.commit(change)
+        if isinstance(accepted, Failure):
+            code = accepted.code.name
+            self._metrics.add("configuration_changes_refused", code=code)
+            return accepted
+        self._metrics.add("configuration_changes_accepted")
+        own = StoredObject(name, accepted.revision, value)
+        head = accepted.head
         objects = await self._store.read_objects(head, {**self._objects, name: own})
         if isinstance(objects, dict):
             self._apply(head.revision, objects)
         else:
             self._spread(head.revision)  # whoever can read it now passes it on
-        self._metrics.add("configuration_changes_accepted")
-        return head.revision
+        return accepted.revision
 
     # ---- moving to a higher revision ---------------------------------------
 
--- a/dewridge/configuration/store.py
+++ b/dewridge/configuration/store.py
@@ -54,6 +54,19 @@
     check: Callable[[Head], Failure | None]
 
 
+@dataclass(frozen=True)
+class AcceptedChange:
+    """A change that was accepted.
+
+    Attributes:
+        head: a head that holds it, perhaps with later changes.
+        revision: the one that this change made.
+    """
+
+    head: Head
+    revision: int
+
+
 class ConfigurationStore:
     """Reads and changes the configuration in the key-value service."""
 
@@ -100,11 +113,11 @@
             found[name] = StoredObject(name, place.revision, entry.value)
         return found
 
-    async def commit(self, change: ProposedChange) -> Head | Failure:
+    async def commit(self, change: ProposedChange) -> AcceptedChange | Failure:
         """Make one change, accepted when the head was swapped.
 
         Returns:
-            The new head, or a failure: REVISION_CONFLICT or the check's own
+            The change as accepted, or a failure: REVISION_CONFLICT or the check's own
             (not changed), KEY_VALUE_DOWN (not changed), CHANGE_UNKNOWN (the
             key-value service took the write, perhaps, and can't be asked).
         """
@@ -121,8 +134,9 @@
                 last = read
                 await trio.sleep(SETTLE_PAUSE)
                 continue
-            if find_mark(read.head, mark) is not None:
-                return read.head
+            revision = find_mark(read.head, mark)
+            if revision is not None:
+                return AcceptedChange(read.head, revision)
             # The mark is absent from a head that was read after the doubtful
             # write, yet that write may still be on its way. It expects the old
             # key revision, so the next swap, ours or anyone's, defeats it.
@@ -142,7 +156,7 @@
             )
             if isinstance(swapped, Entry):
                 await self._forget(read.head, change.name)
-                return head
+                return AcceptedChange(head, head.revision)
             last = swapped
             if swapped.code is ResultCode.KEY_VALUE_UNKNOWN:
                 in_doubt = True
--- a/dewridge/tests/configuration/service_tests.py
+++ b/dewridge/tests/configuration/service_tests.py
@@ -260,3 +260,33 @@
         await trio.sleep(2)
         assert late.hosts[0].current().profiles["a"].targets.first_token == 0.4
         nursery.cancel_scope.cancel()
+
+
+async def test_a_late_read_back_does_not_take_anothers_revision_for_its_own(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    # The answer to Ana's change is lost. Before she reads back, Berta revises
+    # what Ana published. Told Berta's revision as her own, Ana would overwrite
+    # Berta's change without a conflict, and her host would serve her values
+    # under Berta's revision.
+    fleet = Fleet(2)
+    fleet.key_value.lost_answers = 2
+    told: list[int | Failure] = []
+
+    async def publish() -> None:
+        told.append(await fleet.hosts[0].publish_profile(make_profile("a"), 0, ANA))
+
+    async with trio.open_nursery() as nursery:
+        for host in fleet.hosts:
+            nursery.start_soon(host.run)
+        nursery.start_soon(publish)
+        await trio.sleep(0.3)
+        later = await fleet.hosts[1].publish_profile(
+            make_profile("a", 0.2), 1, OperatorName("berta")
+        )
+        await trio.sleep(2)
+        assert (told, later) == ([1], 2)
+        for host in fleet.hosts:
+            assert host.current().versions == {"profile/a": 2}
+            assert host.current().profiles["a"].targets.first_token == 0.2
+        nursery.cancel_scope.cancel()
