Add copied submissions, racing operators and more faults to the proofs

Cause: promises 3, 4, 5 and 7 had no scenario of their own. Change: submissions copied to three hosts at once or sent late, operators who race for a profile while every host is watched, a lagging host list, servers that leave by their own word, faults that wait for work in flight. The fault of lost answers named a kind of call that the stand-in does not have and had struck nothing; it does now. Testbed ports lie below the kernel's own range: a run died of 'address already in use'.

--- a/dewridge/proofs/checks.py
+++ b/dewridge/proofs/checks.py
@@ -107,6 +107,19 @@
     return found
 
 
+def check_one_answer(history: History) -> list[Violation]:
+    """Promise 4: copies of one request are all given the same answer."""
+    texts: dict[str, set[str]] = defaultdict(set)
+    for end in _pick(history, Concluded):
+        if end.verdict == "done":
+            texts[end.key].add(end.text)
+    return [
+        Violation(4, key, f"{len(given)} different answers were given")
+        for key, given in texts.items()
+        if len(given) > 1
+    ]
+
+
 def check_not_run(history: History) -> list[Violation]:
     """Promise 3: what was said not to have run did not run.
 
@@ -298,7 +311,7 @@
     1: (check_survival,),
     2: (check_own_answer,),
     3: (check_not_run, check_final_answer_at_once),
-    4: (check_at_most_once, check_at_least_once),
+    4: (check_at_most_once, check_at_least_once, check_one_answer),
     5: (check_leaving,),
     6: (check_graceful,),
     7: (check_in_force,),
--- a/dewridge/proofs/history.py
+++ b/dewridge/proofs/history.py
@@ -104,7 +104,7 @@
     """A fault lands.
 
     Attributes:
-        in_flight: requests that clients were waiting for at that moment.
+        in_flight: requests and changes that somebody was waiting for just then.
     """
 
     at: float
@@ -169,14 +169,19 @@
     def add(self, event: Event) -> None:
         """Record an event."""
         self.events.append(event)
-        if isinstance(event, Submitted):
-            self._open.add(event.key)
-        elif isinstance(event, Concluded):
-            self._open.discard(event.key)
+        match event:
+            case Submitted():
+                self._open.add(event.key)
+            case Concluded():
+                self._open.discard(event.key)
+            case ChangeAsked():
+                self._open.add(event.change)
+            case ChangeAnswered():
+                self._open.discard(event.change)
 
     @property
     def in_flight(self) -> int:
-        """Requests that clients wait for now."""
+        """Requests and changes whose answers somebody waits for now."""
         return len(self._open)
 
     def inject(self, fault: str, subject: str) -> None:
--- a/dewridge/proofs/runs.py
+++ b/dewridge/proofs/runs.py
@@ -12,11 +12,17 @@
     Violation,
     check_exercised,
     check_history,
+    list_delays,
     list_late_dispatches,
 )
-from dewridge.proofs.history import Acknowledged, Concluded, Executed, History
+from dewridge.proofs.history import (
+    Acknowledged,
+    ChangeAnswered,
+    Concluded,
+    Executed,
+    History,
+)
 from dewridge.proofs.scenarios import Run, Scenario
-from dewridge.proofs.workload import Workload
 from dewridge.testbed.deployment import Deployment, open_deployment
 from dewridge.testbed.places import SELLO_VERDE
 
@@ -34,6 +40,8 @@
         refused: requests that ended as not run.
         late_dispatches: seconds after the announcement of each dispatch to a
             server that was announced to leave.
+        changes: changes of the configuration that were accepted.
+        delays: seconds until each of them was seen at each host.
     """
 
     scenario: str
@@ -48,6 +56,8 @@
     failed: int
     violations: tuple[Violation, ...]
     late_dispatches: tuple[float, ...]
+    changes: int
+    delays: tuple[float, ...]
     platform_calls: dict[str, int]
 
 
@@ -67,21 +77,16 @@
 async def _carry_out(
     scenario: Scenario, seed: int, deployment: Deployment, history: History
 ) -> None:
-    workload = Workload(
-        deployment,
-        history,
-        seed=seed,
-        rate=scenario.rate,
-        mix=scenario.mix,
-        deadline=scenario.deadline,
-    )
+    actors = [make(deployment, history, seed) for make in scenario.actors]
     run = Run(deployment, history, Random(f"{scenario.name}/{seed}"))
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(workload.run)
+        for actor in actors:
+            nursery.start_soon(actor.run)
         await trio.sleep(scenario.before)
         await scenario.strike(run)
         await trio.sleep(scenario.after)
-        workload.stop()
+        for actor in actors:
+            actor.stop()
 
 
 def _record_log(history: History, lines: list[dict[str, Any]]) -> None:
@@ -122,6 +127,8 @@
         verdicts.count("failed"),
         tuple(violations),
         tuple(delay for _, delay in list_late_dispatches(history)),
+        sum(isinstance(e, ChangeAnswered) and e.revision > 0 for e in history.events),
+        tuple(delay for _, _, delay in list_delays(history)),
         calls,
     )
 
@@ -130,9 +137,10 @@
     """Return the results as a table for the terminal and the docs."""
     head = (
         "| scenario | fault | promises | seed | operations | accepted | done | "
-        "not run | unknown | failed | violations | last dispatch when leaving |"
+        "not run | unknown | failed | violations | last dispatch when leaving | "
+        "changes | in force, last |"
     )
-    rows = [head, "|" + " --- |" * 12]
+    rows = [head, "|" + " --- |" * 14]
     for result in results:
         latest = max(result.late_dispatches, default=0.0)
         cells = (
@@ -147,7 +155,9 @@
             result.unknown,
             result.failed,
             len(result.violations),
-            f"{latest:.2f} s",
+            f"{latest:.2f} s" if result.late_dispatches else "",
+            result.changes or "",
+            f"{max(result.delays):.2f} s" if result.delays else "",
         )
         rows.append("| " + " | ".join(map(str, cells)) + " |")
     return "\n".join(rows)
--- a/dewridge/proofs/scenarios.py
+++ b/dewridge/proofs/scenarios.py
@@ -3,12 +3,16 @@
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 from random import Random
+from typing import Protocol
 
 import trio
 
+from dewridge.proofs.copies import CopySenders
 from dewridge.proofs.history import History, Leaving
-from dewridge.proofs.workload import MIX, CallKind
+from dewridge.proofs.operators import Operators
+from dewridge.proofs.workload import DRAFT, LETTER, MIX, STATUS, CallKind, Workload
 from dewridge.testbed.deployment import (
     BackendProcess,
     Deployment,
@@ -28,6 +32,10 @@
 LEASE_LONG = 8.0
 """Seconds of a freeze: longer than suspicion, claims and every timeout."""
 
+BUSY_LIMIT = 5.0
+BUSY_GRAIN = 0.002
+"""Seconds to wait for work in flight before a fault lands, and between looks."""
+
 EIGHT_HOSTS = DeploymentOptions(hosts=8)
 
 
@@ -40,6 +48,13 @@
     random: Random
     reclaimed: set[str] = field(default_factory=set)
 
+    async def inject(self, fault: str, subject: str) -> None:
+        """Record a fault that lands now, once somebody waits for an answer."""
+        with trio.move_on_after(BUSY_LIMIT):
+            while not self.history.in_flight:
+                await trio.sleep(BUSY_GRAIN)
+        self.history.inject(fault, subject)
+
     def choose_host(self) -> EntryHost:
         """Return an entry host that runs."""
         running = [h for h in self.deployment.hosts if h.process.is_running]
@@ -68,7 +83,7 @@
             if is_announced_by_cloud:
                 gone_at = await self.deployment.announce_reclaim(server, notice)
             self.history.add(Leaving(time.time(), server, gone_at))
-            self.history.inject("reclaim of a backend server", server)
+            await self.inject("reclaim of a backend server", server)
         await self.deployment.order(f"{backend.control}/control/leaving", leaving)
         self.reclaimed.add(backend.control)
         await trio.sleep(notice)
@@ -77,7 +92,7 @@
         """Announce the reclaim of an entry host, then take it away."""
         notice = self.random.uniform(*NOTICE)
         await self.deployment.announce_reclaim(host.name, notice)
-        self.history.inject("reclaim of an entry host", host.name)
+        await self.inject("reclaim of an entry host", host.name)
         await trio.sleep(notice)
         host.process.kill()
 
@@ -95,6 +110,52 @@
                 nursery.start_soon(self.reclaim_host, host)
 
 
+class Actor(Protocol):
+    """Somebody who acts on a deployment and records what they see."""
+
+    async def run(self) -> None:
+        """Act until stopped, then wait for the last word."""
+
+    def stop(self) -> None:
+        """Begin nothing more."""
+
+
+MakeActor = Callable[[Deployment, History, int], Actor]
+"""Makes an actor for a seed."""
+
+
+def call_at(
+    rate: float, mix: tuple[CallKind, ...] = MIX, deadline: float = 30.0
+) -> MakeActor:
+    """Return callers with a mix of calls, so many a second."""
+
+    def make(deployment: Deployment, history: History, seed: int) -> Actor:
+        return Workload(
+            deployment, history, seed=seed, rate=rate, mix=mix, deadline=deadline
+        )
+
+    return make
+
+
+def copy_at(rate: float) -> MakeActor:
+    """Return callers whose submissions are copied, so many a second."""
+
+    def make(deployment: Deployment, history: History, seed: int) -> Actor:
+        return CopySenders(deployment, history, seed=seed, rate=rate)
+
+    return make
+
+
+def operate(deployment: Deployment, history: History, seed: int) -> Actor:
+    """Return operators who race for a profile."""
+    return Operators(deployment, history, seed=seed, profile="prompt-answers")
+
+
+ORDINARY = (call_at(20.0),)
+LETTERS = (call_at(40.0, (LETTER,), 15.0),)
+RACING = (call_at(5.0, (STATUS,)), operate)
+
+
 @dataclass(frozen=True)
 class Scenario:
     """A named proof.
@@ -104,19 +165,16 @@
             are checked besides.
         before: seconds of load before the first fault.
         after: seconds of load after the last one.
-        rate: calls a second.
     """
 
     name: str
     fault: str
     promises: tuple[int, ...]
     strike: Strike
+    actors: tuple[MakeActor, ...] = ORDINARY
     options: DeploymentOptions = EIGHT_HOSTS
-    mix: tuple[CallKind, ...] = MIX
-    rate: float = 20.0
     before: float = 2.0
     after: float = 3.0
-    deadline: float = 30.0
 
 
 async def reclaim_servers(run: Run) -> None:
@@ -146,11 +204,38 @@
         nursery.start_soon(run.reclaim_domain, second)
 
 
+async def lag_host_list(run: Run) -> None:
+    """Let the host list lag by a minute while servers leave."""
+    await run.deployment.order(f"{run.deployment.control}/control/lag", {"seconds": 60})
+    await reclaim_servers(run)
+
+
+async def reclaim_without_key_value(run: Run) -> None:
+    """Reclaim servers while the key-value service is down."""
+    await run.inject("outage of the key-value service", "key_value")
+    await run.deployment.set_platform_fault("key_value", "down")
+    await trio.sleep(1.0)
+    await reclaim_servers(run)
+    await run.deployment.set_platform_fault("key_value", "none")
+
+
+async def leave_by_own_word(run: Run) -> None:
+    """Let servers leave that only say so themselves; the cloud is down."""
+    await run.deployment.set_platform_fault("cloud", "down")
+    domain = run.random.choice(run.deployment.place.failure_domains)
+    async with trio.open_nursery() as nursery:
+        for backend in run.choose_backends(domain):
+            nursery.start_soon(
+                partial(run.reclaim_backend, backend, is_announced_by_cloud=False)
+            )
+    await run.deployment.set_platform_fault("cloud", "none")
+
+
 async def kill_hosts(run: Run) -> None:
     """Kill two entry hosts, one after the other."""
     for _ in range(2):
         host = run.choose_host()
-        run.history.inject("kill -9 of an entry host", host.name)
+        await run.inject("kill -9 of an entry host", host.name)
         host.process.kill()
         await trio.sleep(run.random.uniform(1.0, 3.0))
 
@@ -158,7 +243,7 @@
 async def freeze_host(run: Run) -> None:
     """Freeze an entry host for longer than every lease, then wake it."""
     host = run.choose_host()
-    run.history.inject("freeze of an entry host", host.name)
+    await run.inject("freeze of an entry host", host.name)
     host.process.freeze()
     await trio.sleep(LEASE_LONG)
     host.process.thaw()
@@ -169,7 +254,7 @@
     running = [h for h in run.deployment.hosts if h.process.is_running]
     chosen = run.random.sample(running, 2)
     for host in chosen:
-        run.history.inject("graceful shutdown", host.name)
+        await run.inject("graceful shutdown", host.name)
         host.process.terminate()
     for host in chosen:
         await host.process.wait_ended()
@@ -178,7 +263,7 @@
 async def restart_in_turn(run: Run) -> None:
     """Restart every entry host, one after the other, under load."""
     for host in list(run.deployment.hosts):
-        run.history.inject("graceful shutdown", host.name)
+        await run.inject("graceful shutdown", host.name)
         replacement = await run.deployment.start_host(host.failure_domain)
         await run.deployment.wait_joined(replacement)
         host.process.terminate()
@@ -187,7 +272,7 @@
 
 async def lose_key_value(run: Run) -> None:
     """Take the key-value service down for a while."""
-    run.history.inject("outage of the key-value service", "key_value")
+    await run.inject("outage of the key-value service", "key_value")
     await run.deployment.set_platform_fault("key_value", "down")
     await trio.sleep(OUTAGE)
     await run.deployment.set_platform_fault("key_value", "none")
@@ -195,7 +280,7 @@
 
 async def slow_key_value(run: Run) -> None:
     """Let each call of the key-value service take a second longer."""
-    run.history.inject("key-value service slow", "key_value")
+    await run.inject("key-value service slow", "key_value")
     await run.deployment.set_platform_fault("key_value", "slow", seconds=1.0)
     await trio.sleep(OUTAGE)
     await run.deployment.set_platform_fault("key_value", "none")
@@ -203,9 +288,9 @@
 
 async def lose_key_value_answers(run: Run) -> None:
     """Lose the answers to half the writes, which take effect all the same."""
-    run.history.inject("answers of the key-value service lost", "key_value")
+    await run.inject("answers of the key-value service lost", "key_value")
     await run.deployment.set_platform_fault(
-        "key_value", "lose_answers", share=0.5, kinds=["compare_and_swap"]
+        "key_value", "lose_answers", share=0.5, kinds=["swap"]
     )
     await trio.sleep(OUTAGE)
     await run.deployment.set_platform_fault("key_value", "none")
@@ -217,7 +302,7 @@
     async def strike(run: Run) -> None:
         domain = run.random.choice(run.deployment.place.failure_domains)
         for backend in run.choose_backends(domain):
-            run.history.inject(f"answers {mode}", backend.servers[0])
+            await run.inject(f"answers {mode}", backend.servers[0])
             order = {"mode": mode, "seconds": 0.3}
             await run.deployment.order(f"{backend.control}/control/fault", order)
         await trio.sleep(6.0)
@@ -240,6 +325,37 @@
     Scenario("freeze-host", "entry host frozen and woken", (), freeze_host),
     Scenario("stop-two", "two hosts shut down together", (6,), stop_gracefully),
     Scenario("rolling", "rolling restart", (6,), restart_in_turn),
+    Scenario("lagging-list", "host list lags a minute", (1, 5), lag_host_list),
+    Scenario(
+        "reclaim-kv-down",
+        "servers reclaimed, key-value service down",
+        (5,),
+        reclaim_without_key_value,
+        (call_at(20.0, (DRAFT, STATUS)),),
+    ),
+    Scenario("own-word", "servers leave, cloud down", (1, 5), leave_by_own_word),
+    Scenario("copies-kill", "copies, hosts killed", (), kill_hosts, (copy_at(15.0),)),
+    Scenario("copies-freeze", "copies, host frozen", (), freeze_host, (copy_at(15.0),)),
+    Scenario("letters-kill", "letters, hosts killed", (), kill_hosts, LETTERS),
+    Scenario("letters-freeze", "letters, host frozen", (), freeze_host, LETTERS),
+    Scenario(
+        "letters-kv-lost", "letters, answers lost", (), lose_key_value_answers, LETTERS
+    ),
+    Scenario(
+        "operators",
+        "racing operators, answers lost",
+        (7,),
+        lose_key_value_answers,
+        RACING,
+    ),
+    Scenario(
+        "operators-kv-down", "racing, key-value down", (7,), lose_key_value, RACING
+    ),
+    Scenario(
+        "operators-kv-slow", "racing, key-value slow", (7,), slow_key_value, RACING
+    ),
+    Scenario("operators-freeze", "racing, host frozen", (7,), freeze_host, RACING),
+    Scenario("operators-kill", "racing, hosts killed", (7,), kill_hosts, RACING),
     Scenario("kv-down", "key-value service down", (), lose_key_value),
     Scenario("kv-slow", "key-value service slow", (), slow_key_value),
     Scenario("kv-lost", "answers of writes lost", (), lose_key_value_answers),
--- a/dewridge/testbed/processes.py
+++ b/dewridge/testbed/processes.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -19,6 +20,9 @@
 """Seconds for a process to end by itself before it is killed."""
 
 
+PORT_RANGE = (11_000, 31_000)
+
+
 class StartError(Exception):
     """A process of the testbed did not come up."""
 
@@ -145,12 +149,19 @@
 
 
 def choose_ports(count: int) -> list[int]:
-    """Return ports of 127.0.0.1 that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
+    """Return ports of 127.0.0.1 that were free a moment ago.
+
+    They lie below those that the kernel gives to outgoing connections; one of
+    these might take the port before the process that it was chosen for does.
+    """
+    chosen: list[int] = []
+    while len(chosen) < count:
+        port = random.SystemRandom().randrange(*PORT_RANGE)
+        with socket.socket() as trial:
+            try:
+                trial.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in chosen:
+            chosen.append(port)
+    return chosen
--- a/dewridge/tests/proofs/checks_tests.py
+++ b/dewridge/tests/proofs/checks_tests.py
@@ -60,6 +60,15 @@
     (4, [LETTER_ASKED, RAN, change(RAN, attempt="t2", state="running"), LETTER_DONE]),
     (4, [change(ASKED, idempotent=False), RAN, change(RAN, attempt="t2"), DONE]),
     (4, [LETTER_ASKED, LETTER_DONE]),
+    (
+        4,
+        [
+            LETTER_ASKED,
+            RAN,
+            LETTER_DONE,
+            change(LETTER_DONE, text=LETTER.replace("w-1", "w-2")),
+        ],
+    ),
     (5, [Leaving(2, "s", 9), change(RAN, at=6.0)]),
     (6, [ASKED, HEARD, RAN, change(DONE, verdict="unknown", code=300, retry_after=1)]),
     (7, [CHANGED, ACCEPTED, Observed(20, "h", "profile/a", 1, 0.2)]),
