--- a/dewridge/proofs/history.py
+++ b/dewridge/proofs/history.py
@@ -8,6 +8,7 @@
 from typing import Literal
 
 import msgspec
+import trio
 
 Verdict = Literal["done", "not_run", "unknown", "failed"]
 
@@ -165,6 +166,7 @@
     def __init__(self, events: list[Event] | None = None) -> None:
         self.events: list[Event] = events or []
         self._open: set[str] = set()
+        self._busy = trio.Event()
 
     def add(self, event: Event) -> None:
         """Record an event."""
@@ -179,6 +181,15 @@
             case ChangeAnswered():
                 self._open.discard(event.change)
 
+        if self._open:
+            self._busy.set()
+        elif self._busy.is_set():
+            self._busy = trio.Event()
+
+    async def wait_busy(self) -> None:
+        """Wait until somebody waits for an answer."""
+        await self._busy.wait()
+
     @property
     def in_flight(self) -> int:
         """Requests and changes whose answers somebody waits for now."""
--- a/dewridge/proofs/scenarios.py
+++ b/dewridge/proofs/scenarios.py
@@ -33,8 +33,7 @@
 """Seconds of a freeze: longer than suspicion, claims and every timeout."""
 
 BUSY_LIMIT = 5.0
-BUSY_GRAIN = 0.002
-"""Seconds to wait for work in flight before a fault lands, and between looks."""
+"""Seconds to wait for work in flight before a fault lands."""
 
 EIGHT_HOSTS = DeploymentOptions(hosts=8)
 
@@ -51,8 +50,7 @@
     async def inject(self, fault: str, subject: str) -> None:
         """Record a fault that lands now, once somebody waits for an answer."""
         with trio.move_on_after(BUSY_LIMIT):
-            while not self.history.in_flight:
-                await trio.sleep(BUSY_GRAIN)
+            await self.history.wait_busy()
         self.history.inject(fault, subject)
 
     def choose_host(self) -> EntryHost:
