Run the guides' commands against a whole deployment, and mend what they showed

Three entry hosts with stand-ins of the platform, three engines and two workers, started as the operators' guide says; each command of both guides was run. The host passes its counters to the server.

--- a/dewridge/commands/request.py
+++ b/dewridge/commands/request.py
@@ -123,7 +123,7 @@
         done = answer.summary
         typer.echo(
             f"[{answer.key} {done.backend_server} in {done.failure_domain}, "
-            f"{done.tokens} tokens, {done.attempts} attempts, cost {done.cost:.6f}]",
+            f"{done.tokens} tokens, {done.attempts} attempts, cost {done.cost:.3g}]",
             err=True,
         )
 
--- a/dewridge/composition.py
+++ b/dewridge/composition.py
@@ -165,6 +165,7 @@
             self.settings.frontend,
             self.close_frontend,
             lambda address: log.info("host {} serves at {}", name, address),
+            self.outside.metrics,
         )
         self.frontend_closed.set()
 
--- a/dewridge/frontend/server.py
+++ b/dewridge/frontend/server.py
@@ -48,10 +48,10 @@
     state: LifespanState = {}
     wrapped = wrap_app(app, settings.body_limit, "asgi")
     lifespan = Lifespan(wrapped, config, state)
+    listener = await _listen(settings)
     async with trio.open_nursery() as nursery:
         await nursery.start(lifespan.handle_lifespan)
         await lifespan.wait_for_startup()
-        listener = await _listen(settings)
         on_listening(_name_address(listener))
         context = WorkerContext(None)
         handle = _make_handler(wrapped, settings, context, metrics)
@@ -98,9 +98,13 @@
 
 
 async def _listen(settings: FrontendSettings) -> trio.SocketListener:
-    listeners = await trio.open_tcp_listeners(
-        settings.port, host=settings.address, backlog=BACKLOG
-    )
+    try:
+        listeners = await trio.open_tcp_listeners(
+            settings.port, host=settings.address, backlog=BACKLOG
+        )
+    except OSError as error:
+        place = f"{settings.address}:{settings.port}"
+        raise OSError(error.errno, f"{place}: {error.strerror}") from error
     return listeners[0]
 
 
--- a/dewridge/metrics/exposition.py
+++ b/dewridge/metrics/exposition.py
@@ -42,7 +42,7 @@
         for name, counters in _group(self._metrics.list_counters()):
             counter = CounterMetricFamily(PREFIX + name, name)
             for _, labels, value in counters:
-                counter.add_sample(f"{PREFIX}{name}_total", dict(labels), value)
+                counter.add_sample(f"{counter.name}_total", dict(labels), value)
             yield counter
         for name, gauges in _group(self._metrics.list_gauges()):
             gauge = GaugeMetricFamily(PREFIX + name, name)
--- a/dewridge/tests/frontend/server_tests.py
+++ b/dewridge/tests/frontend/server_tests.py
@@ -4,10 +4,12 @@
 from contextlib import AsyncExitStack
 
 import httpx
+import pytest
 import trio
 import trio.lowlevel
 
 from dewridge.codes import ResultCode
+from dewridge.frontend.server import serve
 from dewridge.ids import Generation
 from dewridge.requests.model import AnswerEvent, EndedEvent, TokensEvent
 from dewridge.tests.frontend.fakes import (
@@ -15,7 +17,9 @@
     RIVAL,
     FakeRequests,
     authorize,
+    make_app,
     make_body,
+    make_settings,
     run_frontend,
     wait_until,
 )
@@ -218,3 +222,14 @@
                     await trio.lowlevel.checkpoint()
     assert set(found) <= {"end", "ConnectError"}, found
     assert found["end"] and found["ConnectError"]
+
+
+async def test_a_port_that_is_taken_is_named() -> None:
+    # Two hosts on one machine got the same port. The operator must see at once
+    # which address it is, in place of a group of exceptions.
+    async with run_frontend(FakeRequests([])) as frontend:
+        port = int(frontend.address.split(":")[1])
+        settings = make_settings(port=port)
+        app = make_app(FakeRequests([]), settings)
+        with pytest.raises(OSError, match=frontend.address):
+            await serve(app, settings.frontend, trio.Event(), print)
--- a/dewridge/tests/metrics/exposition_tests.py
+++ b/dewridge/tests/metrics/exposition_tests.py
@@ -10,6 +10,7 @@
     metrics = Metrics()
     metrics.add("answers", 2, account="a")
     metrics.add("answers", account="b")
+    metrics.add("calls_total")
     metrics.set_gauge("queue", 4)
     for seconds in (0.1, 0.1, 0.4):
         metrics.observe("wait_seconds", seconds, operation="x")
@@ -21,6 +22,7 @@
         "a": 2.0,
         "b": 1.0,
     }
+    assert families["dewridge_calls"].samples[0].name == "dewridge_calls_total"
     assert families["dewridge_queue"].samples[0].value == 4
     waits = {
         sample.labels.get("quantile", sample.name): sample.value
