--- a/dewridge/requests/acceptance.py
+++ b/dewridge/requests/acceptance.py
@@ -26,11 +26,15 @@
 from dewridge.requests.scheduling import Scheduling
 from dewridge.requests.shared import Shared
 from dewridge.sentinels import Failure
+from dewridge.supervision.mailbox import Promise
 
 ACCEPT_GRACE = 0.05
 """Seconds that acceptance waits for the other replicas after the first one's
 word. A silent replica must not hold up every caller; a healthy one answers in a
 few milliseconds."""
+ACCEPTANCE_LIMIT = 15.0
+"""Seconds after which a caller is told "unknown" of a submission that could not be
+settled; calls of replicas end sooner unless something hangs."""
 CONFLICT_LIMIT = 3
 """Rounds of settling with rival owners before the caller is told "unknown"."""
 RETRY_AFTER = 1.0
@@ -93,6 +97,23 @@
         )
         if failure is not None and failure.code in FINAL_KEY_CODES:
             return failure
+        promise: Promise[Accepted] = Promise()
+        self._shared.jobs.start(self._accept_in_turn, submission, failure, promise)
+        fault = Failure(ResultCode.OUTCOME_UNKNOWN, "acceptance failed", RETRY_AFTER)
+        return await promise.wait(ACCEPTANCE_LIMIT, fault)
+
+    async def _accept_in_turn(
+        self,
+        submission: Submission,
+        failure: Failure | None,
+        promise: Promise[Accepted],
+    ) -> None:
+        """Decide on a submission after those of the same key that came before.
+
+        This is a job, not the caller's own task: a caller that drops its
+        connection in the middle would leave a record that is neither accepted
+        nor refused, and every later sending would join it and wait for ever.
+        """
         request = make_request_id(submission.account, submission.key)
         while request in self._pending:
             await self._pending[request].wait()
@@ -104,7 +125,7 @@
             done.set()
         name = "accepted" if isinstance(result, Accepted) else result.code.name
         self._shared.metrics.add("requests_submissions", result=name.lower())
-        return result
+        promise.fulfil(result)
 
     async def _decide(
         self, submission: Submission, request: RequestId, failure: Failure | None
@@ -338,7 +359,7 @@
         """Undo an acceptance that gives way to another ownership."""
         record = answer.record
         self._forget(answer)
-        self._shared.table.drop(record.request, record.ballot)
+        self._shared.table.lose(record, self._shared.clock())
         self._shared.jobs.start(
             self._refuser.withdraw,
             record.request,
--- a/dewridge/requests/attempts.py
+++ b/dewridge/requests/attempts.py
@@ -112,7 +112,7 @@
         self._servers = servers
         self._dispatch = dispatch
         self._running: dict[RequestId, Attempt] = {}
-        self._parked: set[RequestId] = set()
+        self._parked: dict[RequestId, trio.CancelScope] = {}
         self._numbers = count(1)
         self._claims_slow_until = 0.0
         self.on_denied: Callable[[Answer, Ballot], None] = lambda *_: None
@@ -226,18 +226,29 @@
         """Wait for a call's claim without holding a slot, then queue it."""
         self._scheduling.withdraw(answer.record)
         answer.record.claim_asked = True
-        self._parked.add(answer.record.request)
+        self.unpark(answer.record.request)
+        scope = trio.CancelScope()
+        self._parked[answer.record.request] = scope
         self._shared.metrics.add("claims_parked")
-        self._shared.jobs.start(self._wait_parked, answer)
+        self._shared.jobs.start(self._wait_parked, answer, scope)
 
-    async def _wait_parked(self, answer: Answer) -> None:
+    def unpark(self, request: RequestId) -> None:
+        """Stop waiting for a call's claim."""
+        scope = self._parked.pop(request, None)
+        if scope is not None:
+            scope.cancel()
+
+    async def _wait_parked(self, answer: Answer, scope: trio.CancelScope) -> None:
         record = answer.record
         limit = self._shared.settings.claim_timeout
         deadline = min(record.deadline, self._shared.clock() + limit)
-        try:
+        verdict: Grant | Failure | None = None
+        with scope:
             verdict = await self._claims.acquire(record, deadline)
-        finally:
-            self._parked.discard(record.request)
+        if self._parked.get(record.request) is scope:
+            del self._parked[record.request]
+        if verdict is None:
+            return
         if answer.lost or record.ended is not None:
             self.release(record)
         elif isinstance(verdict, Failure):
@@ -277,8 +288,8 @@
         record = attempt.record
         if record.ended is not None or attempt.answer.lost:
             return make_unavailable("the request has ended")
-        if not record.idempotent and self._claims.is_too_late(record.request):
-            return make_unavailable("the key is older than the retention")
+        if not record.idempotent and not self._may_send(record):
+            return make_unavailable("the claim can't be used any more")
         was_run = record.maybe_run
         order = self._make_order(attempt, priority)
         attempt.dispatched = True
@@ -291,6 +302,10 @@
             record.maybe_run = was_run
         return result
 
+    def _may_send(self, record: Record) -> bool:
+        too_late = self._claims.is_too_late(record.request)
+        return record.claimed and not too_late and not self._claims.is_released(record)
+
     def _make_order(self, attempt: Attempt, priority: Priority) -> AttemptOrder:
         record = attempt.record
         account, key = split_request_id(record.request)
--- a/dewridge/requests/claiming.py
+++ b/dewridge/requests/claiming.py
@@ -26,6 +26,23 @@
     def __init__(self, shared: Shared, committer: Committer) -> None:
         self._shared = shared
         self._committer = committer
+        self._released: dict[RequestId, tuple[Ballot, float]] = {}
+
+    def is_released(self, record: Record) -> bool:
+        """Whether this process gave up the claim of a record's ownership.
+
+        A grant that was on its way when the claim was released says nothing
+        any more: another host may hold the claim by now and send the call too.
+        """
+        released = self._released.get(record.request)
+        return released is not None and released[0] == record.ballot
+
+    def forget(self) -> None:
+        """Forget releases of keys that are refused as too old."""
+        limit = self._shared.clock() - 2 * self._shared.settings.retention
+        for request, (_, at) in list(self._released.items()):
+            if at < limit:
+                del self._released[request]
 
     def is_too_late(self, request: RequestId) -> bool:
         """Whether a claim may have been forgotten with its window.
@@ -43,15 +60,15 @@
         started = self._shared.clock()
         verdict: Verdict = make_unavailable("no time is left")
         while self._shared.clock() < deadline:
-            if self.is_too_late(record.request):
-                return make_unavailable("the key is older than the retention")
+            if self.is_too_late(record.request) or self.is_released(record):
+                return make_unavailable("the claim can't be used any more")
             left = deadline - self._shared.clock()
             verdict = await self._ask(wish, left)
             if not isinstance(verdict, Failure):
                 break
             await trio.sleep(min(0.05, max(0.0, left)))
-        if self.is_too_late(record.request):
-            return make_unavailable("the key is older than the retention")
+        if self.is_too_late(record.request) or self.is_released(record):
+            return make_unavailable("the claim can't be used any more")
         name = "granted" if isinstance(verdict, Grant) and verdict.granted else "not"
         self._shared.metrics.add("claims", result=name)
         self._shared.metrics.observe("claim_seconds", self._shared.clock() - started)
@@ -59,6 +76,7 @@
 
     async def release(self, request: RequestId, ballot: Ballot) -> bool:
         """Give a claim up that was not used; False if that stayed unconfirmed."""
+        self._released[request] = ballot, self._shared.clock()
         wish = ClaimWish(request, ballot, release=True)
         for _ in range(RELEASE_TRIES):
             verdict = await self._ask(wish, self._shared.settings.claim_timeout)
--- a/dewridge/requests/ending.py
+++ b/dewridge/requests/ending.py
@@ -96,7 +96,7 @@
         """
         hosts = set(record.replicas)
         home = find_home(record.request, self._shared.membership.members())
-        hosts |= {m.host for m in home[: self._shared.settings.replicas + 1]}
+        hosts |= {m.host for m in home[: self._shared.reach]}
         self._shared.metrics.add("requests_delivered_late")
         self._shared.table.store(record, self._shared.clock())
         message = make_copy(record)
--- a/dewridge/requests/handlers.py
+++ b/dewridge/requests/handlers.py
@@ -91,7 +91,7 @@
         request = RequestId(message.request)
         table = self._shared.table
         if message.withdraw:
-            table.drop(request, ballot)
+            table.drop(request, ballot, self._shared.clock())
             return wire.CloseSubmissionReply(closed=True)
         ended = decode_end(message.ended)
         number = message.ended.number
--- a/dewridge/requests/handoff.py
+++ b/dewridge/requests/handoff.py
@@ -111,7 +111,7 @@
                     if await self._give(answer, host):
                         return
                 if not answer.lost and record.ended is None:
-                    self._failover.resume(answer)
+                    self._bid_again(answer)
 
     async def _stop(self, answer: Answer) -> bool:
         """Stop work on a request; False if it must stay here."""
@@ -125,12 +125,23 @@
         if answer.lost or record.ended is not None:
             return False
         self._scheduling.withdraw(record)
+        self._attempts.unpark(record.request)
         if record.claim_asked and not await self._release(record):
             if not answer.lost and record.ended is None:
-                self._failover.resume(answer)
+                self._bid_again(answer)
             return False
         return not answer.lost and record.ended is None
 
+    def _bid_again(self, answer: Answer) -> None:
+        """Go on here under a new ownership; the old one's claim is given up."""
+        record = answer.record
+        ballot = self._shared.make_ballot(record.request, record.ballot.epoch)
+        adopt(record, ballot, keep_generation=True)
+        answer.acked.clear()
+        for host in record.replicas:
+            self._replicator.send_whole(host, record.request)
+        self._failover.resume(answer)
+
     async def _release(self, record: Record) -> bool:
         """Release a claim; without that nobody else could send the call."""
         released = False
@@ -165,7 +176,7 @@
         self._shared.metrics.add("requests_handed_off")
         answer.lose()
         self._replicator.remove(answer)
-        self._shared.table.lose(record)
+        self._shared.table.lose(record, self._shared.clock())
         return True
 
     async def take(
--- a/dewridge/requests/locating.py
+++ b/dewridge/requests/locating.py
@@ -62,7 +62,7 @@
 
     async def _ask_home(self, request: RequestId) -> list[Located]:
         home = find_home(request, self._shared.membership.members())
-        reach = [m.host for m in home[: self._shared.settings.replicas + 2]]
+        reach = [m.host for m in home[: self._shared.reach]]
         found: list[Located] = []
 
         async def ask(host: HostId) -> None:
--- a/dewridge/requests/refusals.py
+++ b/dewridge/requests/refusals.py
@@ -70,7 +70,7 @@
             if member is not None:
                 members[host] = replace(member, state=MemberState.ALIVE)
         home = find_home(request, members.values())
-        reach = {m.host for m in home[: self._shared.settings.replicas + 1]}
+        reach = {m.host for m in home[: self._shared.reach]}
         return any(host in reach for host in suspects)
 
 
@@ -123,12 +123,13 @@
     def _is_certain(
         self, request: RequestId, number: int, replies: dict[HostId, Any]
     ) -> bool:
-        for reply in replies.values():
-            if not isinstance(reply, Failure):
-                continue
-            never_left = reply.code is ResultCode.PEER_UNREACHABLE
-            if number > 1 or not never_left:
-                return False
+        """Whether nobody that could have accepted the key stayed silent.
+
+        A host that can't be reached may be the only one that knows a copy of
+        this very submission, sent to two entry hosts at once.
+        """
+        if any(isinstance(reply, Failure) for reply in replies.values()):
+            return False
         return number <= 1 or not self._failures.has_doubt(request)
 
     async def _ask(
@@ -140,7 +141,7 @@
         also: frozenset[HostId],
     ) -> dict[HostId, Any]:
         home = find_home(request, self._shared.membership.members())
-        reach = {m.host for m in home[: self._shared.settings.replicas + 1]} | also
+        reach = {m.host for m in home[: self._shared.reach]} | also
         reach.discard(self._shared.me.host)
         message = wire.CloseSubmission(
             request=request,
--- a/dewridge/requests/replicas.py
+++ b/dewridge/requests/replicas.py
@@ -66,6 +66,7 @@
         self._me = me
         self._records: dict[RequestId, Record] = {}
         self._closed: dict[RequestId, Closed] = {}
+        self._epochs: dict[RequestId, tuple[int, float]] = {}
         self.on_replaced: Callable[[Record, Record | None], None] = lambda *_: None
         self.on_stored: Callable[[Record], None] = lambda _: None
 
@@ -97,17 +98,21 @@
         if before is not None and before is not record:
             self.on_replaced(before, record)
 
-    def drop(self, request: RequestId, ballot: Ballot) -> None:
+    def drop(self, request: RequestId, ballot: Ballot, now: float) -> None:
         """Forget the record of an ownership that was taken back."""
         record = self._records.get(request)
-        if record is not None and record.ballot == ballot and record.ended is None:
-            del self._records[request]
-            self.on_replaced(record, None)
+        if record is not None and record.ballot == ballot:
+            self.lose(record, now)
+
+    def lose(self, record: Record, now: float) -> None:
+        """Forget a live record that gave way to another ownership.
 
-    def lose(self, record: Record) -> None:
-        """Forget this host's own record, which another ownership superseded."""
+        Its epoch is kept in mind: a later ownership by this process must not
+        be taken for this one, since callers may hold tokens of its generation.
+        """
         if self._records.get(record.request) is record and record.ended is None:
             del self._records[record.request]
+            self._epochs[record.request] = record.ballot.epoch, now
             self.on_replaced(record, None)
 
     def store(self, offered: Record, now: float) -> StoreReply:
@@ -253,6 +258,9 @@
         for request, closed in list(self._closed.items()):
             if closed.at < now - retention:
                 del self._closed[request]
+        for request, (_, at) in list(self._epochs.items()):
+            if at < now - retention:
+                del self._epochs[request]
         return self._shrink(limit)
 
     def _shrink(self, limit: int) -> int:
--- a/dewridge/requests/replication.py
+++ b/dewridge/requests/replication.py
@@ -278,7 +278,7 @@
         self._shared.metrics.add("requests_superseded")
         answer.lose()
         self._replicator.remove(answer)
-        self._shared.table.lose(answer.record)
+        self._shared.table.lose(answer.record, self._shared.clock())
         self._replicator.on_superseded(answer.record)
 
     def _note_failure(self, answers: list[Answer]) -> None:
--- a/dewridge/requests/service.py
+++ b/dewridge/requests/service.py
@@ -291,6 +291,7 @@
                 return
             attempt.stop(StopCause.LOST)
         self._scheduling.withdraw(old)
+        self._attempts.unpark(old.request)
         self._attempts.release(old)
 
     async def drain(self, timeout: float) -> None:
@@ -306,6 +307,7 @@
             evicted = table.forget(
                 self._shared.clock(), self._shared.settings.retention, ANSWER_BYTES
             )
+            self._claims.forget()
             if evicted:
                 self._shared.metrics.add("answers_evicted", evicted)
             for answer in self._replicator.list_answers():
--- a/dewridge/requests/shared.py
+++ b/dewridge/requests/shared.py
@@ -80,6 +80,15 @@
         """Return this host's own entry."""
         return self.membership.me
 
+    @property
+    def reach(self) -> int:
+        """Hosts of a key's home to ask for what others may have accepted.
+
+        An owner's replicas are among the first `replicas + 1` of the home. One
+        more covers an owner that believes one of those to have failed.
+        """
+        return self.settings.replicas + 2
+
     def make_ballot(self, request: RequestId, above: int = 0) -> Ballot:
         """Begin an ownership by this host, above all that it has heard of."""
         epoch = max(self.table.find_epoch(request), above) + 1
--- /dev/null
+++ b/dewridge/tests/requests/history_tests.py
@@ -0,0 +1,223 @@
+"""Random faults against several hosts; what callers saw is checked afterwards."""
+
+import os
+import random
+from dataclasses import dataclass, field
+
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dewridge.codes import TABLE, Outcome, ResultCode
+from dewridge.ids import RequestKey
+from dewridge.requests.model import Accepted
+from dewridge.sentinels import Failure
+from dewridge.tests.requests.fakes import DOMAINS, Cluster, Seen, run_cluster
+
+EXAMPLES = int(os.environ.get("EXAMPLES", "25"))
+OPERATIONS = ("draft_finding", "draft_certificate", "check_status", "issue_letter")
+IDEMPOTENT = ("draft_finding", "check_status")
+PATIENCE = 4.0
+SUBMISSIONS = 4
+
+
+@dataclass
+class Story:
+    """All that one caller did and heard about one key."""
+
+    key: RequestKey
+    operation: str
+    number: int = 0
+    told: list[tuple[int, ResultCode]] = field(default_factory=list)
+    seen: Seen = field(default_factory=Seen)
+    is_over: bool = False
+
+
+class Caller:
+    """A caller with one key: it sends, follows, reconnects and sends again."""
+
+    def __init__(self, cluster: Cluster, story: Story, seed: int) -> None:
+        self._cluster = cluster
+        self._story = story
+        self._rng = random.Random(seed)
+
+    def _choose_host(self) -> str:
+        live = [n for n, node in self._cluster.nodes.items() if not node.is_dead]
+        return self._rng.choice(live)
+
+    async def run(self) -> None:
+        story = self._story
+        while not story.is_over and story.number < SUBMISSIONS:
+            story.number += 1
+            copies = self._rng.choice((1, 1, 2))
+            results: list[Accepted | Failure] = []
+            async with trio.open_nursery() as nursery:
+                for _ in range(copies):
+                    nursery.start_soon(self._send, results)
+            failures = [r for r in results if isinstance(r, Failure)]
+            story.told += [(story.number, failure.code) for failure in failures]
+            if len(failures) < len(results):
+                await self._follow()
+            elif len(results) == copies:
+                story.is_over = self._rng.random() < 0.5
+            await trio.sleep(self._rng.random())
+        story.is_over = True
+
+    async def _send(self, results: list[Accepted | Failure]) -> None:
+        story = self._story
+        await trio.sleep(self._rng.random() * 0.01)
+        with trio.move_on_after(PATIENCE):
+            submission = self._cluster.make(
+                story.operation, story.number, story.key, deadline=20
+            )
+            service = self._cluster.nodes[self._choose_host()].service
+            results.append(await service.submit(submission))
+
+    async def _follow(self) -> None:
+        story = self._story
+        for _ in range(12):
+            with trio.move_on_after(PATIENCE):
+                await self._cluster.follow(self._choose_host(), story.key, story.seen)
+            ended = story.seen.ended
+            if ended is not None:
+                story.told.append((story.number, ended.code))
+                outcome = TABLE[ended.code].outcome
+                story.is_over = outcome in (Outcome.DONE, Outcome.FAILED)
+                story.is_over |= self._rng.random() < 0.3
+                if not story.is_over:
+                    story.seen = Seen()
+                return
+
+
+class Faults:
+    """Carries out a schedule of faults and mends them at its end."""
+
+    def __init__(self, cluster: Cluster, rng: random.Random) -> None:
+        self._cluster = cluster
+        self._rng = rng
+        self._paused: list[str] = []
+
+    async def run(self, faults: list[tuple[str, int, float]]) -> None:
+        cluster = self._cluster
+        for kind, place, gap in faults:
+            await trio.sleep(gap)
+            getattr(self, f"do_{kind}")(place)
+        for name in self._paused:
+            cluster.resume(name)
+        cluster.cut.clear()
+        cluster.loss = 0.0
+        cluster.key_value.is_down = False
+
+    def _choose(self, place: int) -> str | None:
+        """Choose a running host, if enough are left."""
+        names = [n for n, node in self._cluster.nodes.items() if not node.is_dead]
+        name = names[place % len(names)]
+        return name if len(names) > 4 and name not in self._paused else None
+
+    def do_kill(self, place: int) -> None:
+        name = self._choose(place)
+        if name:
+            self._cluster.kill(name)
+
+    def do_start(self, place: int) -> None:
+        name = f"new-{len(self._cluster.nodes)}"
+        self._cluster.start(name, DOMAINS[place % 4])
+
+    def do_pause(self, place: int) -> None:
+        name = self._choose(place)
+        if name and len(self._paused) < 2:
+            self._paused.append(name)
+            self._cluster.pause(name)
+
+    def do_resume(self, place: int) -> None:
+        if self._paused:
+            self._cluster.resume(self._paused.pop(0))
+
+    def do_cut(self, place: int) -> None:
+        names = list(self._cluster.nodes)
+        self._cluster.cut.add((names[place % len(names)], self._rng.choice(names)))
+
+    def do_loss(self, place: int) -> None:
+        self._cluster.loss = 0.05 if place % 2 else 0.0
+
+    def do_heal(self, place: int) -> None:
+        self._cluster.cut.clear()
+
+    def do_outage(self, place: int) -> None:
+        self._cluster.key_value.is_down = bool(place % 2)
+
+    def do_lost_answers(self, place: int) -> None:
+        self._cluster.key_value.lose_answers += 2
+
+    def do_broken(self, place: int) -> None:
+        self._cluster.workers.lose_answers += 1
+
+    def do_drain(self, place: int) -> None:
+        name = self._choose(place)
+        if name:
+            self._cluster.announce_leaving(name)
+            self._cluster.nursery.start_soon(drain, self._cluster, name)
+
+
+async def drain(cluster: Cluster, name: str) -> None:
+    await cluster.nodes[name].service.drain(4.0)
+    cluster.kill(name)
+
+
+def check_story(cluster: Cluster, story: Story) -> None:
+    """Check one caller's history against what the workers did."""
+    runs = cluster.workers.count(story.key)
+    if story.operation not in IDEMPOTENT:
+        assert runs <= 1, f"{story.operation} ran {runs} times: {story}"
+    last = [code for number, code in story.told if number == story.number]
+    if any(TABLE[code].outcome is Outcome.NOT_RUN for code in last):
+        assert runs == 0, f"told not run, ran {runs} times: {story}"
+    ended = story.seen.ended
+    if ended is None or ended.code is not ResultCode.OK:
+        return
+    if story.operation.startswith("draft"):
+        whole = cluster.workers.whole[story.key]
+        assert story.seen.tokens in whole, f"not one answer: {story}"
+    else:
+        assert ended.body == f'"{story.key}"'
+
+
+KINDS = [name.removeprefix("do_") for name in vars(Faults) if name.startswith("do_")]
+FAULTS = st.lists(
+    st.tuples(st.sampled_from(KINDS), st.integers(0, 7), st.floats(0.0, 0.6)),
+    min_size=3,
+    max_size=14,
+)
+
+
+# Hosts die, pause, wake, lose messages and leave in any order while callers send
+# keys, sometimes twice at once, reconnect and send again. Whatever happens, a
+# call that may not be repeated runs once at most, what was told as not run never
+# runs, and an answer is one whole answer to its own request.
+@settings(max_examples=EXAMPLES, derandomize=True, deadline=None)
+@given(faults=FAULTS, seed=st.integers(0, 10_000))
+def test_histories_under_faults(
+    faults: list[tuple[str, int, float]], seed: int
+) -> None:
+    async def scenario(cluster: Cluster) -> None:
+        rng = random.Random(seed)
+        cluster.workers.is_salted = True
+        cluster.workers.step = 0.05
+        cluster.workers.plain_time = 0.1
+        stories: list[Story] = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(Faults(cluster, rng).run, faults)
+            for place in range(24):
+                key = cluster.make().key
+                story = Story(key, OPERATIONS[place % 4])
+                stories.append(story)
+                caller = Caller(cluster, story, seed * 100 + place)
+                nursery.start_soon(caller.run)
+                await trio.sleep(rng.random() * 0.2)
+        await trio.sleep(30)
+        for story in stories:
+            check_story(cluster, story)
+        for node in cluster.nodes.values():
+            assert node.metrics.read("request_job_faults") == 0
+
+    run_cluster(scenario, size=6, seed=seed)
