Take over under the old generation only when every replica knows

The successor now has every other replica take its ownership first, and begins a new generation otherwise. Also: a refusal that stayed unconfirmed could stop a request accepted elsewhere when its owner chose a new replica; an owner that had given a request up left a copy that nobody ran (asked after 5 s now); attempts of lost requests waited for ever; a repeat that was accepted did not know whether an earlier submission had run (they are closed first).

--- a/dewridge/requests/acceptance.py
+++ b/dewridge/requests/acceptance.py
@@ -52,6 +52,7 @@
     """Replies of the replicas to one offer of a record."""
 
     waiting: set[HostId]
+    outbids: int = 0
     stored: set[HostId] = field(default_factory=set)
     timed_out: set[HostId] = field(default_factory=set)
     known: list[Record] = field(default_factory=list)
@@ -133,10 +134,9 @@
         joined = self._join(submission, request)
         if joined is not None:
             return joined
-        failure = failure or self._check(submission, request)
-        if failure is not None:
-            return await self._refuse(submission, request, failure)
-        found = self._find_operation(submission)
+        if failure is None:
+            failure = self._check(submission, request)
+        found = self._find_operation(submission) if failure is None else failure
         if isinstance(found, Failure):
             return await self._refuse(submission, request, found)
         service, operation = found
@@ -148,7 +148,10 @@
             profile=service.profile,
             now=self._shared.clock(),
         )
-        record.maybe_run = self._may_have_run(request)
+        if submission.number > 1:
+            earlier = await self._close_earlier(submission, record)
+            if earlier is not None:
+                return earlier
         self._replicator.choose(record)
         if not record.replicas:
             failure = Failure(ResultCode.NO_REPLICA, "no other entry host", RETRY_AFTER)
@@ -184,9 +187,33 @@
         )
         return record.digest not in (0, digest)
 
-    def _may_have_run(self, request: RequestId) -> bool:
+    async def _close_earlier(
+        self, submission: Submission, record: Record
+    ) -> Accepted | Failure | None:
+        """Close the earlier submissions of a key before a repeat is accepted.
+
+        One of them may be running where its caller lost sight of it: the
+        repeat then joins it. If that can't be excluded, the repeat runs, but
+        nobody will be told that the key was not run.
+        """
+        request = record.request
         before = self._shared.table.find(request)
-        return before is not None and before.maybe_run
+        failure = Failure(ResultCode.SUBMISSION_CLOSED, "a later one was sent")
+        result = await self._refuser.refuse(
+            request, submission.number - 1, failure, record.ballot
+        )
+        if isinstance(result, Failure):
+            was_run = before is not None and before.maybe_run
+            record.maybe_run = was_run or not result.is_not_run
+        elif self._is_reused(submission, result):
+            return make_reused()
+        elif may_reopen(result):
+            record.maybe_run = True
+        else:
+            return Accepted(request, result.generation, attached=True)
+        record.ballot = self._shared.make_ballot(request)
+        record.generation = make_generation(record.ballot)
+        return None
 
     def _check(self, submission: Submission, request: RequestId) -> Failure | None:
         closed = self._shared.table.find_closed(request)
@@ -237,13 +264,15 @@
         answer = Answer(record)
         self._shared.table.put(record)
         self._replicator.add(answer)
+        outbids = 0
         for _ in range(CONFLICT_LIMIT):
-            copies = await self._copy(answer)
+            copies = await self._copy(answer, outbids)
             if copies.known:
                 known = max(copies.known, key=lambda found: found.ballot)
                 settled = await self._settle(answer, known)
                 if settled is not None:
                     return settled
+                outbids = record.ballot.epoch - 1
                 continue
             if answer.lost:
                 return Accepted(record.request, record.generation, attached=True)
@@ -259,9 +288,9 @@
         self._scheduling.wake()
         return Accepted(record.request, record.generation)
 
-    async def _copy(self, answer: Answer) -> CopyRound:
+    async def _copy(self, answer: Answer, outbids: int) -> CopyRound:
         """Offer a record to its replicas until enough of them have answered."""
-        copies = CopyRound(set(answer.record.replicas))
+        copies = CopyRound(set(answer.record.replicas), outbids)
         for host in answer.record.replicas:
             self._shared.jobs.start(self._copy_to, answer, host, copies)
         with trio.move_on_after(self._shared.settings.replica_timeout):
@@ -277,7 +306,8 @@
         record = answer.record
         ballot = record.ballot
         answer.holders.add(host)
-        reply = await self._shared.call(host, make_copy(record))
+        message = make_copy(record, copies.outbids)
+        reply = await self._shared.call(host, message)
         copies.waiting.discard(host)
         if isinstance(reply, Failure):
             if reply.code is ResultCode.PEER_UNREACHABLE:
--- a/dewridge/requests/answers.py
+++ b/dewridge/requests/answers.py
@@ -36,7 +36,7 @@
         visible: tokens that a replica has acknowledged. Callers see no more,
             so that whoever takes over has all that a caller saw.
         holders: hosts that may hold a copy, also ones replaced since.
-        accepted: set once a replica holds the record.
+        accepted: set once a replica holds the record, or the answer is lost.
         detached: no replica can be had; tokens are shown as they come, under a
             generation that nobody else continues.
     """
@@ -109,6 +109,7 @@
         """Tell followers that another host owns the request."""
         if not self.end_visible:
             self.lost = True
+            self.accepted.set()
             self.note_change()
 
     async def stream(
--- a/dewridge/requests/attempts.py
+++ b/dewridge/requests/attempts.py
@@ -112,6 +112,7 @@
         self._servers = servers
         self._dispatch = dispatch
         self._running: dict[RequestId, Attempt] = {}
+        self._orphans: dict[RequestId, Attempt] = {}
         self._parked: dict[RequestId, trio.CancelScope] = {}
         self._numbers = count(1)
         self._claims_slow_until = 0.0
@@ -129,6 +130,11 @@
         """Return the attempt under way for a request."""
         return self._running.get(request)
 
+    def find_orphan(self, request: RequestId) -> Attempt | None:
+        """Return an attempt that goes on though its ownership was lost."""
+        attempt = self._orphans.get(request) or self._running.get(request)
+        return attempt if attempt is not None and attempt.answer.lost else None
+
     def is_parked(self, request: RequestId) -> bool:
         """Whether a request waits for its claim without a slot."""
         return request in self._parked
@@ -137,13 +143,14 @@
         """Carry out an assignment."""
         request = assignment.work.request
         answer = self._replicator.find(request)
-        if answer is None or answer.lost or answer.record.ended is not None:
-            lane = None
-        else:
+        lane = None
+        if answer is not None and not answer.lost and answer.record.ended is None:
             lane = self._scheduling.find_lane(answer.record.service)
-        if answer is None or lane is None or request in self._running:
+        if answer is None or lane is None:
             self._shared.metrics.add("attempts_without_record")
+            self._scheduling.drop(assignment)
             return
+        self._set_aside(request)
         self._drop_tokens(answer, assignment.work.tokens_done)
         attempt = Attempt(answer.record, answer, lane, assignment.server)
         self._running[request] = attempt
@@ -151,6 +158,16 @@
         priority = Priority.INTERACTIVE if is_interactive else Priority.BACKGROUND
         self._shared.jobs.start(self._carry_out, attempt, priority)
 
+    def _set_aside(self, request: RequestId) -> None:
+        """Make room for a new attempt at a request that was owned here before."""
+        before = self._running.pop(request, None)
+        if before is None:
+            return
+        if before.dispatched and not before.record.idempotent:
+            self._orphans[request] = before
+        else:
+            before.stop(StopCause.LOST)
+
     def _drop_tokens(self, answer: Answer, keep: int) -> None:
         """Start an answer anew where the profile's recovery policy says so."""
         record = answer.record
@@ -173,8 +190,9 @@
             log.opt(exception=error).error("an attempt failed by a fault")
             result = Failure(ResultCode.BACKEND_SERVER_FAILED, "an internal fault")
         finally:
-            if self._running.get(request) is attempt:
-                del self._running[request]
+            for attempts in (self._running, self._orphans):
+                if attempts.get(request) is attempt:
+                    del attempts[request]
             attempt.finished.set()
         self._charge(attempt)
         if attempt.cause == StopCause.LEAVING:
@@ -188,10 +206,9 @@
         """Run an attempt; None if it ended without a word to the scheduler."""
         record = attempt.record
         answer = attempt.answer
-        while not answer.accepted.is_set():
-            if answer.lost:
-                return None
-            await answer.accepted.wait()
+        await answer.accepted.wait()
+        if answer.lost:
+            return None
         if not record.idempotent and not record.claimed:
             claimed = await self._claim(attempt)
             if claimed is not None:
--- a/dewridge/requests/failover.py
+++ b/dewridge/requests/failover.py
@@ -6,18 +6,24 @@
 from dewridge.codes import Outcome, ResultCode
 from dewridge.ids import HostId, Incarnation, RequestId
 from dewridge.membership.model import Member, MemberState
+from dewridge.peers.wire import ttypes as wire
 from dewridge.requests.answers import Answer, adopt, renew_generation
 from dewridge.requests.attempts import Attempts
+from dewridge.requests.codec import decode_record
 from dewridge.requests.ending import Ender
 from dewridge.requests.locating import Located, Locator
 from dewridge.requests.records import Ballot, Record
-from dewridge.requests.replication import Replicator
+from dewridge.requests.replication import Replicator, make_copy
 from dewridge.requests.shared import Shared
 from dewridge.sentinels import Failure
 
 SWEEP_PERIOD = 0.5
 """Seconds between two looks for records whose owner is gone, besides the looks on
 each change of the membership; it catches copies that arrive late."""
+ORPHAN_AFTER = 5.0
+"""Seconds without news of a record after which its live owner is asked whether it
+still knows it. An owner that gave it up without being heard would otherwise
+leave a request that nobody runs and whose caller waits for ever."""
 TAKEOVERS_AT_ONCE = 16
 """Takeovers side by side. After a failure domain's loss a host takes over
 thousands; all at once their calls would time out and be repeated."""
@@ -76,12 +82,43 @@
             if record.ended is None and self._falls_to_me(record):
                 owner = record.ballot.host, record.ballot.incarnation
                 by_owner.setdefault(owner, []).append(record)
+        await self._check_quiet_records()
         for (host, incarnation), records in by_owner.items():
             if await self._is_silent(host, incarnation, records[0]):
                 for record in records:
                     self._busy.add(record.request)
                     self._shared.jobs.start(self._take_over, record)
 
+    async def _check_quiet_records(self) -> None:
+        now = self._shared.clock()
+        for record in self._shared.table.list_records():
+            is_quiet = record.ended is None and record.touched < now - ORPHAN_AFTER
+            if not is_quiet or self._shared.is_own(record.ballot):
+                continue
+            if record.request in self._busy:
+                continue
+            record.touched = now
+            self._busy.add(record.request)
+            self._shared.jobs.start(self._check_quiet, record)
+
+    async def _check_quiet(self, record: Record) -> None:
+        try:
+            async with self._limit:
+                message = wire.Find(request=record.request)
+                reply = await self._shared.call(record.ballot.host, message)
+        finally:
+            self._busy.discard(record.request)
+        if isinstance(reply, Failure):
+            return
+        if reply.found and reply.record.owner == record.ballot.host:
+            return
+        if reply.found:
+            self._shared.table.store(decode_record(reply.record), self._shared.clock())
+            return
+        self._shared.metrics.add("requests_orphaned")
+        self._busy.add(record.request)
+        await self._take_over(record, is_orphan=True)
+
     def _falls_to_me(self, record: Record) -> bool:
         """Whether this host is the first live one to take a record over."""
         if record.request in self._busy or self._is_owner_live(record.ballot):
@@ -111,19 +148,19 @@
             return True
         return await self._locator.ask(host, record.request) is None
 
-    async def _take_over(self, record: Record) -> None:
+    async def _take_over(self, record: Record, is_orphan: bool = False) -> None:
         try:
             async with self._limit:
-                await self._take_over_one(record)
+                await self._take_over_one(record, is_orphan)
         finally:
             self._busy.discard(record.request)
 
-    async def _take_over_one(self, record: Record) -> None:
-        table = self._shared.table
-        answered = await self._gather(record)
-        if table.find(record.request) is not record or record.ended is not None:
+    async def _take_over_one(self, record: Record, is_orphan: bool) -> None:
+        others = [h for h in record.replicas if h != self._shared.me.host]
+        answered = await self._gather(record, others)
+        if not self._is_mine_to_take(record):
             return
-        if self._is_owner_live(record.ballot) or self._shared.leaving:
+        if self._is_owner_live(record.ballot) and not is_orphan:
             return
         adopt(
             record,
@@ -131,6 +168,11 @@
             keep_generation=answered,
         )
         record.maybe_run = True
+        if answered and not await self._announce(record, others):
+            answered = False
+            renew_generation(record)
+        if not self._is_mine_to_take(record):
+            return
         self._replicator.choose(record)
         answer = Answer(record)
         answer.visible = len(record.tokens) if answered else 0
@@ -143,6 +185,29 @@
         answer.accepted.set()
         self.resume(answer)
 
+    def _is_mine_to_take(self, record: Record) -> bool:
+        is_held = self._shared.table.find(record.request) is record
+        return is_held and record.ended is None and not self._shared.leaving
+
+    async def _announce(self, record: Record, others: list[HostId]) -> bool:
+        """Tell the other replicas of the takeover; whether all have taken it.
+
+        Until then the old owner, if it was merely paused, can leave more tokens
+        with one of them and show them to its callers; an answer that went on
+        without those under the same generation would be a mixture of two.
+        """
+        refused: list[HostId] = []
+
+        async def tell(host: HostId) -> None:
+            reply = await self._shared.call(host, make_copy(record))
+            if isinstance(reply, Failure) or not reply.stored:
+                refused.append(host)
+
+        async with trio.open_nursery() as nursery:
+            for host in others:
+                nursery.start_soon(tell, host)
+        return not refused
+
     def resume(self, answer: Answer) -> None:
         """Go on with a request that this host has come to own."""
         record = answer.record
@@ -151,14 +216,13 @@
         else:
             self._attempts.park(answer)
 
-    async def _gather(self, record: Record) -> bool:
+    async def _gather(self, record: Record, others: list[HostId]) -> bool:
         """Collect what the other replicas have; whether all of them answered.
 
         A token went to a caller after one replica's acknowledgement, so only
         all of them together surely have what callers saw. If one is missing
         the answer goes on under a new generation.
         """
-        others = [h for h in record.replicas if h != self._shared.me.host]
         missing: list[HostId] = []
 
         async def ask(host: HostId) -> None:
--- a/dewridge/requests/handlers.py
+++ b/dewridge/requests/handlers.py
@@ -58,7 +58,8 @@
             self._shared.metrics.add("replicas_foreign_records")
             return wire.ReplicateReply(stored=False)
         before = self._shared.table.find(offered.request)
-        reply = self._shared.table.store(offered, self._shared.clock())
+        now = self._shared.clock()
+        reply = self._shared.table.store(offered, now, message.outbids or 0)
         if reply.stored and before is not None and is_late_answer(before, offered):
             # Its other copies still say "unknown"; the sender must reach them.
             return wire.ReplicateReply(stored=True, known=encode_record(before))
@@ -123,8 +124,8 @@
 
     def find_record(self, request: RequestId) -> Record | None:
         """Return a record held here, also one that is merely being finished."""
-        attempt = self._attempts.find(request)
-        if attempt is not None and attempt.answer.lost:
+        attempt = self._attempts.find_orphan(request)
+        if attempt is not None:
             return attempt.record
         return self._shared.table.find(request)
 
--- a/dewridge/requests/handoff.py
+++ b/dewridge/requests/handoff.py
@@ -133,11 +133,16 @@
         return not answer.lost and record.ended is None
 
     def _bid_again(self, answer: Answer) -> None:
-        """Go on here under a new ownership; the old one's claim is given up."""
+        """Go on here under a new ownership; the old one's claim is given up.
+
+        A replica whose reply was lost may go on as well, so the answer gets a
+        generation of its own.
+        """
         record = answer.record
         ballot = self._shared.make_ballot(record.request, record.ballot.epoch)
-        adopt(record, ballot, keep_generation=True)
+        adopt(record, ballot, keep_generation=False)
         answer.acked.clear()
+        answer.visible = 0
         for host in record.replicas:
             self._replicator.send_whole(host, record.request)
         self._failover.resume(answer)
--- a/dewridge/requests/records.py
+++ b/dewridge/requests/records.py
@@ -63,6 +63,7 @@
         pending: its owner has not accepted it yet.
         maybe_run: an attempt may have started; "not run" must not be said.
         renewals: generations begun under the present ballot.
+        touched: when this host last heard of it from its owner.
         claim_asked: this process asked for a claim under the present ballot.
     """
 
@@ -92,6 +93,7 @@
     ended_at: float = 0.0
     renewals: int = 0
     claim_asked: bool = False
+    touched: float = 0.0
 
     @property
     def outcome(self) -> Outcome:
--- a/dewridge/requests/replicas.py
+++ b/dewridge/requests/replicas.py
@@ -115,26 +115,36 @@
             self._epochs[record.request] = record.ballot.epoch, now
             self.on_replaced(record, None)
 
-    def store(self, offered: Record, now: float) -> StoreReply:
-        """Hold another host's record, or say what stands against it."""
+    def store(self, offered: Record, now: float, outbids: int = 0) -> StoreReply:
+        """Hold another host's record, or say what stands against it.
+
+        A refusal stands against a record that is still being accepted only:
+        one that was accepted elsewhere first makes the refusal unconfirmed.
+
+        Args:
+            offered: the record.
+            now: seconds since 1970.
+            outbids: epoch up to which live records of other owners give way to
+                one that is still being accepted; its owner has asked them.
+        """
         closed = self._closed.get(offered.request)
         is_closed = closed is not None and offered.number <= closed.number
-        if closed is not None and is_closed and offered.ended is None:
+        if closed is not None and is_closed and offered.pending:
             return StoreReply(stored=False, ended=closed.ended)
         have = self._records.get(offered.request)
-        if have is None or self._gives_way(have, offered):
+        if have is None or self._gives_way(have, offered, outbids):
             self._replace(have, offered, now)
             return StoreReply(stored=True)
         if have.ballot == offered.ballot:
             return StoreReply(stored=True)
         return StoreReply(stored=False, known=have, ended=have.ended)
 
-    def _gives_way(self, have: Record, offered: Record) -> bool:
+    def _gives_way(self, have: Record, offered: Record, outbids: int) -> bool:
         if have.ended is not None:
             return self._end_gives_way(have, offered)
         if offered.ballot == have.ballot:
             return offered.ended is not None or self._is_newer(have, offered)
-        if offered.pending and offered.ballot.epoch <= have.ballot.epoch:
+        if offered.pending and outbids < have.ballot.epoch:
             return False
         if is_late_answer(have, offered):
             return True
@@ -163,6 +173,7 @@
 
     def _replace(self, have: Record | None, offered: Record, now: float) -> None:
         self._records[offered.request] = offered
+        offered.touched = now
         if offered.ended is not None:
             offered.end(offered.ended, now)
             self._remember_refusal(offered, now)
@@ -178,6 +189,7 @@
         if have.ballot != run.ballot:
             is_old = run.ballot < have.ballot
             return RunReply.SUPERSEDED if is_old else RunReply.UNKNOWN
+        have.touched = now
         if have.ended is not None:
             return RunReply.APPLIED
         if have.generation != run.generation or run.offset > len(have.tokens):
--- a/dewridge/requests/replication.py
+++ b/dewridge/requests/replication.py
@@ -10,7 +10,7 @@
 from dewridge.ids import HostId, RequestId
 from dewridge.membership.ranking import choose_replicas
 from dewridge.peers.wire import ttypes as wire
-from dewridge.requests.answers import Answer
+from dewridge.requests.answers import Answer, renew_generation
 from dewridge.requests.codec import decode_end, decode_record, encode_end, encode_record
 from dewridge.requests.model import EndedEvent
 from dewridge.requests.records import Record
@@ -115,6 +115,15 @@
             for host in after:
                 self._find_sender(host).note_whole(answer.record.request)
 
+    def renew(self, answer: Answer) -> None:
+        """Begin a new generation where a replica has more of the present one."""
+        renew_generation(answer.record)
+        answer.acked.clear()
+        answer.visible = 0
+        answer.note_change()
+        for host in answer.record.replicas:
+            self._find_sender(host).note_whole(answer.record.request)
+
     async def settle_end(self, answer: Answer) -> None:
         """See to it that callers hear of an end soon, in words that hold.
 
@@ -273,6 +282,7 @@
             if reply.ended is not None:
                 known.ended = decode_end(reply.ended)
             if known.ballot < answer.record.ballot and known.ended is None:
+                self._replicator.renew(answer)
                 return
         log.info("request ownership superseded at {}", self._host)
         self._shared.metrics.add("requests_superseded")
@@ -304,9 +314,12 @@
     )
 
 
-def make_copy(record: Record) -> Any:
+def make_copy(record: Record, outbids: int = 0) -> Any:
     """Return a whole record as a message."""
     ended = encode_end(record.ended, record.number) if record.ended else None
     return wire.Replicate(
-        record=encode_record(record), tokens=list(record.tokens), ended=ended
+        record=encode_record(record),
+        tokens=list(record.tokens),
+        ended=ended,
+        outbids=outbids,
     )
--- a/dewridge/requests/scheduling.py
+++ b/dewridge/requests/scheduling.py
@@ -137,6 +137,11 @@
             lane.scheduler.withdraw(record.request, self._shared.clock())
             self.wake()
 
+    def drop(self, assignment: Assignment) -> None:
+        """Give back the slot of an assignment whose request is gone."""
+        for lane in self._lanes.values():
+            lane.scheduler.withdraw(assignment.work.request, self._shared.clock())
+
     def find_operation(self, record: Record) -> Operation | None:
         """Return the operation of a record as configured now."""
         lane = self.find_lane(record.service)
