--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN := $(VENV)/bin/python -m
 READY := $(VENV)/.ready-$(shell cksum < requirements.lock | cut -d' ' -f1)
 
-.PHONY: proofs setup demo test check format lint types contracts generate binary clean
+.PHONY: proofs setup demo test check format lint types contracts slopes generate binary clean
 
 setup: $(READY)
 
@@ -37,6 +37,10 @@
 contracts: setup
 	$(VENV)/bin/lint-imports
 
+# How costs grow with the number of hosts; takes some twenty minutes.
+slopes: setup
+	$(RUN) dewridge.slopes.membership
+
 # Needs the thrift compiler; its result is committed, so that a build does not.
 generate:
 	cp dewridge/peers/__init__.py build-init.tmp
--- a/dewridge/membership/prober.py
+++ b/dewridge/membership/prober.py
@@ -1,5 +1,6 @@
 """Probing members one after the other, and telling news that can't wait."""
 
+import math
 from random import Random
 
 import trio
@@ -107,7 +108,7 @@
         async with trio.open_nursery() as nursery:
             due = trio.current_time()
             while True:
-                due += self._settings.probe_period * self._health.stretch
+                due += self.find_period() * self._health.stretch
                 await trio.sleep_until(due)
                 late = trio.current_time() - due
                 if late > self._settings.probe_timeout:
@@ -140,6 +141,17 @@
             for target in self._choose(contacts):
                 nursery.start_soon(self._exchanges.probe, target, self._find_timeout())
 
+    def find_period(self) -> float:
+        """Return the seconds between two probes of this host.
+
+        It grows with the logarithm of the count, as a suspect's time to refute
+        does. Each piece of news is told more often in a larger group; at 440
+        members probes at the period of eight would spend the 3 KB a second on
+        connections alone, and every member is still probed once in 1.3 s.
+        """
+        count = self._state.table.alive_count
+        return self._settings.probe_period * max(1.0, math.log10(count))
+
     def _wake(self) -> None:
         self._has_news.set()
 
--- a/dewridge/peers/connection.py
+++ b/dewridge/peers/connection.py
@@ -10,7 +10,6 @@
 import trio
 
 from dewridge.codes import ResultCode
-from dewridge.metrics.registry import Metrics
 from dewridge.peers.frames import (
     HEARTBEAT,
     HELLO_LIMIT,
@@ -18,32 +17,26 @@
     Parcel,
     encode_frame,
 )
-from dewridge.peers.hello import (
-    Greeted,
-    Greeting,
-    RefusalCheck,
-    check_hello,
-    make_hello,
-)
+from dewridge.peers.greetings import RECEIVE_BYTES, ConnectionOptions, greet
+from dewridge.peers.hello import Greeted
 from dewridge.peers.model import Message, PeerIdentity
-from dewridge.peers.wire import ttypes
+from dewridge.peers.refusals import hide_code, make_refusal, read_reply, unreachable
 from dewridge.sentinels import Failure
 from dewridge.supervision.mailbox import Mailbox, Promise
 
-RECEIVE_BYTES = 65_536
 OUTGOING_FRAMES = 4_096
 """Frames waiting for one connection. A pair of hosts exchanges a hundred or two a
 second, so this is more than the idle timeout can gather; beyond it a peer that
 stands still would cost this host its memory. What doesn't fit fails at once as
 never sent, and the caller takes another host."""
-HEARTBEATS_IN_TIMEOUT = 3
-"""Heartbeats that fit into the idle timeout: two may be late or lost."""
 LONGEST_KEEP = 60.0
 """Seconds that a connection in steady use is kept without a message. At 440 hosts
 each probes every other one once in a few minutes; connections kept for that would
 spend more on heartbeats than all probes together (see `_is_spent`)."""
 
 OpenStream = Callable[[], Awaitable[trio.SocketStream]]
+Deliver = Callable[["Connection", Parcel], None]
+"""Takes a message that is no reply, at once."""
 
 
 class ConnectionState(Enum):
@@ -56,25 +49,6 @@
     CLOSED = "closed"
 
 
-@dataclass(frozen=True, slots=True)
-class ConnectionOptions:
-    """What all connections of a host have in common."""
-
-    greeting: Greeting
-    frame_limit: int
-    connect_timeout: float
-    idle_timeout: float
-    metrics: Metrics
-    is_refused: RefusalCheck
-    deliver: Callable[["Connection", Parcel], None]
-    """Takes a message that is no reply, at once."""
-
-    @property
-    def heartbeat(self) -> float:
-        """Seconds without a frame sent after which a heartbeat goes out."""
-        return self.idle_timeout / HEARTBEATS_IN_TIMEOUT
-
-
 @dataclass(slots=True, eq=False)
 class Outgoing:
     """A frame on its way to the peer."""
@@ -89,13 +63,21 @@
 class Connection:
     """A connection, dialled or accepted; `run` owns its socket and its end."""
 
-    def __init__(self, options: ConnectionOptions, *, address: str, dialled: bool):
+    def __init__(
+        self,
+        options: ConnectionOptions,
+        deliver: Deliver,
+        *,
+        address: str,
+        dialled: bool,
+    ) -> None:
         self.address = address
         self.dialled = dialled
         self.state = ConnectionState.GREETING
         self.peer: PeerIdentity | None = None
         self.version = 0
         self._options = options
+        self._deliver = deliver
         self._mailbox: Mailbox[Outgoing] = Mailbox(OUTGOING_FRAMES)
         self._queued_bytes = 0
         self._pending: dict[int, Outgoing] = {}
@@ -147,11 +129,11 @@
 
     def reply(self, call: int, result: Message | Failure) -> None:
         """Queue the reply to a message of the peer's."""
-        message = _make_refusal(result) if isinstance(result, Failure) else result
+        message = make_refusal(result) if isinstance(result, Failure) else result
         limit = self._options.frame_limit
         frame = encode_frame(Parcel(0, call, message), limit)
         if isinstance(frame, Failure):
-            refusal = _make_refusal(Failure(ResultCode.INTERNAL, frame.reason))
+            refusal = make_refusal(Failure(ResultCode.INTERNAL, frame.reason))
             frame = encode_frame(Parcel(0, call, refusal), limit)
         if isinstance(frame, Failure) or self._post(Outgoing(frame)) is not None:
             self._options.metrics.add("peer_replies_dropped")
@@ -226,66 +208,19 @@
                 stream = await open_stream()
             except (OSError, ValueError) as error:
                 kind = type(error).__name__
-                return self.abandon(_unreachable(f"can't connect: {kind}"), "refused")
+                return self.abandon(unreachable(f"can't connect: {kind}"), "refused")
             stack.push_async_callback(trio.aclose_forcefully, stream)
-            if not await self._greet(stream):
-                return None
+            greeted = await greet(stream, self._reader, self._options, self.dialled)
+            if isinstance(greeted, Failure):
+                return self.abandon(greeted, "no_greeting")
+            self._open(greeted)
         if opening.cancelled_caught:
-            return self.abandon(_unreachable("no greeting in time"), "no_greeting")
+            return self.abandon(unreachable("no greeting in time"), "no_greeting")
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._read, stream)
             nursery.start_soon(self._write, stream)
         return None
 
-    async def _greet(self, stream: trio.SocketStream) -> bool:
-        # A dialled connection's messages wait for the peer's hello: only so can a
-        # call to a frozen host be told apart as never sent.
-        hello = Parcel(0, 0, make_hello(self._options.greeting))
-        if self.dialled:
-            await self._send_parcel(stream, hello)
-        try:
-            first = await self._receive_first(stream)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            first = _unreachable("broken while greeting")
-        if isinstance(first, Failure):
-            self.abandon(first, "no_hello")
-            return False
-        greeted = self._check(first.message)
-        if isinstance(greeted, Failure):
-            if not self.dialled and isinstance(first.message, ttypes.Hello):
-                await self._send_parcel(stream, Parcel(0, 0, _make_refusal(greeted)))
-            self.abandon(greeted, "hello_refused")
-            return False
-        if not self.dialled:
-            await self._send_parcel(stream, hello)
-        self._open(greeted)
-        return True
-
-    async def _receive_first(self, stream: trio.SocketStream) -> Parcel | Failure:
-        while (first := self._reader.take()) is None:
-            data = await stream.receive_some(RECEIVE_BYTES)
-            if not data:
-                return _unreachable("closed while greeting")
-            self._reader.feed(data)
-        return first
-
-    def _check(self, message: Message | None) -> Greeted | Failure:
-        if self.dialled and isinstance(message, ttypes.Refusal):
-            return _read_refusal(message)
-        greeting, is_refused = self._options.greeting, self._options.is_refused
-        checked = check_hello(message, greeting, is_refused)
-        if self.dialled and isinstance(checked, Failure):
-            return _hide_code(checked)
-        return checked
-
-    async def _send_parcel(self, stream: trio.SocketStream, parcel: Parcel) -> None:
-        frame = encode_frame(parcel, self._options.frame_limit)
-        if isinstance(frame, bytes):
-            try:
-                await stream.send_all(frame)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                self.abandon(_unreachable("broken while greeting"), "broken")
-
     def _open(self, greeted: Greeted) -> None:
         self.peer = greeted.peer
         self.version = greeted.version
@@ -305,9 +240,9 @@
             try:
                 data = await stream.receive_some(RECEIVE_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
-                return self.abandon(_unreachable("connection broke"), "broken")
+                return self.abandon(unreachable("connection broke"), "broken")
             if not data:
-                return self.abandon(_unreachable("closed by the peer"), "closed")
+                return self.abandon(unreachable("closed by the peer"), "closed")
             self._received_at = trio.current_time()
             metrics.add("peer_bytes_received", len(data))
             self._reader.feed(data)
@@ -332,17 +267,17 @@
             # A host that was paused wakes up, is fenced by now, and goes on over
             # the connections that it had. Its hellos are refused, but these are
             # open already; it would act on behalf of work that others took over.
-            self.abandon(_hide_code(refusal), "peer_refused")
+            self.abandon(hide_code(refusal), "peer_refused")
             return False
         self._used_at = self._received_at
         if not parcel.reply_to:
-            self._options.deliver(self, parcel)
+            self._deliver(self, parcel)
             return True
         outgoing = self._pending.get(parcel.reply_to)
         if outgoing is None or outgoing.promise is None:
             self._options.metrics.add("peer_replies_late")
             return True
-        outgoing.promise.fulfil(_read_reply(parcel.message))
+        outgoing.promise.fulfil(read_reply(parcel.message))
         return True
 
     async def _write(self, stream: trio.SocketStream) -> None:
@@ -380,10 +315,10 @@
             try:
                 await stream.send_all(data)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
-                self.abandon(_unreachable("connection broke"), "broken")
+                self.abandon(unreachable("connection broke"), "broken")
                 return False
         if deadline.cancelled_caught:
-            self.abandon(_unreachable("write blocked"), "write_blocked")
+            self.abandon(unreachable("write blocked"), "write_blocked")
             return False
         self._sent_at = trio.current_time()
         self._options.metrics.add("peer_bytes_sent", len(data))
@@ -402,7 +337,7 @@
             self.abandon(Failure(ResultCode.PEER_TIMEOUT, "went silent"), "silent")
             return False
         if self._is_spent(now):
-            self.abandon(_unreachable("closed as unused"), "unused")
+            self.abandon(unreachable("closed as unused"), "unused")
             return False
         return True
 
@@ -431,9 +366,9 @@
         self.state = ConnectionState.CLOSED
         ending = self._ending
         if ending is None:
-            ending = _unreachable("shut down")
+            ending = unreachable("shut down")
         if ending.code is ResultCode.PEER_TIMEOUT:
-            never_sent = _unreachable(ending.reason)
+            never_sent = unreachable(ending.reason)
         else:
             never_sent = ending
         maybe_sent = Failure(ResultCode.PEER_TIMEOUT, ending.reason)
@@ -447,35 +382,3 @@
 
 
 _TOO_LATE = Failure(ResultCode.PEER_TIMEOUT, "no reply in time")
-
-
-def _unreachable(reason: str) -> Failure:
-    return Failure(ResultCode.PEER_UNREACHABLE, reason)
-
-
-def _make_refusal(failure: Failure) -> Message:
-    return ttypes.Refusal(
-        code=int(failure.code), reason=failure.reason, retry_after=failure.retry_after
-    )
-
-
-def _hide_code(failure: Failure) -> Failure:
-    # FENCED as a call's result means that the peer fenced this host, which then
-    # starts anew; that this host won't listen to a fenced peer must not read so.
-    if failure.code is ResultCode.FENCED:
-        return Failure(ResultCode.PEER_REFUSED, f"the peer: {failure.reason}")
-    return failure
-
-
-def _read_refusal(refusal: Message) -> Failure:
-    try:
-        code = ResultCode(refusal.code)
-    except ValueError:  # a newer release has codes that this one does not know
-        code = ResultCode.PEER_REFUSED
-    return Failure(code, refusal.reason or "", refusal.retry_after)
-
-
-def _read_reply(message: Message | None) -> Message | Failure:
-    if message is None:
-        return Failure(ResultCode.PEER_REFUSED, "reply of an unknown kind")
-    return _read_refusal(message) if isinstance(message, ttypes.Refusal) else message
--- a/dewridge/peers/frames.py
+++ b/dewridge/peers/frames.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass
+from operator import attrgetter
 from typing import Any
 
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
@@ -31,6 +32,7 @@
 MESSAGE_FIELDS = tuple(
     name for name in ttypes.Envelope.__slots__ if name not in CONTROL_FIELDS
 )
+read_messages = attrgetter(*MESSAGE_FIELDS)
 FIELD_OF_KIND: dict[type, str] = {
     spec[3][0]: spec[2]
     for spec in ttypes.Envelope.thrift_spec
@@ -61,6 +63,10 @@
 
 HEARTBEAT = Parcel(0, 0, None)
 
+_protocol = TBinaryProtocolAccelerated(TMemoryBuffer())
+"""Used for every frame in turn, as this process has one thread: making one takes as
+long as encoding a small frame. It keeps nothing between frames."""
+
 
 def encode_frame(parcel: Parcel, limit: int) -> bytes | Failure:
     """Return the frame that carries a parcel."""
@@ -70,9 +76,9 @@
         if field is None:
             return _fail(f"no envelope carries a {type(parcel.message).__name__}")
         setattr(envelope, field, parcel.message)
-    buffer = TMemoryBuffer()
+    buffer = _protocol.trans = TMemoryBuffer()
     try:
-        envelope.write(TBinaryProtocolAccelerated(buffer))
+        envelope.write(_protocol)
     except Exception as error:  # a field of a wrong type; which one thrift won't say
         return _fail(f"can't encode: {type(error).__name__}")
     payload: bytes = buffer.getvalue()
@@ -83,25 +89,19 @@
 
 def decode_payload(payload: bytes) -> Parcel | Failure:
     """Read what follows a frame's length."""
-    protocol = TBinaryProtocolAccelerated(
-        TMemoryBuffer(payload),
-        # No string or list can be longer than the bytes that are here, so that
-        # a garbled length is found before memory is taken for it.
-        string_length_limit=max(1, len(payload)),
-        container_length_limit=max(1, min(len(payload), CONTAINER_LIMIT)),
-    )
+    _protocol.trans = TMemoryBuffer(payload)
+    # No string or list can be longer than the bytes that are here, so that a
+    # garbled length is found before memory is taken for it.
+    _protocol.string_length_limit = max(1, len(payload))
+    _protocol.container_length_limit = max(1, min(len(payload), CONTAINER_LIMIT))
     envelope: Envelope = ttypes.Envelope()
     try:
-        envelope.read(protocol)
+        envelope.read(_protocol)
     except Exception as error:  # thrift raises half a dozen kinds on garbled bytes
         return _fail(f"can't decode: {type(error).__name__}")
     if not isinstance(envelope.call, int) or not isinstance(envelope.reply_to, int):
         return _fail("no call numbers")
-    found = [
-        message
-        for message in [getattr(envelope, name) for name in MESSAGE_FIELDS]
-        if message is not None
-    ]
+    found = [message for message in read_messages(envelope) if message is not None]
     if len(found) > 1:
         return _fail("several messages in one frame")
     return Parcel(envelope.call, envelope.reply_to, found[0] if found else None)
--- a/dewridge/peers/transport.py
+++ b/dewridge/peers/transport.py
@@ -9,8 +9,9 @@
 
 from dewridge.codes import ResultCode
 from dewridge.metrics.registry import Metrics
-from dewridge.peers.connection import Connection, ConnectionOptions
+from dewridge.peers.connection import Connection
 from dewridge.peers.frames import Parcel
+from dewridge.peers.greetings import ConnectionOptions
 from dewridge.peers.hello import Greeting, RefusalCheck
 from dewridge.peers.model import Handler, Message, PeerIdentity
 from dewridge.sentinels import Failure
@@ -86,7 +87,6 @@
             idle_timeout=settings.idle_timeout,
             metrics=metrics,
             is_refused=self._check_peer,
-            deliver=self._deliver,
         )
         self._handlers: dict[type, Handler] = {}
         self._dialled: dict[str, Connection] = {}
@@ -180,7 +180,9 @@
             return connection
         if self._nursery is None:
             return Failure(ResultCode.PEER_UNREACHABLE, "not running")
-        connection = Connection(self._options, address=address, dialled=True)
+        connection = Connection(
+            self._options, self._deliver, address=address, dialled=True
+        )
         self._dialled[address] = connection
         self._nursery.start_soon(self._run_dialled, connection)
         return connection
@@ -198,7 +200,9 @@
             await trio.aclose_forcefully(stream)
             return
         address = str(stream.socket.getpeername()[0])
-        connection = Connection(self._options, address=address, dialled=False)
+        connection = Connection(
+            self._options, self._deliver, address=address, dialled=False
+        )
         self._accepted[connection] = None
 
         async def take() -> trio.SocketStream:
--- /dev/null
+++ b/dewridge/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of how costs grow with the number of hosts."""
