Let a successor learn of every replica whose word counts

Acknowledgements now count only of replicas that an old one knows of; if none of the old ones is left, a new generation begins. A host that takes over asks the key's home as well, so that a stale copy does not run again what ended long ago.

--- a/dewridge/requests/answers.py
+++ b/dewridge/requests/answers.py
@@ -35,6 +35,9 @@
     Attributes:
         visible: tokens that a replica has acknowledged. Callers see no more,
             so that whoever takes over has all that a caller saw.
+        trusted: replicas whose acknowledgement counts. A successor must learn of
+            each of them from the others, or it would go on without the tokens
+            that only that one has.
         holders: hosts that may hold a copy, also ones replaced since.
         accepted: set once a replica holds the record, or the answer is lost.
         detached: no replica can be had; tokens are shown as they come, under a
@@ -46,6 +49,7 @@
         self.acked: dict[HostId, int] = {}
         self.end_acked: set[HostId] = set()
         self.holders: set[HostId] = set()
+        self.trusted = set(record.replicas)
         self.visible = 0
         self.end_visible = False
         self.lost = False
@@ -71,7 +75,29 @@
         self.acked[host] = max(tokens, self.acked.get(host, 0))
         if ended:
             self.end_acked.add(host)
-        self.visible = max(self.visible, self.acked[host])
+        self._show()
+
+    def replace_replicas(self, after: set[HostId]) -> bool:
+        """Note other replicas; whether the answer needs a new generation.
+
+        It does if none of the old ones stays: a successor among those would go
+        on without ever hearing of the new ones, under the same generation.
+        """
+        self.trusted &= after
+        if not self.trusted:
+            self.trusted = set(self.record.replicas)
+            return True
+        return False
+
+    def trust(self, host: HostId, replicas: set[HostId]) -> None:
+        """Count all of a record's replicas, since one that counts knows them."""
+        if host in self.trusted:
+            self.trusted |= replicas
+            self._show()
+
+    def _show(self) -> None:
+        counted = [n for host, n in self.acked.items() if host in self.trusted]
+        self.visible = max([self.visible, *counted])
         self._show_end()
         self.note_change()
 
@@ -87,7 +113,7 @@
             return
         if record.outcome is Outcome.NOT_RUN:
             self.end_visible = self.end_acked >= self.holders
-        elif self.end_acked:
+        elif self.end_acked & self.trusted:
             self.visible = len(record.tokens)
             self.end_visible = True
 
--- a/dewridge/requests/failover.py
+++ b/dewridge/requests/failover.py
@@ -6,12 +6,13 @@
 from dewridge.codes import Outcome, ResultCode
 from dewridge.ids import HostId, Incarnation, RequestId
 from dewridge.membership.model import Member, MemberState
+from dewridge.membership.ranking import find_home
 from dewridge.peers.wire import ttypes as wire
 from dewridge.requests.answers import Answer, adopt, renew_generation
 from dewridge.requests.attempts import Attempts
 from dewridge.requests.codec import decode_record
 from dewridge.requests.ending import Ender
-from dewridge.requests.locating import Located, Locator
+from dewridge.requests.locating import Located, Locator, decode_found
 from dewridge.requests.records import Ballot, Record
 from dewridge.requests.replication import Replicator, make_copy
 from dewridge.requests.shared import Shared
@@ -176,6 +177,8 @@
         self._replicator.choose(record)
         answer = Answer(record)
         answer.visible = len(record.tokens) if answered else 0
+        if answered and answer.replace_replicas(set(others)):
+            renew_generation(record)
         self._replicator.add(answer)
         self._shared.metrics.add("requests_taken_over")
         log.info("took over a request; its owner is gone")
@@ -217,31 +220,44 @@
             self._attempts.park(answer)
 
     async def _gather(self, record: Record, others: list[HostId]) -> bool:
-        """Collect what the other replicas have; whether all of them answered.
+        """Collect what other hosts have; whether all the replicas answered.
 
         A token went to a caller after one replica's acknowledgement, so only
         all of them together surely have what callers saw. If one is missing
-        the answer goes on under a new generation.
+        the answer goes on under a new generation. The rest of the key's home
+        is asked as well: the request may have ended long ago under an owner of
+        which this copy's owner, cut off or paused, never heard.
         """
-        missing: list[HostId] = []
+        home = find_home(record.request, self._shared.membership.members())
+        asked = {self._shared.me.host}
+        answered: set[HostId] = set()
+        hosts = {*others, *(m.host for m in home[: self._shared.reach])} - asked
 
         async def ask(host: HostId) -> None:
-            found = await self._locator.ask(host, record.request, with_tokens=True)
-            if found is None:
-                missing.append(host)
-            else:
-                self._learn(record, found)
-
-        async with trio.open_nursery() as nursery:
-            for host in others:
-                nursery.start_soon(ask, host)
-        return not missing
-
-    def _learn(self, record: Record, found: Located) -> None:
+            message = wire.Find(request=record.request, with_tokens=True)
+            reply = await self._shared.call(host, message)
+            if not isinstance(reply, Failure) and reply.found:
+                answered.add(host)
+                self._learn(record, decode_found(host, reply), others)
+
+        while hosts:
+            asked |= hosts
+            async with trio.open_nursery() as nursery:
+                for host in hosts:
+                    nursery.start_soon(ask, host)
+            hosts = set(others) - asked
+        return answered >= set(others)
+
+    def _learn(self, record: Record, found: Located, others: list[HostId]) -> None:
         theirs = found.record
+        if theirs.ballot == record.ballot:
+            known = {*others, self._shared.me.host, record.ballot.host}
+            others += [host for host in theirs.replicas if host not in known]
         now = self._shared.clock()
         if theirs.ballot > record.ballot:
             self._shared.table.store(theirs, now)
+        elif theirs.ballot < record.ballot:
+            return
         elif theirs.ended is not None and record.ended is None:
             record.tokens = theirs.tokens
             record.generation = theirs.generation
--- a/dewridge/requests/handoff.py
+++ b/dewridge/requests/handoff.py
@@ -9,7 +9,7 @@
 from dewridge.ids import HostId
 from dewridge.peers.model import PeerIdentity
 from dewridge.peers.wire import ttypes as wire
-from dewridge.requests.answers import Answer, adopt
+from dewridge.requests.answers import Answer, adopt, renew_generation
 from dewridge.requests.attempts import Attempts, StopCause
 from dewridge.requests.claiming import ClaimDesk
 from dewridge.requests.codec import decode_record, encode_record
@@ -204,9 +204,12 @@
     def _own(self, record: Record) -> None:
         ballot = self._shared.make_ballot(record.request, record.ballot.epoch)
         adopt(record, ballot, keep_generation=True)
+        before = set(record.replicas)
         self._shared.table.put(record)
         self._replicator.choose(record)
         answer = Answer(record)
+        if self._shared.me.host not in before and answer.replace_replicas(before):
+            renew_generation(record)
         self._replicator.add(answer)
         if not record.replicas:
             answer.detach()
--- a/dewridge/requests/replication.py
+++ b/dewridge/requests/replication.py
@@ -112,6 +112,8 @@
             self._shared.metrics.add("requests_rereplicated")
             for host in set(before) - set(after):
                 answer.acked.pop(host, None)
+            if answer.replace_replicas(set(after)):
+                self.renew(answer)
             for host in after:
                 self._find_sender(host).note_whole(answer.record.request)
 
@@ -264,6 +266,7 @@
             tokens = len(message.tokens)
             ended = message.ended is not None
             answer.acknowledge(self._host, generation, tokens, ended)
+            answer.trust(self._host, set(message.record.replicas))
             self._dirty[answer.record.request] = None
         else:
             self._give_up(answer, reply)
