--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN := $(VENV)/bin/python -m
 READY := $(VENV)/.ready-$(shell cksum < requirements.lock | cut -d' ' -f1)
 
-.PHONY: proofs setup demo test check format lint types contracts slopes generate binary clean
+.PHONY: proofs setup demo bench test check format lint types contracts slopes generate binary clean
 
 setup: $(READY)
 
@@ -41,6 +41,10 @@
 slopes: setup
 	$(RUN) dewridge.slopes.membership
 
+# Compares the policies with baselines; writes docs/bench.md and its plot.
+bench: setup
+	$(RUN) dewridge.bench
+
 # Needs the thrift compiler; its result is committed, so that a build does not.
 generate:
 	cp dewridge/peers/__init__.py build-init.tmp
--- /dev/null
+++ b/dewridge/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the decisions: a small event loop over the pure code, no sockets."""
--- /dev/null
+++ b/dewridge/bench/__main__.py
@@ -0,0 +1,62 @@
+"""Runs the bench: `python -m dewridge.bench`."""
+
+import argparse
+import sys
+import time
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+from dewridge.bench.cases import CONTENDERS, Case, Result, list_cases, run_case
+from dewridge.bench.decisions import FLEETS, time_decisions
+from dewridge.bench.expectations import judge
+from dewridge.bench.notes import NOTES
+from dewridge.bench.report import draw_plot, format_results, write_report
+
+
+def main() -> int:
+    """Run all cases and write the page; 0 once it is written."""
+    parser = argparse.ArgumentParser(prog="dewridge.bench", description=__doc__)
+    parser.add_argument("--seeds", type=int, default=3, help="seeds of each run")
+    parser.add_argument("--processes", type=int, default=3, help="runs side by side")
+    parser.add_argument("--kind", default="", help="only runs of this kind")
+    parser.add_argument("--output", type=Path, default=Path("docs"))
+    options = parser.parse_args()
+    started = time.monotonic()
+    decisions = [
+        time_decisions(contender, servers, hosts)
+        for contender in CONTENDERS
+        for servers, hosts in FLEETS
+    ]
+    cases = list_cases(range(1, options.seeds + 1))
+    if options.kind:
+        cases = [case for case in cases if case.kind == options.kind]
+    results = _run(cases, options.processes)
+    if options.kind:
+        print(format_results(results))
+        return 0
+    verdicts = judge(results, decisions)
+    write_report(options.output / "bench.md", results, decisions, verdicts, NOTES)
+    draw_plot(options.output / "figures" / "bench.png", results)
+    for verdict in verdicts:
+        mark = "reached" if verdict.is_reached else f"MISSED by {verdict.gap}"
+        print(f"{verdict.deployment}: {verdict.expected}: {verdict.measured}: {mark}")
+    print(f"{len(cases)} runs in {time.monotonic() - started:.0f} s")
+    return 0
+
+
+def _run(cases: list[Case], processes: int) -> list[Result]:
+    results = []
+    with ProcessPoolExecutor(processes) as pool:
+        for done, result in enumerate(pool.map(run_case, cases), 1):
+            results.append(result)
+            case = result.case
+            print(
+                f"{done}/{len(cases)} {case.deployment.name} x{case.scale} {case.kind} "
+                f"{case.contender.name}: {result.overall.in_target:.3f} in target",
+                flush=True,
+            )
+    return results
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/dewridge/bench/deployments.py
@@ -0,0 +1,374 @@
+"""Shapes of the two deployments, and arrivals drawn for them."""
+
+import random
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+from dewridge.bench.workers import EngineShape
+from dewridge.configuration.model import Operation, Service
+from dewridge.ids import (
+    BackendServerId,
+    ClientAccount,
+    FailureDomain,
+    OperationName,
+    ProfileName,
+    RequestId,
+    ServiceName,
+)
+from dewridge.policy.model import ServerView, Work, WorkClass
+
+ENGINE_CAPACITY = 8
+PLAIN_CAPACITY = 16
+PLAIN_SECONDS = 0.24
+"""Usual seconds of a plain call."""
+TEMPLATES = 12
+"""Prompt prefixes of one account; the first is in half of its requests."""
+ENGINE = EngineShape()
+
+
+@dataclass(frozen=True, slots=True)
+class Pool:
+    """Machines of one class in one failure domain."""
+
+    failure_domain: str
+    machine_class: str
+    price: float
+    reclaimable: bool
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One kind of call in the mix.
+
+    Attributes:
+        share: part of the service's requests.
+        allowance: seconds from arrival to deadline.
+    """
+
+    operation: Operation
+    share: float
+    prompt_tokens: int
+    allowance: float
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceShape:
+    """One service with its machines and its mix of calls."""
+
+    name: str
+    kind: str
+    pools: tuple[Pool, ...]
+    calls: tuple[Call, ...]
+
+    def make_service(self) -> Service:
+        """Return the service as operators would publish it."""
+        return Service(
+            name=ServiceName(self.name),
+            kind="plain" if self.kind == "plain" else "model",
+            profile=ProfileName("bench"),
+            operations=tuple(call.operation for call in self.calls),
+        )
+
+    def make_servers(self, scale: int) -> list[ServerView]:
+        """Return the backend servers, `scale` times as many as today."""
+        capacity = PLAIN_CAPACITY if self.kind == "plain" else ENGINE_CAPACITY
+        return [
+            ServerView(
+                id=BackendServerId(f"{self.name}-{place}-{number}"),
+                failure_domain=FailureDomain(pool.failure_domain),
+                machine_class=pool.machine_class,
+                price=pool.price,
+                reclaimable=pool.reclaimable,
+                capacity=capacity,
+            )
+            for place, pool in enumerate(self.pools)
+            for number in range(pool.count * scale)
+        ]
+
+    def find_capacity(self, scale: int) -> float:
+        """Return requests of the mix a second that all machines can answer."""
+        machines = sum(pool.count for pool in self.pools) * scale
+        if self.kind == "plain":
+            return machines * PLAIN_CAPACITY / PLAIN_SECONDS
+        seconds = sum(
+            call.share
+            * find_slot_seconds(call.operation.expected_tokens, call.prompt_tokens)
+            for call in self.calls
+        )
+        return machines * ENGINE_CAPACITY / seconds
+
+    def find_slots(self, scale: int) -> int:
+        """Return the requests that all machines run side by side."""
+        capacity = PLAIN_CAPACITY if self.kind == "plain" else ENGINE_CAPACITY
+        return sum(pool.count for pool in self.pools) * scale * capacity
+
+
+def find_slot_seconds(tokens: int, prompt_tokens: int) -> float:
+    """Return the seconds that an answer holds a place in a full engine."""
+    step = ENGINE.step + ENGINE.step_stream * ENGINE_CAPACITY
+    # A prompt slows all streams of its engine while it is computed.
+    prefill = prompt_tokens * ENGINE.prefill_token * ENGINE_CAPACITY
+    return tokens * step + prefill
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """One of the two deployments.
+
+    Attributes:
+        hosts: entry hosts of today.
+        accounts: client accounts with their parts of the requests.
+        delay: seconds one way between a host and a backend server.
+    """
+
+    name: str
+    hosts: int
+    services: tuple[ServiceShape, ...]
+    accounts: tuple[tuple[str, float], ...]
+    delay: float
+
+
+def _make_call(
+    name: str,
+    share: float,
+    allowance: float,
+    *,
+    is_interactive: bool,
+    tokens: int = 1,
+    prompt: int = 0,
+    idempotent: bool = True,
+) -> Call:
+    operation = Operation(
+        name=OperationName(name),
+        work_class="interactive" if is_interactive else "background",
+        idempotent=idempotent,
+        expected_tokens=tokens,
+    )
+    return Call(operation, share, prompt, allowance)
+
+
+def _make_pools(
+    rows: Sequence[tuple[str, str, float, bool, int]],
+) -> tuple[Pool, ...]:
+    return tuple(Pool(*row) for row in rows)
+
+
+SELLO_VERDE = Deployment(
+    "sello-verde",
+    8,
+    (
+        ServiceShape(
+            "findings",
+            "model",
+            _make_pools(
+                [
+                    ("zona-a", "reclaimable", 1.0, True, 3),
+                    ("zona-b", "reclaimable", 1.4, True, 2),
+                    ("mixco", "reclaimable", 2.0, True, 2),
+                    ("villa-nueva", "on-demand", 3.2, False, 2),
+                ]
+            ),
+            (
+                _make_call(
+                    "draft_finding",
+                    1.0,
+                    15.0,
+                    is_interactive=False,
+                    tokens=200,
+                    prompt=1200,
+                ),
+            ),
+        ),
+        ServiceShape(
+            "registry",
+            "plain",
+            _make_pools(
+                [
+                    ("zona-a", "small", 0.1, True, 1),
+                    ("zona-b", "small", 0.12, True, 1),
+                    ("mixco", "small", 0.2, True, 1),
+                    ("villa-nueva", "small-on-demand", 0.3, False, 1),
+                ]
+            ),
+            (
+                _make_call("check_status", 0.9, 2.0, is_interactive=True),
+                _make_call(
+                    "issue_letter", 0.1, 5.0, is_interactive=True, idempotent=False
+                ),
+            ),
+        ),
+    ),
+    (("coop", 0.45), ("gulf", 0.35), ("broker", 0.1), ("port", 0.06), ("farm", 0.04)),
+    0.0015,
+)
+
+KAROO = Deployment(
+    "karoo",
+    8,
+    (
+        ServiceShape(
+            "drafting",
+            "model",
+            _make_pools(
+                [
+                    ("midrand-a", "reclaimable", 0.9, True, 3),
+                    ("midrand-b", "reclaimable", 1.3, True, 2),
+                    ("isando-1", "reclaimable", 1.9, True, 2),
+                    ("isando-2", "on-demand", 2.8, False, 2),
+                ]
+            ),
+            (
+                _make_call(
+                    "draft_certificate",
+                    0.2,
+                    40.0,
+                    is_interactive=False,
+                    tokens=1200,
+                    prompt=1500,
+                    idempotent=False,
+                ),
+                _make_call(
+                    "answer_question",
+                    0.5,
+                    4.0,
+                    is_interactive=True,
+                    tokens=100,
+                    prompt=400,
+                ),
+                _make_call(
+                    "summarize_anomalies",
+                    0.3,
+                    20.0,
+                    is_interactive=False,
+                    tokens=150,
+                    prompt=800,
+                ),
+            ),
+        ),
+        ServiceShape(
+            "portal",
+            "plain",
+            _make_pools(
+                [
+                    ("midrand-a", "small", 0.1, True, 1),
+                    ("midrand-b", "small", 0.12, True, 1),
+                    ("isando-1", "small", 0.2, True, 1),
+                    ("isando-2", "small-on-demand", 0.3, False, 1),
+                ]
+            ),
+            (
+                _make_call("lookup_tester", 0.8, 2.0, is_interactive=True),
+                _make_call(
+                    "file_certificate", 0.2, 5.0, is_interactive=True, idempotent=False
+                ),
+            ),
+        ),
+    ),
+    (("umoya", 0.45), ("vaal", 0.35), ("thaba", 0.1), ("city", 0.06), ("audit", 0.04)),
+    0.0009,
+)
+
+DEPLOYMENTS = (SELLO_VERDE, KAROO)
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that a caller sends to one entry host.
+
+    Attributes:
+        tokens: size of its answer, which nobody knows beforehand.
+    """
+
+    service: str
+    host: int
+    work: Work
+    tokens: int
+
+
+def draw_arrivals(
+    deployment: Deployment,
+    *,
+    scale: int,
+    load: float,
+    seconds: float,
+    seed: int,
+    burst: float = 1.0,
+) -> list[Arrival]:
+    """Draw open-loop arrivals: callers do not wait for each other's answers.
+
+    Args:
+        deployment: whose mix it is.
+        scale: multiple of today's fleet.
+        load: arrivals as a multiple of what all machines can answer.
+        seconds: how long they come.
+        seed: of the random numbers.
+        burst: factor on the rate in every fifth second; the others give way.
+    """
+    arrivals: list[Arrival] = []
+    for shape in deployment.services:
+        rng = random.Random(f"{seed}/{shape.name}")
+        rate = shape.find_capacity(scale) * load
+        for number, at in enumerate(_draw_times(rng, rate, seconds, burst)):
+            work = _draw_work(rng, deployment, shape, number, at)
+            host = rng.randrange(deployment.hosts * scale)
+            tokens = _draw_size(rng, work.expected_tokens)
+            arrivals.append(Arrival(shape.name, host, work, tokens))
+    arrivals.sort(key=lambda arrival: arrival.work.arrival)
+    return arrivals
+
+
+def _draw_times(
+    rng: random.Random, rate: float, seconds: float, burst: float
+) -> Iterator[float]:
+    quiet = (5 - burst) / 4
+    at = 0.0
+    while True:
+        factor = burst if int(at) % 5 == 4 else quiet
+        at += rng.expovariate(rate * factor)
+        if at >= seconds:
+            return
+        yield at
+
+
+def _draw_work(
+    rng: random.Random,
+    deployment: Deployment,
+    shape: ServiceShape,
+    number: int,
+    at: float,
+) -> Work:
+    names = [name for name, _ in deployment.accounts]
+    weights = [share for _, share in deployment.accounts]
+    account = rng.choices(names, weights)[0]
+    call = rng.choices(shape.calls, [call.share for call in shape.calls])[0]
+    operation = call.operation
+    is_plain = shape.kind == "plain"
+    template = 0 if rng.random() < 0.5 else rng.randrange(1, TEMPLATES)
+    salted = f"{account}/{operation.name}/{template}".encode()
+    prefix = 0 if is_plain else xxhash.xxh3_64_intdigest(salted)
+    return Work(
+        request=RequestId(f"{account}/{shape.name}-{number}"),
+        account=ClientAccount(account),
+        operation=operation.name,
+        work_class=WorkClass(operation.work_class),
+        arrival=at,
+        deadline=at + call.allowance,
+        prompt_tokens=0 if is_plain else _draw_size(rng, call.prompt_tokens),
+        expected_tokens=operation.expected_tokens,
+        idempotent=operation.idempotent,
+        prefix=prefix,
+    )
+
+
+def _draw_size(rng: random.Random, mean: int) -> int:
+    if mean <= 1:
+        return mean
+    return max(1, round(mean * rng.uniform(0.5, 1.5)))
+
+
+def keep_accounts(arrivals: Sequence[Arrival], accounts: set[str]) -> list[Arrival]:
+    """Return the arrivals of some accounts only."""
+    return [arrival for arrival in arrivals if arrival.work.account in accounts]
--- /dev/null
+++ b/dewridge/bench/notes.py
@@ -0,0 +1,3 @@
+"""What the page says of figures that were not reached."""
+
+NOTES = ""
--- a/dewridge/policy/admission.py
+++ b/dewridge/policy/admission.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass
 
 from dewridge.codes import ResultCode
-from dewridge.policy.model import Work
+from dewridge.configuration.model import LatencyTargets
+from dewridge.policy.model import Work, WorkClass
 from dewridge.sentinels import Failure
 
 LEAST_WAIT = 0.2
@@ -17,12 +18,17 @@
 away for longer would stay away after the load is gone."""
 
 
+LEAST_PART = 0.25
+"""Part of an interactive target that may be waited even where servers are slow."""
+
+
 @dataclass(frozen=True, slots=True)
 class AdmissionView:
     """What an admission decision looks at.
 
     Attributes:
         cost: work offered, in units of generated tokens.
+        first_token: seconds that an attempt takes to its first token.
         duration: seconds that its attempt is expected to take.
         class_cost: work of the class that waits.
         account_cost: work of the class that waits for this account.
@@ -36,6 +42,7 @@
     """
 
     cost: float
+    first_token: float
     duration: float
     class_cost: float
     account_cost: float
@@ -52,7 +59,12 @@
 """Admits work, or says why not and when to come back."""
 
 
-def make_fifo(parameters: Mapping[str, float], rng: random.Random) -> Admit:
+Maker = Callable[[Mapping[str, float], LatencyTargets, random.Random], Admit]
+
+
+def make_fifo(
+    parameters: Mapping[str, float], targets: LatencyTargets, rng: random.Random
+) -> Admit:
     """Make the plain baseline, which takes everything."""
 
     def admit(work: Work, view: AdmissionView, now: float) -> Failure | None:
@@ -61,7 +73,9 @@
     return admit
 
 
-def make_fair(parameters: Mapping[str, float], rng: random.Random) -> Admit:
+def make_fair(
+    parameters: Mapping[str, float], targets: LatencyTargets, rng: random.Random
+) -> Admit:
     """Make the admission by deadlines, shares, bounds and cost limits."""
     queue_seconds = parameters["queue_seconds"]
     margin = parameters["deadline_margin"]
@@ -91,15 +105,34 @@
         # the whole wait for nothing. Refused at once, the caller still has the
         # time to go elsewhere, and what is accepted keeps its promise.
         wait = find_wait(view)
-        late = now + wait + view.duration * margin - work.deadline
+        late = find_lateness(work, view, wait * margin, now)
         if late > 0:
             return refuse(
                 ResultCode.DEADLINE_UNREACHABLE,
                 "the deadline can't be met at the present load",
-                min(late, wait),
+                late,
             )
         return check_bounds(view)
 
+    def find_lateness(
+        work: Work, view: AdmissionView, wait: float, now: float
+    ) -> float:
+        # Answers are up to half as long again as expected; that counts only when
+        # there is a queue, since on an idle server trying costs nobody anything.
+        needed = view.duration * (margin if wait > 0 else 1.0)
+        late = now + wait + needed - work.deadline
+        if work.work_class is WorkClass.BACKGROUND:
+            return late
+        # Somebody waits: what is accepted is to meet the profile's target too,
+        # and a queue longer than that would make everyone in it late. A part of
+        # the target may always be waited, since servers which can't meet it at
+        # all would otherwise have everything refused.
+        if work.expected_tokens > 1:
+            target, least = targets.first_token, view.first_token
+        else:
+            target, least = targets.whole_answer, view.duration
+        return max(late, wait - max(LEAST_PART * target, target - least))
+
     def check_bounds(view: AdmissionView) -> Failure | None:
         # Work, not count: a hundred status checks are gone in a second, a
         # hundred drafts keep the service busy for minutes.
@@ -125,15 +158,14 @@
 def find_wait(view: AdmissionView) -> float:
     """Return the seconds that offered work would wait for a server.
 
-    The account's own backlog at its share of the pace, but never more than the
-    whole backlog of the class at the whole pace, since no share stands idle.
+    The account's own backlog at its share of the pace, and not the whole
+    backlog at the whole pace: requests of accounts that wait less overtake it.
     """
     pace = max(view.class_pace, 1e-9)
-    own = view.account_cost / (pace * max(view.account_share, 1e-9))
-    return min(own, view.class_cost / pace)
+    return view.account_cost / (pace * max(view.account_share, 1e-9))
 
 
-MAKERS: dict[str, Callable[[Mapping[str, float], random.Random], Admit]] = {
+MAKERS: dict[str, Maker] = {
     "fair": make_fair,
     "fifo": make_fifo,
 }
--- a/dewridge/policy/backlog.py
+++ b/dewridge/policy/backlog.py
@@ -16,14 +16,19 @@
 
     def __init__(self) -> None:
         self.queue: WorkQueue = FifoQueue()
-        self.paces = {work_class: PaceMeter() for work_class in WorkClass}
-        self.total_pace = PaceMeter()
+        self._paces = {work_class: PaceMeter() for work_class in WorkClass}
+        self._total_pace = PaceMeter()
         self._queued: dict[RequestId, QueueEntry] = {}
         self._delayed: dict[RequestId, QueueEntry] = {}
         self._delays: list[_Timer] = []
         self._expiries: list[_Timer] = []
         self._hopeless: dict[RequestId, QueueEntry] = {}
         self._sequence = 0
+        self._credits = 1.0
+
+    def set_credits(self, credits: float) -> None:
+        """Say how many credits the host has now, for the pace."""
+        self._credits = max(1.0, credits)
 
     def configure(
         self, weights: Mapping[str, float], background_share: float | None
@@ -64,8 +69,8 @@
         """Remove a head of the queue, which is dispatched."""
         self.queue.take(entry)
         del self._queued[entry.work.request]
-        self.paces[entry.work.work_class].note_dispatch(entry.cost)
-        self.total_pace.note_dispatch(entry.cost)
+        self._paces[entry.work.work_class].note_dispatch(entry.cost)
+        self._total_pace.note_dispatch(entry.cost)
         self._note_backlog(now)
 
     def withdraw(self, request: RequestId, now: float) -> None:
@@ -118,9 +123,13 @@
         """Return all work in the queue."""
         return sum(self.queue.find_cost(work_class) for work_class in WorkClass)
 
-    def find_wait(self) -> float:
-        """Return the seconds that all work in the queue takes to be dispatched."""
-        return self.find_cost() / max(self.total_pace.find_pace(1.0), 1e-9)
+    def find_pace(self, work_class: WorkClass | None, guess: float) -> float:
+        """Return work dispatched a second, of a class or of both.
+
+        `guess` is what one credit is reckoned to do before it was seen.
+        """
+        meter = self._paces[work_class] if work_class else self._total_pace
+        return max(1e-9, meter.find_pace(self._credits, guess))
 
     @property
     def queued(self) -> int:
@@ -149,6 +158,6 @@
         self._note_backlog(now)
 
     def _note_backlog(self, now: float) -> None:
-        for work_class, meter in self.paces.items():
-            meter.note_backlog(self.queue.has_work(work_class), now)
-        self.total_pace.note_backlog(bool(self._queued), now)
+        for work_class, meter in self._paces.items():
+            meter.note_backlog(self.queue.has_work(work_class), self._credits, now)
+        self._total_pace.note_backlog(bool(self._queued), self._credits, now)
--- a/dewridge/policy/credits.py
+++ b/dewridge/policy/credits.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from math import ceil
 
 from dewridge.ids import RequestId
 from dewridge.policy.model import ServerView, WorkClass
@@ -33,6 +34,14 @@
 """Failures in a row that suspend a server. One may be the request's own fault."""
 
 
+SPREADS = 2.0
+"""Mean distances above the mean within which about 95 in 100 samples lie."""
+
+LEAST_LIMIT = 0.25
+"""Credits at least. Fractions count in the sum over the host's servers; with none
+left on a server, nothing would tell that it got better."""
+
+
 class Health(Enum):
     """Whether a server gets work."""
 
@@ -53,9 +62,13 @@
     good answers and cut by refusals and slowness.
 
     Attributes:
+        share: this host's even part of the server's capacity.
         hash: of its id, for prefix affinity.
         first_token: smoothed seconds from dispatch to the first token; 0: none.
+        interactive: the same for interactive work only, which engines put first.
+        spread: smoothed distance of its samples from `interactive`.
         token_time: smoothed seconds between tokens; 0: none yet.
+        heard_at: when anything came from it last.
         waiting: dispatch times of requests without a first token, oldest first.
         retry_at: when a suspended server may be probed.
         probe: the request that probes it now.
@@ -63,11 +76,15 @@
 
     view: ServerView
     limit: float
+    share: float
     hash: int
     in_flight: int = 0
     background: int = 0
     first_token: float = 0.0
+    interactive: float = 0.0
+    spread: float = 0.0
     token_time: float = 0.0
+    heard_at: float = 0.0
     waiting: dict[RequestId, float] = field(default_factory=dict)
     health: Health = Health.GOOD
     failures: int = 0
@@ -76,22 +93,22 @@
     cut_at: float = 0.0
     probe: RequestId | None = None
 
-    def has_room(self, work_class: WorkClass, reserve: float, now: float) -> bool:
+    def has_room(self, work_class: WorkClass, kept: float, now: float) -> bool:
         """Whether a credit is free for work of a class.
 
-        Background work leaves a reserve: long drafts hold their slots for many
-        seconds, and with none left free a status check would wait for one.
+        Args:
+            work_class: background work may not use the credits kept free.
+            kept: part of the credits that interactive work finds free.
+            now: the time, for servers that may be probed.
         """
         if self.view.leaving_at is not None:
             return False
         if self.health is not Health.GOOD:
             return self.is_probe_due(now)
-        allowed = max(1, int(self.limit))
-        if self.in_flight >= allowed:
+        if self.in_flight >= ceil(self.limit):
             return False
         if work_class is WorkClass.BACKGROUND:
-            kept = max(1, int(allowed * (1 - reserve)))
-            return self.background < kept
+            return self.background < ceil(self.limit * (1 - kept))
         return True
 
     def is_probe_due(self, now: float) -> bool:
@@ -118,33 +135,58 @@
     def find_first_token(self, now: float) -> float:
         """Return the expected time to a first token; 0 if nothing is known.
 
-        A server that stopped answering sends no samples, so the age of the
-        oldest request without a token counts as one. Its work would otherwise
-        go on flowing there until the first timeout.
+        A server that stopped answering sends no samples, so its silence counts
+        as one. Its work would otherwise go on flowing there until the first
+        timeout.
+        """
+        return max(self.first_token, self.find_silence(now))
+
+    def find_silence(self, now: float) -> float:
+        """Return how long nothing came though a request waits for its first token.
+
+        Tokens of other requests break it: a server that is merely full still
+        streams, one that hangs does not.
         """
         oldest = next(iter(self.waiting.values()), now)
-        return max(self.first_token, now - oldest)
+        return now - max(oldest, self.heard_at)
+
+    def find_late_first_token(self, now: float) -> float:
+        """Return the time that nearly all interactive first tokens come within.
 
-    def note_first_token(self, request: RequestId, now: float) -> float | None:
+        The target speaks of 95 in 100 answers; a mean that just meets it would
+        have a third of them late.
+        """
+        usual = self.interactive + SPREADS * self.spread
+        return max(usual, self.find_silence(now))
+
+    def note_first_token(
+        self, request: RequestId, work_class: WorkClass, now: float
+    ) -> float | None:
         """Learn from a first token; returns the time that it took."""
         sent_at = self.waiting.pop(request, None)
         if sent_at is None:
             return None
         sample = max(0.0, now - sent_at)
+        self.heard_at = now
         self.first_token = _smooth(self.first_token, sample)
+        if work_class is WorkClass.INTERACTIVE:
+            self.interactive = _smooth(self.interactive, sample)
+            distance = abs(sample - self.interactive)
+            self.spread += SMOOTHING * (distance - self.spread)
         return sample
 
-    def note_token_time(self, sample: float) -> None:
+    def note_token_time(self, sample: float, now: float) -> None:
         """Learn from the time between two tokens."""
+        self.heard_at = now
         self.token_time = _smooth(self.token_time, sample)
 
     def grow(self) -> None:
         """Gain a part of a credit after a good answer, if credits were short."""
-        if self.health is Health.GOOD and self.in_flight + 1 >= int(self.limit):
+        if self.health is Health.GOOD and self.in_flight + 1 >= self.limit:
             ceiling = float(max(1, self.view.capacity))
             self.limit = min(ceiling, self.limit + GROWTH / max(1.0, self.limit))
 
-    def cut(self, now: float) -> None:
+    def cut(self, now: float, floor: float = LEAST_LIMIT) -> None:
         """Lose credits after a sign of overload, once a round trip.
 
         One moment of overload is seen by every request in flight; cutting for
@@ -153,7 +195,11 @@
         if now - self.cut_at < max(0.05, self.first_token):
             return
         self.cut_at = now
-        self.limit = max(1.0, self.limit * CUT)
+        self.limit = max(min(floor, self.limit), self.limit * CUT, LEAST_LIMIT)
+
+    def yield_borrowed(self, now: float) -> None:
+        """Lose credits above the even part: other hosts want theirs."""
+        self.cut(now, self.share)
 
     def note_success(self) -> None:
         """Record a good answer; a long run of them shortens the next pause."""
@@ -170,8 +216,10 @@
         self.health = Health.GOOD
         self.probe = None
         self.failures = 0
-        self.limit = 1.0
+        self.limit = min(1.0, self.share)
         self.first_token = sample
+        self.interactive = sample
+        self.spread = 0.0
         self.token_time = 0.0
 
     def note_refusal(self, request: RequestId, now: float, jitter: float) -> None:
@@ -183,7 +231,7 @@
     def note_failure(self, now: float, jitter: float) -> None:
         """Record a failed attempt; `jitter` is a random number within 0 to 1."""
         self.failures += 1
-        self.limit = max(1.0, self.limit * CUT)
+        self.limit = max(LEAST_LIMIT, self.limit * CUT)
         if self.failures >= FAILURE_LIMIT or self.health is Health.PROBING:
             self.suspend(now, jitter)
 
@@ -199,7 +247,7 @@
         self.probe = None
         self.retry_at = now + self.pause * (0.5 + jitter)
         self.pause = min(LAST_PAUSE, self.pause * 2)
-        self.limit = 1.0
+        self.limit = min(1.0, self.share)
 
 
 def _smooth(known: float, sample: float) -> float:
--- a/dewridge/policy/placement.py
+++ b/dewridge/policy/placement.py
@@ -65,7 +65,7 @@
         if work.work_class is WorkClass.BACKGROUND:
             return True
         left = work.arrival + targets.first_token - now
-        return record.find_first_token(now) <= share * left
+        return record.find_late_first_token(now) <= share * left
 
     def find_cached(
         work: Work, servers: Servers, fitting: Sequence[ServerCredits]
@@ -132,11 +132,13 @@
 
     The subset is bounded, so this costs the same in a fleet of any size.
     """
+    if not servers.has_credit(work.work_class, reserve):
+        return []
+    kept = servers.find_kept(reserve)
     free = [
         record
         for record in servers.subset
-        if record.health is Health.GOOD
-        and record.has_room(work.work_class, reserve, now)
+        if record.health is Health.GOOD and record.has_room(work.work_class, kept, now)
     ]
     if avoid is not None and len(free) > 1:
         free = [record for record in free if record.view.id != avoid]
@@ -218,7 +220,9 @@
     ) -> ServerCredits | None:
         if not servers.fleet:
             return None
-        view = min(servers.fleet, key=lambda v: (v.load / max(1, v.capacity), v.id))
+        view = min(
+            servers.fleet, key=lambda v: (v.load / max(1, v.capacity), rng.random())
+        )
         return _check_limit(servers, view.id, limit)
 
     return choose
--- a/dewridge/policy/queueing.py
+++ b/dewridge/policy/queueing.py
@@ -24,6 +24,7 @@
     Attributes:
         cost: work in units of generated tokens.
         sequence: order of arrival, to settle ties.
+        due: when the answer should come, the deadline or before it.
         ticket: names its present place in the queue; 0 when it has none.
         has_started: whether an attempt may have run; it can't be called not run
             any more.
@@ -36,6 +37,7 @@
     work: Work
     cost: float
     sequence: int
+    due: float
     ticket: int = 0
     has_started: bool = False
     lost: int = 0
@@ -46,7 +48,7 @@
     @property
     def order(self) -> tuple[bool, float, int]:
         """Place within an account: work whose caller saw tokens goes first."""
-        return not self.has_started, self.work.deadline, self.sequence
+        return not self.has_started, self.due, self.sequence
 
     def note_failed(self, server: BackendServerId, outcome: AttemptOutcome) -> None:
         """Record an attempt that did not answer."""
--- a/dewridge/policy/recovery.py
+++ b/dewridge/policy/recovery.py
@@ -38,6 +38,7 @@
         first_token_at: when its first token came.
         last_token_at: when its last token so far came.
         tokens: tokens that came in this attempt.
+        moves_at: when it is to be stopped, if that was decided.
     """
 
     entry: QueueEntry
@@ -47,6 +48,7 @@
     first_token_at: float | None = None
     last_token_at: float | None = None
     tokens: int = 0
+    moves_at: float | None = None
 
     @property
     def request(self) -> RequestId:
--- a/dewridge/policy/registry.py
+++ b/dewridge/policy/registry.py
@@ -51,15 +51,15 @@
 
 _SUBSET = Parameter(
     "subset_size",
-    "Least number of backend servers that one entry host sends work to.",
-    16,
-    2,
+    "Backend servers that one entry host sends work to, about.",
+    12,
+    1,
     256,
 )
 _RESERVE = Parameter(
     "interactive_reserve",
-    "Part of each server's credits that background work leaves free.",
-    0.25,
+    "Most of the credits that background work leaves free for interactive work.",
+    0.5,
     0.0,
     0.8,
 )
@@ -82,7 +82,7 @@
             Parameter(
                 "latency_share",
                 "Part of the latency target that a prediction may use.",
-                0.8,
+                0.6,
                 0.1,
                 1.0,
             ),
@@ -142,7 +142,7 @@
             Parameter(
                 "queue_seconds",
                 "Work that may wait, as seconds of the service's present pace.",
-                60.0,
+                20.0,
                 0.5,
                 3600.0,
                 "s",
@@ -157,7 +157,7 @@
             Parameter(
                 "deadline_margin",
                 "Multiple of the expected time that must fit before the deadline.",
-                1.1,
+                1.5,
                 0.5,
                 10.0,
             ),
--- a/dewridge/policy/scheduler.py
+++ b/dewridge/policy/scheduler.py
@@ -36,6 +36,10 @@
 given up only when even that is too long, since an answer given up is lost."""
 
 
+DEFAULT_SUBSET = 12
+"""Size of the subset under a placement that does not name one."""
+
+
 class Scheduler:
     """Decides for one service on one entry host; does no I/O and reads no clock.
 
@@ -88,8 +92,11 @@
 
     def offer(self, work: Work, now: float) -> Failure | None:
         """Admit a request to the queue, or refuse it at once with a time."""
-        self._servers.refresh(now)
+        self._refresh(now)
         cost = measure_cost(work)
+        if work.work_class is WorkClass.INTERACTIVE:
+            duration = self._servers.predict_duration(work)
+            self._servers.reserve.note_offer(duration)
         failure = self._admit(work, self._view_admission(work, cost, now), now)
         if failure is not None:
             self._usage.count_refusal(failure.code)
@@ -116,7 +123,7 @@
 
     def pick(self, now: float) -> Assignment | None:
         """Take the next request that can be sent now; call until None."""
-        self._servers.refresh(now)
+        self._refresh(now)
         for entry in self._backlog.release(now):
             self._enqueue(entry, False, now)
         for entry in self._backlog.find_heads(now):
@@ -135,7 +142,8 @@
         if not hopeless:
             return []
         self._usage.count("expired", len(hopeless))
-        wait = self._backlog.find_wait()
+        pace = self._backlog.find_pace(None, self._guess_credit_pace(hopeless[0].work))
+        wait = self._backlog.find_cost() / pace
         return [abandon_late(entry, wait, self._rng) for entry in hopeless]
 
     def find_next_time(self, now: float) -> float | None:
@@ -156,7 +164,8 @@
         attempt.first_token_at = now
         attempt.last_token_at = now
         attempt.tokens += self._service.kind == "model"
-        self._servers.learn_first_token(server, request, now)
+        work_class = attempt.entry.work.work_class
+        self._servers.learn_first_token(server, request, work_class, now)
 
     def note_tokens(
         self, request: RequestId, server: BackendServerId, count: int, now: float
@@ -168,7 +177,7 @@
             return
         attempt.tokens += count
         if attempt.last_token_at is not None:
-            record.note_token_time((now - attempt.last_token_at) / count)
+            record.note_token_time((now - attempt.last_token_at) / count, now)
         attempt.last_token_at = now
 
     def note_ended(
@@ -196,14 +205,21 @@
     def note_leaving(
         self, server: BackendServerId, leaving_at: float, now: float
     ) -> list[Move]:
-        """Decide which running requests leave a reclaimed server, and when."""
+        """Decide which running requests leave a reclaimed server, and when.
+
+        Told again of the same server, it speaks only of requests that it has
+        not planned for, unless the server goes earlier than their moves.
+        """
         self._servers.note_leaving(server, leaving_at, now)
         record = self._servers.records.get(server)
         running = [
             (attempt, self._predict_rest(attempt, record, now))
             for attempt in self._by_server.get(server, {}).values()
+            if attempt.moves_at is None or attempt.moves_at > leaving_at
         ]
         moves = self._recovery.plan_moves(running, leaving_at, now)
+        for move in moves:
+            self._running[move.request].moves_at = move.at
         self._usage.count("moves_planned", len(moves))
         return moves
 
@@ -231,12 +247,13 @@
         spec, parameters = resolve_policy(PolicyKind.PLACEMENT, profile.placement)
         make_choose = placement.MAKERS[spec.name]
         self._choose = make_choose(parameters, profile.targets, self._rng)
-        least = int(parameters.get("subset_size", 16))
-        self._servers.configure(profile.targets, least)
+        most = int(parameters.get("subset_size", DEFAULT_SUBSET))
+        self._servers.configure(profile.targets, most)
         spec, parameters = resolve_policy(PolicyKind.RECOVERY, profile.recovery)
         self._recovery = recovery.MAKERS[spec.name](parameters, self._rng)
         spec, parameters = resolve_policy(PolicyKind.ADMISSION, profile.admission)
-        self._admit = admission.MAKERS[spec.name](parameters, self._rng)
+        make_admit = admission.MAKERS[spec.name]
+        self._admit = make_admit(parameters, profile.targets, self._rng)
         self._drops_hopeless = parameters.get("drops_expired", 1.0) > 0
         background_share = parameters.get("background_share")
         self._backlog.configure(self._service.shares, background_share)
@@ -245,8 +262,7 @@
         queue = self._backlog.queue
         servers = self._servers
         duration = servers.predict_duration(work)
-        # Before anything was learned: the credits, each doing work like this.
-        guess = max(1.0, servers.total_limit) * cost / max(duration, 1e-6)
+        guess = self._guess_credit_pace(work)
         weight = self._service.shares.get(work.account, 1.0)
         account_cost = queue.find_account_cost(work.work_class, work.account)
         active = queue.find_weights(work.work_class)
@@ -255,21 +271,34 @@
         expected = duration * servers.least_price
         return AdmissionView(
             cost=cost,
+            first_token=servers.first_token,
             duration=duration,
             class_cost=queue.find_cost(work.work_class),
             account_cost=account_cost,
             account_share=weight / max(active, weight, 1e-9),
-            class_pace=self._backlog.paces[work.work_class].find_pace(guess),
+            class_pace=self._backlog.find_pace(work.work_class, guess),
             total_cost=self._backlog.find_cost(),
-            total_pace=self._backlog.total_pace.find_pace(guess),
+            total_pace=self._backlog.find_pace(None, guess),
             has_servers=bool(servers.fleet),
             budget_wait=self._budget.find_wait(expected, now),
             exceeds_answer_limit=self._budget.exceeds_answer(expected),
         )
 
+    def _guess_credit_pace(self, work: Work) -> float:
+        duration = max(self._servers.predict_duration(work), 1e-6)
+        return measure_cost(work) / duration
+
+    def _refresh(self, now: float) -> None:
+        self._servers.refresh(now)
+        self._backlog.set_credits(self._servers.total_limit)
+
     def _make_entry(self, work: Work, cost: float) -> QueueEntry:
         self._sequence += 1
-        return QueueEntry(work, cost, self._sequence)
+        due = work.deadline
+        if work.work_class is WorkClass.INTERACTIVE:
+            # A caller with a generous deadline waits no longer than the target.
+            due = min(due, work.arrival + self._profile.targets.whole_answer)
+        return QueueEntry(work, cost, self._sequence, due)
 
     def _enqueue(self, entry: QueueEntry, is_charged: bool, now: float) -> None:
         if self._drops_hopeless:
@@ -282,7 +311,7 @@
     ) -> Assignment:
         work = entry.work
         self._backlog.take(entry, now)
-        record.take(work.request, work.work_class, now)
+        self._servers.take(record, work.request, work.work_class, now)
         price = find_slot_price(record.view)
         attempt = RunningAttempt(entry, record.view.id, now, price)
         self._running[work.request] = attempt
@@ -303,7 +332,7 @@
             del self._by_server[attempt.server]
         record = self._servers.records.get(attempt.server)
         if record is not None:
-            record.give_back(request, attempt.entry.work.work_class)
+            self._servers.give_back(record, request, attempt.entry.work.work_class)
             cost = self._usage.count_attempt(attempt, record.view, outcome, now)
             self._budget.charge(cost, now)
         return record
--- a/dewridge/policy/servers.py
+++ b/dewridge/policy/servers.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Sequence
+from math import inf
 from statistics import median
 from typing import Any
 
@@ -10,8 +11,9 @@
 from dewridge.configuration.model import LatencyTargets
 from dewridge.ids import BackendServerId, FailureDomain, RequestId
 from dewridge.policy.cost import find_slot_price
-from dewridge.policy.credits import Health, ServerCredits
-from dewridge.policy.model import AttemptOutcome, ServerView, Work
+from dewridge.policy.credits import LEAST_LIMIT, Health, ServerCredits
+from dewridge.policy.model import AttemptOutcome, ServerView, Work, WorkClass
+from dewridge.policy.reserve import Reserve
 from dewridge.policy.subsets import choose_subset, find_sharers
 
 REFRESH = 0.1
@@ -22,8 +24,21 @@
 """Multiple of the median at which a server counts as slow. Twice happens from
 chance and from long prompts; ten times must be caught in its first answers."""
 
-SLOW_FLOOR = 0.02
-"""Seconds to a first token under which no server counts as slow."""
+QUEUED_FACTOR = 1.5
+"""Multiple of an idle server's time to a first token from which requests must be
+waiting in the server's own queue, where neither deadlines nor shares count."""
+
+BASE_RISE = 1.002
+"""Factor on the idle server's time in each look: doubles it in half a minute."""
+
+PATIENCE = 0.5
+"""Part of the target under which no answer counts as slow, whatever the others
+take: suspending a server that meets the target would only cost capacity."""
+
+SILENCE = 2.0
+"""Multiple of the first token's target after which a silent engine counts as hung.
+A place in a full batch may take a second to come free while nothing of this
+host's happens to stream there."""
 
 NOTICE_MEMORY = 60.0
 """Seconds that a failure domain counts as under notice after its last notice.
@@ -44,16 +59,21 @@
         self.subset: list[ServerCredits] = []
         self.fleet: list[ServerView] = []
         self.first_token = 0.0
+        self.base_first_token = inf
         self.token_time = 0.0
         self.mean_in_flight = 0.0
         self.total_limit = 0.0
         self.has_suspended = False
+        self.in_flight = 0
+        self.background = 0
+        self.reserve = Reserve()
         self._targets = targets
         self._is_plain = is_plain
         self._rng = rng
         self._host_index = 0
         self._host_count = 1
-        self._least = 16
+        self._most = 12
+        self._sharers = 1.0
         self._views: dict[BackendServerId, ServerView] = {}
         self._member_ids: frozenset[BackendServerId] = frozenset()
         self._notices: dict[FailureDomain, float] = {}
@@ -61,11 +81,11 @@
         self.least_price = 0.0
         self._use_priors()
 
-    def configure(self, targets: LatencyTargets, least: int) -> None:
+    def configure(self, targets: LatencyTargets, most: int) -> None:
         """Take over a profile's targets and size of the subset."""
         self._targets = targets
-        if least != self._least:
-            self._least = least
+        if most != self._most:
+            self._most = most
             self._choose_subset()
 
     def set_hosts(self, host_index: int, host_count: int) -> None:
@@ -128,26 +148,69 @@
             record = self._make_record(view)
         return record
 
+    def take(
+        self,
+        record: ServerCredits,
+        request: RequestId,
+        work_class: WorkClass,
+        now: float,
+    ) -> None:
+        """Use a credit for a dispatch."""
+        record.take(request, work_class, now)
+        self.in_flight += 1
+        self.background += work_class is WorkClass.BACKGROUND
+
+    def give_back(
+        self, record: ServerCredits, request: RequestId, work_class: WorkClass
+    ) -> None:
+        """Free the credit of a request that ended."""
+        record.give_back(request, work_class)
+        self.in_flight -= 1
+        self.background -= work_class is WorkClass.BACKGROUND
+
+    def has_credit(self, work_class: WorkClass, share: float) -> bool:
+        """Whether this host may send one more request of a class at all.
+
+        Credits are fractions, and a server gets their number rounded up; this
+        bound on their sum keeps many hosts from rounding up at once. What is
+        kept for interactive work is counted over all servers too: with few
+        credits to a server, no whole one could be kept on each.
+        """
+        if self.in_flight >= max(1.0, self.total_limit):
+            return False
+        if work_class is WorkClass.BACKGROUND:
+            kept = self.find_kept(share) * self.total_limit
+            return self.background < max(1.0, self.total_limit - kept)
+        return True
+
+    def find_kept(self, share: float) -> float:
+        """Return the part of the credits to keep for interactive work now."""
+        total = max(1.0, self.total_limit)
+        return self.reserve.find_credits(share * total) / total
+
     def is_under_notice(self, domain: FailureDomain, now: float) -> bool:
         """Whether servers of a failure domain were reclaimed lately."""
         noticed_at = self._notices.get(domain)
         return noticed_at is not None and now - noticed_at < NOTICE_MEMORY
 
     def learn_first_token(
-        self, server: BackendServerId, request: RequestId, now: float
+        self,
+        server: BackendServerId,
+        request: RequestId,
+        work_class: WorkClass,
+        now: float,
     ) -> None:
         """Learn from the first token of a request."""
         record = self.records.get(server)
-        sample = record.note_first_token(request, now) if record else None
-        if record is None or sample is None:
+        if record is None:
+            return
+        sample = record.note_first_token(request, work_class, now)
+        if sample is None:
             return
         if record.probe == request:
             self._judge_probe(record, sample, now)
-        elif record.health is Health.GOOD and self._is_congested(record, sample):
-            record.cut(now)
         elif record.health is Health.GOOD:
-            record.note_success()
-            record.grow()
+            self._adjust(record, sample, now)
 
     def learn_end(
         self,
@@ -219,10 +282,21 @@
         betweens = [r.token_time for r in good if r.token_time]
         if firsts:
             self.first_token = median(firsts)
+            self._learn_base(min(firsts))
         if betweens:
             self.token_time = median(betweens)
         self.total_limit = sum(r.limit for r in good)
         self.mean_in_flight = sum(r.in_flight for r in good) / max(1, len(good))
+        self.reserve.settle(now)
+
+    def _learn_base(self, least: float) -> None:
+        # The least in recent time is what an idle server needs. It rises slowly,
+        # so that prompts which grow longer are learned in a minute, while a
+        # queue that builds up in seconds does not pass for normal.
+        if least < self.base_first_token:
+            self.base_first_token = least
+        else:
+            self.base_first_token = min(least, self.base_first_token * BASE_RISE)
 
     def _is_slow(self, record: ServerCredits, now: float) -> bool:
         if len(self.subset) < 2:
@@ -230,22 +304,38 @@
         if record.health is Health.PROBING:
             sent_at = record.waiting.get(record.probe, now) if record.probe else now
             return not self._is_good(now - sent_at)
-        if not self._is_good(record.find_first_token(now)):
+        if record.token_time > SLOW_FACTOR * self.token_time:
             return True
-        return record.token_time > SLOW_FACTOR * self.token_time
+        if self._is_plain:
+            return not self._is_good(record.find_first_token(now))
+        # An engine that is full makes new requests wait but still streams, and
+        # loses credits for it; only one that says nothing at all is suspended.
+        limit = max(SILENCE * self._targets.first_token, SLOW_FACTOR * self.first_token)
+        return record.find_silence(now) > limit
 
     def _is_good(self, sample: float) -> bool:
-        return sample <= max(SLOW_FLOOR, SLOW_FACTOR * self.first_token)
+        return sample <= max(self._patience, SLOW_FACTOR * self.first_token)
+
+    def _adjust(self, record: ServerCredits, sample: float, now: float) -> None:
+        # Up to its even part of the capacity a host needs hard evidence to give
+        # credits up: an answer that eats half of the target. Above it, it works
+        # with credits that others do not use at the moment, and answers that
+        # take longer than they do on an idle server say that they do again.
+        is_late = sample > max(self._patience, QUEUED_FACTOR * self.base_first_token)
+        if is_late or record.token_time > self._targets.between_tokens:
+            record.cut(now)
+        elif record.first_token > QUEUED_FACTOR * self.base_first_token:
+            record.yield_borrowed(now)
+        else:
+            record.note_success()
+            record.grow()
 
-    def _is_congested(self, record: ServerCredits, sample: float) -> bool:
-        # Half of the target, since the request also waited in the queue here;
-        # and twice the usual time, so that a target which no server of the
-        # fleet can meet does not take away everyone's credits.
+    @property
+    def _patience(self) -> float:
         target = self._targets.first_token
         if self._is_plain:
             target = self._targets.whole_answer
-        is_late = sample > max(0.5 * target, 2 * self.first_token)
-        return is_late or record.token_time > self._targets.between_tokens
+        return PATIENCE * target
 
     def _judge_probe(self, record: ServerCredits, sample: float, now: float) -> None:
         if self._is_good(sample):
@@ -261,8 +351,9 @@
         self.token_time = PRIOR_SHARE * self._targets.between_tokens
 
     def _choose_subset(self) -> None:
+        self._sharers = find_sharers(self.fleet, self._host_count, self._most)
         views = choose_subset(
-            self.fleet, self._host_index, self._host_count, self._least
+            self.fleet, self._host_index, self._host_count, self._most
         )
         self.subset = [self.records.get(v.id) or self._make_record(v) for v in views]
         self._refresh_at = 0.0
@@ -276,9 +367,10 @@
     def _make_record(self, view: ServerView) -> ServerCredits:
         # The first guess is this host's part of the server's capacity, so that
         # all hosts together start at what the server can run and not above it.
-        sharers = find_sharers(len(self.fleet), self._host_count, self._least)
-        limit = max(1.0, view.capacity / sharers)
-        record = ServerCredits(view, limit, xxhash.xxh3_64_intdigest(view.id.encode()))
+        share = max(LEAST_LIMIT, view.capacity / self._sharers)
+        record = ServerCredits(
+            view, share, share, xxhash.xxh3_64_intdigest(view.id.encode())
+        )
         self.records[view.id] = record
         return record
 
--- a/dewridge/policy/subsets.py
+++ b/dewridge/policy/subsets.py
@@ -13,6 +13,9 @@
 stand idle whenever its only host is idle or gone; each further one costs another
 set of connections and learned credits on every host."""
 
+LEAST_SIZE = 3
+"""Servers at least, so that the loss of one leaves more than half."""
+
 
 def order_servers(servers: Sequence[ServerView]) -> list[ServerView]:
     """Order servers so that any run of neighbours spans all failure domains.
@@ -34,14 +37,23 @@
     return [server for _, _, server in placed]
 
 
-def find_subset_size(server_count: int, host_count: int, least: int) -> int:
-    """Return how many servers each entry host uses."""
-    shared = -(-OVERLAP * server_count // max(1, host_count))
-    return min(server_count, max(least, shared))
+def find_subset_size(servers: Sequence[ServerView], host_count: int, most: int) -> int:
+    """Return how many servers each entry host uses, about `most`.
+
+    Fewer where a host's even part of a server's capacity would be less than one
+    request. Hosts would have to leave some servers of their subsets unused, all
+    of them the dearest or slowest ones, which would stand idle under full load
+    while the others are overrun. More where servers would else lack hosts.
+    """
+    hosts = max(1, host_count)
+    capacity = sum(server.capacity for server in servers)
+    wanted = max(LEAST_SIZE, min(most, capacity // hosts))
+    shared = -(-OVERLAP * len(servers) // hosts)
+    return min(len(servers), max(wanted, shared))
 
 
 def choose_subset(
-    servers: Sequence[ServerView], host_index: int, host_count: int, least: int
+    servers: Sequence[ServerView], host_index: int, host_count: int, most: int
 ) -> list[ServerView]:
     """Choose the servers of one entry host; subsets of all hosts overlap evenly.
 
@@ -54,15 +66,15 @@
     ordered = order_servers(servers)
     if not ordered:
         return []
-    size = find_subset_size(len(ordered), host_count, least)
+    size = find_subset_size(ordered, host_count, most)
     start = (host_index % max(1, host_count)) * len(ordered) // max(1, host_count)
     doubled = ordered + ordered[:size]
     return doubled[start : start + size]
 
 
-def find_sharers(server_count: int, host_count: int, least: int) -> float:
+def find_sharers(servers: Sequence[ServerView], host_count: int, most: int) -> float:
     """Return how many entry hosts use one server, on average."""
-    if server_count == 0:
+    if not servers:
         return 1.0
-    size = find_subset_size(server_count, host_count, least)
-    return max(1.0, host_count * size / server_count)
+    size = find_subset_size(servers, host_count, most)
+    return max(1.0, host_count * size / len(servers))
--- a/dewridge/tests/policy/scheduler_tests.py
+++ b/dewridge/tests/policy/scheduler_tests.py
@@ -8,10 +8,11 @@
 
 def test_an_answer_frees_its_credit_and_is_counted() -> None:
     scheduler = make_scheduler()
+    picked = []
     for number in range(6):
         assert scheduler.offer(make_work(number), 0.0) is None
-    picked = [scheduler.pick(0.0) for _ in range(5)]
-    assert [p is not None for p in picked] == [True] * 4 + [False]
+        picked.append(scheduler.pick(0.0))
+    assert [p is not None for p in picked] == [True] * 4 + [False] * 2
     first = picked[0]
     assert first
     request = first.work.request
@@ -111,7 +112,8 @@
     scheduler = make_scheduler()
     service = scheduler._service
     for number in range(8):
-        scheduler.offer(make_work(number), 0.0)
+        work = make_work(number, is_interactive=False)
+        assert scheduler.offer(work, 0.0) is None
     running = [scheduler.pick(0.0) for _ in range(4)]
     scheduler.set_profile(service, make_profile("random", "fifo", "restart"), 0.1)
     for picked in running:
