Let the idle server's time rise four times more slowly

Under a load that lasts, the time to a first token that counts as idle rose with the queue that it should tell of, and hosts kept credits that overran servers.

--- a/dewridge/bench/__main__.py
+++ b/dewridge/bench/__main__.py
@@ -19,6 +19,8 @@
     parser.add_argument("--seeds", type=int, default=3, help="seeds of each run")
     parser.add_argument("--processes", type=int, default=3, help="runs side by side")
     parser.add_argument("--kind", default="", help="only runs of this kind")
+    parser.add_argument("--policies", default="", help="only of this contender")
+    parser.add_argument("--scale", type=int, default=0, help="only at this scale")
     parser.add_argument("--output", type=Path, default=Path("docs"))
     options = parser.parse_args()
     started = time.monotonic()
@@ -28,10 +30,9 @@
         for servers, hosts in FLEETS
     ]
     cases = list_cases(range(1, options.seeds + 1))
-    if options.kind:
-        cases = [case for case in cases if case.kind == options.kind]
-    results = _run(cases, options.processes)
-    if options.kind:
+    selected = [case for case in cases if _is_selected(case, options)]
+    results = _run(selected, options.processes)
+    if len(selected) < len(cases):
         print(format_results(results))
         return 0
     verdicts = judge(results, decisions)
@@ -44,6 +45,14 @@
     return 0
 
 
+def _is_selected(case: Case, options: argparse.Namespace) -> bool:
+    return (
+        options.kind in ("", case.kind)
+        and options.policies in ("", case.contender.name)
+        and options.scale in (0, case.scale)
+    )
+
+
 def _run(cases: list[Case], processes: int) -> list[Result]:
     results = []
     with ProcessPoolExecutor(processes) as pool:
--- a/dewridge/policy/servers.py
+++ b/dewridge/policy/servers.py
@@ -28,8 +28,8 @@
 """Multiple of an idle server's time to a first token from which requests must be
 waiting in the server's own queue, where neither deadlines nor shares count."""
 
-BASE_RISE = 1.002
-"""Factor on the idle server's time in each look: doubles it in half a minute."""
+BASE_RISE = 1.0005
+"""Factor on the idle server's time in each look: doubles it in some two minutes."""
 
 PATIENCE = 0.5
 """Part of the target under which no answer counts as slow, whatever the others
