Let small accounts burst, and admit by the share an account really gets

A small account's second request within a round of all accounts waited for the round: fair by the second, but its callers saw a multiple of their usual time. An account that was idle now claims up to eight requests of what it missed. The large accounts' admission then promised too much, as it went by the weights of those that wait; it goes by the part that was really served.

--- a/dewridge/policy/queueing.py
+++ b/dewridge/policy/queueing.py
@@ -13,6 +13,18 @@
 """Background work that may be owed, in multiples of the work at its head. It
 bounds the burst of drafts after a long time of status checks only."""
 
+BURST_REQUESTS = 8.0
+"""Requests that an account may have served at once after it was idle."""
+
+SHARE_SAMPLE = 5.0
+"""Requests whose service weighs as much as the weights in an account's share."""
+SHARE_MEMORY = 20.0
+"""Multiple of that sample after which what was served counts half."""
+
+ACCOUNTS_KEPT = 1024
+"""Accounts whose part is remembered while others wait; one forgotten may have
+one burst more."""
+
 SLACK = 32
 """Removed entries that a heap may hold besides as many as live ones."""
 
@@ -85,8 +97,8 @@
     def find_account_cost(self, work_class: WorkClass, account: ClientAccount) -> float:
         """Return the work of a class that waits for an account."""
 
-    def find_weights(self, work_class: WorkClass) -> float:
-        """Return the sum of weights of the accounts that wait."""
+    def find_share(self, work_class: WorkClass, account: ClientAccount) -> float:
+        """Return the part of a class's pace that an account gets, within 0 to 1."""
 
 
 _Place = tuple[tuple[bool, float, int], int, QueueEntry]
@@ -103,6 +115,8 @@
     weight: float
     tag: float = 0.0
     cost: float = 0.0
+    served: float = 0.0
+    since: float = 0.0
     size: int = 0
     heap: list[_Place] = field(default_factory=list)
     charged: set[RequestId] = field(default_factory=set)
@@ -125,16 +139,22 @@
         self._accounts: dict[ClientAccount, _AccountQueue] = {}
         self._turns: list[tuple[float, int, ClientAccount]] = []
         self._tickets = count(1)
+        self._served = 0.0
 
     def push(self, entry: QueueEntry, weight: float, is_charged: bool) -> None:
         queue = self._accounts.get(entry.work.account)
         if queue is None:
             queue = self._accounts[entry.work.account] = _AccountQueue(weight)
         if queue.size == 0:
-            # An account that was idle may not claim the time that it missed;
-            # it would starve the others until it had caught up.
+            # An account that was idle may claim a little of what it missed, so
+            # that two or three of its requests at once do not wait a round of
+            # all accounts each. Claiming all of it would starve the others
+            # until it had caught up.
             queue.weight = weight
-            queue.tag = max(queue.tag, self._virtual_time)
+            queue.since = self._served
+            queue.served = 0.0
+            missed = BURST_REQUESTS * entry.cost / weight
+            queue.tag = max(queue.tag, self._virtual_time - missed)
             self.active_weight += weight
             self._add_turn(queue.tag, entry)
         entry.ticket = next(self._tickets)
@@ -163,6 +183,8 @@
         self._virtual_time = max(self._virtual_time, queue.tag)
         if entry.work.request in queue.charged:
             queue.tag += entry.cost / queue.weight
+        self._served += entry.cost
+        queue.served += entry.cost
         self.remove(entry)
         if queue.size:
             self._add_turn(queue.tag, entry)
@@ -179,8 +201,7 @@
             queue.cost = 0.0
             queue.heap.clear()
             self.active_weight -= queue.weight
-            if queue.tag <= self._virtual_time:
-                # Nothing to remember: it would start from the virtual time.
+            if len(self._accounts) > ACCOUNTS_KEPT:
                 del self._accounts[entry.work.account]
         elif len(queue.heap) > 2 * queue.size + SLACK:
             queue.heap = [place for place in queue.heap if _is_live(place)]
@@ -192,6 +213,24 @@
         queue = self._accounts.get(account)
         return queue.cost if queue else 0.0
 
+    def find_share(self, account: ClientAccount, weight: float) -> float:
+        """Return an account's part of the pace: its weight's, then what it got.
+
+        The weights of those that wait say too much to a large account: small
+        ones that come and go take their part ahead of it without waiting.
+        """
+        queue = self._accounts.get(account)
+        if queue is None or queue.size == 0:
+            return weight / (self.active_weight + weight)
+        by_weight = queue.weight / self.active_weight
+        known = SHARE_SAMPLE * queue.cost / queue.size
+        total = self._served - queue.since
+        if total > SHARE_MEMORY * known:
+            queue.served /= 2
+            queue.since += total / 2
+            total /= 2
+        return (by_weight * known + queue.served) / (known + total)
+
     def entries(self) -> list[QueueEntry]:
         queues = self._accounts.values()
         return [place[2] for q in queues for place in q.heap if _is_live(place)]
@@ -224,7 +263,7 @@
 
     def push(self, entry: QueueEntry, is_charged: bool) -> None:
         """Add an entry; work that comes back is not charged again."""
-        weight = max(1e-6, self._weights.get(entry.work.account, 1.0))
+        weight = self._find_weight(entry.work.account)
         self._classes[entry.work.work_class].push(entry, weight, is_charged)
 
     def list_heads(self) -> list[QueueEntry]:
@@ -269,9 +308,13 @@
         """Return the work of a class that waits for an account."""
         return self._classes[work_class].find_account_cost(account)
 
-    def find_weights(self, work_class: WorkClass) -> float:
-        """Return the sum of weights of the accounts that wait."""
-        return self._classes[work_class].active_weight
+    def find_share(self, work_class: WorkClass, account: ClientAccount) -> float:
+        """Return the part of a class's pace that an account gets, within 0 to 1."""
+        weight = self._find_weight(account)
+        return self._classes[work_class].find_share(account, weight)
+
+    def _find_weight(self, account: ClientAccount) -> float:
+        return max(1e-6, self._weights.get(account, 1.0))
 
 
 class FifoQueue:
@@ -320,6 +363,6 @@
         """Return the work of a class: the line does not know accounts."""
         return self._costs[work_class]
 
-    def find_weights(self, work_class: WorkClass) -> float:
-        """Return 1: the line does not know weights."""
+    def find_share(self, work_class: WorkClass, account: ClientAccount) -> float:
+        """Return 1: the line does not know accounts."""
         return 1.0
--- a/dewridge/policy/scheduler.py
+++ b/dewridge/policy/scheduler.py
@@ -263,19 +263,14 @@
         servers = self._servers
         duration = servers.predict_duration(work)
         guess = self._guess_credit_pace(work)
-        weight = self._service.shares.get(work.account, 1.0)
-        account_cost = queue.find_account_cost(work.work_class, work.account)
-        active = queue.find_weights(work.work_class)
-        if account_cost == 0:
-            active += weight
         expected = duration * servers.least_price
         return AdmissionView(
             cost=cost,
             first_token=servers.first_token,
             duration=duration,
             class_cost=queue.find_cost(work.work_class),
-            account_cost=account_cost,
-            account_share=weight / max(active, weight, 1e-9),
+            account_cost=queue.find_account_cost(work.work_class, work.account),
+            account_share=queue.find_share(work.work_class, work.account),
             class_pace=self._backlog.find_pace(work.work_class, guess),
             total_cost=self._backlog.find_cost(),
             total_pace=self._backlog.find_pace(None, guess),
