Let questions go beyond the credits while drafts hold them

At twice capacity drafts held a host's credits while slots of other hosts lay idle, and a question waited 0.55 s in the host's queue before an engine that would have put it first. Interactive work may now go up to half beyond the credits, as far as background work holds them.

--- a/dewridge/policy/credits.py
+++ b/dewridge/policy/credits.py
@@ -105,11 +105,11 @@
             return False
         if self.health is not Health.GOOD:
             return self.is_probe_due(now)
-        if self.in_flight >= ceil(self.limit):
-            return False
+        allowed = ceil(self.limit)
         if work_class is WorkClass.BACKGROUND:
-            return self.background < ceil(self.limit * (1 - kept))
-        return True
+            most = ceil(self.limit * (1 - kept))
+            return self.in_flight < allowed and self.background < most
+        return self.in_flight < allowed + min(1, self.background)
 
     def is_probe_due(self, now: float) -> bool:
         """Whether a suspended server may get the one request that probes it."""
--- a/dewridge/policy/servers.py
+++ b/dewridge/policy/servers.py
@@ -35,6 +35,10 @@
 """Part of the target under which no answer counts as slow, whatever the others
 take: suspending a server that meets the target would only cost capacity."""
 
+OVERDRAFT = 0.5
+"""Part of the credits that interactive work may go beyond them, while background
+work holds as many. More would only move the queue into the engines."""
+
 SILENCE = 2.0
 """Multiple of the first token's target after which a silent engine counts as hung.
 A place in a full batch may take a second to come free while nothing of this
@@ -176,12 +180,16 @@
         kept for interactive work is counted over all servers too: with few
         credits to a server, no whole one could be kept on each.
         """
-        if self.in_flight >= max(1.0, self.total_limit):
-            return False
+        total = max(1.0, self.total_limit)
         if work_class is WorkClass.BACKGROUND:
-            kept = self.find_kept(share) * self.total_limit
-            return self.background < max(1.0, self.total_limit - kept)
-        return True
+            kept = self.find_kept(share) * total
+            most = max(1.0, total - kept)
+            return self.in_flight < total and self.background < most
+        # Drafts may hold all credits of this host while those of others lie
+        # idle. Engines put questions first, so a few beyond the credits find a
+        # place sooner than the next draft here would end.
+        extra = min(OVERDRAFT * total, self.background)
+        return self.in_flight < total + extra
 
     def find_kept(self, share: float) -> float:
         """Return the part of the credits to keep for interactive work now."""
