Cut credits hard only for a question that waited

Drafts wait in an engine behind other hosts' questions, by priority; each such wait cut the host's credits below its even part and left slots empty.

--- a/dewridge/policy/servers.py
+++ b/dewridge/policy/servers.py
@@ -218,7 +218,7 @@
         if record.probe == request:
             self._judge_probe(record, sample, now)
         elif record.health is Health.GOOD:
-            self._adjust(record, sample, now)
+            self._adjust(record, sample, work_class, now)
 
     def learn_end(
         self,
@@ -324,12 +324,16 @@
     def _is_good(self, sample: float) -> bool:
         return sample <= max(self._patience, SLOW_FACTOR * self.first_token)
 
-    def _adjust(self, record: ServerCredits, sample: float, now: float) -> None:
+    def _adjust(
+        self, record: ServerCredits, sample: float, work_class: WorkClass, now: float
+    ) -> None:
         # Up to its even part of the capacity a host needs hard evidence to give
-        # credits up: an answer that eats half of the target. Above it, it works
+        # credits up: a question that waited for half of the target. A draft may
+        # wait, and does behind others' questions. Above its part a host works
         # with credits that others do not use at the moment, and answers that
         # take longer than they do on an idle server say that they do again.
-        is_late = sample > max(self._patience, QUEUED_FACTOR * self.base_first_token)
+        longest = max(self._patience, QUEUED_FACTOR * self.base_first_token)
+        is_late = work_class is WorkClass.INTERACTIVE and sample > longest
         if is_late or record.token_time > self._targets.between_tokens:
             record.cut(now)
         elif record.first_token > QUEUED_FACTOR * self.base_first_token:
