--- a/dewridge/policy/credits.py
+++ b/dewridge/policy/credits.py
@@ -16,6 +16,10 @@
 entry host grows on its own; a faster pace would have several of them overrun a
 shared server between two of its refusals."""
 
+REGROWTH = 1.0
+"""The same below the host's even part of the capacity, which nobody else counts
+on: what one bad moment took comes back within a few answers."""
+
 CUT = 0.7
 """Factor on the credits after a sign of overload. Half would leave capacity idle
 after each probe of the limit, nine tenths would take many refusals to back off."""
@@ -183,8 +187,9 @@
     def grow(self) -> None:
         """Gain a part of a credit after a good answer, if credits were short."""
         if self.health is Health.GOOD and self.in_flight + 1 >= self.limit:
+            pace = REGROWTH if self.limit < self.share else GROWTH
             ceiling = float(max(1, self.view.capacity))
-            self.limit = min(ceiling, self.limit + GROWTH / max(1.0, self.limit))
+            self.limit = min(ceiling, self.limit + pace / max(1.0, self.limit))
 
     def cut(self, now: float, floor: float = LEAST_LIMIT) -> None:
         """Lose credits after a sign of overload, once a round trip.
