Move work off a server that turns slow

A slow server lost new work at once, but what ran there, and each probe that found it still slow, stayed until past its deadline. `Scheduler.find_moves` plans their moves, paid from the budget of retries; calls that may not be repeated stay.

Ruled out: longer pauses between probes, by reckoning: they would save late probes and leave the requests that run there when it turns slow.

--- a/dewridge/bench/loop.py
+++ b/dewridge/bench/loop.py
@@ -160,6 +160,7 @@
             self._abandon(host, abandoned)
         while (assignment := scheduler.pick(now)) is not None:
             self._send(host, assignment)
+        self._plan(host, scheduler.find_moves(now))
         wake = scheduler.find_next_time(now)
         known = self._wakes[host]
         if wake is not None and (known is None or wake < known or known <= now):
@@ -353,13 +354,18 @@
     def _hear_notice(self, host: int, server: AnyServer, leaving_at: float) -> None:
         now = self._simulation.now
         moves = self.schedulers[host].note_leaving(server.id, leaving_at, now)
+        self._plan(host, moves)
+        self.pump(host)
+
+    def _plan(self, host: int, moves: Sequence[Move]) -> None:
+        now = self._simulation.now
         for move in moves:
             flight = self._requests[host].get(move.request)
-            if flight is None or flight.attempt is None:
+            if flight is None or flight.attempt is None or flight.server is None:
                 continue
+            server = self.servers[flight.server]
             act = partial(self._move, server, flight.attempt, move)
             self._simulation.schedule(max(now, move.at), act)
-        self.pump(host)
 
     def _move(self, server: AnyServer, attempt: SimulatedAttempt, move: Move) -> None:
         host = self._owners.get(attempt)
--- a/dewridge/policy/recovery.py
+++ b/dewridge/policy/recovery.py
@@ -24,6 +24,9 @@
 """Seconds until a caller whose deadline passed comes back: at least, at most, and
 the longest random part besides."""
 
+RESCUE_SPREAD = 0.2
+"""Seconds over which the work of a slow server is moved."""
+
 RISKY_FINISH = 0.8
 """Part of the notice that an answer may be expected to need and still be left to
 finish where it is; the rest is for the error of the expectation."""
@@ -72,6 +75,7 @@
         plan_moves: decides which attempts leave a reclaimed server; takes them
             with the seconds that each is expected to need, when the server
             goes, and the time now.
+        plan_rescue: decides which attempts leave a server that turned slow.
         note_first_attempt: records a dispatch that is not a retry.
     """
 
@@ -80,6 +84,7 @@
     plan_moves: Callable[
         [Sequence[tuple[RunningAttempt, float]], float, float], list[Move]
     ]
+    plan_rescue: Callable[[Sequence[RunningAttempt], float], list[Move]]
     note_first_attempt: Callable[[], None]
 
 
@@ -154,7 +159,23 @@
         moves += [Move(attempt.request, last, False) for attempt in kept]
         return moves
 
-    return Recovery(True, retry, plan_moves, note_first_attempt)
+    def plan_rescue(running: Sequence[RunningAttempt], now: float) -> list[Move]:
+        # Made for one server that turns ten times slower: what runs there would
+        # miss its deadline while the others have room. It spends the retries'
+        # budget, so that a fleet which is slow as a whole does not move its work
+        # around in place of doing it. A call that may not be repeated stays.
+        nonlocal budget
+        moves = []
+        for attempt in running:
+            if budget < 1 or not attempt.entry.work.idempotent:
+                continue
+            budget -= 1
+            at = now + rng.uniform(0.0, RESCUE_SPREAD)
+            exports = attempt.context >= export_tokens
+            moves.append(Move(attempt.request, at, exports))
+        return moves
+
+    return Recovery(True, retry, plan_moves, plan_rescue, note_first_attempt)
 
 
 def make_restart(parameters: Mapping[str, float], rng: random.Random) -> Recovery:
@@ -170,7 +191,7 @@
     ) -> list[Move]:
         return [Move(attempt.request, now, False) for attempt, _ in running]
 
-    return Recovery(False, retry, plan_moves, lambda: None)
+    return Recovery(False, retry, plan_moves, lambda running, now: [], lambda: None)
 
 
 def find_final(entry: QueueEntry, outcome: AttemptOutcome) -> Abandoned | None:
--- a/dewridge/policy/scheduler.py
+++ b/dewridge/policy/scheduler.py
@@ -218,9 +218,24 @@
             if attempt.moves_at is None or attempt.moves_at > leaving_at
         ]
         moves = self._recovery.plan_moves(running, leaving_at, now)
-        for move in moves:
-            self._running[move.request].moves_at = move.at
-        self._usage.count("moves_planned", len(moves))
+        self._note_moves(moves)
+        return moves
+
+    def find_moves(self, now: float) -> list[Move]:
+        """Decide which running requests leave servers that turned slow.
+
+        Call it after `pick`. Each Move is carried out as one of `note_leaving`:
+        stopped at its time, and its end noted as LEAVING.
+        """
+        moves: list[Move] = []
+        for server in self._servers.take_slow():
+            running = [
+                attempt
+                for attempt in self._by_server.get(server, {}).values()
+                if attempt.moves_at is None
+            ]
+            moves += self._recovery.plan_rescue(running, now)
+        self._note_moves(moves)
         return moves
 
     def read_usage(self) -> Usage:
@@ -355,6 +370,11 @@
             self._enqueue(entry, False, now)
         return decision
 
+    def _note_moves(self, moves: Sequence[Move]) -> None:
+        for move in moves:
+            self._running[move.request].moves_at = move.at
+        self._usage.count("moves_planned", len(moves))
+
     def _predict_rest(
         self, attempt: RunningAttempt, record: ServerCredits | None, now: float
     ) -> float:
--- a/dewridge/policy/servers.py
+++ b/dewridge/policy/servers.py
@@ -68,6 +68,7 @@
         self.mean_in_flight = 0.0
         self.total_limit = 0.0
         self.has_suspended = False
+        self.turned_slow: list[BackendServerId] = []
         self.in_flight = 0
         self.background = 0
         self.reserve = Reserve()
@@ -258,9 +259,17 @@
             is_suspended = record.health is Health.SUSPENDED
             if not is_suspended and self._is_slow(record, now):
                 record.suspend(now, self._rng.random())
+                self.turned_slow.append(record.view.id)
         healths = [record.health for record in self.subset]
         self.has_suspended = Health.SUSPENDED in healths
 
+    def take_slow(self) -> list[BackendServerId]:
+        """Return the servers that turned slow since the last call."""
+        if not self.turned_slow:
+            return []
+        slow, self.turned_slow = self.turned_slow, []
+        return slow
+
     def find_probe_time(self, now: float) -> float | None:
         """Return when a suspended server may be tried again, if one is to be."""
         times = [
@@ -354,6 +363,7 @@
             record.recover(sample)
         else:
             record.suspend(now, self._rng.random())
+            self.turned_slow.append(record.view.id)
 
     def _use_priors(self) -> None:
         target = self._targets.first_token
