--- a/dewridge/composition.py
+++ b/dewridge/composition.py
@@ -15,6 +15,7 @@
 from dewridge.configuration.service import ConfigurationService
 from dewridge.fleet.dispatch import make_dispatch
 from dewridge.fleet.model import Dispatch
+from dewridge.fleet.orders import Orders, make_orders
 from dewridge.fleet.table import ServerTable
 from dewridge.fleet.watcher import FleetWatcher
 from dewridge.ids import FailureDomain, HostId, Incarnation
@@ -89,6 +90,7 @@
     host_list: HostList
     cloud: Cloud
     dispatch: Dispatch
+    orders: Orders
 
 
 async def _open_outside(settings: Settings, stack: AsyncExitStack) -> Outside:
@@ -107,6 +109,7 @@
         ),
         await enter(make_cloud(platform.cloud, timeout=timeout, metrics=metrics)),
         await enter(make_dispatch(metrics=metrics, connect_timeout=connect_timeout)),
+        await enter(make_orders(metrics=metrics, timeout=timeout)),
     )
 
 
@@ -240,6 +243,7 @@
         admission_gate=_make_gate(lifecycle, configuration),
         metrics=metrics,
         seed=seed,
+        orders=outside.orders,
     )
     supervision = settings.supervision
     host = Host(
--- a/dewridge/requests/acceptance.py
+++ b/dewridge/requests/acceptance.py
@@ -47,6 +47,12 @@
 """Refusals of keys that no host would accept; nobody else needs to hear of them."""
 
 
+UNREAD_CODES = (ResultCode.UNKNOWN_SERVICE, ResultCode.UNKNOWN_OPERATION)
+"""Refusals by a host that does not know what the input means. A host that has just
+started writes it in another form than one that knows the service; compared with
+that, the caller's own copy would look like other input."""
+
+
 @dataclass
 class CopyRound:
     """Replies of the replicas to one offer of a record."""
@@ -254,7 +260,7 @@
         result = await self._refuser.refuse(request, number, failure, ballot, also)
         if isinstance(result, Failure):
             return result
-        if self._is_reused(submission, result):
+        if failure.code not in UNREAD_CODES and self._is_reused(submission, result):
             return make_reused()
         if result.outcome is Outcome.NOT_RUN:
             return failure
--- a/dewridge/requests/attempts.py
+++ b/dewridge/requests/attempts.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import count
+from typing import Protocol
 
 import trio
 import xxhash
@@ -18,6 +19,7 @@
     Priority,
     ServerState,
 )
+from dewridge.fleet.orders import Cancellation
 from dewridge.ids import AttemptId, BackendServerId, RequestId, split_request_id
 from dewridge.policy.model import (
     Abandoned,
@@ -36,6 +38,7 @@
 from dewridge.requests.scheduling import Lane, Scheduling, Servers
 from dewridge.requests.shared import Shared
 from dewridge.sentinels import Failure
+from dewridge.supervision.mailbox import Promise
 
 CLAIM_ON_SLOT = 0.1
 """Seconds that a call waits for its claim while it holds a backend server's slot.
@@ -47,6 +50,24 @@
 """Seconds after a slow claim during which calls wait for theirs off the slots from
 the start; otherwise each of them would hold one for `CLAIM_ON_SLOT` first."""
 
+STOP_TIMEOUT = 1.0
+"""Seconds for an engine to confirm a stop or to export a cache; a reclaim's notice
+is 2 to 5 s, and the request has to start elsewhere within it."""
+
+
+class EngineOrders(Protocol):
+    """What engines are asked besides attempts."""
+
+    async def cancel(
+        self, server: BackendServer, attempt: AttemptId, /
+    ) -> Cancellation | Failure:
+        """Cancel an attempt; every answer but DONE proves that it has ended."""
+
+    async def export_cache(
+        self, server: BackendServer, attempt: AttemptId, /
+    ) -> str | Failure:
+        """Export the KV cache of a running attempt and return its handle."""
+
 
 class StopCause:
     """Why an attempt was stopped from outside."""
@@ -65,6 +86,7 @@
     Attributes:
         dispatched: the order may have left this host.
         tokens: tokens that came in this attempt.
+        stopping: whether its engine confirmed that it was stopped.
     """
 
     record: Record
@@ -78,6 +100,7 @@
     tokens: int = 0
     started: float = 0.0
     finished: trio.Event = field(default_factory=trio.Event)
+    stopping: Promise[bool] | None = None
 
     def stop(self, cause: str) -> None:
         """Stop it from outside."""
@@ -103,6 +126,7 @@
         ender: Ender,
         servers: Servers,
         dispatch: Dispatch,
+        orders: EngineOrders | None,
     ) -> None:
         self._shared = shared
         self._replicator = replicator
@@ -111,6 +135,7 @@
         self._ender = ender
         self._servers = servers
         self._dispatch = dispatch
+        self._orders = orders
         self._running: dict[RequestId, Attempt] = {}
         self._orphans: dict[RequestId, Attempt] = {}
         self._parked: dict[RequestId, trio.CancelScope] = {}
@@ -174,6 +199,7 @@
         if keep >= len(record.tokens):
             return
         record.recomputed += len(record.tokens) - keep
+        record.cache_handle = None
         del record.tokens[keep:]
         renew_generation(record)
         answer.acked.clear()
@@ -186,6 +212,10 @@
         try:
             with attempt.scope:
                 result = await self._run(attempt, priority)
+            if isinstance(result, Failure) and await self._is_surely_over(
+                attempt, result
+            ):
+                attempt.cause = attempt.cause or StopCause.LEAVING
         except Exception as error:  # its caller must not wait for ever
             log.opt(exception=error).error("an attempt failed by a fault")
             result = Failure(ResultCode.BACKEND_SERVER_FAILED, "an internal fault")
@@ -375,6 +405,50 @@
         attempt.tokens += len(event.tokens)
         self._replicator.note(attempt.answer)
 
+    async def _is_surely_over(self, attempt: Attempt, failure: Failure) -> bool:
+        """Whether a failed call that may not be repeated can go on elsewhere."""
+        if attempt.record.idempotent or not attempt.dispatched or attempt.cause:
+            return False
+        outcome = judge_failure(failure, attempt.tokens > 0)
+        if outcome not in (AttemptOutcome.LOST, AttemptOutcome.LEAVING):
+            return False
+        return await self.stop_surely(attempt)
+
+    async def stop_surely(self, attempt: Attempt) -> bool:
+        """Stop a call that may not be repeated; whether its engine confirmed it.
+
+        A reclaimed engine would take a long certificate draft with it. Once it
+        has confirmed that the attempt is over, and that no whole answer came
+        of it, the call can go on elsewhere from the tokens kept. Plain services
+        can't confirm that, so their calls stay where they are.
+        """
+        server = self._servers.find(attempt.server)
+        if self._orders is None or attempt.lane.service.kind != "model":
+            return False
+        if attempt.id is None or server is None:
+            return False
+        if attempt.stopping is None:
+            attempt.stopping = Promise()
+            self._shared.jobs.start(
+                self._order_stop, self._orders, server, attempt.id, attempt.stopping
+            )
+        late = Failure(ResultCode.BACKEND_SERVER_SILENT, "no confirmation")
+        return await attempt.stopping.wait(STOP_TIMEOUT, late) is True
+
+    async def _order_stop(
+        self,
+        orders: EngineOrders,
+        server: BackendServer,
+        attempt: AttemptId,
+        confirmed: Promise[bool],
+    ) -> None:
+        said: Cancellation | Failure | None = None
+        with trio.move_on_after(STOP_TIMEOUT):
+            said = await orders.cancel(server, attempt)
+        is_over = isinstance(said, Cancellation) and said is not Cancellation.DONE
+        self._shared.metrics.add("attempts_stopped", confirmed=str(is_over).lower())
+        confirmed.fulfil(is_over)
+
     def _charge(self, attempt: Attempt) -> None:
         server = self._servers.find(attempt.server)
         if server is None or not attempt.dispatched:
@@ -440,17 +514,33 @@
     def _plan_move(self, request: RequestId, at: float, export_cache: bool) -> None:
         attempt = self._running.get(request)
         if attempt is not None:
-            self._shared.jobs.start(self._move, attempt, at)
+            self._shared.jobs.start(self._move, attempt, at, export_cache)
 
-    async def _move(self, attempt: Attempt, at: float) -> None:
+    async def _move(self, attempt: Attempt, at: float, export_cache: bool) -> None:
         """Stop an attempt whose server leaves, so that it goes on elsewhere.
 
-        A call that may not be repeated stays where it is: nothing proves that
-        it stopped there, so sending it elsewhere could run it twice.
+        A call that may not be repeated moves only if its engine confirms the
+        stop; otherwise nothing proves that it would not run twice.
         """
         with trio.move_on_after(max(0.0, at - self._shared.clock())):
             await attempt.finished.wait()
-        if attempt.finished.is_set() or not attempt.record.idempotent:
+        if attempt.finished.is_set():
+            return
+        if export_cache:
+            await self._export_cache(attempt)
+        may_move = attempt.record.idempotent or not attempt.dispatched
+        if not may_move and not await self.stop_surely(attempt):
             return
         self._shared.metrics.add("attempts_moved")
         attempt.stop(StopCause.LEAVING)
+
+    async def _export_cache(self, attempt: Attempt) -> None:
+        """Keep the engine's KV cache, so that the next one need not prefill."""
+        server = self._servers.find(attempt.server)
+        if self._orders is None or server is None or attempt.id is None:
+            return
+        with trio.move_on_after(STOP_TIMEOUT):
+            handle = await self._orders.export_cache(server, attempt.id)
+            if not isinstance(handle, Failure):
+                attempt.record.cache_handle = handle
+                self._shared.metrics.add("caches_exported")
--- a/dewridge/requests/handoff.py
+++ b/dewridge/requests/handoff.py
@@ -58,7 +58,8 @@
         """Finish or hand off every request, then return.
 
         Calls that may not be repeated and were sent stay here until their
-        answer or the timeout: nobody else may go on with them.
+        answer or the timeout, unless their engine confirms that it stopped
+        them: nobody else may go on with them.
         """
         self._shared.leaving = True
         limit = trio.current_time() + timeout
@@ -118,7 +119,8 @@
         record = answer.record
         attempt = self._attempts.find(record.request)
         if attempt is not None:
-            if attempt.dispatched and not record.idempotent:
+            is_sent = attempt.dispatched and not record.idempotent
+            if is_sent and not await self._attempts.stop_surely(attempt):
                 return False
             attempt.stop(StopCause.HANDED_OFF)
             await attempt.finished.wait()
--- a/dewridge/requests/service.py
+++ b/dewridge/requests/service.py
@@ -28,7 +28,7 @@
 from dewridge.policy.scheduler import Scheduler
 from dewridge.requests.acceptance import Acceptor
 from dewridge.requests.answers import Answer
-from dewridge.requests.attempts import Attempts, StopCause
+from dewridge.requests.attempts import Attempts, EngineOrders, StopCause
 from dewridge.requests.claiming import ClaimDesk
 from dewridge.requests.codec import encode_end
 from dewridge.requests.committer import Committer
@@ -91,6 +91,7 @@
         clock: Callable[[], float] = time.time,
         seed: int = 0,
         make_scheduler: MakeScheduler = Scheduler,
+        orders: EngineOrders | None = None,
     ) -> None:
         self._shared = shared = Shared(
             settings=settings,
@@ -127,6 +128,7 @@
             ender=self._ender,
             servers=servers,
             dispatch=dispatch,
+            orders=orders,
         )
         self._refuser = Refuser(shared, FailureLog(shared))
         self._acceptor = Acceptor(
@@ -239,19 +241,22 @@
     async def _cancel_here(self, answer: Answer) -> None:
         """Cancel a request of this host.
 
-        A call that may not be repeated and was sent goes on: stopping to
-        listen would only make its outcome unknown.
+        A call that may not be repeated and was sent goes on unless its engine
+        confirms the stop: to listen no more would make its outcome unknown.
         """
         record = answer.record
         attempt = self._attempts.find(record.request)
         if record.ended is None:
             sent = attempt is not None and attempt.dispatched
-            if sent and not record.idempotent:
-                return
+            code = ResultCode.CANCELLED
+            if attempt is not None and sent and not record.idempotent:
+                if not await self._attempts.stop_surely(attempt):
+                    return
+                code = ResultCode.CANCELLED_RUNNING
             if attempt is not None:
                 attempt.stop(StopCause.CANCELLED)
             self._scheduling.withdraw(record)
-            cancelled = Failure(ResultCode.CANCELLED, "cancelled by the caller")
+            cancelled = Failure(code, "cancelled by the caller")
             self._ender.give_up(answer, cancelled)
         with trio.move_on_after(2 * self._shared.settings.replica_timeout):
             while not answer.end_visible and not answer.lost:
--- a/dewridge/tests/requests/failures_tests.py
+++ b/dewridge/tests/requests/failures_tests.py
@@ -366,6 +366,48 @@
     run_cluster(scenario)
 
 
+# The engine of a long certificate draft, which may not be produced twice, is
+# reclaimed. Left there the certificate would be lost with the engine; sent
+# elsewhere at once there could be two. The engine confirms the stop first, and a
+# caller gets one whole answer; without the confirmation the draft stays.
+def test_certificate_moves_once_its_engine_confirms() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        cluster.workers.step = 0.2
+        cluster.workers.is_salted = True
+        for confirms in (True, False):
+            cluster.workers.confirms = confirms
+            key = await submit(cluster, "host-0", "draft_certificate")
+            await trio.sleep(0.5)
+            attempts = cluster.nodes["host-0"].service._attempts
+            server = next(iter(attempts._running.values())).server
+            at = cluster.nodes["host-0"].service._shared.clock() + 1.5
+            cluster.servers.note_leaving(server, at, "notice")
+            seen = await cluster.follow("host-1", key)
+            assert [seen.tokens] == cluster.workers.whole[key]
+            assert cluster.workers.count(key) == (2 if confirms else 1)
+
+    run_cluster(scenario)
+
+
+# An entry host is reclaimed while it holds a long certificate draft. The claim
+# is released only after the engine confirmed the stop; the successor goes on.
+def test_certificate_survives_a_drain() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        cluster.workers.step = 0.5
+        cluster.workers.is_salted = True
+        key = await submit(cluster, "host-0", "draft_certificate")
+        await trio.sleep(2.2)
+        cluster.announce_leaving("host-0")
+        await cluster.nodes["host-0"].service.drain(2.0)
+        cluster.kill("host-0")
+        seen = await cluster.follow("host-1", key)
+        assert seen.ended is not None and seen.ended.code is ResultCode.OK
+        assert [seen.tokens] == cluster.workers.whole[key]
+        assert cluster.workers.computed <= TOKENS + 1
+
+    run_cluster(scenario)
+
+
 # An entry host leaves while drafts stream and a letter runs. Its callers must be
 # told where to go on, get the rest there, and the letter must neither be lost
 # nor issued twice.
--- a/dewridge/tests/requests/fakes.py
+++ b/dewridge/tests/requests/fakes.py
@@ -27,7 +27,9 @@
     BackendServer,
     ServerState,
 )
+from dewridge.fleet.orders import Cancellation
 from dewridge.ids import (
+    AttemptId,
     BackendServerId,
     ClientAccount,
     FailureDomain,
@@ -278,6 +280,9 @@
         self.computed = 0
         self.is_salted = False
         self.whole: dict[RequestKey, list[list[str]]] = {}
+        self.confirms = True
+        self.cancelled: set[AttemptId] = set()
+        self.done: set[AttemptId] = set()
 
     def bind(self, node: Node) -> Any:
         @asynccontextmanager
@@ -313,11 +318,31 @@
         for place in range(order.first_sequence, len(tokens)):
             await trio.sleep(self.step)
             await node.gate()
+            if order.attempt in self.cancelled:
+                yield Failure(ResultCode.BACKEND_SERVER_FAILED)
+                return
             self.computed += 1
             yield AttemptTokens(place, (tokens[place],))
+        self.done.add(order.attempt)
         self.whole.setdefault(order.key, []).append(tokens)
         yield AttemptEnd()
 
+    async def cancel(
+        self, server: BackendServer, attempt: AttemptId, /
+    ) -> Cancellation | Failure:
+        await trio.sleep(0.002)
+        if not self.confirms:
+            return Failure(ResultCode.BACKEND_SERVER_SILENT)
+        if attempt in self.done:
+            return Cancellation.DONE
+        self.cancelled.add(attempt)
+        return Cancellation.CANCELLED
+
+    async def export_cache(
+        self, server: BackendServer, attempt: AttemptId, /
+    ) -> str | Failure:
+        return Failure(ResultCode.BACKEND_SERVER_FAILED)
+
     def count(self, key: RequestKey) -> int:
         return sum(1 for run in self.executions if run.key == key)
 
@@ -443,6 +468,7 @@
             configuration=lambda: self.configuration,
             servers=self.servers,
             dispatch=self.workers.bind(node),
+            orders=self.workers,
             admission_gate=lambda: None,
             metrics=node.metrics,
             clock=read_clock,
