--- a/dewridge/frontend/connections.py
+++ b/dewridge/frontend/connections.py
@@ -53,37 +53,63 @@
         """Close the connection."""
         await self._stream.aclose()
 
+    def close_at_once(self) -> None:
+        """Close the connection; whoever reads or writes it is told."""
+        self._stream.socket.close()
+
 
 class ConnectionGate:
     """Bounds the connections open at once.
 
     Made for a flood of connections. Each costs memory before its token is
     known, so without a bound a flood would end the process and every answer in
-    flight with it. The ones turned away are told when to come back.
+    flight with it. At the bound the connection that has been without a request
+    the longest makes room: callers who keep one open come back at no loss, and
+    connections that are only held can't shut out those that work. If all work,
+    a new one is told when to come back.
     """
 
     def __init__(self, limit: int, metrics: Metrics) -> None:
         self._limit = limit
         self._metrics = metrics
-        self._open = 0
+        self._open: set[BoundedStream] = set()
+        self._idle: dict[BoundedStream, None] = {}  # the longest idle first
         self._turning_away = 0
         self._refusal = _write_refusal()
 
-    def enter(self) -> bool:
-        """Count one more connection; False if there is no room."""
-        if self._open >= self._limit:
+    def enter(self, stream: BoundedStream) -> bool:
+        """Take in one more connection; False if there is no room."""
+        if len(self._open) >= self._limit and not self._close_longest_idle():
             self._metrics.add("frontend_refused_connections")
             return False
-        self._note(self._open + 1)
+        self._open.add(stream)
+        self._idle[stream] = None
+        self._note_count()
         return True
 
-    def leave(self) -> None:
-        """Count one connection less."""
-        self._note(self._open - 1)
+    def leave(self, stream: BoundedStream) -> None:
+        """Take out a connection."""
+        self._open.discard(stream)
+        self._idle.pop(stream, None)
+        self._note_count()
+
+    def note_idle(self, stream: BoundedStream, idle: bool) -> None:
+        """Record that a connection is without a request, or has one now."""
+        self._idle.pop(stream, None)
+        if idle and stream in self._open:
+            self._idle[stream] = None
+
+    def _close_longest_idle(self) -> bool:
+        if not self._idle:
+            return False
+        stream = next(iter(self._idle))
+        self.leave(stream)
+        stream.close_at_once()
+        self._metrics.add("frontend_evicted_connections")
+        return True
 
-    def _note(self, count: int) -> None:
-        self._open = count
-        self._metrics.set_gauge("frontend_connections", count)
+    def _note_count(self) -> None:
+        self._metrics.set_gauge("frontend_connections", len(self._open))
 
     async def turn_away(self, stream: trio.SocketStream) -> None:
         """Tell a caller that there is no room, and close."""
--- a/dewridge/frontend/server.py
+++ b/dewridge/frontend/server.py
@@ -3,7 +3,6 @@
 import socket
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
-from typing import Any
 
 import trio
 from hypercorn.config import Config
@@ -79,6 +78,19 @@
 class CallerConnection(TCPServer):
     """One connection of a caller."""
 
+    def __init__(
+        self,
+        app: AppWrapper,
+        config: Config,
+        context: WorkerContext,
+        stream: BoundedStream,
+        gate: ConnectionGate,
+    ) -> None:
+        state = ConnectionState({})
+        super().__init__(app, config, context, state, stream)  # type: ignore[arg-type]
+        self._gate = gate
+        self._caller = stream
+
     async def protocol_send(self, event: Event) -> None:
         """Send an event, and let nothing cut off the note that a caller is idle.
 
@@ -87,6 +99,8 @@
         connections had no timeout, and a shutdown waited for each of them until
         its limit.
         """
+        if isinstance(event, Updated):
+            self._gate.note_idle(self._caller, event.idle)
         with trio.CancelScope(shield=isinstance(event, Updated)):
             await super().protocol_send(event)
 
@@ -129,15 +143,15 @@
     gate = ConnectionGate(settings.connection_limit, metrics)
 
     async def handle(stream: trio.SocketStream) -> None:
-        if not gate.enter():
+        bounded = BoundedStream(stream, settings.write_timeout, metrics)
+        if not gate.enter(bounded):
             await gate.turn_away(stream)
             return
         try:
-            bounded: Any = BoundedStream(stream, settings.write_timeout, metrics)
-            state = ConnectionState({})
-            await CallerConnection(app, config, context, state, bounded)
+            connection = CallerConnection(app, config, context, bounded, gate)
+            await connection.run()
         finally:
-            gate.leave()
+            gate.leave(bounded)
 
     return handle
 
--- a/dewridge/tests/frontend/server_tests.py
+++ b/dewridge/tests/frontend/server_tests.py
@@ -161,23 +161,37 @@
 
 
 async def test_connections_over_the_limit_are_told_to_come_back() -> None:
-    # A flood of connections. The host must stay up for the answers in flight,
-    # and the ones turned away must hear why.
-    async with run_frontend(FakeRequests(), connection_limit=8) as frontend:
+    # More callers at work than the host may serve. It must stay up for the
+    # answers in flight, and the ones turned away must hear why.
+    requests = FakeRequests([30.0])
+    async with (
+        run_frontend(requests, connection_limit=8) as frontend,
+        trio.open_nursery() as nursery,
+        make_client() as client,
+    ):
+        url = f"http://{frontend.address}/v1/entry-hosts"
+        for _ in range(8):
+            nursery.start_soon(read_stream, frontend.address)
+        await wait_until(lambda: requests.open_streams == 8)
+        refused = await client.get(url, headers=authorize(AUDITOR))
+        assert requests.open_streams == 8
+        nursery.cancel_scope.cancel()
+    assert (refused.status_code, refused.json()["outcome"]) == (429, "unknown")
+    assert refused.headers["Retry-After"] == "1"
+
+
+async def test_connections_that_are_only_held_make_room() -> None:
+    # A flood of connections that send nothing, or keep a host's attention after
+    # one answer. Callers with work would find no room until their time is over.
+    requests = FakeRequests([EndedEvent(ResultCode.OK)])
+    async with run_frontend(requests, connection_limit=8) as frontend:
         host, port = frontend.address.split(":")
-        held = [await trio.open_tcp_stream(host, int(port)) for _ in range(8)]
-        await trio.sleep(0.1)
-        async with httpx.AsyncClient() as client:
-            url = f"http://{frontend.address}/v1/entry-hosts"
-            refused = await client.get(url, headers=authorize(AUDITOR))
+        held = [await trio.open_tcp_stream(host, int(port)) for _ in range(20)]
+        for _ in range(3):
+            with trio.fail_after(2):
+                assert await read_stream(frontend.address) == ["accepted", "end"]
         for stream in held:
             await stream.aclose()
-        await trio.sleep(0.1)
-        async with httpx.AsyncClient() as client:
-            served = await client.get(url, headers=authorize(AUDITOR))
-    assert (refused.status_code, refused.json()["outcome"]) == (429, "unknown")
-    assert refused.headers["Retry-After"] == "1"
-    assert served.status_code == 200
 
 
 async def test_an_account_at_its_limit_does_not_shut_out_another() -> None:
