--- /dev/null
+++ b/dewridge/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the bench."""
