--- a/dewridge/tests/policy/registry_tests.py
+++ b/dewridge/tests/policy/registry_tests.py
@@ -1,6 +1,7 @@
 """Policies by name, and the check of a profile that is published."""
 
 from collections.abc import Collection
+from pathlib import Path
 
 from dewridge.configuration.model import LatencyTargets, PolicyChoice, Profile
 from dewridge.ids import ProfileName
@@ -50,6 +51,20 @@
         assert {spec.is_baseline for spec in specs} == {True, False}
 
 
+def test_the_page_of_policies_tells_each_with_its_parameters() -> None:
+    page = (Path(__file__).parents[3] / "docs" / "policies.md").read_text()
+    for spec in list_policies():
+        assert f"### `{spec.name}`\n\n{spec.description}" in page
+        for parameter in spec.parameters:
+            unit = f" {parameter.unit}" if parameter.unit else ""
+            row = (
+                f"| `{parameter.name}` | {parameter.description} "
+                f"| {parameter.default:g}{unit} "
+                f"| {parameter.low:g} to {parameter.high:g}{unit} |"
+            )
+            assert row in page, parameter.name
+
+
 def test_a_policy_of_a_newer_release_does_not_stop_an_older_host() -> None:
     # During a rolling upgrade an operator publishes a policy that the hosts
     # still to be upgraded do not know. They go on with the default.
