Read versions from a peer field by field

A peer with a fault whose versions lack fields ended the task that compares, and with it the probes until a restart (TypeError in the new test before, 19 passed after: pytest dewridge/tests/membership).

--- a/dewridge/membership/exchanges.py
+++ b/dewridge/membership/exchanges.py
@@ -14,6 +14,8 @@
     make_member_version,
     make_record,
     read_member,
+    read_member_versions,
+    read_rumor_versions,
 )
 from dewridge.membership.model import Member, MemberState, Rumor
 from dewridge.membership.rumors import measure
@@ -225,8 +227,9 @@
 
     def _make_exchange(self, reply: Message) -> Message:
         differing = set(reply.differing)
-        theirs = {version.host: version for version in reply.members or []}
-        heard = {(v.kind, v.subject): v.version for v in reply.rumors or []}
+        theirs = {v.host: v for v in read_member_versions(reply.members)}
+        versions = read_rumor_versions(reply.rumors)
+        heard = {(v.kind, v.subject): v.version for v in versions}
         members = [
             member
             for member in self._table.list_buckets(differing)
@@ -245,9 +248,7 @@
             wanted_members=[
                 host for host, v in theirs.items() if is_behind(v, self._table)
             ],
-            wanted_rumors=[
-                version for version in reply.rumors or [] if self._lacks(version)
-            ],
+            wanted_rumors=[version for version in versions if self._lacks(version)],
         )
 
     async def _answer_exchange(
--- a/dewridge/membership/messages.py
+++ b/dewridge/membership/messages.py
@@ -111,6 +111,25 @@
     )
 
 
+def read_member_versions(versions: list[Message] | None) -> list[Message]:
+    """Return the versions of members that are whole."""
+    return [
+        version
+        for version in versions or []
+        if isinstance(version.host, str)
+        and _are(int, version.incarnation, version.refutation, version.state)
+    ]
+
+
+def read_rumor_versions(versions: list[Message] | None) -> list[Message]:
+    """Return the versions of rumors that are whole."""
+    return [
+        version
+        for version in versions or []
+        if _are(str, version.kind, version.subject) and isinstance(version.version, int)
+    ]
+
+
 def is_behind(version: Message, table: MemberTable) -> bool:
     """Whether another member knows newer of a member than this host."""
     record = ttypes.MemberRecord(
--- a/dewridge/tests/membership/service_tests.py
+++ b/dewridge/tests/membership/service_tests.py
@@ -5,7 +5,10 @@
 import trio
 
 from dewridge.ids import HostId
+from dewridge.membership.buckets import BUCKETS
 from dewridge.membership.model import FENCED_RUMOR, MemberState, Rumor
+from dewridge.peers.model import Message, PeerIdentity
+from dewridge.peers.wire import ttypes
 from dewridge.tests.membership.networks import Group, run_group
 
 
@@ -216,3 +219,36 @@
         await group.wait(lambda: len(heard) == 2, 20)
 
     run_group(8, scenario)
+
+
+def test_a_peer_with_a_fault_does_not_stop_the_membership() -> None:
+    # A release with a fault leaves out fields, or sends states and versions that
+    # make no sense. Probes must go on, and nobody be lost by it.
+    async def scenario(group: Group) -> None:
+        faulty = group.network.peers["10.0.0.3:1"]
+        record = ttypes.MemberRecord(host="host-1", incarnation=1, state=99)
+        replies = {
+            ttypes.Probe: ttypes.ProbeReply(members=[record], rumors=[ttypes.Rumor()]),
+            ttypes.Join: ttypes.JoinReply(members=[ttypes.MemberRecord()]),
+            ttypes.RelayProbe: ttypes.RelayProbeReply(),
+            ttypes.CompareState: ttypes.CompareStateReply(
+                differing=[-1, 99, *range(BUCKETS)],
+                members=[ttypes.MemberVersion(host="host-1")],
+                rumors=[ttypes.RumorVersion(kind="k", subject="s")],
+            ),
+            ttypes.ExchangeState: ttypes.ExchangeStateReply(rumors=[ttypes.Rumor()]),
+        }
+
+        async def answer(peer: PeerIdentity, message: Message) -> Message:
+            return replies[type(message)]
+
+        for kind in replies:
+            faulty.handle(kind, answer)
+        group.services["host-0"].spread(Rumor("k", "s", 1, b""))
+        await trio.sleep(60)
+        alive = {f"host-{n}" for n in range(8)} - {"host-3"}
+        for host in alive:
+            members = group.services[host].members()
+            assert alive <= {m.host for m in members if m.takes_work}
+
+    run_group(8, scenario)
