Wait for the services at every host before a proof's load begins

Cause: calls in the first tenth of a second met hosts that had not heard of their service and were told UNKNOWN_SERVICE; that is no fault under test. Change: the testbed waits until every host shows the services; an entry host does not load httpx's command line (rich, pygments).

--- a/dewridge/commands/serve.py
+++ b/dewridge/commands/serve.py
@@ -1,5 +1,6 @@
 """`dewridge serve`: run an entry host."""
 
+import sys
 from pathlib import Path
 from typing import Annotated
 
@@ -23,6 +24,9 @@
     print_problems(loaded)
     if loaded.settings is None:
         raise typer.Exit(ExitStatus.USAGE)
+    # httpx's command line brings rich and pygments; a host has no use for them,
+    # and they take 3 to 6 of the 64 MB that control may use.
+    sys.modules.setdefault("httpx._main", None)  # type: ignore[arg-type]
     import trio  # noqa: PLC0415 - other commands start faster without it
 
     from dewridge.composition import run_host  # noqa: PLC0415
--- a/dewridge/testbed/deployment.py
+++ b/dewridge/testbed/deployment.py
@@ -263,11 +263,26 @@
     # ---- operators ------------------------------------------------------------
 
     async def publish_all(self) -> None:
-        """Publish the place's profiles, then its services under them."""
+        """Publish the place's profiles and services, and wait for them everywhere."""
         for profile in self.place.profiles:
             await self.put(f"/v1/profiles/{profile['name']}", profile)
         for service in self.place.services:
             await self.put(f"/v1/services/{service['name']}", service)
+        names = {str(service["name"]) for service in self.place.services}
+        for host in self.hosts:
+            with trio.fail_after(READY_LIMIT):
+                await self._wait_in_force(host, names)
+
+    async def _wait_in_force(self, host: EntryHost, names: set[str]) -> None:
+        while True:
+            if names <= await self._list_services(host):
+                return
+            await trio.sleep(0.05)
+
+    async def _list_services(self, host: EntryHost) -> set[str]:
+        """Return the services that are in force at a host."""
+        configuration = (await self.read_dump(host)).get("parts", {})
+        return set(configuration.get("configuration", {}).get("services", {}))
 
     async def put(
         self, path: str, content: Any, etag: str | None = None
