Let no claim that was given up land later and stand for good

Counters of the stuck host showed its claim denied 37 times a second after the outage; the bucket held the claim of the host's own second ownership, epoch 2, not released, while the record stood at epoch 3. Two tries had been given up with claims on their way; the release of the second met the mark of the first, left none of its own, and the delayed claim was then granted. Change: a bucket keeps the marks of all ownerships that gave a call up; a host that meets its own earlier claim pauses before it asks again. The client, told that an outcome is unknown, ends at its deadline and not 2 s after it.

--- a/dewridge/client/client.py
+++ b/dewridge/client/client.py
@@ -263,7 +263,10 @@
         run.progress.retry_after = 0.0
         pause = max(backoff, wanted)
         if trio.current_time() + pause >= run.deadline:
-            return run.progress.accepted and await self._wait_out(run)
+            has_final_word = run.progress.ended is not None
+            if has_final_word or not run.progress.accepted:
+                return False
+            return await self._wait_out(run)
         await trio.sleep(pause)
         return True
 
--- a/dewridge/requests/claims.py
+++ b/dewridge/requests/claims.py
@@ -26,12 +26,16 @@
     Attributes:
         released: the holder gave it up without having sent the call. It stays
             as a mark, so that a delayed write of the same claim is not granted.
+        voided: other ownerships that gave the call up, as marks likewise. Without
+            them a claim that was on its way when its owner gave up would land
+            later and stand for good, held by nobody.
     """
 
     host: str
     incarnation: int
     epoch: int
     released: bool = False
+    voided: tuple[tuple[str, int, int], ...] = ()
 
     @property
     def ballot(self) -> Ballot:
@@ -104,17 +108,46 @@
 
 def _apply(claims: dict[str, Held], intent: ClaimIntent) -> Grant:
     held = claims.get(intent.request)
-    ballot = intent.ballot
-    own = held is not None and held.ballot == ballot
     if intent.release:
-        if held is None or own:
-            claims[intent.request] = Held(
-                ballot.host, ballot.incarnation, ballot.epoch, released=True
-            )
+        claims[intent.request] = _release(held, intent.ballot)
         return Grant(granted=True)
-    if held is None or (held.released and not own):
-        claims[intent.request] = Held(ballot.host, ballot.incarnation, ballot.epoch)
+    if held is None:
+        claims[intent.request] = _hold(intent.ballot)
         return Grant(granted=True)
-    if own and not held.released:
+    if held.ballot == intent.ballot and not held.released:
+        return Grant(granted=True)
+    if held.released and not _is_void(held, intent.ballot):
+        voided = (*held.voided, _mark(held.ballot))
+        claims[intent.request] = _hold(intent.ballot, voided)
         return Grant(granted=True)
     return Grant(granted=False, holder=held.ballot)
+
+
+def _release(held: Held | None, ballot: Ballot) -> Held:
+    """Return what stands after an ownership gave a call up."""
+    if held is None:
+        return _hold(ballot, released=True)
+    if held.ballot == ballot:
+        return _hold(ballot, held.voided, released=True)
+    if _is_void(held, ballot):
+        return held
+    voided = (*held.voided, _mark(ballot))
+    return _hold(held.ballot, voided, held.released)
+
+
+def _is_void(held: Held, ballot: Ballot) -> bool:
+    """Whether an ownership gave the call up before."""
+    given_up = held.released and held.ballot == ballot
+    return given_up or _mark(ballot) in held.voided
+
+
+def _hold(
+    ballot: Ballot,
+    voided: tuple[tuple[str, int, int], ...] = (),
+    released: bool = False,
+) -> Held:
+    return Held(ballot.host, ballot.incarnation, ballot.epoch, released, voided)
+
+
+def _mark(ballot: Ballot) -> tuple[str, int, int]:
+    return ballot.host, ballot.incarnation, ballot.epoch
--- a/dewridge/requests/failover.py
+++ b/dewridge/requests/failover.py
@@ -285,6 +285,10 @@
                 self._ender.give_up(answer, make_holder_lost("is gone"))
                 return
             if self._shared.is_own(holder):
+                # An earlier ownership of ours gave the call up; its release is
+                # on its way. Asking without a pause would use up the budget of
+                # writes that the release needs.
+                await trio.sleep(HOLDER_POLL)
                 self._attempts.park(answer)
                 return
             found = await self._locator.ask(holder.host, record.request, True)
