Judge by the usual times in a module of its own; follow the even part

The module of servers had grown past its job. What is usual, and who falls behind it, stands by itself now. Credits also follow when hosts come or go: hosts that start one after the other each began with a whole server's capacity.

--- a/dewridge/policy/credits.py
+++ b/dewridge/policy/credits.py
@@ -184,6 +184,16 @@
         self.heard_at = now
         self.token_time = _smooth(self.token_time, sample)
 
+    def set_share(self, share: float) -> None:
+        """Take over another even part, as hosts or servers came or went.
+
+        Hosts that start one after the other each think to be alone at first;
+        credits for the whole capacity, kept by all of them, would overrun it.
+        """
+        if share != self.share:
+            self.limit = max(LEAST_LIMIT, self.limit * share / self.share)
+            self.share = share
+
     def grow(self) -> None:
         """Gain a part of a credit after a good answer, if credits were short."""
         if self.health is Health.GOOD and self.in_flight + 1 >= self.limit:
--- a/dewridge/policy/scheduler.py
+++ b/dewridge/policy/scheduler.py
@@ -95,7 +95,7 @@
         self._refresh(now)
         cost = measure_cost(work)
         if work.work_class is WorkClass.INTERACTIVE:
-            duration = self._servers.predict_duration(work)
+            duration = self._servers.usual.predict_duration(work)
             self._servers.reserve.note_offer(duration)
         failure = self._admit(work, self._view_admission(work, cost, now), now)
         if failure is not None:
@@ -276,12 +276,12 @@
     def _view_admission(self, work: Work, cost: float, now: float) -> AdmissionView:
         queue = self._backlog.queue
         servers = self._servers
-        duration = servers.predict_duration(work)
+        duration = servers.usual.predict_duration(work)
         guess = self._guess_credit_pace(work)
         expected = duration * servers.least_price
         return AdmissionView(
             cost=cost,
-            first_token=servers.first_token,
+            first_token=servers.usual.first_token,
             duration=duration,
             class_cost=queue.find_cost(work.work_class),
             account_cost=queue.find_account_cost(work.work_class, work.account),
@@ -295,7 +295,7 @@
         )
 
     def _guess_credit_pace(self, work: Work) -> float:
-        duration = max(self._servers.predict_duration(work), 1e-6)
+        duration = max(self._servers.usual.predict_duration(work), 1e-6)
         return measure_cost(work) / duration
 
     def _refresh(self, now: float) -> None:
@@ -312,7 +312,7 @@
 
     def _enqueue(self, entry: QueueEntry, is_charged: bool, now: float) -> None:
         if self._drops_hopeless:
-            shortest = OPTIMISM * self._servers.predict_duration(entry.work)
+            shortest = OPTIMISM * self._servers.usual.predict_duration(entry.work)
             entry.latest_start = entry.work.deadline - shortest
         self._backlog.add(entry, is_charged, now)
 
@@ -378,7 +378,7 @@
     def _predict_rest(
         self, attempt: RunningAttempt, record: ServerCredits | None, now: float
     ) -> float:
-        expected = self._servers.predict_duration(attempt.entry.work, record)
+        expected = self._servers.usual.predict_duration(attempt.entry.work, record)
         return max(0.0, expected - (now - attempt.sent_at))
 
     def _find_attempt(
--- a/dewridge/policy/servers.py
+++ b/dewridge/policy/servers.py
@@ -2,8 +2,6 @@
 
 import random
 from collections.abc import Sequence
-from math import inf
-from statistics import median
 from typing import Any
 
 import xxhash
@@ -12,46 +10,23 @@
 from dewridge.ids import BackendServerId, FailureDomain, RequestId
 from dewridge.policy.cost import find_slot_price
 from dewridge.policy.credits import LEAST_LIMIT, Health, ServerCredits
-from dewridge.policy.model import AttemptOutcome, ServerView, Work, WorkClass
+from dewridge.policy.model import AttemptOutcome, ServerView, WorkClass
 from dewridge.policy.reserve import Reserve
 from dewridge.policy.subsets import choose_subset, find_sharers
+from dewridge.policy.usual import Usual
 
 REFRESH = 0.1
 """Seconds between two looks at all servers of the subset. A slow server keeps
 getting work for this long at most; each look costs some tens of microseconds."""
 
-SLOW_FACTOR = 4.0
-"""Multiple of the median at which a server counts as slow. Twice happens from
-chance and from long prompts; ten times must be caught in its first answers."""
-
-QUEUED_FACTOR = 1.5
-"""Multiple of an idle server's time to a first token from which requests must be
-waiting in the server's own queue, where neither deadlines nor shares count."""
-
-BASE_RISE = 1.0005
-"""Factor on the idle server's time in each look: doubles it in some two minutes."""
-
-PATIENCE = 0.5
-"""Part of the target under which no answer counts as slow, whatever the others
-take: suspending a server that meets the target would only cost capacity."""
-
 OVERDRAFT = 0.5
 """Part of the credits that interactive work may go beyond them, while background
 work holds as many. More would only move the queue into the engines."""
 
-SILENCE = 2.0
-"""Multiple of the first token's target after which a silent engine counts as hung.
-A place in a full batch may take a second to come free while nothing of this
-host's happens to stream there."""
-
 NOTICE_MEMORY = 60.0
 """Seconds that a failure domain counts as under notice after its last notice.
 Reclaims come in waves, so the next is likely where the last one was."""
 
-PRIOR_SHARE = 0.25
-"""Part of the targets that an answer is reckoned to take before any came. Low on
-purpose: reckoning high would refuse the very work that teaches the truth."""
-
 
 class Servers:
     """Views of the whole fleet, and credits for the subset that is in use."""
@@ -62,9 +37,7 @@
         self.records: dict[BackendServerId, ServerCredits] = {}
         self.subset: list[ServerCredits] = []
         self.fleet: list[ServerView] = []
-        self.first_token = 0.0
-        self.base_first_token = inf
-        self.token_time = 0.0
+        self.usual = Usual(targets, is_plain)
         self.mean_in_flight = 0.0
         self.total_limit = 0.0
         self.has_suspended = False
@@ -72,8 +45,6 @@
         self.in_flight = 0
         self.background = 0
         self.reserve = Reserve()
-        self._targets = targets
-        self._is_plain = is_plain
         self._rng = rng
         self._host_index = 0
         self._host_count = 1
@@ -84,11 +55,10 @@
         self._notices: dict[FailureDomain, float] = {}
         self._refresh_at = 0.0
         self.least_price = 0.0
-        self._use_priors()
 
     def configure(self, targets: LatencyTargets, most: int) -> None:
         """Take over a profile's targets and size of the subset."""
-        self._targets = targets
+        self.usual.set_targets(targets)
         if most != self._most:
             self._most = most
             self._choose_subset()
@@ -219,7 +189,7 @@
         if record.probe == request:
             self._judge_probe(record, sample, now)
         elif record.health is Health.GOOD:
-            self._adjust(record, sample, work_class, now)
+            self.usual.adjust_credits(record, sample, work_class, now)
 
     def learn_end(
         self,
@@ -236,32 +206,24 @@
         else:
             record.drop_probe(request)
 
-    def predict_duration(
-        self, work: Work, record: ServerCredits | None = None
-    ) -> float:
-        """Return the seconds that an attempt is expected to take."""
-        first = self.first_token
-        between = self.token_time
-        if record is not None:
-            first = record.first_token or first
-            between = record.token_time or between
-        if self._is_plain:
-            return first
-        return first + between * max(0, work.expected_tokens - work.tokens_done - 1)
-
     def refresh(self, now: float) -> None:
         """Look at all servers of the subset, at most once in REFRESH seconds."""
         if now < self._refresh_at:
             return
         self._refresh_at = now + REFRESH
         self._learn(now)
+        # One server alone has none to be slower than, and nobody to take over.
+        if len(self.subset) > 1:
+            self._suspend_slow(now)
+        healths = [record.health for record in self.subset]
+        self.has_suspended = Health.SUSPENDED in healths
+
+    def _suspend_slow(self, now: float) -> None:
         for record in self.subset:
             is_suspended = record.health is Health.SUSPENDED
-            if not is_suspended and self._is_slow(record, now):
+            if not is_suspended and self.usual.is_slow(record, now):
                 record.suspend(now, self._rng.random())
                 self.turned_slow.append(record.view.id)
-        healths = [record.health for record in self.subset]
-        self.has_suspended = Health.SUSPENDED in healths
 
     def take_slow(self) -> list[BackendServerId]:
         """Return the servers that turned slow since the last call."""
@@ -295,89 +257,26 @@
 
     def _learn(self, now: float) -> None:
         good = [r for r in self.subset if r.health is Health.GOOD]
-        firsts = [r.first_token for r in good if r.first_token]
-        betweens = [r.token_time for r in good if r.token_time]
-        if firsts:
-            self.first_token = median(firsts)
-            self._learn_base(min(firsts))
-        if betweens:
-            self.token_time = median(betweens)
+        self.usual.learn(good)
         self.total_limit = sum(r.limit for r in good)
         self.mean_in_flight = sum(r.in_flight for r in good) / max(1, len(good))
         self.reserve.settle(now)
 
-    def _learn_base(self, least: float) -> None:
-        # The least in recent time is what an idle server needs. It rises slowly,
-        # so that prompts which grow longer are learned in a minute, while a
-        # queue that builds up in seconds does not pass for normal.
-        if least < self.base_first_token:
-            self.base_first_token = least
-        else:
-            self.base_first_token = min(least, self.base_first_token * BASE_RISE)
-
-    def _is_slow(self, record: ServerCredits, now: float) -> bool:
-        if len(self.subset) < 2:
-            return False
-        if record.health is Health.PROBING:
-            sent_at = record.waiting.get(record.probe, now) if record.probe else now
-            return not self._is_good(now - sent_at)
-        if record.token_time > SLOW_FACTOR * self.token_time:
-            return True
-        if self._is_plain:
-            return not self._is_good(record.find_first_token(now))
-        # An engine that is full makes new requests wait but still streams, and
-        # loses credits for it; only one that says nothing at all is suspended.
-        limit = max(SILENCE * self._targets.first_token, SLOW_FACTOR * self.first_token)
-        return record.find_silence(now) > limit
-
-    def _is_good(self, sample: float) -> bool:
-        return sample <= max(self._patience, SLOW_FACTOR * self.first_token)
-
-    def _adjust(
-        self, record: ServerCredits, sample: float, work_class: WorkClass, now: float
-    ) -> None:
-        # Up to its even part of the capacity a host needs hard evidence to give
-        # credits up: a question that waited for half of the target. A draft may
-        # wait, and does behind others' questions. Above its part a host works
-        # with credits that others do not use at the moment, and answers that
-        # take longer than they do on an idle server say that they do again.
-        longest = max(self._patience, QUEUED_FACTOR * self.base_first_token)
-        is_late = work_class is WorkClass.INTERACTIVE and sample > longest
-        if is_late or record.token_time > self._targets.between_tokens:
-            record.cut(now)
-        elif record.first_token > QUEUED_FACTOR * self.base_first_token:
-            record.yield_borrowed(now)
-        else:
-            record.note_success()
-            record.grow()
-
-    @property
-    def _patience(self) -> float:
-        target = self._targets.first_token
-        if self._is_plain:
-            target = self._targets.whole_answer
-        return PATIENCE * target
-
     def _judge_probe(self, record: ServerCredits, sample: float, now: float) -> None:
-        if self._is_good(sample):
+        if self.usual.is_good(sample):
             record.recover(sample)
         else:
             record.suspend(now, self._rng.random())
             self.turned_slow.append(record.view.id)
 
-    def _use_priors(self) -> None:
-        target = self._targets.first_token
-        if self._is_plain:
-            target = self._targets.whole_answer
-        self.first_token = PRIOR_SHARE * target
-        self.token_time = PRIOR_SHARE * self._targets.between_tokens
-
     def _choose_subset(self) -> None:
         self._sharers = find_sharers(self.fleet, self._host_count, self._most)
         views = choose_subset(
             self.fleet, self._host_index, self._host_count, self._most
         )
         self.subset = [self.records.get(v.id) or self._make_record(v) for v in views]
+        for record in self.subset:
+            record.set_share(self._find_share(record.view))
         self._refresh_at = 0.0
         prices = [find_slot_price(view) for view in views]
         self.least_price = min(prices, default=0.0)
@@ -389,13 +288,16 @@
     def _make_record(self, view: ServerView) -> ServerCredits:
         # The first guess is this host's part of the server's capacity, so that
         # all hosts together start at what the server can run and not above it.
-        share = max(LEAST_LIMIT, view.capacity / self._sharers)
+        share = self._find_share(view)
         record = ServerCredits(
             view, share, share, xxhash.xxh3_64_intdigest(view.id.encode())
         )
         self.records[view.id] = record
         return record
 
+    def _find_share(self, view: ServerView) -> float:
+        return max(LEAST_LIMIT, view.capacity / self._sharers)
+
     def _forget(self, server: BackendServerId) -> None:
         record = self.records.get(server)
         if record is not None and record.in_flight == 0:
