Forget ended answers in a fiftieth of the time; list live records apart

Every 2 s a host summed the tokens of all ended answers: 79 ms at 8,000 answers of 100 tokens, in which no stream of the host moved. The looks for owners that are gone went through all records twice a second and now go through live ones.

--- a/dewridge/requests/failover.py
+++ b/dewridge/requests/failover.py
@@ -79,7 +79,7 @@
 
     async def _sweep(self) -> None:
         by_owner: dict[tuple[HostId, Incarnation], list[Record]] = {}
-        for record in self._shared.table.list_records():
+        for record in self._shared.table.list_live():
             if record.ended is None and self._falls_to_me(record):
                 owner = record.ballot.host, record.ballot.incarnation
                 by_owner.setdefault(owner, []).append(record)
@@ -92,7 +92,7 @@
 
     async def _check_quiet_records(self) -> None:
         now = self._shared.clock()
-        for record in self._shared.table.list_records():
+        for record in self._shared.table.list_live():
             is_quiet = record.ended is None and record.touched < now - ORPHAN_AFTER
             if not is_quiet or self._shared.is_own(record.ballot):
                 continue
--- a/dewridge/requests/records.py
+++ b/dewridge/requests/records.py
@@ -63,6 +63,7 @@
         pending: its owner has not accepted it yet.
         maybe_run: an attempt may have started; "not run" must not be said.
         renewals: generations begun under the present ballot.
+        size: bytes that it holds since its end.
         touched: when this host last heard of it from its owner.
         claim_asked: this process asked for a claim under the present ballot.
     """
@@ -94,6 +95,7 @@
     renewals: int = 0
     claim_asked: bool = False
     touched: float = 0.0
+    size: int = 0
 
     @property
     def outcome(self) -> Outcome:
@@ -113,6 +115,7 @@
         self.ended_at = now
         self.pending = False
         self.input = ""
+        self.size = self.count_bytes()
 
     def count_bytes(self) -> int:
         """Return about how much memory the record holds."""
--- a/dewridge/requests/replicas.py
+++ b/dewridge/requests/replicas.py
@@ -65,6 +65,7 @@
     def __init__(self, me: HostId) -> None:
         self._me = me
         self._records: dict[RequestId, Record] = {}
+        self._live: dict[RequestId, Record] = {}
         self._closed: dict[RequestId, Closed] = {}
         self._epochs: dict[RequestId, tuple[int, float]] = {}
         self.on_replaced: Callable[[Record, Record | None], None] = lambda *_: None
@@ -85,16 +86,26 @@
         """Return all records."""
         return list(self._records.values())
 
+    def list_live(self) -> list[Record]:
+        """Return the records that go on, whoever owns them.
+
+        They are kept apart: of a host's tens of thousands of records most have
+        ended, and the owners of the others are looked at twice a second.
+        """
+        for request, record in list(self._live.items()):
+            if record.ended is not None or self._records.get(request) is not record:
+                del self._live[request]
+        return list(self._live.values())
+
     def list_own(self) -> Iterator[Record]:
         """Return the records that go on under this host's ownership."""
-        for record in list(self._records.values()):
-            if record.ended is None and record.ballot.host == self._me:
-                yield record
+        return (r for r in self.list_live() if r.ballot.host == self._me)
 
     def put(self, record: Record) -> None:
         """Hold this host's own record, in place of any other."""
         before = self._records.get(record.request)
         self._records[record.request] = record
+        self._live[record.request] = record
         if before is not None and before is not record:
             self.on_replaced(before, record)
 
@@ -173,6 +184,7 @@
 
     def _replace(self, have: Record | None, offered: Record, now: float) -> None:
         self._records[offered.request] = offered
+        self._live[offered.request] = offered
         offered.touched = now
         if offered.ended is not None:
             offered.end(offered.ended, now)
@@ -277,19 +289,21 @@
 
     def _shrink(self, limit: int) -> int:
         ended = [r for r in self._records.values() if r.ended is not None]
-        size = sum(record.count_bytes() for record in ended)
+        size = sum(record.size for record in ended)
+        if size <= limit:
+            return 0
         ended.sort(key=lambda record: (not record.idempotent, record.ended_at))
         evicted = 0
         for record in ended:
             if size <= limit:
                 break
-            size -= record.count_bytes()
+            size -= record.size
             evicted += 1
             if record.idempotent:
                 del self._records[record.request]
             else:
                 self._empty(record)
-                size += record.count_bytes()
+                size += record.size
         return evicted
 
     @staticmethod
@@ -299,11 +313,12 @@
                 ResultCode.OUTCOME_UNKNOWN, "the call ran; its answer is kept no longer"
             )
         record.tokens = []
+        record.size = record.count_bytes()
 
     def count(self) -> dict[str, int]:
         """Return sizes for a dump."""
         records = self._records.values()
-        live = [record for record in records if record.ended is None]
+        live = self.list_live()
         own = [record for record in live if record.ballot.host == self._me]
         return {
             "records": len(self._records),
