--- a/dewridge/bench/cases.py
+++ b/dewridge/bench/cases.py
@@ -11,8 +11,8 @@
     find_slot_seconds,
     keep_accounts,
 )
-from dewridge.bench.loop import Reclaim, Simulation, Slowdown
 from dewridge.bench.outcomes import Record, Summary, find_percentile, summarize
+from dewridge.bench.simulation import Reclaim, Simulation, Slowdown
 from dewridge.configuration.model import PolicyChoice, Profile
 from dewridge.ids import ProfileName
 
--- a/dewridge/bench/loop.py
+++ b/dewridge/bench/services.py
@@ -1,8 +1,7 @@
-"""The event loop: entry hosts decide, servers work, callers wait."""
+"""One service in the bench: entry hosts decide, servers work, callers wait."""
 
-import heapq
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
 from functools import partial
 
@@ -10,10 +9,10 @@
     ENGINE,
     PLAIN_SECONDS,
     Arrival,
-    Deployment,
     ServiceShape,
 )
 from dewridge.bench.outcomes import Outcome, Record
+from dewridge.bench.timeline import Timeline
 from dewridge.bench.workers import (
     AnyServer,
     Report,
@@ -48,30 +47,6 @@
 EXPORT_RATE = 20_000.0
 """Tokens of KV cache a second that one export moves."""
 
-DRAIN = 130.0
-"""Seconds after the last arrival until the run is cut."""
-
-
-@dataclass(frozen=True, slots=True)
-class Reclaim:
-    """Servers that are taken back at a time.
-
-    Attributes:
-        domains: failure domains that lose all reclaimable servers; empty: the
-            first half of the fleet.
-    """
-
-    at: float
-    domains: tuple[str, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class Slowdown:
-    """One server of each service that gets slower at a time."""
-
-    at: float
-    factor: float = 10.0
-
 
 @dataclass(slots=True)
 class InFlight:
@@ -93,15 +68,12 @@
     has_run: bool = False
 
 
-Action = Callable[[], None]
-
-
 class ServiceRun:
     """One service's servers and the schedulers of all entry hosts."""
 
     def __init__(
         self,
-        simulation: "Simulation",
+        timeline: Timeline,
         *,
         shape: ServiceShape,
         profile: Profile,
@@ -109,7 +81,7 @@
         hosts: int,
         seed: int,
     ) -> None:
-        self._simulation = simulation
+        self._timeline = timeline
         self._shape = shape
         self._rng = random.Random(f"{seed}/{shape.name}/run")
         self.servers: dict[BackendServerId, AnyServer] = {}
@@ -143,7 +115,7 @@
 
     def arrive(self, arrival: Arrival, record: Record) -> None:
         """Offer an arrival to its entry host."""
-        now = self._simulation.now
+        now = self._timeline.now
         host = arrival.host
         failure = self.schedulers[host].offer(arrival.work, now)
         if failure is not None:
@@ -154,7 +126,7 @@
 
     def pump(self, host: int) -> None:
         """Carry out what a host's scheduler decides now."""
-        now = self._simulation.now
+        now = self._timeline.now
         scheduler = self.schedulers[host]
         for abandoned in scheduler.expire(now):
             self._abandon(host, abandoned)
@@ -166,7 +138,7 @@
         if wake is not None and (known is None or wake < known or known <= now):
             wake = max(wake, now + 0.001)
             self._wakes[host] = wake
-            self._simulation.schedule(wake, lambda: self._wake(host, wake))
+            self._timeline.schedule(wake, lambda: self._wake(host, wake))
 
     def _wake(self, host: int, at: float) -> None:
         if self._wakes[host] == at:
@@ -178,7 +150,7 @@
         outcome = Outcome.EXPIRED
         if not abandoned.failure.is_not_run:
             outcome = Outcome.FAILED
-        flight.record.end(outcome, self._simulation.now)
+        flight.record.end(outcome, self._timeline.now)
 
     # Attempts
 
@@ -194,7 +166,7 @@
         flight.attempt = attempt
         flight.server = assignment.server
         self._owners[attempt] = host
-        self._simulation.schedule_delayed(lambda: self._receive(attempt, flight))
+        self._timeline.schedule_delayed(lambda: self._receive(attempt, flight))
 
     def _receive(self, attempt: SimulatedAttempt, flight: InFlight) -> None:
         if flight.attempt is not attempt or flight.server is None:
@@ -203,7 +175,7 @@
         if server is None or server.refuses:
             self._answer_end(attempt, AttemptOutcome.NOT_STARTED)
             return
-        server.accept(attempt, self._simulation.now)
+        server.accept(attempt, self._timeline.now)
         self._watch(server)
 
     def _watch(self, server: AnyServer) -> None:
@@ -211,18 +183,18 @@
         if at is None or self._server_wakes.get(server.id) == at:
             return
         self._server_wakes[server.id] = at
-        self._simulation.schedule(at, lambda: self._serve(server, at))
+        self._timeline.schedule(at, lambda: self._serve(server, at))
 
     def _serve(self, server: AnyServer, at: float) -> None:
         if self._server_wakes.get(server.id) != at or server.is_gone:
             return
         self._server_wakes[server.id] = None
-        for report in server.collect(self._simulation.now):
+        for report in server.collect(self._timeline.now):
             self._answer(report)
         self._watch(server)
 
     def _answer(self, report: Report) -> None:
-        self._simulation.schedule_delayed(lambda: self._hear(report))
+        self._timeline.schedule_delayed(lambda: self._hear(report))
 
     def _hear(self, report: Report) -> None:
         attempt = report.attempt
@@ -232,7 +204,7 @@
             flight = self._requests[host].get(attempt.work.request)
         if host is None or flight is None or flight.attempt is not attempt:
             return
-        now = self._simulation.now
+        now = self._timeline.now
         request = attempt.work.request
         server = flight.server
         assert server is not None
@@ -257,7 +229,7 @@
         self.pump(host)
 
     def _answer_end(self, attempt: SimulatedAttempt, outcome: AttemptOutcome) -> None:
-        self._simulation.schedule_delayed(lambda: self._end(attempt, outcome))
+        self._timeline.schedule_delayed(lambda: self._end(attempt, outcome))
 
     def _end(
         self, attempt: SimulatedAttempt, outcome: AttemptOutcome, imported: int = 0
@@ -271,7 +243,7 @@
         server = flight.server
         self._settle(flight, imported)
         decision = self.schedulers[host].note_ended(
-            attempt.work.request, server, outcome, flight.tokens, self._simulation.now
+            attempt.work.request, server, outcome, flight.tokens, self._timeline.now
         )
         if isinstance(decision, Abandoned):
             self._abandon(host, decision)
@@ -291,7 +263,7 @@
             flight.has_run = True
             flight.imported = imported
             flight.record.recomputed += attempt.recomputed
-            held = self._simulation.now - attempt.running_at
+            held = self._timeline.now - attempt.running_at
             if server is not None:
                 flight.record.cost += held * find_slot_price(server.view)
 
@@ -299,7 +271,7 @@
 
     def publish_loads(self) -> None:
         """Show the hosts the servers' load, as it was a while ago."""
-        now = self._simulation.now
+        now = self._timeline.now
         self._publish(now)
         loads = [(server, server.load) for server in self.servers.values()]
 
@@ -307,8 +279,8 @@
             for server, load in loads:
                 server.reported_load = load
 
-        self._simulation.schedule(now + REPORT_LAG, arrive)
-        self._simulation.schedule(now + REPORT_PERIOD, self.publish_loads)
+        self._timeline.schedule(now + REPORT_LAG, arrive)
+        self._timeline.schedule(now + REPORT_PERIOD, self.publish_loads)
 
     def _publish(self, now: float) -> None:
         views = [
@@ -322,13 +294,13 @@
     def slow_down(self, factor: float) -> None:
         """Slow the first server down."""
         server = next(iter(self.servers.values()))
-        server.collect(self._simulation.now)
+        server.collect(self._timeline.now)
         server.slowdown = factor
         self._watch(server)
 
     def reclaim(self, domains: tuple[str, ...]) -> None:
         """Give notice to servers of some domains, or to half of the fleet."""
-        now = self._simulation.now
+        now = self._timeline.now
         live = [server for server in self.servers.values() if not server.refuses]
         if domains:
             taken = [
@@ -343,36 +315,36 @@
             server.refuses = True
             server.view = replace(server.view, leaving_at=leaving_at)
             self._tell_hosts(server, leaving_at)
-        self._simulation.schedule(leaving_at, lambda: self._take_away(taken))
+        self._timeline.schedule(leaving_at, lambda: self._take_away(taken))
 
     def _tell_hosts(self, server: AnyServer, leaving_at: float) -> None:
         for host in range(len(self.schedulers)):
-            heard_at = self._simulation.now + self._rng.uniform(0, NOTICE_SPREAD)
+            heard_at = self._timeline.now + self._rng.uniform(0, NOTICE_SPREAD)
             hear = partial(self._hear_notice, host, server, leaving_at)
-            self._simulation.schedule(heard_at, hear)
+            self._timeline.schedule(heard_at, hear)
 
     def _hear_notice(self, host: int, server: AnyServer, leaving_at: float) -> None:
-        now = self._simulation.now
+        now = self._timeline.now
         moves = self.schedulers[host].note_leaving(server.id, leaving_at, now)
         self._plan(host, moves)
         self.pump(host)
 
     def _plan(self, host: int, moves: Sequence[Move]) -> None:
-        now = self._simulation.now
+        now = self._timeline.now
         for move in moves:
             flight = self._requests[host].get(move.request)
             if flight is None or flight.attempt is None or flight.server is None:
                 continue
             server = self.servers[flight.server]
             act = partial(self._move, server, flight.attempt, move)
-            self._simulation.schedule(max(now, move.at), act)
+            self._timeline.schedule(max(now, move.at), act)
 
     def _move(self, server: AnyServer, attempt: SimulatedAttempt, move: Move) -> None:
         host = self._owners.get(attempt)
         if host is None or attempt.ended or server.is_gone:
             return
         flight = self._requests[host][move.request]
-        now = self._simulation.now
+        now = self._timeline.now
         server.cancel(attempt, now)
         self._watch(server)
         tokens = attempt.work.tokens_done + attempt.tokens
@@ -384,99 +356,23 @@
             pause = imported / EXPORT_RATE
 
         end = partial(self._end, attempt, AttemptOutcome.LEAVING, imported)
-        self._simulation.schedule(now + pause, end)
+        self._timeline.schedule(now + pause, end)
 
     def _take_away(self, servers: Sequence[AnyServer]) -> None:
         lost = []
         for server in servers:
-            server.collect(self._simulation.now)
+            server.collect(self._timeline.now)
             server.is_gone = True
             lost += list(server.running)
             lost += [item[2] for item in server.waiting if not item[2].ended]
         for attempt in lost:
             attempt.ended = True
             self._answer_end(attempt, AttemptOutcome.LOST)
-        self._simulation.schedule(
-            self._simulation.now + REPLACEMENT, lambda: self._replace(servers)
+        self._timeline.schedule(
+            self._timeline.now + REPLACEMENT, lambda: self._replace(servers)
         )
 
     def _replace(self, servers: Sequence[AnyServer]) -> None:
         for server in servers:
             identity = BackendServerId(f"{server.id}-next")
             self._add_server(replace(server.view, id=identity, leaving_at=None))
-
-
-class Simulation:
-    """Runs arrivals against a deployment under one profile a service."""
-
-    def __init__(
-        self,
-        deployment: Deployment,
-        arrivals: Sequence[Arrival],
-        profile: Profile,
-        *,
-        scale: int = 1,
-        seed: int = 0,
-        slowdown: Slowdown | None = None,
-        reclaims: Sequence[Reclaim] = (),
-    ) -> None:
-        self.now = 0.0
-        self._delay = deployment.delay
-        self._events: list[tuple[float, int, Action]] = []
-        self._sequence = 0
-        hosts = deployment.hosts * scale
-        self.runs = {
-            shape.name: ServiceRun(
-                self,
-                shape=shape,
-                profile=profile,
-                servers=shape.make_servers(scale),
-                hosts=hosts,
-                seed=seed,
-            )
-            for shape in deployment.services
-        }
-        self.records: list[Record] = []
-        for arrival in arrivals:
-            self._add_arrival(arrival, profile)
-        for run in self.runs.values():
-            self.schedule(0.0, run.publish_loads)
-            if slowdown is not None:
-                self.schedule(slowdown.at, partial(run.slow_down, slowdown.factor))
-            for reclaim in reclaims:
-                self.schedule(reclaim.at, partial(run.reclaim, reclaim.domains))
-        last = arrivals[-1].work.arrival if arrivals else 0.0
-        self._end_at = last + DRAIN
-
-    def _add_arrival(self, arrival: Arrival, profile: Profile) -> None:
-        record = Record(arrival.service, arrival.work, arrival.tokens, profile.targets)
-        self.records.append(record)
-        run = self.runs[arrival.service]
-        self.schedule(arrival.work.arrival, lambda: run.arrive(arrival, record))
-
-    def schedule(self, at: float, action: Action) -> None:
-        """Do something at a time."""
-        self._sequence += 1
-        heapq.heappush(self._events, (at, self._sequence, action))
-
-    def schedule_delayed(self, action: Action) -> None:
-        """Do something after the network's delay."""
-        self.schedule(self.now + self._delay, action)
-
-    def run(self) -> list[Record]:
-        """Run until all requests have ended, and return their records."""
-        left = len(self.records)
-        check_at = 0.0
-        while self._events and left:
-            at, _, action = heapq.heappop(self._events)
-            if at > self._end_at:
-                break
-            self.now = at
-            action()
-            if at >= check_at:
-                check_at = at + 1.0
-                left = sum(record.outcome is None for record in self.records)
-        for record in self.records:
-            if record.outcome is None:
-                record.end(Outcome.UNANSWERED, self._end_at)
-        return self.records
--- a/dewridge/tests/policy/outcomes_tests.py
+++ b/dewridge/tests/policy/outcomes_tests.py
@@ -5,7 +5,7 @@
 
 from dewridge.bench.cases import COST_AWARE, ROUND_ROBIN, Case, Contender, run_case
 from dewridge.bench.deployments import KAROO, SELLO_VERDE
-from dewridge.bench.loop import Reclaim, Slowdown
+from dewridge.bench.simulation import Reclaim, Slowdown
 
 FINDINGS = Case(
     "test", SELLO_VERDE, COST_AWARE, 0.6, 7, seconds=30.0, is_model_only=True
