Refuse by expected times only while they are known

A host that had heard no answer yet refused a deadline shorter than its guess (half a second for a plain service), and one that learned slow times refused short deadlines for ever, as no answer came to correct them. Times older than ten seconds now refuse and expire nothing.

--- a/dewridge/policy/admission.py
+++ b/dewridge/policy/admission.py
@@ -29,7 +29,7 @@
     Attributes:
         cost: work offered, in units of generated tokens.
         first_token: seconds that an attempt takes to its first token.
-        duration: seconds that its attempt is expected to take.
+        duration: seconds that its attempt is expected to take; 0: unknown.
         class_cost: work of the class that waits.
         account_cost: work of the class that waits for this account.
         account_share: the account's part of the class's pace, within 0 to 1.
--- a/dewridge/policy/scheduler.py
+++ b/dewridge/policy/scheduler.py
@@ -276,13 +276,12 @@
     def _view_admission(self, work: Work, cost: float, now: float) -> AdmissionView:
         queue = self._backlog.queue
         servers = self._servers
-        duration = servers.usual.predict_duration(work)
         guess = self._guess_credit_pace(work)
-        expected = duration * servers.least_price
+        expected = servers.usual.predict_duration(work) * servers.least_price
         return AdmissionView(
             cost=cost,
             first_token=servers.usual.first_token,
-            duration=duration,
+            duration=servers.usual.find_duration(work, now),
             class_cost=queue.find_cost(work.work_class),
             account_cost=queue.find_account_cost(work.work_class, work.account),
             account_share=queue.find_share(work.work_class, work.account),
@@ -312,7 +311,7 @@
 
     def _enqueue(self, entry: QueueEntry, is_charged: bool, now: float) -> None:
         if self._drops_hopeless:
-            shortest = OPTIMISM * self._servers.usual.predict_duration(entry.work)
+            shortest = OPTIMISM * self._servers.usual.find_duration(entry.work, now)
             entry.latest_start = entry.work.deadline - shortest
         self._backlog.add(entry, is_charged, now)
 
--- a/dewridge/policy/servers.py
+++ b/dewridge/policy/servers.py
@@ -186,6 +186,7 @@
         sample = record.note_first_token(request, work_class, now)
         if sample is None:
             return
+        self.usual.note_sample(now)
         if record.probe == request:
             self._judge_probe(record, sample, now)
         elif record.health is Health.GOOD:
--- a/dewridge/policy/usual.py
+++ b/dewridge/policy/usual.py
@@ -33,6 +33,12 @@
 purpose: reckoning high would refuse the very work that teaches the truth."""
 
 
+FRESH = 10.0
+"""Seconds since the last answer for which the times are believed. Believed for
+ever, times learned in a bad moment could have every short deadline refused, and
+with nothing sent no answer would ever correct them."""
+
+
 class Usual:
     """Times that the servers of a subset have in common, and judgements by them.
 
@@ -47,12 +53,23 @@
         self._is_plain = is_plain
         self.first_token = PRIOR_SHARE * self._first_target
         self.base_first_token = inf
+        self._sampled_at = -inf
         self.token_time = PRIOR_SHARE * targets.between_tokens
 
     def set_targets(self, targets: LatencyTargets) -> None:
         """Take over a profile's targets."""
         self._targets = targets
 
+    def note_sample(self, now: float) -> None:
+        """Record that an answer began."""
+        self._sampled_at = now
+
+    def find_duration(self, work: Work, now: float) -> float:
+        """Return the expected seconds of an attempt, or 0 if that is not known."""
+        if now - self._sampled_at > FRESH:
+            return 0.0
+        return self.predict_duration(work)
+
     def learn(self, records: Sequence[ServerCredits]) -> None:
         """Learn from servers in good health."""
         firsts = [r.first_token for r in records if r.first_token]
