Move drafts off servers that turn slow

Cause: the scheduler plans moves off a server that has turned slow, but nothing asked it for them, so drafts on it waited for their whole length. Ruled out: new work going there (the credits already kept it away).

--- a/dewridge/proofs/scenarios.py
+++ b/dewridge/proofs/scenarios.py
@@ -359,6 +359,14 @@
     Scenario("kv-lost", "answers of writes lost", (), lose_key_value_answers),
     *(
         Scenario(f"answers-{mode}", f"answers {mode}", (), spoil_answers(mode))
-        for mode in ("late", "duplicate", "reorder", "truncate", "misdirect", "silent")
+        for mode in (
+            "slow",
+            "late",
+            "duplicate",
+            "reorder",
+            "truncate",
+            "misdirect",
+            "silent",
+        )
     ),
 )
--- a/dewridge/requests/scheduling.py
+++ b/dewridge/requests/scheduling.py
@@ -69,7 +69,8 @@
     Attributes:
         on_assigned: starts an attempt.
         on_abandoned: ends a request that is given up.
-        on_move: stops a running request at a time, because its server leaves.
+        on_move: stops a running request at a time, because its server leaves
+            or has turned slow.
     """
 
     def __init__(
@@ -193,6 +194,8 @@
             self.on_abandoned(abandoned.request, abandoned.failure)
         while (assignment := entry.scheduler.pick(now)) is not None:
             self.on_assigned(assignment)
+        for move in entry.scheduler.find_moves(now):
+            self.on_move(move.request, move.at, move.export_cache)
         at = entry.scheduler.find_next_time(now)
         return LONGEST_WAIT if at is None else max(0.001, at - now)
 
