Prove survival with callers who send a key only once

Change: callers with one submission and drafts of 1,200 and 2,000 tokens, which outlast every notice; the client takes a bound on sendings, and one that never left no longer counts as one.

--- a/dewridge/client/client.py
+++ b/dewridge/client/client.py
@@ -130,6 +130,10 @@
         return await self._try_hosts(lambda host: self._ask("DELETE", host, key))
 
     async def _take_turn(self, run: _Run) -> bool:
+        progress = run.progress
+        bound = self._limits.submissions
+        if not progress.accepted and 0 < bound <= progress.submissions:
+            return False
         address = await self._choose_address(run)
         if address is None:
             run.failures += 1
--- a/dewridge/client/model.py
+++ b/dewridge/client/model.py
@@ -82,6 +82,7 @@
         first_pause: before the second try at hosts that failed; it doubles.
         last_pause: longest pause between tries.
         grace: past the deadline, for the final word to arrive.
+        submissions: sendings of one key at most; 0 sets no bound.
     """
 
     connect_timeout: float = 1.0
@@ -93,6 +94,7 @@
     first_pause: float = 0.05
     last_pause: float = 2.0
     grace: float = 2.0
+    submissions: int = 0
 
 
 OnEvent = Callable[[AnswerEvent], None]
--- a/dewridge/client/progress.py
+++ b/dewridge/client/progress.py
@@ -78,6 +78,7 @@
         """Take back the last submission, which never left this client."""
         if not self.accepted:
             self.in_doubt = self._doubt_before
+            self.submissions -= 1
 
     def note_accepted(self, generation: int) -> None:
         """Record that a host keeps the request now."""
--- a/dewridge/proofs/scenarios.py
+++ b/dewridge/proofs/scenarios.py
@@ -12,7 +12,15 @@
 from dewridge.proofs.copies import CopySenders
 from dewridge.proofs.history import History, Leaving
 from dewridge.proofs.operators import Operators
-from dewridge.proofs.workload import DRAFT, LETTER, MIX, STATUS, CallKind, Workload
+from dewridge.proofs.workload import (
+    DRAFT,
+    LETTER,
+    LONG_DRAFT,
+    MIX,
+    STATUS,
+    CallKind,
+    Workload,
+)
 from dewridge.testbed.deployment import (
     BackendProcess,
     Deployment,
@@ -123,13 +131,26 @@
 
 
 def call_at(
-    rate: float, mix: tuple[CallKind, ...] = MIX, deadline: float = 30.0
+    rate: float,
+    mix: tuple[CallKind, ...] = MIX,
+    deadline: float = 30.0,
+    submissions: int = 0,
 ) -> MakeActor:
-    """Return callers with a mix of calls, so many a second."""
+    """Return callers with a mix of calls, so many a second.
+
+    Those with one submission never send a key again: what the system has
+    accepted, it must bring to its end by itself.
+    """
 
     def make(deployment: Deployment, history: History, seed: int) -> Actor:
         return Workload(
-            deployment, history, seed=seed, rate=rate, mix=mix, deadline=deadline
+            deployment,
+            history,
+            seed=seed,
+            rate=rate,
+            mix=mix,
+            deadline=deadline,
+            submissions=submissions,
         )
 
     return make
@@ -151,6 +172,7 @@
 
 ORDINARY = (call_at(20.0),)
 LETTERS = (call_at(40.0, (LETTER,), 15.0),)
+ONCE = (call_at(6.0, (LONG_DRAFT, LETTER), 60.0, submissions=1),)
 RACING = (call_at(5.0, (STATUS,)), operate)
 
 
@@ -319,6 +341,16 @@
         "reclaim-domain", "failure domain reclaimed", (1, 5), reclaim_failure_domain
     ),
     Scenario("reclaim-two", "two failure domains", (1, 5), reclaim_two_domains),
+    Scenario(
+        "once-host", "host reclaimed, sent once", (1, 6), reclaim_entry_host, ONCE
+    ),
+    Scenario(
+        "once-domain", "domain reclaimed, sent once", (1,), reclaim_failure_domain, ONCE
+    ),
+    Scenario("once-two", "two domains, sent once", (1,), reclaim_two_domains, ONCE),
+    Scenario(
+        "once-stop", "two hosts shut down, sent once", (6,), stop_gracefully, ONCE
+    ),
     Scenario("kill-hosts", "entry hosts killed", (), kill_hosts),
     Scenario("freeze-host", "entry host frozen and woken", (), freeze_host),
     Scenario("stop-two", "two hosts shut down together", (6,), stop_gracefully),
--- a/dewridge/proofs/workload.py
+++ b/dewridge/proofs/workload.py
@@ -3,7 +3,7 @@
 import time
 from collections.abc import Iterator
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import count
 from random import Random
 
@@ -50,6 +50,9 @@
 
 
 DRAFT = CallKind("findings", "draft_finding", True, 4, (60, 150, 400))
+LONG_DRAFT = CallKind("findings", "draft_finding", True, 4, (1200, 2000))
+"""Drafts that outlast every notice of a reclaim."""
+
 STATUS = CallKind("registry", "check_status", True, 3)
 LETTER = CallKind("registry", "issue_letter", False, 3)
 MIX = (DRAFT, STATUS, LETTER)
@@ -67,7 +70,9 @@
         rate: float,
         mix: tuple[CallKind, ...] = MIX,
         deadline: float = 30.0,
+        submissions: int = 0,
     ) -> None:
+        self._limits = replace(LIMITS, submissions=submissions)
         self._deployment = deployment
         self._history = history
         self._random = Random(f"workload/{seed}")
@@ -89,7 +94,7 @@
                 client = Client(
                     self._deployment.list_frontends(),
                     token,
-                    limits=LIMITS,
+                    limits=self._limits,
                     seed=self._random.randrange(2**32),
                 )
                 await stack.enter_async_context(client)
