End an answer that lacks only its end, in place of asking for more

An engine's stream broke after the last token and before its end; the next attempt began with all 150 tokens, and the engine made one more. Ruled out: a mixed generation (the first 150 tokens were the answer's own). Change: an attempt whose record has all its tokens is a whole answer.

--- a/dewridge/requests/attempts.py
+++ b/dewridge/requests/attempts.py
@@ -151,6 +151,10 @@
         try:
             with attempt.scope:
                 result = await self._run(attempt, priority)
+            if isinstance(result, Failure) and attempt.record.has_all_tokens:
+                # Only the end was lost. An engine asked to go on after the last
+                # token makes one more, which is not part of the answer.
+                result = AttemptEnd()
             if isinstance(result, Failure) and await self._is_surely_over(
                 attempt, result
             ):
@@ -178,6 +182,8 @@
         await answer.accepted.wait()
         if answer.lost:
             return None
+        if record.has_all_tokens:
+            return AttemptEnd()
         if not record.idempotent and not record.claimed:
             claimed = await self._claim(attempt)
             if claimed is not None:
--- a/dewridge/requests/records.py
+++ b/dewridge/requests/records.py
@@ -97,6 +97,11 @@
     touched: float = 0.0
     size: int = 0
 
+    @property
+    def has_all_tokens(self) -> bool:
+        """Whether a model's answer lacks nothing but its end."""
+        return 0 < self.max_tokens <= len(self.tokens)
+
     @property
     def outcome(self) -> Outcome:
         """What its end says, or that it goes on."""
--- a/dewridge/tests/requests/failures_tests.py
+++ b/dewridge/tests/requests/failures_tests.py
@@ -66,6 +66,21 @@
     run_cluster(scenario)
 
 
+# An engine's connection breaks after a draft's last token and before its end.
+# Asked to go on after all tokens, an engine makes one more, and the auditor's
+# finding ends with a word that is not part of it.
+def test_draft_that_lost_only_its_end_is_whole() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        cluster.workers.lose_ends = 1
+        key = await submit(cluster, "host-0", "draft_finding")
+        seen = await cluster.follow("host-0", key)
+        assert seen.ended is not None and seen.ended.code is ResultCode.OK
+        assert seen.tokens == make_tokens(key)
+        assert cluster.workers.count(key) == 1
+
+    run_cluster(scenario)
+
+
 # The owner and one replica of a draft die together, as when two failure domains
 # are reclaimed. The last replica may lack tokens that the caller saw, so it must
 # begin a new generation; the caller sees a restart and then a whole answer.
--- a/dewridge/tests/requests/fakes.py
+++ b/dewridge/tests/requests/fakes.py
@@ -104,6 +104,7 @@
         self.values: dict[str, tuple[bytes, int]] = {}
         self.is_down = False
         self.lose_answers = 0
+        self.lose_ends = 0
         self.delay = 0.002
         self.calls: list[str] = []
 
@@ -277,6 +278,7 @@
         self.plain_time = 0.02
         self.failures: list[ResultCode] = []
         self.lose_answers = 0
+        self.lose_ends = 0
         self.computed = 0
         self.is_salted = False
         self.whole: dict[RequestKey, list[list[str]]] = {}
@@ -323,6 +325,10 @@
                 return
             self.computed += 1
             yield AttemptTokens(place, (tokens[place],))
+        if self.lose_ends:
+            self.lose_ends -= 1
+            yield Failure(ResultCode.CONNECTION_LOST)
+            return
         self.done.add(order.attempt)
         self.whole.setdefault(order.key, []).append(tokens)
         yield AttemptEnd()
