Book the schedulers' figures before a report is answered

Cause: asked right after its work was done, one host's report of a profile had no counters while the others' had: a host books its schedulers' figures every few seconds and answered another's question with the booked ones only. Ruled out: the peers' calls (the same host's second answer was whole). Measured: the new test fails without the booking and passes with it. Conclusion: a report holds what was done up to the question.

--- a/dewridge/requests/handlers.py
+++ b/dewridge/requests/handlers.py
@@ -28,11 +28,13 @@
         replicator: Replicator,
         attempts: Attempts,
         usage: UsageLedger,
+        book_usage: Callable[[], None],
     ) -> None:
         self._shared = shared
         self._replicator = replicator
         self._attempts = attempts
         self._usage = usage
+        self._book_usage = book_usage
 
     def list_handlers(
         self,
@@ -140,6 +142,9 @@
         self, peer: PeerIdentity, message: wire.ReadUsage
     ) -> wire.ReadUsageReply:
         """Return the counters of a profile, by the process that counted them."""
+        # The schedulers' figures are booked every few seconds; a report that
+        # did not ask for it would lack the work just done.
+        self._book_usage()
         me = self._shared.me
         sources = self._usage.read_kept()
         sources[me.host, me.incarnation] = self._usage.read_own()
--- a/dewridge/requests/service.py
+++ b/dewridge/requests/service.py
@@ -159,7 +159,11 @@
             failover=self._failover,
         )
         self._handlers = ReplicaHandlers(
-            shared, self._replicator, self._attempts, self._usage
+            shared,
+            self._replicator,
+            self._attempts,
+            self._usage,
+            self._scheduling.read_usage,
         )
         self._connect()
 
--- a/dewridge/tests/requests/service_tests.py
+++ b/dewridge/tests/requests/service_tests.py
@@ -2,7 +2,12 @@
 
 from dewridge.codes import ResultCode
 from dewridge.requests.model import Accepted
-from dewridge.tests.requests.fakes import Cluster, make_tokens, run_cluster
+from dewridge.tests.requests.fakes import (
+    Cluster,
+    make_configuration,
+    make_tokens,
+    run_cluster,
+)
 
 
 def test_answers_are_whole_and_their_own() -> None:
@@ -22,3 +27,19 @@
         assert cluster.workers.count(letter.key) == 1
 
     run_cluster(scenario)
+
+
+# An operator asks any host for a profile's report right after its work was done.
+# Another host had done it and answered with figures some seconds old: the report
+# said that the profile had cost nothing.
+def test_a_report_holds_the_work_just_done_elsewhere() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        submission = cluster.make("draft_finding")
+        await cluster.nodes["host-0"].service.submit(submission)
+        await cluster.follow("host-0", submission.key)
+        profile = next(iter(make_configuration().profiles.values())).name
+        node = cluster.nodes["host-1"]
+        counters = await node.service.read_usage_everywhere(profile)
+        assert counters.get("answered") == 1
+
+    run_cluster(scenario)
