Put back two bounds of tests that had been loosened

Cause: a read of all changed checks found two that were eased and not made up for: took the short gaps of a burst from 30 to 20 for a busy machine, and the 95th percentile of a letter from 0.25 to 0.5 s for a new rate of 400 a second. Conclusion: no bound is looser than at its first landing, as far as was found.

--- a/dewridge/tests/fleet/dispatch_tests.py
+++ b/dewridge/tests/fleet/dispatch_tests.py
@@ -287,4 +287,4 @@
     assert len(times) == 60
     gaps = [later - earlier for earlier, later in pairwise(times)]
     assert sum(gap > GATHER_SECONDS / 2 for gap in gaps) >= 3
-    assert sum(gap < 0.001 for gap in gaps) >= 20
+    assert sum(gap < 0.001 for gap in gaps) >= 30
--- a/dewridge/tests/requests/claims_tests.py
+++ b/dewridge/tests/requests/claims_tests.py
@@ -100,7 +100,7 @@
     calls, median, high = figures
     print(f"{rate}/s: {calls:.2f} calls, {median:.4f} s median, {high:.4f} s p95")
     assert calls <= bound
-    assert high < 0.5
+    assert high < 0.25
 
 
 def test_accounts_do_not_share_keys() -> None:
