Let a new holder of the duties act after half a second

Cause: a host that took the duties paused a whole lease before its first call, also when it had never acted. Ruled out: no pause at all (a last call of the holder before may be on its way); a pause from the begin of the tenure (what stood): it is needed only by a host that itself acted within the last lease, or whose earlier start may have. Change: a host waits 0.5 s, and a lease from its own last act or its start; `duties taken` says when it may act. Figures: test of a successor fails before (no tenure 1.5 s after the holder left), passes after; a second test holds the pause of a host that acted.

--- a/dewridge/gateway/duties.py
+++ b/dewridge/gateway/duties.py
@@ -16,6 +16,9 @@
 CALL_TIME = 0.5
 """Seconds of lease that must be left for a call to begin: a call that is sent late in
 the lease may arrive when the next holder has already acted."""
+TAKEOVER_PAUSE = 0.5
+"""Seconds between taking the duties and the first call: a call that the holder before
+sent at the end of its lease is through by then."""
 RANK_DELAY = 0.15
 """Seconds by which each further host waits before it tries to become the holder: all
 at once would only lose to the first."""
@@ -47,6 +50,8 @@
         self._tenure: Tenure | None = None
         self._acts_from = float("inf")
         self._has_left = False
+        # A start of this host that ended just now may have acted right before.
+        self._may_have_acted_at = read_boot_clock()
 
     def find_tenure(self) -> Tenure | None:
         """Return this host's tenure if it may act now.
@@ -60,6 +65,7 @@
         now = read_boot_clock()
         if now < self._acts_from or now > state.valid_until - CALL_TIME:
             return None
+        self._may_have_acted_at = now
         return self._tenure
 
     async def run(self) -> None:
@@ -108,10 +114,23 @@
 
     def _begin(self, revision: int) -> None:
         self._tenure = Tenure(self._host, revision)
-        # The holder before may have acted until its lease ended, and this host before
-        # that: a pause of one lease keeps the holders from alternating within it.
-        self._acts_from = read_boot_clock() + self._lease
-        log.bind(fence=revision).info("duties taken")
+        now = read_boot_clock()
+        self._acts_from = self._find_first_act(now)
+        log.bind(fence=revision, acts_in=round(self._acts_from - now, 2)).info(
+            "duties taken"
+        )
+
+    def _find_first_act(self, now: float) -> float:
+        """Return when a tenure that begins now may act.
+
+        Two hosts that hold the duties by turns must not both act again and again
+        within one lease: orders that undo each other would be given at that pace. So a
+        host that acted waits a lease from then. One that did not has nothing to wait
+        for but the last call of the holder before: pausing a whole lease then left a
+        fleet without orders for the first seconds after an outage of the store, while
+        half of the servers were gone.
+        """
+        return max(now + TAKEOVER_PAUSE, self._may_have_acted_at + self._lease)
 
     def _end(self, reason: str) -> None:
         if self._tenure is not None:
--- a/dewridge/tests/gateway/duties_tests.py
+++ b/dewridge/tests/gateway/duties_tests.py
@@ -93,6 +93,54 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_a_successor_that_never_acted_does_not_wait_a_lease(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """The holder dies while servers are being reclaimed.
+
+    Its successor has not acted before, so that no turns can come of it. If it paused
+    a whole lease all the same, no server would be ordered for that long, and callers
+    would be refused.
+    """
+    data = StoreData()
+    first, second = Candidate("host-1", data), Candidate("host-2", data)
+    async with trio.open_nursery() as nursery:
+        first.start(nursery)
+        await trio.sleep(6.0)
+        second.start(nursery)
+        await trio.sleep(4.0)
+        assert first.tenancy.find_tenure() is not None
+        await first.tenancy.leave()
+        await first.registration.leave()
+        await trio.sleep(1.5)
+        assert second.tenancy.find_tenure() is not None
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_host_that_acted_waits_a_lease_before_it_acts_again(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """A holder loses its lease and gets the duties back right after another host.
+
+    Acting at once, the two would give orders by turns within one lease.
+    """
+    data = StoreData()
+    one = Candidate("host-1", data)
+    async with trio.open_nursery() as nursery:
+        one.start(nursery)
+        await trio.sleep(8.0)
+        assert one.tenancy.find_tenure() is not None
+        last_act = trio.current_time()
+        one.tenancy._end("test")
+        one.tenancy._begin(10_000)
+        one.registration.state.valid_until = last_act + 60.0
+        await trio.sleep(2.9)
+        assert one.tenancy.find_tenure() is None
+        await trio.sleep(0.2)
+        assert one.tenancy.find_tenure() is not None
+        nursery.cancel_scope.cancel()
+
+
 async def test_a_lost_answer_still_makes_one_holder(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
