--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 RUN := $(VENV)/bin/python -m
 READY := $(VENV)/.ready-$(shell cksum < requirements.lock | cut -d' ' -f1)
 
-.PHONY: proofs setup demo bench test check format lint types contracts slopes generate binary clean
+.PHONY: soak proofs setup demo bench test check format lint types contracts slopes generate binary clean
 
 setup: $(READY)
 
@@ -37,6 +37,11 @@
 contracts: setup
 	$(VENV)/bin/lint-imports
 
+# SEED=n RUNS=n SECONDS=n HOSTS=n choose; a seed of 0 is a fresh one. Logs go to build/soak.
+soak: setup
+	$(RUN) dewridge.tests.soak --seed $(or $(SEED),0) --runs $(or $(RUNS),1) \
+		--seconds $(or $(SECONDS),20) --hosts $(or $(HOSTS),4)
+
 # How costs grow with the number of hosts; takes some twenty minutes.
 slopes: setup
 	$(RUN) dewridge.slopes.tables
--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -24,7 +24,7 @@
 )
 from dewridge.gateway.responder import Responder
 from dewridge.gateway.sharing import Summary
-from dewridge.gateway.state import GatewayState
+from dewridge.gateway.state import SERVER_SECONDS, GatewayState
 from dewridge.http1.client import ConnectionBrokenError, Headers
 from dewridge.http1.headers import drop_hop_headers
 from dewridge.ids import BackendServerId, ServiceName
@@ -232,6 +232,10 @@
                 self._state.pool,
                 may_reuse=job.route.is_repeatable,
             )
+        if isinstance(answer, OpenAnswer):
+            seconds = trio.current_time() - now
+            metrics = self._state.metrics
+            metrics.observe(SERVER_SECONDS, seconds, server=server.id)
         if isinstance(answer, Lost) and answer.is_not_run:
             job.runs -= 1
         else:
--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -17,6 +17,7 @@
 from dewridge.gateway.hosts import HostEntry, HostTable, HostWatcher, Registration
 from dewridge.gateway.ingress import IngressState, Serve, handle_caller
 from dewridge.gateway.leaving import leave
+from dewridge.gateway.measures import time_dependency
 from dewridge.gateway.model import Limits
 from dewridge.gateway.operations import Operations
 from dewridge.gateway.pool import ConnectionPool
@@ -33,6 +34,7 @@
 from dewridge.gateway.watching import WATCH_WAIT, StoreWatcher
 from dewridge.http1.calls import Caller
 from dewridge.ids import FailureDomain, HostId
+from dewridge.metrics.registry import Metrics
 from dewridge.platform.cloud import Cloud
 from dewridge.platform.store import Store
 from dewridge.policy.quota import QuotaLedger
@@ -67,13 +69,15 @@
     def __init__(self, settings: GatewaySettings, path: Path, load: Load) -> None:
         self._settings = settings
         services = settings.services
-        store = Caller("store", services.store, services.store_timeout)
+        metrics = Metrics()
+        note_answer = partial(time_dependency, metrics)
+        store = Caller("store", services.store, services.store_timeout, note_answer)
         watches = Caller("store watches", services.store, services.store_timeout)
-        cloud = Caller("cloud", services.cloud, services.cloud_timeout)
+        cloud = Caller("cloud", services.cloud, services.cloud_timeout, note_answer)
         self._store = Store(store)
         self._watch_store = Store(watches)
         self._cloud = Cloud(cloud)
-        self._state = self._make_state()
+        self._state = self._make_state(metrics)
         self._state.dependencies += [store, watches, cloud]
         self._file = SettingsFile(
             path,
@@ -103,7 +107,7 @@
         )
         self._listeners: list[tuple[trio.SocketListener, Serve]] = []
 
-    def _make_state(self) -> GatewayState:
+    def _make_state(self, metrics: Metrics) -> GatewayState:
         settings = self._settings
         host = HostId(settings.host.id)
         ledger = QuotaLedger(
@@ -129,6 +133,7 @@
             pool=ConnectionPool(),
             ingress=IngressState(Limits(), connection_limit=max(64, descriptors // 2)),
             rng=random.Random(),
+            metrics=metrics,
         )
 
     def _make_entry(self) -> HostEntry:
--- a/dewridge/gateway/measures.py
+++ b/dewridge/gateway/measures.py
@@ -3,6 +3,7 @@
 from dewridge.gateway.attempts import Job
 from dewridge.gateway.responder import Responder
 from dewridge.gateway.state import GatewayState
+from dewridge.metrics.registry import Metrics
 from dewridge.sentinels import Failure
 
 NO_KIND = "none"
@@ -38,6 +39,11 @@
     state.metrics.observe("first_event_seconds", seconds, kind=job.route.kind.value)
 
 
+def time_dependency(metrics: Metrics, name: str, seconds: float) -> None:
+    """Time an answered call of the store or the cloud API."""
+    metrics.observe("dependency_seconds", seconds, dependency=name)
+
+
 def update_levels(state: GatewayState) -> None:
     """Set the levels that are only looked at when somebody asks."""
     metrics = state.metrics
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -26,6 +26,8 @@
 
 REPORTED_WINDOWS = 4
 """Usage windows in each report: the one that runs and those whose sum is still due."""
+SERVER_SECONDS = "server_answer_seconds"
+"""Name of the time from a sending until the head of the server's answer."""
 LEAST_TOLD = 0.1
 """Recent attempts at a server below which they are not told: they weigh nothing."""
 
@@ -185,9 +187,8 @@
         for old in [known for known in self.began if known < window]:
             del self.began[old]
         self.sharing.forget_before(window, trio.current_time())
-        self.health = {
-            server: health
-            for server, health in self.health.items()
-            if self.servers.find(server) is not None
-        }
+        gone = [one for one in self.health if self.servers.find(one) is None]
+        for server in gone:
+            del self.health[server]
+            self.metrics.forget(SERVER_SECONDS, server=server)
         self.pool.drop_old()
--- a/dewridge/http1/calls.py
+++ b/dewridge/http1/calls.py
@@ -1,6 +1,7 @@
 """Short calls to one service over a few kept connections."""
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -43,8 +44,24 @@
 class Caller:
     """Calls one service at one address."""
 
-    def __init__(self, name: str, address: str, timeout: float) -> None:
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        timeout: float,
+        on_answer: Callable[[str, float], None] | None = None,
+    ) -> None:
+        """Prepare calls.
+
+        Args:
+            name: of the service, for logs and metrics.
+            address: `a.b.c.d:port`.
+            timeout: seconds for one call, without the service's own waiting.
+            on_answer: told the service's name and the seconds of each answered call
+                that the service did not hold itself.
+        """
         self.name = name
+        self._on_answer = on_answer
         self._address = address
         self._timeout = timeout
         self._idle: deque[ClientConnection] = deque()
@@ -65,11 +82,14 @@
         self.calls += 1
         result: Answer | Trouble = Trouble.LOST
         progress = _Progress()
+        began = trio.current_time()
         with trio.move_on_after(self._timeout + wait):
             result = await self._try(method, path, body, headers or [], progress)
         if result is Trouble.LOST and not progress.is_sent:
             result = Trouble.NOT_SENT
         self._note(result)
+        if isinstance(result, Answer) and self._on_answer is not None and not wait:
+            self._on_answer(self.name, trio.current_time() - began)
         return result
 
     async def _try(
--- a/dewridge/tests/gateway/telling_tests.py
+++ b/dewridge/tests/gateway/telling_tests.py
@@ -146,6 +146,7 @@
         'dewridge_requests_total{code="",kind="idempotent",outcome="2xx"} 1' in metrics
     )
     assert "dewridge_request_seconds" in metrics
+    assert 'dewridge_server_answer_seconds_count{server="s-1"} 1' in metrics
     assert dump["configuration"]["version"] == 1
     assert dump["servers"][0]["id"] == "s-1"
 
--- /dev/null
+++ b/dewridge/tests/soak/__main__.py
@@ -0,0 +1,36 @@
+"""`python -m dewridge.tests.soak`: play seeds of the soak."""
+
+import random
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import trio
+import typer
+
+from dewridge.tests.soak.runs import Size, run_soak
+
+
+def soak(
+    seed: Annotated[int, typer.Option(help="First seed; 0: a fresh one.")] = 0,
+    runs: Annotated[int, typer.Option(help="How many seeds.")] = 1,
+    seconds: Annotated[float, typer.Option(help="Seconds of faults.")] = 20.0,
+    hosts: Annotated[int, typer.Option(help="Entry hosts.")] = 4,
+    callers: Annotated[int, typer.Option(help="Callers.")] = 12,
+    folder: Annotated[Path, typer.Option(help="For logs.")] = Path("build/soak"),
+) -> None:
+    """Play seeds one after the other; the status is 1 if a promise was broken."""
+    first = seed or random.SystemRandom().randrange(1, 1_000_000)
+    size = Size(hosts=hosts, callers=callers, seconds=seconds)
+    is_broken = False
+    for number in range(first, first + runs):
+        own_folder = folder / str(number)
+        own_folder.mkdir(parents=True, exist_ok=True)
+        result = trio.run(run_soak, number, size, own_folder)
+        print(result.format_line(), flush=True)
+        is_broken |= bool(result.broken)
+    sys.exit(int(is_broken))
+
+
+if __name__ == "__main__":
+    typer.run(soak)
--- /dev/null
+++ b/dewridge/tests/soak/records.py
@@ -0,0 +1,124 @@
+"""What callers, servers, the cloud API and the store's stand-in saw, as records."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class Kind(Enum):
+    """Kinds of requests that the soak sends."""
+
+    READ = "read"
+    WRITE = "write"
+    CHAT = "chat"
+    DRAFT = "draft"
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether it may run more than once."""
+        return self in {Kind.READ, Kind.CHAT}
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether it is answered by events."""
+        return self in {Kind.CHAT, Kind.DRAFT}
+
+
+@dataclass
+class Sent:
+    """One request as its caller saw it; times in seconds of the soak's clock.
+
+    Attributes:
+        id: unique.
+        kind: what was asked.
+        host: entry host that it was sent to.
+        key: account key sent along.
+        tokens: units of quota.
+        sent_at: when its last byte was sent.
+        ended_at: when its answer or connection ended; None if still open at the end.
+        status: of the answer; 0 if none came.
+        is_signed: whether the answer bore a server's signature.
+        is_whole: whether the answer ended as complete.
+        body: a plain answer's body.
+        events: (number, owner, is the last one) of each event.
+        has_left: whether the caller gave up by itself.
+    """
+
+    id: str
+    kind: Kind
+    host: str
+    key: str
+    tokens: int
+    sent_at: float
+    ended_at: float | None = None
+    status: int = 0
+    is_signed: bool = False
+    is_whole: bool = False
+    body: bytes = b""
+    events: list[tuple[int, str, bool]] = field(default_factory=list)
+    has_left: bool = False
+
+
+@dataclass(frozen=True)
+class Run:
+    """A server began to work on a request."""
+
+    id: str
+    server: str
+    account: str
+    at: float
+
+
+@dataclass(frozen=True)
+class DutyCall:
+    """A call of the cloud API."""
+
+    holder: str
+    fence: int
+    subject: str
+    counts: str
+    at: float
+
+
+@dataclass(frozen=True)
+class Disturbance:
+    """A time in which a fault was at work; `host` is empty for all hosts."""
+
+    host: str
+    begin: float
+    end: float
+    is_planned: bool = False
+
+
+@dataclass
+class History:
+    """All that one run of the soak recorded.
+
+    Attributes:
+        sent: requests by id.
+        runs: what servers began to work on.
+        calls: calls of the cloud API.
+        disturbances: when faults were at work, those of planned work included.
+        revoked: when the removal of a key was acknowledged.
+        left: when a server's leaving was acknowledged.
+        final_fault_end: end of the last fault.
+        end: when callers stopped.
+    """
+
+    sent: dict[str, Sent] = field(default_factory=dict)
+    runs: list[Run] = field(default_factory=list)
+    calls: list[DutyCall] = field(default_factory=list)
+    disturbances: list[Disturbance] = field(default_factory=list)
+    revoked: dict[str, float] = field(default_factory=dict)
+    left: dict[str, float] = field(default_factory=dict)
+    final_fault_end: float = 0.0
+    end: float = 0.0
+
+    def is_disturbed(self, host: str, begin: float, end: float) -> bool:
+        """Whether an unplanned fault touched a host or all hosts in a time."""
+        return any(
+            not one.is_planned
+            and one.host in {"", host}
+            and one.begin <= end
+            and one.end >= begin
+            for one in self.disturbances
+        )
--- /dev/null
+++ b/dewridge/tests/soak/servers.py
@@ -0,0 +1,123 @@
+"""Backend servers of the soak: they record what they run, and misbehave when told."""
+
+import json
+import time
+from dataclasses import dataclass, field
+from enum import Enum
+
+import trio
+
+from dewridge.ids import BackendServerId
+from dewridge.tests.gateway.memorystore import MemoryStore
+from dewridge.tests.gateway.world import ScriptedServer, ServerExchange
+from dewridge.tests.soak.links import Link
+from dewridge.tests.soak.records import History, Run
+
+PLAIN_SECONDS = 0.015
+EVENT_SECONDS = 0.04
+EVENTS = 12
+"""Events of a stream: half a second in all, so that faults meet many of them."""
+
+
+class Mood(Enum):
+    """How a server answers."""
+
+    GOOD = "good"
+    FAILING = "failing"
+    HANGING = "hanging"
+    CUTTING = "cutting"
+    """It breaks off in the middle."""
+    REPEATING = "repeating"
+    """It sends a second answer where the next one is due."""
+    FULL = "full"
+
+
+@dataclass
+class SoakServer:
+    """One start of a backend server behind a link of its own.
+
+    Attributes:
+        id: new at each start.
+        service: what it serves.
+        history: where it records what it runs.
+        mood: how it answers now.
+    """
+
+    id: str
+    service: str
+    history: History
+    mood: Mood = Mood.GOOD
+    is_draining: bool = False
+    is_listed: bool = True
+    link: Link = field(default_factory=lambda: Link(""))
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Listen, and open the link."""
+        server = ScriptedServer(BackendServerId(self.id), self._answer)
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        self.link.target = f"127.0.0.1:{port}"
+        nursery.start_soon(trio.serve_listeners, server.handle, listeners)
+        await self.link.start(nursery)
+
+    def write_record(self, store: MemoryStore) -> None:
+        """Write this server's record as it is now, or take it away."""
+        key = f"servers/{self.id}"
+        if not self.is_listed:
+            store.remove(key)
+            return
+        record = {
+            "service": self.service,
+            "address": self.link.address,
+            "zone": "domain-a",
+            "slots": 16,
+            "state": "draining" if self.is_draining else "ready",
+        }
+        store.write(key, json.dumps(record).encode())
+
+    async def _answer(self, exchange: ServerExchange) -> None:
+        expected = exchange.headers.get(b"x-expect-instance", b"").decode()
+        if expected != self.id:
+            await exchange.answer(b"", 421)
+            return
+        if self.mood is Mood.FULL:
+            await exchange.answer(b"", 503, b"X-Not-Executed: 1\r\n")
+            return
+        name = exchange.headers.get(b"x-attempt-id", b"").decode()
+        account = exchange.headers.get(b"x-tenant", b"").decode()
+        self.history.runs.append(Run(name, self.id, account, time.monotonic()))
+        if self.mood is Mood.HANGING:
+            await trio.sleep(20)
+        if self.mood is Mood.FAILING:
+            await exchange.answer(b"failed", 500)
+        elif exchange.target.startswith((b"/chat/", b"/draft/")):
+            await self._stream(exchange, name)
+        else:
+            await self._answer_plainly(exchange, name.encode())
+
+    async def _answer_plainly(self, exchange: ServerExchange, body: bytes) -> None:
+        await trio.sleep(PLAIN_SECONDS)
+        if self.mood is Mood.CUTTING:
+            length = b"Content-Length: %d\r\n" % (len(body) + 5)
+            await exchange.send(exchange.make_head(200, length) + body)
+            exchange.reset()
+            return
+        await exchange.answer(body)
+        if self.mood is Mood.REPEATING:
+            await trio.sleep(0.02)
+            await exchange.answer(body)
+
+    async def _stream(self, exchange: ServerExchange, name: str) -> None:
+        after = int(exchange.headers.get(b"last-event-id", b"0"))
+        await exchange.begin_stream()
+        for number in range(after + 1, EVENTS + 1):
+            await trio.sleep(EVENT_SECONDS)
+            last = " last" if number == EVENTS else ""
+            event = f"id: {number}\ndata: {name}{last}\n\n".encode()
+            if self.mood is Mood.CUTTING and number == EVENTS // 2:
+                event = event[: len(event) // 2]
+                await exchange.send(b"%x\r\n%s\r\n" % (len(event), event))
+                exchange.reset()
+                return
+            await exchange.send(b"%x\r\n%s\r\n" % (len(event), event))
+        await exchange.end_stream()
--- /dev/null
+++ b/dewridge/tests/soak/standins.py
@@ -0,0 +1,146 @@
+"""The platform's store and cloud API as HTTP stand-ins over the store in memory."""
+
+import time
+from typing import Any
+
+import msgspec
+import trio
+from quart import Response, request
+from quart_trio import QuartTrio
+
+from dewridge.codes import ResultCode
+from dewridge.platform.store import Lease, Write
+from dewridge.sentinels import Failure
+from dewridge.standins.serving import Listener, make_app, reply
+from dewridge.tests.gateway.memorystore import MemoryStore
+from dewridge.tests.soak.records import DutyCall, History
+
+STATUS = {
+    ResultCode.KEY_VALUE_CONFLICT: 412,
+    ResultCode.KEY_VALUE_LEASE_ENDED: 404,
+}
+
+
+class StoreStandIn:
+    """The store; the operator and servers write to `store` directly.
+
+    Attributes:
+        store: what it holds.
+        loses_answers: whether changes are carried out and never answered.
+    """
+
+    def __init__(self) -> None:
+        self.store = MemoryStore()
+        self.loses_answers = False
+        self._compacted_at = 0
+        self.listener = Listener(build_store_app(self))
+
+    def compact(self) -> None:
+        """Drop the history up to now."""
+        self._compacted_at = self.store.data.revision
+        self.store.data.changes.clear()
+
+    def has_history(self, after: int) -> bool:
+        """Whether changes past a revision are still known."""
+        return after >= self._compacted_at
+
+
+def build_store_app(stand_in: StoreStandIn) -> QuartTrio:
+    """Return the store's calls."""
+    app = make_app("store")
+    store = stand_in.store
+
+    @app.get("/-/kv-key")
+    async def read() -> Response:
+        item = await store.read(request.args["key"])
+        if isinstance(item, Failure):
+            return reply({}, 503)
+        return reply({}, 404) if item is None else reply(msgspec.to_builtins(item))
+
+    @app.get("/-/kv-range")
+    async def list_items() -> Response:
+        listing = await store.list_items(request.args["path_prefix"])
+        if isinstance(listing, Failure):
+            return reply({}, 503)
+        return reply({"items": listing.items, "current_rev": listing.revision})
+
+    @app.get("/-/kv-watch")
+    async def watch() -> Response:
+        after = int(request.args["after"])
+        if not stand_in.has_history(after):
+            return reply({}, 410)
+        wait = int(request.args["wait_ms"]) / 1000
+        news = await store.watch(request.args["path_prefix"], after, wait)
+        if isinstance(news, Failure):
+            return reply({}, 503)
+        return reply({"events": news.items, "current_rev": news.revision})
+
+    @app.post("/-/kv-txn")
+    async def change() -> Response:
+        body = msgspec.json.decode(await request.get_data(as_text=False))
+        rows = body.get("expected_revision", [])
+        writes = msgspec.convert(
+            body.get("writes", []), list[Write], builtin_types=(bytes,), strict=False
+        )
+        result = await store.change(
+            expected={row["key"]: row["revision"] for row in rows},
+            writes=tuple(writes),
+            drop=tuple(body.get("drop", [])),
+        )
+        if stand_in.loses_answers:
+            await trio.sleep_forever()
+        if isinstance(result, Failure):
+            return reply({"items": []}, STATUS.get(result.code, 503))
+        return reply({"revision": result})
+
+    @app.post("/-/kv-lease")
+    async def grant() -> Response:
+        body = msgspec.json.decode(await request.get_data(as_text=False))
+        return answer_lease(await store.grant_lease(body["ttl_ms"] / 1000))
+
+    @app.post("/-/kv-keep/<int:lease>")
+    async def renew(lease: int) -> Response:
+        return answer_lease(await store.renew_lease(lease))
+
+    @app.delete("/-/kv-lease-end/<int:lease>")
+    async def end(lease: int) -> Response:
+        await store.end_lease(lease)
+        return reply({})
+
+    return app
+
+
+def answer_lease(lease: Lease | Failure) -> Response:
+    """Answer a grant or a renewal."""
+    if isinstance(lease, Failure):
+        return reply({}, STATUS.get(lease.code, 503))
+    return reply({"lease": lease.id, "ttl_ms": round(lease.ttl * 1000)})
+
+
+def build_cloud_app(history: History) -> QuartTrio:
+    """Return the cloud API's calls; each is recorded and accepted."""
+    app = make_app("cloud")
+
+    async def note(subject: str, body: dict[str, Any]) -> Response:
+        headers = request.headers
+        call = DutyCall(
+            holder=headers["X-Duty-Holder"],
+            fence=int(headers["X-Fencing-Token"]),
+            subject=subject,
+            counts=str(sorted(body.get("counts", {}).items())),
+            at=time.monotonic(),
+        )
+        history.calls.append(call)
+        return reply({})
+
+    @app.post("/usage")
+    async def report() -> Response:
+        body = msgspec.json.decode(await request.get_data(as_text=False))
+        return await note(f"usage {body['window_id']}", body)
+
+    @app.post("/scale")
+    async def order() -> Response:
+        body = msgspec.json.decode(await request.get_data(as_text=False))
+        return await note(f"servers {body['service']} {body['zone']}", body)
+
+    return app
