--- a/dewridge/codes.py
+++ b/dewridge/codes.py
@@ -80,6 +80,7 @@
     KEY_VALUE_LEASE_ENDED = 605
     PLATFORM_DOWN = 610
     PLATFORM_MALFORMED = 611
+    MOVE_FAILED = 612
 
     PEER_UNREACHABLE = 700
     PEER_TIMEOUT = 701
@@ -289,6 +290,12 @@
     ResultCode.PLATFORM_MALFORMED: CodeEntry(
         502, _NOTE, "A platform service's answer is malformed", "Look at its log."
     ),
+    ResultCode.MOVE_FAILED: CodeEntry(
+        502,
+        _NOTE,
+        "A running stream could not be moved to another backend server",
+        "Nothing: it goes on where it is until its server goes.",
+    ),
     ResultCode.PEER_UNREACHABLE: CodeEntry(
         503, _NOTE, "The peer can't be reached", "It is tried again."
     ),
--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -1,7 +1,5 @@
 """Attempts at servers until one request has its answer, and what may be repeated."""
 
-from dataclasses import dataclass, field
-
 import trio
 from loguru import logger as log
 
@@ -15,34 +13,21 @@
     read_whole,
     send_request,
 )
-from dewridge.gateway.model import (
-    Account,
-    CallerRequest,
-    Route,
-    RouteKind,
-    ServerRecord,
-)
+from dewridge.gateway.jobs import Job, NextStep, find_priority
+from dewridge.gateway.model import RouteKind, ServerRecord
 from dewridge.gateway.responder import Responder
-from dewridge.gateway.sharing import Summary
 from dewridge.gateway.state import SERVER_SECONDS, GatewayState
+from dewridge.gateway.streams import RunningStream
+from dewridge.gateway.weighing import choose_server, choose_target
 from dewridge.http1.client import ConnectionBrokenError, Headers
 from dewridge.http1.headers import drop_hop_headers
-from dewridge.ids import BackendServerId, ServiceName
+from dewridge.platform.engines import stop_and_move
 from dewridge.platform.headers import Dispatch
-from dewridge.policy.choice import Candidate, choose_by_prefix, choose_least_loaded
-from dewridge.policy.serverhealth import (
-    ServerHealth,
-    find_failure_share,
-    find_median,
-)
 from dewridge.sentinels import Failure
 
 REJECTIONS = 3
 """Sendings that servers refused before a request is given back. Each costs a round
 trip; after three the service is as good as full."""
-PROMPT_TOKENS_PER_REQUEST = 8_000.0
-"""Prompt tokens that weigh as much as one running request: an engine reads them in
-about 140 ms, during which the answers beside them stand still."""
 SILENCE_TARGETS = 3.0
 """Times the target after which a server that has not answered counts as silent, where
 the request may be repeated: nearly all answers that still come take less."""
@@ -50,58 +35,10 @@
 STREAM_SILENCE = 2.0
 """Seconds without an event after which a resumable stream is moved: callers leave
 after longer pauses, and engines hardly ever pause so long by themselves."""
-PRIORITY_STEP = 3
-"""Weight of the account's priority before the route's in the engines' scale of ten."""
 FULL_FOR = 0.1
 """Seconds that a server counts as full after it refused: a few answers' time."""
 
 
-@dataclass
-class Job:
-    """One request on its way.
-
-    Attributes:
-        request: the caller's request.
-        route: its route.
-        account: whose it is; None on an anonymous route.
-        service: the service chosen for it.
-        deadline: steady time at which it is given up.
-        is_engine: whether model engines serve it.
-        tried: servers that it was sent to.
-        runs: sendings that may have run.
-        last_event: last event passed on, or after which the caller resumes.
-        rejections: sendings that servers refused.
-        may_have_run: whether some server may have run it.
-        is_counted: whether it counts in its account's usage.
-        unread_tokens: tokens of the prompt that the server has yet to read.
-        events: events passed on.
-        first_event_at: steady time of the first one.
-        last_event_at: steady time of the last one.
-    """
-
-    request: CallerRequest
-    route: Route
-    account: Account | None
-    service: ServiceName
-    deadline: float
-    is_engine: bool
-    tried: list[BackendServerId] = field(default_factory=list)
-    rejections: int = 0
-    runs: int = 0
-    last_event: int | None = None
-    may_have_run: bool = False
-    is_counted: bool = False
-    unread_tokens: int = 0
-    events: int = 0
-    first_event_at: float | None = None
-    last_event_at: float | None = None
-
-    def __post_init__(self) -> None:
-        """Take over the event after which the caller resumes."""
-        if self.route.is_resumable:
-            self.last_event = self.request.last_event
-
-
 class JobRunner:
     """Runs jobs against the servers that this gateway knows."""
 
@@ -114,10 +51,12 @@
         if job.is_engine:
             self._state.count_demand(job.service, job.request.sizes.prompt_tokens)
         while True:
-            server = self._choose(job)
+            step, job.next_step = job.next_step, None
+            now = trio.current_time()
+            server = step.server if step else choose_server(self._state, job, now)
             if server is None:
                 return self._give_back(job, ResultCode.NO_BACKEND_SERVER, "no server")
-            lost = await self._attempt(job, server, out)
+            lost = await self._attempt(job, server, step, out)
             if lost is None:
                 return None
             self._note_loss(job, server, lost)
@@ -125,67 +64,15 @@
             if failure is not None:
                 return failure
 
-    def _choose(self, job: Job) -> ServerRecord | None:
-        now = trio.current_time()
-        records = self._state.servers.list_service(job.service)
-        untried = [one for one in records if one.id not in job.tried] or records
-        candidates = self._weigh(untried, now)
-        parts = job.request.sizes.parts
-        if job.is_engine and len(parts) > 1:
-            prefix = f"{job.request.sizes.model}/{parts[-2].id}"
-            chosen = choose_by_prefix(candidates, prefix)
-        else:
-            chosen = choose_least_loaded(candidates, self._state.rng)
-        return None if chosen is None else self._state.servers.find(chosen.id)
-
-    def _weigh(self, records: list[ServerRecord], now: float) -> list[Candidate]:
-        state = self._state
-        others = state.sharing.find_summary(now)
-        healths = [state.find_health(one.id) for one in records]
-        shares = [
-            self._find_fleet_share(one.id, health, others, now)
-            for one, health in zip(records, healths, strict=True)
-        ]
-        median = find_median(
-            health.failure_share if share is None else share
-            for share, health in zip(shares, healths, strict=True)
-        )
-        candidates = []
-        for record, health, share in zip(records, healths, shares, strict=True):
-            requests, tokens = others.work.get(record.id, (0, 0))
-            requests += state.work.requests.get(record.id, 0)
-            tokens += state.work.tokens.get(record.id, 0)
-            candidates.append(
-                Candidate(
-                    id=record.id,
-                    failure_domain=record.failure_domain,
-                    load=requests + tokens / PROMPT_TOKENS_PER_REQUEST,
-                    slots=record.slots,
-                    is_usable=health.is_usable(now, share, median),
-                )
-            )
-        return candidates
-
-    def _find_fleet_share(
-        self,
-        server: BackendServerId,
-        health: ServerHealth,
-        others: Summary,
-        now: float,
-    ) -> float | None:
-        attempts, failures = others.outcomes.get(server, (0.0, 0.0))
-        own_attempts, own_failures = health.recent.read(now)
-        return find_failure_share(attempts + own_attempts, failures + own_failures)
-
     async def _attempt(
-        self, job: Job, server: ServerRecord, out: Responder
+        self, job: Job, server: ServerRecord, step: NextStep | None, out: Responder
     ) -> Lost | None:
         job.tried.append(server.id)
         work = self._state.work
         job.unread_tokens = job.request.sizes.prompt_tokens
         work.add(server.id, job.unread_tokens)
         try:
-            return await self._exchange(job, server, out)
+            return await self._exchange(job, server, step, out)
         finally:
             self._note_read(job, server)
             work.remove(server.id)
@@ -195,9 +82,9 @@
         job.unread_tokens = 0
 
     async def _exchange(
-        self, job: Job, server: ServerRecord, out: Responder
+        self, job: Job, server: ServerRecord, step: NextStep | None, out: Responder
     ) -> Lost | None:
-        answer = await self._send(job, server)
+        answer = await self._send(job, server, step)
         if isinstance(answer, Lost):
             return answer
         job.may_have_run = True
@@ -213,7 +100,9 @@
         await self._pass_on(job, server, whole, out)
         return None
 
-    async def _send(self, job: Job, server: ServerRecord) -> OpenAnswer | Lost:
+    async def _send(
+        self, job: Job, server: ServerRecord, step: NextStep | None
+    ) -> OpenAnswer | Lost:
         now = trio.current_time()
         job.runs += 1
         dispatch = Dispatch(
@@ -222,6 +111,7 @@
             account=job.account.name if job.account else None,
             priority=find_priority(job) if job.is_engine else None,
             last_event=job.last_event,
+            memory=step.memory if step else None,
         )
         answer: OpenAnswer | Lost = Lost(Loss.CUT_OFF, "silent")
         with trio.move_on_after(self._find_silence(job)):
@@ -274,21 +164,33 @@
         self, job: Job, server: ServerRecord, answer: OpenAnswer, out: Responder
     ) -> Lost | None:
         splitter = EventSplitter()
+        stream = self._open_stream(server)
         try:
             while True:
                 piece: bytes | None = None
-                with trio.move_on_after(self._find_silence(job)) as scope:
+                silent_at = trio.current_time() + self._find_silence(job)
+                with trio.move_on_at(min(silent_at, stream.moves_at)) as scope:
+                    stream.scope = scope
                     piece = await answer.receive()
                 if scope.cancelled_caught:
-                    return Lost(Loss.CUT_OFF, "silent")
+                    if job.next_step is not None:
+                        return Lost(Loss.MOVED, job.next_step.server.id)
+                    if not stream.is_due(trio.current_time()):
+                        return Lost(Loss.CUT_OFF, "silent")
+                    await self._move(job, server, stream)
+                    continue
                 if piece is None:
                     break
                 self._note_read(job, server)
                 await self._pass_events(job, splitter, piece, answer, out)
         except ConnectionBrokenError as error:
+            if job.next_step is not None:
+                return Lost(Loss.MOVED, job.next_step.server.id)
             return Lost(Loss.CUT_OFF, str(error))
         finally:
+            self._state.streams.close(server.id, stream)
             answer.close()
+        job.next_step = None
         self._state.find_health(server.id).note_success(trio.current_time())
         if splitter.rest:
             return Lost(Loss.CUT_OFF, "ended within an event")
@@ -297,6 +199,48 @@
         await out.finish()
         return None
 
+    def _open_stream(self, server: ServerRecord) -> RunningStream:
+        stream = self._state.streams.open(server.id)
+        leaving = self._state.servers.find_leaving(server.id)
+        if leaving is not None:
+            stream.note_leaving(leaving.gone_at)
+        return stream
+
+    async def _move(
+        self, job: Job, server: ServerRecord, stream: RunningStream
+    ) -> None:
+        """Stop a stream whose server goes, and have its memory copied to another.
+
+        Made for reclaims of a whole failure domain on a second's notice: cut there, a
+        long draft that may not be repeated is lost, and one that may is read again.
+        The stopped stream's connection ends without its end; what was still on its
+        way is passed on first.
+        """
+        state = self._state
+        now = trio.current_time()
+        target = choose_target(state, job, server.id, now)
+        budget = state.find_budget(job.service)
+        if target is None or not budget.take(now, state.hosts.count()):
+            stream.moves_at = float("inf")
+            return
+        moved = await stop_and_move(server.address, job.request.id, target.address)
+        outcome = moved.reason if isinstance(moved, Failure) else "moved"
+        log.bind(
+            id=job.request.id, server=server.id, target=target.id, outcome=outcome
+        ).info("stream moves")
+        if isinstance(moved, Failure):
+            state.metrics.add("streams_not_moved_total")
+            stream.put_off(trio.current_time())
+            return
+        state.metrics.add("streams_moved_total")
+        stream.note_stopped(trio.current_time())
+        job.was_moved = True
+        # Without room at the target the source keeps the memory, and goes on itself.
+        job.last_resort = NextStep(server, moved)
+        job.next_step = NextStep(target, moved) if moved.is_at_target else None
+        if job.next_step is None:
+            job.next_step, job.last_resort = job.last_resort, None
+
     async def _pass_events(
         self,
         job: Job,
@@ -341,6 +285,8 @@
         health = self._state.find_health(server.id)
         if lost.loss is Loss.OTHER_SERVER:
             self._state.servers.drop(server.id, now, "another has its address")
+        elif lost.loss is Loss.MOVED:
+            return
         elif lost.loss is Loss.REJECTED:
             health.full_until = now + FULL_FOR
         else:
@@ -348,10 +294,15 @@
 
     def _decide(self, job: Job, lost: Lost, out: Responder) -> Failure | None:
         """Return the failure to tell, or None to try another server."""
+        if lost.loss is Loss.MOVED:
+            return None
+        if lost.is_not_run and job.last_resort is not None:
+            job.next_step, job.last_resort = job.last_resort, None
+            return None
         now = trio.current_time()
         budget = self._state.find_budget(job.service)
         hosts = self._state.hosts.count()
-        if lost.is_not_run:
+        if lost.is_not_run and not job.was_moved:
             job.rejections += 1
             goes_on = job.rejections < REJECTIONS and budget.take(now, hosts)
         else:
@@ -371,14 +322,6 @@
         return Failure(code, reason, wait)
 
 
-def find_priority(job: Job) -> int:
-    """Return the urgency for the engine: the account's, then the route's."""
-    account = job.account.priority if job.account else None
-    if account is None:
-        return min(9, job.route.priority)
-    return min(9, account * PRIORITY_STEP + min(PRIORITY_STEP - 1, job.route.priority))
-
-
 def clean_answer_headers(headers: Headers) -> Headers:
     """Return a server's headers without those of its connection and framing."""
     return [
--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -18,7 +18,7 @@
 from dewridge.gateway.ingress import IngressState, Serve, handle_caller
 from dewridge.gateway.leaving import leave
 from dewridge.gateway.measures import time_dependency
-from dewridge.gateway.model import Limits
+from dewridge.gateway.model import Limits, ServerRecord
 from dewridge.gateway.operations import Operations
 from dewridge.gateway.pool import ConnectionPool
 from dewridge.gateway.reloading import Load, SettingsFile, find_trusted_time
@@ -94,6 +94,7 @@
             self._registration,
             self._state.hosts,
             0.0 if settings.host.is_first_start else settings.bounds.lease_ms / 1000,
+            lambda: self._state.sharing.is_reader,
         )
         self._state.describe_duties = self._tenancy.describe
         self._link = SharingLink(
@@ -194,10 +195,18 @@
             state.servers,
             state.hosts.count,
             self._settings.services.store_reads,
+            state.find_part,
         )
         state.sharing.on_demand = state.note_demand
+        state.servers.on_left = partial(note_left, state, self._link)
         state.sharing.on_news = partial(take_news, state, watcher)
-        hosts = HostWatcher(self._store, self._watch_store, state.hosts, WATCH_WAIT)
+        hosts = HostWatcher(
+            self._store,
+            self._watch_store,
+            state.hosts,
+            WATCH_WAIT,
+            lambda: state.sharing.is_reader,
+        )
         tasks: list[tuple[str, Task]] = [
             ("configuration", watcher.poll_configuration),
             ("configuration-watch", watcher.watch_configuration),
@@ -232,8 +241,17 @@
 def take_news(state: GatewayState, watcher: StoreWatcher, news: News) -> None:
     """Take over what another host knows of the configuration and of servers."""
     watcher.note_version(news.version)
-    for server in news.left:
-        state.servers.drop(server, trio.current_time(), f"{news.host} told")
+    now = trio.current_time()
+    for server, leaves_in in news.left.items():
+        state.servers.drop(server, now, f"{news.host} told", leaves_in)
+
+
+def note_left(
+    state: GatewayState, link: SharingLink, record: ServerRecord, gone_at: float
+) -> None:
+    """Move what runs on a server that leaves, and tell the other hosts at once."""
+    state.streams.note_leaving(record.id, gone_at)
+    link.tell_now()
 
 
 async def open_listener(address: str) -> trio.SocketListener:
--- a/dewridge/gateway/directory.py
+++ b/dewridge/gateway/directory.py
@@ -18,11 +18,19 @@
 ANSWER_TTL = 1.0
 """Seconds that callers keep the addresses. Some keep them three times as long, and a
 leaving host has to serve them until then: at 1 s a stream that the last of them
-begins still has five of the eight seconds of grace. A shorter time only costs more
-questions, about 0.5 ms of processor time each."""
+begins still has five of the eight seconds of grace."""
+CELL_ANSWER_TTL = 2.0
+"""The same in a large fleet. A question costs about 3 ms of processor time with its
+connection, at 1 s a tenth of all; one host that goes is a small part of each list."""
 JSON = [(b"content-type", b"application/json")]
 
 
+def find_answer_ttl(state: GatewayState) -> float:
+    """Return the seconds that callers may keep a list of addresses."""
+    ttl = CELL_ANSWER_TTL if state.sharing.has_cells else ANSWER_TTL
+    return min(ttl, state.settings.bounds.answer_ttl)
+
+
 class Directory:
     """Answers from what this host knows; nothing here waits for another."""
 
@@ -51,7 +59,7 @@
             failure = Failure(ResultCode.NO_BACKEND_SERVER, "no host is ready", 0.3)
             await send_failure(out, failure)
             return
-        ttl = min(ANSWER_TTL, self._state.settings.bounds.answer_ttl)
+        ttl = find_answer_ttl(self._state)
         await out.send_whole(200, JSON, encode_addresses(addresses, ttl))
 
     def list_addresses(self) -> list[str]:
--- a/dewridge/gateway/duties.py
+++ b/dewridge/gateway/duties.py
@@ -1,5 +1,7 @@
 """Duties that one host at a time may do: who holds them, and their tasks."""
 
+from collections.abc import Callable
+
 import trio
 from loguru import logger as log
 
@@ -22,6 +24,9 @@
 RANK_DELAY = 0.15
 """Seconds by which each further host waits before it tries to become the holder: all
 at once would only lose to the first."""
+RANKS = 8
+"""Different waits: with one for each of many hosts the duties lay idle for seconds when
+the first ones could not reach the store."""
 
 
 def find_holder(table: HostTable) -> HostId | None:
@@ -48,6 +53,7 @@
         registration: Registration,
         table: HostTable,
         lease: float,
+        may_try: Callable[[], bool] = lambda: True,
     ) -> None:
         self._host = host
         self._mark = f"{host}/{boot}".encode()
@@ -55,6 +61,7 @@
         self._registration = registration
         self._table = table
         self._lease = lease
+        self._may_try = may_try
         self._tenure: Tenure | None = None
         self._acts_from = float("inf")
         self._has_left = False
@@ -89,7 +96,8 @@
             return
         item = self._table.items.get(HOLDER_KEY)
         if item is None:
-            if self._tenure is None:
+            # Hosts that don't follow the store don't know in time that nobody holds.
+            if self._tenure is None and self._may_try():
                 await self._try_to_hold(state.lease.id)
             return
         self._judge(item, state.lease.id)
@@ -118,7 +126,8 @@
 
     def _find_rank(self) -> int:
         names = sorted(entry.id for entry in self._table.list_hosts())
-        return names.index(self._host) if self._host in names else len(names)
+        rank = names.index(self._host) if self._host in names else len(names)
+        return rank % RANKS
 
     def _begin(self, revision: int) -> None:
         self._tenure = Tenure(self._host, revision)
--- a/dewridge/gateway/forwarding.py
+++ b/dewridge/gateway/forwarding.py
@@ -34,6 +34,7 @@
     CUT_OFF = "cut off"
     MISMATCHED = "the answer belongs to another request"
     MALFORMED = "malformed answer"
+    MOVED = "moved to another server"
 
 
 NOT_RUN = frozenset({Loss.NOT_CONNECTED, Loss.REJECTED, Loss.OTHER_SERVER})
--- a/dewridge/gateway/hosts.py
+++ b/dewridge/gateway/hosts.py
@@ -1,6 +1,7 @@
 """The entry hosts: this one's registration under a lease, and the others'."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -11,6 +12,7 @@
 from dewridge.gateway.clock import read_boot_clock
 from dewridge.ids import FailureDomain, HostId
 from dewridge.platform.store import Item, Lease, Listing, Store, Write
+from dewridge.policy.cells import FLAT_LIMIT
 from dewridge.sentinels import Failure
 
 PREFIX = "dewridge/"
@@ -25,6 +27,9 @@
 wake-up of a busy process."""
 POLL_PERIOD = 2.5
 """Seconds between two reads of all registrations; a watch brings most news sooner."""
+GATHER_TIME = 0.3
+"""Seconds between two watches by a reader of a large fleet: when all hosts start, each
+registration would cost a call of its own."""
 
 
 class HostEntry(msgspec.Struct, frozen=True):
@@ -207,33 +212,47 @@
 
 
 class HostWatcher:
-    """Keeps the table of hosts as new as the store has it."""
+    """Keeps the table of hosts as new as the store has it.
+
+    In a large fleet only the readers do; the others read cheaply what may lag, and
+    hear from their peers who lives.
+    """
 
     def __init__(
-        self, store: Store, watch_store: Store, table: HostTable, watch_wait: float
+        self,
+        store: Store,
+        watch_store: Store,
+        table: HostTable,
+        watch_wait: float,
+        reads: Callable[[], bool] = lambda: True,
     ) -> None:
         self._store = store
         self._watch_store = watch_store
         self._table = table
         self._watch_wait = watch_wait
+        self._reads = reads
 
     async def poll(self) -> None:
         """Read all registrations for ever."""
+        may_lag = False
         while True:
-            listing = await self._store.list_items(PREFIX)
+            listing = await self._store.list_items(PREFIX, may_lag=may_lag)
             if isinstance(listing, Listing):
                 self._table.replace(listing)
             await trio.sleep(POLL_PERIOD * random.uniform(0.8, 1.2))
+            may_lag = not self._reads()
 
     async def watch(self) -> None:
         """Follow changes for ever; the poll mends what a lost watch misses."""
         while True:
             revision = self._table.revision
-            if revision:
+            if revision and self._reads():
                 news = await self._watch_store.watch(PREFIX, revision, self._watch_wait)
                 if isinstance(news, Listing):
                     for item in news.items:
                         self._table.update(item)
                     self._table.revision = max(self._table.revision, news.revision)
+                    if len(self._table.list_hosts()) > FLAT_LIMIT:
+                        await trio.sleep(GATHER_TIME)
                     continue
             await trio.sleep(POLL_PERIOD)
--- a/dewridge/gateway/ingress.py
+++ b/dewridge/gateway/ingress.py
@@ -1,7 +1,8 @@
 """Connections of callers: requests are read within bounds and answered in order."""
 
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
 
 import h11
 import trio
@@ -24,8 +25,6 @@
 """Seconds that a caller counts as waiting when it does not say how long."""
 LINGER = 0.5
 """Seconds for a caller to take an early answer while it may still be sending."""
-LEAVING_POLL = 0.25
-"""Seconds between two looks of an idle connection at whether the host leaves."""
 
 
 @dataclass
@@ -50,6 +49,23 @@
     closes_idle: bool = False
     connections: int = 0
     requests: int = 0
+    _waiting: set[trio.CancelScope] = field(default_factory=set)
+
+    def close_idle(self) -> None:
+        """Close all connections that wait for a request, now and from now on."""
+        self.closes_idle = True
+        for scope in self._waiting:
+            scope.cancel()
+
+    @contextmanager
+    def wait_idle(self, seconds: float) -> Iterator[None]:
+        """Wait for a request's first byte at most so long, or until idle ones end."""
+        with trio.move_on_after(seconds) as scope:
+            self._waiting.add(scope)
+            try:
+                yield
+            finally:
+                self._waiting.discard(scope)
 
 
 class _EndedError(Exception):
@@ -108,14 +124,17 @@
     async def _wait_for_first_byte(self) -> None:
         if self._state.trailing_data[0]:
             return
+        if self._shared.closes_idle:
+            raise _EndedError
+        # The timeout may grow meanwhile with a new version of the configuration.
         began = trio.current_time()
-        while True:
-            left = began + self._shared.idle_timeout - trio.current_time()
-            if left <= 0 or self._shared.closes_idle:
-                raise _EndedError
-            with trio.move_on_after(min(left, LEAVING_POLL)):
+        while (left := began + self._shared.idle_timeout - trio.current_time()) > 0:
+            with self._shared.wait_idle(left):
                 await self._receive()
                 return
+            if self._shared.closes_idle:
+                break
+        raise _EndedError
 
     async def _receive(self) -> None:
         try:
--- a/dewridge/gateway/leaving.py
+++ b/dewridge/gateway/leaving.py
@@ -3,7 +3,7 @@
 import trio
 from loguru import logger as log
 
-from dewridge.gateway.directory import ANSWER_TTL
+from dewridge.gateway.directory import find_answer_ttl
 from dewridge.gateway.duties import Tenancy
 from dewridge.gateway.hosts import Registration
 from dewridge.gateway.state import GatewayState
@@ -53,15 +53,14 @@
 async def _wait_until_unneeded(
     state: GatewayState, began: float, last_exit: float
 ) -> None:
-    ttl = min(ANSWER_TTL, state.settings.bounds.answer_ttl)
-    serves_until = min(last_exit, began + KEPT_ANSWERS * ttl + QUIET)
+    serves_until = min(last_exit, began + KEPT_ANSWERS * find_answer_ttl(state) + QUIET)
     quiet_since = trio.current_time()
     while trio.current_time() < last_exit:
         now = trio.current_time()
         if state.ingress.requests > 0:
             quiet_since = now
         if now >= serves_until:
-            state.ingress.closes_idle = True
+            state.ingress.close_idle()
             if now - quiet_since > QUIET:
                 return
         await trio.sleep(LOOK_PERIOD)
--- a/dewridge/gateway/measures.py
+++ b/dewridge/gateway/measures.py
@@ -1,6 +1,6 @@
 """What a gateway counts and times; every label has few possible values."""
 
-from dewridge.gateway.attempts import Job
+from dewridge.gateway.jobs import Job
 from dewridge.gateway.responder import Responder
 from dewridge.gateway.state import GatewayState
 from dewridge.metrics.registry import Metrics
--- a/dewridge/gateway/reports.py
+++ b/dewridge/gateway/reports.py
@@ -40,7 +40,8 @@
         totals: the host's own.
         began: requests of each account that began to run, by usage window.
         version: configuration in force there; 0 for none.
-        left: servers that left lately; none of them comes back under that name.
+        left: servers that left lately, with the seconds until each stops serving; none
+            of them comes back under that name.
     """
 
     host: HostId
@@ -51,7 +52,7 @@
     totals: Totals
     began: UsageCounts = {}
     version: int = 0
-    left: list[BackendServerId] = []
+    left: dict[BackendServerId, float] = {}
 
 
 class CellReport(msgspec.Struct, frozen=True, array_like=True, tag="cell"):
@@ -66,7 +67,7 @@
         totals: sums over the cell, counted since the sender's start.
         began: the cell's usage; only told to the holder of the duties.
         version: configuration in force at the sender; 0 for none.
-        left: servers that left lately.
+        left: servers that left lately, with the seconds until each stops serving.
     """
 
     host: HostId
@@ -77,7 +78,7 @@
     totals: Totals
     began: UsageCounts = {}
     version: int = 0
-    left: list[BackendServerId] = []
+    left: dict[BackendServerId, float] = {}
 
 
 News = Report | CellReport
--- a/dewridge/gateway/scaling.py
+++ b/dewridge/gateway/scaling.py
@@ -12,6 +12,7 @@
     DomainBounds,
     Wanted,
     find_needed,
+    find_start_total,
     find_total,
     plan_servers,
 )
@@ -25,6 +26,9 @@
 """Seconds for which fewer servers must have been enough: about a boot time."""
 BOOT_SLACK = 2.0
 """Seconds beyond their boot time that ordered servers have to appear in the list."""
+LISTING_TIME = 1.5
+"""Seconds from the first server in the list until all that run are there: a heartbeat,
+and the way of the news."""
 Place = tuple[ServiceName, FailureDomain, bool]
 
 
@@ -39,6 +43,9 @@
         self._accepted_at: dict[Place, float] = {}
         self._not_before: dict[Place, float] = {}
         self._totals: dict[ServiceName, int] = {}
+        self._listed_since: dict[ServiceName, float] = {}
+        self._found: dict[ServiceName, int] = {}
+        self._works_since: dict[ServiceName, float] = {}
         self._lower_since: dict[Place, float] = {}
         self._fence = 0
 
@@ -61,7 +68,9 @@
             self._lower_since.clear()
             self._fence = tenure.fencing_token
         for service in configuration.services.values():
-            if service.scaling is not None:
+            if service.scaling is None:
+                continue
+            if self._knows_start(service.name, trio.current_time()):
                 await self._order_service(service, service.scaling)
 
     async def _order_service(self, service: Service, scaling: Scaling) -> None:
@@ -84,8 +93,9 @@
         domains: dict[FailureDomain, DomainBounds],
         serving: dict[FailureDomain, int],
     ) -> dict[FailureDomain, Wanted]:
-        rate = self._state.demand[service].find_rate(trio.current_time())
-        needed = find_needed(rate)
+        now = trio.current_time()
+        rate = self._state.demand[service].find_rate(now)
+        needed = max(find_needed(rate), self._find_start_total(service, rate, now))
         before = self._totals.get(service, 0)
         total = find_total(needed, before, len(domains))
         if total != before:
@@ -93,7 +103,29 @@
                 "servers planned"
             )
         self._totals[service] = total
-        return plan_servers(domains, serving, total, has_work=needed > 0)
+        return plan_servers(domains, serving, total, has_work=rate > 0)
+
+    def _knows_start(self, service: ServiceName, now: float) -> bool:
+        """Whether the servers that were there at the start have been counted.
+
+        Servers write their records one by one in the first second. Orders given before
+        would send most of them away.
+        """
+        if service in self._found:
+            return True
+        listed = len(self._state.servers.list_service(service))
+        if not listed:
+            return False
+        if now - self._listed_since.setdefault(service, now) < LISTING_TIME:
+            return False
+        self._found[service] = listed
+        return True
+
+    def _find_start_total(self, service: ServiceName, rate: float, now: float) -> int:
+        working_for = 0.0
+        if rate > 0:
+            working_for = now - self._works_since.setdefault(service, now)
+        return find_start_total(self._found[service], working_for)
 
     def _is_due(self, order: Order, boot_time: float) -> bool:
         place = find_place(order)
--- a/dewridge/gateway/servers.py
+++ b/dewridge/gateway/servers.py
@@ -1,6 +1,7 @@
 """Backend servers as the store lists them; a start that left never comes back."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from loguru import logger as log
 
@@ -13,17 +14,41 @@
 TOLD_FOR = 4.0
 """Seconds for which the others are told that a server left: they must know within 2 s,
 and single reports get lost."""
+USUAL_NOTICE = 2.0
+"""Seconds that a server which leaves without saying when goes on serving at least."""
+MISSING_FOR = 3.0
+"""Seconds for which a server must be missing from lists that may lag before the current
+one is asked for: readers tell of servers that left long before."""
 FORGET_AFTER = 120.0
 """Seconds that a start which left is remembered. Reads may be answered seconds late;
 two minutes outlast any of them, and bound the memory."""
 
 
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """A start of a server that left.
+
+    Attributes:
+        known_at: when this host learned of it.
+        gone_at: when it stops serving, as far as is known.
+    """
+
+    known_at: float
+    gone_at: float
+
+
 class ServerTable:
-    """The servers that may be sent work, by start."""
+    """The servers that may be sent work, by start.
+
+    Attributes:
+        on_left: told of each start that leaves, and when it is gone.
+    """
 
     def __init__(self) -> None:
+        self.on_left: Callable[[ServerRecord, float], None] = lambda *_: None
         self._records: dict[BackendServerId, ServerRecord] = {}
-        self._left: dict[BackendServerId, float] = {}
+        self._left: dict[BackendServerId, Leaving] = {}
+        self._missing_since: dict[BackendServerId, float] = {}
         self._doubt_until = float("-inf")
         self.version = 0
 
@@ -41,17 +66,35 @@
         listed = {record.id: record for record in records}
         for record in listed.values():
             self.update(record, now)
+        self._missing_since.clear()
         if now < self._doubt_until:
             return
         for server in [known for known in self._records if known not in listed]:
             self.drop(server, now, "its record is gone")
 
+    def add(self, records: Iterable[ServerRecord], now: float) -> bool:
+        """Take over a list that may be seconds old; returns whether it leaves a doubt.
+
+        A server that is missing there may have started since, or its record may have
+        lapsed and come back, so that nothing is dropped for it: a server dropped by
+        mistake never gets work again. One that stays missing raises a doubt.
+        """
+        listed = {record.id: record for record in records}
+        for record in listed.values():
+            self.update(record, now)
+        self._missing_since = {
+            server: self._missing_since.get(server, now)
+            for server in self._records
+            if server not in listed
+        }
+        return any(now - since > MISSING_FOR for since in self._missing_since.values())
+
     def update(self, record: ServerRecord, now: float) -> None:
         """Take over one record; one that says it leaves counts as left."""
         if record.id in self._left:
             return
         if record.is_draining:
-            self.drop(record.id, now, "it drains")
+            self.drop(record.id, now, "it drains", record.leaves_in)
             return
         if self._records.get(record.id) != record:
             if record.id not in self._records:
@@ -59,29 +102,57 @@
             self._records[record.id] = record
             self.version += 1
 
-    def drop(self, server: BackendServerId, now: float, reason: str) -> None:
-        """Send nothing more to a start of a server, whatever is read later."""
+    def drop(
+        self,
+        server: BackendServerId,
+        now: float,
+        reason: str,
+        leaves_in: float | None = None,
+    ) -> None:
+        """Send nothing more to a start of a server, whatever is read later.
+
+        Args:
+            server: the start.
+            now: steady time.
+            reason: for the log.
+            leaves_in: seconds until it stops serving; None if unknown.
+        """
         if server in self._left:
             return
-        self._left[server] = now
-        if self._records.pop(server, None) is not None:
-            log.bind(server=server, reason=reason).info("server left")
+        notice = USUAL_NOTICE if leaves_in is None else leaves_in
+        leaving = self._left[server] = Leaving(now, now + notice)
+        record = self._records.pop(server, None)
+        if record is not None:
+            log.bind(server=server, reason=reason, leaves_in=round(notice, 2)).info(
+                "server left"
+            )
             self.version += 1
+            self.on_left(record, leaving.gone_at)
         if len(self._left) > 1000:
             self._forget(now)
 
-    def list_just_left(self, now: float) -> list[BackendServerId]:
-        """Return the starts that left lately, to tell other hosts."""
-        recent = []
-        for server, at in reversed(self._left.items()):
-            if now - at > TOLD_FOR:
+    def find_leaving(self, server: BackendServerId) -> Leaving | None:
+        """Return when a start that left is gone; None if it did not leave."""
+        return self._left.get(server)
+
+    def list_just_left(self, now: float) -> dict[BackendServerId, float]:
+        """Return the starts that left lately, to tell other hosts.
+
+        Returns:
+            Seconds until each stops serving, by start.
+        """
+        recent = {}
+        for server, leaving in reversed(self._left.items()):
+            if now - leaving.known_at > TOLD_FOR:
                 break
-            recent.append(server)
+            recent[server] = round(max(0.0, leaving.gone_at - now), 2)
         return recent
 
     def _forget(self, now: float) -> None:
         self._left = {
-            server: at for server, at in self._left.items() if now - at < FORGET_AFTER
+            server: leaving
+            for server, leaving in self._left.items()
+            if now - leaving.known_at < FORGET_AFTER
         }
 
     def list_service(self, service: ServiceName) -> list[ServerRecord]:
--- a/dewridge/gateway/serving.py
+++ b/dewridge/gateway/serving.py
@@ -6,8 +6,9 @@
 from loguru import logger as log
 
 from dewridge.codes import ResultCode
-from dewridge.gateway.attempts import Job, JobRunner
+from dewridge.gateway.attempts import JobRunner
 from dewridge.gateway.ingress import send_failure
+from dewridge.gateway.jobs import Job
 from dewridge.gateway.measures import count_first_event, count_request
 from dewridge.gateway.model import (
     Account,
--- a/dewridge/gateway/sharing.py
+++ b/dewridge/gateway/sharing.py
@@ -23,7 +23,11 @@
 """Seconds between two reports: a tenth of the shortest time to first token, so that
 the others' load is known before it has changed much."""
 REPORTS_PER_SECOND = 90.0
-"""Datagrams a second that a host sends: about 1% of a small host's processor time."""
+"""Datagrams a second that a host of a small fleet sends: about 2% of a core, for news
+that are a tenth of a second old where each host takes much of the load."""
+CELL_REPORTS_PER_SECOND = 40.0
+"""The same in a large fleet: sums over many hosts change slowly, and each host has few
+requests to set the cost of its reports against."""
 SILENT_AFTER = 5
 """Periods without a report after which a host counts as silent: single datagrams get
 lost, five in a row seldom."""
@@ -121,6 +125,7 @@
         began_elsewhere: the other cells' usage, by window and cell.
         period: seconds between two rounds.
         has_cells: whether the fleet is large enough for cells.
+        is_reader: whether this host follows the store for its cell.
     """
 
     own: HostId
@@ -139,6 +144,7 @@
     )
     period: float = LEAST_PERIOD
     has_cells: bool = False
+    is_reader: bool = True
     _cell_used: dict[ClientAccount, float] = field(
         default_factory=lambda: defaultdict(float)
     )
--- a/dewridge/gateway/sharinglink.py
+++ b/dewridge/gateway/sharinglink.py
@@ -10,11 +10,21 @@
 
 from dewridge.gateway.hosts import HostEntry, HostTable
 from dewridge.gateway.reports import CellReport, News, Report, Totals, UsageCounts
-from dewridge.gateway.sharing import LEAST_PERIOD, REPORTS_PER_SECOND, Sharing
+from dewridge.gateway.sharing import (
+    CELL_REPORTS_PER_SECOND,
+    LEAST_PERIOD,
+    REPORTS_PER_SECOND,
+    Sharing,
+)
 from dewridge.ids import FailureDomain, HostId
 from dewridge.policy.cells import CellName, deal_cells, find_cell, list_receivers
 
 DATAGRAM_LIMIT = 60_000
+GATHER_TIME = 0.02
+"""Seconds before urgent news goes out: a failure domain's servers leave within that."""
+READERS = 2
+"""Hosts of each cell that follow the store for all: when the store turns a third of the
+hosts away, the chance that it is all readers of eight cells is one in ten million."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,12 +36,14 @@
         mates: the other hosts of the cell.
         receivers: hosts of other cells.
         holder: the holder of the duties if it is in another cell.
+        is_reader: whether this host follows the store for its cell.
     """
 
     cell: CellName
     mates: list[HostEntry]
     receivers: list[HostEntry]
     holder: HostEntry | None
+    is_reader: bool
 
     @property
     def messages(self) -> int:
@@ -72,6 +84,7 @@
         mates=[entries[host] for host in mates],
         receivers=[entries[host] for host in receivers],
         holder=entries[holder] if is_far and holder is not None else None,
+        is_reader=len(cells) == 1 or own in cells[cell][:READERS],
     )
 
 
@@ -97,6 +110,7 @@
         self._find_holder = find_holder
         self._socket = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
         self._number = 0
+        self._urgent = trio.Event()
 
     async def bind(self) -> None:
         """Open the port."""
@@ -108,23 +122,37 @@
 
     async def receive(self) -> None:
         """Take over messages for ever."""
-        decoder = msgspec.msgpack.Decoder(News)
+        decoder: msgspec.msgpack.Decoder[News] = msgspec.msgpack.Decoder(News)
         while True:
-            data, _ = await self._socket.recvfrom(DATAGRAM_LIMIT)
-            try:
-                news = decoder.decode(data)
-            except msgspec.DecodeError as error:
-                log.bind(reason=str(error)).warning("report can't be read")
-                continue
-            self._sharing.note(news, trio.current_time())
+            data = await self._socket.recv(DATAGRAM_LIMIT)
+            self._take(decoder, data)
+
+    def _take(self, decoder: msgspec.msgpack.Decoder[News], data: bytes) -> None:
+        try:
+            news = decoder.decode(data)
+        except msgspec.DecodeError as error:
+            log.bind(reason=str(error)).warning("report can't be read")
+            return
+        self._sharing.note(news, trio.current_time())
+
+    def tell_now(self) -> None:
+        """Begin the next round at once.
+
+        A reclaimed server is gone a second after its notice. With the news of it in
+        the usual rounds its streams could not be moved in time.
+        """
+        self._urgent.set()
 
     async def send(self) -> None:
         """Tell the others for ever."""
         encoder = msgspec.msgpack.Encoder()
         while True:
             self._number += 1
+            self._urgent = trio.Event()
             await self._send_round(encoder)
-            await trio.sleep(self._sharing.period)
+            with trio.move_on_after(self._sharing.period):
+                await self._urgent.wait()
+                await trio.sleep(GATHER_TIME)
 
     async def _send_round(self, encoder: msgspec.msgpack.Encoder) -> None:
         entries = {entry.id: entry for entry in self._table.list_hosts()}
@@ -133,7 +161,9 @@
             entries, sharing.own, self._own_domain, self._find_holder(), self._number
         )
         sharing.has_cells = bool(plan.receivers)
-        sharing.period = max(LEAST_PERIOD, plan.messages / REPORTS_PER_SECOND)
+        sharing.is_reader = plan.is_reader
+        pace = CELL_REPORTS_PER_SECOND if sharing.has_cells else REPORTS_PER_SECOND
+        sharing.period = max(LEAST_PERIOD, plan.messages / pace)
         report = self._make_report(self._number)
         await self._send_all(plan.mates, encoder.encode(report))
         if not plan.receivers and plan.holder is None:
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -15,6 +15,8 @@
 from dewridge.gateway.reports import Report, Totals
 from dewridge.gateway.servers import ServerTable
 from dewridge.gateway.sharing import Sharing
+from dewridge.gateway.streams import RunningStreams
+from dewridge.gateway.watching import Part
 from dewridge.http1.calls import Caller
 from dewridge.ids import BackendServerId, ClientAccount, HostId, ServiceName
 from dewridge.metrics.registry import Metrics
@@ -74,6 +76,7 @@
     ingress: IngressState
     rng: random.Random
     work: WorkInFlight = field(default_factory=WorkInFlight)
+    streams: RunningStreams = field(default_factory=RunningStreams)
     health: dict[BackendServerId, ServerHealth] = field(default_factory=dict)
     budgets: dict[ServiceName, RetryBudget] = field(default_factory=dict)
     began: dict[int, dict[ClientAccount, int]] = field(
@@ -176,6 +179,12 @@
             hosts=len(peers) + 1, silent=silent, news_age=self.sharing.news_age
         )
 
+    def find_part(self) -> Part:
+        """Return what this host has to read of the store itself."""
+        if not self.sharing.has_cells:
+            return Part.ALL
+        return Part.READER if self.sharing.is_reader else Part.LISTENER
+
     def list_silent(self) -> list[HostId]:
         """Return the registered hosts that are not heard."""
         heard = self.sharing.find_summary(trio.current_time()).heard
--- a/dewridge/gateway/watching.py
+++ b/dewridge/gateway/watching.py
@@ -1,11 +1,15 @@
 """Keeps the configuration and the list of servers as new as the store has them.
 
-Polls carry the promise: each confirms what is in force. Watches only bring news
-sooner, since they go quiet through lost connections and dropped histories.
+In a small fleet every host polls and watches all: polls carry the promise, since each
+confirms what is in force, and watches only bring news sooner. In a large one that would
+cost more calls than the requests are worth. There a host confirms the configuration by
+watches that come back empty, and only some hosts, the readers, follow the servers; the
+others hear of leaving servers from them, and of new ones by cheap reads that may lag.
 """
 
 import random
 from collections.abc import Callable
+from enum import Enum
 
 import trio
 from loguru import logger as log
@@ -27,6 +31,20 @@
 """Part of the store's reads a second that the polls of all hosts together may use."""
 POLLS = 3
 """Polls of each host in one period: configuration, servers, hosts."""
+READER_PERIOD = 2.0
+"""Seconds between two polls of the servers by a reader of a large fleet: its watch
+brings news at once, and other readers' words cover one whose watch went silent."""
+LAGGING_PERIOD = 2.0
+"""Seconds between two cheap reads of the servers by other hosts: half of the time that
+a new server takes to start."""
+CONFIRM_WAIT = 3.0
+"""Seconds that a watch of the configuration waits in a large fleet: each that comes
+back empty confirms the version, so that this is the oldest a confirmation gets. Shorter
+costs calls, longer comes near the 4 s after which keys are refused."""
+UNCONFIRMED_AFTER = CONFIRM_WAIT + 0.4
+"""Age of the confirmation from which the configuration is read: the watch is stuck."""
+LOOK_PERIOD = 0.2
+"""Seconds between two looks at that age."""
 FIRST_RETRY = 0.1
 LAST_RETRY = 0.5
 """Seconds until a failed call is made again. Hosts spread by half of it either way:
@@ -35,6 +53,17 @@
 """Seconds that a watch waits for news: each costs a call."""
 
 
+class Part(Enum):
+    """What a host has to read of the store itself."""
+
+    ALL = "all"
+    """In a small fleet."""
+    READER = "reader"
+    """In a large fleet: the servers, for others too."""
+    LISTENER = "listener"
+    """In a large fleet: the configuration only."""
+
+
 class StoreWatcher:
     """Runs the polls and watches and writes what they bring into the tables."""
 
@@ -46,7 +75,9 @@
         servers: ServerTable,
         count_hosts: Callable[[], int],
         reads_per_second: float,
+        find_part: Callable[[], Part] = lambda: Part.ALL,
     ) -> None:
+        self._find_part = find_part
         self._store = store
         self._watch_store = watch_store
         self._configuration = configuration
@@ -81,7 +112,21 @@
             pause = FIRST_RETRY
             if item is not None and self._take_configuration(item):
                 self._configuration.confirm(asked_at)
-            self._configuration_wake = await self._wait(self._configuration_wake)
+            await self._wait_for_doubt()
+
+    async def _wait_for_doubt(self) -> None:
+        """Wait until the configuration has to be read again."""
+        if self._find_part() is Part.ALL:
+            self._configuration_wake = await self._wait(
+                self._configuration_wake, self.find_period()
+            )
+            return
+        while self._configuration.age < UNCONFIRMED_AFTER:
+            with trio.move_on_after(LOOK_PERIOD):
+                await self._configuration_wake.wait()
+            if self._configuration_wake.is_set():
+                break
+        self._configuration_wake = trio.Event()
 
     def _take_configuration(self, item: Item) -> bool:
         decoded = decode_configuration(item.value)
@@ -96,18 +141,28 @@
     async def poll_servers(self) -> None:
         """Read the whole list of servers for ever."""
         pause = FIRST_RETRY
+        may_lag = False
         while True:
-            listing = await self._store.list_items(SERVERS_PREFIX)
+            listing = await self._store.list_items(SERVERS_PREFIX, may_lag=may_lag)
             if isinstance(listing, Failure):
                 self._servers.note_outage(trio.current_time())
                 await self._pause(pause)
                 pause = min(LAST_RETRY, pause * 2)
                 continue
             pause = FIRST_RETRY
-            self._take_servers(listing)
-            self._servers_wake = await self._wait(self._servers_wake)
+            has_doubt = self._take_servers(listing, may_lag=may_lag)
+            if has_doubt:
+                may_lag = False
+                continue
+            part = self._find_part()
+            period = self.find_period() if part is Part.ALL else READER_PERIOD
+            if part is Part.LISTENER:
+                period = LAGGING_PERIOD
+            self._servers_wake = await self._wait(self._servers_wake, period)
+            may_lag = part is Part.LISTENER
 
-    def _take_servers(self, listing: Listing) -> None:
+    def _take_servers(self, listing: Listing, *, may_lag: bool) -> bool:
+        """Take over a list; returns whether a current one has to be asked for."""
         records = []
         for item in listing.items:
             record = decode_server(item)
@@ -115,16 +170,31 @@
                 log.bind(reason=record.reason).error("server record can't be read")
             else:
                 records.append(record)
-        self._servers.replace(records, trio.current_time())
+        now = trio.current_time()
+        if may_lag:
+            return self._servers.add(records, now)
+        self._servers.replace(records, now)
+        return False
 
     async def watch_configuration(self) -> None:
         """Follow changes of the configuration for ever."""
-        await self._watch(CONFIGURATION_KEY, self._note_configuration)
+        await self._watch(CONFIGURATION_KEY, self._note_configuration, self._confirm)
 
     async def watch_servers(self) -> None:
-        """Follow changes of servers' records for ever."""
+        """Follow changes of servers' records for ever, if that is this host's part."""
         await self._watch(SERVERS_PREFIX, self._note_server)
 
+    def _confirm(self, asked_at: float, wait: float) -> None:
+        """Note that a watch came back empty.
+
+        The store answers an empty watch after its wait only. So there was nothing
+        newer until then, whenever the answer is read: a host that was frozen meanwhile
+        does not take it for younger than it is.
+        """
+        now = read_boot_clock()
+        waited = asked_at + wait
+        self._configuration.confirm(waited if waited <= now else asked_at)
+
     def _note_configuration(self, item: Item) -> None:
         if item.key == CONFIGURATION_KEY and not item.removed:
             self._take_configuration(item)
@@ -140,19 +210,32 @@
             return
         self._servers.update(record, trio.current_time())
 
-    async def _watch(self, prefix: str, note: Callable[[Item], None]) -> None:
+    async def _watch(
+        self,
+        prefix: str,
+        note: Callable[[Item], None],
+        on_quiet: Callable[[float, float], None] = lambda asked_at, wait: None,
+    ) -> None:
         revision = None
         pause = FIRST_RETRY
         while True:
+            if prefix == SERVERS_PREFIX and self._find_part() is Part.LISTENER:
+                revision = None
+                await trio.sleep(LAGGING_PERIOD)
+                continue
             if revision is None:
                 revision = await self._find_start(prefix, note)
             news: Listing | Failure | None = None
+            asked_at = read_boot_clock()
+            wait = WATCH_WAIT if self._find_part() is Part.ALL else CONFIRM_WAIT
             if revision is not None:
-                news = await self._watch_store.watch(prefix, revision, WATCH_WAIT)
+                news = await self._watch_store.watch(prefix, revision, wait)
             if isinstance(news, Listing):
                 pause = FIRST_RETRY
                 for item in news.items:
                     note(item)
+                if not news.items:
+                    on_quiet(asked_at, wait)
                 revision = max(revision or 0, news.revision)
                 continue
             # The history may be gone, or the connection went silent: start anew.
@@ -172,9 +255,8 @@
             note(item)
         return listing.revision
 
-    async def _wait(self, wake: trio.Event) -> trio.Event:
-        period = self.find_period() * random.uniform(0.9, 1.1)
-        with trio.move_on_after(period):
+    async def _wait(self, wake: trio.Event, period: float) -> trio.Event:
+        with trio.move_on_after(period * random.uniform(0.9, 1.1)):
             await wake.wait()
         return trio.Event()
 
--- /dev/null
+++ b/dewridge/gateway/weighing.py
@@ -0,0 +1,88 @@
+"""Which server gets a request, from the loads and outcomes that this host knows."""
+
+from dewridge.gateway.jobs import Job
+from dewridge.gateway.model import ServerRecord
+from dewridge.gateway.sharing import Summary
+from dewridge.gateway.state import GatewayState
+from dewridge.ids import BackendServerId
+from dewridge.policy.choice import Candidate, choose_by_prefix, choose_least_loaded
+from dewridge.policy.serverhealth import (
+    ServerHealth,
+    find_failure_share,
+    find_median,
+)
+
+PROMPT_TOKENS_PER_REQUEST = 8_000.0
+"""Prompt tokens that weigh as much as one running request: an engine reads them in
+about 140 ms, during which the answers beside them stand still."""
+ROOM_SHARE = 0.8
+"""Part of a server's slots up to which it is a good place for a moved stream."""
+
+
+def choose_server(state: GatewayState, job: Job, now: float) -> ServerRecord | None:
+    """Return the server for a job's next sending; None if the service has none."""
+    records = state.servers.list_service(job.service)
+    untried = [one for one in records if one.id not in job.tried] or records
+    candidates = weigh(state, untried, now)
+    parts = job.request.sizes.parts
+    if job.is_engine and len(parts) > 1:
+        prefix = f"{job.request.sizes.model}/{parts[-2].id}"
+        chosen = choose_by_prefix(candidates, prefix)
+    else:
+        chosen = choose_least_loaded(candidates, state.rng)
+    return None if chosen is None else state.servers.find(chosen.id)
+
+
+def choose_target(
+    state: GatewayState, job: Job, source: BackendServerId, now: float
+) -> ServerRecord | None:
+    """Return the server that a stream moves to: the one with the most free slots."""
+    records = [
+        one for one in state.servers.list_service(job.service) if one.id != source
+    ]
+    candidates = weigh(state, records, now)
+    with_room = [
+        one for one in candidates if one.is_usable and one.load < one.slots * ROOM_SHARE
+    ]
+    chosen = choose_least_loaded(with_room or candidates, state.rng)
+    return None if chosen is None else state.servers.find(chosen.id)
+
+
+def weigh(
+    state: GatewayState, records: list[ServerRecord], now: float
+) -> list[Candidate]:
+    """Return what all hosts together have at each server, and whether it is usable."""
+    others = state.sharing.find_summary(now)
+    healths = [state.find_health(one.id) for one in records]
+    shares = [
+        find_fleet_share(one.id, health, others, now)
+        for one, health in zip(records, healths, strict=True)
+    ]
+    median = find_median(
+        health.failure_share if share is None else share
+        for share, health in zip(shares, healths, strict=True)
+    )
+    candidates = []
+    for record, health, share in zip(records, healths, shares, strict=True):
+        requests, tokens = others.work.get(record.id, (0, 0))
+        requests += state.work.requests.get(record.id, 0)
+        tokens += state.work.tokens.get(record.id, 0)
+        candidates.append(
+            Candidate(
+                id=record.id,
+                failure_domain=record.failure_domain,
+                load=requests + tokens / PROMPT_TOKENS_PER_REQUEST,
+                slots=record.slots,
+                is_usable=health.is_usable(now, share, median),
+            )
+        )
+    return candidates
+
+
+def find_fleet_share(
+    server: BackendServerId, health: ServerHealth, others: Summary, now: float
+) -> float | None:
+    """Return the share of all hosts' recent attempts at a server that failed."""
+    attempts, failures = others.outcomes.get(server, (0.0, 0.0))
+    own_attempts, own_failures = health.recent.read(now)
+    return find_failure_share(attempts + own_attempts, failures + own_failures)
--- a/dewridge/platform/headers.py
+++ b/dewridge/platform/headers.py
@@ -7,6 +7,7 @@
 from dewridge.http1.headers import drop_hop_headers
 from dewridge.ids import BackendServerId, ClientAccount
 from dewridge.platform import names
+from dewridge.platform.engines import MemoryCopy
 
 STATUS_MISDIRECTED = 421
 SINGLE = (names.REQUEST_ID, names.ACCOUNT_KEY, names.DEADLINE, b"host")
@@ -96,6 +97,7 @@
         account: whose request it is; None on an anonymous route.
         priority: urgency from 0 to 9, 0 first; None for the server's own default.
         last_event: event after which to go on; None for a whole answer.
+        memory: memory of the stopped run to go on from; None for a new run.
     """
 
     server: BackendServerId
@@ -103,6 +105,7 @@
     account: ClientAccount | None
     priority: int | None
     last_event: int | None
+    memory: MemoryCopy | None = None
 
 
 def make_dispatch_headers(request: CallerRequest, dispatch: Dispatch) -> Headers:
@@ -122,6 +125,9 @@
         headers.append((names.PRIORITY, str(dispatch.priority).encode()))
     if dispatch.last_event is not None:
         headers.append((names.LAST_EVENT, str(dispatch.last_event).encode()))
+    if dispatch.memory is not None:
+        value = f"{dispatch.memory.source}/{dispatch.memory.handle}"
+        headers.append((names.MEMORY_COPY, value.encode()))
     if request.body or request.method in {b"POST", b"PUT", b"PATCH"}:
         headers.append((b"content-length", str(len(request.body)).encode()))
     return headers
--- a/dewridge/platform/store.py
+++ b/dewridge/platform/store.py
@@ -118,13 +118,22 @@
             return None
         return _decode(answer, Item)
 
-    async def list_items(self, prefix: str) -> Listing | Failure:
-        """Read all keys under a prefix, page by page."""
+    async def list_items(
+        self, prefix: str, *, may_lag: bool = False
+    ) -> Listing | Failure:
+        """Read all keys under a prefix, page by page.
+
+        Args:
+            prefix: what the keys begin with.
+            may_lag: whether what is seconds old will do; costs a tenth of a call.
+        """
         items: list[Item] = []
         revision = None
         after = ""
         while True:
             fields = {"path_prefix": prefix}
+            if may_lag:
+                fields["stale_ok"] = "1"
             if after:
                 fields["after"] = after
             path = "/-/kv-range?" + urlencode(fields)
--- a/dewridge/policy/scaling.py
+++ b/dewridge/policy/scaling.py
@@ -19,6 +19,13 @@
 worth. Without that one the rest keeps to the targets, and a wave often ends before a
 replacement has started; after a second one a third and fourth often follow, and
 servers ordered then come too late."""
+START_SHARE = 0.8
+"""Part of the servers found at the start that are kept until the demand is known. They
+are what operators held to be needed; with a fifth less the targets still hold, since
+they plan for waves."""
+DEMAND_KNOWN_AFTER = 12.0
+"""Seconds of work after which the measured demand counts alone: the span of the rate,
+and half a span for traffic that has just begun to rise."""
 SHRINK_STEP = 3
 """Servers that must be too many before any are given up: a server given up ends what
 it runs, and is ordered again with the next wave."""
@@ -52,11 +59,27 @@
     return math.ceil(rate / TOKENS_PER_SERVER)
 
 
+def find_start_total(found: int, working_for: float) -> int:
+    """Return how many servers to want at least while the demand is not known.
+
+    Made for a start: the servers found there were sized for the traffic that is about
+    to come. Given up before it, most of them had to be ordered again, and callers got
+    half of their answers in time for the first twenty seconds.
+
+    Args:
+        found: servers of all kinds that were there at the start.
+        working_for: seconds since the first request; 0 before it.
+    """
+    if working_for > DEMAND_KNOWN_AFTER:
+        return 0
+    return math.ceil(START_SHARE * found)
+
+
 def find_total(needed: int, before: int, domains: int) -> int:
     """Return how many reclaimable servers to want over all failure domains.
 
     Args:
-        needed: servers that the demand needs.
+        needed: servers that the demand, or the start, needs.
         before: what was wanted before; 0 at the start.
         domains: failure domains.
     """
--- a/dewridge/tests/gateway/memorystore.py
+++ b/dewridge/tests/gateway/memorystore.py
@@ -20,6 +20,12 @@
     revision: int = 10
     next_lease: int = 1
     changes: list[Item] = field(default_factory=list)
+    changed: trio.Event = field(default_factory=trio.Event)
+
+    def tell(self) -> None:
+        """Wake the watches."""
+        changed, self.changed = self.changed, trio.Event()
+        changed.set()
 
 
 class MemoryStore(Store):
@@ -27,16 +33,25 @@
 
     Attributes:
         data: what the store holds.
-        is_down: whether calls fail without an answer.
         loses_answers: whether changes are carried out and not answered.
     """
 
     def __init__(self, data: StoreData | None = None) -> None:
         self.data = data or StoreData()
-        self.is_down = False
+        self._is_down = False
         self.loses_answers = False
         self.calls = 0
 
+    @property
+    def is_down(self) -> bool:
+        """Whether calls fail without an answer."""
+        return self._is_down
+
+    @is_down.setter
+    def is_down(self, is_down: bool) -> None:
+        self._is_down = is_down
+        self.data.tell()
+
     def write(self, key: str, value: bytes, lease: int = 0) -> int:
         """Write as the operator or a server does."""
         data = self.data
@@ -45,6 +60,7 @@
         created = known.created_revision if known else data.revision
         data.items[key] = Item(key, value, data.revision, created, lease)
         data.changes.append(data.items[key])
+        data.tell()
         return data.revision
 
     def remove(self, key: str) -> None:
@@ -53,6 +69,7 @@
         if data.items.pop(key, None) is not None:
             data.revision += 1
             data.changes.append(Item(key, revision=data.revision, removed=True))
+            data.tell()
 
     def expire(self) -> None:
         """End the leases that are over, with their keys."""
@@ -72,7 +89,9 @@
         """Read a key."""
         return self.data.items.get(key) if await self._enter() else DOWN
 
-    async def list_items(self, prefix: str) -> Listing | Failure:
+    async def list_items(
+        self, prefix: str, *, may_lag: bool = False
+    ) -> Listing | Failure:
         """Read all keys under a prefix."""
         if not await self._enter():
             return DOWN
@@ -93,7 +112,7 @@
                 )
                 if news or self.is_down:
                     break
-                await trio.sleep(0.01)
+                await self.data.changed.wait()
         return DOWN if self.is_down else Listing(news, self.data.revision)
 
     async def change(
--- a/dewridge/tests/gateway/state_tests.py
+++ b/dewridge/tests/gateway/state_tests.py
@@ -7,12 +7,12 @@
 import trio
 import trio.testing
 
-from dewridge.gateway import clock, configuration, hosts
+from dewridge.gateway import clock, configuration, hosts, watching
 from dewridge.gateway.configuration import ConfigurationState
 from dewridge.gateway.model import ServerRecord
 from dewridge.gateway.servers import ServerTable
 from dewridge.gateway.state import WorkInFlight
-from dewridge.gateway.watching import StoreWatcher
+from dewridge.gateway.watching import Part, StoreWatcher
 from dewridge.ids import BackendServerId, HostId
 from dewridge.tests.gateway.memorystore import MemoryStore
 from dewridge.tests.gateway.world import DOMAIN, PLAIN, make_configuration
@@ -85,6 +85,23 @@
     assert list_names(table) == ["s-2"]
 
 
+def test_a_list_that_lags_drops_no_server() -> None:
+    """A cheap read is seconds old and misses a server that has just started.
+
+    Dropped for it, the server would never get work again. One that stays missing is
+    looked for in a current list, since this host may have missed that it left.
+    """
+    table = ServerTable()
+    table.replace([make_record("s-1"), make_record("s-2")], 0.0)
+    assert not table.add([make_record("s-1")], 1.0)
+    assert not table.add([make_record("s-1"), make_record("s-2")], 2.0)
+    assert not table.add([make_record("s-1"), make_record("s-3")], 3.0)
+    assert list_names(table) == ["s-1", "s-2", "s-3"]
+    assert table.add([make_record("s-1"), make_record("s-3")], 6.5)
+    table.replace([make_record("s-1"), make_record("s-3")], 6.6)
+    assert list_names(table) == ["s-1", "s-3"]
+
+
 def test_a_server_that_leaves_during_an_outage_is_dropped() -> None:
     table = ServerTable()
     table.replace([make_record("s-1")], 0.0)
@@ -107,7 +124,7 @@
 class Watching:
     """A watcher with stores that a test can break one by one."""
 
-    def __init__(self) -> None:
+    def __init__(self, part: Part = Part.ALL) -> None:
         self.store = MemoryStore()
         self.watch_store = MemoryStore(self.store.data)
         self.configuration = ConfigurationState(trusted_for=4.0)
@@ -119,6 +136,7 @@
             self.servers,
             lambda: 7,
             2000.0,
+            lambda: part,
         )
 
     def start(self, nursery: trio.Nursery) -> None:
@@ -132,17 +150,17 @@
 async def test_changes_are_in_force_at_once_by_watches(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
-    watching = Watching()
-    write_configuration(watching.store, 1)
-    write_server(watching.store, "s-1")
+    host = Watching()
+    write_configuration(host.store, 1)
+    write_server(host.store, "s-1")
     async with trio.open_nursery() as nursery:
-        watching.start(nursery)
+        host.start(nursery)
         await trio.sleep(1.0)
-        write_configuration(watching.store, 2)
-        write_server(watching.store, "s-1", "draining")
+        write_configuration(host.store, 2)
+        write_server(host.store, "s-1", "draining")
         await trio.sleep(0.1)
-        assert watching.configuration.version == 2
-        assert list_names(watching.servers) == []
+        assert host.configuration.version == 2
+        assert list_names(host.servers) == []
         nursery.cancel_scope.cancel()
 
 
@@ -154,33 +172,33 @@
     Nothing tells the host of a change or of a server that drains, and it has two
     seconds to know.
     """
-    watching = Watching()
-    write_configuration(watching.store, 1)
-    write_server(watching.store, "s-1")
+    host = Watching()
+    write_configuration(host.store, 1)
+    write_server(host.store, "s-1")
     async with trio.open_nursery() as nursery:
-        watching.start(nursery)
+        host.start(nursery)
         await trio.sleep(1.0)
-        watching.watch_store.data = MemoryStore().data
-        write_configuration(watching.store, 2)
-        write_server(watching.store, "s-1", "draining")
+        host.watch_store.data = MemoryStore().data
+        write_configuration(host.store, 2)
+        write_server(host.store, "s-1", "draining")
         await trio.sleep(1.9)
-        assert watching.configuration.version == 2
-        assert list_names(watching.servers) == []
+        assert host.configuration.version == 2
+        assert list_names(host.servers) == []
         nursery.cancel_scope.cancel()
 
 
 async def test_another_hosts_news_is_looked_up_at_once(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
-    watching = Watching()
-    write_configuration(watching.store, 1)
+    host = Watching()
+    write_configuration(host.store, 1)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(watching.watcher.poll_configuration)
+        nursery.start_soon(host.watcher.poll_configuration)
         await trio.sleep(0.5)
-        write_configuration(watching.store, 2)
-        watching.watcher.note_version(2)
+        write_configuration(host.store, 2)
+        host.watcher.note_version(2)
         await trio.sleep(0.05)
-        assert watching.configuration.version == 2
+        assert host.configuration.version == 2
         nursery.cancel_scope.cancel()
 
 
@@ -188,23 +206,86 @@
     autojump_clock: trio.testing.MockClock,
 ) -> None:
     """The store is down for long. Servers stay known, the configuration is not sure."""
-    watching = Watching()
-    write_configuration(watching.store, 1)
-    write_server(watching.store, "s-1")
+    host = Watching()
+    write_configuration(host.store, 1)
+    write_server(host.store, "s-1")
     async with trio.open_nursery() as nursery:
-        watching.start(nursery)
+        host.start(nursery)
         await trio.sleep(1.0)
-        watching.store.is_down = watching.watch_store.is_down = True
-        confirmed_at = watching.configuration.confirmed_at
+        host.store.is_down = host.watch_store.is_down = True
+        confirmed_at = host.configuration.confirmed_at
         await trio.sleep(6.0)
-        assert watching.configuration.confirmed_at <= confirmed_at + 1.0
-        assert list_names(watching.servers) == ["s-1"]
-        watching.store.is_down = watching.watch_store.is_down = False
-        watching.store.remove("servers/s-1")
+        assert host.configuration.confirmed_at <= confirmed_at + 1.0
+        assert list_names(host.servers) == ["s-1"]
+        host.store.is_down = host.watch_store.is_down = False
+        host.store.remove("servers/s-1")
         await trio.sleep(0.5)
-        assert list_names(watching.servers) == ["s-1"]
+        assert list_names(host.servers) == ["s-1"]
         await trio.sleep(4.0)
-        assert list_names(watching.servers) == []
+        assert list_names(host.servers) == []
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_listener_of_a_large_fleet_confirms_by_quiet_watches(
+    autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Eighty hosts that poll as few do would cost more than their requests are worth.
+
+    One watch in three seconds has to do, without keys being refused in between.
+    """
+    monkeypatch.setattr(configuration, "read_boot_clock", trio.current_time)
+    monkeypatch.setattr(watching, "read_boot_clock", trio.current_time)
+    host = Watching(Part.LISTENER)
+    write_configuration(host.store, 1)
+    write_server(host.store, "s-1")
+    async with trio.open_nursery() as nursery:
+        host.start(nursery)
+        await trio.sleep(2.0)
+        began = host.store.calls + host.watch_store.calls
+        for _ in range(300):
+            await trio.sleep(0.1)
+            assert host.configuration.is_trusted
+        assert host.store.calls + host.watch_store.calls - began <= 30
+        write_configuration(host.store, 2)
+        await trio.sleep(0.1)
+        assert host.configuration.version == 2
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_frozen_host_does_not_take_a_quiet_watch_for_new(
+    autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A host is frozen while the answer of a watch waits for it to be read.
+
+    A key was taken away meanwhile. Believed as of its reading, the answer would let
+    the key work for seconds more.
+    """
+    now = 100.0
+    monkeypatch.setattr(configuration, "read_boot_clock", lambda: now)
+    monkeypatch.setattr(watching, "read_boot_clock", lambda: now)
+    host = Watching(Part.LISTENER)
+    host.configuration.apply(make_configuration())
+    now = 109.0
+    host.watcher._confirm(100.0, 3.0)
+    assert not host.configuration.is_trusted
+    host.watcher._confirm(107.0, 3.0)
+    assert host.configuration.confirmed_at == 107.0
+
+
+async def test_a_listener_whose_watch_is_silent_reads_in_time(
+    autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(configuration, "read_boot_clock", trio.current_time)
+    monkeypatch.setattr(watching, "read_boot_clock", trio.current_time)
+    host = Watching(Part.LISTENER)
+    write_configuration(host.store, 1)
+    async with trio.open_nursery() as nursery:
+        host.start(nursery)
+        await trio.sleep(1.0)
+        host.watch_store.is_down = True
+        for _ in range(60):
+            await trio.sleep(0.1)
+            assert host.configuration.is_trusted
         nursery.cancel_scope.cancel()
 
 
@@ -226,13 +307,13 @@
 
 
 async def test_polls_of_a_large_fleet_stay_within_the_stores_rate() -> None:
-    watching = Watching()
+    host = Watching()
     for count in (7, 100, 440):
         watcher = StoreWatcher(
-            watching.store,
-            watching.watch_store,
-            watching.configuration,
-            watching.servers,
+            host.store,
+            host.watch_store,
+            host.configuration,
+            host.servers,
             lambda count=count: count,  # type: ignore[misc]
             2000.0,
         )
--- a/dewridge/tests/policy/servers_tests.py
+++ b/dewridge/tests/policy/servers_tests.py
@@ -9,7 +9,13 @@
 from dewridge.policy.choice import Candidate, choose_by_prefix, choose_least_loaded
 from dewridge.policy.demand import DemandMeter
 from dewridge.policy.retrybudget import RetryBudget
-from dewridge.policy.scaling import DomainBounds, find_needed, find_total, plan_servers
+from dewridge.policy.scaling import (
+    DomainBounds,
+    find_needed,
+    find_start_total,
+    find_total,
+    plan_servers,
+)
 from dewridge.policy.serverhealth import (
     OutcomeMeter,
     ServerHealth,
@@ -233,3 +239,14 @@
     totals = replay_demand(rates)[60:]
     changes = sum(one != next_one for one, next_one in itertools.pairwise(totals))
     assert changes <= 8
+
+
+def test_servers_found_at_the_start_stay_until_the_demand_is_known() -> None:
+    """A fleet starts with 45 servers, sixteen seconds before its callers come.
+
+    Without work the plan was the least of twelve. For the first twenty seconds of
+    traffic callers got half of their answers in time.
+    """
+    assert find_start_total(45, 0.0) == 36
+    assert find_start_total(45, 5.0) == 36
+    assert find_start_total(45, 13.0) == 0
