Plan the start by quotas, send callers away from hosts cut off, cut failed resumes

Ruled out: trusting other hosts' word of the configuration (a frozen host reads old datagrams as new). Change: until the demand is known the plan is for half of all quotas; hosts without an answer of the store for 1.5 s tell so, and callers are not named them; a whole answer after a stream's begin is a loss.

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -94,6 +94,10 @@
         whole = await read_whole(answer)
         if isinstance(whole, Lost):
             return whole
+        if out.has_begun:
+            # A stream goes on here and this server failed it: its caller has the head
+            # of a success already, and only a cut tells it the truth.
+            return Lost(Loss.CUT_OFF, f"status {whole.head.status}", whole.head.status)
         self._count(job)
         if whole.head.status >= 500 and self._may_repeat(job):
             return Lost(Loss.CUT_OFF, f"status {whole.head.status}", whole.head.status)
--- a/dewridge/gateway/directory.py
+++ b/dewridge/gateway/directory.py
@@ -65,20 +65,23 @@
     def list_addresses(self) -> list[str]:
         """Return the addresses of hosts that are ready and heard.
 
-        A registration outlives its host by seconds. Hosts that were heard before and
-        have gone silent are left out sooner; when none is heard at all, this host is
-        the one that is cut off, and the registrations are the better word.
+        A registration outlives its host by seconds, and one that is cut off from the
+        store can't change its own. Hosts that have gone silent are left out sooner,
+        and so are those that say they are not ready. When that leaves none, this host
+        is the one that is cut off, or the store is away from all, and the
+        registrations are the better word.
         """
-        now = trio.current_time()
-        sharing = self._state.sharing
-        ready = [entry for entry in self._state.hosts.list_hosts() if entry.is_ready]
-        heard = [
-            entry
-            for entry in ready
-            if entry.id == self._state.host or not sharing.is_silent(entry.id, now)
+        summary = self._state.sharing.find_summary(trio.current_time())
+        registered = [one for one in self._state.hosts.list_hosts() if one.is_ready]
+        own = [one for one in registered if one.id == self._state.host]
+        if not self._state.is_ready:
+            own = []
+        others = [
+            one
+            for one in registered
+            if one.id in summary.heard and one.id not in summary.unready
         ]
-        others = [entry for entry in heard if entry.id != self._state.host]
-        chosen = heard if others else ready
+        chosen = [*own, *others] if others else registered
         addresses = [entry.frontend for entry in chosen]
         self._state.rng.shuffle(addresses)
         return addresses[:ADDRESS_LIMIT]
--- a/dewridge/gateway/hosts.py
+++ b/dewridge/gateway/hosts.py
@@ -73,6 +73,7 @@
         self.entry = entry
         self.state = LeaseState()
         self._written: HostEntry | None = None
+        self._answered_at = read_boot_clock()
         self._changed = trio.Event()
 
     @property
@@ -84,6 +85,11 @@
         """
         return f"{HOSTS_PREFIX}{self.entry.id}/{self.entry.boot}"
 
+    @property
+    def unanswered_for(self) -> float:
+        """Seconds since the store last answered a grant or a renewal."""
+        return read_boot_clock() - self._answered_at
+
     def set_ready(self, is_ready: bool) -> None:
         """Change whether callers may be sent here."""
         if self.entry.is_ready != is_ready:
@@ -130,6 +136,7 @@
             if self.state.lease is None:
                 log.bind(lease=granted.id, ttl=granted.ttl).info("lease granted")
             self.state.lease = granted
+            self._answered_at = read_boot_clock()
             self.state.valid_until = asked_at + granted.ttl - LEASE_MARGIN
             return True
         if granted.code is ResultCode.KEY_VALUE_LEASE_ENDED:
--- a/dewridge/gateway/reports.py
+++ b/dewridge/gateway/reports.py
@@ -64,6 +64,7 @@
         number: grows with each report.
         cell: the sender's cell.
         members: the hosts of the cell that the sender hears, itself included.
+        unready: those of them to which callers should not be sent.
         totals: sums over the cell, counted since the sender's start.
         began: the cell's usage; only told to the holder of the duties.
         version: configuration in force at the sender; 0 for none.
@@ -75,6 +76,7 @@
     number: int
     cell: CellName
     members: list[HostId]
+    unready: list[HostId]
     totals: Totals
     began: UsageCounts = {}
     version: int = 0
--- a/dewridge/gateway/scaling.py
+++ b/dewridge/gateway/scaling.py
@@ -99,9 +99,13 @@
         before = self._totals.get(service, 0)
         total = find_total(needed, before, len(domains))
         if total != before:
-            log.bind(service=service, total=total, tokens_per_second=round(rate)).info(
-                "servers planned"
-            )
+            log.bind(
+                service=service,
+                total=total,
+                tokens_per_second=round(rate),
+                found_at_start=self._found[service],
+                quotas=round(self._sum_quotas()),
+            ).info("servers planned")
         self._totals[service] = total
         return plan_servers(domains, serving, total, has_work=rate > 0)
 
@@ -125,7 +129,13 @@
         working_for = 0.0
         if rate > 0:
             working_for = now - self._works_since.setdefault(service, now)
-        return find_start_total(self._found[service], working_for)
+        return find_start_total(self._found[service], self._sum_quotas(), working_for)
+
+    def _sum_quotas(self) -> float:
+        configuration = self._state.configuration.current
+        accounts = configuration.accounts.values() if configuration else ()
+        rates = {one.name: one.rate for one in accounts if one.counts_tokens}
+        return sum(rates.values())
 
     def _is_due(self, order: Order, boot_time: float) -> bool:
         place = find_place(order)
--- a/dewridge/gateway/sharing.py
+++ b/dewridge/gateway/sharing.py
@@ -95,11 +95,13 @@
 
     Attributes:
         heard: the hosts that are heard, directly or through their cell.
+        unready: those of them to which callers should not be sent.
         work: requests and prompt tokens in flight at each server.
         outcomes: recent attempts and failures at each server.
     """
 
     heard: frozenset[HostId]
+    unready: frozenset[HostId]
     work: dict[BackendServerId, tuple[float, float]]
     outcomes: dict[BackendServerId, tuple[float, float]]
 
@@ -260,10 +262,13 @@
 
     def _sum_up(self, now: float) -> Summary:
         heard: set[HostId] = set()
+        unready: set[HostId] = set()
         parts: list[Totals] = []
         for host, view in self.peers.items():
             if not self._is_old(view.heard_at, now):
                 heard.add(host)
+                if not view.report.is_ready:
+                    unready.add(host)
                 parts.append(view.report.totals)
         for cell in self.cells.values():
             fresh = [
@@ -273,10 +278,13 @@
             ]
             for source in fresh:
                 heard.update(source.report.members)
+            if fresh:
+                unready.update(cell.newest.unready)
             if fresh:
                 parts.append(cell.newest.totals)
         return Summary(
             heard=frozenset(heard - {self.own}),
+            unready=frozenset(unready),
             work=sum_pairs(part.work for part in parts),
             outcomes=sum_pairs(part.outcomes for part in parts),
         )
@@ -290,6 +298,14 @@
         ]
         return [self.own, *heard]
 
+    def list_unready_mates(self, now: float) -> list[HostId]:
+        """Return the heard hosts of the own cell that are not ready."""
+        return [
+            host
+            for host, view in self.peers.items()
+            if not self._is_old(view.heard_at, now) and not view.report.is_ready
+        ]
+
     def sum_cell(self, own: Totals, now: float) -> Totals:
         """Return the own cell's totals.
 
--- a/dewridge/gateway/sharinglink.py
+++ b/dewridge/gateway/sharinglink.py
@@ -180,12 +180,17 @@
     def _make_cell_report(
         self, cell: CellName, report: Report, totals: Totals, usage: UsageCounts
     ) -> CellReport:
+        now = trio.current_time()
+        unready = self._sharing.list_unready_mates(now)
+        if not report.is_ready:
+            unready.append(report.host)
         return CellReport(
             host=report.host,
             boot=report.boot,
             number=report.number,
             cell=cell,
-            members=self._sharing.list_heard_mates(trio.current_time()),
+            members=self._sharing.list_heard_mates(now),
+            unready=unready,
             totals=totals,
             began=usage,
             version=report.version,
--- a/dewridge/gateway/upkeep.py
+++ b/dewridge/gateway/upkeep.py
@@ -10,6 +10,10 @@
 STARTING_PERIOD = 0.02
 """Seconds between two looks until the host is ready for the first time: after a loss of
 power each tenth of a second is one without any host."""
+UNREADY_AFTER = 1.5
+"""Seconds without an answer of the store after which callers are sent elsewhere: two
+renewals in a row have failed. Waiting until keys are refused would send callers here
+for the seconds that they keep their lists."""
 FORGET_EVERY = 8
 """Periods between two clean-ups."""
 
@@ -32,7 +36,11 @@
 
 def update_readiness(state: GatewayState, registration: Registration) -> None:
     """Count this host as ready while it can judge requests and is to stay."""
-    is_ready = state.configuration.is_trusted and not state.ingress.is_leaving
+    is_ready = (
+        state.configuration.is_trusted
+        and not state.ingress.is_leaving
+        and registration.unanswered_for < UNREADY_AFTER
+    )
     state.is_ready = is_ready
     registration.set_ready(is_ready)
 
--- a/dewridge/policy/scaling.py
+++ b/dewridge/policy/scaling.py
@@ -19,10 +19,11 @@
 worth. Without that one the rest keeps to the targets, and a wave often ends before a
 replacement has started; after a second one a third and fourth often follow, and
 servers ordered then come too late."""
+QUOTA_SHARE = 0.5
+"""Part of all accounts' quotas that counts as demand until it is known: quotas leave
+an account about twice its usual, and not all use it at once."""
 START_SHARE = 0.8
-"""Part of the servers found at the start that are kept until the demand is known. They
-are what operators held to be needed; with a fifth less the targets still hold, since
-they plan for waves."""
+"""Part of the servers found at the start that are kept if accounts have no quotas."""
 DEMAND_KNOWN_AFTER = 12.0
 """Seconds of work after which the measured demand counts alone: the span of the rate,
 and half a span for traffic that has just begun to rise."""
@@ -59,19 +60,22 @@
     return math.ceil(rate / TOKENS_PER_SERVER)
 
 
-def find_start_total(found: int, working_for: float) -> int:
+def find_start_total(found: int, quotas: float, working_for: float) -> int:
     """Return how many servers to want at least while the demand is not known.
 
-    Made for a start: the servers found there were sized for the traffic that is about
-    to come. Given up before it, most of them had to be ordered again, and callers got
-    half of their answers in time for the first twenty seconds.
+    Made for a start, and for a restart of all hosts: a rate is measured over eight
+    seconds, and a server takes four to start. Planned from the first requests on,
+    callers got half of their answers in time for the first twenty seconds.
 
     Args:
         found: servers of all kinds that were there at the start.
+        quotas: tokens a second that all accounts together may use; 0 for no limit.
         working_for: seconds since the first request; 0 before it.
     """
     if working_for > DEMAND_KNOWN_AFTER:
         return 0
+    if quotas > 0:
+        return find_needed(QUOTA_SHARE * quotas)
     return math.ceil(START_SHARE * found)
 
 
--- a/dewridge/tests/gateway/answers_tests.py
+++ b/dewridge/tests/gateway/answers_tests.py
@@ -384,3 +384,34 @@
                 await stream.send_all(make_request("/read/a", request_id=f"r-{number}"))
                 answer = await read_answer(stream)
                 assert answer.status == 200
+
+
+async def test_a_failure_does_not_follow_a_stream_that_has_begun() -> None:
+    """A stream is cut, and the server that should go on answers with a failure.
+
+    Its caller has the head of a success. A second head would be read as events.
+    """
+    began: list[bytes] = []
+
+    async def cut_or_fail(exchange: ServerExchange) -> None:
+        began.append(exchange.headers.get(b"last-event-id", b""))
+        if len(began) > 1:
+            await exchange.answer(b"out of order", 500)
+            return
+        await exchange.begin_stream()
+        await exchange.send_events(1, 2)
+        exchange.reset()
+
+    async with open_world() as world:
+        world.state.find_budget(ENGINE).slack = 100
+        for name in ("s-1", "s-2"):
+            await world.add_server(name, cut_or_fail, ENGINE)
+        answer = await world.ask("/chat/a")
+        failed = world.state.metrics.read(
+            "requests_total", kind="stream", outcome="cut", code="OUTCOME_UNKNOWN"
+        )
+    assert began == [b"", b"2"]
+    assert answer.status == 200
+    assert not answer.is_whole
+    assert answer.body == make_event(1) + make_event(2)
+    assert failed == 1
--- a/dewridge/tests/gateway/sharing_tests.py
+++ b/dewridge/tests/gateway/sharing_tests.py
@@ -102,6 +102,7 @@
         number=number,
         cell=FAR,
         members=[TELLER, OTHER_TELLER],
+        unready=[OTHER_TELLER],
         totals=Totals(used={ACCOUNT: used}, work={SERVER: (work, work * 100)}),
         began={7: {ACCOUNT: number}},
     )
@@ -153,6 +154,7 @@
     assert listener.sharing.is_silent(OTHER_TELLER, 1.0)
     listener.sharing.note(make_cell_report(TELLER, 1, 10), 1.0)
     assert not listener.sharing.is_silent(OTHER_TELLER, 1.1)
+    assert listener.sharing.find_summary(1.1).unready == {OTHER_TELLER}
     assert listener.sharing.is_silent(OTHER_TELLER, 3.0)
 
 
