Confirm the configuration by peers' reports that answer own ones

Change: reports name the last one heard of each host of the cell; a report that answers one of this host's own is dated by the sending of that one.

--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -14,6 +14,7 @@
 from dewridge.gateway.configuration import ConfigurationState
 from dewridge.gateway.directory import Directory
 from dewridge.gateway.duties import Tenancy, find_holder
+from dewridge.gateway.echoes import Echoes
 from dewridge.gateway.hosts import HostEntry, HostTable, HostWatcher, Registration
 from dewridge.gateway.ingress import IngressState, Serve, handle_caller
 from dewridge.gateway.leaving import leave
@@ -105,6 +106,8 @@
             FailureDomain(settings.host.failure_domain),
             self._state.make_report,
             partial(find_holder, self._state.hosts),
+            Echoes(self._state.host, self._state.boot),
+            self._state.configuration.confirm_by_peer,
         )
         self._listeners: list[tuple[trio.SocketListener, Serve]] = []
 
--- a/dewridge/gateway/configuration.py
+++ b/dewridge/gateway/configuration.py
@@ -44,6 +44,11 @@
         """Note that the store, asked at that time, had nothing newer."""
         self.confirmed_at = max(self.confirmed_at, asked_at)
 
+    def confirm_by_peer(self, version: int, at: float) -> None:
+        """Note that another host's version was surely the newest at that time."""
+        if 0 < version <= self.version:
+            self.confirm(at)
+
     @property
     def version(self) -> int:
         """The version in force; 0 for none."""
--- a/dewridge/gateway/reports.py
+++ b/dewridge/gateway/reports.py
@@ -42,6 +42,8 @@
         version: configuration in force there; 0 for none.
         left: servers that left lately, with the seconds until each stops serving; none
             of them comes back under that name.
+        confirmed_age: seconds since that version was surely the newest.
+        heard: start and number of the last report that the sender heard of each host.
     """
 
     host: HostId
@@ -53,6 +55,8 @@
     began: UsageCounts = {}
     version: int = 0
     left: dict[BackendServerId, float] = {}
+    confirmed_age: float = float("inf")
+    heard: dict[HostId, tuple[int, int]] = {}
 
 
 class CellReport(msgspec.Struct, frozen=True, array_like=True, tag="cell"):
--- a/dewridge/gateway/sharing.py
+++ b/dewridge/gateway/sharing.py
@@ -298,6 +298,13 @@
         ]
         return [self.own, *heard]
 
+    def list_heard_numbers(self) -> dict[HostId, tuple[int, int]]:
+        """Return start and number of the last report of each host of the cell."""
+        return {
+            host: (view.report.boot, view.report.number)
+            for host, view in self.peers.items()
+        }
+
     def list_unready_mates(self, now: float) -> list[HostId]:
         """Return the heard hosts of the own cell that are not ready."""
         return [
--- a/dewridge/gateway/sharinglink.py
+++ b/dewridge/gateway/sharinglink.py
@@ -8,6 +8,8 @@
 import trio
 from loguru import logger as log
 
+from dewridge.gateway.clock import read_boot_clock
+from dewridge.gateway.echoes import Echoes
 from dewridge.gateway.hosts import HostEntry, HostTable
 from dewridge.gateway.reports import CellReport, News, Report, Totals, UsageCounts
 from dewridge.gateway.sharing import (
@@ -100,6 +102,8 @@
         own_domain: FailureDomain,
         make_report: Callable[[int], Report],
         find_holder: Callable[[], HostId | None],
+        echoes: Echoes,
+        on_confirmed: Callable[[int, float], None],
     ) -> None:
         self._address = address
         self._port = port
@@ -108,6 +112,8 @@
         self._own_domain = own_domain
         self._make_report = make_report
         self._find_holder = find_holder
+        self._echoes = echoes
+        self._on_confirmed = on_confirmed
         self._socket = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
         self._number = 0
         self._urgent = trio.Event()
@@ -134,6 +140,10 @@
             log.bind(reason=str(error)).warning("report can't be read")
             return
         self._sharing.note(news, trio.current_time())
+        if isinstance(news, Report):
+            confirmed_at = self._echoes.find_confirmation(news)
+            if confirmed_at is not None:
+                self._on_confirmed(news.version, confirmed_at)
 
     def tell_now(self) -> None:
         """Begin the next round at once.
@@ -165,6 +175,7 @@
         pace = CELL_REPORTS_PER_SECOND if sharing.has_cells else REPORTS_PER_SECOND
         sharing.period = max(LEAST_PERIOD, plan.messages / pace)
         report = self._make_report(self._number)
+        self._echoes.note_sent(self._number, read_boot_clock())
         await self._send_all(plan.mates, encoder.encode(report))
         if not plan.receivers and plan.holder is None:
             return
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -148,6 +148,8 @@
             began={at: dict(self.began[at]) for at in recent if at in self.began},
             version=self.configuration.version,
             left=self.servers.list_just_left(now),
+            confirmed_age=self.configuration.age,
+            heard=self.sharing.list_heard_numbers(),
         )
 
     def _make_totals(self, now: float) -> Totals:
--- a/dewridge/tests/gateway/sharing_tests.py
+++ b/dewridge/tests/gateway/sharing_tests.py
@@ -1,9 +1,14 @@
 """Reports between hosts: lost, late, repeated, and after a silence."""
 
+import msgspec
+
+from dewridge.gateway.configuration import ConfigurationState
+from dewridge.gateway.echoes import Echoes
 from dewridge.gateway.reports import CellReport, Report, Totals
 from dewridge.gateway.sharing import Sharing
 from dewridge.ids import BackendServerId, ClientAccount, HostId, ServiceName
 from dewridge.policy.cells import CellName
+from dewridge.tests.gateway.world import make_configuration
 
 OWN = HostId("host-1")
 PEER = HostId("host-2")
@@ -177,3 +182,30 @@
     told = listener.sharing.sum_cell(own, 1.1)
     assert told.used == {ACCOUNT: 15}
     assert told.work == {SERVER: (3, 300)}
+
+
+def test_a_confirmation_is_dated_by_what_it_answers() -> None:
+    """A host is frozen for nine seconds with a peer's report in its socket.
+
+    The report says that the configuration was confirmed half a second before. Dated by
+    its reading, a key that was taken away meanwhile would work again.
+    """
+    echoes = Echoes(OWN, boot=5)
+    echoes.note_sent(8, at=99.0)
+    echoes.note_sent(9, at=100.0)
+    report = msgspec.structs.replace(make_report(1, 0), confirmed_age=0.5)
+    answered = msgspec.structs.replace(report, heard={OWN: (5, 9)})
+    assert echoes.find_confirmation(answered) == 99.5
+    assert echoes.find_confirmation(report) is None
+    earlier_start = msgspec.structs.replace(report, heard={OWN: (4, 9)})
+    assert echoes.find_confirmation(earlier_start) is None
+
+
+def test_a_peer_with_an_older_version_confirms_too_a_newer_one_does_not() -> None:
+    state = ConfigurationState(trusted_for=4.0)
+    state.apply(make_configuration(7))
+    state.confirm_by_peer(8, 50.0)
+    assert state.confirmed_at == float("-inf")
+    state.confirm_by_peer(6, 50.0)
+    state.confirm_by_peer(7, 49.0)
+    assert state.confirmed_at == 50.0
