--- a/dewridge/gateway/usage.py
+++ b/dewridge/gateway/usage.py
@@ -80,9 +80,13 @@
         outcome = await self._cloud.report_usage(tenure, window, counts)
         if outcome is CallOutcome.ACCEPTED:
             self._done.add(window)
-        log.bind(window=window, outcome=outcome.name, total=sum(counts.values())).info(
-            "usage reported"
-        )
+        log.bind(
+            window=window,
+            outcome=outcome.name,
+            total=sum(counts.values()),
+            told=sum(self._sum_counts(window).values()),
+            starts=len(self._state.sharing.began.get(window, {})) + 1,
+        ).info("usage reported")
 
     async def _fix_counts(self, window: int) -> Counts | None:
         """Return the counts of a window as all holders will report them.
--- a/dewridge/tests/soak/runs.py
+++ b/dewridge/tests/soak/runs.py
@@ -39,6 +39,8 @@
     broken: list[str]
     faults: list[str] = field(default_factory=list)
     outcomes: dict[str, int] = field(default_factory=dict)
+    stalls: list[float] = field(default_factory=list)
+    """Seconds of each stall of the soak's own process."""
 
     def format_line(self) -> str:
         """Return the line that a run prints."""
@@ -48,6 +50,7 @@
                 "seed": self.seed,
                 "promises": verdict,
                 "outcomes": self.outcomes,
+                "own_stalls": self.stalls,
                 "faults": self.faults,
                 "broken": self.broken[:10],
             }
@@ -83,6 +86,7 @@
         broken=check_all(history, QUOTAS),
         faults=[f"{one.at:.1f} {one.name} {one.seconds:.1f}" for one in faults],
         outcomes=count_outcomes(history),
+        stalls=stage.stalls,
     )
 
 
--- a/dewridge/tests/soak/stage.py
+++ b/dewridge/tests/soak/stage.py
@@ -22,6 +22,13 @@
 """Seconds until an ended process is started again."""
 RECORD_PERIOD = 1.2
 """Seconds between two writes of a server's record."""
+RECOVERY_OF_CALLS = 1.0
+"""Seconds after a stall in which calls that timed out are made again."""
+PACE_PERIOD = 0.1
+"""Seconds between two looks at whether this process itself keeps pace."""
+STALL = 0.5
+"""Seconds by which a look may be late; the store's stand-in runs in this process, and
+later than that its callers give their calls up."""
 LEAVING_SECONDS = 3.0
 """Seconds that a leaving server still serves."""
 RATE = 3_000.0
@@ -68,6 +75,7 @@
     servers: list[SoakServer] = field(default_factory=list)
     keys: dict[str, list[str]] = field(default_factory=dict)
     version: int = 0
+    stalls: list[float] = field(default_factory=list)
     _started: int = 0
 
     async def open(self, hosts: int, servers: int) -> None:
@@ -82,6 +90,7 @@
         for number in range(servers):
             await self.add_server("engine" if number % 2 else "plain")
         self.nursery.start_soon(self._keep_records)
+        self.nursery.start_soon(self._watch_pace)
         for number in range(hosts):
             await self._open_gateway(f"host-{number}", cloud.address)
         for gateway in self.gateways:
@@ -209,6 +218,23 @@
                 if f"servers/{server.id}" not in self.store.store.data.items:
                     server.write_record(self.store.store)
 
+    async def _watch_pace(self) -> None:
+        """Record stalls of this process: all its stand-ins are away meanwhile.
+
+        On a busy machine the whole soak can stand still for seconds. All gateways then
+        lose the store at the same moment, without a fault that was drawn.
+        """
+        while True:
+            begin = time.monotonic()
+            await trio.sleep(PACE_PERIOD)
+            late = time.monotonic() - begin - PACE_PERIOD
+            if late > STALL:
+                self.history.disturbances.append(
+                    Disturbance("", begin, time.monotonic() + RECOVERY_OF_CALLS)
+                )
+                self.history.final_fault_end = time.monotonic()
+                self.stalls.append(round(late, 2))
+
     def list_servers(self, mood: Mood = Mood.GOOD) -> list[SoakServer]:
         """Return the servers in a mood that don't leave."""
         return [one for one in self.servers if one.mood is mood and not one.is_draining]
