Pass urgent news on by cells

Change: who learned it from the store tells its round, who learned it of another cell its own cell, the others nobody: about a hundred messages.

--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -23,12 +23,12 @@
 from dewridge.gateway.operations import Operations
 from dewridge.gateway.pool import ConnectionPool
 from dewridge.gateway.reloading import Load, SettingsFile, find_trusted_time
-from dewridge.gateway.reports import News
+from dewridge.gateway.reports import CellReport, News
 from dewridge.gateway.scaling import ScalingDuty
 from dewridge.gateway.servers import ServerTable
 from dewridge.gateway.serving import Serving
 from dewridge.gateway.sharing import Sharing
-from dewridge.gateway.sharinglink import SharingLink
+from dewridge.gateway.sharinglink import Audience, SharingLink
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.upkeep import keep_up
 from dewridge.gateway.usage import UsageDuty
@@ -204,7 +204,7 @@
         )
         state.sharing.on_demand = state.note_demand
         state.servers.on_left = partial(note_left, state, self._link)
-        state.sharing.on_news = partial(take_news, state, watcher)
+        state.sharing.on_news = partial(take_news, state, watcher, self._link)
         hosts = HostWatcher(
             self._store,
             self._watch_store,
@@ -243,20 +243,36 @@
         ]
 
 
-def take_news(state: GatewayState, watcher: StoreWatcher, news: News) -> None:
+def take_news(
+    state: GatewayState, watcher: StoreWatcher, link: SharingLink, news: News
+) -> None:
     """Take over what another host knows of the configuration and of servers."""
     watcher.note_version(news.version)
+    before = state.servers.version
     now = trio.current_time()
     for server, leaves_in in news.left.items():
-        state.servers.drop(server, now, f"{news.host} told", leaves_in)
+        reason = f"{news.host} told"
+        state.servers.drop(server, now, reason, leaves_in, is_told=True)
+    if isinstance(news, CellReport) and state.servers.version != before:
+        link.tell_now(Audience.MATES)
 
 
 def note_left(
-    state: GatewayState, link: SharingLink, record: ServerRecord, gone_at: float
+    state: GatewayState,
+    link: SharingLink,
+    record: ServerRecord,
+    gone_at: float,
+    is_told: bool,
 ) -> None:
-    """Move what runs on a server that leaves, and tell the other hosts at once."""
+    """Move what runs on a server that leaves, and tell the other hosts at once.
+
+    Who learned it from the store tells all that it tells in a round, who learned it of
+    another cell its own cell, and who learned it there nobody: a hundred messages at 85
+    hosts. With a round from each of them it was fifteen times as many.
+    """
     state.streams.note_leaving(record.id, gone_at)
-    link.tell_now()
+    if not is_told:
+        link.tell_now(Audience.ALL)
 
 
 async def open_listener(address: str) -> trio.SocketListener:
--- a/dewridge/gateway/servers.py
+++ b/dewridge/gateway/servers.py
@@ -41,11 +41,12 @@
     """The servers that may be sent work, by start.
 
     Attributes:
-        on_left: told of each start that leaves, and when it is gone.
+        on_left: told of each start that leaves, when it is gone, and whether another
+            host told this one.
     """
 
     def __init__(self) -> None:
-        self.on_left: Callable[[ServerRecord, float], None] = lambda *_: None
+        self.on_left: Callable[[ServerRecord, float, bool], None] = lambda *_: None
         self._records: dict[BackendServerId, ServerRecord] = {}
         self._left: dict[BackendServerId, Leaving] = {}
         self._missing_since: dict[BackendServerId, float] = {}
@@ -108,6 +109,8 @@
         now: float,
         reason: str,
         leaves_in: float | None = None,
+        *,
+        is_told: bool = False,
     ) -> None:
         """Send nothing more to a start of a server, whatever is read later.
 
@@ -116,6 +119,7 @@
             now: steady time.
             reason: for the log.
             leaves_in: seconds until it stops serving; None if unknown.
+            is_told: whether another host told this one.
         """
         if server in self._left:
             return
@@ -127,7 +131,7 @@
                 "server left"
             )
             self.version += 1
-            self.on_left(record, leaving.gone_at)
+            self.on_left(record, leaving.gone_at, is_told)
         if len(self._left) > 1000:
             self._forget(now)
 
--- a/dewridge/gateway/sharinglink.py
+++ b/dewridge/gateway/sharinglink.py
@@ -3,6 +3,7 @@
 import errno
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 import msgspec
 import trio
@@ -41,6 +42,13 @@
 """Words on usage that the holder of the duties takes a second, about 1% of a core."""
 
 
+class Audience(Enum):
+    """Whom urgent news goes to."""
+
+    ALL = "all of a round"
+    MATES = "the own cell"
+
+
 @dataclass(frozen=True, slots=True)
 class Round:
     """Whom a round of messages goes to.
@@ -122,6 +130,7 @@
         self._socket = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
         self._number = 0
         self._urgent = trio.Event()
+        self._urgent_to: Audience | None = None
         self._told_usage_at = float("-inf")
 
     async def bind(self) -> None:
@@ -154,26 +163,35 @@
             if confirmed_at is not None:
                 self._on_confirmed(news.version, confirmed_at)
 
-    def tell_now(self) -> None:
-        """Begin the next round at once.
+    def tell_now(self, audience: Audience) -> None:
+        """Tell urgent news at once.
 
         A reclaimed server is gone a second after its notice. With the news of it in
         the usual rounds its streams could not be moved in time.
         """
+        if self._urgent_to is not Audience.ALL:
+            self._urgent_to = audience
         self._urgent.set()
 
     async def send(self) -> None:
         """Tell the others for ever."""
         encoder = msgspec.msgpack.Encoder()
+        next_at = trio.current_time()
         while True:
-            self._number += 1
+            audience = self._urgent_to or Audience.ALL
+            self._urgent_to = None
             self._urgent = trio.Event()
-            await self._send_round(encoder)
-            with trio.move_on_after(self._sharing.period):
+            self._number += 1
+            await self._send_round(encoder, audience)
+            if audience is Audience.ALL:
+                next_at = trio.current_time() + self._sharing.period
+            with trio.move_on_at(next_at):
                 await self._urgent.wait()
                 await trio.sleep(GATHER_TIME)
 
-    async def _send_round(self, encoder: msgspec.msgpack.Encoder) -> None:
+    async def _send_round(
+        self, encoder: msgspec.msgpack.Encoder, audience: Audience
+    ) -> None:
         entries = {entry.id: entry for entry in self._table.list_hosts()}
         sharing = self._sharing
         plan = plan_round(entries, sharing.own, self._own_domain, self._number)
@@ -184,7 +202,7 @@
         report = self._make_report(self._number)
         self._echoes.note_sent(self._number, read_boot_clock())
         await self._send_all(plan.mates, encoder.encode(report))
-        if not plan.receivers:
+        if not plan.receivers or audience is Audience.MATES:
             return
         totals = sharing.sum_cell(report.totals, trio.current_time())
         told = self._make_cell_report(plan.cell, report, totals)
