Test that work beyond the engines is refused at once

Cause: the refusal was tested without the data path only. Change: a test on a real connection; no code.

--- a/dewridge/tests/gateway/answers_tests.py
+++ b/dewridge/tests/gateway/answers_tests.py
@@ -415,3 +415,25 @@
     assert not answer.is_whole
     assert answer.body == make_event(1) + make_event(2)
     assert failed == 1
+
+
+async def test_work_beyond_what_engines_run_is_refused_at_once() -> None:
+    """Half of the engines were reclaimed, and the rest has far more than it can run.
+
+    A caller who waits for its deadline learns too late that it must come back.
+    """
+
+    async def stream(exchange: ServerExchange) -> None:
+        await exchange.begin_stream()
+        await exchange.end_stream()
+
+    async with open_world() as world:
+        server = await world.add_server("s-1", stream, ENGINE)
+        world.state.work.requests[server.id] = 8 * 4
+        began = trio.current_time()
+        answer = await world.ask("/draft/a")
+        took = trio.current_time() - began
+    assert answer.status == 503
+    assert float(answer.headers[b"retry-after"]) > 0
+    assert took < 0.5
+    assert server.seen == []
