--- a/dewridge/tests/soak/__main__.py
+++ b/dewridge/tests/soak/__main__.py
@@ -9,6 +9,7 @@
 import typer
 
 from dewridge.tests.soak.runs import Size, run_soak
+from dewridge.tests.soak.seeds import KEPT
 
 
 def soak(
@@ -17,16 +18,20 @@
     seconds: Annotated[float, typer.Option(help="Seconds of faults.")] = 20.0,
     hosts: Annotated[int, typer.Option(help="Entry hosts.")] = 4,
     callers: Annotated[int, typer.Option(help="Callers.")] = 12,
+    kept: Annotated[bool, typer.Option(help="The seeds that once failed.")] = False,
     folder: Annotated[Path, typer.Option(help="For logs.")] = Path("build/soak"),
 ) -> None:
     """Play seeds one after the other; the status is 1 if a promise was broken."""
     first = seed or random.SystemRandom().randrange(1, 1_000_000)
     size = Size(hosts=hosts, callers=callers, seconds=seconds)
+    plays = [(number, size) for number in range(first, first + runs)]
+    if kept:
+        plays = [(one.seed, one.size) for one in KEPT]
     is_broken = False
-    for number in range(first, first + runs):
+    for number, own_size in plays:
         own_folder = folder / str(number)
         own_folder.mkdir(parents=True, exist_ok=True)
-        result = trio.run(run_soak, number, size, own_folder)
+        result = trio.run(run_soak, number, own_size, own_folder)
         print(result.format_line(), flush=True)
         is_broken |= bool(result.broken)
     sys.exit(int(is_broken))
