--- a/dewridge/tests/soak/seeds.py
+++ b/dewridge/tests/soak/seeds.py
@@ -28,6 +28,6 @@
     KeptSeed(
         307,
         Size(hosts=18, callers=14, seconds=15.0),
-        "the soak's own process stood still on a busy machine; all hosts lost the store",
+        "the soak's own process stood still on a busy machine: no store for any host",
     ),
 )
