Replace what the demand lacks, not what the plan lacks

Change: lasting servers for the need less what serves, with a tenth borne. The plan's tests give the need: twelve needed, the same figures as before; seven needed, none for one domain, one for two.

--- a/dewridge/gateway/scaling.py
+++ b/dewridge/gateway/scaling.py
@@ -107,7 +107,7 @@
                 quotas=round(self._sum_quotas()),
             ).info("servers planned")
         self._totals[service] = total
-        return plan_servers(domains, serving, total, has_work=rate > 0)
+        return plan_servers(domains, serving, total, needed if rate > 0 else 0)
 
     def _knows_start(self, service: ServiceName, now: float) -> bool:
         """Whether the servers that were there at the start have been counted.
--- a/dewridge/policy/scaling.py
+++ b/dewridge/policy/scaling.py
@@ -14,12 +14,11 @@
 """Reclaimable servers in each failure domain at least. With two, a wave of reclaims
 over two domains left too few: a trouble day served 0.87 of its worth, with three 0.91,
 for a twentieth of the benefit that they cost."""
-BORNE_SHARE = 0.5
-"""Part of one failure domain's servers that may be missing without a replacement: with
-that much less the rest keeps to the targets. Reclaims come in waves, a second domain
-within some six seconds of the first, and a lasting server takes four to start: ordered
-after the second one only, it came when the third was gone. With a whole domain borne
-and two thirds of the rest replaced, a day of four waves served 0.75 of its worth."""
+BORNE_SHARE = 0.1
+"""Part of the needed servers that may be missing without a replacement: what one of
+them takes on beside its own work. Counted from the plan in place of the need, a small
+fleet replaced servers that its floor had to spare, for 0.05 of a day's benefit; with a
+whole domain borne, a large one on a day of four waves served 0.75 of its worth."""
 QUOTA_SHARE = 0.33
 """Part of all accounts' quotas that counts as demand until it is known: quotas leave
 an account about twice its usual, and more for small ones. At a half 90 servers were
@@ -97,27 +96,27 @@
     domains: Mapping[FailureDomain, DomainBounds],
     serving: Mapping[FailureDomain, int],
     total: int,
-    *,
-    has_work: bool,
+    needed: int,
 ) -> dict[FailureDomain, Wanted]:
     """Want reclaimable servers everywhere, and lasting ones while some are missing.
 
     Made for reclaims that come in waves, domain after domain, with no reclaimable
     servers to be had for ten seconds and more: four waves take the whole fleet.
     A lasting server costs four to five times as much, so that it is ordered only for
-    what is missing beyond half a failure domain, where it is cheapest, and given up
-    when the others are back. Where reclaimable servers are not to be had,
-    lasting ones still are.
+    what the demand lacks, where it is cheapest, and given up when the others are back.
+    It takes four seconds to start and a second domain goes some six seconds after the
+    first, so that it is ordered as soon as the first is gone. Where reclaimable servers
+    are not to be had, lasting ones still are.
 
     Args:
         domains: what may be ordered where.
         serving: reclaimable servers that serve now.
         total: reclaimable servers wanted over all failure domains.
-        has_work: whether requests arrive; before, nothing has to be replaced.
+        needed: servers that the demand needs; 0 before there is work.
     """
     cheapest = sorted(domains, key=lambda domain: (domains[domain].price, domain))
     spread = _spread(total, cheapest)
-    lasting = _spread(_count_lasting(serving, spread) if has_work else 0, cheapest)
+    lasting = _spread(count_lasting(serving, needed), cheapest)
     return {
         domain: Wanted(
             lasting=min(lasting[domain], bounds.most),
@@ -127,14 +126,10 @@
     }
 
 
-def _count_lasting(
-    serving: Mapping[FailureDomain, int], wanted: Mapping[FailureDomain, int]
-) -> int:
-    missing = sum(
-        max(0, count - serving.get(domain, 0)) for domain, count in wanted.items()
-    )
-    borne = BORNE_SHARE * max(wanted.values(), default=0)
-    return math.ceil(max(0, missing - borne))
+def count_lasting(serving: Mapping[FailureDomain, int], needed: int) -> int:
+    """Return how many lasting servers the demand needs beside the reclaimable ones."""
+    lacking = needed - sum(serving.values())
+    return max(0, math.ceil(lacking - BORNE_SHARE * needed))
 
 
 def _spread(count: int, domains: Sequence[FailureDomain]) -> dict[FailureDomain, int]:
