Let the soak's store lag where reads allow it

Cause: the sums of usage that lack hosts on a grown site do not show in the soak; its reads that may lag were always current. Change: the stand-in answers such reads with what it held three seconds before.

--- a/dewridge/tests/soak/stage.py
+++ b/dewridge/tests/soak/stage.py
@@ -80,6 +80,7 @@
 
     async def open(self, hosts: int, servers: int) -> None:
         """Start all."""
+        self.nursery.start_soon(self.store.keep_copies)
         cloud = Listener(build_cloud_app(self.history))
         await self.nursery.start(self.store.listener.run)
         await self.nursery.start(cloud.run)
--- a/dewridge/tests/soak/standins.py
+++ b/dewridge/tests/soak/standins.py
@@ -1,6 +1,7 @@
 """The platform's store and cloud API as HTTP stand-ins over the store in memory."""
 
 import time
+from collections import deque
 from typing import Any
 
 import msgspec
@@ -9,7 +10,7 @@
 from quart_trio import QuartTrio
 
 from dewridge.codes import ResultCode
-from dewridge.platform.store import Lease, Write
+from dewridge.platform.store import Item, Lease, Listing, Write
 from dewridge.sentinels import Failure
 from dewridge.standins.serving import Listener, make_app, reply
 from dewridge.tests.gateway.memorystore import MemoryStore
@@ -21,6 +22,11 @@
 }
 
 
+LAG = 3.0
+"""Seconds by which reads that may lag do."""
+COPY_PERIOD = 0.25
+
+
 class StoreStandIn:
     """The store; the operator and servers write to `store` directly.
 
@@ -33,6 +39,7 @@
         self.store = MemoryStore()
         self.loses_answers = False
         self._compacted_at = 0
+        self._copies: deque[tuple[float, dict[str, Item], int]] = deque()
         self.listener = Listener(build_store_app(self))
 
     def compact(self) -> None:
@@ -40,6 +47,21 @@
         self._compacted_at = self.store.data.revision
         self.store.data.changes.clear()
 
+    async def keep_copies(self) -> None:
+        """Keep copies of what the store held, for reads that may lag."""
+        while True:
+            data = self.store.data
+            self._copies.append((trio.current_time(), dict(data.items), data.revision))
+            while self._copies[0][0] < trio.current_time() - LAG:
+                self._copies.popleft()
+            await trio.sleep(COPY_PERIOD)
+
+    def list_lagging(self, prefix: str) -> Listing:
+        """Return what was under a prefix `LAG` seconds ago."""
+        _, items, revision = self._copies[0]
+        found = [item for key, item in sorted(items.items()) if key.startswith(prefix)]
+        return Listing(tuple(found), revision)
+
     def has_history(self, after: int) -> bool:
         """Whether changes past a revision are still known."""
         return after >= self._compacted_at
@@ -59,7 +81,12 @@
 
     @app.get("/-/kv-range")
     async def list_items() -> Response:
-        listing = await store.list_items(request.args["path_prefix"])
+        prefix = request.args["path_prefix"]
+        listing: Listing | Failure
+        if "stale_ok" in request.args:
+            listing = stand_in.list_lagging(prefix)
+        else:
+            listing = await store.list_items(prefix)
         if isinstance(listing, Failure):
             return reply({}, 503)
         return reply({"items": listing.items, "current_rev": listing.revision})
