Tell a server's starts apart, and pass over records of other writers

Cause: a server may now start again under its name, told apart by the time of its start only, and other programs may write records. Ruled out: comparing sequence numbers (they begin anew). Change: the id of a server inside is its name with the time of its start; the wire gets the name. An earlier start ends when a later one shows, and older records of it are ignored.

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -112,7 +112,7 @@
         now = trio.current_time()
         job.runs += 1
         dispatch = Dispatch(
-            server=server.id,
+            server=server.name,
             time_left=job.deadline - now,
             account=job.account.name if job.account else None,
             priority=find_priority(job) if job.is_engine else None,
--- a/dewridge/gateway/model.py
+++ b/dewridge/gateway/model.py
@@ -5,7 +5,13 @@
 from enum import Enum
 from typing import NewType
 
-from dewridge.ids import BackendServerId, ClientAccount, FailureDomain, ServiceName
+from dewridge.ids import (
+    BackendServerId,
+    ClientAccount,
+    FailureDomain,
+    ServerName,
+    ServiceName,
+)
 
 RouteName = NewType("RouteName", str)
 AccountKey = NewType("AccountKey", str)
@@ -169,7 +175,8 @@
     """A backend server as it describes itself.
 
     Attributes:
-        id: its name, new at each start.
+        id: this start of it; nothing known of an earlier start holds for it.
+        name: what it calls itself, the same for all its starts.
         service: what it serves.
         address: `a.b.c.d:port`; another server may get it later.
         failure_domain: where it runs.
@@ -178,9 +185,11 @@
         is_reclaimable: whether it may be taken away on short notice.
         leaves_in: seconds until it is taken away, as of the record; None if unknown.
         is_cold: whether it is still slow after its start.
+        born: when this start was, in milliseconds since 1970; 0 if it does not tell.
     """
 
     id: BackendServerId
+    name: ServerName
     service: ServiceName
     address: str
     failure_domain: FailureDomain
@@ -189,6 +198,7 @@
     is_reclaimable: bool = False
     leaves_in: float | None = None
     is_cold: bool = False
+    born: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/dewridge/gateway/servers.py
+++ b/dewridge/gateway/servers.py
@@ -6,7 +6,7 @@
 from loguru import logger as log
 
 from dewridge.gateway.model import ServerRecord
-from dewridge.ids import BackendServerId, ServiceName
+from dewridge.ids import BackendServerId, ServerName, ServiceName
 
 RETURN_TIME = 2.2
 """Seconds after an outage of the store during which a missing record may come back:
@@ -50,6 +50,7 @@
         self._records: dict[BackendServerId, ServerRecord] = {}
         self._left: dict[BackendServerId, Leaving] = {}
         self._missing_since: dict[BackendServerId, float] = {}
+        self._newest: dict[ServerName, ServerRecord] = {}
         self._doubt_until = float("-inf")
         self.version = 0
 
@@ -91,8 +92,13 @@
         return any(now - since > MISSING_FOR for since in self._missing_since.values())
 
     def update(self, record: ServerRecord, now: float) -> None:
-        """Take over one record; one that says it leaves counts as left."""
-        if record.id in self._left:
+        """Take over one record; one that says it leaves counts as left.
+
+        A server that crashed may start again under its name, and a read that lags
+        still brings its earlier start. Taken for the later one, its leaving would end
+        a server that just came; and what ran, was read or was counted there is gone.
+        """
+        if record.id in self._left or not self._is_newest_start(record, now):
             return
         if record.is_draining:
             self.drop(record.id, now, "it drains", record.leaves_in)
@@ -103,6 +109,16 @@
             self._records[record.id] = record
             self.version += 1
 
+    def _is_newest_start(self, record: ServerRecord, now: float) -> bool:
+        """Whether no later start has the name; ends the earlier start if this has."""
+        known = self._newest.get(record.name)
+        if known is not None and record.born < known.born:
+            return False
+        self._newest[record.name] = record
+        if known is not None and known.id != record.id:
+            self.drop(known.id, now, "it started again", leaves_in=0.0)
+        return True
+
     def drop(
         self,
         server: BackendServerId,
@@ -158,6 +174,11 @@
             for server, leaving in self._left.items()
             if now - leaving.known_at < FORGET_AFTER
         }
+        self._newest = {
+            name: record
+            for name, record in self._newest.items()
+            if record.id in self._records or record.id in self._left
+        }
 
     def list_service(self, service: ServiceName) -> list[ServerRecord]:
         """Return the servers of a service."""
--- a/dewridge/gateway/watching.py
+++ b/dewridge/gateway/watching.py
@@ -16,6 +16,7 @@
 
 from dewridge.gateway.clock import read_boot_clock
 from dewridge.gateway.configuration import ConfigurationState
+from dewridge.gateway.model import ServerRecord
 from dewridge.gateway.servers import ServerTable
 from dewridge.platform.configuration import decode_configuration
 from dewridge.platform.names import CONFIGURATION_KEY, SERVERS_PREFIX
@@ -55,6 +56,9 @@
 GATHER_TIME = 0.1
 """Seconds between two watches of the servers in a large fleet: those of a failure
 domain come and go within that, and each alone would cost each reader a call."""
+MOST_UNREADABLE = 200
+"""Unreadable records, with their reasons, that are told of in a process's life: enough
+to see what writes them, and a bound on lines and memory if they change all the time."""
 WATCH_WAIT = 8.0
 """Seconds that a watch waits for news: each costs a call."""
 
@@ -92,6 +96,7 @@
         self._reads_per_second = reads_per_second
         self._servers_wake = trio.Event()
         self._configuration_wake = trio.Event()
+        self._unreadable: set[str] = set()
         self.revision = 0
 
     def find_period(self) -> float:
@@ -169,19 +174,25 @@
 
     def _take_servers(self, listing: Listing, *, may_lag: bool) -> bool:
         """Take over a list; returns whether a current one has to be asked for."""
-        records = []
-        for item in listing.items:
-            record = decode_server(item)
-            if isinstance(record, Failure):
-                log.bind(reason=record.reason).error("server record can't be read")
-            else:
-                records.append(record)
+        decoded = [self._decode_server(item) for item in listing.items]
+        records = [record for record in decoded if record is not None]
         now = trio.current_time()
         if may_lag:
             return self._servers.add(records, now)
         self._servers.replace(records, now)
         return False
 
+    def _decode_server(self, item: Item) -> ServerRecord | None:
+        """Decode a record; one that names no server is told of once, not each poll."""
+        record = decode_server(item)
+        if isinstance(record, ServerRecord):
+            return record
+        told = self._unreadable
+        if record.reason not in told and len(told) < MOST_UNREADABLE:
+            told.add(record.reason)
+            log.bind(reason=record.reason).error("server record can't be read")
+        return None
+
     async def watch_configuration(self) -> None:
         """Follow changes of the configuration for ever."""
         await self._watch(CONFIGURATION_KEY, self._note_configuration, self._confirm)
@@ -210,11 +221,9 @@
             # Records also lapse while the store is away: the poll decides.
             self._servers_wake.set()
             return
-        record = decode_server(item)
-        if isinstance(record, Failure):
-            log.bind(reason=record.reason).error("server record can't be read")
-            return
-        self._servers.update(record, trio.current_time())
+        record = self._decode_server(item)
+        if record is not None:
+            self._servers.update(record, trio.current_time())
 
     async def _watch(
         self,
--- a/dewridge/ids.py
+++ b/dewridge/ids.py
@@ -27,7 +27,12 @@
 Generation = NewType("Generation", int)
 """Numbers the token sequences of one answer; a later one replaces the earlier."""
 
+ServerName = NewType("ServerName", str)
+"""What a backend server calls itself; a later start may have the same name."""
+
 BackendServerId = NewType("BackendServerId", str)
+"""One start of a backend server."""
+
 Revision = NewType("Revision", int)
 """Revision of the configuration as a whole; only ever grows."""
 
@@ -37,6 +42,16 @@
     return RequestId(f"{account}/{key}")
 
 
+def make_server_id(name: ServerName, born: int | None) -> BackendServerId:
+    """Return the id of one start of a backend server.
+
+    Args:
+        name: what the server calls itself.
+        born: when that start was, in milliseconds since 1970; None if not told.
+    """
+    return BackendServerId(name if born is None else f"{name}@{born}")
+
+
 def split_request_id(request: RequestId) -> tuple[ClientAccount, RequestKey]:
     """Return the account and the key that `make_request_id` joined."""
     account, _, key = request.rpartition("/")
--- a/dewridge/platform/headers.py
+++ b/dewridge/platform/headers.py
@@ -5,7 +5,7 @@
 from dewridge.gateway.model import CallerRequest, PromptPart, Sizes
 from dewridge.http1.client import Headers, ResponseHead
 from dewridge.http1.headers import drop_hop_headers
-from dewridge.ids import BackendServerId, ClientAccount
+from dewridge.ids import ClientAccount, ServerName
 from dewridge.platform import names
 from dewridge.platform.engines import MemoryCopy
 
@@ -92,7 +92,7 @@
     """What the gateway says to a backend server about one request.
 
     Attributes:
-        server: the start of a server that may run it; another one refuses.
+        server: name of the server that may run it; another one refuses.
         time_left: seconds until the server may stop.
         account: whose request it is; None on an anonymous route.
         priority: urgency from 0 to 9, 0 first; None for the server's own default.
@@ -100,7 +100,7 @@
         memory: memory of the stopped run to go on from; None for a new run.
     """
 
-    server: BackendServerId
+    server: ServerName
     time_left: float
     account: ClientAccount | None
     priority: int | None
--- a/dewridge/tests/gateway/answers_tests.py
+++ b/dewridge/tests/gateway/answers_tests.py
@@ -1,5 +1,7 @@
 """Answers of backend servers: what reaches callers, and what must not."""
 
+from dataclasses import replace
+
 import trio
 
 from dewridge.tests.gateway.world import (
@@ -235,14 +237,7 @@
         record = world.state.servers.find(server.id)
         assert record is not None
         port = listeners[0].socket.getsockname()[1]
-        moved = record.__class__(
-            record.id,
-            record.service,
-            f"127.0.0.1:{port}",
-            record.failure_domain,
-            8,
-            is_draining=False,
-        )
+        moved = replace(record, address=f"127.0.0.1:{port}")
         world.state.servers.update(moved, trio.current_time())
         answer = await world.ask("/write/a", method="POST", body=bytes(3_000_000))
         assert answer.status == 413
--- /dev/null
+++ b/dewridge/tests/gateway/restarts_tests.py
@@ -0,0 +1,156 @@
+"""Backend servers that start again under the name that they had."""
+
+from dataclasses import replace
+
+import trio
+
+from dewridge.gateway.model import ServerRecord
+from dewridge.gateway.servers import ServerTable
+from dewridge.ids import ServerName, make_server_id
+from dewridge.tests.gateway.world import (
+    DOMAIN,
+    ENGINE,
+    PLAIN,
+    ServerExchange,
+    World,
+    answer_plainly,
+    make_event,
+    open_world,
+)
+
+FIRST_START = 1_700_000_000_000
+SECOND_START = FIRST_START + 5_000
+
+
+def make_record(born: int, *, is_draining: bool = False) -> ServerRecord:
+    """Return the record of one start of the server `s-1`."""
+    name = ServerName("s-1")
+    return ServerRecord(
+        make_server_id(name, born),
+        name,
+        PLAIN,
+        "127.0.0.1:9",
+        DOMAIN,
+        6,
+        is_draining,
+        born=born,
+    )
+
+
+def list_starts(table: ServerTable) -> list[int]:
+    """Return when the servers that may get work were started."""
+    return [record.born for record in table.list_all()]
+
+
+def start_again(world: World) -> None:
+    """List the server `s-1` of a world as started once more."""
+    first = next(one for one in world.state.servers.list_all() if one.name == "s-1")
+    later = replace(
+        first, id=make_server_id(first.name, SECOND_START), born=SECOND_START
+    )
+    world.state.servers.update(later, trio.current_time())
+
+
+def test_a_start_that_drained_does_not_bar_the_next_one() -> None:
+    """A server says that it leaves, ends, and starts again under its name.
+
+    Barred for what its earlier start said, it would stand idle for good while callers
+    are refused.
+    """
+    table = ServerTable()
+    table.update(make_record(FIRST_START), 0.0)
+    table.update(make_record(FIRST_START, is_draining=True), 1.0)
+    table.update(make_record(SECOND_START), 2.0)
+    assert list_starts(table) == [SECOND_START]
+
+
+def test_a_late_word_on_an_earlier_start_does_not_end_the_next_one() -> None:
+    """A read that lags still says that the earlier start drains, or is ready.
+
+    Believed, a server that has just come would never get work, or requests would be
+    counted at a start that is gone.
+    """
+    table = ServerTable()
+    table.update(make_record(SECOND_START), 0.0)
+    table.add([make_record(FIRST_START, is_draining=True)], 1.0)
+    table.update(make_record(FIRST_START), 1.0)
+    table.drop(make_server_id(ServerName("s-1"), FIRST_START), 1.0, "told", 0.0)
+    assert list_starts(table) == [SECOND_START]
+
+
+def test_a_crash_shows_by_the_next_start_alone() -> None:
+    """A server crashes and is back before its record lapses.
+
+    What ran there is lost, and whoever waits for it must be told, though no record was
+    ever missing.
+    """
+    table = ServerTable()
+    ended = []
+    table.on_left = lambda record, gone_at, is_told: ended.append(
+        (record.born, gone_at)
+    )
+    table.update(make_record(FIRST_START), 0.0)
+    table.update(make_record(SECOND_START), 3.0)
+    assert ended == [(FIRST_START, 3.0)]
+    assert list_starts(table) == [SECOND_START]
+    assert list(table.list_just_left(3.1)) == [make_record(FIRST_START).id]
+
+
+async def test_a_stream_goes_on_at_the_next_start_of_its_only_server() -> None:
+    """A server crashes in the middle of a stream and starts again under its name.
+
+    The caller gets every event once, and the request counts once in the sums of usage.
+    """
+    connections = 0
+
+    async def break_off_once(exchange: ServerExchange) -> None:
+        nonlocal connections
+        connections += 1
+        await exchange.begin_stream()
+        if connections == 1:
+            await exchange.send_events(1, 2)
+            start_again(world)
+            exchange.reset()
+            return
+        after = int(exchange.headers[b"last-event-id"])
+        await exchange.send_events(after + 1, 4)
+        await exchange.end_stream()
+
+    async with open_world() as world:
+        server = await world.add_server("s-1", break_off_once, ENGINE)
+        answer = await world.ask("/chat/a", method="POST", body=b"x")
+        counted = [sum(counts.values()) for counts in world.state.began.values()]
+        seen = server.seen
+    assert answer.is_whole
+    assert answer.body == b"".join(make_event(number) for number in range(1, 5))
+    assert [one.headers[b"x-expect-instance"] for one in seen] == [b"s-1", b"s-1"]
+    assert sum(counted) == 1
+
+
+async def test_a_connection_kept_from_an_earlier_start_is_not_used() -> None:
+    """A server ends and starts again while this host keeps a connection to it.
+
+    Sent there, a request would be lost with a connection that only looks open.
+    """
+    async with open_world() as world:
+        server = await world.add_server("s-1", answer_plainly)
+        await world.ask("/read/a", request_id="r-1")
+        start_again(world)
+        await world.ask("/read/a", request_id="r-2")
+        opened, reused = world.state.pool.opened, world.state.pool.reused
+    assert len(server.seen) == 2
+    assert (opened, reused) == (2, 0)
+
+
+async def test_failures_of_an_earlier_start_do_not_rest_the_next_one() -> None:
+    async with open_world() as world:
+        await world.add_server("s-1", answer_plainly)
+        first = world.state.servers.list_all()[0]
+        for _ in range(5):
+            health = world.state.find_health(first.id)
+            health.note_failure(trio.current_time(), is_hard=True)
+        start_again(world)
+        second = world.state.servers.list_all()[0]
+        now = trio.current_time()
+        assert not world.state.find_health(first.id).is_usable(now, None, 0.0)
+        assert world.state.find_health(second.id).is_usable(now, None, 0.0)
--- a/dewridge/tests/gateway/state_tests.py
+++ b/dewridge/tests/gateway/state_tests.py
@@ -13,15 +13,26 @@
 from dewridge.gateway.servers import ServerTable
 from dewridge.gateway.state import WorkInFlight
 from dewridge.gateway.watching import Part, StoreWatcher
-from dewridge.ids import BackendServerId, HostId
+from dewridge.ids import BackendServerId, HostId, ServerName, make_server_id
 from dewridge.tests.gateway.memorystore import MemoryStore
 from dewridge.tests.gateway.world import DOMAIN, PLAIN, make_configuration
 
 
-def make_record(name: str, *, is_draining: bool = False) -> ServerRecord:
+def make_record(
+    name: str, *, is_draining: bool = False, born: int | None = None
+) -> ServerRecord:
     """Return a server's record."""
-    server = BackendServerId(name)
-    return ServerRecord(server, PLAIN, "127.0.0.1:9", DOMAIN, 6, is_draining)
+    server = ServerName(name)
+    return ServerRecord(
+        make_server_id(server, born),
+        server,
+        PLAIN,
+        "127.0.0.1:9",
+        DOMAIN,
+        6,
+        is_draining,
+        born=born or 0,
+    )
 
 
 def list_names(table: ServerTable) -> list[str]:
@@ -117,7 +128,8 @@
 
 def write_server(store: MemoryStore, name: str, state: str = "ready") -> None:
     """Write a server's record as the server does."""
-    record = {"service": "plain", "address": "127.0.0.1:9", "state": state}
+    record: dict[str, object] = {"service": "plain", "address": "127.0.0.1:9"}
+    record |= {"state": state, "slots": 6}
     store.write(f"servers/{name}", json.dumps(record).encode())
 
 
--- a/dewridge/tests/gateway/world.py
+++ b/dewridge/tests/gateway/world.py
@@ -35,6 +35,7 @@
     ClientAccount,
     FailureDomain,
     HostId,
+    ServerName,
     ServiceName,
 )
 from dewridge.policy.quota import QuotaLedger
@@ -272,7 +273,13 @@
         self.nursery.start_soon(trio.serve_listeners, server.handle, listeners)
         port = listeners[0].socket.getsockname()[1]
         record = ServerRecord(
-            server.id, service, f"127.0.0.1:{port}", DOMAIN, 8, is_draining=False
+            server.id,
+            ServerName(name),
+            service,
+            f"127.0.0.1:{port}",
+            DOMAIN,
+            8,
+            is_draining=False,
         )
         self.state.servers.update(record, trio.current_time())
         return server
