Use the tolerance over quotas as rate, not as burst

Change: nine tenths of the used slack are spread over the window as rate. The most that a window can pass is the same as before.

--- a/dewridge/gateway/serving.py
+++ b/dewridge/gateway/serving.py
@@ -20,7 +20,7 @@
 from dewridge.gateway.responder import CallerGoneError, Responder
 from dewridge.gateway.state import GatewayState
 from dewridge.ids import ServiceName
-from dewridge.policy.quota import Quota
+from dewridge.policy.quota import set_quota
 from dewridge.sentinels import Failure
 
 FRESH_ENOUGH = 1.8
@@ -34,9 +34,6 @@
 load."""
 END_SLACK = 0.1
 """Seconds past a deadline for the last bytes of an answer that is just ready."""
-LOCAL_QUOTA_SHARE = 0.6
-"""Part of the tolerance that operators allow over a quota which this system uses: the
-rest is for requests that are on their way in two hosts at once."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,12 +127,12 @@
         amount = find_quota_units(request, account)
         state = self._state
         bounds = state.settings.bounds
-        tolerance = 1 + bounds.quota_overrun * LOCAL_QUOTA_SHARE
-        slack = bounds.quota_slack * LOCAL_QUOTA_SHARE
-        quota = Quota(
-            account.rate * tolerance,
-            account.burst * tolerance + slack,
-            after_restart=bounds.quota_slack * (1 - LOCAL_QUOTA_SHARE),
+        quota = set_quota(
+            account.rate,
+            account.burst,
+            bounds.quota_overrun,
+            bounds.quota_slack,
+            bounds.quota_window,
         )
         now = trio.current_time()
         fleet = state.find_fleet()
--- a/dewridge/policy/quota.py
+++ b/dewridge/policy/quota.py
@@ -12,6 +12,12 @@
 
 from dewridge.ids import ClientAccount, HostId
 
+USED_TOLERANCE = 0.6
+"""Part of the tolerance that operators allow over a quota which this system uses: the
+rest is for requests that are on their way in two hosts at once."""
+BURST_SLACK = 0.1
+"""Part of the used slack that goes to the burst: an account without a burst of its own
+needs some room for a single request."""
 SHORTEST_WAIT = 0.1
 """Seconds after which a refused caller may come back at the earliest: one report."""
 LONGEST_WAIT = 8.0
@@ -39,6 +45,35 @@
     judged limit leaves over the bucket's own."""
 
 
+def set_quota(
+    rate: float, burst: float, overrun: float, slack: float, window: float
+) -> Quota:
+    """Return the bucket that keeps an account within what operators tolerate.
+
+    They judge by windows: in any of them an account may use what its rate and its burst
+    give, `overrun` more, and `slack` units besides. A bucket uses its burst once and
+    its rate for the whole window, so that slack given as rate serves an account that
+    asks for a little more than its quota all the time, and one whose quota was just
+    lowered. Given as burst it was gone after the first second: one request in twenty of
+    a calm day was refused within what operators allow.
+
+    Args:
+        rate: the account's, in units a second.
+        burst: the account's, in units.
+        overrun: part of the quota by which it may be exceeded.
+        slack: units beyond that in a window.
+        window: seconds.
+    """
+    tolerance = 1 + overrun * USED_TOLERANCE
+    usable = slack * USED_TOLERANCE
+    kept_for_bursts = usable * BURST_SLACK
+    return Quota(
+        rate * tolerance + (usable - kept_for_bursts) / window,
+        burst * tolerance + kept_for_bursts,
+        after_restart=slack - usable,
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class FleetView:
     """What a host knows of the other hosts when it judges.
--- a/dewridge/tests/policy/quota_tests.py
+++ b/dewridge/tests/policy/quota_tests.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from dewridge.ids import ClientAccount, HostId
-from dewridge.policy.quota import FleetView, Quota, QuotaLedger
+from dewridge.policy.quota import FleetView, Quota, QuotaLedger, set_quota
 
 ACCOUNT = ClientAccount("account-1")
 WINDOW = 8.0
@@ -209,3 +209,53 @@
         fleet.step()
     assert fleet.ask(fleet.names[0], 5000.0)
     assert not fleet.ask(fleet.names[0], 10.0)
+
+
+def serve_steadily(quota: Quota, asked_rate: float) -> tuple[float, float]:
+    """Let nine hosts judge bursts of three requests for forty seconds.
+
+    Returns:
+        Part of the requests that passed, and the most units used in a window.
+    """
+    fleet = Fleet(9, quota)
+    rng = random.Random(7)
+    asked = passed = 0
+    next_burst = fleet.now
+    while fleet.now < 140.0:
+        while next_burst <= fleet.now:
+            for _ in range(3):
+                asked += 1
+                passed += fleet.ask(rng.choice(fleet.names), rng.uniform(20.0, 180.0))
+            next_burst += rng.expovariate(asked_rate / 300.0)
+        fleet.step()
+    most = max(
+        sum(amount for at, amount in fleet.used if begin <= at < begin + WINDOW)
+        for begin, _ in fleet.used
+    )
+    return passed / asked, most
+
+
+def test_an_account_that_asks_a_little_more_all_the_time_is_served() -> None:
+    """An operator lowers a quota below what its account goes on asking for.
+
+    Operators tolerate that much in each window. With the tolerance given as a burst it
+    is gone after the first second, and callers are refused for the rest of the day.
+    """
+    tolerated = set_quota(1000.0, 1000.0, overrun=0.1, slack=4000.0, window=WINDOW)
+    as_burst = Quota(1060.0, 1060.0 + 2400.0)
+    served, most = serve_steadily(tolerated, 1600.0)
+    served_by_burst, _ = serve_steadily(as_burst, 1600.0)
+    assert served > served_by_burst + 0.05
+    assert most <= (8 * 1000.0 + 1000.0) * 1.1 + 4000.0
+
+
+@given(st.floats(0, 1e5), st.floats(0, 1e5), st.floats(0, 0.5), st.floats(0, 2e5))
+def test_a_bucket_never_exceeds_what_operators_tolerate(
+    rate: float, burst: float, overrun: float, slack: float
+) -> None:
+    quota = set_quota(rate, burst, overrun, slack, WINDOW)
+    tolerated = (rate * WINDOW + burst) * (1 + overrun) + slack
+    used = quota.burst + WINDOW * quota.rate
+    assert used <= tolerated * (1 + 1e-9)
+    # A host that starts anew knows nothing of what was used right before.
+    assert used + quota.after_restart <= tolerated * (1 + 1e-9)
