Keep connections as long as servers show to keep them

Change: the time is learned for each service from connections seen open or closed, at most half of what is announced; a request that may not be repeated uses seven tenths of it. One broken kept connection drops all to that server.

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -130,7 +130,7 @@
                 dispatch,
                 server,
                 self._state.pool,
-                may_reuse=job.route.is_repeatable,
+                must_arrive=not job.route.is_repeatable,
             )
         if isinstance(answer, OpenAnswer):
             seconds = trio.current_time() - now
--- a/dewridge/gateway/forwarding.py
+++ b/dewridge/gateway/forwarding.py
@@ -92,7 +92,7 @@
         if connection is None:
             return
         if connection.finish_exchange(trio.current_time()):
-            self._pool.put_back(self._server.id, connection)
+            self._pool.put_back(self._server, connection)
         else:
             connection.close()
 
@@ -103,7 +103,7 @@
     server: ServerRecord,
     pool: ConnectionPool,
     *,
-    may_reuse: bool,
+    must_arrive: bool,
 ) -> OpenAnswer | Lost:
     """Send a request to a server and wait for the head of its answer.
 
@@ -112,9 +112,10 @@
         dispatch: what to say to the server beside it.
         server: where to send it.
         pool: connections to servers.
-        may_reuse: whether a kept connection will do.
+        must_arrive: whether the request can't be sent again if it is lost.
     """
-    connection = pool.take(server.id) if may_reuse else None
+    connection = pool.take(server, must_arrive=must_arrive)
+    is_reused = connection is not None
     if connection is None:
         connection = await pool.open(server)
     if connection is None:
@@ -128,6 +129,8 @@
         is_kept = True
         return OpenAnswer(head, connection, server, pool)
     except ConnectionBrokenError as error:
+        if is_reused:
+            pool.note_broken(server)
         loss = Loss.MALFORMED if error.is_framing_fault else Loss.CUT_OFF
         return Lost(loss, str(error))
     finally:
--- a/dewridge/gateway/pool.py
+++ b/dewridge/gateway/pool.py
@@ -1,20 +1,15 @@
 """Connections to backend servers: kept while they are surely usable."""
 
 from collections import defaultdict, deque
+from dataclasses import dataclass
 
 import trio
 
 from dewridge.gateway.model import ServerRecord
 from dewridge.http1.client import ClientConnection, open_connection
-from dewridge.ids import BackendServerId
-
-REUSE_WITHIN = 0.6
-"""Seconds that an idle connection counts as usable. Servers drop idle connections
-sooner than they announce, and a request sent on one that was just dropped is lost:
-one that may not be repeated then fails for its caller, at a hundred times the price
-of a new connection (1 ms and one round trip)."""
-KEEP_ALIVE_SHARE = 0.4
-"""Part of the idle time announced by the server during which it is believed."""
+from dewridge.ids import BackendServerId, ServiceName
+from dewridge.policy.idletime import IdleTime
+
 MOST_IDLE = 4
 """Idle connections kept for each server: what a burst of one round trip uses."""
 CONNECT_TIMEOUT = 0.35
@@ -23,23 +18,43 @@
 be tried without risk."""
 
 
+@dataclass
+class Kept:
+    """An idle connection to a server of a service."""
+
+    connection: ClientConnection
+    service: ServiceName
+
+
 class ConnectionPool:
     """Idle connections by start of a server; starts never share connections."""
 
     def __init__(self) -> None:
-        self._idle: dict[BackendServerId, deque[ClientConnection]] = defaultdict(deque)
+        self._idle: dict[BackendServerId, deque[Kept]] = defaultdict(deque)
+        self._times: dict[ServiceName, IdleTime] = defaultdict(IdleTime)
         self.opened = 0
         self.reused = 0
 
-    def take(self, server: BackendServerId) -> ClientConnection | None:
-        """Return a connection that is open and quiet; None if there is none."""
-        idle = self._idle.get(server)
+    def take(
+        self, server: ServerRecord, *, must_arrive: bool
+    ) -> ClientConnection | None:
+        """Return a connection that is open and quiet; None if there is none.
+
+        Args:
+            server: where it leads.
+            must_arrive: whether what is sent on it can't be sent again.
+        """
+        idle = self._idle.get(server.id)
         while idle:
-            connection = idle.pop()
-            if is_fresh(connection, trio.current_time()) and connection.is_quiet():
+            kept = idle[-1]
+            age = trio.current_time() - kept.connection.idle_since
+            if age > self._find_limit(kept, must_arrive=must_arrive):
+                return None
+            idle.pop()
+            if self._look(kept, age):
                 self.reused += 1
-                return connection
-            connection.close()
+                return kept.connection
+            kept.connection.close()
         return None
 
     async def open(self, server: ServerRecord) -> ClientConnection | None:
@@ -47,26 +62,47 @@
         self.opened += 1
         return await open_connection(server.address, CONNECT_TIMEOUT)
 
-    def put_back(self, server: BackendServerId, connection: ClientConnection) -> None:
+    def put_back(self, server: ServerRecord, connection: ClientConnection) -> None:
         """Keep a connection that ended an exchange cleanly."""
-        idle = self._idle[server]
-        idle.append(connection)
+        idle = self._idle[server.id]
+        idle.append(Kept(connection, server.service))
         while len(idle) > MOST_IDLE:
-            idle.popleft().close()
+            idle.popleft().connection.close()
+
+    def note_broken(self, server: ServerRecord) -> None:
+        """Drop what is kept for a server that left a request on such a one unanswered.
+
+        A path that went silent, or a server that is gone without a word, shows only so;
+        all connections to it are in the same state.
+        """
+        self._times[server.service].note_closed(0.0)
+        for kept in self._idle.pop(server.id, ()):
+            kept.connection.close()
 
     def drop_old(self) -> None:
-        """Close the connections that are too old to be used again."""
+        """Close the connections that are too old, and learn from those still open."""
         now = trio.current_time()
         for server, idle in list(self._idle.items()):
-            while idle and not is_fresh(idle[0], now):
-                idle.popleft().close()
+            while idle:
+                kept = idle[0]
+                age = now - kept.connection.idle_since
+                if age <= self._find_limit(kept, must_arrive=False):
+                    break
+                self._look(kept, age)
+                idle.popleft().connection.close()
             if not idle:
                 del self._idle[server]
 
+    def _find_limit(self, kept: Kept, *, must_arrive: bool) -> float:
+        announced = kept.connection.keep_alive
+        times = self._times[kept.service]
+        return times.find_limit(announced, must_arrive=must_arrive)
 
-def is_fresh(connection: ClientConnection, now: float) -> bool:
-    """Whether an idle connection may still be used."""
-    limit = REUSE_WITHIN
-    if connection.keep_alive is not None:
-        limit = min(limit, connection.keep_alive * KEEP_ALIVE_SHARE)
-    return now - connection.idle_since < limit
+    def _look(self, kept: Kept, age: float) -> bool:
+        """Return whether a connection is open, and learn how long they stay so."""
+        is_open = kept.connection.is_quiet()
+        if is_open:
+            self._times[kept.service].note_open(age)
+        else:
+            self._times[kept.service].note_closed(age)
+        return is_open
--- /dev/null
+++ b/dewridge/tests/gateway/pool_tests.py
@@ -0,0 +1,116 @@
+"""Kept connections to backend servers: which are used again, and which are not."""
+
+import random
+
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dewridge.policy.idletime import LEAST_LIMIT, IdleTime
+from dewridge.tests.gateway.world import (
+    ServerExchange,
+    World,
+    answer_plainly,
+    open_world,
+)
+
+
+def use_connections(closes_after: float, announced: float | None) -> tuple[int, int]:
+    """Replay one host's requests to one server for ten minutes.
+
+    Returns:
+        Connections used again, and those of them that the server had closed.
+    """
+    rng = random.Random(1)
+    times = IdleTime()
+    reused = lost = 0
+    for _ in range(600):
+        age = rng.expovariate(0.5)
+        if age <= times.find_limit(announced, must_arrive=True):
+            reused += 1
+            lost += age > closes_after
+        if age > closes_after:
+            times.note_closed(age)
+        else:
+            times.note_open(age)
+    return reused, lost
+
+
+def test_connections_are_kept_as_long_as_servers_show_to_keep_them() -> None:
+    """Each host sends a request each two seconds to a server.
+
+    Used again for 0.6 s only, nearly every request needs a new connection.
+    """
+    reused, lost = use_connections(closes_after=60.0, announced=10.0)
+    assert reused > 450
+    assert lost == 0
+
+
+def test_a_server_that_closes_sooner_than_it_says_loses_few_requests() -> None:
+    """A server announces ten seconds and closes after one and a half.
+
+    A request that may not be repeated is lost if it is sent just then.
+    """
+    reused, lost = use_connections(closes_after=1.5, announced=10.0)
+    assert reused > 60
+    assert lost <= 6
+
+
+@given(st.lists(st.tuples(st.booleans(), st.floats(0, 1e4)), max_size=50))
+def test_the_limit_stays_within_bounds(events: list[tuple[bool, float]]) -> None:
+    times = IdleTime()
+    for is_open, age in events:
+        if is_open:
+            times.note_open(age)
+        else:
+            times.note_closed(age)
+        limit = times.find_limit(10.0, must_arrive=False)
+        assert LEAST_LIMIT <= limit <= 5.0
+        assert times.find_limit(None, must_arrive=True) < max(limit, 5.0)
+
+
+async def test_requests_on_a_path_that_went_silent_lose_one_connection() -> None:
+    """A server's host loses power after an answer, and its connections stay open.
+
+    The first request sent on one of them is lost; the others must not follow it.
+    """
+    answered = 0
+
+    async def answer_three(exchange: ServerExchange) -> None:
+        nonlocal answered
+        answered += 1
+        if answered <= 3:
+            await trio.sleep(0.05)
+            await exchange.answer()
+            return
+        exchange.reset()
+
+    async with open_world() as world:
+        server = await world.add_server("s-1", answer_three)
+        async with trio.open_nursery() as nursery:
+            for number in range(3):
+                nursery.start_soon(ask_once, world, f"r-{number}")
+        record = world.state.servers.find(server.id)
+        assert record is not None
+        answer = await world.ask("/write/a", method="POST", body=b"x", request_id="w")
+        assert answer.status >= 500
+        assert world.state.pool.take(record, must_arrive=False) is None
+        assert world.state.pool.reused == 1
+
+
+async def ask_once(world: World, request: str) -> None:
+    """Send one request."""
+    await world.ask("/read/a", request_id=request)
+
+
+async def test_a_request_that_may_not_be_repeated_uses_a_fresh_connection_again() -> (
+    None
+):
+    async with open_world() as world:
+        await world.add_server("s-1", answer_plainly)
+        for number in range(4):
+            answer = await world.ask(
+                "/write/a", method="POST", body=b"x", request_id=f"w-{number}"
+            )
+            assert answer.status == 200
+        assert world.state.pool.opened == 1
