Order servers by what they carry, with a domain to spare

Change: the pace of reading is learned from requests sent to idle engines, drawn to a usual one while few are known; reclaimable servers for that with one domain lost and a third more; after a reclaim, for two and a half boot times, lasting ones also for what the next domain would leave missing; the need is kept in the store for the next holder; slots count as well.

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -49,7 +49,7 @@
         """Work on a job until it is answered; a failure is still to be told."""
         if job.is_engine:
             self._state.count_demand(job.service, job.request.sizes.prompt_tokens)
-            if is_shed(self._state, job, trio.current_time()):
+            if is_shed(self._state, job):
                 return self._give_back(job, ResultCode.QUEUE_FULL, "shed: overloaded")
         self._state.find_budget(job.service).note_first(trio.current_time())
         while True:
@@ -76,6 +76,7 @@
         job.tried.append(server.id)
         work = self._state.work
         job.unread_tokens = choice.tokens
+        job.timed_from = trio.current_time() if choice.is_idle else None
         work.add(server.id, job.unread_tokens)
         try:
             return await self._exchange(job, server, step, out)
@@ -273,10 +274,16 @@
         job.last_event_at = trio.current_time()
         if job.first_event_at is None:
             job.first_event_at = job.last_event_at
+            self._learn_pace(job, job.first_event_at)
         if not out.has_begun:
             await out.begin(200, clean_answer_headers(answer.head.headers))
         await out.send_piece(b"".join(fresh))
 
+    def _learn_pace(self, job: Job, now: float) -> None:
+        if job.timed_from is not None:
+            pace = self._state.paces[job.service]
+            pace.add(job.request.sizes.prompt_tokens, now - job.timed_from)
+
     def _count(self, job: Job) -> None:
         if not job.is_counted:
             job.is_counted = True
--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -236,7 +236,7 @@
         if not self._settings.services.cloud:
             return []
         usage = UsageDuty(self._state, self._tenancy, self._store, self._cloud)
-        scaling = ScalingDuty(self._state, self._tenancy, self._cloud)
+        scaling = ScalingDuty(self._state, self._tenancy, self._store, self._cloud)
         return [
             ("tenancy", self._tenancy.run),
             ("usage", usage.run),
--- a/dewridge/gateway/jobs.py
+++ b/dewridge/gateway/jobs.py
@@ -36,6 +36,8 @@
         may_have_run: whether some server may have run it.
         is_counted: whether it counts in its account's usage.
         unread_tokens: tokens of the prompt that the server likely has yet to read.
+        timed_from: steady time of a sending to an idle engine, by which its pace is
+            learned; None for any other.
         events: events passed on.
         first_event_at: steady time of the first one.
         last_event_at: steady time of the last one.
@@ -57,6 +59,7 @@
     may_have_run: bool = False
     is_counted: bool = False
     unread_tokens: int = 0
+    timed_from: float | None = None
     events: int = 0
     first_event_at: float | None = None
     last_event_at: float | None = None
--- a/dewridge/gateway/servers.py
+++ b/dewridge/gateway/servers.py
@@ -6,7 +6,12 @@
 from loguru import logger as log
 
 from dewridge.gateway.model import ServerRecord
-from dewridge.ids import BackendServerId, ServerName, ServiceName
+from dewridge.ids import (
+    BackendServerId,
+    FailureDomain,
+    ServerName,
+    ServiceName,
+)
 
 RETURN_TIME = 2.2
 """Seconds after an outage of the store during which a missing record may come back:
@@ -43,10 +48,13 @@
     Attributes:
         on_left: told of each start that leaves, when it is gone, and whether another
             host told this one.
+        drained_at: when a reclaimable server of a service last began to leave, by
+            failure domain.
     """
 
     def __init__(self) -> None:
         self.on_left: Callable[[ServerRecord, float, bool], None] = lambda *_: None
+        self.drained_at: dict[tuple[ServiceName, FailureDomain], float] = {}
         self._records: dict[BackendServerId, ServerRecord] = {}
         self._left: dict[BackendServerId, Leaving] = {}
         self._missing_since: dict[BackendServerId, float] = {}
@@ -98,6 +106,9 @@
         still brings its earlier start. Taken for the later one, its leaving would end
         a server that just came; and what ran, was read or was counted there is gone.
         """
+        if record.is_draining and record.is_reclaimable:
+            # Also of a server that another host told of: that word has no reason.
+            self.drained_at[record.service, record.failure_domain] = now
         if record.id in self._left or not self._is_newest_start(record, now):
             return
         if record.is_draining:
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -21,6 +21,7 @@
 from dewridge.http1.calls import Caller
 from dewridge.ids import BackendServerId, ClientAccount, HostId, ServiceName
 from dewridge.metrics.registry import Metrics
+from dewridge.policy.capacity import ReadingPace
 from dewridge.policy.demand import DemandMeter
 from dewridge.policy.quota import FleetView, QuotaLedger
 from dewridge.policy.retrybudget import RetryBudget
@@ -91,6 +92,9 @@
     demand: dict[ServiceName, DemandMeter] = field(
         default_factory=lambda: defaultdict(DemandMeter)
     )
+    paces: dict[ServiceName, ReadingPace] = field(
+        default_factory=lambda: defaultdict(ReadingPace)
+    )
     own_demand: dict[ServiceName, float] = field(
         default_factory=lambda: defaultdict(float)
     )
@@ -126,6 +130,14 @@
         self.own_demand[service] += tokens
         self.demand[service].add(tokens, trio.current_time())
 
+    def count_in_flight(self, service: ServiceName) -> int:
+        """Return the requests of all hosts at a service's servers."""
+        others = self.sharing.find_summary(trio.current_time()).servers
+        return sum(
+            others.get(one.id, NOTHING).requests + self.work.requests.get(one.id, 0)
+            for one in self.servers.list_service(service)
+        )
+
     def note_demand(self, service: ServiceName, tokens: float, now: float) -> None:
         """Count the prompt tokens that arrived at another host."""
         self.demand[service].add(tokens, now)
--- a/dewridge/gateway/weighing.py
+++ b/dewridge/gateway/weighing.py
@@ -33,10 +33,12 @@
     Attributes:
         server: where to send it.
         tokens: of the prompt that the server likely has to read.
+        is_idle: whether nothing is known to be read there before it.
     """
 
     server: ServerRecord
     tokens: int
+    is_idle: bool = False
 
 
 def choose_server(state: GatewayState, job: Job, now: float) -> Choice | None:
@@ -48,7 +50,9 @@
     if placement is None:
         return None
     server = state.servers.find(placement.server)
-    return None if server is None else Choice(server, placement.tokens)
+    if server is None:
+        return None
+    return Choice(server, placement.tokens, placement.is_idle)
 
 
 def place(
@@ -71,14 +75,10 @@
     return None if chosen is None else Placement(chosen.id, 0)
 
 
-def is_shed(state: GatewayState, job: Job, now: float) -> bool:
+def is_shed(state: GatewayState, job: Job) -> bool:
     """Return whether a job's engines have too much for work of its urgency."""
     records = state.servers.list_service(job.service)
-    others = state.sharing.find_summary(now).servers
-    in_flight = sum(
-        others.get(one.id, NOTHING).requests + state.work.requests.get(one.id, 0)
-        for one in records
-    )
+    in_flight = state.count_in_flight(job.service)
     slots = sum(one.slots for one in records)
     return must_shed(in_flight, slots, job.route.priority, state.rng.random())
 
--- a/dewridge/policy/choice.py
+++ b/dewridge/policy/choice.py
@@ -64,10 +64,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """A server chosen, and the tokens of the prompt that it likely has to read."""
+    """A server chosen.
+
+    Attributes:
+        server: where to send the prompt.
+        tokens: of it that the server likely has to read.
+        is_idle: whether nothing is known to be read there before it.
+    """
 
     server: BackendServerId
     tokens: int
+    is_idle: bool = False
 
 
 def place_prompt(
@@ -101,9 +108,11 @@
     bound = least * (1 + BUSY_WEIGHT) + shared_tokens * SHARED_WEIGHT + NEAR_TOKENS
     for home in list_homes(usable, prefix):
         if home.delay <= bound:
-            return Placement(home.id, max(0, prompt_tokens - shared_tokens))
+            own_tokens = max(0, prompt_tokens - shared_tokens)
+            return Placement(home.id, own_tokens, home.unread_tokens <= 0)
     near = [one for one in usable if one.delay <= least + NEAR_TOKENS]
-    return Placement(rng.choice(near).id, prompt_tokens)
+    chosen = rng.choice(near)
+    return Placement(chosen.id, prompt_tokens, chosen.unread_tokens <= 0)
 
 
 def list_homes(candidates: Sequence[Candidate], prefix: str) -> list[Candidate]:
--- a/dewridge/policy/demand.py
+++ b/dewridge/policy/demand.py
@@ -17,11 +17,15 @@
 class DemandMeter:
     """Prompt tokens that arrived at all hosts for one service."""
 
+    since: float | None = None
+    """When the first work came; None before."""
     _cells: deque[tuple[int, float]] = field(default_factory=deque)
     _rates: deque[tuple[float, float]] = field(default_factory=deque)
 
     def add(self, tokens: float, now: float) -> None:
         """Count arrivals."""
+        if self.since is None:
+            self.since = now
         cell = int(now / CELL)
         if self._cells and self._cells[-1][0] == cell:
             self._cells[-1] = cell, self._cells[-1][1] + tokens
