Ask for confirmations of the configuration by their age

Change: a host asks when the confirmation it has, also by peers' word, reaches an age that it draws anew for each confirmation; alone it polls as before.

--- a/dewridge/gateway/watching.py
+++ b/dewridge/gateway/watching.py
@@ -34,6 +34,12 @@
 tenths: with the watches of all hosts silent, nine hosts that poll each 3.5 s leave a
 second and a half without a poll once in a hundred times. Polls cost 2% of the benefit
 of a day's requests where each host kept to the shortest period."""
+LEAST_DOUBT = 0.6
+"""Age of a confirmation below which nobody asks for a new one."""
+DOUBT_POWER = 1.5
+"""How the hosts' doubts lean to the earlier times: drawn evenly, nine hosts left the
+configuration unconfirmed for two seconds once in two hundred times, so once in ten
+thousand, for a third more calls."""
 POLL_SHARE = 0.3
 """Part of the store's reads a second that the polls of all hosts together may use."""
 POLLS = 3
@@ -51,7 +57,8 @@
 UNCONFIRMED_AFTER = CONFIRM_WAIT + 0.4
 """Age of the confirmation from which the configuration is read: the watch is stuck."""
 LOOK_PERIOD = 0.2
-"""Seconds between two looks at that age."""
+SHORTEST_LOOK = 0.01
+"""Seconds between two looks at that age, at the most and at the least."""
 FIRST_RETRY = 0.1
 LAST_RETRY = 0.5
 """Seconds until a failed call is made again. Hosts spread by half of it either way:
@@ -138,18 +145,41 @@
 
     async def _wait_for_doubt(self) -> None:
         """Wait until the configuration has to be read again."""
-        if self._find_part() is Part.ALL:
+        is_small = self._find_part() is Part.ALL
+        if is_small and not self._count_heard():
             self._configuration_wake = await self._wait(
-                self._configuration_wake, self.find_period()
+                self._configuration_wake, POLL_PERIOD
             )
             return
-        while self._configuration.age < UNCONFIRMED_AFTER:
-            with trio.move_on_after(LOOK_PERIOD):
+        most, drawn_for = UNCONFIRMED_AFTER, float("-inf")
+        while True:
+            if is_small and drawn_for != self._configuration.confirmed_at:
+                # Kept from the time before, only the latest doubts would be left.
+                drawn_for = self._configuration.confirmed_at
+                most = self._draw_doubt()
+            left = most - self._configuration.age
+            if left <= 0:
+                break
+            with trio.move_on_after(max(SHORTEST_LOOK, min(LOOK_PERIOD, left))):
                 await self._configuration_wake.wait()
             if self._configuration_wake.is_set():
                 break
         self._configuration_wake = trio.Event()
 
+    def _draw_doubt(self) -> float:
+        """Return the age of the confirmation at which this host asks for a new one.
+
+        Who asks confirms for all that hear it, so that drawing it leaves about one in
+        some tenths of the period to each of them. Made for hosts that were all started
+        anew by a loss of power: polling by the clock they asked all at once, and an
+        outage of the store just before the next time left their keys trusted for two
+        seconds in place of four.
+        """
+        period = self.find_period()
+        first = max(LEAST_DOUBT, period / (1 + self._count_heard()))
+        first = min(first, period)
+        return float(first + (period - first) * random.random() ** DOUBT_POWER)
+
     def _take_configuration(self, item: Item) -> bool:
         decoded = decode_configuration(item.value)
         if isinstance(decoded, Failure):
--- a/dewridge/tests/gateway/state_tests.py
+++ b/dewridge/tests/gateway/state_tests.py
@@ -395,3 +395,34 @@
             late += first > 1.7
         assert late <= 40
     assert period <= 3.7
+
+
+async def test_hosts_that_started_together_do_not_poll_together(
+    autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """All hosts were started at the same moment, and the store goes away later.
+
+    If all had asked together, the last confirmation is old at that moment, and callers
+    are refused while the store has been away for two seconds only.
+    """
+    for module in (configuration, watching):
+        monkeypatch.setattr(module, "read_boot_clock", trio.current_time)
+    data = MemoryStore().data
+    fleet = [Watching(heard=8) for _ in range(9)]
+    for host in fleet:
+        host.store.data = host.watch_store.data = data
+    write_configuration(fleet[0].store, 1)
+    ages = []
+    async with trio.open_nursery() as nursery:
+        for host in fleet:
+            nursery.start_soon(host.watcher.poll_configuration)
+        for _ in range(400):
+            await trio.sleep(0.1)
+            newest = max(host.configuration.confirmed_at for host in fleet)
+            for host in fleet:
+                host.configuration.confirm_by_peer(1, newest - 0.2)
+            ages.append(min(host.configuration.age for host in fleet))
+        nursery.cancel_scope.cancel()
+    assert max(ages) < 1.9
+    calls = sum(host.store.calls for host in fleet)
+    assert calls < 40.0 / watching.POLL_PERIOD * len(fleet) / 2
