Gather changes before watching on in small fleets too

Change: a tenth of a second after news of servers, three tenths after news of hosts, as before in large fleets only. Who wakes first tells the others.

--- a/dewridge/gateway/hosts.py
+++ b/dewridge/gateway/hosts.py
@@ -12,7 +12,6 @@
 from dewridge.gateway.clock import read_boot_clock
 from dewridge.ids import FailureDomain, HostId
 from dewridge.platform.store import Item, Lease, Listing, Store, Write
-from dewridge.policy.cells import FLAT_LIMIT
 from dewridge.sentinels import Failure
 
 PREFIX = "dewridge/"
@@ -29,8 +28,8 @@
 """Seconds between two reads of all registrations; a watch brings most news sooner, and
 hosts that went silent are missed by their peers before."""
 GATHER_TIME = 0.3
-"""Seconds between two watches by a reader of a large fleet: when all hosts start, each
-registration would cost a call of its own."""
+"""Seconds between two watches: when all hosts start, each registration would cost each
+of them a call of its own."""
 
 
 class HostEntry(msgspec.Struct, frozen=True):
@@ -260,7 +259,6 @@
                     for item in news.items:
                         self._table.update(item)
                     self._table.revision = max(self._table.revision, news.revision)
-                    if len(self._table.list_hosts()) > FLAT_LIMIT:
-                        await trio.sleep(GATHER_TIME)
+                    await trio.sleep(GATHER_TIME)
                     continue
             await trio.sleep(POLL_PERIOD)
--- a/dewridge/gateway/watching.py
+++ b/dewridge/gateway/watching.py
@@ -67,8 +67,9 @@
 """Seconds until a failed watch is begun again in a large fleet: the configuration is
 read meanwhile, and each try costs a call."""
 GATHER_TIME = 0.1
-"""Seconds between two watches of the servers in a large fleet: those of a failure
-domain come and go within that, and each alone would cost each reader a call."""
+"""Seconds between two watches of the servers: those of a failure domain come and go
+within that, and each alone would cost each host a call. Hosts wake at different times,
+and the first one tells the others."""
 MOST_UNREADABLE = 200
 """Unreadable records, with their reasons, that are told of in a process's life: enough
 to see what writes them, and a bound on lines and memory if they change all the time."""
@@ -292,7 +293,7 @@
                     note(item)
                 if not news.items:
                     on_quiet(asked_at, wait)
-                elif prefix == SERVERS_PREFIX and self._find_part() is Part.READER:
+                elif prefix == SERVERS_PREFIX:
                     await trio.sleep(GATHER_TIME)
                 revision = max(revision or 0, news.revision)
                 continue
