--- a/dewridge/gateway/scaling.py
+++ b/dewridge/gateway/scaling.py
@@ -30,7 +30,7 @@
 LASTING_SHRINK_AFTER = 2.0
 """Seconds for which fewer servers must have been enough: about a boot time, and less
 for lasting ones, of which each second costs four to five times as much."""
-WAVE_BOOTS = 2.5
+WAVE_BOOTS = 2.0
 """Boot times after a reclaim in which the next one is expected: waves come in that
 time, and later reclaimable servers ordered anew have taken the place of the first."""
 BOOT_SLACK = 2.0
