Say when the need of servers can't be read or written

Cause: a failure of the store was turned into an empty answer without a line. Change: a warning, and a line for the writing, which is tried again. Nothing measured.

--- a/dewridge/gateway/scaling.py
+++ b/dewridge/gateway/scaling.py
@@ -179,7 +179,10 @@
         quotas alone, servers were ordered for twice the demand of an ordinary day.
         """
         item = await self._store.read(NEEDED_KEY)
-        if item is None or isinstance(item, Failure):
+        if isinstance(item, Failure):
+            log.bind(reason=item.reason).warning("needed servers are not known")
+            return {}
+        if item is None:
             return {}
         try:
             return msgspec.json.decode(item.value, type=dict[ServiceName, int])
@@ -194,8 +197,11 @@
             return
         write = Write(NEEDED_KEY, msgspec.json.encode(needed))
         written = await self._store.change(writes=(write,))
-        if not isinstance(written, Failure):
-            self._needed_written = needed
+        if isinstance(written, Failure):
+            # Tried again at the next look; until then the next holder knows less.
+            log.bind(reason=written.reason).info("needed servers not written")
+            return
+        self._needed_written = needed
 
     def _knows_start(self, service: ServiceName, now: float) -> bool:
         """Whether the servers that were there at the start have been counted.
