Wait at a shutdown while first requests go on coming in

Cause: half a second after a shutdown connections without a request are closed. Ruled out: a longer fixed time (a shutdown without callers would wait for it). Change: the wait ends when no connection had its first request for half a second, or the drain time is over. The new test sends four heads 0.3 s apart; it failed before.

--- a/dewridge/frontend/connections.py
+++ b/dewridge/frontend/connections.py
@@ -77,6 +77,7 @@
         self._metrics = metrics
         self._open: set[BoundedStream] = set()
         self._idle: dict[BoundedStream, None] = {}  # the longest idle first
+        self._fresh: set[BoundedStream] = set()
         self._turning_away = 0
         self._refusal = _write_refusal()
 
@@ -87,12 +88,14 @@
             return False
         self._open.add(stream)
         self._idle[stream] = None
+        self._fresh.add(stream)
         self._note_count()
         return True
 
     def leave(self, stream: BoundedStream) -> None:
         """Take out a connection."""
         self._open.discard(stream)
+        self._fresh.discard(stream)
         self._idle.pop(stream, None)
         self._note_count()
 
@@ -101,6 +104,12 @@
         self._idle.pop(stream, None)
         if idle and stream in self._open:
             self._idle[stream] = None
+        if not idle:
+            self._fresh.discard(stream)
+
+    def count_fresh(self) -> int:
+        """Return how many connections have not had a request yet."""
+        return len(self._fresh)
 
     async def close_stalled(self, timeout: float) -> None:
         """Close connections whose callers take nothing for so long; runs on."""
--- a/dewridge/frontend/server.py
+++ b/dewridge/frontend/server.py
@@ -22,8 +22,8 @@
 """Connections that may wait to be accepted: a reclaim sends the callers of a
 whole failure domain to the other hosts within the same second."""
 HEAD_GRACE = 0.5
-"""Seconds at a shutdown in which connections just accepted may send the head of
-their request, before those without a request are closed."""
+"""Seconds at a shutdown without the head of a first request on any connection, after
+which those without a request are closed."""
 
 
 async def serve(
@@ -56,7 +56,7 @@
         gate = ConnectionGate(settings.connection_limit, metrics)
         nursery.start_soon(gate.close_stalled, settings.write_timeout)
         handle = _make_handler(wrapped, settings, context, gate)
-        await _serve_connections(handle, listener, shutdown, context, settings)
+        await _serve_connections(handle, listener, shutdown, context, settings, gate)
         await lifespan.wait_for_shutdown()
         nursery.cancel_scope.cancel()
 
@@ -165,6 +165,7 @@
     shutdown: trio.Event,
     context: WorkerContext,
     settings: FrontendSettings,
+    gate: ConnectionGate,
 ) -> None:
     # Accepting closes its socket when it is cancelled; this one goes on listening.
     bound = listener.socket
@@ -176,12 +177,28 @@
             accepting.cancel_scope.cancel()
         for stream in _take_waiting(spare):
             connections.start_soon(handle, stream)
-        await trio.sleep(HEAD_GRACE)
+        with trio.move_on_after(settings.drain_seconds):
+            await _wait_for_heads(gate)
         await context.terminated.set()
         drain = settings.drain_seconds
         connections.cancel_scope.deadline = trio.current_time() + drain
 
 
+async def _wait_for_heads(gate: ConnectionGate) -> None:
+    """Wait while first requests go on coming in.
+
+    Made for a shutdown of a busy process. Its callers connected before, and their
+    heads are read one after the other; closed after a fixed time, those that were not
+    read in time looked to their callers like answers cut off.
+    """
+    fresh = gate.count_fresh()
+    while True:
+        await trio.sleep(HEAD_GRACE)
+        before, fresh = fresh, gate.count_fresh()
+        if not fresh or fresh == before:
+            return
+
+
 def _take_waiting(listening: socket.socket) -> list[trio.SocketStream]:
     """Stop listening and return the connections not accepted until now.
 
--- a/dewridge/tests/frontend/server_tests.py
+++ b/dewridge/tests/frontend/server_tests.py
@@ -238,6 +238,23 @@
     assert found["end"] and found["ConnectError"]
 
 
+async def test_heads_that_are_read_one_after_the_other_are_all_answered() -> None:
+    # Callers connected before a shutdown, and a busy process reads their heads
+    # one by one. Closed half a second after it, the later ones look to their
+    # callers like answers cut off.
+    async with run_frontend(FakeRequests([])) as frontend:
+        host, _, port = frontend.address.rpartition(":")
+        streams = [await trio.open_tcp_stream(host, int(port)) for _ in range(4)]
+        await trio.sleep(0.1)
+        frontend.shutdown.set()
+        for stream in streams:
+            await trio.sleep(0.3)
+            await stream.send_all(b"GET /none HTTP/1.1\r\nHost: a\r\n\r\n")
+            with trio.fail_after(2):
+                assert (await stream.receive_some(9)).startswith(b"HTTP/1.1 ")
+            await stream.aclose()
+
+
 async def test_a_port_that_is_taken_is_named() -> None:
     # Two hosts on one machine got the same port. The operator must see at once
     # which address it is, in place of a group of exceptions.
