Ask once for what each host tells in the test of cells

It asked for the receivers of each of 440 hosts 440 times, two rounds: 387,200 calls of 67 us, 26 s of processor time. Ruled out: the code under test (untouched; fifty calls take 3.4 ms). Change: the receivers of a host are asked for once a round; what is asserted is the same.

--- a/dewridge/tests/policy/cells_tests.py
+++ b/dewridge/tests/policy/cells_tests.py
@@ -1,5 +1,7 @@
 """Cells: every host hears of every other one at a cost that grows slowly."""
 
+from collections import defaultdict
+
 import pytest
 
 from dewridge.ids import FailureDomain, HostId
@@ -14,14 +16,14 @@
     }
 
 
-def list_told_cells(cells: Cells, host: HostId, number: int) -> list[str]:
-    """Return the cells whose word a host hears in a round."""
-    return [
-        name
-        for name, members in cells.items()
-        for member in members
-        if host in list_receivers(cells, member, number)
-    ]
+def list_told_cells(cells: Cells, number: int) -> dict[HostId, set[str]]:
+    """Return the cells whose word each host hears in a round."""
+    told: dict[HostId, set[str]] = defaultdict(set)
+    for name, members in cells.items():
+        for member in members:
+            for host in list_receivers(cells, member, number):
+                told[host].add(name)
+    return told
 
 
 def test_a_small_fleet_is_one_cell() -> None:
@@ -35,10 +37,10 @@
     count: int, domains: int
 ) -> None:
     cells = deal_cells(make_hosts(count, domains))
-    for host in make_hosts(count, domains):
-        others = set(cells) - {find_cell(cells, host)}
-        for number in (1, 2):
-            assert set(list_told_cells(cells, host, number)) == others
+    for number in (1, 2):
+        told = list_told_cells(cells, number)
+        for host in make_hosts(count, domains):
+            assert told[host] == set(cells) - {find_cell(cells, host)}
 
 
 def test_another_member_tells_in_the_next_round() -> None:
