Name the request in the log lines of takeovers, handoffs and ends

Change: takeover, denied claim, handoff, superseded ownership and every end that is unknown or failed name the request, the epoch and what decided it. Ends in full and refusals stay counters, so that the volume is bounded by what goes wrong.

--- a/dewridge/requests/ending.py
+++ b/dewridge/requests/ending.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import trio
+from loguru import logger as log
 
 from dewridge.codes import TABLE, Outcome, ResultCode
 from dewridge.ids import HostId
@@ -70,6 +71,15 @@
             return
         outcome = TABLE[event.code].outcome
         self._shared.metrics.add("requests_ended", code=event.code.name.lower())
+        if outcome in (Outcome.UNKNOWN, Outcome.FAILED):
+            log.info(
+                "request {}: ended {} under epoch {} after {} attempts: {}",
+                record.request,
+                event.code.name.lower(),
+                record.ballot.epoch,
+                record.attempts,
+                event.reason,
+            )
         if outcome is Outcome.UNKNOWN:
             self._usage.add(record.profile, "unknown")
         elif outcome is Outcome.FAILED:
--- a/dewridge/requests/failover.py
+++ b/dewridge/requests/failover.py
@@ -163,6 +163,7 @@
             return
         if self._is_owner_live(record.ballot) and not is_orphan:
             return
+        before = record.ballot.host
         adopt(
             record,
             self._shared.make_ballot(record.request),
@@ -181,7 +182,12 @@
             renew_generation(record)
         self._replicator.add(answer)
         self._shared.metrics.add("requests_taken_over")
-        log.info("took over a request; its owner is gone")
+        log.info(
+            "request {}: taken over from {}, which is gone; {}",
+            record.request,
+            before,
+            "all replicas answered" if answered else "a replica did not answer",
+        )
         if not record.replicas:
             answer.detach()
         self._replicator.note(answer)
@@ -266,6 +272,12 @@
             record.tokens.extend(theirs.tokens[len(record.tokens) :])
 
     def _note_denied(self, answer: Answer, holder: Ballot) -> None:
+        log.info(
+            "request {}: its claim is held by {}, epoch {}",
+            answer.record.request,
+            holder.host,
+            holder.epoch,
+        )
         self._shared.jobs.start(self._await_holder, answer, holder)
 
     async def _await_holder(self, answer: Answer, holder: Ballot) -> None:
--- a/dewridge/requests/handoff.py
+++ b/dewridge/requests/handoff.py
@@ -142,6 +142,7 @@
         generation of its own.
         """
         record = answer.record
+        log.info("request {}: nobody took it; it goes on here", record.request)
         ballot = self._shared.make_ballot(record.request, record.ballot.epoch)
         adopt(record, ballot, keep_generation=False)
         answer.acked.clear()
@@ -182,6 +183,7 @@
         if isinstance(reply, Failure) or not reply.taken:
             return False
         self._shared.metrics.add("requests_handed_off")
+        log.info("request {}: handed off to {}", record.request, host)
         answer.lose()
         self._replicator.remove(answer)
         self._shared.table.lose(record, self._shared.clock())
--- a/dewridge/requests/replication.py
+++ b/dewridge/requests/replication.py
@@ -287,7 +287,12 @@
             if known.ballot < answer.record.ballot and known.ended is None:
                 self._replicator.renew(answer)
                 return
-        log.info("request ownership superseded at {}", self._host)
+        log.info(
+            "request {}: epoch {} is superseded at {}",
+            answer.record.request,
+            answer.record.ballot.epoch,
+            self._host,
+        )
         self._shared.metrics.add("requests_superseded")
         answer.lose()
         self._replicator.remove(answer)
