Hand off at once and send no calls from a host that is leaving

Symptom: accepted letters ended unknown, code 301, when their host was reclaimed. Cause: four steps of a reclaimed host, each seen in logs or traces. It told peers and the store first (up to 1.3 s of a notice of two or more), waited up to 2 s for submissions that it refused anyway, went on to claim and send calls though nobody would be there for their answers, and handed off an unsent call only after the store had confirmed that its claim is given up. It also closed 0.7 s before it was taken away, answers of sent calls or not. Change: handing off starts at once, beside the rest, each request by itself. Calls that may not be repeated are neither claimed nor sent while another host takes work. The promise to send nothing goes with the handoff, and the next host gives the old claim up before it asks for its own. Answers of sent calls are waited for until 0.2 s before the end.

--- a/dewridge/composition.py
+++ b/dewridge/composition.py
@@ -134,13 +134,16 @@
     async def leave(self) -> None:
         """Go without losing a request: no new ones, hand off, then close.
 
-        The order matters. Peers and callers hear first, so that nothing new is
-        sent here; the frontend closes last, since callers read to the end.
+        Handing off begins at once, beside telling peers and the platform: on a
+        slow host those took 1.3 s of the two that a reclaim may leave. The
+        frontend closes last, since callers read to the end.
         """
         longest = self.settings.frontend.drain_seconds
-        await self.membership.leave()
-        await self.registration.remove()
-        await self.requests.drain(self.lifecycle.find_drain_time(longest))
+        time_left = self.lifecycle.find_drain_time(longest)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.membership.leave)
+            nursery.start_soon(self.registration.remove)
+            await self.requests.drain(time_left, self.lifecycle.find_patience())
         self.close_frontend.set()
         with trio.move_on_after(self.lifecycle.find_drain_time(longest)):
             await self.frontend_closed.wait()
--- a/dewridge/lifecycle.py
+++ b/dewridge/lifecycle.py
@@ -11,6 +11,10 @@
 """Seconds before the announced reclaim by which the last request must have been
 handed off; what is sent later may be cut off on its way."""
 
+ANSWER_MARGIN = 0.2
+"""Seconds before the announced reclaim until which the answer to a call that was sent
+is waited for; its copy takes some milliseconds to reach another host."""
+
 SHORTEST_DRAIN = 0.2
 """Seconds for a drain even when the notice is used up; a handoff takes less."""
 
@@ -53,6 +57,10 @@
         left = self.leave_by - time.time() - RECLAIM_MARGIN
         return max(SHORTEST_DRAIN, min(longest, left))
 
+    def find_patience(self) -> float:
+        """Return how many seconds answers may still come after the drain's time."""
+        return 0.0 if self.leave_by is None else RECLAIM_MARGIN - ANSWER_MARGIN
+
     async def wait(self) -> None:
         """Wait until this incarnation is to leave or was fenced."""
         async with trio.open_nursery() as nursery:
--- a/dewridge/requests/attempts.py
+++ b/dewridge/requests/attempts.py
@@ -184,21 +184,25 @@
             return None
         if record.has_all_tokens:
             return AttemptEnd()
-        if not record.idempotent and not record.claimed:
-            claimed = await self._claim(attempt)
-            if claimed is not None:
-                return claimed
-            if not record.claimed:
-                return None
+        if not record.idempotent:
+            refused = await self._claim(attempt)
+            if refused is not None or not record.claimed or self._is_kept_back(record):
+                return refused
         server = self._servers.find(attempt.server)
         if server is None or server.state is not ServerState.LIVE:
             return Failure(ResultCode.NOT_STARTED, "the server is leaving")
         return await self._send(attempt, server, priority)
 
+    def _is_kept_back(self, record: Record) -> bool:
+        """Whether a call stays unsent until the drain has handed it off."""
+        return not record.idempotent and self._shared.keeps_calls_back
+
     async def _claim(self, attempt: Attempt) -> Failure | None:
         """Acquire the claim, on the slot for a short time and then off it."""
         record = attempt.record
         verdict: Grant | Failure | None = None
+        if record.claimed or self._is_kept_back(record):
+            return None
         record.claim_asked = True
         if trio.current_time() < self._claims_slow_until:
             self.park(attempt.answer)
@@ -272,7 +276,7 @@
     def release(self, record: Record) -> None:
         """Give up the claim of a call that was never sent, if it has one."""
         if record.claim_asked:
-            self._shared.jobs.start(self._claims.release, record.request, record.ballot)
+            self._claims.give_up(record)
 
     async def _send(
         self, attempt: Attempt, server: BackendServer, priority: Priority
--- a/dewridge/requests/claiming.py
+++ b/dewridge/requests/claiming.py
@@ -1,6 +1,7 @@
 """Claims as an owner asks for them: through the bucket's committer, or itself."""
 
 import trio
+from loguru import logger as log
 
 from dewridge.codes import ResultCode
 from dewridge.ids import HostId, Incarnation, RequestId
@@ -15,6 +16,9 @@
 from dewridge.sentinels import Failure
 
 RELEASE_TRIES = 20
+RELEASE_PAUSE = 0.2
+"""Seconds between them; with the timeout of each they outlast an outage of the
+key-value service of 10 s."""
 COMMITTER_SHARE = 0.5
 """Part of the claim's time that the bucket's committer has before the owner writes
 the claim itself; a committer that is paused must not cost the whole of it."""
@@ -74,17 +78,29 @@
         self._shared.metrics.observe("claim_seconds", self._shared.clock() - started)
         return verdict
 
-    async def release(self, request: RequestId, ballot: Ballot) -> bool:
-        """Give a claim up that was not used; False if that stayed unconfirmed."""
+    def give_up(self, record: Record) -> None:
+        """Promise to send nothing under a record's ownership, and release its claim.
+
+        The promise holds at once, so the call can be handed off without waiting
+        for the key-value service: a reclaimed host may have less time than that.
+        """
+        request, ballot = record.request, record.ballot
         self._released[request] = ballot, self._shared.clock()
+        self._shared.jobs.start(self.void, request, ballot)
+
+    async def void(self, request: RequestId, ballot: Ballot) -> None:
+        """Mark an ownership that sends nothing as given up, whether it claimed or not.
+
+        Only for an ownership whose own host has promised that it sends nothing.
+        """
         intent = ClaimIntent(request, ballot, release=True)
         for _ in range(RELEASE_TRIES):
             verdict = await self._ask(intent, self._shared.settings.claim_timeout)
             if not isinstance(verdict, Failure):
                 self._shared.metrics.add("claims", result="released")
-                return True
-            await trio.sleep(0.2)
-        return False
+                return
+            await trio.sleep(RELEASE_PAUSE)
+        log.warning("request {}: its claim could not be given up", request)
 
     async def _ask(self, intent: ClaimIntent, timeout: float) -> Verdict:
         """Ask the committer of the bucket; commit here if it does not answer.
--- a/dewridge/requests/handoff.py
+++ b/dewridge/requests/handoff.py
@@ -6,7 +6,7 @@
 import trio
 from loguru import logger as log
 
-from dewridge.ids import HostId
+from dewridge.ids import HostId, RequestId
 from dewridge.peers.model import PeerIdentity
 from dewridge.peers.wire import ttypes as wire
 from dewridge.requests.answers import Answer, adopt, renew_generation
@@ -15,7 +15,7 @@
 from dewridge.requests.codec import decode_record, encode_record
 from dewridge.requests.failover import Failover
 from dewridge.requests.following import Followers
-from dewridge.requests.records import Record
+from dewridge.requests.records import Ballot, Record
 from dewridge.requests.replication import Replicator
 from dewridge.requests.scheduling import Scheduling
 from dewridge.requests.shared import Shared, wait_until
@@ -30,6 +30,8 @@
 HANDOFFS_AT_ONCE = 16
 POLL = 0.05
 ACCEPTANCE_PATIENCE = 2.0
+"""Seconds in which submissions that are being decided on are waited for; the calls to
+replicas that one needs take no longer, and callers that go on sending never end."""
 HANDOFF_TRIES = 3
 
 
@@ -54,34 +56,75 @@
         self._claims = claims
         self._followers = followers
         self._failover = failover
+        self._busy: set[RequestId] = set()
 
-    async def drain(self, timeout: float, is_accepting: Callable[[], bool]) -> None:
+    async def drain(
+        self, timeout: float, is_accepting: Callable[[], bool], patience: float = 0.0
+    ) -> None:
         """Finish or hand off every request, then return.
 
         Calls that may not be repeated and were sent stay here until their
-        answer or the timeout, unless their engine confirms that it stopped
-        them: nobody else may go on with them.
+        answer, unless their engine confirms that it stopped them: nobody else
+        may go on with them.
+
+        Args:
+            timeout: seconds in which requests are handed off.
+            is_accepting: whether submissions are still being decided on.
+            patience: seconds after that in which this host still runs and answers
+                to calls that were sent may come.
         """
         self._shared.leaving = True
         limit = trio.current_time() + timeout
-        log.info("draining the requests of this host")
-        with trio.move_on_after(min(timeout, ACCEPTANCE_PATIENCE)):
-            await wait_until(lambda: not is_accepting(), POLL)
-        grace = min(GRACE_LIMIT, timeout * GRACE_SHARE)
-        with trio.move_on_after(grace):
-            await self._hand_off_all(only_queued=True)
-            await wait_until(lambda: not self._list_live(), POLL)
-        while self._list_live() and trio.current_time() < limit:
-            with trio.move_on_at(limit):
-                await self._hand_off_all(only_queued=False)
-                await trio.sleep(POLL)
+        log.info("draining the requests of this host within {:.1f} s", timeout)
+        await self._hand_off_all(limit, is_accepting)
         self._followers.moving = True
         for answer in self._replicator.list_answers():
             answer.note_change()
-        with trio.move_on_at(limit):
-            await wait_until(self._is_quiet, POLL)
+        with trio.move_on_at(limit + patience):
+            await wait_until(lambda: self._is_over(limit), POLL)
         log.info("drained; {} requests left", len(self._list_live()))
 
+    async def _hand_off_all(
+        self, limit: float, is_accepting: Callable[[], bool]
+    ) -> None:
+        """Hand off requests until none is left or the time is over.
+
+        Made for a reclaim's two seconds of notice on slow hosts. Handing off goes
+        on beside what is being accepted, since callers that have not heard of the
+        leaving go on sending, and each request by itself, since one silent peer
+        would use up the time of all.
+        """
+        now = trio.current_time()
+        grace_ends = now + min(GRACE_LIMIT, (limit - now) * GRACE_SHARE)
+        accepted_by = min(limit, now + ACCEPTANCE_PATIENCE)
+        at_once = trio.CapacityLimiter(HANDOFFS_AT_ONCE)
+        async with trio.open_nursery() as nursery:
+            while now < limit:
+                is_settled = now >= accepted_by or not is_accepting()
+                if is_settled and not self._list_live():
+                    break
+                for answer in self._list_live():
+                    if self._may_go(answer, now < grace_ends):
+                        self._busy.add(answer.record.request)
+                        nursery.start_soon(self._hand_off, answer, at_once)
+                await trio.sleep(POLL)
+                now = trio.current_time()
+
+    def _may_go(self, answer: Answer, in_grace: bool) -> bool:
+        """Whether a request is to be handed off now.
+
+        In the grace running work ends by itself, and what is being accepted is
+        left to come to rest; a call that waits for its claim is not running.
+        """
+        record = answer.record
+        if record.request in self._busy:
+            return False
+        if not in_grace:
+            return True
+        attempt = self._attempts.find(record.request)
+        runs = attempt is not None and (record.idempotent or attempt.dispatched)
+        return not runs and not record.pending
+
     def _list_live(self) -> list[Answer]:
         answers = self._replicator.list_answers()
         return [a for a in answers if not a.lost and a.record.ended is None]
@@ -93,27 +136,45 @@
     def _is_quiet(self) -> bool:
         return not self._followers.open and not self._list_unsettled()
 
-    async def _hand_off_all(self, only_queued: bool) -> None:
-        limit = trio.CapacityLimiter(HANDOFFS_AT_ONCE)
-        async with trio.open_nursery() as nursery:
-            for answer in self._list_live():
-                running = self._attempts.find(answer.record.request) is not None
-                if not (only_queued and running):
-                    nursery.start_soon(self._hand_off, answer, limit)
+    def _is_over(self, limit: float) -> bool:
+        """Whether nothing is left that this host must wait for."""
+        if any(not a.record.idempotent for a in self._list_running()):
+            return False
+        return self._is_quiet() or trio.current_time() >= limit
+
+    def _list_running(self) -> list[Answer]:
+        """Return what was sent to a backend server, or has an answer not yet safe."""
+        return [
+            answer
+            for answer in self._list_unsettled()
+            if answer.record.ended is not None
+            or self._attempts.find(answer.record.request) is not None
+        ]
 
     async def _hand_off(self, answer: Answer, limit: trio.CapacityLimiter) -> None:
         record = answer.record
-        async with limit:
-            # The end of the drain's time must not cut a request off between
-            # its stop here and its start at the replica.
-            with trio.CancelScope(shield=True):
-                if not await self._stop(answer):
-                    return
-                for host in self._find_targets(record):
-                    if await self._give(answer, host):
-                        return
-                if not answer.lost and record.ended is None:
-                    self._renew_ownership(answer)
+        try:
+            async with limit:
+                # The end of the drain's time must not cut a request off between
+                # its stop here and its start at the replica.
+                with trio.CancelScope(shield=True):
+                    await self._stop_and_give(answer)
+        finally:
+            self._busy.discard(record.request)
+
+    async def _stop_and_give(self, answer: Answer) -> None:
+        record = answer.record
+        if not await self._stop(answer):
+            return
+        for host in self._find_targets(record):
+            if await self._give(answer, host):
+                return
+        if answer.lost or record.ended is not None:
+            return
+        if record.idempotent or not self._shared.keeps_calls_back:
+            self._renew_ownership(answer)
+        else:
+            log.info("request {}: nobody has taken it yet", record.request)
 
     async def _stop(self, answer: Answer) -> bool:
         """Stop work on a request; False if it must stay here."""
@@ -129,11 +190,9 @@
             return False
         self._scheduling.withdraw(record)
         self._attempts.unpark(record.request)
-        if record.claim_asked and not await self._release(record):
-            if not answer.lost and record.ended is None:
-                self._renew_ownership(answer)
-            return False
-        return not answer.lost and record.ended is None
+        if record.claim_asked:
+            self._claims.give_up(record)
+        return True
 
     def _renew_ownership(self, answer: Answer) -> None:
         """Go on here under a new ownership; the old one's claim is given up.
@@ -151,16 +210,6 @@
             self._replicator.send_whole(host, record.request)
         self._failover.resume(answer)
 
-    async def _release(self, record: Record) -> bool:
-        """Release a claim; without that nobody else could send the call."""
-        released = False
-        with trio.move_on_after(self._shared.settings.claim_timeout):
-            released = await self._claims.release(record.request, record.ballot)
-        if released:
-            record.claimed = False
-            record.claim_asked = False
-        return released
-
     def _find_targets(self, record: Record) -> list[HostId]:
         members = {m.host: m for m in self._shared.membership.members()}
         replicas = [h for h in record.replicas if h in members]
@@ -177,7 +226,7 @@
         message = wire.Handoff(
             record=encode_record(record),
             tokens=list(record.tokens),
-            released=True,
+            released=record.claim_asked,
         )
         reply = await self._shared.call(host, message)
         if isinstance(reply, Failure) or not reply.taken:
@@ -203,10 +252,17 @@
             return wire.HandoffReply(taken=True)
         if have is not None and have.ended is not None:
             return wire.HandoffReply(taken=True)
-        self._own(offered)
+        self._own(offered, offered.ballot if message.released else None)
         return wire.HandoffReply(taken=True)
 
-    def _own(self, record: Record) -> None:
+    def _own(self, record: Record, voided: Ballot | None) -> None:
+        """Go on with a request that was handed off.
+
+        Args:
+            record: the request.
+            voided: the ownership of its last host, if that may hold the claim and
+                has promised to send nothing.
+        """
         ballot = self._shared.make_ballot(record.request, record.ballot.epoch)
         adopt(record, ballot, keep_generation=True)
         before = set(record.replicas)
@@ -222,10 +278,22 @@
             self._replicator.send_whole(host, record.request)
         answer.accepted.set()
         self._shared.metrics.add("requests_taken_by_handoff")
-        if record.idempotent:
+        if record.idempotent or voided is None:
             self._attempts.queue(answer)
         else:
-            self._scheduling.restore(record)
+            self._shared.jobs.start(self._queue_call, answer, voided)
+
+    async def _queue_call(self, answer: Answer, voided: Ballot) -> None:
+        """Queue a call once the claim of its last host is out of the way.
+
+        That host had no time to wait for the key-value service. If its claim stood
+        when this host asks for one, this one would be refused by a holder that is
+        gone and tell the caller "unknown" of a call that was never sent.
+        """
+        record = answer.record
+        await self._claims.void(record.request, voided)
+        if not answer.lost and record.ended is None:
+            self._attempts.queue(answer)
 
 
 def describe_drain(shared: Shared, followers: Followers) -> dict[str, Any]:
--- a/dewridge/requests/service.py
+++ b/dewridge/requests/service.py
@@ -304,12 +304,21 @@
         self._attempts.unpark(old.request)
         self._attempts.release(old)
 
-    async def drain(self, timeout: float) -> None:
-        """Leave gracefully: finish or hand off every request, then return."""
-        await self._handoff.drain(timeout, lambda: not self._acceptor.is_idle)
+    async def drain(self, timeout: float, patience: float = 0.0) -> None:
+        """Leave gracefully: finish or hand off every request, then return.
+
+        Args:
+            timeout: seconds in which requests are handed off.
+            patience: seconds after that in which answers to calls that were sent
+                may still come.
+        """
+        await self._handoff.drain(timeout, self._is_accepting, patience)
         self._scheduling.read_usage()
         await self._send_usage()
 
+    def _is_accepting(self) -> bool:
+        return not self._acceptor.is_idle
+
     async def _forget(self) -> None:
         while True:
             await trio.sleep(FORGET_PERIOD)
--- a/dewridge/requests/shared.py
+++ b/dewridge/requests/shared.py
@@ -89,6 +89,19 @@
         """
         return self.settings.replicas + 2
 
+    @property
+    def keeps_calls_back(self) -> bool:
+        """Whether calls that may not be repeated must not be sent from here now.
+
+        A reclaimed host that sends one may be gone before its answer comes; the
+        caller then hears "unknown" of a call that another host could have sent.
+        Without another host that takes work it is this one or none.
+        """
+        if not self.leaving:
+            return False
+        members = self.membership.members()
+        return any(m.takes_work and m.host != self.me.host for m in members)
+
     def make_ballot(self, request: RequestId, above: int = 0) -> Ballot:
         """Begin an ownership by this host, above all that it has heard of."""
         epoch = max(self.table.find_epoch(request), above) + 1
--- a/dewridge/tests/requests/leaving_tests.py
+++ b/dewridge/tests/requests/leaving_tests.py
@@ -109,6 +109,24 @@
     run_cluster(scenario)
 
 
+# A letter was sent before its host was told to leave, and the registry answers when
+# the time for handing off is over but the host is still there. It closed without
+# waiting, and the answer was lost with it: the caller heard "unknown" (301) of a
+# letter that was issued while its host had half a second left.
+def test_an_answer_that_comes_after_the_handing_off_is_waited_for() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        cluster.workers.plain_time = 0.6
+        key = await submit(cluster, "host-0", "issue_letter")
+        await wait_until(lambda: cluster.workers.count(key) == 1, 0.01)
+        cluster.announce_leaving("host-0")
+        await cluster.nodes["host-0"].service.drain(0.3, patience=0.5)
+        cluster.kill("host-0")
+        assert (await read_end(cluster, "host-1", key)).code is ResultCode.OK
+        assert cluster.workers.count(key) == 1
+
+    run_cluster(scenario)
+
+
 # A letter is issued and one of its two copies hears of it; then its host goes.
 # The other copy's host takes the letter over while the first one stands still.
 # It is refused the claim, the claim's holder is gone, and it told the caller
