Look for the answer of a lost holder before saying unknown

Symptom: code 301 of a call whose whole answer lay on another host. Cause: a copy that had not heard of the end took the call over, was refused the claim, and gave the call up as soon as the claim's holder counted as gone. It asked no other host; in its one round before the takeover a host that was slow for half a second (the call's timeout) or counted as suspect was left out. The word then stuck: each caller that came back to that host was told the same, though another host had the answer. Seen in a trace over fakes (ended OK at the holder at 2.191, copied to three hosts, code 301 from a fourth at 8.32), and by the tests. Ruled out: the answer being lost; it was on two or more hosts all the while. Change: the hosts that may hold a copy, suspects and the replicas of earlier owners among them, are asked until each has answered or is gone, 5 s at the most. A call that ended unknown is looked for again when somebody asks for it.

--- a/dewridge/requests/answers.py
+++ b/dewridge/requests/answers.py
@@ -39,6 +39,7 @@
             each of them from the others, or it would go on without the tokens
             that only that one has.
         holders: hosts that may hold a copy, also ones replaced since.
+        former: replicas of earlier owners; they may hold an end that this one missed.
         accepted: set once a replica holds the record, or the answer is lost.
         detached: no replica can be had; tokens are shown as they come, under a
             generation that nobody else continues.
@@ -49,6 +50,7 @@
         self.acked: dict[HostId, int] = {}
         self.end_acked: set[HostId] = set()
         self.holders: set[HostId] = set()
+        self.former: set[HostId] = set()
         self.trusted = set(record.replicas)
         self.visible = 0
         self.end_visible = False
--- a/dewridge/requests/failover.py
+++ b/dewridge/requests/failover.py
@@ -32,6 +32,10 @@
 HOLDER_PATIENCE = 5.0
 """Seconds past a call's deadline that its live holder is waited for."""
 
+COPY_PATIENCE = 5.0
+"""Seconds that a copy on a silent host is waited for; by then a host that is up has
+refuted the suspicion and one that is not counts as dead."""
+
 
 class Failover:
     """Watches the owners of the records kept here."""
@@ -177,6 +181,7 @@
             return
         self._replicator.choose(record)
         answer = Answer(record)
+        answer.former = set(others)
         answer.visible = len(record.tokens) if answered else 0
         if answered and answer.replace_replicas(set(others)):
             renew_generation(record)
@@ -294,7 +299,7 @@
                 return
             member = self._shared.find_live(holder.host)
             if member is None or member.incarnation != holder.incarnation:
-                self._ender.give_up(answer, make_holder_lost("is gone"))
+                await self._settle_without_holder(answer)
                 return
             if self._shared.is_own(holder):
                 # An earlier ownership of ours gave the call up; its release is
@@ -314,6 +319,26 @@
                 return
             await trio.sleep(HOLDER_POLL)
 
+    async def _settle_without_holder(self, answer: Answer) -> None:
+        """Find the answer that a holder left before it went, or say that none is there.
+
+        Its copy may lie on a host that is slow just now, while this host's copy
+        never heard of it. A word of "unknown" is believed by callers, so it waits
+        until every host that may know better has answered or is gone.
+        """
+        record = answer.record
+        limit = min(record.deadline, self._shared.clock() + COPY_PATIENCE)
+        hosts = frozenset(answer.former.union(record.replicas))
+        while not answer.lost and record.ended is None:
+            whole = await self._locator.find_whole(record.request, hosts)
+            if whole.record is not None:
+                log.info("request {}: its answer was found", record.request)
+                self._take_answer(answer, whole.record)
+            elif whole.is_sure or self._shared.clock() > limit:
+                self._ender.give_up(answer, make_holder_lost("is gone"))
+            else:
+                await trio.sleep(HOLDER_POLL)
+
     async def _is_holder_silent(self, holder: Ballot) -> bool:
         member = self._shared.find_live(holder.host)
         return member is None or member.state is not MemberState.ALIVE
--- a/dewridge/requests/following.py
+++ b/dewridge/requests/following.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import trio
+from loguru import logger as log
 
 from dewridge.codes import Outcome, ResultCode
 from dewridge.ids import Generation, HostId, RequestId
@@ -23,6 +24,8 @@
     RestartEvent,
     TokensEvent,
 )
+from dewridge.requests.records import Record
+from dewridge.requests.replicas import is_late_answer
 from dewridge.requests.replication import Replicator, make_unconfirmed
 from dewridge.requests.shared import UNREACHABLE, Shared
 from dewridge.sentinels import Failure
@@ -138,6 +141,7 @@
 
     async def _follow_once(self, request: RequestId, place: Place, emit: Emit) -> bool:
         """Follow at one place while it lasts; whether the request was known."""
+        await self.look_for_answer(request)
         answer = self.find_answer(request)
         if answer is not None:
             await self._follow_here(answer, place, emit)
@@ -159,15 +163,33 @@
     def find_answer(self, request: RequestId) -> Answer | None:
         """Return an answer that can be followed on this host."""
         answer = self._replicator.find(request)
-        if answer is not None and not answer.lost:
-            return answer
         record = self._shared.table.find(request)
+        is_stale = record is not None and is_late_answer_to(answer, record)
+        if answer is not None and not answer.lost and not is_stale:
+            return answer
         if record is None or record.ended is None:
             return None
         if record.outcome is Outcome.NOT_RUN:
             return None
         return make_whole(record)
 
+    async def look_for_answer(self, request: RequestId) -> None:
+        """Ask other hosts for the answer of a call that ended unknown here.
+
+        A host that was slow or asleep when this one gave the call up may have the
+        answer. Without asking, each caller that comes back would be told "unknown"
+        again by this host, and get the answer from another one.
+        """
+        record = self._shared.table.find(request)
+        if record is None or record.idempotent:
+            return
+        if record.outcome is not Outcome.UNKNOWN:
+            return
+        whole = await self._locator.find_whole(request, frozenset(record.replicas))
+        if whole.record is not None:
+            log.info("request {}: its answer was found late", request)
+            self._shared.table.store(whole.record, self._shared.clock())
+
     async def _follow_here(self, answer: Answer, place: Place, emit: Emit) -> None:
         close, place.generation, place.offset = await answer.stream(
             place.generation, place.offset, emit, lambda: self.moving
@@ -300,6 +322,13 @@
         }
 
 
+def is_late_answer_to(answer: Answer | None, record: Record) -> bool:
+    """Whether a record brings the whole answer of a call given up as unknown."""
+    if answer is None or answer.record is record:
+        return False
+    return is_late_answer(answer.record, record)
+
+
 def make_lost(was_known: bool) -> EndedEvent:
     """Return the end of following a request that nobody knows."""
     if was_known:
--- a/dewridge/requests/locating.py
+++ b/dewridge/requests/locating.py
@@ -1,12 +1,13 @@
 """Finding a request: its owner, or whoever holds a copy of it."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import trio
 
 from dewridge.codes import Outcome
 from dewridge.ids import HostId, RequestId
+from dewridge.membership.model import MemberState
 from dewridge.membership.ranking import find_home
 from dewridge.peers.wire import ttypes as wire
 from dewridge.requests.codec import decode_end, decode_record
@@ -31,6 +32,19 @@
     tokens: int
 
 
+@dataclass(slots=True)
+class Whole:
+    """What a search for a whole answer brought.
+
+    Attributes:
+        record: the record with the answer, if one was found.
+        is_sure: whether no host that is up stayed silent.
+    """
+
+    record: Record | None = None
+    is_sure: bool = True
+
+
 class Locator:
     """Looks for requests at their owners and in their homes."""
 
@@ -76,6 +90,39 @@
                     nursery.start_soon(ask, host)
         return found
 
+    async def find_whole(
+        self, request: RequestId, also: frozenset[HostId] = frozenset()
+    ) -> "Whole":
+        """Look for a whole answer at every host that may hold a copy.
+
+        Made for a call whose holder is gone. One slow host may be the only one
+        that has the answer, and it counts as suspect just then; left out, the
+        caller would hear "unknown" of a call that was answered.
+        """
+        members = [
+            replace(member, state=MemberState.ALIVE)
+            for member in self._shared.membership.members()
+        ]
+        home = find_home(request, members)
+        hosts = {m.host for m in home[: self._shared.reach]} | also
+        hosts.discard(self._shared.me.host)
+        whole = Whole()
+
+        async def ask(host: HostId) -> None:
+            message = wire.Find(request=request, with_tokens=True)
+            reply = await self._shared.call(host, message)
+            if isinstance(reply, Failure):
+                whole.is_sure &= self._shared.find_live(host) is None
+            elif reply.found:
+                located = decode_found(host, reply)
+                if located.record.outcome is Outcome.DONE:
+                    whole.record = located.record
+
+        async with trio.open_nursery() as nursery:
+            for host in hosts:
+                nursery.start_soon(ask, host)
+        return whole
+
     async def ask(
         self, host: HostId, request: RequestId, with_tokens: bool = False
     ) -> Located | None:
--- a/dewridge/requests/service.py
+++ b/dewridge/requests/service.py
@@ -212,6 +212,7 @@
     ) -> RequestStatus | Failure:
         """Say how far a request has come."""
         request = make_request_id(account, key)
+        await self._followers.look_for_answer(request)
         answer = self._followers.find_answer(request)
         if answer is not None:
             return make_status(answer)
