Run a call sent again whose first sending left a copy behind

Cause: a replica stored the copy of a first sending, but neither that nor its refusal was heard of. The caller was told "unknown", sent the key again to another host, and was joined to the copy, whose owner had refused it and would never run it. Ruled out: a reclaim (the calls were sent 4 s after the hosts had gone), a call that ran (no backend server had begun one). Change: before it joins a caller to a live copy, a host asks the copy's owner; one that the owner has refused, or doesn't know, is superseded. Not run is not said of such a key. Over fakes with late messages some calls still end so (open).

--- a/dewridge/requests/acceptance.py
+++ b/dewridge/requests/acceptance.py
@@ -196,7 +196,7 @@
             record.maybe_run = was_run or not result.is_not_run
         elif self._is_reused(submission, result):
             return make_reused()
-        elif may_reopen(result):
+        elif may_reopen(result) or await self._is_left_over(result):
             record.maybe_run = True
         else:
             return Accepted(request, result.generation, attached=True)
@@ -204,6 +204,18 @@
         record.generation = make_generation(record.ballot)
         return None
 
+    async def _is_left_over(self, known: Record) -> bool:
+        """Whether a live copy belongs to a sending that its owner has refused.
+
+        The owner could not be sure that this copy was gone, so its caller was told
+        "unknown" and sent the key again. Joined to a copy that nobody goes on
+        with, it would be told that it is accepted and hear "unknown" for ever.
+        """
+        if known.ended is not None:
+            return False
+        owned = await self._ask_owner(known)
+        return owned is None or owned.outcome is Outcome.NOT_RUN
+
     def _check(self, submission: Submission, request: RequestId) -> Failure | None:
         closed = self._shared.table.find_closed(request)
         if closed is not None and submission.number <= closed.number:
