Send a call again whose outcome stays unknown

Symptom: a caller of the client heard "unknown" of an accepted call each two seconds until its deadline, though the call had never been sent to a backend server. Cause: after "unknown" the client only asked for the answer, never sent the key again, and asking does not make a call run that nobody has. A letter given up unsent could not be sent again either. Ruled out: a second run; the claim decides who may send, and the key joins what runs. Change: the first "unknown" is asked again, as before; the second is followed by the next sending of the key, unless the caller bounds these. A later sending may reopen a call that ended unknown unsent.

--- a/dewridge/client/client.py
+++ b/dewridge/client/client.py
@@ -43,7 +43,7 @@
     key: RequestKey
     deadline: float
     on_event: OnEvent | None
-    progress: Progress = field(default_factory=Progress)
+    progress: Progress
     hosts: list[str] = field(default_factory=list)
     failures: int = 0
     turn: int = 0
@@ -103,7 +103,9 @@
         and the deadline allows; the call does not run twice by it.
         """
         key = RequestKey(call.key.lower() or str(uuid7()))
-        run = _Run(call, key, trio.current_time() + call.deadline, on_event)
+        progress = Progress(self._limits.submissions)
+        ends = trio.current_time() + call.deadline
+        run = _Run(call, key, ends, on_event, progress)
         return await self._finish(run)
 
     async def follow(
@@ -111,7 +113,8 @@
     ) -> Answer:
         """Bring back the answer of a call that was sent before."""
         ends = trio.current_time() + deadline
-        run = _Run(None, RequestKey(key.lower()), ends, on_event)
+        run = _Run(None, RequestKey(key.lower()), ends, on_event, Progress(1))
+        run.progress.submissions = 1
         run.progress.accepted = True
         return await self._finish(run)
 
--- a/dewridge/client/progress.py
+++ b/dewridge/client/progress.py
@@ -34,6 +34,11 @@
 """Hosts asked before such a refusal is believed; more would hide a wrong name."""
 
 
+UNKNOWN_TO_RESUBMIT = 2
+"""Times that an outcome is unknown before the key is sent again: what a holder that
+woke up delivers is there the second time."""
+
+
 class Step(Enum):
     """What a client does after an event."""
 
@@ -53,7 +58,12 @@
         in_doubt: whether a submission went out whose fate is not known.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, most_submissions: int = 0) -> None:
+        """Begin a call.
+
+        Args:
+            most_submissions: sendings of its key at most; 0 sets no bound.
+        """
         self.submissions = 0
         self.restarts = 0
         self.generation = 0
@@ -65,6 +75,8 @@
         self.retry_after = 0.0
         self._doubt_before = False
         self._lagging = 0
+        self._most_submissions = most_submissions
+        self._times_unknown = 0
 
     def note_sending(self) -> int:
         """Number one more submission."""
@@ -151,5 +163,22 @@
             self.accepted = False
             self.in_doubt = False
             return Step.FINISH if event.code in FINAL_REFUSALS else Step.RESUBMIT
-        # The outcome is unknown; its holder may yet deliver, so ask again.
-        return Step.REJOIN if event.retry_after is not None else Step.FINISH
+        if event.retry_after is None:
+            return Step.FINISH
+        return self._come_back()
+
+    def _come_back(self) -> Step:
+        """Ask again for an outcome that is unknown, and then send the key again.
+
+        Its holder may yet deliver, so the first time the answer is asked for. A call
+        that was never sent has nobody to deliver it: asked for again and again it
+        stayed unknown until its deadline, while the same key sent again joins what
+        runs, runs what never did, and never runs anything twice.
+        """
+        self._times_unknown += 1
+        is_last = 0 < self._most_submissions <= self.submissions
+        if self._times_unknown < UNKNOWN_TO_RESUBMIT or is_last:
+            return Step.REJOIN
+        self._times_unknown = 0
+        self.accepted = False
+        return Step.RESUBMIT
--- a/dewridge/requests/replicas.py
+++ b/dewridge/requests/replicas.py
@@ -344,9 +344,11 @@
 def may_reopen(record: Record) -> bool:
     """Whether a later submission may try a request again that ended unknown.
 
-    An idempotent one may simply run again. One whose holder was lost may ask
-    for the claim again: it is granted only if the holder released it unsent.
+    An idempotent one may simply run again. One whose holder was lost, or that was
+    given up unsent, may ask for the claim again: it is granted only if nobody
+    holds it, or its holder released it unsent.
     """
     if record.ended is None or record.outcome is not Outcome.UNKNOWN:
         return False
-    return record.idempotent or record.ended.code is ResultCode.HOLDER_LOST
+    is_lost = record.ended.code is ResultCode.HOLDER_LOST
+    return record.idempotent or is_lost or not record.maybe_run
--- a/dewridge/tests/client/progress_tests.py
+++ b/dewridge/tests/client/progress_tests.py
@@ -90,3 +90,29 @@
     assert progress.retry_after == 0.5
     progress.note_event(make_tokens(1, 0, 4))
     assert progress.note_event(EndedEvent(ResultCode.OK)) is Step.FINISH
+
+
+def test_an_outcome_that_stays_unknown_is_sent_again() -> None:
+    # A letter was accepted and its host was reclaimed before it was sent. No host
+    # has it, so asking for it never helps: the caller heard "unknown" each two
+    # seconds until its deadline. Sent again under its key it is issued once.
+    progress = Progress()
+    progress.note_sending()
+    progress.note_accepted(1)
+    end = EndedEvent(ResultCode.HOLDER_LOST, retry_after=0.5)
+    assert progress.note_event(end) is Step.REJOIN
+    assert progress.note_event(end) is Step.RESUBMIT
+    assert progress.retry_after == 0.5
+    assert not progress.accepted
+    assert progress.in_doubt
+
+
+def test_a_caller_that_sends_once_goes_on_asking() -> None:
+    # A caller may bound how often its key is sent. It must not stop at the second
+    # "unknown": a holder that was asleep may bring the answer after it.
+    progress = Progress(most_submissions=1)
+    progress.note_sending()
+    progress.note_accepted(1)
+    end = EndedEvent(ResultCode.OUTCOME_UNKNOWN, retry_after=0.5)
+    steps = [progress.note_event(end) for _ in range(4)]
+    assert steps == [Step.REJOIN] * 4
