Let a call be sent again that was taken over and never sent

Cause: a call that was taken over counts as maybe run. Given up because its claim could not be recorded, it stayed unknown, and the key sent again was joined to that. Change: a later sending reopens a call that ended unknown and that no host known to the record has sent; the claim still decides who may send.

--- a/dewridge/requests/replicas.py
+++ b/dewridge/requests/replicas.py
@@ -351,4 +351,5 @@
     if record.ended is None or record.outcome is not Outcome.UNKNOWN:
         return False
     is_lost = record.ended.code is ResultCode.HOLDER_LOST
-    return record.idempotent or is_lost or not record.maybe_run
+    is_unsent = not record.maybe_run or not record.attempts
+    return record.idempotent or is_lost or is_unsent
