Ask the owner of a copy before a repeat is joined to it here

Cause: the repeat reached the very host that held the left-over copy, which joined it without asking. The copy stayed live since its holder, asking the owner after 5 s, passed over the end it was told. Evidence: the callers' events: refused as unknown, accepted with "attached" and the refused owner's generation, "no entry host knows the request now" each 8 s; no attempt in any host's log. Ruled out: handing off (the hosts concerned were not leaving). Change: both cases ask the owner; a copy takes over the end that its owner tells. Figures: the test's second case failed before and passes.

--- a/dewridge/requests/acceptance.py
+++ b/dewridge/requests/acceptance.py
@@ -121,7 +121,7 @@
         self, submission: Submission, request: RequestId, failure: Failure | None
     ) -> Accepted | Failure:
         joined = self._join(submission, request)
-        if joined is not None:
+        if joined is not None and not await self._is_joined_to_left_over(submission):
             return joined
         if failure is None:
             failure = self._check(submission, request)
@@ -204,6 +204,15 @@
         record.generation = make_generation(record.ballot)
         return None
 
+    async def _is_joined_to_left_over(self, submission: Submission) -> bool:
+        """Whether a repeat would join a copy here that nobody goes on with."""
+        request = make_request_id(submission.account, submission.key)
+        record = self._shared.table.find(request)
+        if submission.number <= 1 or record is None:
+            return False
+        is_own = self._shared.is_own(record.ballot)
+        return not is_own and await self._is_left_over(record)
+
     async def _is_left_over(self, known: Record) -> bool:
         """Whether a live copy belongs to a sending that its owner has refused.
 
--- a/dewridge/requests/failover.py
+++ b/dewridge/requests/failover.py
@@ -10,7 +10,7 @@
 from dewridge.peers.wire import ttypes as wire
 from dewridge.requests.answers import Answer, adopt, renew_generation
 from dewridge.requests.attempts import Attempts
-from dewridge.requests.codec import decode_record
+from dewridge.requests.codec import decode_end, decode_record
 from dewridge.requests.ending import Ender
 from dewridge.requests.locating import Located, Locator, decode_found
 from dewridge.requests.records import Ballot, Record
@@ -116,6 +116,11 @@
         if isinstance(reply, Failure):
             return
         if reply.found and reply.record.owner == record.ballot.host:
+            # The word of the end was lost on its way here. Without it the copy would
+            # stay live, and callers who find it would wait for an answer.
+            if reply.ended is not None and self._is_mine_to_take(record):
+                ended = decode_end(reply.ended)
+                self._shared.table.end(record, ended, self._shared.clock())
             return
         if reply.found:
             self._shared.table.store(decode_record(reply.record), self._shared.clock())
--- a/dewridge/tests/requests/leaving_tests.py
+++ b/dewridge/tests/requests/leaving_tests.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import pytest
 import trio
 
 from dewridge.codes import ResultCode
@@ -181,7 +182,11 @@
 # another host. That one found the copy and joined the caller to it: "accepted", and
 # then "unknown" each time that the caller asked, though nothing ran or ever would.
 # The owner's log has the refusal, and no host's log has an attempt.
-def test_a_letter_sent_again_after_an_unconfirmed_refusal_runs() -> None:
+# It is the same at the host that holds the copy.
+@pytest.mark.parametrize("holds_copy", [False, True])
+def test_a_letter_sent_again_after_an_unconfirmed_refusal_runs(
+    holds_copy: bool,
+) -> None:
     async def scenario(cluster: Cluster) -> None:
         submission = cluster.make("issue_letter")
         silent: list[str] = []
@@ -204,6 +209,7 @@
         cluster.cut.clear()
         again = cluster.make("issue_letter", number=2, key=submission.key)
         other = next(n for n in cluster.nodes if n not in ("host-0", *silent))
+        other = silent[0] if holds_copy else other
         accepted = await cluster.nodes[other].service.submit(again)
         assert isinstance(accepted, Accepted), accepted
         ended = await read_end(cluster, other, submission.key)
