Give up the claim of every call that ends unsent

Cause: a call that was taken over and whose claim was not recorded in time ends "unknown", and only ends as "not run" gave the claim up. It landed later, and turned away each later sending. Evidence: in the trace the claim of epoch 2 is not recorded at 8.108; at 11.007 it is the holder. Ruled out: a sent call (no attempt in the trace). Change: a call whose claim could not be recorded gives it up however it ends.

--- a/dewridge/requests/attempts.py
+++ b/dewridge/requests/attempts.py
@@ -267,15 +267,18 @@
     def give_up_claim(self, answer: Answer, failure: Failure) -> None:
         """End a call whose claim could not be recorded.
 
-        The write may yet take effect, but this ownership sends nothing after
-        its record has ended, and nobody else may use its claim.
+        The write may yet take effect, so it is given up as well, also where the
+        call ends "unknown" since an earlier owner may have sent it. A claim that
+        nobody gave up would turn away whoever sends the key again.
         """
         self._scheduling.withdraw(answer.record)
+        self.release(answer.record)
         self._ender.give_up(answer, failure)
 
     def release(self, record: Record) -> None:
         """Give up the claim of a call that was never sent, if it has one."""
         if record.claim_asked:
+            record.claim_asked = False
             self._claims.give_up(record)
 
     async def _send(
--- a/dewridge/tests/requests/leaving_tests.py
+++ b/dewridge/tests/requests/leaving_tests.py
@@ -217,3 +217,29 @@
         assert cluster.workers.count(submission.key) == 1
 
     run_cluster(scenario)
+
+
+# A letter is taken over from a host that died, and the key-value service is so slow
+# that its claim is not recorded in time. It is given up as "unknown", since the dead
+# host may have sent it; then the claim lands after all. Nobody gave it up, so the
+# letter sent again was refused by a holder that had never sent it, and by the time
+# that one was gone too, by a lost one (301).
+def test_a_claim_that_lands_after_its_call_was_given_up_holds_nobody_up() -> None:
+    async def scenario(cluster: Cluster) -> None:
+        cluster.key_value.delay = 2.0
+        key = await submit(cluster, "host-0", "issue_letter")
+        await trio.sleep(0.05)
+        cluster.kill("host-0")
+        ended = await read_end(cluster, "host-1", key)
+        assert ended.code is ResultCode.OUTCOME_UNKNOWN
+        await trio.sleep(5.0)
+        cluster.key_value.delay = 0.002
+        await trio.sleep(5.0)
+        again = cluster.make("issue_letter", number=2, key=key)
+        accepted = await cluster.nodes["host-2"].service.submit(again)
+        assert isinstance(accepted, Accepted), accepted
+        ended = await read_end(cluster, "host-2", key)
+        assert (ended.code, ended.body) == (ResultCode.OK, f'"{key}"')
+        assert cluster.workers.count(key) == 1
+
+    run_cluster(scenario)
