--- a/dewridge/requests/service.py
+++ b/dewridge/requests/service.py
@@ -51,6 +51,7 @@
 from dewridge.requests.scheduling import MakeScheduler, Scheduling, Servers
 from dewridge.requests.shared import Jobs, Shared
 from dewridge.requests.stopping import EngineOrders, StopCause, Stopping
+from dewridge.requests.taking import Taker
 from dewridge.requests.usage import (
     UsageLedger,
     decode_usages,
@@ -158,6 +159,12 @@
             followers=self._followers,
             failover=self._failover,
         )
+        self._taker = Taker(
+            shared,
+            replicator=self._replicator,
+            attempts=self._attempts,
+            claims=self._claims,
+        )
         self._handlers = ReplicaHandlers(
             shared,
             self._replicator,
@@ -178,7 +185,7 @@
         peers.handle(wire.FollowTokens, self._followers.receive)
         peers.handle(wire.StopFollow, self._followers.stop)
         peers.handle(wire.Claim, self._claims.serve)
-        peers.handle(wire.Handoff, self._handoff.take)
+        peers.handle(wire.Handoff, self._taker.take)
         peers.handle(wire.Cancel, self._serve_cancel)
 
     def list_tasks(self) -> list[tuple[str, Run]]:
--- a/dewridge/tests/requests/leaving_tests.py
+++ b/dewridge/tests/requests/leaving_tests.py
@@ -42,6 +42,21 @@
     return next(record for record in records if record.request.endswith(key))
 
 
+async def leave_answer_with_second(cluster: Cluster) -> tuple[RequestKey, str, str]:
+    """Issue a letter of which only its second replica hears before its host goes.
+
+    That one then stands still. Returns the key and the two replicas.
+    """
+    cluster.workers.plain_time = 0.2
+    key = await submit(cluster, "host-0", "issue_letter")
+    first, second = find_record(cluster, "host-0", key).replicas
+    cluster.cut.add(("host-0", first))
+    await wait_until(lambda: find_record(cluster, second, key).ended is not None, 0.01)
+    cluster.kill("host-0")
+    cluster.pause(second)
+    return key, first, second
+
+
 # A letter waits for its claim when its host is told to leave. The claim comes, the
 # host sends the letter to a registry that needs longer than the host has left, and
 # goes. Its callers were told that the letter was accepted, and hear "unknown" (301).
@@ -134,15 +149,7 @@
 # "unknown" though the whole answer lay on a host that was merely slow.
 def test_an_answer_on_a_slow_host_is_waited_for() -> None:
     async def scenario(cluster: Cluster) -> None:
-        cluster.workers.plain_time = 0.2
-        key = await submit(cluster, "host-0", "issue_letter")
-        first, second = find_record(cluster, "host-0", key).replicas
-        cluster.cut.add(("host-0", first))
-        await wait_until(
-            lambda: find_record(cluster, second, key).ended is not None, 0.01
-        )
-        cluster.kill("host-0")
-        cluster.pause(second)
+        key, first, second = await leave_answer_with_second(cluster)
         await trio.sleep(2.5)
         cluster.resume(second)
         ended = await read_end(cluster, first, key)
@@ -157,15 +164,7 @@
 # get the answer; the word "unknown" stuck at the host that had said it.
 def test_unknown_gives_way_to_an_answer_that_is_found_later() -> None:
     async def scenario(cluster: Cluster) -> None:
-        cluster.workers.plain_time = 0.2
-        key = await submit(cluster, "host-0", "issue_letter")
-        first, second = find_record(cluster, "host-0", key).replicas
-        cluster.cut.add(("host-0", first))
-        await wait_until(
-            lambda: find_record(cluster, second, key).ended is not None, 0.01
-        )
-        cluster.kill("host-0")
-        cluster.pause(second)
+        key, first, second = await leave_answer_with_second(cluster)
         ended = await read_end(cluster, first, key)
         assert ended.code is ResultCode.HOLDER_LOST
         cluster.resume(second)
