Let readers share the calls that changing servers cost

Change: a reader waits ten times as long after news as there are readers, up to a second and by chance, so that together they look as often as one alone; so do the watches of the hosts.

--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -19,7 +19,7 @@
 from dewridge.gateway.hosts import HostEntry, HostTable, HostWatcher, Registration
 from dewridge.gateway.ingress import IngressState, Serve, handle_caller
 from dewridge.gateway.leaving import leave
-from dewridge.gateway.measures import time_dependency
+from dewridge.gateway.measures import count_store_call, time_dependency
 from dewridge.gateway.model import Limits, ServerRecord
 from dewridge.gateway.operations import Operations
 from dewridge.gateway.pool import ConnectionPool
@@ -83,8 +83,9 @@
         store = Caller("store", services.store, services.store_timeout, note_answer)
         watches = Caller("store watches", services.store, services.store_timeout)
         cloud = Caller("cloud", services.cloud, services.cloud_timeout, note_answer)
-        self._store = Store(store)
-        self._watch_store = Store(watches)
+        count_call = partial(count_store_call, metrics)
+        self._store = Store(store, count_call)
+        self._watch_store = Store(watches, count_call)
         self._cloud = Cloud(cloud)
         self._state = self._make_state(metrics)
         self._state.dependencies += [store, watches, cloud]
@@ -223,6 +224,7 @@
             self._settings.services.store_reads,
             state.find_part,
             state.count_heard,
+            lambda: state.sharing.readers,
         )
         state.sharing.on_demand = state.note_demand
         state.servers.on_left = partial(note_left, state, self._link)
@@ -235,6 +237,7 @@
             state.hosts,
             WATCH_WAIT,
             lambda: state.sharing.is_reader,
+            lambda: state.sharing.readers,
         )
         tasks: list[tuple[str, Task]] = [
             ("configuration", watcher.poll_configuration),
--- a/dewridge/gateway/hosts.py
+++ b/dewridge/gateway/hosts.py
@@ -31,6 +31,10 @@
 """Seconds between two watches: when all hosts start, each registration would cost each
 of them a call of its own."""
 
+LONGEST_GATHER = 1.0
+"""The same at the most, where many hosts read: only who may take over the duties needs
+the news at once, and a third of a lease is soon enough for that."""
+
 
 class HostEntry(msgspec.Struct, frozen=True):
     """An entry host's registration.
@@ -232,7 +236,9 @@
         table: HostTable,
         watch_wait: float,
         reads: Callable[[], bool] = lambda: True,
+        count_readers: Callable[[], int] = lambda: 1,
     ) -> None:
+        self._count_readers = count_readers
         self._store = store
         self._watch_store = watch_store
         self._table = table
@@ -259,6 +265,11 @@
                     for item in news.items:
                         self._table.update(item)
                     self._table.revision = max(self._table.revision, news.revision)
-                    await trio.sleep(GATHER_TIME)
+                    await trio.sleep(self._find_gather_time())
                     continue
             await trio.sleep(POLL_PERIOD)
+
+    def _find_gather_time(self) -> float:
+        """Return the seconds until the next watch after one that had news."""
+        shared = min(LONGEST_GATHER, GATHER_TIME * self._count_readers())
+        return shared * random.uniform(0.8, 1.2)
--- a/dewridge/gateway/measures.py
+++ b/dewridge/gateway/measures.py
@@ -44,6 +44,11 @@
     metrics.observe("dependency_seconds", seconds, dependency=name)
 
 
+def count_store_call(metrics: Metrics, kind: str, keys: str) -> None:
+    """Count a call of the store by its kind and what it is about."""
+    metrics.add("store_calls", kind=kind, keys=keys)
+
+
 def update_levels(state: GatewayState) -> None:
     """Set the levels that are only looked at when somebody asks."""
     metrics = state.metrics
--- a/dewridge/gateway/sharing.py
+++ b/dewridge/gateway/sharing.py
@@ -145,6 +145,7 @@
         period: seconds between two rounds.
         has_cells: whether the fleet is large enough for cells.
         is_reader: whether this host follows the store for its cell.
+        readers: hosts that follow the store.
     """
 
     own: HostId
@@ -166,6 +167,7 @@
     period: float = LEAST_PERIOD
     has_cells: bool = False
     is_reader: bool = True
+    readers: int = 1
     _cell_used: dict[ClientAccount, float] = field(
         default_factory=lambda: defaultdict(float)
     )
--- a/dewridge/gateway/sharinglink.py
+++ b/dewridge/gateway/sharinglink.py
@@ -56,12 +56,14 @@
         mates: the other hosts of the cell.
         receivers: hosts of other cells.
         is_reader: whether this host follows the store for its cell.
+        readers: hosts of a large fleet that do.
     """
 
     cell: CellName
     mates: list[HostEntry]
     receivers: list[HostEntry]
     is_reader: bool
+    readers: int = 1
 
     @property
     def messages(self) -> int:
@@ -95,6 +97,7 @@
         mates=[entries[host] for host in mates],
         receivers=[entries[host] for host in receivers],
         is_reader=len(cells) == 1 or own in cells[cell][:READERS],
+        readers=1 if len(cells) == 1 else READERS * len(cells),
     )
 
 
@@ -190,6 +193,7 @@
         sharing = self._sharing
         sharing.has_cells = bool(plan.receivers)
         sharing.is_reader = plan.is_reader
+        sharing.readers = plan.readers
         report = self._make_report(self._number)
         data = self._encoder.encode(report)
         cell_data = b""
--- a/dewridge/gateway/watching.py
+++ b/dewridge/gateway/watching.py
@@ -70,6 +70,12 @@
 """Seconds between two watches of the servers: those of a failure domain come and go
 within that, and each alone would cost each host a call. Hosts wake at different times,
 and the first one tells the others."""
+LONGEST_GATHER = 1.0
+"""The same at the most, where many hosts read for all: half of the time within which a
+leaving server must be known to all, if only one of them were left."""
+LEAST_SPREAD = 0.5
+MOST_SPREAD = 1.5
+"""Parts of a time by chance, so that hosts that waited for the same act by turns."""
 MOST_UNREADABLE = 200
 """Unreadable records, with their reasons, that are told of in a process's life: enough
 to see what writes them, and a bound on lines and memory if they change all the time."""
@@ -78,6 +84,19 @@
 found by the polls."""
 
 
+def find_gather_time(readers: int) -> float:
+    """Return the seconds between two watches that had news, drawn by chance.
+
+    Made for a fleet whose servers come and go all the time. Each change woke each
+    reader, ten times a second; their calls were most of all calls to the store. As each
+    tells the others, together they need to look as often as one would alone.
+    """
+    if readers == 1:
+        return GATHER_TIME
+    mean = min(LONGEST_GATHER / MOST_SPREAD, GATHER_TIME * readers)
+    return mean * random.uniform(LEAST_SPREAD, MOST_SPREAD)
+
+
 class Part(Enum):
     """What a host has to read of the store itself."""
 
@@ -102,7 +121,9 @@
         reads_per_second: float,
         find_part: Callable[[], Part] = lambda: Part.ALL,
         count_heard: Callable[[], int] = lambda: 0,
+        count_readers: Callable[[], int] = lambda: 1,
     ) -> None:
+        self._count_readers = count_readers
         self._find_part = find_part
         self._count_heard = count_heard
         self._store = store
@@ -294,7 +315,7 @@
                 if not news.items:
                     on_quiet(asked_at, wait)
                 elif prefix == SERVERS_PREFIX:
-                    await trio.sleep(GATHER_TIME)
+                    await trio.sleep(find_gather_time(self._count_readers()))
                 revision = max(revision or 0, news.revision)
                 continue
             # The history may be gone, or the connection went silent: start anew.
@@ -321,4 +342,4 @@
         return trio.Event()
 
     async def _pause(self, seconds: float) -> None:
-        await trio.sleep(seconds * random.uniform(0.5, 1.5))
+        await trio.sleep(seconds * random.uniform(LEAST_SPREAD, MOST_SPREAD))
--- a/dewridge/platform/store.py
+++ b/dewridge/platform/store.py
@@ -1,5 +1,6 @@
 """Calls of the platform's store and the decoding of what it answers."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TypeVar
 from urllib.parse import urlencode
@@ -107,12 +108,22 @@
 class Store:
     """Calls the store; each method returns a `Failure` in place of raising."""
 
-    def __init__(self, caller: Caller) -> None:
+    def __init__(
+        self, caller: Caller, on_call: Callable[[str, str], None] = lambda *_: None
+    ) -> None:
+        """Make the client.
+
+        Args:
+            caller: makes the calls.
+            on_call: told the kind of each call and the keys that it is about.
+        """
+        self._on_call = on_call
         self._caller = caller
 
     async def read(self, key: str) -> Item | Failure | None:
         """Read a key as it is now; None if it is not there."""
         path = "/-/kv-key?" + urlencode({"key": key})
+        self._on_call("read", key.rpartition("/")[0])
         answer = await self._caller.call("GET", path)
         if isinstance(answer, Answer) and answer.status == STATUS_NOT_FOUND:
             return None
@@ -137,6 +148,7 @@
             if after:
                 fields["after"] = after
             path = "/-/kv-range?" + urlencode(fields)
+            self._on_call("lagging list" if may_lag else "list", prefix)
             page = _decode(await self._caller.call("GET", path), _Page)
             if isinstance(page, Failure):
                 return page
@@ -159,6 +171,7 @@
             "wait_ms": round(wait * 1000),
         }
         path = "/-/kv-watch?" + urlencode(fields)
+        self._on_call("watch", prefix)
         answer = await self._caller.call("GET", path, wait=wait)
         if isinstance(answer, Answer) and answer.status == STATUS_COMPACTED:
             return Failure(ResultCode.KEY_VALUE_COMPACTED, "the history is gone")
@@ -182,6 +195,7 @@
         """
         rows = [_Expectation(key, rev) for key, rev in (expected or {}).items()]
         body = msgspec.json.encode(_Transaction(rows, list(writes), list(drop)))
+        self._on_call("change", "")
         answer = await self._caller.call("POST", "/-/kv-txn", body=body)
         if isinstance(answer, Answer):
             if answer.status == STATUS_CONFLICT:
@@ -203,6 +217,7 @@
 
     async def renew_lease(self, lease: int) -> Lease | Failure:
         """Renew a lease; `KEY_VALUE_LEASE_ENDED` if it has ended."""
+        self._on_call("renewal", "")
         answer = await self._caller.call("POST", f"/-/kv-keep/{lease}", body=b"{}")
         if isinstance(answer, Answer) and answer.status == STATUS_NOT_FOUND:
             return Failure(ResultCode.KEY_VALUE_LEASE_ENDED, "the lease has ended")
