Share news with hosts whose registrations lapsed while they live

Cause: their leases lapse, the others drop them from their rounds, and they never hear of a new holder of the duties: they go on telling the one before. Change: a registration that ends without its host having said that it leaves is remembered for 15 s; such a host gets news as long as it is heard. Addresses told to callers do not change by it.

--- a/dewridge/gateway/hosts.py
+++ b/dewridge/gateway/hosts.py
@@ -1,7 +1,7 @@
 """The entry hosts: this one's registration under a lease, and the others'."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from dataclasses import dataclass
 
 import msgspec
@@ -35,6 +35,10 @@
 """The same at the most, where many hosts read: only who may take over the duties needs
 the news at once, and a third of a lease is soon enough for that."""
 
+LAPSED_FOR = 15.0
+"""Seconds that a registration which lapsed is remembered: longer than the store turns
+some hosts away by itself, and a host that is not heard does not count anyway."""
+
 
 class HostEntry(msgspec.Struct, frozen=True):
     """An entry host's registration.
@@ -161,12 +165,21 @@
             await self._store.end_lease(lease.id)
 
 
+@dataclass(frozen=True, slots=True)
+class Lapsed:
+    """A registration that ended though its host did not say that it leaves."""
+
+    entry: HostEntry
+    since: float
+
+
 class HostTable:
     """All registered entry hosts, and the system's own keys in the store."""
 
     def __init__(self, own: HostId) -> None:
         self._own = own
         self._entries: dict[str, HostEntry] = {}
+        self._lapsed: dict[HostId, Lapsed] = {}
         self.items: dict[str, Item] = {}
         self.revision = 0
         self.changed = trio.Event()
@@ -177,16 +190,20 @@
             return
         self.revision = listing.revision
         self.items = {item.key: item for item in listing.items}
-        self._entries = {}
+        before, self._entries = self._entries, {}
         for item in listing.items:
             self._take_entry(item)
+        for key in before.keys() - self._entries.keys():
+            self._note_end(before[key])
         self._tell()
 
     def update(self, item: Item) -> None:
         """Take over one change."""
         if item.removed:
             self.items.pop(item.key, None)
-            self._entries.pop(item.key, None)
+            entry = self._entries.pop(item.key, None)
+            if entry is not None:
+                self._note_end(entry)
         else:
             self.items[item.key] = item
             self._take_entry(item)
@@ -200,6 +217,32 @@
         except msgspec.DecodeError as error:
             log.bind(key=item.key, reason=str(error)).error("entry can't be read")
 
+    def _note_end(self, entry: HostEntry) -> None:
+        # A host that leaves says first that it is not ready.
+        if entry.is_ready:
+            self._lapsed[entry.id] = Lapsed(entry, trio.current_time())
+
+    def list_members(self, heard: Container[HostId]) -> list[HostEntry]:
+        """Return the hosts that news is shared with.
+
+        The store may turn some hosts away and serve the others: their leases lapse
+        while they live and go on working. Left out of all news they were the last to
+        know of a new holder of the duties, and the sums of usage lacked their counts.
+
+        Args:
+            heard: the hosts that are heard, directly or through their cell.
+        """
+        now = trio.current_time()
+        registered = self.list_hosts()
+        names = {entry.id for entry in registered}
+        self._lapsed = {
+            host: lapsed
+            for host, lapsed in self._lapsed.items()
+            if host not in names and now - lapsed.since < LAPSED_FOR
+        }
+        living = [one.entry for host, one in self._lapsed.items() if host in heard]
+        return [*registered, *living]
+
     def _tell(self) -> None:
         changed, self.changed = self.changed, trio.Event()
         changed.set()
--- a/dewridge/gateway/sharing.py
+++ b/dewridge/gateway/sharing.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from typing import TypeVar
 
+import trio
 from loguru import logger as log
 
 from dewridge.gateway.reports import (
@@ -304,6 +305,10 @@
     def _is_old(self, heard_at: float, now: float) -> bool:
         return now - heard_at > max(LEAST_SILENCE, SILENT_AFTER * self.period)
 
+    def list_heard(self) -> frozenset[HostId]:
+        """Return the other hosts that are heard now, directly or through their cell."""
+        return self.find_summary(trio.current_time()).heard
+
     def is_silent(self, host: HostId, now: float) -> bool:
         """Whether nothing was heard from or of a host for some periods."""
         return host not in self.find_summary(now).heard
--- a/dewridge/gateway/sharinglink.py
+++ b/dewridge/gateway/sharinglink.py
@@ -80,7 +80,7 @@
     """Return whom this host tells in a round.
 
     Args:
-        entries: registered hosts by id.
+        entries: the hosts that news is shared with, by id.
         own: this host; it may not be registered yet.
         own_domain: where it is.
         number: of the round.
@@ -186,7 +186,8 @@
                 self._tell_left()
 
     def _plan(self) -> Round:
-        entries = {entry.id: entry for entry in self._table.list_hosts()}
+        members = self._table.list_members(self._sharing.list_heard())
+        entries = {entry.id: entry for entry in members}
         return plan_round(entries, self._sharing.own, self._own_domain, self._number)
 
     def _tell_round(self, plan: Round) -> None:
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -224,11 +224,11 @@
 
     def count_heard(self) -> int:
         """Return how many other hosts are heard."""
-        return len(self.sharing.find_summary(trio.current_time()).heard)
+        return len(self.sharing.list_heard())
 
     def list_silent(self) -> list[HostId]:
         """Return the registered hosts that are not heard."""
-        heard = self.sharing.find_summary(trio.current_time()).heard
+        heard = self.sharing.list_heard()
         return [peer.id for peer in self.hosts.list_peers() if peer.id not in heard]
 
     def forget_old(self) -> None:
--- a/dewridge/gateway/usagetelling.py
+++ b/dewridge/gateway/usagetelling.py
@@ -156,9 +156,12 @@
         if holder == self._sharing.holder != NOBODY:
             return address
         name = self._sharing.holder[1]
-        entries = {entry.id: entry for entry in self._table.list_hosts()}
+        entries = {entry.id: entry for entry in self._list_members()}
         return read_address(entries[name].peers) if name in entries else None
 
+    def _list_members(self) -> list[HostEntry]:
+        return self._table.list_members(self._sharing.list_heard())
+
     def _choose_gone(self) -> list[HostUsage]:
         """Return a few of the starts that are gone and not confirmed.
 
@@ -166,7 +169,7 @@
         through: where several hosts of a cell lost their leases, the others' own counts
         were lost with theirs.
         """
-        live = {(entry.id, entry.boot) for entry in self._table.list_hosts()}
+        live = {(entry.id, entry.boot) for entry in self._list_members()}
         live.add((self._sharing.own, self._sharing.boot))
         gone = [
             self._outbox.choose(usage)
--- a/dewridge/tests/gateway/weaklinks_tests.py
+++ b/dewridge/tests/gateway/weaklinks_tests.py
@@ -17,6 +17,7 @@
 from dewridge.gateway.usagetelling import UsageTeller
 from dewridge.ids import BackendServerId, ClientAccount, FailureDomain, HostId
 from dewridge.platform.cloud import Tenure
+from dewridge.platform.store import Item
 from dewridge.policy.pacing import LINK_SHARE, Pace
 from dewridge.tests.gateway.duties_tests import AlwaysHolder, RecordingCloud
 from dewridge.tests.gateway.memorystore import MemoryStore
@@ -136,10 +137,11 @@
     network: WeakNetwork,
     fleet: list[FleetHost],
     cloud: RecordingCloud,
+    holder: FleetHost | None = None,
     ends_at: float = 9.0,
 ) -> None:
     """Let a fleet work through one usage window and report it."""
-    holder = next(host for host in fleet if host.id == HOLDER)
+    holder = holder or next(host for host in fleet if host.id == HOLDER)
     duty = UsageDuty(holder.state, Holder(), MemoryStore(), cloud, holder.teller.ask)
     began = trio.current_time()
     async with trio.open_nursery() as nursery:
@@ -212,3 +214,32 @@
     hung.work = lambda: None  # type: ignore[method-assign]
     await report_one_window(links, fleet, cloud, ends_at=12.0)
     assert dict(cloud.reports) == {WINDOW: sum_truth(fleet)}
+
+
+async def test_hosts_that_the_store_turns_away_are_in_the_sums(
+    links: WeakNetwork, autojump_clock: trio.testing.MockClock
+) -> None:
+    """The store turns a third of the hosts away, the holder of the duties among them.
+
+    Their leases lapse; they work on, as callers keep their connections. If the others
+    left them out of their news, they would go on telling the holder before, and the
+    next one's sums would lack a third of all requests.
+    """
+    fleet = make_fleet()
+    cloud = RecordingCloud()
+    number = next(n for n, host in enumerate(fleet) if host.id == HOLDER)
+    away = [host for place, host in enumerate(fleet) if place % 3 == number % 3]
+    served = [host for host in fleet if host not in away]
+    successor = served[0]
+
+    async def lapse() -> None:
+        await trio.sleep(2.0)
+        for host in served:
+            for one in away:
+                host.state.hosts.update(Item(f"hosts/{one.id}/1", removed=True))
+        successor.state.sharing.note_holder((9, successor.id))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(lapse)
+        await report_one_window(links, fleet, cloud, successor)
+    assert dict(cloud.reports) == {WINDOW: sum_truth(fleet)}
