--- /dev/null
+++ b/dewridge/gateway/cellview.py
@@ -0,0 +1,41 @@
+"""What is known of another cell from the hosts that tell of it."""
+
+from dataclasses import dataclass, field
+
+from dewridge.gateway.reports import CellReport
+from dewridge.ids import ClientAccount, HostId, ServiceName
+from dewridge.policy.mergedtotals import MergedTotals
+
+
+@dataclass
+class SourceView:
+    """The last word of one host on its cell."""
+
+    report: CellReport
+    heard_at: float
+
+
+@dataclass
+class CellView:
+    """What is known of another cell from all who told of it."""
+
+    sources: dict[HostId, SourceView] = field(default_factory=dict)
+    used: MergedTotals[ClientAccount] = field(default_factory=MergedTotals)
+    asked: MergedTotals[ClientAccount] = field(default_factory=MergedTotals)
+    demand: MergedTotals[ServiceName] = field(default_factory=MergedTotals)
+
+    @property
+    def heard_at(self) -> float:
+        """When the last word on it came."""
+        return max(view.heard_at for view in self.sources.values())
+
+    @property
+    def newest(self) -> CellReport:
+        """The last word on it."""
+        newest = max(self.sources.values(), key=lambda view: view.heard_at)
+        return newest.report
+
+    def realign(self) -> None:
+        """Leave what was counted since the last word to those who kept to a share."""
+        for totals in (self.used, self.asked, self.demand):
+            totals.realign()
--- a/dewridge/gateway/sharing.py
+++ b/dewridge/gateway/sharing.py
@@ -15,23 +15,21 @@
 import trio
 from loguru import logger as log
 
+from dewridge.gateway.cellview import CellView, SourceView
 from dewridge.gateway.reports import (
     NOBODY,
     CellReport,
     Holder,
-    HostUsage,
     News,
     Report,
     ServerTotals,
-    Start,
     Totals,
-    UsageCounts,
-    UsageReport,
 )
 from dewridge.gateway.serversums import ServerSums
+from dewridge.gateway.usagecounts import FleetUsage
 from dewridge.ids import BackendServerId, ClientAccount, HostId, ServiceName
 from dewridge.policy.cells import CellName
-from dewridge.policy.mergedtotals import MergedTotals, find_growth
+from dewridge.policy.mergedtotals import find_growth
 
 LEAST_PERIOD = 0.1
 """Seconds between two reports: a tenth of the shortest time to first token, so that
@@ -69,40 +67,6 @@
     heard_at: float
 
 
-@dataclass
-class SourceView:
-    """The last word of one host on its cell."""
-
-    report: CellReport
-    heard_at: float
-
-
-@dataclass
-class CellView:
-    """What is known of another cell from all who told of it."""
-
-    sources: dict[HostId, SourceView] = field(default_factory=dict)
-    used: MergedTotals[ClientAccount] = field(default_factory=MergedTotals)
-    asked: MergedTotals[ClientAccount] = field(default_factory=MergedTotals)
-    demand: MergedTotals[ServiceName] = field(default_factory=MergedTotals)
-
-    @property
-    def heard_at(self) -> float:
-        """When the last word on it came."""
-        return max(view.heard_at for view in self.sources.values())
-
-    @property
-    def newest(self) -> CellReport:
-        """The last word on it."""
-        newest = max(self.sources.values(), key=lambda view: view.heard_at)
-        return newest.report
-
-    def realign(self) -> None:
-        """Leave what was counted since the last word to those who kept to a share."""
-        for totals in (self.used, self.asked, self.demand):
-            totals.realign()
-
-
 @dataclass(frozen=True, slots=True)
 class Summary:
     """Sums over all other hosts that are heard.
@@ -136,10 +100,8 @@
         started_at: steady time at which this process started.
         peers: last report by host of the own cell.
         cells: the other cells.
-        began: usage by window, host and start, kept beyond a host's end: the own
-            cell's, and at the holder of the duties that of all.
-        counted_until: the window in which each start last told this holder its usage;
-            its counts of earlier ones are complete.
+        usage: what began at other hosts: the own cell's, and at the holder of the
+            duties that of all.
         heard: reports heard of hosts of the own cell.
         missed: reports of theirs that never came, or too late.
         holder: the holder of the duties.
@@ -158,10 +120,7 @@
     boot: int = 0
     peers: dict[HostId, PeerView] = field(default_factory=dict)
     cells: dict[CellName, CellView] = field(default_factory=dict)
-    began: dict[int, dict[Start, dict[ClientAccount, int]]] = field(
-        default_factory=lambda: defaultdict(dict)
-    )
-    counted_until: dict[Start, int] = field(default_factory=dict)
+    usage: FleetUsage = field(default_factory=FleetUsage)
     heard: int = 0
     missed: int = 0
     holder: Holder = NOBODY
@@ -215,7 +174,7 @@
             log.bind(host=report.host).info("peer heard again")
         else:
             self._note_growth(report, before, now)
-        self._note_began((report.host, report.boot), report.began)
+        self.usage.note((report.host, report.boot), report.began)
         self.heard += 1
         if before is not None:
             self.missed += report.number - before.number - 1
@@ -223,13 +182,6 @@
         self._sums.replace(report.host, report.totals.servers)
         return True
 
-    def _note_began(self, start: Start, began: UsageCounts) -> None:
-        """Take over counts, which only grow; older words may come later."""
-        for window, counts in began.items():
-            known = self.began[window].setdefault(start, {})
-            for account, count in counts.items():
-                known[account] = max(count, known.get(account, 0))
-
     # A host that was silent kept to its share, and this one left that share to it. Its
     # use of that time must not be taken out once more: after a cut of ten seconds an
     # account would be refused for ten more at the host that was cut off.
@@ -271,33 +223,6 @@
             self.on_demand(service, grown, now)
         return True
 
-    def note_usage(self, report: UsageReport) -> None:
-        """Take over usage that was told to this host as the holder of the duties.
-
-        Several hosts may tell of a start that is gone, and each may have missed its
-        last word.
-        """
-        for usage in report.usage:
-            start = (usage.host, usage.boot)
-            if start != (self.own, self.boot):
-                self._note_began(start, usage.began)
-        teller = (report.host, report.boot)
-        told = self.counted_until.get(teller, report.window)
-        self.counted_until[teller] = max(told, report.window)
-
-    def lacks_usage(self, start: Start, window: int) -> bool:
-        """Whether a start's counts of a window may still grow, or are not told yet."""
-        return self.counted_until.get(start, window) <= window
-
-    def list_usage_of_gone(self, live: set[Start]) -> list[HostUsage]:
-        """Return the usage of starts that are not among the live ones."""
-        gone: dict[Start, UsageCounts] = defaultdict(dict)
-        for window, by_start in self.began.items():
-            for start, counts in by_start.items():
-                if start not in live:
-                    gone[start][window] = counts
-        return [HostUsage(host, boot, began) for (host, boot), began in gone.items()]
-
     def note_holder(self, holder: Holder) -> None:
         """Take over who holds the duties; an earlier holder gives way."""
         self.holder = max(self.holder, holder)
@@ -399,24 +324,9 @@
             servers=sum_servers([own, *mates]),
         )
 
-    def sum_usage(
-        self, window: int, own: dict[ClientAccount, int]
-    ) -> dict[ClientAccount, int]:
-        """Return all hosts' usage in a window."""
-        return _add_counts(
-            [
-                own,
-                *self.began.get(window, {}).values(),
-            ]
-        )
-
     def forget_before(self, window: int, now: float) -> None:
         """Forget the usage of windows before this one, and cells that are gone."""
-        for old in [known for known in self.began if known < window]:
-            del self.began[old]
-        self.counted_until = {
-            start: told for start, told in self.counted_until.items() if told >= window
-        }
+        self.usage.forget_before(window)
         for name, cell in list(self.cells.items()):
             for host, view in list(cell.sources.items()):
                 if self._is_old(view.heard_at + FORGET_AFTER, now):
@@ -441,13 +351,3 @@
     for name, amount in others.items():
         total[name] = total.get(name, 0.0) + amount
     return {name: round(amount) for name, amount in total.items()}
-
-
-def _add_counts(
-    parts: Iterable[dict[ClientAccount, int]],
-) -> dict[ClientAccount, int]:
-    total: dict[ClientAccount, int] = defaultdict(int)
-    for part in parts:
-        for account, count in part.items():
-            total[account] += count
-    return dict(total)
--- a/dewridge/gateway/usage.py
+++ b/dewridge/gateway/usage.py
@@ -112,7 +112,7 @@
         return [
             host
             for host in self._state.hosts.list_peers()
-            if sharing.lacks_usage((host.id, host.boot), window)
+            if sharing.usage.is_incomplete((host.id, host.boot), window)
         ]
 
     async def _report(self, tenure: Tenure, window: int) -> None:
@@ -127,7 +127,7 @@
             outcome=outcome.name,
             total=sum(counts.values()),
             told=sum(self._sum_counts(window).values()),
-            starts=len(self._state.sharing.began.get(window, {})) + 1,
+            starts=len(self._state.sharing.usage.began.get(window, {})) + 1,
         ).info("usage reported")
 
     async def _fix_counts(self, window: int) -> Counts | None:
@@ -161,4 +161,4 @@
 
     def _sum_counts(self, window: int) -> Counts:
         own = self._state.began.get(window, {})
-        return self._state.sharing.sum_usage(window, own)
+        return self._state.sharing.usage.sum(window, own)
--- a/dewridge/gateway/usagetelling.py
+++ b/dewridge/gateway/usagetelling.py
@@ -172,8 +172,7 @@
         live = {(entry.id, entry.boot) for entry in self._list_members()}
         live.add((self._sharing.own, self._sharing.boot))
         gone = [
-            self._outbox.choose(usage)
-            for usage in self._sharing.list_usage_of_gone(live)
+            self._outbox.choose(usage) for usage in self._sharing.usage.list_gone(live)
         ]
         untold = [usage for usage in gone if usage.began]
         begin = self._outbox.number % max(1, len(untold))
@@ -191,7 +190,7 @@
     def take_report(self, report: UsageReport, sender: PeerAddress) -> None:
         """Take over another host's word on usage; the holder confirms it."""
         sharing = self._sharing
-        sharing.note_usage(report)
+        sharing.usage.note_report(report, (sharing.own, sharing.boot))
         if sharing.holder[1] != sharing.own:
             return
         heard = UsageHeard(sharing.holder, report.boot, report.number)
--- a/dewridge/tests/gateway/sharing_tests.py
+++ b/dewridge/tests/gateway/sharing_tests.py
@@ -68,8 +68,8 @@
     listener.sharing.note(make_report(5, 100), 1.0)
     listener.sharing.note(make_report(1, 7, boot=2), 1.3)
     assert listener.used == [100, 7]
-    assert listener.sharing.began[7][PEER, 1] == {ACCOUNT: 5}
-    assert listener.sharing.began[7][PEER, 2] == {ACCOUNT: 1}
+    assert listener.sharing.usage.began[7][PEER, 1] == {ACCOUNT: 5}
+    assert listener.sharing.usage.began[7][PEER, 2] == {ACCOUNT: 1}
 
 
 def test_use_before_this_host_started_is_not_counted() -> None:
@@ -181,16 +181,20 @@
     for teller, count in ((TELLER, 5), (OTHER_TELLER, 4)):
         own = HostUsage(teller, 1, {7: {ACCOUNT: 10}})
         lost = HostUsage(gone, 3, {7: {ACCOUNT: count}})
-        listener.sharing.note_usage(UsageReport(teller, 1, 1, 7, [own, lost]))
-        listener.sharing.note_usage(UsageReport(teller, 1, 1, 7, [own, lost]))
-    assert listener.sharing.sum_usage(7, {ACCOUNT: 2}) == {ACCOUNT: 27}
+        listener.sharing.usage.note_report(
+            UsageReport(teller, 1, 1, 7, [own, lost]), (OWN, 1)
+        )
+        listener.sharing.usage.note_report(
+            UsageReport(teller, 1, 1, 7, [own, lost]), (OWN, 1)
+        )
+    assert listener.sharing.usage.sum(7, {ACCOUNT: 2}) == {ACCOUNT: 27}
 
 
 def test_usage_of_starts_that_are_gone_is_told_for_them() -> None:
     listener = Listener()
     listener.sharing.note(make_report(4, 0, boot=1), 1.0)
     listener.sharing.note(make_report(1, 0, boot=2), 2.0)
-    told = listener.sharing.list_usage_of_gone({(PEER, 2)})
+    told = listener.sharing.usage.list_gone({(PEER, 2)})
     assert told == [HostUsage(PEER, 1, {7: {ACCOUNT: 4}})]
 
 
