--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -13,6 +13,7 @@
 
 from dewridge.gateway.configuration import ConfigurationState
 from dewridge.gateway.datagrams import PacedSocket
+from dewridge.gateway.departures import note_left, take_left, take_news
 from dewridge.gateway.directory import Directory
 from dewridge.gateway.duties import Tenancy
 from dewridge.gateway.echoes import Echoes
@@ -20,28 +21,23 @@
 from dewridge.gateway.ingress import IngressState, Serve, handle_caller
 from dewridge.gateway.leaving import leave
 from dewridge.gateway.measures import count_store_call, time_dependency
-from dewridge.gateway.model import Limits, ServerRecord
+from dewridge.gateway.model import Limits
 from dewridge.gateway.operations import Operations
 from dewridge.gateway.pool import ConnectionPool
 from dewridge.gateway.reloading import Load, SettingsFile, find_trusted_time
-from dewridge.gateway.reports import (
-    REPORTED_WINDOWS,
-    CellReport,
-    LeftReport,
-    News,
-)
+from dewridge.gateway.reports import REPORTED_WINDOWS
 from dewridge.gateway.scaling import ScalingDuty
 from dewridge.gateway.servers import ServerTable
 from dewridge.gateway.serving import Serving
 from dewridge.gateway.sharing import Sharing
-from dewridge.gateway.sharinglink import Audience, SharingLink
+from dewridge.gateway.sharinglink import SharingLink
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.upkeep import keep_up
 from dewridge.gateway.usage import UsageDuty
 from dewridge.gateway.usagetelling import UsageTeller
 from dewridge.gateway.watching import WATCH_WAIT, StoreWatcher
 from dewridge.http1.calls import Caller
-from dewridge.ids import BackendServerId, FailureDomain, HostId
+from dewridge.ids import FailureDomain, HostId
 from dewridge.metrics.registry import Metrics
 from dewridge.platform.cloud import Cloud
 from dewridge.platform.store import Store
@@ -274,52 +270,6 @@
         ]
 
 
-def take_news(
-    state: GatewayState, watcher: StoreWatcher, link: SharingLink, news: News
-) -> None:
-    """Take over what another host knows of the configuration and of servers."""
-    watcher.note_version(news.version)
-    is_new = drop_told(state, news.host, news.left)
-    if is_new and isinstance(news, CellReport):
-        link.tell_now(Audience.MATES)
-
-
-def take_left(state: GatewayState, link: SharingLink, report: LeftReport) -> None:
-    """Take over which servers leave; what comes from another cell is passed on."""
-    is_new = drop_told(state, report.host, report.left)
-    if is_new and not report.is_for_mates:
-        link.tell_now(Audience.MATES)
-
-
-def drop_told(
-    state: GatewayState, teller: HostId, left: dict[BackendServerId, float]
-) -> bool:
-    """Drop servers of which another host tells; returns whether any was in use."""
-    before = state.servers.version
-    now = trio.current_time()
-    for server, leaves_in in left.items():
-        state.servers.drop(server, now, f"{teller} told", leaves_in, is_told=True)
-    return state.servers.version != before
-
-
-def note_left(
-    state: GatewayState,
-    link: SharingLink,
-    record: ServerRecord,
-    gone_at: float,
-    is_told: bool,
-) -> None:
-    """Move what runs on a server that leaves, and tell the other hosts at once.
-
-    Who learned it from the store tells all that it tells in a round, who learned it of
-    another cell its own cell, and who learned it there nobody: a hundred messages at 85
-    hosts. With a round from each of them it was fifteen times as many.
-    """
-    state.streams.note_leaving(record.id, gone_at)
-    if not is_told:
-        link.tell_now(Audience.ALL)
-
-
 async def open_listener(address: str) -> trio.SocketListener:
     """Listen on `a.b.c.d:port`."""
     host, _, port = address.rpartition(":")
--- /dev/null
+++ b/dewridge/gateway/departures.py
@@ -0,0 +1,56 @@
+"""Servers that leave: what other hosts tell of them, and whom this one tells."""
+
+import trio
+
+from dewridge.gateway.model import ServerRecord
+from dewridge.gateway.reports import CellReport, LeftReport, News
+from dewridge.gateway.sharinglink import Audience, SharingLink
+from dewridge.gateway.state import GatewayState
+from dewridge.gateway.watching import StoreWatcher
+from dewridge.ids import BackendServerId, HostId
+
+
+def take_news(
+    state: GatewayState, watcher: StoreWatcher, link: SharingLink, news: News
+) -> None:
+    """Take over what another host knows of the configuration and of servers."""
+    watcher.note_version(news.version)
+    is_new = drop_told(state, news.host, news.left)
+    if is_new and isinstance(news, CellReport):
+        link.tell_now(Audience.MATES)
+
+
+def take_left(state: GatewayState, link: SharingLink, report: LeftReport) -> None:
+    """Take over which servers leave; what comes from another cell is passed on."""
+    is_new = drop_told(state, report.host, report.left)
+    if is_new and not report.is_for_mates:
+        link.tell_now(Audience.MATES)
+
+
+def drop_told(
+    state: GatewayState, teller: HostId, left: dict[BackendServerId, float]
+) -> bool:
+    """Drop servers of which another host tells; returns whether any was in use."""
+    before = state.servers.version
+    now = trio.current_time()
+    for server, leaves_in in left.items():
+        state.servers.drop(server, now, f"{teller} told", leaves_in, is_told=True)
+    return state.servers.version != before
+
+
+def note_left(
+    state: GatewayState,
+    link: SharingLink,
+    record: ServerRecord,
+    gone_at: float,
+    is_told: bool,
+) -> None:
+    """Move what runs on a server that leaves, and tell the other hosts at once.
+
+    Who learned it from the store tells all that it tells in a round, who learned it of
+    another cell its own cell, and who learned it there nobody: a hundred messages at 85
+    hosts. With a round from each of them it was fifteen times as many.
+    """
+    state.streams.note_leaving(record.id, gone_at)
+    if not is_told:
+        link.tell_now(Audience.ALL)
