--- a/dewridge/tests/gateway/weaklinks_tests.py
+++ b/dewridge/tests/gateway/weaklinks_tests.py
@@ -1,6 +1,7 @@
 """News between the hosts of a large fleet whose links are weak."""
 
 import time
+from functools import partial
 
 import pytest
 import trio
@@ -8,6 +9,7 @@
 
 from dewridge.gateway import sharinglink
 from dewridge.gateway.datagrams import PacedSocket
+from dewridge.gateway.departures import note_left, take_left
 from dewridge.gateway.echoes import Echoes
 from dewridge.gateway.hosts import HostEntry
 from dewridge.gateway.reports import REPORTED_WINDOWS
@@ -21,6 +23,7 @@
 from dewridge.policy.pacing import LINK_SHARE, Pace
 from dewridge.tests.gateway.duties_tests import AlwaysHolder, RecordingCloud
 from dewridge.tests.gateway.memorystore import MemoryStore
+from dewridge.tests.gateway.state_tests import make_record
 from dewridge.tests.gateway.weaklinks import WeakNetwork, use_weak_links
 from dewridge.tests.gateway.world import make_configuration, make_state
 
@@ -36,6 +39,9 @@
 ACCOUNTS = [ClientAccount(f"account-{n:02}") for n in range(16)]
 SERVERS = [BackendServerId(f"i-{n:08x}@{10**12 + n}") for n in range(60)]
 HOLDER = HostId("host-17")
+KNOWN_WITHIN = 0.5
+"""Seconds for news of a leaving server, of a notice of two: half of it is for moves,
+and the first host had it a quarter late."""
 
 
 class FleetHost:
@@ -46,6 +52,9 @@
         self.state = make_host_state(self.id, FailureDomain(f"domain-{number % 3}"))
         self.address = f"10.0.0.{number + 1}"
         sharing = self.state.sharing
+        server = make_record("s-1")
+        self.state.servers.update(server, 0.0)
+        self.leaving = server.id
         self.socket = PacedSocket(self.address, PORT, Pace(LINK_SHARE * LINK))
         self.teller = UsageTeller(
             sharing,
@@ -64,6 +73,10 @@
             self.teller,
             lambda version, at: None,
         )
+        servers = self.state.servers
+        servers.on_left = partial(note_left, self.state, self.link)
+        self.link.on_left = partial(take_left, self.state, self.link)
+        self.link.list_left = lambda: servers.list_just_left(trio.current_time())
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Run all that tells and hears."""
@@ -243,3 +256,27 @@
         nursery.start_soon(lapse)
         await report_one_window(links, fleet, cloud, successor)
     assert dict(cloud.reports) == {WINDOW: sum_truth(fleet)}
+
+
+async def test_a_leaving_server_is_known_to_all_at_once(
+    links: WeakNetwork, autojump_clock: trio.testing.MockClock
+) -> None:
+    """One host learns from the store, amid rounds of reports, that a server leaves.
+
+    Streams on that server must be moved within its notice of two seconds, of which the
+    moves take half. Told with the rounds, behind whole reports on weak links, the news
+    came too late for hosts of other cells.
+    """
+    fleet = make_fleet()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(links.run)
+        for host in fleet:
+            await host.start(nursery)
+            host.work()
+        await trio.sleep(2.0)
+        first = fleet[11]
+        first.state.servers.drop(first.leaving, trio.current_time(), "it drains", 2.0)
+        await trio.sleep(KNOWN_WITHIN)
+        unaware = [host.id for host in fleet if host.state.servers.find(host.leaving)]
+        nursery.cancel_scope.cancel()
+    assert not unaware
