--- a/dewridge/gateway/operations.py
+++ b/dewridge/gateway/operations.py
@@ -70,8 +70,8 @@
         ],
         "reports": {
             "period_seconds": round(state.sharing.period, 3),
-            "heard": state.sharing.heard,
-            "missed": state.sharing.missed,
+            "heard": state.sharing.reports_heard,
+            "missed": state.sharing.reports_missed,
             "datagrams_sent": state.metrics.read("datagrams_sent"),
             "datagram_bytes_sent": state.metrics.read("datagram_bytes_sent"),
             "datagrams_outdated": state.metrics.read("datagrams_outdated"),
--- a/dewridge/gateway/sharing.py
+++ b/dewridge/gateway/sharing.py
@@ -102,8 +102,8 @@
         cells: the other cells.
         usage: what began at other hosts: the own cell's, and at the holder of the
             duties that of all.
-        heard: reports heard of hosts of the own cell.
-        missed: reports of theirs that never came, or too late.
+        reports_heard: those of hosts of the own cell.
+        reports_missed: those of theirs that never came, or too late.
         holder: the holder of the duties.
         period: seconds between two rounds.
         has_cells: whether the fleet is large enough for cells.
@@ -121,8 +121,8 @@
     peers: dict[HostId, PeerView] = field(default_factory=dict)
     cells: dict[CellName, CellView] = field(default_factory=dict)
     usage: FleetUsage = field(default_factory=FleetUsage)
-    heard: int = 0
-    missed: int = 0
+    reports_heard: int = 0
+    reports_missed: int = 0
     holder: Holder = NOBODY
     period: float = LEAST_PERIOD
     has_cells: bool = False
@@ -175,9 +175,9 @@
         else:
             self._note_growth(report, before, now)
         self.usage.note((report.host, report.boot), report.began)
-        self.heard += 1
+        self.reports_heard += 1
         if before is not None:
-            self.missed += report.number - before.number - 1
+            self.reports_missed += report.number - before.number - 1
         self.peers[report.host] = PeerView(report, now)
         self._sums.replace(report.host, report.totals.servers)
         return True
