--- a/dewridge/gateway/watching.py
+++ b/dewridge/gateway/watching.py
@@ -87,9 +87,9 @@
 def find_gather_time(readers: int) -> float:
     """Return the seconds between two watches that had news, drawn by chance.
 
-    Made for a fleet whose servers come and go all the time. Each change woke each
-    reader, ten times a second; their calls were most of all calls to the store. As each
-    tells the others, together they need to look as often as one would alone.
+    Made for a fleet whose servers come and go all the time: each change woke each
+    reader, up to ten times a second. As each tells the others, together they need to
+    look as often as one would alone.
     """
     if readers == 1:
         return GATHER_TIME
--- a/dewridge/tests/gateway/readers_tests.py
+++ b/dewridge/tests/gateway/readers_tests.py
@@ -61,8 +61,8 @@
 ) -> None:
     """Servers of a large fleet come, warm up and go all the time.
 
-    Each change woke the watch of each reader, ten times a second and reader: two thirds
-    of all calls to the store, which the operators pay for.
+    Each change woke the watch of each reader, up to ten times a second, and the operators
+    pay for each call.
     """
     data = StoreData()
     readers = [Reader(data, READERS) for _ in range(READERS)]
