--- a/dewridge/tests/gateway/readers_tests.py
+++ b/dewridge/tests/gateway/readers_tests.py
@@ -61,7 +61,7 @@
 ) -> None:
     """Servers of a large fleet come, warm up and go all the time.
 
-    Each change woke the watch of each reader, up to ten times a second, and the operators
+    Each change woke the watch of each reader, up to ten times a second, and operators
     pay for each call.
     """
     data = StoreData()
