Log which lost attempts are of the same request

Symptom: servers end one after the other; the logs name the lost attempts but not which of them are repeats of one request under another id, so that the hypotheses of the incident (one request, load, the hosts' own repeats) can't be told apart.

Change: each `attempt lost` line has a digest of path, account and body, the account, the events that the attempt had passed on and its age. The digest is worked out only for attempts that are lost.

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -117,6 +117,8 @@
     ) -> OpenAnswer | Lost:
         now = trio.current_time()
         job.runs += 1
+        job.sent_at = now
+        job.events_before = job.events
         dispatch = Dispatch(
             server=server.name,
             time_left=job.deadline - now,
@@ -300,6 +302,10 @@
             server=server.id,
             loss=lost.loss.name,
             reason=lost.reason,
+            digest=job.digest,
+            account=job.account.name if job.account else "",
+            events=job.events - job.events_before,
+            sent_ms_ago=round((now - job.sent_at) * 1000, 1),
         ).info("attempt lost")
         health = self._state.find_health(server.id)
         if lost.loss is Loss.OTHER_SERVER:
--- a/dewridge/gateway/jobs.py
+++ b/dewridge/gateway/jobs.py
@@ -1,9 +1,11 @@
 """One request on its way through attempts."""
 
 from dataclasses import dataclass, field
+from functools import cached_property
 
+from dewridge.gateway.digests import make_digest
 from dewridge.gateway.model import Account, CallerRequest, Route, ServerRecord
-from dewridge.ids import BackendServerId, ServiceName
+from dewridge.ids import BackendServerId, RequestDigest, ServiceName
 from dewridge.platform.engines import MemoryCopy
 
 PRIORITY_STEP = 3
@@ -32,6 +34,8 @@
         tried: servers that it was sent to.
         runs: sendings that may have run.
         last_event: last event passed on, or after which the caller resumes.
+        sent_at: steady time of the last sending.
+        events_before: events that earlier sendings had passed on by then.
         rejections: sendings that servers refused.
         may_have_run: whether some server may have run it.
         is_counted: whether it counts in its account's usage.
@@ -54,6 +58,8 @@
     deadline: float
     is_engine: bool
     tried: list[BackendServerId] = field(default_factory=list)
+    sent_at: float = float("-inf")
+    events_before: int = 0
     rejections: int = 0
     runs: int = 0
     last_event: int | None = None
@@ -74,6 +80,11 @@
         if self.route.is_resumable:
             self.last_event = self.request.last_event
 
+    @cached_property
+    def digest(self) -> RequestDigest:
+        """What names the request's content; worked out when it is first asked for."""
+        return make_digest(self.request, self.account.name if self.account else None)
+
 
 def find_priority(job: Job) -> int:
     """Return the urgency for the engine: the account's, then the route's."""
--- a/dewridge/ids.py
+++ b/dewridge/ids.py
@@ -21,6 +21,9 @@
 RequestId = NewType("RequestId", str)
 """`account/key`: what names a request everywhere inside the system."""
 
+RequestDigest = NewType("RequestDigest", str)
+"""Names a request by its content; the same for all repeats under other ids."""
+
 AttemptId = NewType("AttemptId", str)
 """One dispatch of a request to one backend server."""
 
