Set requests aside in the product's own interface too

The same class of fault elsewhere: an attempt is repeated for the server's sake although the request is the cause. The product's own interface bounds the attempts of one key at six; a request sent again under new keys had no bound.

Change: the verdict on a lost attempt and the ledger are those of the gateway, pure in policy/; each end is a rumor by request and server, so that all hosts count the same; the request is refused under any key (212) and gets no further attempt; a full answer takes the ends back. The digest and the look at a server stand once, used by both.

Looked at and left: copies of requests at other hosts and takeovers carry no attempts of their own; health rests go with the start of a server, so that the new start of one that ended is not held back.

--- a/dewridge/gateway/pool.py
+++ b/dewridge/gateway/pool.py
@@ -7,6 +7,7 @@
 
 from dewridge.gateway.model import ServerRecord
 from dewridge.http1.client import ClientConnection, NotConnected, open_connection
+from dewridge.http1.reach import look
 from dewridge.ids import BackendServerId, ServiceName
 from dewridge.policy.idletime import IdleTime
 from dewridge.policy.losses import Reach
@@ -18,14 +19,6 @@
 the kernel repeats a lost first packet. Nothing was sent, so that another server can
 be tried without risk."""
 
-LOOK_TIMEOUT = 0.1
-"""Seconds to see whether a server accepts connections; its request waits meanwhile."""
-
-REACH = {
-    NotConnected.REFUSED: Reach.REFUSED,
-    NotConnected.SILENT: Reach.SILENT,
-}
-
 
 @dataclass
 class Kept:
@@ -75,11 +68,7 @@
     async def look(self, server: ServerRecord) -> Reach:
         """Return whether a server accepts connections."""
         self.opened += 1
-        connection = await open_connection(server.address, LOOK_TIMEOUT)
-        if isinstance(connection, NotConnected):
-            return REACH[connection]
-        connection.close()
-        return Reach.ACCEPTED
+        return await look(server.address)
 
     def put_back(self, server: ServerRecord, connection: ClientConnection) -> None:
         """Keep a connection that ended an exchange cleanly."""
--- a/dewridge/proofs/checks.py
+++ b/dewridge/proofs/checks.py
@@ -1,6 +1,7 @@
 """Checks of a history against the promises: pure, one function a promise."""
 
 import itertools
+import math
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -19,6 +20,7 @@
     Observed,
     Submitted,
 )
+from dewridge.standins.misbehaviour import CRASH_MARK
 from dewridge.standins.tokens import digest_prompt, make_answer
 
 E = TypeVar("E", bound=Event)
@@ -29,6 +31,13 @@
 IN_FORCE_LIMIT = 13.0
 """Seconds in which an accepted change must be in force wherever work is admitted."""
 
+KNOWN_WITHIN = 3.0
+"""Seconds after a request's third execution that ended a server, by which it must be
+known everywhere."""
+
+SENT_AFTER = 3
+"""Sendings of it that may reach servers later than that."""
+
 PROMPT_ANSWER = 1.0
 """Seconds past its deadline by which a request has its final answer."""
 
@@ -299,6 +308,31 @@
     return found
 
 
+def check_crashing(history: History) -> list[Violation]:
+    """Promise 8: a request that ends servers is hardly sent to further ones.
+
+    Each execution of it ends a server. Hosts have some seconds from the third one to
+    know of it.
+    """
+    contents = {
+        event.key: (event.account, event.operation, event.prompt)
+        for event in _pick(history, Submitted)
+        if event.prompt.startswith(CRASH_MARK)
+    }
+    runs = defaultdict(list)
+    for event in _pick(history, Executed):
+        if event.key in contents:
+            runs[contents[event.key]].append(event.at)
+    found = []
+    for content, times in runs.items():
+        known_at = [*sorted(times), math.inf, math.inf, math.inf][2] + KNOWN_WITHIN
+        late = sum(at > known_at for at in times)
+        if late > SENT_AFTER:
+            reason = f"ran {len(times)} times, {late} of them too late"
+            found.append(Violation(8, content[1], reason))
+    return found
+
+
 def check_exercised(history: History) -> list[Violation]:
     """A run that met no fault while work was in flight proves nothing."""
     faults = _pick(history, Injected)
@@ -315,6 +349,7 @@
     5: (check_leaving,),
     6: (check_graceful,),
     7: (check_in_force,),
+    8: (check_crashing,),
 }
 
 ALWAYS = (2, 3, 4)
--- a/dewridge/proofs/scenarios.py
+++ b/dewridge/proofs/scenarios.py
@@ -10,6 +10,7 @@
 import trio
 
 from dewridge.proofs.copies import CopySenders
+from dewridge.proofs.crashing import CrashingCaller
 from dewridge.proofs.history import History, Leaving
 from dewridge.proofs.operators import Operators
 from dewridge.proofs.workload import (
@@ -165,6 +166,15 @@
     return make
 
 
+def crash_each(pause: float) -> MakeActor:
+    """Return a caller whose request ends servers, sent so many seconds apart."""
+
+    def make(deployment: Deployment, history: History, seed: int) -> Actor:
+        return CrashingCaller(deployment, history, seed=seed, pause=pause)
+
+    return make
+
+
 def operate(deployment: Deployment, history: History, seed: int) -> Actor:
     """Return operators who race for a profile."""
     return Operators(deployment, history, seed=seed, profile="prompt-answers")
@@ -334,6 +344,21 @@
     return strike
 
 
+CRASH_SECONDS = 12.0
+"""Seconds for which a request that ends servers is sent again and again."""
+CRASH_RESTART = 2.0
+"""Seconds until a server that ended is back."""
+
+
+async def end_under_requests(run: Run) -> None:
+    """Let engines end when they begin to run a marked request."""
+    order = {"mode": "crash", "seconds": CRASH_RESTART}
+    for backend in run.deployment.backends:
+        await run.deployment.order(f"{backend.control}/control/fault", order)
+    await run.inject("requests that end servers", "engines")
+    await trio.sleep(CRASH_SECONDS)
+
+
 SCENARIOS: tuple[Scenario, ...] = (
     Scenario("reclaim-servers", "backend servers reclaimed", (1, 5), reclaim_servers),
     Scenario("reclaim-host", "entry host reclaimed", (1, 6), reclaim_entry_host),
@@ -386,6 +411,13 @@
     ),
     Scenario("operators-freeze", "racing, host frozen", (7,), freeze_host, RACING),
     Scenario("operators-kill", "racing, hosts killed", (7,), kill_hosts, RACING),
+    Scenario(
+        "crashing-request",
+        "a request ends each server that runs it",
+        (8,),
+        end_under_requests,
+        (call_at(10.0, (DRAFT, STATUS)), crash_each(0.4)),
+    ),
     Scenario("kv-down", "key-value service down", (), lose_key_value),
     Scenario("kv-slow", "key-value service slow", (), slow_key_value),
     Scenario("kv-lost", "answers of writes lost", (), lose_key_value_answers),
--- a/dewridge/requests/acceptance.py
+++ b/dewridge/requests/acceptance.py
@@ -24,6 +24,7 @@
 from dewridge.requests.replication import Replicator
 from dewridge.requests.scheduling import Scheduling
 from dewridge.requests.shared import Shared
+from dewridge.requests.suspects import SuspectRequests
 from dewridge.sentinels import Failure
 from dewridge.supervision.mailbox import Promise
 
@@ -60,6 +61,7 @@
         *,
         configuration: Callable[[], Configuration],
         admission_gate: Callable[[], Failure | None],
+        suspects: SuspectRequests,
     ) -> None:
         self._shared = shared
         self._replicator = replicator
@@ -67,6 +69,7 @@
         self._refuser = refuser
         self._configuration = configuration
         self._gate = admission_gate
+        self._suspects = suspects
         self._pending: dict[RequestId, trio.Event] = {}
 
     @property
@@ -233,7 +236,12 @@
             return Failure(ResultCode.HOST_LEAVING, "this entry host is leaving", 0.0)
         if submission.deadline <= self._shared.clock():
             return Failure(ResultCode.DEADLINE_PASSED, "the deadline has passed")
-        return self._gate()
+        return self._gate() or self._suspects.check(
+            submission.account,
+            submission.service,
+            submission.operation,
+            submission.input,
+        )
 
     def _find_operation(
         self, submission: Submission
--- a/dewridge/requests/attempts.py
+++ b/dewridge/requests/attempts.py
@@ -35,6 +35,7 @@
 from dewridge.requests.scheduling import Scheduling, Servers
 from dewridge.requests.shared import Shared
 from dewridge.requests.stopping import Attempt, StopCause, Stopping
+from dewridge.requests.suspects import SuspectRequests
 from dewridge.sentinels import Failure
 
 CLAIM_ON_SLOT = 0.1
@@ -66,6 +67,7 @@
         servers: Servers,
         dispatch: Dispatch,
         stopping: Stopping,
+        suspects: SuspectRequests,
     ) -> None:
         self._shared = shared
         self._replicator = replicator
@@ -75,6 +77,7 @@
         self._servers = servers
         self._dispatch = dispatch
         self.stopping = stopping
+        self._suspects = suspects
         self._running: dict[RequestId, Attempt] = {}
         self._orphans: dict[RequestId, Attempt] = {}
         self._parked: dict[RequestId, trio.CancelScope] = {}
@@ -167,6 +170,9 @@
                 if attempts.get(request) is attempt:
                     del attempts[request]
             attempt.finished.set()
+        if isinstance(result, Failure) and attempt.dispatched and not attempt.cause:
+            server = self._servers.find(attempt.server)
+            await self._suspects.note_lost(attempt, result, server)
         self._charge(attempt)
         if attempt.cause == StopCause.LEAVING:
             self._note_ended(attempt, AttemptOutcome.LEAVING)
@@ -287,6 +293,9 @@
         record = attempt.record
         if record.ended is not None or attempt.answer.lost:
             return make_unavailable("the request has ended")
+        set_aside = self._suspects.check_record(record)
+        if set_aside is not None:
+            return set_aside
         if not record.idempotent and not self._may_send(record):
             return make_unavailable("the claim can't be used any more")
         was_run = record.maybe_run
@@ -350,6 +359,7 @@
         record.tokens.extend(event.tokens)
         fresh = len(event.tokens)
         if not attempt.tokens:
+            attempt.first_token_at = now
             scheduler.note_first_token(record.request, attempt.server, now)
             fresh -= 1
         if fresh > 0:
@@ -403,6 +413,7 @@
     def _conclude_whole(self, attempt: Attempt, end: AttemptEnd) -> None:
         record = attempt.record
         record.recomputed += end.recomputed
+        self._suspects.note_answered(record)
         self._note_ended(attempt, AttemptOutcome.DONE)
         server = self._servers.find(attempt.server)
         domain = server.listed.failure_domain if server else ""
--- a/dewridge/requests/outcomes.py
+++ b/dewridge/requests/outcomes.py
@@ -12,6 +12,11 @@
 
 PROVES_NOT_STARTED = (ResultCode.NOT_STARTED, ResultCode.BACKEND_SERVER_LEAVING)
 
+REFUSES_FOR_GOOD = (
+    ResultCode.BACKEND_SERVER_REJECTED,
+    ResultCode.REQUEST_SET_ASIDE,
+)
+
 _RUNNING_CODES = {
     ResultCode.DEADLINE_PASSED: ResultCode.DEADLINE_PASSED_RUNNING,
     ResultCode.DEADLINE_UNREACHABLE: ResultCode.DEADLINE_PASSED_RUNNING,
@@ -24,7 +29,7 @@
 
     A code that promises "nothing ran" is not believed once tokens came.
     """
-    if failure.code is ResultCode.BACKEND_SERVER_REJECTED and not tokens_came:
+    if failure.code in REFUSES_FOR_GOOD and not tokens_came:
         return AttemptOutcome.REJECTED
     if failure.code in PROVES_NOT_STARTED and not tokens_came:
         return AttemptOutcome.NOT_STARTED
--- a/dewridge/requests/service.py
+++ b/dewridge/requests/service.py
@@ -1,7 +1,7 @@
 """The requests part of an entry host: wiring of its modules and its interface."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import AbstractAsyncContextManager
 from typing import Any
 
@@ -10,6 +10,7 @@
 from dewridge.codes import Outcome, ResultCode
 from dewridge.configuration.model import Configuration
 from dewridge.fleet.model import Dispatch
+from dewridge.http1.reach import look
 from dewridge.ids import (
     ClientAccount,
     Generation,
@@ -24,6 +25,7 @@
 from dewridge.metrics.registry import Metrics
 from dewridge.peers.model import PeerIdentity, Peers
 from dewridge.peers.wire import ttypes as wire
+from dewridge.policy.losses import Reach
 from dewridge.policy.scheduler import Scheduler
 from dewridge.providers.model import KeyValue
 from dewridge.requests.acceptance import Acceptor
@@ -51,6 +53,7 @@
 from dewridge.requests.scheduling import MakeScheduler, Scheduling, Servers
 from dewridge.requests.shared import Jobs, Shared
 from dewridge.requests.stopping import EngineOrders, StopCause, Stopping
+from dewridge.requests.suspects import SuspectRequests
 from dewridge.requests.taking import Taker
 from dewridge.requests.usage import (
     UsageLedger,
@@ -94,6 +97,7 @@
         seed: int = 0,
         make_scheduler: MakeScheduler = Scheduler,
         orders: EngineOrders | None = None,
+        look: Callable[[str], Awaitable[Reach]] = look,
     ) -> None:
         self._shared = shared = Shared(
             settings=settings,
@@ -104,6 +108,7 @@
             table=RecordTable(membership.me.host),
             jobs=Jobs(metrics),
         )
+        suspects = SuspectRequests(shared, rumors, look)
         self._usage = UsageLedger()
         self._replicator = Replicator(shared)
         self._scheduling = Scheduling(
@@ -131,6 +136,7 @@
             servers=servers,
             dispatch=dispatch,
             stopping=Stopping(shared, servers, orders),
+            suspects=suspects,
         )
         self._refuser = Refuser(shared, FailureLog(shared))
         self._acceptor = Acceptor(
@@ -140,6 +146,7 @@
             self._refuser,
             configuration=configuration,
             admission_gate=admission_gate,
+            suspects=suspects,
         )
         self._locator = Locator(shared)
         self._followers = Followers(shared, self._replicator, self._locator)
--- a/dewridge/requests/stopping.py
+++ b/dewridge/requests/stopping.py
@@ -52,6 +52,7 @@
     Attributes:
         dispatched: the order may have left this host.
         tokens: tokens that came in this attempt.
+        first_token_at: when the first of them came, in seconds since 1970.
         stopping: whether its engine confirmed that it was stopped.
     """
 
@@ -64,6 +65,7 @@
     id: AttemptId | None = None
     dispatched: bool = False
     tokens: int = 0
+    first_token_at: float | None = None
     started: float = 0.0
     finished: trio.Event = field(default_factory=trio.Event)
     stopping: Promise[bool] | None = None
--- a/dewridge/standins/backend.py
+++ b/dewridge/standins/backend.py
@@ -13,7 +13,7 @@
 from dewridge.standins.engine import Engine, EngineOptions, Execution
 from dewridge.standins.enginehttp import build_engine_app
 from dewridge.standins.hostlist import HostRecord
-from dewridge.standins.misbehaviour import Misbehaviour, Mode
+from dewridge.standins.misbehaviour import CRASH_DELAY, Misbehaviour, Mode
 from dewridge.standins.plain import PlainOptions, PlainService, build_plain_app
 from dewridge.standins.serving import Listener, make_app, read_body, reply
 
@@ -81,7 +81,10 @@
         if isinstance(self._options, EngineOptions):
             worker = Engine(name, plan.services, self._options)
             app = build_engine_app(
-                worker, wrong, lambda: self._backends[index].listener.address
+                worker,
+                wrong,
+                lambda: self._backends[index].listener.address,
+                lambda: self._crash(self._backends[index]),
             )
         else:
             worker = PlainService(name, self._options)
@@ -159,6 +162,16 @@
         await trio.sleep(seconds)
         self._stop(backend)
 
+    def _crash(self, backend: Backend) -> None:
+        if self._nursery is not None:
+            self._nursery.start_soon(self._go_down_and_up, backend)
+
+    async def _go_down_and_up(self, backend: Backend) -> None:
+        await trio.sleep(CRASH_DELAY)
+        self._stop(backend)
+        await trio.sleep(backend.wrong.seconds)
+        backend.listener.bring_up()
+
     def _stop(self, backend: Backend) -> None:
         backend.listener.take_down()
         if isinstance(backend.worker, Engine):
--- a/dewridge/standins/enginehttp.py
+++ b/dewridge/standins/enginehttp.py
@@ -9,7 +9,7 @@
 from quart_trio import QuartTrio
 
 from dewridge.standins.engine import Completion, Engine, EngineStream, Exported
-from dewridge.standins.misbehaviour import Misbehaviour, Mode, spoil
+from dewridge.standins.misbehaviour import CRASH_MARK, Misbehaviour, Mode, spoil
 from dewridge.standins.serving import make_app, read_body, reply
 from dewridge.standins.tokens import make_token
 
@@ -56,7 +56,10 @@
 
 
 def build_engine_app(
-    engine: Engine, wrong: Misbehaviour, find_address: Callable[[], str]
+    engine: Engine,
+    wrong: Misbehaviour,
+    find_address: Callable[[], str],
+    on_crash: Callable[[], None] = lambda: None,
 ) -> QuartTrio:
     """Return an engine's HTTP application."""
     app = make_app(engine.name)
@@ -69,6 +72,8 @@
             return reply({"error": {"type": refusal[1]}}, refusal[0])
         imported = await import_cache(engine, completion)
         stream = engine.accept(completion, imported)
+        if wrong.mode is Mode.CRASH and completion.prompt.startswith(CRASH_MARK):
+            on_crash()
         events = spoil(
             write_events(engine, stream), wrong, make_stranger(stream), make_error()
         )
--- a/dewridge/standins/misbehaviour.py
+++ b/dewridge/standins/misbehaviour.py
@@ -7,6 +7,9 @@
 import trio
 
 SLOW_FACTOR = 10.0
+CRASH_MARK = "crash: "
+CRASH_DELAY = 0.05
+"""Seconds from the begin of a call that ends its server to that end."""
 
 
 class Mode(Enum):
@@ -31,6 +34,9 @@
     """Work goes on and nothing more is sent."""
     ERROR = "error"
     """New calls get status 500 after they ran, streams an error event."""
+    CRASH = "crash"
+    """A call whose input begins with `CRASH_MARK` ends the server as it begins; it is
+    back after `seconds`."""
 
 
 class Misbehaviour(msgspec.Struct):
--- a/dewridge/tests/proofs/checks_tests.py
+++ b/dewridge/tests/proofs/checks_tests.py
@@ -17,6 +17,7 @@
     Observed,
     Submitted,
 )
+from dewridge.standins.misbehaviour import CRASH_MARK
 from dewridge.standins.tokens import digest_prompt, make_answer
 
 PROMPT = "plant 7, line 2"
@@ -32,6 +33,11 @@
 REFUSED = Concluded(4, "k", 1, "not_run", 201, "", 10, retry_after=1.0)
 CHANGED = ChangeAsked(1, "x", "profile/a", 1, 0.4)
 ACCEPTED = ChangeAnswered(2, "x", "profile/a", 2, 0)
+CRASHING = msgspec.structs.replace(ASKED, prompt=f"{CRASH_MARK}page 3")
+CRASHES = [msgspec.structs.replace(RAN, at=n, attempt=f"t{n}") for n in (3, 4, 5)]
+CRASHES_LATE = [
+    msgspec.structs.replace(RAN, at=n, attempt=f"t{n}") for n in (9, 10, 11)
+]
 
 
 def change(event: Event, **fields: object) -> Event:
@@ -46,9 +52,11 @@
     5: [Leaving(2, "s", 9), RAN],
     6: [ASKED, HEARD, RAN, DONE],
     7: [CHANGED, ACCEPTED, Observed(3, "h", "profile/a", 2, 0.4)],
+    8: [CRASHING, *CRASHES, *CRASHES_LATE],
 }
 
 BAD: list[tuple[int, list[Event]]] = [
+    (8, [CRASHING, *CRASHES, *CRASHES_LATE, change(RAN, at=12.0, attempt="t12")]),
     (1, [ASKED, HEARD, RAN]),
     (1, [ASKED, HEARD, RAN, change(DONE, verdict="failed", code=400)]),
     (2, [ASKED, RAN, change(DONE, text=WHOLE[:-3])]),
--- a/dewridge/tests/proofs/runs_tests.py
+++ b/dewridge/tests/proofs/runs_tests.py
@@ -6,8 +6,14 @@
 from dewridge.proofs.runs import run_scenario
 from dewridge.proofs.scenarios import SCENARIOS
 
-SHORT = ("reclaim-domain", "kill-hosts", "copies-kill", "operators")
-"""Between them they look at all seven promises but the graceful shutdown, which
+SHORT = (
+    "reclaim-domain",
+    "kill-hosts",
+    "copies-kill",
+    "operators",
+    "crashing-request",
+)
+"""Between them they look at all eight promises but the graceful shutdown, which
 the frontend's and the requests part's own tests cover."""
 
 
--- a/dewridge/tests/requests/fakes.py
+++ b/dewridge/tests/requests/fakes.py
@@ -43,6 +43,7 @@
 from dewridge.membership.model import Member, MemberState, Rumor
 from dewridge.metrics.registry import Metrics
 from dewridge.peers.model import Handler, PeerIdentity
+from dewridge.policy.losses import Reach
 from dewridge.providers.model import Entry, HostState, ListedServer, ServerKind
 from dewridge.requests.model import (
     EndedEvent,
@@ -168,6 +169,9 @@
         self.me = me
         self.known: dict[HostId, Member] = {me.host: me}
         self.listeners: list[Callable[[Member], None]] = []
+        self.rumor_listeners: dict[str, list[Callable[[Rumor], None]]] = {}
+        self.heard: dict[tuple[str, str], int] = {}
+        self.others: dict[str, FakeMembership] = {}
 
     def members(self) -> list[Member]:
         return [m for m in self.known.values() if m.state is not MemberState.DEAD]
@@ -188,10 +192,19 @@
             listener(member)
 
     def spread(self, rumor: Rumor) -> None:
-        pass
+        for view in self.others.values():
+            view.hear(rumor)
+
+    def hear(self, rumor: Rumor) -> None:
+        place = rumor.kind, rumor.subject
+        if self.heard.get(place, -1) >= rumor.version:
+            return
+        self.heard[place] = rumor.version
+        for listener in self.rumor_listeners.get(rumor.kind, []):
+            listener(rumor)
 
     def subscribe_rumors(self, kind: str, listener: Callable[[Rumor], None]) -> None:
-        pass
+        self.rumor_listeners.setdefault(kind, []).append(listener)
 
 
 class FakePeers:
@@ -231,7 +244,7 @@
         id = BackendServerId(name)
         listed = ListedServer(
             backend_server=id,
-            address="",
+            address=name,
             failure_domain=FailureDomain(DOMAINS[len(self.table) % 4]),
             kind=kind,
             services=(service,),
@@ -243,6 +256,8 @@
             state=HostState.LIVE,
         )
         self.table[id] = BackendServer(listed, ServerState.LIVE)
+        for listener in self.listeners:
+            listener(self.table[id])
 
     def servers(self, service: ServiceName) -> list[BackendServer]:
         return [s for s in self.table.values() if service in s.listed.services]
@@ -285,6 +300,8 @@
         self.confirms = True
         self.cancelled: set[AttemptId] = set()
         self.done: set[AttemptId] = set()
+        self.crashing_inputs: set[str] = set()
+        self.ended: set[BackendServerId] = set()
 
     def bind(self, node: Node) -> Any:
         @asynccontextmanager
@@ -292,10 +309,21 @@
             server: BackendServer, order: AttemptOrder
         ) -> AsyncIterator[AsyncIterator[AttemptEvent]]:
             await node.gate()
-            yield self._answer(node, order)
+            server_id = server.listed.backend_server
+            if server_id in self.ended:
+                yield self._fail(ResultCode.NOT_STARTED)
+            elif order.input in self.crashing_inputs:
+                await trio.sleep(self.step)
+                self.ended.add(server_id)
+                yield self._fail(ResultCode.CONNECTION_LOST)
+            else:
+                yield self._answer(node, order)
 
         return dispatch
 
+    async def _fail(self, code: ResultCode) -> AsyncIterator[AttemptEvent]:
+        yield Failure(code)
+
     async def _answer(
         self, node: Node, order: AttemptOrder
     ) -> AsyncIterator[AttemptEvent]:
@@ -458,6 +486,7 @@
         node = Node(member)
         node.resumed.set()
         view = FakeMembership(member)
+        view.others = self.views
         for other in self.views.values():
             if other.me.host != name and not self.nodes[other.me.host].is_dead:
                 view.known[other.me.host] = other.me
@@ -479,11 +508,17 @@
             metrics=node.metrics,
             clock=read_clock,
             seed=1,
+            look=self.look,
         )
         self.nursery.start_soon(self._run, node)
         self.tell(member)
         return node
 
+    async def look(self, address: str) -> Reach:
+        """Try a connection to a server; its name stands for its address."""
+        is_over = BackendServerId(address) in self.workers.ended
+        return Reach.REFUSED if is_over else Reach.ACCEPTED
+
     async def _run(self, node: Node) -> None:
         with node.scope:
             async with trio.open_nursery() as nursery:
--- a/dewridge/tests/requests/service_tests.py
+++ b/dewridge/tests/requests/service_tests.py
@@ -1,8 +1,13 @@
 """Requests on several entry hosts: acceptance, answers and their promises."""
 
+import trio
+
 from dewridge.codes import ResultCode
+from dewridge.providers.model import ServerKind
 from dewridge.requests.model import Accepted
+from dewridge.sentinels import Failure
 from dewridge.tests.requests.fakes import (
+    FINDINGS,
     Cluster,
     make_configuration,
     make_tokens,
@@ -43,3 +48,27 @@
         assert counters.get("answered") == 1
 
     run_cluster(scenario)
+
+
+def test_a_request_that_ends_servers_is_set_aside_under_all_keys() -> None:
+    """Guards against servers lost to one request sent again with new keys."""
+
+    async def scenario(cluster: Cluster) -> None:
+        for place in range(4, 16):
+            cluster.servers.add(f"engine-{place}", FINDINGS, ServerKind.ENGINE)
+        cluster.workers.crashing_inputs.add(cluster.make("draft_finding").input)
+        results = []
+        for number in range(12):
+            service = cluster.nodes[f"host-{number % 4}"].service
+            submission = cluster.make("draft_finding")
+            result = await service.submit(submission)
+            results.append(result)
+            if isinstance(result, Accepted):
+                with trio.move_on_after(20.0):
+                    await cluster.follow(f"host-{number % 4}", submission.key)
+        assert len(cluster.workers.ended) == 3
+        last = results[-1]
+        assert isinstance(last, Failure)
+        assert last.code is ResultCode.REQUEST_SET_ASIDE
+
+    run_cluster(scenario)
