Look twice before a server counts as ended, and send nobody there meanwhile

A connection opened meanwhile is reset, as it is by a server that has too many; taken as one that lives, the end blamed nobody (6 of 8 servers ended in place of 3), taken as one that ended, a full server blamed requests. The next connection tells them apart.

While a host looks, the server has no requests left and looks like the best choice for all that it had.

A caller that leaves while its job looks left the others without a verdict: the new test gives no blame before, one after. A hold is reckoned only where enough ends are known, since reports ask for it 90 times a second.

--- a/dewridge/gateway/losses.py
+++ b/dewridge/gateway/losses.py
@@ -52,16 +52,23 @@
 
     async def _look(self, server: ServerRecord) -> Reach | None:
         """Return whether a server accepts connections, looked at once for all jobs."""
+        known = self._looks.get(server.id)
+        if known is not None and trio.current_time() - known.begun_at < LOOK_FOR:
+            await known.done.wait()
+            # A job that ended while it looked, since its caller left, saw nothing.
+            if known.reach is not None:
+                return known.reach
         now = trio.current_time()
-        look = self._looks.get(server.id)
-        if look is not None and now - look.begun_at < LOOK_FOR:
-            await look.done.wait()
-            return look.reach
         self._forget_looks(now)
         look = self._looks[server.id] = _Look(now)
+        # A server that ended has no requests left and looks like the best choice for
+        # all that it had; those that look first would meet several such ones in a row.
+        health = self._state.find_health(server.id)
+        health.full_until = now + LOOK_FOR
         try:
             look.reach = await self._state.pool.look(server)
         finally:
+            health.full_until = float("-inf")
             look.done.set()
         return look.reach
 
--- a/dewridge/gateway/suspects.py
+++ b/dewridge/gateway/suspects.py
@@ -143,9 +143,8 @@
 
 def _list_told(state: GatewayState, begin: float) -> list[Suspect]:
     """Return what is new since then: first where the most servers ended."""
-    now = trio.current_time()
     told = state.suspects.list_told_since(begin)
-    return sorted(told, key=lambda one: -len(one.list_ends(now)))
+    return sorted(told, key=lambda one: -len(one.ends))
 
 
 def take_turn(suspects: list[Suspect], turn: int) -> list[Suspect]:
--- a/dewridge/gateway/weighing.py
+++ b/dewridge/gateway/weighing.py
@@ -94,9 +94,8 @@
     If it ends that one too, the fewest others go with it; and no second suspect is
     beside it, so that an innocent one is not blamed for the same end again.
     """
-    apart = [one for one in records if one.id not in state.work.suspects]
-    candidates = weigh(state, apart or records, now)
-    chosen = choose_fewest(candidates, state.rng)
+    candidates = weigh(state, records, now)
+    chosen = choose_fewest(candidates, state.work.suspects, state.rng)
     server = None if chosen is None else state.servers.find(chosen.id)
     if server is None:
         return None
--- a/dewridge/http1/client.py
+++ b/dewridge/http1/client.py
@@ -178,10 +178,18 @@
 
     REFUSED = "refused"
     """The host answers that nothing listens there."""
+    RESET = "reset"
+    """It was open for a moment: the server has too many, or just closes its port."""
     SILENT = "silent"
     """No answer in time, or no way to the host."""
 
 
+NOT_CONNECTED = {
+    errno.ECONNREFUSED: NotConnected.REFUSED,
+    errno.ECONNRESET: NotConnected.RESET,
+}
+
+
 async def open_connection(
     address: str, timeout: float
 ) -> ClientConnection | NotConnected:
@@ -197,8 +205,7 @@
             await sock.connect((host, int(port)))
         except OSError as error:
             sock.close()
-            is_refused = error.errno in {errno.ECONNREFUSED, errno.ECONNRESET}
-            return NotConnected.REFUSED if is_refused else NotConnected.SILENT
+            return NOT_CONNECTED.get(error.errno or 0, NotConnected.SILENT)
         return ClientConnection(trio.SocketStream(sock), address)
     sock.close()
     return NotConnected.SILENT
--- a/dewridge/policy/choice.py
+++ b/dewridge/policy/choice.py
@@ -2,7 +2,7 @@
 
 import heapq
 import random
-from collections.abc import Sequence
+from collections.abc import Container, Sequence
 from dataclasses import dataclass
 
 import xxhash
@@ -168,13 +168,22 @@
 
 
 def choose_fewest(
-    candidates: Sequence[Candidate], rng: random.Random
+    candidates: Sequence[Candidate],
+    avoided: Container[BackendServerId],
+    rng: random.Random,
 ) -> Candidate | None:
-    """Choose the server with the fewest requests, drawing among equals."""
+    """Choose the server with the fewest requests, drawing among equals.
+
+    Args:
+        candidates: the service's servers.
+        avoided: servers that are chosen only where all usable ones are among them.
+        rng: draws among equals.
+    """
     usable = [one for one in candidates if one.is_usable] or list(candidates)
-    if not usable:
+    apart = [one for one in usable if one.id not in avoided] or usable
+    if not apart:
         return None
-    return min(usable, key=lambda one: (one.requests, rng.random()))
+    return min(apart, key=lambda one: (one.requests, rng.random()))
 
 
 def choose_least_loaded(
--- a/dewridge/policy/suspects.py
+++ b/dewridge/policy/suspects.py
@@ -83,6 +83,8 @@
 
     def find_hold_left(self, now: float) -> float:
         """Return the seconds for which it is set aside; 0 if it is not."""
+        if len(self.ends) - len(self.cleared) < ENDS_BORNE:
+            return 0.0
         counted = self.list_ends(now)
         if len(counted) < ENDS_BORNE:
             return 0.0
--- a/dewridge/tests/gateway/crashing_tests.py
+++ b/dewridge/tests/gateway/crashing_tests.py
@@ -7,7 +7,11 @@
 import trio
 import trio.testing
 
+from dewridge.gateway.forwarding import Lost
 from dewridge.gateway.hosts import PREFIX
+from dewridge.gateway.jobs import Job
+from dewridge.gateway.losses import LossNotes
+from dewridge.gateway.model import AttemptKey, CallerRequest, ServerRecord, Sizes
 from dewridge.gateway.reports import SuspectNews
 from dewridge.gateway.suspectkeeping import SUSPECTS_PREFIX, SuspectKeeper
 from dewridge.gateway.suspects import (
@@ -19,12 +23,13 @@
 )
 from dewridge.ids import BackendServerId, RequestDigest
 from dewridge.platform.store import Listing
-from dewridge.policy.losses import YOUNG
+from dewridge.policy.losses import YOUNG, Loss, Reach
 from dewridge.policy.suspects import HOLD, MOST_SUSPECTS, End, Suspect, SuspectLedger
 from dewridge.tests.gateway.memorystore import MemoryStore, StoreData
 from dewridge.tests.gateway.world import (
     ACCOUNT,
     ENGINE,
+    KEY,
     CallerAnswer,
     ScriptedServer,
     ServerExchange,
@@ -316,8 +321,64 @@
     assert answer.status == 200
 
 
+def make_job(world: World, body: bytes) -> Job:
+    """Return a request of the engine's service on its way."""
+    now = trio.current_time()
+    request = CallerRequest(
+        id=AttemptKey(body.decode()),
+        method=b"POST",
+        target=b"/chat/a",
+        hostname="example.test",
+        headers=(),
+        body=body,
+        key=KEY,
+        sizes=Sizes(),
+        last_event=None,
+        arrived_at=now,
+        deadline=now + 2.0,
+    )
+    configuration = world.state.configuration.current
+    assert configuration is not None
+    route = configuration.find_route("example.test", "/chat/a")
+    assert route is not None
+    account = configuration.accounts[KEY]
+    return Job(request, route, account, ENGINE, now + 2.0, is_engine=True)
+
+
 async def answer_events(exchange: ServerExchange) -> None:
     """Answer a stream as a healthy engine does."""
     await exchange.begin_stream()
     await exchange.send_events(1, 3)
     await exchange.end_stream()
+
+
+async def test_a_caller_that_leaves_hides_no_end_from_the_others() -> None:
+    """Guards against an end that counts for nobody since one caller left."""
+    async with open_world(retry_slack=100) as world:
+        servers = await add_crashing_servers(world)
+        looked = trio.Event()
+        look = world.state.pool.look
+        looks = 0
+
+        async def look_slowly(server: ServerRecord) -> Reach:
+            nonlocal looks
+            looks += 1
+            if looks == 1:
+                looked.set()
+                await trio.sleep_forever()
+            return await look(server)
+
+        world.state.pool.look = look_slowly  # type: ignore[method-assign]
+        notes = LossNotes(world.state)
+        record = world.state.servers.list_all()[0]
+        next(one for one in servers if one.id == record.id).end()
+        await trio.sleep(0.01)
+        lost = Lost(Loss.CUT_OFF)
+        async with trio.open_nursery() as staying, trio.open_nursery() as leaving:
+            leaving.start_soon(notes.note, make_job(world, b"left"), record, lost)
+            await looked.wait()
+            staying.start_soon(notes.note, make_job(world, b"stays"), record, lost)
+            await trio.sleep(0.01)
+            leaving.cancel_scope.cancel()
+        suspects = world.state.suspects.list_all()
+    assert [one.ends.keys() for one in suspects] == [{record.id}]
--- a/dewridge/tests/policy/servers_tests.py
+++ b/dewridge/tests/policy/servers_tests.py
@@ -13,6 +13,7 @@
     NEAR_TOKENS,
     Candidate,
     Placement,
+    choose_fewest,
     choose_least_loaded,
     list_homes,
     place_prompt,
@@ -531,3 +532,20 @@
     drafts_without, _ = serve_through_overload(sheds=False)
     drafts_with, _ = serve_through_overload(sheds=True)
     assert drafts_with > drafts_without + 0.1
+
+
+def test_a_suspect_goes_to_a_server_that_ended_only_if_all_did() -> None:
+    """Guards against suspects sent to dead servers to keep them apart from others."""
+    live, dead = make_candidates([0.0, 0.0])
+    dead = replace(dead, is_usable=False)
+    rng = random.Random(1)
+    assert choose_fewest([live, dead], {live.id}, rng) == live
+    assert choose_fewest([dead], {live.id}, rng) == dead
+    assert choose_fewest([], set(), rng) is None
+
+
+def test_suspects_are_kept_apart_where_the_fewest_others_run() -> None:
+    busy, idle, taken = make_candidates([0.0, 0.0, 0.0])
+    busy = replace(busy, requests=5)
+    idle = replace(idle, requests=2)
+    assert choose_fewest([busy, idle, taken], {taken.id}, random.Random(1)) == idle
--- a/dewridge/tests/soak/stage.py
+++ b/dewridge/tests/soak/stage.py
@@ -229,7 +229,8 @@
         await trio.sleep(LEAVING_SECONDS)
         server.is_listed = False
         server.write_record(self.store.store)
-        self.servers.remove(server)
+        if server in self.servers:
+            self.servers.remove(server)
 
     async def _keep_records(self) -> None:
         while True:
