Test what three planted faults passed by: clearance, quota, a true refusal

Fourteen guards of the change were taken out one at a time on a scratch copy, and the tests of this part run: eleven were found, three were not (a full answer that clears nothing, no check before the quota, 503 for a call whose attempt ran). Each has a test now that fails without its guard.

--- a/dewridge/tests/gateway/crashing_tests.py
+++ b/dewridge/tests/gateway/crashing_tests.py
@@ -383,3 +383,41 @@
             leaving.cancel_scope.cancel()
         suspects = world.state.suspects.list_all()
     assert [one.ends.keys() for one in suspects] == [{record.id}]
+
+
+async def test_an_answer_takes_earlier_ends_back() -> None:
+    """Guards against requests that gather ends of servers over a bad hour."""
+    async with open_world(retry_slack=100) as world:
+        servers = await add_crashing_servers(world)
+        await send_crashing(world, "r-1")
+        for server in servers:
+            if not server.has_ended:
+                server.script = answer_events
+        answer = await send_crashing(world, "r-2")
+        suspect = world.state.suspects.list_all()[0]
+        counted = suspect.list_ends(trio.current_time())
+    assert answer.status == 200
+    assert len(suspect.ends) == 2
+    assert counted == []
+
+
+async def test_a_call_that_ran_is_not_told_that_it_did_not() -> None:
+    """Guards against a false "not run" where the third end sets a request aside."""
+    async with open_world(retry_slack=100) as world:
+        await add_crashing_servers(world)
+        statuses = [
+            (await send_crashing(world, f"r-{number}")).status for number in range(3)
+        ]
+    assert statuses == [502, 502, 503]
+
+
+async def test_what_is_set_aside_takes_nothing_out_of_a_quota() -> None:
+    """Guards against an account's other requests paying for refused ones."""
+    async with open_world(make_configuration(rate=1000.0), retry_slack=100) as world:
+        await add_crashing_servers(world)
+        for number in range(2):
+            await send_crashing(world, f"r-{number}")
+        used = world.state.ledger.totals[ACCOUNT]
+        answer = await send_crashing(world, "r-9")
+    assert answer.status == 503
+    assert world.state.ledger.totals[ACCOUNT] == used
