--- a/dewridge/gateway/suspects.py
+++ b/dewridge/gateway/suspects.py
@@ -19,8 +19,8 @@
 MOST_AT_ONCE = 64
 """Requests in urgent news: as many as a server commonly runs, some 100 bytes each."""
 HELD_LOOK_PERIOD = 0.5
-"""Seconds between two looks at what is set aside, for reports: under an attack with
-many requests a look takes 2 ms, and reports are many."""
+"""Seconds between two looks at what is set aside, for reports: a look goes through all
+suspects, and reports are many."""
 IN_A_REPORT = 4
 """Requests in a report of which something is new, and as many that are set aside, for
 hosts that were away; the rest follows by turns."""
--- a/dewridge/requests/attempts.py
+++ b/dewridge/requests/attempts.py
@@ -4,7 +4,6 @@
 from itertools import count
 
 import trio
-import xxhash
 from loguru import logger as log
 
 from dewridge.codes import ResultCode
@@ -17,7 +16,7 @@
     Priority,
     ServerState,
 )
-from dewridge.ids import AttemptId, RequestId, split_request_id
+from dewridge.ids import RequestId
 from dewridge.policy.model import (
     Abandoned,
     Assignment,
@@ -29,6 +28,7 @@
 from dewridge.requests.claiming import Claimer, make_unavailable
 from dewridge.requests.claims import Grant
 from dewridge.requests.ending import Ender
+from dewridge.requests.ordering import charge, make_order, name_attempt
 from dewridge.requests.outcomes import PROVES_NOT_STARTED, judge_failure
 from dewridge.requests.records import Ballot, Record
 from dewridge.requests.replication import Replicator
@@ -173,7 +173,7 @@
         if isinstance(result, Failure) and attempt.dispatched and not attempt.cause:
             server = self._servers.find(attempt.server)
             await self._suspects.note_lost(attempt, result, server)
-        self._charge(attempt)
+        charge(attempt, self._servers.find(attempt.server))
         if attempt.cause == StopCause.LEAVING:
             self._note_ended(attempt, AttemptOutcome.LEAVING)
         elif result is not None and not attempt.cause:
@@ -299,7 +299,12 @@
         if not record.idempotent and not self._may_send(record):
             return make_unavailable("the claim can't be used any more")
         was_run = record.maybe_run
-        order = self._make_order(attempt, priority)
+        order = make_order(
+            attempt,
+            name_attempt(self._shared.me, next(self._numbers)),
+            priority,
+            self._shared.settings.silence_timeout,
+        )
         attempt.dispatched = True
         record.maybe_run = True
         record.attempts += 1
@@ -314,28 +319,6 @@
         too_late = self._claims.is_too_late(record.request)
         return record.claimed and not too_late and not self._claims.is_released(record)
 
-    def _make_order(self, attempt: Attempt, priority: Priority) -> AttemptOrder:
-        record = attempt.record
-        account, key = split_request_id(record.request)
-        me = self._shared.me
-        name = AttemptId(f"{me.host}-{me.incarnation:x}-{next(self._numbers)}")
-        attempt.id = name
-        handle, record.cache_handle = record.cache_handle, None
-        return AttemptOrder(
-            attempt=name,
-            service=record.service,
-            operation=record.operation,
-            account=account,
-            key=key,
-            input=record.input,
-            max_tokens=record.max_tokens,
-            priority=priority,
-            timeout=self._shared.settings.silence_timeout,
-            tokens_done=tuple(record.tokens),
-            cache_handle=handle,
-            cache_salt=f"{xxhash.xxh3_64_intdigest(account.encode()):x}",
-        )
-
     async def _receive(
         self, attempt: Attempt, server: BackendServer, order: AttemptOrder
     ) -> AttemptEnd | Failure:
@@ -376,14 +359,6 @@
             return False
         return await self.stopping.stop_surely(attempt)
 
-    def _charge(self, attempt: Attempt) -> None:
-        server = self._servers.find(attempt.server)
-        if server is None or not attempt.dispatched:
-            return
-        held = trio.current_time() - attempt.started
-        listed = server.listed
-        attempt.record.cost += held * listed.price / 3600 / max(1, listed.capacity)
-
     def _conclude(self, attempt: Attempt, result: AttemptEnd | Failure) -> None:
         record = attempt.record
         if isinstance(result, AttemptEnd):
--- a/dewridge/tests/gateway/crashing_tests.py
+++ b/dewridge/tests/gateway/crashing_tests.py
@@ -268,6 +268,15 @@
     assert store.calls <= 12
 
 
+def make_held() -> Suspect:
+    """Return a request under which three servers ended lately."""
+    now = trio.current_time()
+    ends = {
+        BackendServerId(f"s-{n}"): End(now - 3 + n, now - 3.1 + n) for n in range(3)
+    }
+    return Suspect(DIGEST, ACCOUNT, ENGINE, ends)
+
+
 async def test_the_holder_of_the_duties_writes_what_another_host_could_not(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
@@ -275,11 +284,7 @@
     data = StoreData()
     state = make_state(make_configuration())
     keeper = SuspectKeeper(state, MemoryStore(data), lambda: True)
-    now = trio.current_time()
-    ends = {
-        BackendServerId(f"s-{n}"): End(now - 3 + n, now - 3.1 + n) for n in range(3)
-    }
-    take_suspects(state, [Suspect(DIGEST, ACCOUNT, ENGINE, ends)])
+    take_suspects(state, [make_held()])
     with trio.move_on_after(10.0):
         await keeper.run()
     assert [key for key in data.items if key.startswith(SUSPECTS_PREFIX)] != []
@@ -292,13 +297,9 @@
     data = StoreData()
     state = make_state(make_configuration())
     keeper = SuspectKeeper(state, MemoryStore(data), lambda: True)
-    now = trio.current_time()
-    ends = {
-        BackendServerId(f"s-{n}"): End(now - 3 + n, now - 3.1 + n) for n in range(3)
-    }
     async with trio.open_nursery() as nursery:
         nursery.start_soon(keeper.run)
-        take_suspects(state, [Suspect(DIGEST, ACCOUNT, ENGINE, ends)])
+        take_suspects(state, [make_held()])
         await trio.sleep(6.0)
         state.hosts.replace(Listing(tuple(data.items.values()), data.revision))
         clear(state, DIGEST, "operator")
