Clear a suspected request before its caller has the answer

The caller had its whole answer while the request still stood under its earlier ends.

Cause: a stream's end was written to the caller first and the clearance noted after it. Whichever task ran next decided; and a caller that left at the last byte kept the clearance from being noted at all. Not load: it needs no second process.

Change: the answer is noted when the server's own end was read, before the end is passed on, as plain answers do already. The test is unchanged.

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -216,8 +216,8 @@
             return Lost(Loss.CUT_OFF, "ended within an event")
         if not out.has_begun:
             await out.begin(200, clean_answer_headers(answer.head.headers))
-        await out.finish()
         note_answered(self._state, job)
+        await out.finish()
         return None
 
     def _open_stream(self, server: ServerRecord) -> RunningStream:
