Roll out a new server version per service, or revert it

Cause: the operator orders rollouts under op/rollout/SERVICE, and no code handled them. Servers of a new version would have received their full share of requests as soon as they were listed, whether good or bad, and status/rollout/SERVICE was never written.

Change: orders are read together with the configuration, by the same list and watch calls (no additional call). Servers of the ordered version get no requests until a trial begins. A trial sends a share of first attempts (half of the permitted exposure, spent before the decision) to so few servers that each is as loaded as those of the old version. All hosts count answers and bad answers (failed, or slower than three times the typical latency of the route) by version and route and sum them through their reports. A binomial test against the old version decides, over all routes and on each. A host that has enough evidence stops sending on its own. The holder of the duties writes the stage and the operator's status in one conditional change; a later stage is never undone. The move is completed when no request runs at servers of the old version, at the latest half a second before the deadline.

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -16,6 +16,7 @@
 from dewridge.gateway.losses import LossNotes
 from dewridge.gateway.model import RouteKind, ServerRecord
 from dewridge.gateway.responder import Responder
+from dewridge.gateway.rollouts import AttemptResult, classify_attempt
 from dewridge.gateway.state import SERVER_SECONDS, GatewayState
 from dewridge.gateway.streams import RunningStream
 from dewridge.gateway.suspects import check_set_aside, note_answered
@@ -83,11 +84,16 @@
         job.timed_from = trio.current_time() if choice.is_idle else None
         job.keeper = choice.keeper
         work.add(server.id, job.unread_tokens, is_suspect=choice.is_suspect)
+        result = AttemptResult.ABANDONED
         try:
-            return await self._exchange(job, server, step, out)
+            lost = await self._exchange(job, server, step, out)
+            result = classify_attempt(lost, out.status)
+            return lost
         finally:
             self._note_read(job, server)
             work.remove(server.id, is_suspect=choice.is_suspect)
+            seconds = trio.current_time() - job.sent_at
+            self._state.rollouts.note_attempt(job.route.name, server, seconds, result)
 
     def _note_read(self, job: Job, server: ServerRecord) -> None:
         self._state.work.note_read(server.id, job.unread_tokens)
--- a/dewridge/gateway/cellview.py
+++ b/dewridge/gateway/cellview.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from dewridge.gateway.reports import CellReport
+from dewridge.gateway.reports import CellReport, OutcomeName
 from dewridge.ids import ClientAccount, HostId, ServiceName
 from dewridge.policy.mergedtotals import MergedTotals
 
@@ -23,6 +23,7 @@
     used: MergedTotals[ClientAccount] = field(default_factory=MergedTotals)
     asked: MergedTotals[ClientAccount] = field(default_factory=MergedTotals)
     demand: MergedTotals[ServiceName] = field(default_factory=MergedTotals)
+    outcomes: MergedTotals[OutcomeName] = field(default_factory=MergedTotals)
 
     @property
     def heard_at(self) -> float:
@@ -37,5 +38,5 @@
 
     def realign(self) -> None:
         """Leave what was counted since the last word to those who kept to a share."""
-        for totals in (self.used, self.asked, self.demand):
+        for totals in (self.used, self.asked, self.demand, self.outcomes):
             totals.realign()
--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -31,6 +31,7 @@
 from dewridge.gateway.pool import ConnectionPool
 from dewridge.gateway.reloading import Load, SettingsFile, find_trusted_time
 from dewridge.gateway.reports import REPORTED_WINDOWS
+from dewridge.gateway.rolloutduty import RolloutDuty
 from dewridge.gateway.scaling import ScalingDuty
 from dewridge.gateway.servers import ServerTable
 from dewridge.gateway.serving import Serving
@@ -47,7 +48,7 @@
 from dewridge.ids import FailureDomain, HostId
 from dewridge.metrics.registry import Metrics
 from dewridge.platform.cloud import Cloud
-from dewridge.platform.store import Store
+from dewridge.platform.store import Item, Store
 from dewridge.policy.pacing import Pace, find_rate
 from dewridge.policy.quota import QuotaLedger
 from dewridge.settings.gateway import GatewaySettings
@@ -233,7 +234,11 @@
             state.find_part,
             state.count_heard,
             lambda: state.sharing.readers,
+            state.rollouts.apply_order,
         )
+        rollouts = RolloutDuty(state, self._tenancy, self._store)
+        state.sharing.on_outcomes = state.rollouts.add_remote_count
+        state.sharing.is_outcome_open = state.rollouts.is_outcome_open
         state.sharing.on_demand = state.note_demand
         state.servers.on_left = partial(note_left, state, self._link)
         state.sharing.on_news = partial(take_news, state, watcher, self._link)
@@ -243,7 +248,7 @@
         self._link.list_suspects = make_urgent_list(state)
         state.list_suspects = make_news_list(state)
         state.on_suspects = partial(self._link.tell_now, Audience.ALL)
-        state.hosts.on_item = self._keeper.take
+        state.hosts.on_item = fan_out(self._keeper.take, rollouts.take)
         hosts = HostWatcher(
             self._store,
             self._watch_store,
@@ -267,14 +272,14 @@
             ("datagrams-out", self._socket.run),
             ("settings", self._file.run),
             ("upkeep", partial(keep_up, state, self._registration)),
-            *self._list_duties(),
+            *self._list_duties(rollouts),
         ]
         for number, (listener, serve) in enumerate(self._listeners):
             handler = partial(handle_caller, shared=state.ingress, serve=serve)
             tasks.append((f"listener-{number}", partial(accept, listener, handler)))
         return tasks
 
-    def _list_duties(self) -> list[tuple[str, Task]]:
+    def _list_duties(self, rollouts: RolloutDuty) -> list[tuple[str, Task]]:
         if not self._settings.services.cloud:
             return []
         usage = UsageDuty(
@@ -285,9 +290,20 @@
             ("tenancy", self._tenancy.run),
             ("usage", usage.run),
             ("scaling", scaling.run),
+            ("rollouts", rollouts.run),
         ]
 
 
+def fan_out(*handlers: Callable[[Item], None]) -> Callable[[Item], None]:
+    """Return a handler that passes each item of the store to all given handlers."""
+
+    def take(item: Item) -> None:
+        for handle in handlers:
+            handle(item)
+
+    return take
+
+
 async def open_listener(address: str) -> trio.SocketListener:
     """Listen on `a.b.c.d:port`."""
     host, _, port = address.rpartition(":")
--- a/dewridge/gateway/departures.py
+++ b/dewridge/gateway/departures.py
@@ -24,6 +24,8 @@
     watcher.note_version(news.version)
     is_new = drop_told(state, news.host, news.left)
     is_new |= take_told_suspects(state, news.suspects)
+    for progress in news.rollouts:
+        state.rollouts.apply_progress(progress)
     if is_new and isinstance(news, CellReport):
         link.tell_now(Audience.MATES)
 
--- a/dewridge/gateway/measures.py
+++ b/dewridge/gateway/measures.py
@@ -1,11 +1,15 @@
 """What a gateway counts and times; every label has few possible values."""
 
+from collections.abc import Mapping
+
 import trio
 
 from dewridge.gateway.jobs import Job
+from dewridge.gateway.reports import RolloutProgress
 from dewridge.gateway.responder import Responder
 from dewridge.gateway.state import GatewayState
 from dewridge.metrics.registry import Metrics
+from dewridge.policy.rollouts import RouteLabel, Tally
 from dewridge.sentinels import Failure
 
 NO_KIND = "none"
@@ -67,6 +71,10 @@
     metrics.set_gauge("requests_in_flight", state.ingress.requests)
     metrics.set_gauge("server_connections_opened", state.pool.opened)
     metrics.set_gauge("server_connections_reused", state.pool.reused)
+    for progress in state.rollouts.list_progress():
+        evidence = state.rollouts.find_evidence(progress.order)
+        set_version_levels(metrics, progress, "new", evidence.target)
+        set_version_levels(metrics, progress, "old", evidence.baseline)
     for caller in state.dependencies:
         metrics.set_gauge("dependency_up", float(caller.is_up), dependency=caller.name)
         metrics.set_gauge("dependency_calls", caller.calls, dependency=caller.name)
@@ -78,3 +86,16 @@
         metrics.set_gauge("server_in_flight", in_flight, server=server.id)
         share = state.find_health(server.id).failure_share
         metrics.set_gauge("server_failure_share", share, server=server.id)
+
+
+def set_version_levels(
+    metrics: Metrics,
+    progress: RolloutProgress,
+    side: str,
+    tallies: Mapping[RouteLabel, Tally],
+) -> None:
+    """Set the gauges of one version of a rollout, as counted over all hosts."""
+    for route, tally in tallies.items():
+        labels = {"service": progress.service, "version": side, "route": route}
+        metrics.set_gauge("rollout_answers", tally.answers, **labels)
+        metrics.set_gauge("rollout_bad_answers", tally.bad, **labels)
--- a/dewridge/gateway/model.py
+++ b/dewridge/gateway/model.py
@@ -14,6 +14,8 @@
 )
 
 RouteName = NewType("RouteName", str)
+ServerVersion = NewType("ServerVersion", str)
+"""Version of the software of a backend server."""
 AccountKey = NewType("AccountKey", str)
 AttemptKey = NewType("AttemptKey", str)
 """The caller's name for one sending of a request; unique, and never repeated."""
@@ -186,6 +188,7 @@
         leaves_in: seconds until it is taken away, as of the record; None if unknown.
         is_cold: whether it is still slow after its start.
         born: when this start was, in milliseconds since 1970; 0 if it does not tell.
+        version: of its software; empty if the record has none.
     """
 
     id: BackendServerId
@@ -199,6 +202,24 @@
     leaves_in: float | None = None
     is_cold: bool = False
     born: int = 0
+    version: ServerVersion = ServerVersion("")
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutOrder:
+    """The operator's order to move a service to another version of its servers.
+
+    Attributes:
+        service: the service.
+        target: the version to move to.
+        duration: seconds after the order by which the rollout must have ended.
+        revision: the store's revision of the order; increases with each order.
+    """
+
+    service: ServiceName
+    target: ServerVersion
+    duration: float
+    revision: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/dewridge/gateway/operations.py
+++ b/dewridge/gateway/operations.py
@@ -9,7 +9,9 @@
 from dewridge.gateway.ingress import send_failure
 from dewridge.gateway.measures import update_levels
 from dewridge.gateway.model import CallerRequest
+from dewridge.gateway.reports import RolloutProgress
 from dewridge.gateway.responder import Responder
+from dewridge.gateway.rollouts import describe_evidence, find_elapsed
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.suspects import clear
 from dewridge.ids import RequestDigest
@@ -98,6 +100,9 @@
             "holder": state.sharing.holder[1],
         },
         "suspects": [_describe_suspect(one, now) for one in state.suspects.list_all()],
+        "rollouts": [
+            _describe_rollout(state, one) for one in state.rollouts.list_progress()
+        ],
         "quotas": state.ledger.describe(),
         "connections": {
             "callers": state.ingress.connections,
@@ -131,6 +136,20 @@
     }
 
 
+def _describe_rollout(state: GatewayState, progress: RolloutProgress) -> dict[str, Any]:
+    stage = state.rollouts.find_stage(progress.service)
+    return {
+        "service": progress.service,
+        "target": progress.target,
+        "stage": progress.stage.value,
+        "stage_here": stage.value if stage else "",
+        "share": progress.share,
+        "elapsed_seconds": round(find_elapsed(progress), 1),
+        "duration_seconds": progress.duration,
+        **describe_evidence(state.rollouts.find_evidence(progress.order)),
+    }
+
+
 def _describe_server(state: GatewayState, server: Any, now: float) -> dict[str, Any]:
     record = state.servers.find(server)
     health = state.find_health(server)
--- a/dewridge/gateway/reports.py
+++ b/dewridge/gateway/reports.py
@@ -1,7 +1,10 @@
 """What entry hosts tell each other, as it goes over the wire."""
 
+from typing import NewType
+
 import msgspec
 
+from dewridge.gateway.model import ServerVersion
 from dewridge.ids import (
     BackendServerId,
     ClientAccount,
@@ -10,6 +13,7 @@
     ServiceName,
 )
 from dewridge.policy.cells import CellName
+from dewridge.policy.rollouts import Stage
 
 Holder = tuple[int, HostId]
 """Fencing token and name of a holder of the duties; a later one has a higher token."""
@@ -18,6 +22,8 @@
 """Requests of each account that began to run, by usage window."""
 Start = tuple[HostId, int]
 """One start of a host."""
+OutcomeName = NewType("OutcomeName", str)
+"""Key of a counter: revision of a rollout order, version, kind of count and route."""
 REPORTED_WINDOWS = 4
 """Usage windows that hosts tell of: the one that runs and those whose sum is due."""
 
@@ -61,12 +67,37 @@
         demand: prompt tokens that arrived for each service.
         servers: what goes on at each server. One table of whole numbers takes half of
             the bytes of two with fractions, and datagrams beyond 4 KB get lost.
+        outcomes: counts of answers and bad answers of both versions of each rollout
+            in progress.
     """
 
     used: dict[ClientAccount, int] = {}
     asked: dict[ClientAccount, int] = {}
     demand: dict[ServiceName, int] = {}
     servers: dict[BackendServerId, ServerTotals] = {}
+    outcomes: dict[OutcomeName, int] = {}
+
+
+class RolloutProgress(msgspec.Struct, frozen=True):
+    """Progress of the rollout of a version of a service.
+
+    Attributes:
+        service: the service.
+        target: the version to move to.
+        order: the store's revision of the order.
+        stage: the current stage.
+        share: of the requests that a trial sends to the target version.
+        ordered_at: when the order was first seen, in seconds since 1970.
+        duration: seconds after the order by which the rollout must have ended.
+    """
+
+    service: ServiceName
+    target: ServerVersion
+    order: int
+    stage: Stage
+    share: float
+    ordered_at: float
+    duration: float
 
 
 class SuspectNews(msgspec.Struct, frozen=True, array_like=True):
@@ -105,6 +136,7 @@
         heard: start and number of the last report that the sender heard of each host.
         holder: the holder of the duties that the sender knows.
         suspects: requests under which servers ended.
+        rollouts: progress of the rollouts that the sender knows.
     """
 
     host: HostId
@@ -120,6 +152,7 @@
     heard: dict[HostId, tuple[int, int]] = {}
     holder: Holder = NOBODY
     suspects: list[SuspectNews] = []
+    rollouts: list[RolloutProgress] = []
 
 
 class CellReport(msgspec.Struct, frozen=True, array_like=True, tag="cell"):
@@ -137,6 +170,7 @@
         left: servers that left lately, with the seconds until each stops serving.
         holder: the holder of the duties that the sender knows.
         suspects: requests under which servers ended.
+        rollouts: progress of the rollouts that the sender knows.
     """
 
     host: HostId
@@ -150,6 +184,7 @@
     left: dict[BackendServerId, float] = {}
     holder: Holder = NOBODY
     suspects: list[SuspectNews] = []
+    rollouts: list[RolloutProgress] = []
 
 
 class HostUsage(msgspec.Struct, frozen=True, array_like=True):
--- /dev/null
+++ b/dewridge/gateway/rolloutduty.py
@@ -0,0 +1,143 @@
+"""The duty that completes or reverts rollouts of new server versions."""
+
+import msgspec
+import trio
+from loguru import logger as log
+
+from dewridge.gateway.duties import Tenancy
+from dewridge.gateway.hosts import PREFIX
+from dewridge.gateway.reports import RolloutProgress
+from dewridge.gateway.rollouts import (
+    decode_progress,
+    describe_evidence,
+    find_elapsed,
+)
+from dewridge.gateway.state import GatewayState
+from dewridge.ids import ServiceName
+from dewridge.platform.rollouts import RolloutStatus, make_status_write
+from dewridge.platform.store import Item, Store, Write
+from dewridge.policy.rollouts import (
+    FINAL,
+    RolloutState,
+    Stage,
+    find_next_stage,
+    find_trial_share,
+    judge_version,
+)
+from dewridge.sentinels import Failure
+
+ROLLOUT_PREFIX = PREFIX + "rollouts/"
+"""Lies below the prefix of the host entries, which every host already reads."""
+LOOK_PERIOD = 0.25
+"""Seconds between two checks of the rollouts in progress."""
+STATUSES = {
+    Stage.TRIAL: RolloutStatus.IN_PROGRESS,
+    Stage.MOVING: RolloutStatus.IN_PROGRESS,
+    Stage.COMPLETED: RolloutStatus.COMPLETED,
+    Stage.REVERTED: RolloutStatus.REVERTED,
+}
+
+
+class RolloutDuty:
+    """Advances each rollout through its stages while this host holds the duties.
+
+    The stage and the operator's status are written in one conditional change, so the
+    next holder resumes from the stored stage and a replaced holder that is unaware of
+    it can't overwrite a later decision.
+    """
+
+    def __init__(self, state: GatewayState, tenancy: Tenancy, store: Store) -> None:
+        self._state = state
+        self._tenancy = tenancy
+        self._store = store
+        self._stage_seen_at: dict[tuple[int, Stage], float] = {}
+
+    def take(self, item: Item) -> None:
+        """Apply the stored progress of a rollout."""
+        if item.key.startswith(ROLLOUT_PREFIX):
+            progress = decode_progress(item.value)
+            if progress is not None:
+                self._state.rollouts.apply_progress(progress)
+
+    async def run(self) -> None:
+        """Advance all rollouts for ever."""
+        while True:
+            for progress in self._state.rollouts.list_progress():
+                if progress.stage not in FINAL:
+                    await self._step(progress)
+            await trio.sleep(LOOK_PERIOD)
+
+    async def _step(self, progress: RolloutProgress) -> None:
+        if self._tenancy.find_tenure() is None:
+            return
+        rollout = self._find_rollout_state(progress)
+        stage = find_next_stage(rollout)
+        if stage is not progress.stage:
+            await self._advance(progress, stage, rollout)
+
+    def _find_rollout_state(self, progress: RolloutProgress) -> RolloutState:
+        state = self._state
+        now = trio.current_time()
+        evidence = state.rollouts.find_evidence(progress.order)
+        records = state.servers.list_service(progress.service)
+        old = [one for one in records if one.version != progress.target]
+        return RolloutState(
+            stage=progress.stage,
+            elapsed=find_elapsed(progress),
+            stage_age=now
+            - self._stage_seen_at.setdefault((progress.order, progress.stage), now),
+            duration=progress.duration,
+            verdict=judge_version(evidence),
+            target_answers=sum(one.answers for one in evidence.target.values()),
+            target_servers=len(records) - len(old),
+            baseline_servers=len(old),
+            baseline_in_flight=state.count_in_flight(old),
+        )
+
+    async def _advance(
+        self, progress: RolloutProgress, stage: Stage, rollout: RolloutState
+    ) -> None:
+        share = progress.share
+        if stage is Stage.TRIAL:
+            bounds = self._state.settings.bounds
+            share = find_trial_share(bounds.exposure_share, progress.duration)
+        following = msgspec.structs.replace(progress, stage=stage, share=share)
+        key = make_progress_key(progress.service)
+        known = self._state.hosts.items.get(key)
+        result = await self._store.change(
+            expected={key: known.revision if known is not None else 0},
+            writes=(
+                Write(key, msgspec.json.encode(following)),
+                make_status_write(progress.service, following.target, STATUSES[stage]),
+            ),
+        )
+        if isinstance(result, Failure):
+            # The cached revision may be stale, or another holder may have written.
+            log.bind(service=progress.service, reason=result.reason).info(
+                "rollout stage not written"
+            )
+            await self._refresh(key)
+            return
+        self._state.hosts.items[key] = Item(key, revision=result)
+        log.bind(
+            service=progress.service,
+            target=progress.target,
+            stage=stage.value,
+            elapsed=round(rollout.elapsed, 2),
+            target_servers=rollout.target_servers,
+            baseline_servers=rollout.baseline_servers,
+            baseline_in_flight=rollout.baseline_in_flight,
+            **describe_evidence(self._state.rollouts.find_evidence(progress.order)),
+        ).info("rollout stage changed")
+        self._state.rollouts.apply_progress(following)
+
+    async def _refresh(self, key: str) -> None:
+        item = await self._store.read(key)
+        if isinstance(item, Item):
+            self._state.hosts.items[key] = item
+            self.take(item)
+
+
+def make_progress_key(service: ServiceName) -> str:
+    """Return the store key of the progress of a service's rollout."""
+    return ROLLOUT_PREFIX + service
--- /dev/null
+++ b/dewridge/gateway/rollouts.py
@@ -0,0 +1,368 @@
+"""Rollouts known to this host: orders, progress and outcomes of attempts."""
+
+import time
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+import msgspec
+from loguru import logger as log
+
+from dewridge.gateway.forwarding import Lost
+from dewridge.gateway.model import (
+    RolloutOrder,
+    RouteName,
+    ServerRecord,
+    ServerVersion,
+)
+from dewridge.gateway.reports import OutcomeName, RolloutProgress
+from dewridge.ids import ServiceName
+from dewridge.policy.losses import Loss
+from dewridge.policy.rollouts import (
+    FINAL,
+    RANKS,
+    Evidence,
+    RouteLabel,
+    Stage,
+    Tally,
+    Verdict,
+    choose_trial_servers,
+    judge_version,
+)
+
+SLOW_FACTOR = 3.0
+"""Multiple of the typical latency of a route above which an answer counts as slow.
+Leaves room for answers of different lengths; applies to both versions."""
+LEAST_LATENCY_SAMPLES = 5
+"""Answers on a route before its typical latency is used."""
+LATENCY_WEIGHT = 0.05
+"""Weight of a new sample in the moving average."""
+NEUTRAL_LOSSES = frozenset({Loss.REJECTED, Loss.OTHER_SERVER, Loss.MOVED})
+"""Losses that are not counted for or against a version."""
+LEAST_FAILURE_STATUS = 500
+"""Lowest status that counts as a server failure."""
+NEW, OLD = "new", "old"
+ANSWERS, BAD = "answers", "bad"
+
+
+class AttemptResult(Enum):
+    """How an attempt counts for the version of its server."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    NOT_RUN = "not run"
+    ABANDONED = "abandoned"
+    """The caller disconnected or the time limit was reached."""
+
+
+def classify_attempt(lost: Lost | None, status: int) -> AttemptResult:
+    """Return the result of an attempt.
+
+    Args:
+        lost: why it has no answer; None if its answer was passed on.
+        status: of that answer.
+    """
+    if lost is None:
+        return (
+            AttemptResult.FAILED
+            if status >= LEAST_FAILURE_STATUS
+            else AttemptResult.ANSWERED
+        )
+    return (
+        AttemptResult.NOT_RUN if lost.loss in NEUTRAL_LOSSES else AttemptResult.FAILED
+    )
+
+
+@dataclass
+class TypicalLatency:
+    """Moving average of the time to a complete answer on a route, in seconds."""
+
+    seconds: float = 0.0
+    count: int = 0
+
+    def add(self, seconds: float) -> None:
+        """Add a sample."""
+        self.count += 1
+        weight = max(LATENCY_WEIGHT, 1 / self.count)
+        self.seconds += weight * (seconds - self.seconds)
+
+    def is_slow(self, seconds: float) -> bool:
+        """Whether a time is over `SLOW_FACTOR` times the typical latency, if known."""
+        return (
+            self.count >= LEAST_LATENCY_SAMPLES and seconds > SLOW_FACTOR * self.seconds
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class VersionSplit:
+    """Servers of a service, split by whether they run the target version."""
+
+    old: list[ServerRecord]
+    new: list[ServerRecord]
+
+
+@dataclass
+class RolloutTable:
+    """Rollouts known to this host and their counters.
+
+    Attributes:
+        outcomes: answers and bad answers counted by this host.
+    """
+
+    outcomes: dict[OutcomeName, int] = field(default_factory=lambda: defaultdict(int))
+    _progress: dict[ServiceName, RolloutProgress] = field(default_factory=dict)
+    _totals: dict[OutcomeName, float] = field(
+        default_factory=lambda: defaultdict(float)
+    )
+    _latencies: dict[RouteName, TypicalLatency] = field(
+        default_factory=lambda: defaultdict(TypicalLatency)
+    )
+    _verdicts: dict[int, Verdict] = field(default_factory=dict)
+
+    def apply_order(self, order: RolloutOrder) -> None:
+        """Register an order; its target gets no requests until the trial begins."""
+        known = self._progress.get(order.service)
+        if known is not None and known.order >= order.revision:
+            return
+        log.bind(
+            service=order.service, target=order.target, duration=order.duration
+        ).info("rollout ordered")
+        self._set_progress(
+            RolloutProgress(
+                service=order.service,
+                target=order.target,
+                order=order.revision,
+                stage=Stage.WAITING,
+                share=0.0,
+                ordered_at=time.time(),
+                duration=order.duration,
+            )
+        )
+
+    def apply_progress(self, progress: RolloutProgress) -> bool:
+        """Apply progress that is newer than the known one; return whether it was."""
+        known = self._progress.get(progress.service)
+        if known is not None and _rank(known) >= _rank(progress):
+            return False
+        log.bind(
+            service=progress.service,
+            target=progress.target,
+            stage=progress.stage.value,
+            share=progress.share,
+        ).info("rollout progress applied")
+        self._set_progress(progress)
+        return True
+
+    def _set_progress(self, progress: RolloutProgress) -> None:
+        self._progress[progress.service] = progress
+        for counts in (self.outcomes, self._totals):
+            for name in [one for one in counts if not self.is_outcome_open(one)]:
+                del counts[name]
+        orders = {one.order for one in self._progress.values()}
+        self._verdicts = {
+            order: verdict
+            for order, verdict in self._verdicts.items()
+            if order in orders
+        }
+
+    def is_outcome_open(self, name: OutcomeName) -> bool:
+        """Whether a counter belongs to a rollout that has not ended."""
+        return self._find_open_rollout(name) is not None
+
+    def _find_open_rollout(self, name: OutcomeName) -> RolloutProgress | None:
+        order = name.partition("/")[0]
+        for progress in self._progress.values():
+            if str(progress.order) == order and progress.stage not in FINAL:
+                return progress
+        return None
+
+    def list_progress(self) -> list[RolloutProgress]:
+        """Return the progress of all rollouts."""
+        return list(self._progress.values())
+
+    def find_stage(self, service: ServiceName) -> Stage | None:
+        """Return the stage of a service's rollout on this host; None without one.
+
+        A local verdict of `BAD` reverts at once, as the holder of the duties may be
+        down or unreachable.
+        """
+        progress = self._progress.get(service)
+        if progress is None:
+            return None
+        verdict = self._verdicts.get(progress.order)
+        if verdict is Verdict.BAD and progress.stage not in FINAL:
+            return Stage.REVERTED
+        return progress.stage
+
+    def list_serving(
+        self, service: ServiceName, records: list[ServerRecord]
+    ) -> list[ServerRecord]:
+        """Return the servers that carry a service, excluding those under trial."""
+        progress = self._progress.get(service)
+        if progress is None:
+            return records
+        split = _split_by_version(records, progress.target)
+        match self.find_stage(service):
+            case Stage.MOVING:
+                return split.new or split.old
+            case Stage.COMPLETED:
+                return split.new
+            case Stage.REVERTED:
+                return split.old
+        # If all servers already run the target version, none are held back.
+        return split.old or split.new
+
+    def choose_servers(
+        self,
+        service: ServiceName,
+        records: list[ServerRecord],
+        *,
+        is_first: bool,
+        draw: Callable[[], float],
+    ) -> list[ServerRecord]:
+        """Return the servers that a request may be sent to.
+
+        Args:
+            service: the request's service.
+            records: all servers of it.
+            is_first: whether this is the request's first attempt; a trial takes no
+                retries.
+            draw: returns a random number from 0 to 1; called during a trial only.
+        """
+        progress = self._progress.get(service)
+        if progress is None:
+            return records
+        is_trial = self.find_stage(service) is Stage.TRIAL
+        if is_trial and is_first and draw() < progress.share:
+            split = _split_by_version(records, progress.target)
+            chosen = choose_trial_servers(
+                progress.order,
+                [one.id for one in split.new],
+                len(split.old),
+                progress.share,
+            )
+            if chosen:
+                return [one for one in split.new if one.id in chosen]
+        return self.list_serving(service, records)
+
+    def note_attempt(
+        self,
+        route: RouteName,
+        server: ServerRecord,
+        seconds: float,
+        result: AttemptResult,
+    ) -> None:
+        """Count the result of an attempt.
+
+        Args:
+            route: the request's route.
+            server: the server it was sent to.
+            seconds: time since it was sent.
+            result: how it ended.
+        """
+        if result is AttemptResult.NOT_RUN:
+            return
+        latency = self._latencies[route]
+        is_slow = latency.is_slow(seconds) and not server.is_cold
+        progress = self._progress.get(server.service)
+        is_new = progress is not None and server.version == progress.target
+        if result is AttemptResult.ANSWERED and not is_new:
+            latency.add(seconds)
+        if progress is None or progress.stage not in {Stage.TRIAL, Stage.MOVING}:
+            return
+        if result is AttemptResult.ABANDONED and not is_slow:
+            return
+        side = NEW if is_new else OLD
+        self._count(make_outcome_name(progress.order, side, ANSWERS, route))
+        if result is AttemptResult.FAILED or is_slow:
+            self._count(make_outcome_name(progress.order, side, BAD, route))
+            self._judge(progress)
+
+    def _count(self, name: OutcomeName) -> None:
+        self.outcomes[name] += 1
+        self._totals[name] += 1
+
+    def add_remote_count(self, name: OutcomeName, increase: float) -> None:
+        """Add the increase of a counter at other hosts."""
+        progress = self._find_open_rollout(name)
+        if progress is not None:
+            self._totals[name] += increase
+            if f"/{NEW}/{BAD}/" in name:
+                self._judge(progress)
+
+    def find_evidence(self, order: int) -> Evidence:
+        """Return the answers of both versions, summed over all hosts."""
+        sides: dict[str, dict[RouteLabel, Tally]] = {NEW: {}, OLD: {}}
+        for name, count in self._totals.items():
+            number, side, kind, route = name.split("/", 3)
+            if number != str(order):
+                continue
+            label = RouteLabel(route)
+            counted = round(count)
+            tally = Tally(counted, 0) if kind == ANSWERS else Tally(0, counted)
+            sides[side][label] = sides[side].get(label, Tally()) + tally
+        return Evidence(target=sides[NEW], baseline=sides[OLD])
+
+    def _judge(self, progress: RolloutProgress) -> None:
+        if self._verdicts.get(progress.order) is Verdict.BAD:
+            return
+        evidence = self.find_evidence(progress.order)
+        verdict = judge_version(evidence)
+        self._verdicts[progress.order] = verdict
+        if verdict is Verdict.BAD:
+            log.bind(
+                service=progress.service,
+                target=progress.target,
+                **describe_evidence(evidence),
+            ).warning("rollout target judged bad")
+
+
+def make_outcome_name(
+    order: int, side: str, kind: str, route: RouteName
+) -> OutcomeName:
+    """Return the name of a counter.
+
+    The route comes last, as its name may contain slashes.
+    """
+    return OutcomeName(f"{order}/{side}/{kind}/{route}")
+
+
+def _rank(progress: RolloutProgress) -> tuple[int, int]:
+    return progress.order, RANKS[progress.stage]
+
+
+def _split_by_version(
+    records: Iterable[ServerRecord], target: ServerVersion
+) -> VersionSplit:
+    split = VersionSplit([], [])
+    for record in records:
+        side = split.new if record.version == target else split.old
+        side.append(record)
+    return split
+
+
+def describe_evidence(evidence: Evidence) -> dict[str, int]:
+    """Return the totals of both versions, for logs and dumps."""
+    target = sum(evidence.target.values(), Tally())
+    baseline = sum(evidence.baseline.values(), Tally())
+    return {
+        "answers": target.answers,
+        "bad": target.bad,
+        "answers_before": baseline.answers,
+        "bad_before": baseline.bad,
+    }
+
+
+def decode_progress(value: bytes) -> RolloutProgress | None:
+    """Decode the stored progress of a rollout; None if it is malformed."""
+    try:
+        return msgspec.json.decode(value, type=RolloutProgress)
+    except msgspec.DecodeError as error:
+        log.bind(reason=str(error)).error("rollout can't be read")
+        return None
+
+
+def find_elapsed(progress: RolloutProgress) -> float:
+    """Return the seconds since a rollout was ordered."""
+    return max(0.0, time.time() - progress.ordered_at)
--- a/dewridge/gateway/scaling.py
+++ b/dewridge/gateway/scaling.py
@@ -168,7 +168,9 @@
         return Load(
             rate=self._state.demand[service.name].find_rate(now),
             pace=self._state.paces[service.name].find(),
-            in_flight=self._state.count_in_flight(service.name),
+            in_flight=self._state.count_in_flight(
+                self._state.servers.list_service(service.name)
+            ),
             slots=service.engine.slots if service.engine else 1,
         )
 
@@ -211,7 +213,7 @@
         """
         if service in self._found:
             return True
-        listed = len(self._state.servers.list_service(service))
+        listed = len(self._state.list_serving(service))
         if not listed:
             return False
         if now - self._listed_since.setdefault(service, now) < LISTING_TIME:
@@ -264,7 +266,7 @@
         service, domain, is_reclaimable = place
         return sum(
             record.failure_domain == domain and record.is_reclaimable == is_reclaimable
-            for record in self._state.servers.list_service(service)
+            for record in self._state.list_serving(service)
         )
 
     async def _give(self, order: Order) -> None:
--- a/dewridge/gateway/sharing.py
+++ b/dewridge/gateway/sharing.py
@@ -21,6 +21,7 @@
     CellReport,
     Holder,
     News,
+    OutcomeName,
     Report,
     ServerTotals,
     Totals,
@@ -96,6 +97,8 @@
         on_use: told the growth of an account's use at other hosts.
         on_asked: told the growth of what an account asked for at other hosts.
         on_demand: told the growth of the prompt tokens for a service at other hosts.
+        on_outcomes: told the growth of a counter of rollout outcomes at other hosts.
+        is_outcome_open: whether such a counter belongs to a rollout in progress.
         on_news: told the version in force at another host, and who left.
         started_at: steady time at which this process started.
         peers: last report by host of the own cell.
@@ -115,6 +118,8 @@
     on_use: Callable[[HostId, ClientAccount, float, float], None]
     on_asked: Callable[[ClientAccount, float, float], None] = _ignore
     on_demand: Callable[[ServiceName, float, float], None] = _ignore
+    on_outcomes: Callable[[OutcomeName, float], None] = _ignore
+    is_outcome_open: Callable[[OutcomeName], bool] = lambda name: True
     on_news: Callable[[News], None] = _ignore
     started_at: float = 0.0
     boot: int = 0
@@ -137,6 +142,9 @@
     _cell_demand: dict[ServiceName, float] = field(
         default_factory=lambda: defaultdict(float)
     )
+    _cell_outcomes: dict[OutcomeName, float] = field(
+        default_factory=lambda: defaultdict(float)
+    )
     _sums: ServerSums = field(default_factory=ServerSums)
     _summary: Summary | None = None
     _summed_at: float = float("-inf")
@@ -200,6 +208,9 @@
         for service, grown in find_growth(totals.demand, earlier.demand).items():
             self._cell_demand[service] += grown
             self.on_demand(service, grown, now)
+        for name, grown in find_growth(totals.outcomes, earlier.outcomes).items():
+            self._cell_outcomes[name] += grown
+            self.on_outcomes(name, grown)
 
     def _note_cell(self, report: CellReport, now: float) -> bool:
         cell = self.cells.setdefault(report.cell, CellView())
@@ -221,6 +232,8 @@
             self.on_asked(account, grown, now)
         for service, grown in cell.demand.note(source, totals.demand).items():
             self.on_demand(service, grown, now)
+        for name, grown in cell.outcomes.note(source, totals.outcomes).items():
+            self.on_outcomes(name, grown)
         return True
 
     def note_holder(self, holder: Holder) -> None:
@@ -322,8 +335,17 @@
             asked=_add(self._cell_asked, own.asked),
             demand=_add(self._cell_demand, own.demand),
             servers=sum_servers([own, *mates]),
+            outcomes=self._sum_outcomes(own),
         )
 
+    def _sum_outcomes(self, own: Totals) -> dict[OutcomeName, int]:
+        closed = [
+            name for name in self._cell_outcomes if not self.is_outcome_open(name)
+        ]
+        for name in closed:
+            del self._cell_outcomes[name]
+        return _add(self._cell_outcomes, own.outcomes)
+
     def forget_before(self, window: int, now: float) -> None:
         """Forget the usage of windows before this one, and cells that are gone."""
         self.usage.forget_before(window)
--- a/dewridge/gateway/sharinglink.py
+++ b/dewridge/gateway/sharinglink.py
@@ -271,6 +271,7 @@
             left=report.left,
             holder=report.holder,
             suspects=report.suspects,
+            rollouts=report.rollouts,
         )
 
     def _post(self, peers: list[HostEntry], data: bytes, urgency: Urgency) -> None:
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -3,7 +3,7 @@
 import random
 import time
 from collections import Counter, defaultdict
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import TypeVar
 
@@ -12,6 +12,7 @@
 from dewridge.gateway.configuration import ConfigurationState
 from dewridge.gateway.hosts import HostTable
 from dewridge.gateway.ingress import IngressState
+from dewridge.gateway.model import ServerRecord
 from dewridge.gateway.pool import ConnectionPool
 from dewridge.gateway.reports import (
     NOTHING,
@@ -23,6 +24,7 @@
     Totals,
     UsageCounts,
 )
+from dewridge.gateway.rollouts import RolloutTable
 from dewridge.gateway.servers import ServerTable
 from dewridge.gateway.sharing import Sharing
 from dewridge.gateway.streams import RunningStreams
@@ -130,6 +132,7 @@
     own_demand: dict[ServiceName, float] = field(
         default_factory=lambda: defaultdict(float)
     )
+    rollouts: RolloutTable = field(default_factory=RolloutTable)
     suspects: SuspectLedger = field(default_factory=SuspectLedger)
     seen_ending: set[RequestDigest] = field(default_factory=set)
     """Requests under which this host saw a server end itself."""
@@ -169,12 +172,16 @@
         self.own_demand[service] += tokens
         self.demand[service].add(tokens, trio.current_time())
 
-    def count_in_flight(self, service: ServiceName) -> int:
-        """Return the requests of all hosts at a service's servers."""
+    def list_serving(self, service: ServiceName) -> list[ServerRecord]:
+        """Return the servers that carry a service, excluding those under trial."""
+        return self.rollouts.list_serving(service, self.servers.list_service(service))
+
+    def count_in_flight(self, records: Iterable[ServerRecord]) -> int:
+        """Return the requests of all hosts at the given servers."""
         others = self.sharing.find_summary(trio.current_time()).servers
         return sum(
             others.get(one.id, NOTHING).requests + self.work.requests.get(one.id, 0)
-            for one in self.servers.list_service(service)
+            for one in records
         )
 
     def note_demand(self, service: ServiceName, tokens: float, now: float) -> None:
@@ -208,6 +215,7 @@
             heard=self.sharing.list_heard_numbers(),
             holder=self.sharing.holder,
             suspects=self.list_suspects(number),
+            rollouts=self.rollouts.list_progress(),
         )
 
     def list_began(self, windows: int) -> UsageCounts:
@@ -222,6 +230,7 @@
             asked=round_all(self.ledger.asked),
             demand=round_all(self.own_demand),
             servers=self._list_server_totals(now),
+            outcomes=dict(self.rollouts.outcomes),
         )
 
     def _list_server_totals(self, now: float) -> dict[BackendServerId, ServerTotals]:
--- a/dewridge/gateway/watching.py
+++ b/dewridge/gateway/watching.py
@@ -16,10 +16,16 @@
 
 from dewridge.gateway.clock import read_boot_clock
 from dewridge.gateway.configuration import ConfigurationState
-from dewridge.gateway.model import ServerRecord
+from dewridge.gateway.model import RolloutOrder, ServerRecord
 from dewridge.gateway.servers import ServerTable
 from dewridge.platform.configuration import decode_configuration
-from dewridge.platform.names import CONFIGURATION_KEY, SERVERS_PREFIX
+from dewridge.platform.names import (
+    CONFIGURATION_KEY,
+    OPERATOR_PREFIX,
+    ROLLOUTS_PREFIX,
+    SERVERS_PREFIX,
+)
+from dewridge.platform.rollouts import decode_rollout
 from dewridge.platform.servers import decode_server
 from dewridge.platform.store import Item, Listing, Store
 from dewridge.sentinels import Failure
@@ -122,7 +128,9 @@
         find_part: Callable[[], Part] = lambda: Part.ALL,
         count_heard: Callable[[], int] = lambda: 0,
         count_readers: Callable[[], int] = lambda: 1,
+        on_rollout: Callable[[RolloutOrder], None] = lambda order: None,
     ) -> None:
+        self._on_rollout = on_rollout
         self._count_readers = count_readers
         self._find_part = find_part
         self._count_heard = count_heard
@@ -155,13 +163,13 @@
         pause = FIRST_RETRY
         while True:
             asked_at = read_boot_clock()
-            item = await self._store.read(CONFIGURATION_KEY)
-            if isinstance(item, Failure):
+            listing = await self._store.list_items(OPERATOR_PREFIX)
+            if isinstance(listing, Failure):
                 await self._pause(pause)
                 pause = min(LAST_RETRY, pause * 2)
                 continue
             pause = FIRST_RETRY
-            if item is not None and self._take_configuration(item):
+            if self._take_operator_items(listing):
                 self._configuration.confirm(asked_at)
             await self._wait_for_doubt()
 
@@ -202,6 +210,16 @@
         first = min(first, period)
         return float(first + (period - first) * random.random() ** DOUBT_POWER)
 
+    def _take_operator_items(self, listing: Listing) -> bool:
+        """Apply the operator's items; return whether a configuration was applied."""
+        is_configured = False
+        for item in listing.items:
+            if item.key == CONFIGURATION_KEY:
+                is_configured = self._take_configuration(item)
+            else:
+                self._note_operator_item(item)
+        return is_configured
+
     def _take_configuration(self, item: Item) -> bool:
         decoded = decode_configuration(item.value)
         if isinstance(decoded, Failure):
@@ -250,15 +268,18 @@
         record = decode_server(item)
         if isinstance(record, ServerRecord):
             return record
-        told = self._unreadable
-        if record.reason not in told and len(told) < MOST_UNREADABLE:
-            told.add(record.reason)
-            log.bind(reason=record.reason).error("server record can't be read")
+        self._log_unreadable(record, "server record can't be read")
         return None
 
+    def _log_unreadable(self, failure: Failure, event: str) -> None:
+        told = self._unreadable
+        if failure.reason not in told and len(told) < MOST_UNREADABLE:
+            told.add(failure.reason)
+            log.bind(reason=failure.reason).error(event)
+
     async def watch_configuration(self) -> None:
         """Follow changes of the configuration for ever."""
-        await self._watch(CONFIGURATION_KEY, self._note_configuration, self._confirm)
+        await self._watch(OPERATOR_PREFIX, self._note_operator_item, self._confirm)
 
     async def watch_servers(self) -> None:
         """Follow changes of servers' records for ever, if that is this host's part."""
@@ -275,9 +296,18 @@
         waited = asked_at + wait
         self._configuration.confirm(waited if waited <= now else asked_at)
 
-    def _note_configuration(self, item: Item) -> None:
-        if item.key == CONFIGURATION_KEY and not item.removed:
+    def _note_operator_item(self, item: Item) -> None:
+        if item.removed:
+            # Deleting an order does not stop a rollout in progress.
+            return
+        if item.key == CONFIGURATION_KEY:
             self._take_configuration(item)
+        elif item.key.startswith(ROLLOUTS_PREFIX):
+            order = decode_rollout(item)
+            if isinstance(order, Failure):
+                self._log_unreadable(order, "rollout order can't be read")
+            else:
+                self._on_rollout(order)
 
     def _note_server(self, item: Item) -> None:
         if item.removed:
--- a/dewridge/gateway/weighing.py
+++ b/dewridge/gateway/weighing.py
@@ -53,12 +53,22 @@
 
 def choose_server(state: GatewayState, job: Job, now: float) -> Choice | None:
     """Return the server for a job's next sending; None if the service has none."""
-    records = state.servers.list_service(job.service)
+    records = state.rollouts.choose_servers(
+        job.service,
+        state.servers.list_service(job.service),
+        is_first=not job.tried,
+        draw=state.rng.random,
+    )
     untried = [one for one in records if one.id not in job.tried] or records
     if is_suspect(state, job, now):
         return choose_apart(state, job, untried, now)
     candidates = weigh(state, untried, now)
-    settled = {one.id: one for one in state.servers.list_settled(job.service, now)}
+    versions = {one.version for one in records}
+    settled = {
+        one.id: one
+        for one in state.servers.list_settled(job.service, now)
+        if one.version in versions
+    }
     keepers = list(settled) if is_worth_copying(job) else []
     placement = place(
         job,
@@ -144,8 +154,8 @@
 
 def is_shed(state: GatewayState, job: Job) -> bool:
     """Return whether a job's engines have too much for work of its urgency."""
-    records = state.servers.list_service(job.service)
-    in_flight = state.count_in_flight(job.service)
+    records = state.list_serving(job.service)
+    in_flight = state.count_in_flight(records)
     slots = sum(one.slots for one in records)
     return must_shed(in_flight, slots, job.route.priority, state.rng.random())
 
@@ -154,9 +164,7 @@
     state: GatewayState, job: Job, source: BackendServerId, now: float
 ) -> ServerRecord | None:
     """Return the server that a stream moves to: the one with the most free slots."""
-    records = [
-        one for one in state.servers.list_service(job.service) if one.id != source
-    ]
+    records = [one for one in state.list_serving(job.service) if one.id != source]
     candidates = weigh(state, records, now)
     with_room = [
         one
--- a/dewridge/platform/names.py
+++ b/dewridge/platform/names.py
@@ -40,7 +40,10 @@
 caller sent them they would let it act as another account, reserve an engine's
 memory or read another request's."""
 
-CONFIGURATION_KEY = "op/config"
+OPERATOR_PREFIX = "op/"
+CONFIGURATION_KEY = OPERATOR_PREFIX + "config"
+ROLLOUTS_PREFIX = OPERATOR_PREFIX + "rollout/"
+ROLLOUT_STATUS_PREFIX = "status/rollout/"
 SERVERS_PREFIX = "servers/"
 
 RESOLVE_PATH = "/-/resolve"
--- /dev/null
+++ b/dewridge/platform/rollouts.py
@@ -0,0 +1,71 @@
+"""The operator's rollout orders and the status reported for them."""
+
+import math
+from enum import Enum
+
+import msgspec
+
+from dewridge.codes import ResultCode
+from dewridge.gateway.model import RolloutOrder, ServerVersion
+from dewridge.ids import ServiceName
+from dewridge.platform.names import ROLLOUT_STATUS_PREFIX, ROLLOUTS_PREFIX
+from dewridge.platform.store import Item, Write
+from dewridge.sentinels import Failure
+
+LONGEST_DURATION = 86_400.0
+"""Seconds; one day."""
+
+
+class RolloutStatus(Enum):
+    """State of an order, as reported to the operator."""
+
+    IN_PROGRESS = "in_progress"
+    COMPLETED = "completed"
+    """The servers of the old version are stopped at once."""
+    REVERTED = "reverted"
+    """The servers of the target version are drained."""
+
+
+class _Order(msgspec.Struct, frozen=True):
+    service: str
+    target: str
+    duration_s: float
+
+
+class _Status(msgspec.Struct, frozen=True):
+    service: str
+    target: str
+    state: RolloutStatus
+
+
+def decode_rollout(item: Item) -> RolloutOrder | Failure:
+    """Decode and validate an order."""
+    try:
+        order = msgspec.json.decode(item.value, type=_Order)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return _refuse(item, str(error))
+    if item.key != ROLLOUTS_PREFIX + order.service:
+        return _refuse(item, f"service {order.service!r} does not match the key")
+    if not order.target:
+        return _refuse(item, "target version is empty")
+    duration = order.duration_s
+    if not (math.isfinite(duration) and 0 < duration <= LONGEST_DURATION):
+        return _refuse(item, f"duration_s {duration} is out of range")
+    return RolloutOrder(
+        ServiceName(order.service),
+        ServerVersion(order.target),
+        duration,
+        item.revision,
+    )
+
+
+def _refuse(item: Item, reason: str) -> Failure:
+    return Failure(ResultCode.PLATFORM_MALFORMED, f"{item.key!r}: {reason}")
+
+
+def make_status_write(
+    service: ServiceName, target: ServerVersion, status: RolloutStatus
+) -> Write:
+    """Return the write that reports the status of an order to the operator."""
+    value = msgspec.json.encode(_Status(service, target, status))
+    return Write(ROLLOUT_STATUS_PREFIX + service, value)
--- a/dewridge/platform/servers.py
+++ b/dewridge/platform/servers.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from dewridge.codes import ResultCode
-from dewridge.gateway.model import ServerRecord
+from dewridge.gateway.model import ServerRecord, ServerVersion
 from dewridge.ids import FailureDomain, ServerName, ServiceName, make_server_id
 from dewridge.platform.names import SERVERS_PREFIX, Status
 from dewridge.platform.store import Item
@@ -28,6 +28,7 @@
     spot: bool = False
     leaves_ms: float | None = None
     cold_remaining_ms: float = 0.0
+    version: str = ""
     born: int | None = None
     """Start of the server in milliseconds since 1970, though it reads like a year."""
 
@@ -65,6 +66,7 @@
         leaves_in=None if leaves_ms is None else max(0.0, leaves_ms / 1000),
         is_cold=record.cold_remaining_ms > 0,
         born=record.born or 0,
+        version=ServerVersion(record.version),
     )
 
 
--- a/dewridge/settings/gateway.py
+++ b/dewridge/settings/gateway.py
@@ -105,6 +105,12 @@
         unit="ms",
         low=500,
     )
+    exposure_share: float = option(
+        "Part of a service's requests that may reach a bad version of its servers.",
+        default=0.1,
+        low=0,
+        high=1,
+    )
     usage_window: float = option(
         "Length of a window of usage.", default=5.0, unit="s", low=0.5
     )
