Do not count attempts whose server ended against the route's limit

A stream that met two servers ended by a crashing request was cut, although a third server was ready.

Cause: an attempt whose server ended counted against the route's attempt limit. The limit bounds what a request may cost servers; a run that was well past its start did not end its server.

Change: an attempt whose server ended, and that is not blamed for it, does not count against the route's attempts. The retry budget and the deadline bound the rest.

The new test fails without the change.

--- a/dewridge/gateway/losses.py
+++ b/dewridge/gateway/losses.py
@@ -49,6 +49,10 @@
         self._apply(server, verdict.server)
         if verdict.blames_request:
             note_end(state, job, server.id, now)
+        elif verdict.server is ServerVerdict.GONE and not lost.is_not_run:
+            # The route's attempt limit bounds the servers that a request may cost; this
+            # request is not blamed for the server's end.
+            job.runs -= 1
 
     async def _look(self, server: ServerRecord) -> Reach | None:
         """Return whether a server accepts connections, looked at once for all jobs."""
--- a/dewridge/tests/gateway/crashing_tests.py
+++ b/dewridge/tests/gateway/crashing_tests.py
@@ -120,6 +120,24 @@
     assert len(held) == 1
 
 
+async def test_a_stream_survives_more_server_losses_than_its_attempt_limit() -> None:
+    """Guards against counting attempts whose server ended against the limit."""
+    async with open_world(retry_slack=100) as world:
+        servers = await add_crashing_servers(world, pause=0.1, events=16)
+        answers: list[CallerAnswer] = []
+
+        async def ask() -> None:
+            answers.append(await send(world, b"innocent", "r-1"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            for _ in range(2):
+                await trio.sleep(YOUNG + 0.2)
+                next(one for one in servers if one.seen and not one.has_ended).end()
+    assert answers[0].status == 200
+    assert answers[0].is_whole
+
+
 async def test_a_common_request_survives_the_loss_of_a_failure_domain() -> None:
     """Guards against blaming a lookup whose copies were at servers lost together.
 
