Watch the hosts as soon as the first listing arrives

Cause: a starting host treated a large fleet as a small one for four seconds, because the watch of the hosts slept for a poll period if the first listing had not arrived yet. Until then each host followed all servers and tried to take the duties every half second, based on a list of keys that lacked the holder's.

Change: the watch begins as soon as there is a listing. A host tries to take the duties only once the listing contains its own registration.

The new test fails before the change: after two seconds each host knows only itself.

--- a/dewridge/gateway/duties.py
+++ b/dewridge/gateway/duties.py
@@ -91,8 +91,10 @@
             return
         item = self._table.items.get(HOLDER_KEY)
         if item is None:
-            # Hosts that don't follow the store don't know in time that nobody holds.
-            if self._tenure is None and self._may_try():
+            # Hosts that don't follow the store don't know in time that nobody holds,
+            # nor does a table from before this host's own registration.
+            is_current = self._registration.key in self._table.items
+            if self._tenure is None and is_current and self._may_try():
                 await self._try_to_hold(state.lease.id)
             return
         self._judge(item, state.lease.id)
--- a/dewridge/gateway/hosts.py
+++ b/dewridge/gateway/hosts.py
@@ -302,9 +302,11 @@
 
     async def watch(self) -> None:
         """Follow changes for ever; the poll mends what a lost watch misses."""
+        while not self._table.revision:
+            await self._table.changed.wait()
         while True:
             revision = self._table.revision
-            if revision and self._reads():
+            if self._reads():
                 news = await self._watch_store.watch(PREFIX, revision, self._watch_wait)
                 if isinstance(news, Listing):
                     for item in news.items:
--- a/dewridge/tests/gateway/duties_tests.py
+++ b/dewridge/tests/gateway/duties_tests.py
@@ -207,6 +207,27 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_hosts_that_start_together_discover_each_other_with_few_writes(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against hosts that treat a large fleet as a small one during startup.
+
+    A host that does not know its peers follows all servers and repeatedly tries to take
+    the duties.
+    """
+    data = StoreData()
+    candidates = [Candidate(f"host-{n}", data) for n in range(30)]
+    async with trio.open_nursery() as nursery:
+        for one in candidates:
+            one.start(nursery)
+        await trio.sleep(2.0)
+        host_counts = [one.table.count() for one in candidates]
+        nursery.cancel_scope.cancel()
+    assert min(host_counts) == len(candidates)
+    change_calls = sum(one.store.change_calls for one in candidates)
+    assert change_calls <= 2 * len(candidates)
+
+
 class RecordingCloud(Cloud):
     """Keeps the reports; `fails` of them get no answer although they are accepted."""
 
--- a/dewridge/tests/gateway/memorystore.py
+++ b/dewridge/tests/gateway/memorystore.py
@@ -34,6 +34,7 @@
     Attributes:
         data: what the store holds.
         loses_answers: whether changes are carried out and not answered.
+        change_calls: number of calls to `change`, including failed ones.
     """
 
     def __init__(self, data: StoreData | None = None) -> None:
@@ -41,6 +42,7 @@
         self._is_down = False
         self.loses_answers = False
         self.calls = 0
+        self.change_calls = 0
 
     @property
     def is_down(self) -> bool:
@@ -123,6 +125,7 @@
         drop: tuple[str, ...] = (),
     ) -> int | Failure:
         """Write and drop keys under a condition."""
+        self.change_calls += 1
         if not await self._enter():
             return Failure(ResultCode.KEY_VALUE_UNKNOWN, "no answer")
         for key, revision in (expected or {}).items():
