Let readers confirm the configuration for their cells

Cause: in a large fleet each host confirmed the configuration by an empty watch of its own every 3 s, which made up half of all calls in steady state. In addition, the watch that a host begins before it knows the size of the fleet waits 15 s, so that the host reads the configuration every 3.4 s in the meantime.

Change: a reader's watch of the configuration waits 1.5 s, and its cell receives the confirmation through the reports that already carry confirmations. A listener's watch waits 15 s. A listener that receives no confirmation for 3.4 s reads the configuration itself, as before. In the first 5 s of a process the watch waits 3 s. The watch of the servers waits 15 s; polls detect one that went silent.

Tried and dropped: delaying the read of a configuration announced by a peer by 0.4 s.

--- a/dewridge/gateway/watching.py
+++ b/dewridge/gateway/watching.py
@@ -56,12 +56,18 @@
 LAGGING_PERIOD = 2.0
 """Seconds between two cheap reads of the servers by other hosts: half of the time that
 a new server takes to start."""
-CONFIRM_WAIT = 3.0
-"""Seconds that a watch of the configuration waits in a large fleet: each that comes
-back empty confirms the version, so that this is the oldest a confirmation gets. Shorter
-costs calls, longer comes near the 4 s after which keys are refused."""
-UNCONFIRMED_AFTER = CONFIRM_WAIT + 0.4
-"""Age of the confirmation from which the configuration is read: the watch is stuck."""
+CONFIRM_WAIT = 1.5
+"""Seconds that a reader's watch of the configuration waits in a large fleet. An empty
+result also confirms the version for the reader's cell, which receives the confirmation
+within about a second."""
+STARTUP_PERIOD = 5.0
+"""Seconds after startup in which the host may not know the size of the fleet, and no
+peer may confirm the configuration for it."""
+STARTUP_CONFIRM_WAIT = 3.0
+"""Seconds that a watch of the configuration waits during the startup period."""
+UNCONFIRMED_AFTER = 3.4
+"""Age of the confirmation from which the configuration is read: the watch is stuck, or
+no confirmation arrives from the cell's reader. Keys are refused from 4 s on."""
 LOOK_PERIOD = 0.2
 SHORTEST_LOOK = 0.01
 """Seconds between two looks at that age, at the most and at the least."""
@@ -114,6 +120,14 @@
     """In a large fleet: the configuration only."""
 
 
+CONFIRM_WAITS = {
+    Part.ALL: WATCH_WAIT,
+    Part.READER: CONFIRM_WAIT,
+    Part.LISTENER: WATCH_WAIT,
+}
+"""Seconds that a watch of the configuration waits after the startup period."""
+
+
 class StoreWatcher:
     """Runs the polls and watches and writes what they bring into the tables."""
 
@@ -144,6 +158,7 @@
         self._configuration_wake = trio.Event()
         self._unreadable: set[str] = set()
         self.revision = 0
+        self._started_at = float("-inf")
 
     def find_period(self) -> float:
         """Return the seconds between polls that all hosts together can afford."""
@@ -279,6 +294,7 @@
 
     async def watch_configuration(self) -> None:
         """Follow changes of the configuration for ever."""
+        self._started_at = trio.current_time()
         await self._watch(OPERATOR_PREFIX, self._note_operator_item, self._confirm)
 
     async def watch_servers(self) -> None:
@@ -335,7 +351,8 @@
                 revision = await self._find_start(prefix, note)
             news: Listing | Failure | None = None
             asked_at = read_boot_clock()
-            wait = WATCH_WAIT if self._find_part() is Part.ALL else CONFIRM_WAIT
+            is_servers = prefix == SERVERS_PREFIX
+            wait = WATCH_WAIT if is_servers else self._find_confirm_wait()
             if revision is not None:
                 news = await self._watch_store.watch(prefix, revision, wait)
             if isinstance(news, Listing):
@@ -356,6 +373,11 @@
             await self._pause(pause if is_small else CELL_WATCH_RETRY)
             pause = min(LAST_RETRY, pause * 2)
 
+    def _find_confirm_wait(self) -> float:
+        if trio.current_time() - self._started_at < STARTUP_PERIOD:
+            return STARTUP_CONFIRM_WAIT
+        return CONFIRM_WAITS[self._find_part()]
+
     async def _find_start(
         self, prefix: str, note: Callable[[Item], None]
     ) -> int | None:
--- a/dewridge/tests/gateway/readers_tests.py
+++ b/dewridge/tests/gateway/readers_tests.py
@@ -3,14 +3,22 @@
 import itertools
 
 import msgspec
+import pytest
 import trio
 import trio.testing
 
+from dewridge.gateway import configuration, watching
 from dewridge.gateway.configuration import ConfigurationState
 from dewridge.gateway.servers import ServerTable
-from dewridge.gateway.watching import Part, StoreWatcher
+from dewridge.gateway.watching import (
+    CONFIRM_WAIT,
+    UNCONFIRMED_AFTER,
+    WATCH_WAIT,
+    Part,
+    StoreWatcher,
+)
 from dewridge.ids import ServerName, make_server_id
-from dewridge.platform.names import SERVERS_PREFIX
+from dewridge.platform.names import CONFIGURATION_KEY, SERVERS_PREFIX
 from dewridge.tests.gateway.memorystore import MemoryStore, StoreData
 
 READERS = 9
@@ -117,3 +125,95 @@
             await trio.sleep(CHANGE_PERIOD)
         nursery.cancel_scope.cancel()
     assert 60 <= reader.store.calls <= 110
+
+
+class Cell:
+    """A reader and its listeners, which receive its confirmations 0.5 s late."""
+
+    def __init__(self, listeners: int) -> None:
+        self.store = MemoryStore()
+        self.configurations: list[ConfigurationState] = []
+        self.stores: list[MemoryStore] = []
+        self.watchers: list[StoreWatcher] = []
+        for number in range(listeners + 1):
+            part = Part.LISTENER if number else Part.READER
+            state = ConfigurationState(trusted_for=4.0)
+            store = MemoryStore(self.store.data)
+            self.configurations.append(state)
+            self.stores.append(store)
+            self.watchers.append(
+                StoreWatcher(
+                    store,
+                    store,
+                    state,
+                    ServerTable(),
+                    lambda: 60,
+                    6000.0,
+                    lambda part=part: part,  # type: ignore[misc]
+                    lambda: listeners,
+                )
+            )
+        self.store.write(CONFIGURATION_KEY, b'{"version":1}')
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Follow the configuration on all hosts."""
+        for watcher in self.watchers:
+            nursery.start_soon(watcher.poll_configuration)
+            nursery.start_soon(watcher.watch_configuration)
+        nursery.start_soon(self.relay_confirmations)
+
+    async def relay_confirmations(self) -> None:
+        """Pass the reader's confirmations to the listeners, as its reports do."""
+        reader, *listeners = self.configurations
+        while True:
+            confirmation = reader.version, reader.confirmed_at
+            await trio.sleep(0.5)
+            for listener in listeners:
+                listener.confirm_by_peer(*confirmation)
+
+    def count_calls(self) -> int:
+        """Return the number of store calls by all hosts."""
+        return sum(store.calls for store in self.stores)
+
+
+@pytest.fixture
+def _boot_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Replace the boot clock with the clock of the test."""
+    monkeypatch.setattr(watching, "read_boot_clock", trio.current_time)
+    monkeypatch.setattr(configuration, "read_boot_clock", trio.current_time)
+
+
+@pytest.mark.usefixtures("_boot_clock")
+async def test_a_reader_confirms_the_configuration_for_its_cell(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against listeners that make store calls although their reader confirms."""
+    cell = Cell(listeners=8)
+    ages: list[float] = []
+    async with trio.open_nursery() as nursery:
+        cell.start(nursery)
+        await trio.sleep(10.0)
+        before = cell.count_calls()
+        for _ in range(300):
+            await trio.sleep(0.1)
+            ages.append(max(one.age for one in cell.configurations))
+        calls = cell.count_calls() - before
+        nursery.cancel_scope.cancel()
+    assert max(ages) < UNCONFIRMED_AFTER
+    assert calls <= 30.0 / CONFIRM_WAIT + 8 * 30.0 / WATCH_WAIT + 9
+
+
+@pytest.mark.usefixtures("_boot_clock")
+async def test_listeners_read_the_configuration_when_their_reader_fails(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against listeners that refuse keys after the loss of their reader."""
+    cell = Cell(listeners=8)
+    async with trio.open_nursery() as nursery:
+        cell.start(nursery)
+        await trio.sleep(10.0)
+        cell.stores[0].is_down = True
+        for _ in range(300):
+            await trio.sleep(0.1)
+            assert all(one.is_trusted for one in cell.configurations[1:])
+        nursery.cancel_scope.cancel()
