Handle restores of the store from an older copy

Cause: the store may be restored from a copy that is some seconds old. Everything the system wrote since then is lost, including leases, and revisions are assigned again; the Store-Era header increases. The code assumed that revisions only increase.

Change: - Keep one era state, shared by both clients of the store. A holder gives up the duties, and the next one acts no earlier than one lease after the restore. - Each host takes a new lease and writes its entry again within its renewal period. Known entries are kept for the length of a lease while others may be missing. - An older configuration confirms nothing, whether by a read, an empty watch or a peer. Keys are refused after 4 s until the operator has written the newer one again. - Tolerate missing server records for 2.2 s, as after an outage. - Report a usage sum that was already fixed unchanged. Write the needed servers, copies of set-aside requests and closed rollouts again. An order that is written again within 10 s keeps its stage. - Resume the watch of the hosts at the next list after a failure instead of four seconds later.

Measured on the simulated clock with 60 hosts and a copy that has all leases and no entry: all entries are back within 2 s; the writes of these two seconds stay below the 1,200 that the store accepts in one.

Not covered: the product's own interface (claims, its own configuration). Nothing here takes effect on a store that sends no era.

--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -48,6 +48,7 @@
 from dewridge.ids import FailureDomain, HostId
 from dewridge.metrics.registry import Metrics
 from dewridge.platform.cloud import Cloud
+from dewridge.platform.eras import StoreEra
 from dewridge.platform.store import Item, Store
 from dewridge.policy.pacing import Pace, find_rate
 from dewridge.policy.quota import QuotaLedger
@@ -88,8 +89,9 @@
         watches = Caller("store watches", services.store, services.store_timeout)
         cloud = Caller("cloud", services.cloud, services.cloud_timeout, note_answer)
         count_call = partial(count_store_call, metrics)
-        self._store = Store(store, count_call)
-        self._watch_store = Store(watches, count_call)
+        self._era = StoreEra()
+        self._store = Store(store, count_call, self._era)
+        self._watch_store = Store(watches, count_call, self._era)
         self._cloud = Cloud(cloud)
         self._state = self._make_state(metrics)
         self._state.dependencies += [store, watches, cloud]
@@ -140,6 +142,12 @@
             self._teller,
             self._state.configuration.confirm_by_peer,
         )
+        self._era.on_restored += [
+            self._state.note_restored,
+            self._registration.note_restored,
+            self._tenancy.note_restored,
+            self._keeper.note_restored,
+        ]
         self._listeners: list[tuple[trio.SocketListener, Serve]] = []
 
     def _make_state(self, metrics: Metrics) -> GatewayState:
@@ -237,6 +245,7 @@
             state.rollouts.apply_order,
         )
         rollouts = RolloutDuty(state, self._tenancy, self._store)
+        self._era.on_restored.append(rollouts.note_restored)
         state.sharing.on_outcomes = state.rollouts.add_remote_count
         state.sharing.is_outcome_open = state.rollouts.is_outcome_open
         state.sharing.on_demand = state.note_demand
@@ -286,6 +295,7 @@
             self._state, self._tenancy, self._store, self._cloud, self._teller.ask
         )
         scaling = ScalingDuty(self._state, self._tenancy, self._store, self._cloud)
+        self._era.on_restored.append(scaling.note_restored)
         return [
             ("tenancy", self._tenancy.run),
             ("usage", usage.run),
--- a/dewridge/gateway/configuration.py
+++ b/dewridge/gateway/configuration.py
@@ -14,6 +14,7 @@
         self.current: Configuration | None = None
         self.confirmed_at = float("-inf")
         self.idle_timeout = 15.0
+        self._is_store_restored = False
 
     def trust_for(self, seconds: float) -> None:
         """Change how long the version in force is trusted without a confirmation."""
@@ -44,11 +45,29 @@
         """Note that the store, asked at that time, had nothing newer."""
         self.confirmed_at = max(self.confirmed_at, asked_at)
 
+    def is_outdated(self, version: int) -> bool:
+        """Return whether a version is older than the one in force.
+
+        A store restored from a copy returns an older version until the operator writes
+        the newer one again. Until then, its reads and watches confirm nothing.
+        """
+        return version < self.version
+
     def confirm_by_peer(self, version: int, at: float) -> None:
-        """Note that another host's version was surely the newest at that time."""
-        if 0 < version <= self.version:
+        """Note that another host's version was surely the newest at that time.
+
+        An older version counts as well, because the one in force here superseded it.
+        After a restore of the store only the same version counts: the restored copy
+        may lack the one in force.
+        """
+        is_accepted = version == self.version if self._is_store_restored else True
+        if 0 < version <= self.version and is_accepted:
             self.confirm(at)
 
+    def note_restored(self) -> None:
+        """Note that the store was restored and may lack the version in force."""
+        self._is_store_restored = True
+
     @property
     def version(self) -> int:
         """The version in force; 0 for none."""
--- a/dewridge/gateway/duties.py
+++ b/dewridge/gateway/duties.py
@@ -7,7 +7,7 @@
 
 from dewridge.codes import ResultCode
 from dewridge.gateway.clock import read_boot_clock
-from dewridge.gateway.hosts import PREFIX, HostTable, Registration
+from dewridge.gateway.hosts import LEASE_TTL, PREFIX, HostTable, Registration
 from dewridge.gateway.reports import Holder
 from dewridge.ids import HostId
 from dewridge.platform.cloud import Tenure
@@ -28,14 +28,17 @@
 RANKS = 8
 """Different waits: with one for each of many hosts the duties lay idle for seconds when
 the first ones could not reach the store."""
+REVISIONS_PER_ERA = 1 << 36
+"""Size of the range of fencing tokens reserved for each era of the store. Tokens of up
+to 100,000 eras are exactly representable as doubles."""
 
 
 class Tenancy:
     """This host's claim on the duties.
 
-    The holder's key hangs on the registration's lease. Its revision in the store is
-    the fencing token: it grows with every change of the store, so that no two holders
-    ever have the same one and a later holder has a higher one.
+    The holder's key is attached to the registration's lease. The fencing token combines
+    the era of the store (high bits) with the key's revision (low bits). It is unique
+    to each holder and increases from one holder to the next, also across restores.
     """
 
     def __init__(
@@ -60,6 +63,7 @@
         self._tenure: Tenure | None = None
         self._acts_from = float("inf")
         self._has_left = False
+        self._restored_at = float("-inf")
         # A start of this host that ended just now may have acted right before.
         self._may_have_acted_at = read_boot_clock()
 
@@ -103,7 +107,10 @@
         is_own = item.value == self._mark and item.lease in {0, lease}
         if not is_own:
             self._end("another host holds the duties")
-        elif self._tenure is None or self._tenure.fencing_token != item.revision:
+        elif (
+            self._tenure is None
+            or self._tenure.fencing_token != self._make_fencing_token(item.revision)
+        ):
             self._begin(item.revision)
 
     async def _try_to_hold(self, lease: int) -> None:
@@ -127,11 +134,12 @@
         return rank % RANKS
 
     def _begin(self, revision: int) -> None:
-        self._tenure = Tenure(self._host, revision)
+        token = self._make_fencing_token(revision)
+        self._tenure = Tenure(self._host, token)
         now = read_boot_clock()
         self._acts_from = self._find_first_act(now)
-        self._on_taken((revision, self._host))
-        log.bind(fence=revision, acts_in=round(self._acts_from - now, 2)).info(
+        self._on_taken((token, self._host))
+        log.bind(fence=token, acts_in=round(self._acts_from - now, 2)).info(
             "duties taken"
         )
 
@@ -145,7 +153,23 @@
         fleet without orders for the first seconds after an outage of the store, while
         half of the servers were gone.
         """
-        return max(now + TAKEOVER_PAUSE, self._may_have_acted_at + self._lease)
+        return max(
+            now + TAKEOVER_PAUSE,
+            self._may_have_acted_at + self._lease,
+            self._restored_at + LEASE_TTL,
+        )
+
+    def note_restored(self) -> None:
+        """Give up the duties, since the restored store may lack the holder's key.
+
+        A holder that is partitioned from the store keeps acting until its lease ends,
+        so the next holder does not act before that lease has ended.
+        """
+        self._restored_at = read_boot_clock()
+        self._end("the store was restored")
+
+    def _make_fencing_token(self, revision: int) -> int:
+        return self._store.era.number * REVISIONS_PER_ERA + revision
 
     def _end(self, reason: str) -> None:
         if self._tenure is not None:
--- a/dewridge/gateway/hosts.py
+++ b/dewridge/gateway/hosts.py
@@ -35,6 +35,11 @@
 """The same at the most, where many hosts read: only who may take over the duties needs
 the news at once, and a third of a lease is soon enough for that."""
 
+MOST_LOST_ITEMS = 2_000
+"""Limit on the items kept from before restores of the store."""
+REREGISTRATION_TIME = LEASE_TTL
+"""Seconds after a restore of the store during which known hosts missing from a list are
+kept, so that they can register again."""
 LAPSED_FOR = 15.0
 """Seconds that a registration which lapsed is remembered: longer than the store turns
 some hosts away by itself, and a host that is not heard does not count anyway."""
@@ -157,6 +162,11 @@
         self.state.valid_until = float("-inf")
         self._written = None
 
+    def note_restored(self) -> None:
+        """Register with a new lease; the store may lack the old one or the entry."""
+        if self.state.lease is not None:
+            self._lose_lease()
+
     async def leave(self) -> None:
         """Take the entry out of the store."""
         if self.state.lease is not None:
@@ -184,6 +194,22 @@
         self.on_item: Callable[[Item], None] = lambda item: None
         self.revision = 0
         self.changed = trio.Event()
+        self.restored = trio.Event()
+        self.lost_items: dict[str, Item] = {}
+        self._restored_at = float("-inf")
+
+    def note_restored(self) -> None:
+        """Discard the revision and items; the restored store may lack recent keys.
+
+        The items remain available in `lost_items`.
+        """
+        self.revision = 0
+        kept = [*self.lost_items.items(), *self.items.items()]
+        self.lost_items = dict(kept[-MOST_LOST_ITEMS:])
+        self.items = {}
+        self._restored_at = trio.current_time()
+        restored, self.restored = self.restored, trio.Event()
+        restored.set()
 
     def replace(self, listing: Listing) -> None:
         """Take over a whole list of the system's own keys."""
@@ -195,7 +221,10 @@
         for item in listing.items:
             self._take_entry(item)
         for key in before.keys() - self._entries.keys():
-            self._note_end(before[key])
+            if trio.current_time() - self._restored_at < REREGISTRATION_TIME:
+                self._entries[key] = before[key]
+            else:
+                self._note_end(before[key])
         self._tell()
 
     def update(self, item: Item) -> None:
@@ -297,24 +326,31 @@
             listing = await self._store.list_items(PREFIX, may_lag=may_lag)
             if isinstance(listing, Listing):
                 self._table.replace(listing)
-            await trio.sleep(POLL_PERIOD * random.uniform(0.8, 1.2))
-            may_lag = not self._reads()
+            is_restored = False
+            with trio.move_on_after(POLL_PERIOD * random.uniform(0.8, 1.2)):
+                await self._table.restored.wait()
+                is_restored = True
+                await trio.sleep(GATHER_TIME * random.random())
+            may_lag = not (is_restored or self._reads())
 
     async def watch(self) -> None:
         """Follow changes for ever; the poll mends what a lost watch misses."""
-        while not self._table.revision:
-            await self._table.changed.wait()
         while True:
+            if not self._table.revision:
+                await self._table.changed.wait()
+                continue
             revision = self._table.revision
             if self._reads():
                 news = await self._watch_store.watch(PREFIX, revision, self._watch_wait)
                 if isinstance(news, Listing):
                     for item in news.items:
                         self._table.update(item)
-                    self._table.revision = max(self._table.revision, news.revision)
+                    if self._table.revision:
+                        self._table.revision = max(revision, news.revision)
                     await trio.sleep(self._find_gather_time())
                     continue
-            await trio.sleep(POLL_PERIOD)
+            with trio.move_on_after(POLL_PERIOD):
+                await self._table.changed.wait()
 
     def _find_gather_time(self) -> float:
         """Return the seconds until the next watch after one that had news."""
--- a/dewridge/gateway/rolloutduty.py
+++ b/dewridge/gateway/rolloutduty.py
@@ -51,6 +51,7 @@
         self._tenancy = tenancy
         self._store = store
         self._stage_seen_at: dict[tuple[int, Stage], float] = {}
+        self._to_rewrite: set[ServiceName] = set()
 
     def take(self, item: Item) -> None:
         """Apply the stored progress of a rollout."""
@@ -59,12 +60,18 @@
             if progress is not None:
                 self._state.rollouts.apply_progress(progress)
 
+    def note_restored(self) -> None:
+        """Schedule rewrites of closed rollouts; the store may hold an earlier stage."""
+        self._to_rewrite = {one.service for one in self._state.rollouts.list_progress()}
+
     async def run(self) -> None:
         """Advance all rollouts for ever."""
         while True:
             for progress in self._state.rollouts.list_progress():
                 if progress.stage not in FINAL:
                     await self._step(progress)
+                elif progress.service in self._to_rewrite:
+                    await self._rewrite(progress)
             await trio.sleep(LOOK_PERIOD)
 
     async def _step(self, progress: RolloutProgress) -> None:
@@ -102,23 +109,8 @@
             bounds = self._state.settings.bounds
             share = find_trial_share(bounds.exposure_share, progress.duration)
         following = msgspec.structs.replace(progress, stage=stage, share=share)
-        key = make_progress_key(progress.service)
-        known = self._state.hosts.items.get(key)
-        result = await self._store.change(
-            expected={key: known.revision if known is not None else 0},
-            writes=(
-                Write(key, msgspec.json.encode(following)),
-                make_status_write(progress.service, following.target, STATUSES[stage]),
-            ),
-        )
-        if isinstance(result, Failure):
-            # The cached revision may be stale, or another holder may have written.
-            log.bind(service=progress.service, reason=result.reason).info(
-                "rollout stage not written"
-            )
-            await self._refresh(key)
+        if not await self._write(following):
             return
-        self._state.hosts.items[key] = Item(key, revision=result)
         log.bind(
             service=progress.service,
             target=progress.target,
@@ -131,11 +123,40 @@
         ).info("rollout stage changed")
         self._state.rollouts.apply_progress(following)
 
+    async def _rewrite(self, progress: RolloutProgress) -> None:
+        if self._tenancy.find_tenure() is not None and await self._write(progress):
+            self._to_rewrite.discard(progress.service)
+
+    async def _write(self, progress: RolloutProgress) -> bool:
+        """Write the stage and the operator's status; return whether it succeeded."""
+        service = progress.service
+        key = make_progress_key(service)
+        known = self._state.hosts.items.get(key)
+        status = STATUSES[progress.stage]
+        result = await self._store.change(
+            expected={key: known.revision if known is not None else 0},
+            writes=(
+                Write(key, msgspec.json.encode(progress)),
+                make_status_write(service, progress.target, status),
+            ),
+        )
+        if isinstance(result, Failure):
+            # The cached revision may be stale, or another holder may have written.
+            log.bind(service=service, reason=result.reason).info(
+                "rollout stage not written"
+            )
+            await self._refresh(key)
+            return False
+        self._state.hosts.items[key] = Item(key, revision=result)
+        return True
+
     async def _refresh(self, key: str) -> None:
         item = await self._store.read(key)
         if isinstance(item, Item):
             self._state.hosts.items[key] = item
             self.take(item)
+        elif item is None:
+            self._state.hosts.items.pop(key, None)
 
 
 def make_progress_key(service: ServiceName) -> str:
--- a/dewridge/gateway/rollouts.py
+++ b/dewridge/gateway/rollouts.py
@@ -7,6 +7,7 @@
 from enum import Enum
 
 import msgspec
+import trio
 from loguru import logger as log
 
 from dewridge.gateway.forwarding import Lost
@@ -40,6 +41,9 @@
 """Weight of a new sample in the moving average."""
 NEUTRAL_LOSSES = frozenset({Loss.REJECTED, Loss.OTHER_SERVER, Loss.MOVED})
 """Losses that are not counted for or against a version."""
+REWRITE_TIME = 10.0
+"""Seconds after a restore of the store during which an identical order counts as a
+rewrite of the known one, not as a new order."""
 LEAST_FAILURE_STATUS = 500
 """Lowest status that counts as a server failure."""
 NEW, OLD = "new", "old"
@@ -119,12 +123,16 @@
         default_factory=lambda: defaultdict(TypicalLatency)
     )
     _verdicts: dict[int, Verdict] = field(default_factory=dict)
+    _restored_at: float | None = None
 
     def apply_order(self, order: RolloutOrder) -> None:
         """Register an order; its target gets no requests until the trial begins."""
         known = self._progress.get(order.service)
         if known is not None and known.order >= order.revision:
             return
+        if known is not None and self._is_rewrite(known, order):
+            self._update_revision(known, order.revision)
+            return
         log.bind(
             service=order.service, target=order.target, duration=order.duration
         ).info("rollout ordered")
@@ -140,6 +148,24 @@
             )
         )
 
+    def note_restored(self) -> None:
+        """Note that the store was restored; known orders may be written again."""
+        self._restored_at = trio.current_time()
+
+    def _is_rewrite(self, known: RolloutProgress, order: RolloutOrder) -> bool:
+        if (known.target, known.duration) != (order.target, order.duration):
+            return False
+        restored_at = self._restored_at
+        if restored_at is None:
+            return False
+        return trio.current_time() - restored_at < REWRITE_TIME
+
+    def _update_revision(self, known: RolloutProgress, revision: int) -> None:
+        """Keep the stage and verdict of a rewritten order; reset its counts."""
+        verdict = self._verdicts.get(known.order, Verdict.UNDECIDED)
+        self._set_progress(msgspec.structs.replace(known, order=revision))
+        self._verdicts[revision] = verdict
+
     def apply_progress(self, progress: RolloutProgress) -> bool:
         """Apply progress that is newer than the known one; return whether it was."""
         known = self._progress.get(progress.service)
--- a/dewridge/gateway/scaling.py
+++ b/dewridge/gateway/scaling.py
@@ -70,6 +70,10 @@
         self._lower_since: dict[Place, float] = {}
         self._fence = 0
 
+    def note_restored(self) -> None:
+        """Write the needed servers again; the restored store may lack them."""
+        self._needed_written.clear()
+
     async def run(self) -> None:
         """Keep the orders at what is wanted, for ever."""
         while True:
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -152,6 +152,14 @@
         self.settings = settings
         self.budgets.clear()
 
+    def note_restored(self) -> None:
+        """Note that the store was restored from a copy and may lack recent writes."""
+        self.metrics.add("store_restores")
+        self.configuration.note_restored()
+        self.servers.note_outage(trio.current_time())
+        self.hosts.note_restored()
+        self.rollouts.note_restored()
+
     def find_health(self, server: BackendServerId) -> ServerHealth:
         """Return what own attempts saw of a server."""
         if server not in self.health:
--- a/dewridge/gateway/suspectkeeping.py
+++ b/dewridge/gateway/suspectkeeping.py
@@ -74,6 +74,11 @@
             return
         take_suspects(self._state, [decode_kept(kept)])
 
+    def note_restored(self) -> None:
+        """Write all copies again; the restored store may lack them."""
+        self._written.clear()
+        self._dropped.clear()
+
     async def run(self) -> None:
         """Write for ever; what the store does not take is tried again."""
         while True:
--- a/dewridge/gateway/usage.py
+++ b/dewridge/gateway/usage.py
@@ -49,6 +49,7 @@
         self._store = store
         self._cloud = cloud
         self._done: set[int] = set()
+        self._fixed_counts: dict[int, Counts] = {}
         self._tenure: Tenure | None = None
         self._held_since = 0.0
 
@@ -82,6 +83,11 @@
         oldest = self._state.find_window(now - bounds.usage_due) - 1
         windows = range(oldest, newest + 1)
         self._done = {window for window in self._done if window >= oldest}
+        self._fixed_counts = {
+            window: counts
+            for window, counts in self._fixed_counts.items()
+            if window >= oldest
+        }
         return [window for window in windows if window not in self._done]
 
     def _is_complete(self, window: int) -> bool:
@@ -138,7 +144,7 @@
         stands, so that whoever reports sends the same.
         """
         key = f"{USAGE_PREFIX}{window}"
-        counts = self._sum_counts(window)
+        counts = self._find_fixed_counts(window, key) or self._sum_counts(window)
         if not counts:
             return None
         old = f"{USAGE_PREFIX}{window - KEPT_WINDOWS}"
@@ -148,6 +154,7 @@
             drop=(old,) if old in self._state.hosts.items else (),
         )
         if isinstance(result, int):
+            self._fixed_counts[window] = counts
             return counts
         if result.code not in {
             ResultCode.KEY_VALUE_CONFLICT,
@@ -159,6 +166,19 @@
             return None
         return msgspec.json.decode(item.value, type=Counts)
 
+    def _find_fixed_counts(self, window: int, key: str) -> Counts | None:
+        """Return the counts already fixed for a window, even if the store lost them.
+
+        They may have been reported; reporting different counts for the same window
+        would be inconsistent.
+        """
+        if window in self._fixed_counts:
+            return self._fixed_counts[window]
+        item = self._state.hosts.lost_items.get(key)
+        if item is None:
+            return None
+        return msgspec.json.decode(item.value, type=Counts)
+
     def _sum_counts(self, window: int) -> Counts:
         own = self._state.began.get(window, {})
         return self._state.sharing.usage.sum(window, own)
--- a/dewridge/gateway/watching.py
+++ b/dewridge/gateway/watching.py
@@ -159,6 +159,7 @@
         self._unreadable: set[str] = set()
         self.revision = 0
         self._started_at = float("-inf")
+        self._is_store_outdated = False
 
     def find_period(self) -> float:
         """Return the seconds between polls that all hosts together can afford."""
@@ -186,6 +187,9 @@
             pause = FIRST_RETRY
             if self._take_operator_items(listing):
                 self._configuration.confirm(asked_at)
+            elif self._is_store_outdated:
+                await self._pause(LAST_RETRY)
+                continue
             await self._wait_for_doubt()
 
     async def _wait_for_doubt(self) -> None:
@@ -243,7 +247,8 @@
             )
             return False
         self._configuration.apply(decoded)
-        return True
+        self._is_store_outdated = self._configuration.is_outdated(decoded.version)
+        return not self._is_store_outdated
 
     async def poll_servers(self) -> None:
         """Read the whole list of servers for ever."""
@@ -308,6 +313,8 @@
         newer until then, whenever the answer is read: a host that was frozen meanwhile
         does not take it for younger than it is.
         """
+        if self._is_store_outdated:
+            return
         now = read_boot_clock()
         waited = asked_at + wait
         self._configuration.confirm(waited if waited <= now else asked_at)
@@ -341,14 +348,16 @@
         on_quiet: Callable[[float, float], None] = lambda asked_at, wait: None,
     ) -> None:
         revision = None
+        era = self._watch_store.era.number
         pause = FIRST_RETRY
         while True:
             if prefix == SERVERS_PREFIX and self._find_part() is Part.LISTENER:
                 revision = None
                 await trio.sleep(LAGGING_PERIOD)
                 continue
-            if revision is None:
+            if revision is None or era != self._watch_store.era.number:
                 revision = await self._find_start(prefix, note)
+                era = self._watch_store.era.number
             news: Listing | Failure | None = None
             asked_at = read_boot_clock()
             is_servers = prefix == SERVERS_PREFIX
--- a/dewridge/http1/calls.py
+++ b/dewridge/http1/calls.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 import trio
@@ -40,6 +40,11 @@
 
     status: int
     body: bytes
+    headers: Headers = field(default_factory=list)
+
+    def find_header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header, named in lower case; None if absent."""
+        return next((value for key, value in self.headers if key == name), None)
 
 
 class Caller:
@@ -169,4 +174,4 @@
     pieces = []
     while (piece := await connection.receive_body()) is not None:
         pieces.append(piece)
-    return Answer(head.status, b"".join(pieces))
+    return Answer(head.status, b"".join(pieces), head.headers)
--- a/dewridge/platform/names.py
+++ b/dewridge/platform/names.py
@@ -18,6 +18,7 @@
 MEMORY_COPY = b"kv-from"
 CACHE_SOURCE = b"kv-fetch"
 MEMORY_BACKUP = b"x-kv-backup"
+STORE_ERA = b"store-era"
 HOLDER = "X-Duty-Holder"
 FENCE = "X-Fencing-Token"
 
--- a/dewridge/platform/store.py
+++ b/dewridge/platform/store.py
@@ -9,6 +9,8 @@
 
 from dewridge.codes import ResultCode
 from dewridge.http1.calls import Answer, Caller, Trouble
+from dewridge.platform.eras import StoreEra
+from dewridge.platform.names import STORE_ERA
 from dewridge.sentinels import Failure
 
 Shape = TypeVar("Shape")
@@ -109,22 +111,37 @@
     """Calls the store; each method returns a `Failure` in place of raising."""
 
     def __init__(
-        self, caller: Caller, on_call: Callable[[str, str], None] = lambda *_: None
+        self,
+        caller: Caller,
+        on_call: Callable[[str, str], None] = lambda *_: None,
+        era: StoreEra | None = None,
     ) -> None:
         """Make the client.
 
         Args:
             caller: makes the calls.
             on_call: told the kind of each call and the keys that it is about.
+            era: the era of the store, shared by all clients of the same store.
         """
         self._on_call = on_call
         self._caller = caller
+        self.era = era or StoreEra()
+
+    async def _call(
+        self, method: str, path: str, *, body: bytes = b"", wait: float = 0.0
+    ) -> Answer | Trouble:
+        answer = await self._caller.call(method, path, body=body, wait=wait)
+        if isinstance(answer, Answer) and not self.era.accept(
+            answer.find_header(STORE_ERA)
+        ):
+            return Trouble.LOST
+        return answer
 
     async def read(self, key: str) -> Item | Failure | None:
         """Read a key as it is now; None if it is not there."""
         path = "/-/kv-key?" + urlencode({"key": key})
         self._on_call("read", key.rpartition("/")[0])
-        answer = await self._caller.call("GET", path)
+        answer = await self._call("GET", path)
         if isinstance(answer, Answer) and answer.status == STATUS_NOT_FOUND:
             return None
         return _decode(answer, Item)
@@ -149,7 +166,7 @@
                 fields["after"] = after
             path = "/-/kv-range?" + urlencode(fields)
             self._on_call("lagging list" if may_lag else "list", prefix)
-            page = _decode(await self._caller.call("GET", path), _Page)
+            page = _decode(await self._call("GET", path), _Page)
             if isinstance(page, Failure):
                 return page
             items += page.items
@@ -172,7 +189,7 @@
         }
         path = "/-/kv-watch?" + urlencode(fields)
         self._on_call("watch", prefix)
-        answer = await self._caller.call("GET", path, wait=wait)
+        answer = await self._call("GET", path, wait=wait)
         if isinstance(answer, Answer) and answer.status == STATUS_COMPACTED:
             return Failure(ResultCode.KEY_VALUE_COMPACTED, "the history is gone")
         news = _decode(answer, _News)
@@ -196,7 +213,7 @@
         rows = [_Expectation(key, rev) for key, rev in (expected or {}).items()]
         body = msgspec.json.encode(_Transaction(rows, list(writes), list(drop)))
         self._on_call("change", "")
-        answer = await self._caller.call("POST", "/-/kv-txn", body=body)
+        answer = await self._call("POST", "/-/kv-txn", body=body)
         if isinstance(answer, Answer):
             if answer.status == STATUS_CONFLICT:
                 return Failure(ResultCode.KEY_VALUE_CONFLICT, "a key has moved on")
@@ -208,9 +225,7 @@
     async def grant_lease(self, ttl: float) -> Lease | Failure:
         """Ask for a lease of `ttl` seconds."""
         body = msgspec.json.encode({"ttl_ms": round(ttl * 1000)})
-        granted = _decode(
-            await self._caller.call("POST", "/-/kv-lease", body=body), _Granted
-        )
+        granted = _decode(await self._call("POST", "/-/kv-lease", body=body), _Granted)
         if isinstance(granted, Failure):
             return granted
         return Lease(granted.lease, granted.ttl_ms / 1000)
@@ -218,7 +233,7 @@
     async def renew_lease(self, lease: int) -> Lease | Failure:
         """Renew a lease; `KEY_VALUE_LEASE_ENDED` if it has ended."""
         self._on_call("renewal", "")
-        answer = await self._caller.call("POST", f"/-/kv-keep/{lease}", body=b"{}")
+        answer = await self._call("POST", f"/-/kv-keep/{lease}", body=b"{}")
         if isinstance(answer, Answer) and answer.status == STATUS_NOT_FOUND:
             return Failure(ResultCode.KEY_VALUE_LEASE_ENDED, "the lease has ended")
         granted = _decode(answer, _Granted)
@@ -228,7 +243,7 @@
 
     async def end_lease(self, lease: int) -> Failure | None:
         """End a lease at once, with its keys."""
-        answer = await self._caller.call("DELETE", f"/-/kv-lease-end/{lease}")
+        answer = await self._call("DELETE", f"/-/kv-lease-end/{lease}")
         if isinstance(answer, Answer) and answer.status == STATUS_OK:
             return None
         return _refuse(answer, is_write=True)
--- a/dewridge/tests/gateway/duties_tests.py
+++ b/dewridge/tests/gateway/duties_tests.py
@@ -36,7 +36,8 @@
         self.tenancy = Tenancy(
             entry.id, 1, self.store, self.registration, self.table, lease=3.0
         )
-        self.watcher = HostWatcher(self.store, MemoryStore(data), self.table, 8.0)
+        self.watch_store = MemoryStore(data)
+        self.watcher = HostWatcher(self.store, self.watch_store, self.table, 8.0)
 
     def start(self, nursery: trio.Nursery) -> None:
         """Start all that keeps a tenancy."""
--- a/dewridge/tests/gateway/memorystore.py
+++ b/dewridge/tests/gateway/memorystore.py
@@ -1,14 +1,16 @@
 """The platform's store in memory, with the faults that a test asks for."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import trio
 
 from dewridge.codes import ResultCode
+from dewridge.platform.eras import StoreEra
 from dewridge.platform.store import Item, Lease, Listing, Store, Write
 from dewridge.sentinels import Failure
 
 DOWN = Failure(ResultCode.KEY_VALUE_DOWN, "down")
+COMPACTED = Failure(ResultCode.KEY_VALUE_COMPACTED, "the history is gone")
 
 
 @dataclass
@@ -22,6 +24,28 @@
     changes: list[Item] = field(default_factory=list)
     changed: trio.Event = field(default_factory=trio.Event)
 
+    era: int | None = None
+    """Era sent with each answer; None if the store sends no era."""
+
+    def take_snapshot(self) -> "StoreData":
+        """Return a snapshot for a later `restore`."""
+        return replace(
+            self,
+            items=dict(self.items),
+            leases=dict(self.leases),
+            changes=list(self.changes),
+        )
+
+    def restore(self, snapshot: "StoreData") -> None:
+        """Restore a snapshot, discarding later changes, and begin a new era."""
+        self.items = dict(snapshot.items)
+        self.leases = dict(snapshot.leases)
+        self.changes = list(snapshot.changes)
+        self.revision = snapshot.revision
+        assert self.era is not None
+        self.era += 1
+        self.tell()
+
     def tell(self) -> None:
         """Wake the watches."""
         changed, self.changed = self.changed, trio.Event()
@@ -43,6 +67,7 @@
         self.loses_answers = False
         self.calls = 0
         self.change_calls = 0
+        self.era = StoreEra()
 
     @property
     def is_down(self) -> bool:
@@ -85,6 +110,9 @@
         await trio.sleep(0.004)
         self.calls += 1
         self.expire()
+        if not self.is_down:
+            era = self.data.era
+            self.era.accept(None if era is None else b"%d" % era)
         return not self.is_down
 
     async def read(self, key: str) -> Item | Failure | None:
@@ -105,6 +133,9 @@
         """Wait for changes."""
         if not await self._enter():
             return DOWN
+        era = self.data.era
+        if after > self.data.revision:
+            return COMPACTED
         with trio.move_on_after(wait):
             while True:
                 news = tuple(
@@ -112,10 +143,12 @@
                     for item in self.data.changes
                     if item.revision > after and item.key.startswith(prefix)
                 )
-                if news or self.is_down:
+                if news or self.is_down or era != self.data.era:
                     break
                 await self.data.changed.wait()
-        return DOWN if self.is_down else Listing(news, self.data.revision)
+        if self.is_down or era != self.data.era:
+            return DOWN
+        return Listing(news, self.data.revision)
 
     async def change(
         self,
--- /dev/null
+++ b/dewridge/tests/gateway/restores_tests.py
@@ -0,0 +1,307 @@
+"""Tests of restores of the store from a snapshot that lacks the latest writes."""
+
+import time
+from collections.abc import Iterator
+
+import pytest
+import trio
+import trio.testing
+
+from dewridge.gateway import configuration, duties, hosts, watching
+from dewridge.gateway.configuration import ConfigurationState
+from dewridge.gateway.model import RolloutOrder
+from dewridge.gateway.servers import RETURN_TIME, ServerTable
+from dewridge.gateway.usage import SETTLE, UsageDuty
+from dewridge.gateway.watching import Part, StoreWatcher
+from dewridge.ids import ServerName, make_server_id
+from dewridge.platform.eras import StoreEra
+from dewridge.platform.names import CONFIGURATION_KEY
+from dewridge.policy.rollouts import Stage
+from dewridge.tests.gateway.duties_tests import (
+    AlwaysHolder,
+    Candidate,
+    RecordingCloud,
+)
+from dewridge.tests.gateway.memorystore import MemoryStore, StoreData
+from dewridge.tests.gateway.readers_tests import make_server
+from dewridge.tests.gateway.rollouts_tests import (
+    NEW,
+    DutyHolder,
+    make_progress,
+)
+from dewridge.tests.gateway.world import (
+    ACCOUNT,
+    PLAIN,
+    make_configuration,
+    make_state,
+)
+
+STORE_WRITE_RATE = 1_200
+"""Writes per second that the store accepts from all hosts together."""
+
+
+@pytest.fixture(autouse=True)
+def _use_test_clock(monkeypatch: pytest.MonkeyPatch) -> Iterator[None]:
+    """Replace the boot clock by the test's clock."""
+    for module in (hosts, duties, watching, configuration):
+        monkeypatch.setattr(module, "read_boot_clock", trio.current_time)
+    yield
+
+
+def share_era(candidate: Candidate) -> None:
+    """Share one era between a host's clients and connect its restore callbacks."""
+    era = candidate.store.era
+    candidate.watch_store.era = era
+    era.on_restored += [
+        candidate.table.note_restored,
+        candidate.registration.note_restored,
+        candidate.tenancy.note_restored,
+    ]
+
+
+def start_hosts(count: int, data: StoreData, nursery: trio.Nursery) -> list[Candidate]:
+    """Start candidates for the duties."""
+    candidates = [Candidate(f"host-{n:02}", data) for n in range(count)]
+    for one in candidates:
+        share_era(one)
+        one.start(nursery)
+    return candidates
+
+
+async def test_fencing_tokens_rise_over_restores(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against reused or decreasing fencing tokens.
+
+    The holder leaves, another takes over, and the restore discards the takeover.
+    """
+    data = StoreData(era=1)
+    acts: list[tuple[str, int]] = []
+    async with trio.open_nursery() as nursery:
+        candidates = start_hosts(5, data, nursery)
+        writer = MemoryStore(data)
+
+        async def act() -> None:
+            while True:
+                for one in candidates:
+                    tenure = one.tenancy.find_tenure()
+                    if tenure is not None:
+                        acts.append((tenure.host, tenure.fencing_token))
+                await trio.sleep(0.05)
+
+        nursery.start_soon(act)
+        for _ in range(6):
+            await trio.sleep(6.0)
+            snapshot = data.take_snapshot()
+            for number in range(50):
+                writer.write("other", b"%d" % number)
+            holder = next(one for one in candidates if one.tenancy.find_tenure())
+            await holder.tenancy.leave()
+            await holder.registration.leave()
+            holder.tenancy._has_left = False
+            await trio.sleep(4.0)
+            data.restore(snapshot)
+        await trio.sleep(6.0)
+        nursery.cancel_scope.cancel()
+    tokens = [token for _, token in acts]
+    assert tokens == sorted(tokens)
+    assert len({holder for holder, _ in acts}) > 1
+    assert len(set(acts)) == len(set(tokens))
+
+
+async def test_all_hosts_are_registered_again_within_two_seconds(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against unregistered hosts and a thundering herd after a restore.
+
+    The snapshot has the hosts' leases but none of their entries.
+    """
+    data = StoreData(era=1)
+    async with trio.open_nursery() as nursery:
+        candidates = start_hosts(60, data, nursery)
+        await trio.sleep(10.0)
+        snapshot = data.take_snapshot()
+        snapshot.items.clear()
+        snapshot.revision = 1
+        before = sum(one.store.change_calls for one in candidates)
+        counts: list[int] = []
+        data.restore(snapshot)
+        for _ in range(20):
+            await trio.sleep(0.1)
+            counts += [one.table.count() for one in candidates]
+        listed = [key for key in data.items if key.startswith(hosts.HOSTS_PREFIX)]
+        writes = sum(one.store.change_calls for one in candidates) - before
+        nursery.cancel_scope.cancel()
+    assert len(listed) == 60
+    assert min(counts) == 60
+    assert writes <= STORE_WRITE_RATE
+
+
+async def test_a_host_that_starts_after_a_restore_is_known_to_all(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against tables that ignore revisions lower than before the restore."""
+    data = StoreData(era=1)
+    async with trio.open_nursery() as nursery:
+        snapshot = data.take_snapshot()
+        candidates = start_hosts(5, data, nursery)
+        await trio.sleep(10.0)
+        data.restore(snapshot)
+        await trio.sleep(1.0)
+        late = Candidate("late", data)
+        share_era(late)
+        late.start(nursery)
+        await trio.sleep(2.0)
+        counts = [one.table.count() for one in [*candidates, late]]
+        nursery.cancel_scope.cancel()
+    assert counts == [6] * 6
+
+
+async def test_an_older_configuration_is_neither_applied_nor_confirmed(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against accepting removed keys after the store lost their removal."""
+    data = StoreData(era=1)
+    store = MemoryStore(data)
+    state = ConfigurationState(trusted_for=4.0)
+    watcher = StoreWatcher(
+        store, store, state, ServerTable(), lambda: 1, 6000.0, lambda: Part.ALL
+    )
+    store.write(CONFIGURATION_KEY, b'{"version":1}')
+    snapshot = data.take_snapshot()
+    store.write(CONFIGURATION_KEY, b'{"version":2}')
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(watcher.poll_configuration)
+        nursery.start_soon(watcher.watch_configuration)
+        await trio.sleep(5.0)
+        data.restore(snapshot)
+        calls = store.calls
+        await trio.sleep(5.0)
+        assert state.version == 2
+        assert not state.is_trusted
+        assert store.calls - calls < 30
+        store.write(CONFIGURATION_KEY, b'{"version":2}')
+        await trio.sleep(1.0)
+        assert state.is_trusted
+        nursery.cancel_scope.cancel()
+
+
+def test_a_host_with_an_older_version_confirms_nothing() -> None:
+    """Guards against confirmation by a host that read the restored version."""
+    state = ConfigurationState(trusted_for=4.0)
+    state.apply(make_configuration(version=2))
+    state.note_restored()
+    state.confirm_by_peer(1, 10.0)
+    assert state.confirmed_at == float("-inf")
+    state.confirm_by_peer(2, 10.0)
+    assert state.confirmed_at == 10.0
+
+
+async def test_servers_that_write_their_records_again_are_kept(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against permanently dropping servers whose records were lost."""
+    data = StoreData(era=1)
+    store = MemoryStore(data)
+    servers = ServerTable()
+    store.era.on_restored.append(lambda: servers.note_outage(trio.current_time()))
+    watcher = StoreWatcher(
+        store, store, ConfigurationState(4.0), servers, lambda: 1, 6000.0
+    )
+    snapshot = data.take_snapshot()
+    store.write(*make_server(1, "ready"))
+    server = make_server_id(ServerName("s-1"), 1_000)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(watcher.poll_servers)
+        nursery.start_soon(watcher.watch_servers)
+        await trio.sleep(3.0)
+        data.restore(snapshot)
+        await trio.sleep(RETURN_TIME - 0.5)
+        assert servers.find(server) is not None
+        store.write(*make_server(1, "ready"))
+        await trio.sleep(5.0)
+        assert servers.find(server) is not None
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_usage_sum_lost_by_the_store_is_reported_unchanged(
+    autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against reporting different sums for the same window."""
+    monkeypatch.setattr(time, "time", lambda: 1000.0 + trio.current_time())
+    data = StoreData(era=1)
+    snapshot = data.take_snapshot()
+    cloud = RecordingCloud(fails=1)
+    window = int(1000.0 // 5.0)
+    async with trio.open_nursery() as nursery:
+        state = make_state(make_configuration())
+        state.began[window][ACCOUNT] = 5
+        duty = UsageDuty(state, AlwaysHolder(), MemoryStore(data), cloud)
+        nursery.start_soon(duty.run)
+        await trio.sleep(window * 5.0 + 5.0 + SETTLE + 0.6 - 1000.0)
+        assert cloud.reports
+        data.restore(snapshot)
+        state.began[window][ACCOUNT] = 9
+        await trio.sleep(3.0)
+        nursery.cancel_scope.cancel()
+    sums = [counts for reported, counts in cloud.reports if reported == window]
+    assert len(sums) >= 2
+    assert all(counts == sums[0] for counts in sums)
+
+
+async def test_a_closed_rollout_is_written_again(
+    autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against retrying a version that was reverted before the restore."""
+    monkeypatch.setattr("time.time", trio.current_time)
+    data = StoreData(era=1)
+    holder = DutyHolder(data)
+    rollouts = holder.state.rollouts
+    rollouts.apply_order(RolloutOrder(PLAIN, NEW, 12.0, 100))
+    holder.store.era.on_restored += [
+        holder.state.note_restored,
+        holder.duty.note_restored,
+    ]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(holder.duty.run)
+        await trio.sleep(0.5)
+        snapshot = data.take_snapshot()
+        rollouts.apply_progress(make_progress(Stage.REVERTED))
+        holder.duty.note_restored()
+        await trio.sleep(1.0)
+        assert holder.read_status() == "reverted"
+        data.restore(snapshot)
+        assert holder.read_status() == "in_progress"
+        await holder.store.read("any")
+        await trio.sleep(1.0)
+        assert holder.read_status() == "reverted"
+        rollouts.apply_order(RolloutOrder(PLAIN, NEW, 12.0, 400))
+        assert rollouts.find_stage(PLAIN) is Stage.REVERTED
+        await trio.sleep(20.0)
+        rollouts.apply_order(RolloutOrder(PLAIN, NEW, 12.0, 500))
+        assert rollouts.find_stage(PLAIN) is Stage.WAITING
+        nursery.cancel_scope.cancel()
+
+
+def test_an_answer_of_an_earlier_era_is_rejected() -> None:
+    """Guards against using answers from before a restore."""
+    restores: list[int] = []
+    era = StoreEra()
+    era.on_restored.append(lambda: restores.append(era.number))
+    assert era.accept(b"3")
+    assert era.accept(b"4")
+    assert not era.accept(b"3")
+    assert restores == [4]
+
+
+@pytest.mark.parametrize(
+    "value", [None, b"", b"x", b"-1", b"4.0", b"9" * 5000, b"99999", "٣".encode()]
+)
+def test_a_missing_or_malformed_era_counts_as_the_current_one(
+    value: bytes | None,
+) -> None:
+    """Guards against rejecting all answers of a store that sends no valid era."""
+    era = StoreEra()
+    assert era.accept(b"4")
+    assert era.accept(value)
+    assert era.number == 4
