Serve by the servers that are left after a completed rollout

Found by reading: once a rollout was completed, only servers of its target counted for good. Had the platform started others later without an order (a replacement, servers ordered for a peak), a service could have stood without servers although some were ready.

Change: without any server of the target the others serve, as during the move. A reverted version stays without requests. The new test fails before.

--- a/dewridge/gateway/rollouts.py
+++ b/dewridge/gateway/rollouts.py
@@ -230,10 +230,8 @@
             return records
         split = _split_by_version(records, progress.target)
         match self.find_stage(service):
-            case Stage.MOVING:
+            case Stage.MOVING | Stage.COMPLETED:
                 return split.new or split.old
-            case Stage.COMPLETED:
-                return split.new
             case Stage.REVERTED:
                 return split.old
         # If all servers already run the target version, none are held back.
--- a/dewridge/tests/gateway/rollouts_tests.py
+++ b/dewridge/tests/gateway/rollouts_tests.py
@@ -120,6 +120,14 @@
     assert table.choose_servers(PLAIN, new, is_first=True, draw=lambda: 0.0) == []
 
 
+def test_other_versions_serve_when_the_completed_one_is_gone() -> None:
+    """Guards against idle servers of a version that no order names."""
+    table = make_table(Stage.COMPLETED)
+    old = [one for one in SERVERS if one.version == OLD]
+    chosen = table.choose_servers(PLAIN, old, is_first=True, draw=lambda: 0.0)
+    assert chosen == old
+
+
 def test_an_order_for_the_running_version_holds_no_server_back() -> None:
     """Guards against leaving a service without servers."""
     table = make_table(Stage.WAITING)
