Do not confirm a configuration older than one reported by a peer

Cause: a host that starts right after a restore of the store reads an older configuration and confirmed it by its own reads. A key that was removed in the lost seconds was accepted there until the operator had written the newer version again.

Change: once a peer has reported a newer version, reads and watches that return an older one confirm nothing. An earlier confirmation remains valid for 4 s.

Test: fails before the change (the host trusts the older version). With the change, the host makes fewer than 60 calls to the store in 10 s, and is trusted again within a second of the operator's write.

--- a/dewridge/gateway/configuration.py
+++ b/dewridge/gateway/configuration.py
@@ -45,14 +45,6 @@
         """Note that the store, asked at that time, had nothing newer."""
         self.confirmed_at = max(self.confirmed_at, asked_at)
 
-    def is_outdated(self, version: int) -> bool:
-        """Return whether a version is older than the one in force.
-
-        A store restored from a copy returns an older version until the operator writes
-        the newer one again. Until then, its reads and watches confirm nothing.
-        """
-        return version < self.version
-
     def confirm_by_peer(self, version: int, at: float) -> None:
         """Note that another host's version was surely the newest at that time.
 
--- a/dewridge/gateway/watching.py
+++ b/dewridge/gateway/watching.py
@@ -160,6 +160,7 @@
         self.revision = 0
         self._started_at = float("-inf")
         self._is_store_outdated = False
+        self._newest_peer_version = 0
 
     def find_period(self) -> float:
         """Return the seconds between polls that all hosts together can afford."""
@@ -169,8 +170,9 @@
         return max(POLL_PERIOD * shared, affordable)
 
     def note_version(self, version: int) -> None:
-        """Look at once if another host has a newer configuration."""
+        """Note another host's version; look at once if it is newer."""
         current = self._configuration.current
+        self._newest_peer_version = max(self._newest_peer_version, version)
         if current is None or version > current.version:
             self._configuration_wake.set()
 
@@ -229,6 +231,15 @@
         first = min(first, period)
         return float(first + (period - first) * random.random() ** DOUBT_POWER)
 
+    def _is_behind_peers(self) -> bool:
+        """Return whether another host has reported a newer configuration.
+
+        A store restored from a copy returns an older version until the operator
+        writes the newer one again. Until then, reads and watches of the store must not
+        confirm the older version.
+        """
+        return self._configuration.version < self._newest_peer_version
+
     def _take_operator_items(self, listing: Listing) -> bool:
         """Apply the operator's items; return whether a configuration was applied."""
         is_configured = False
@@ -247,7 +258,9 @@
             )
             return False
         self._configuration.apply(decoded)
-        self._is_store_outdated = self._configuration.is_outdated(decoded.version)
+        self._is_store_outdated = decoded.version < max(
+            self._configuration.version, self._newest_peer_version
+        )
         return not self._is_store_outdated
 
     async def poll_servers(self) -> None:
@@ -313,7 +326,7 @@
         newer until then, whenever the answer is read: a host that was frozen meanwhile
         does not take it for younger than it is.
         """
-        if self._is_store_outdated:
+        if self._is_store_outdated or self._is_behind_peers():
             return
         now = read_boot_clock()
         waited = asked_at + wait
--- a/dewridge/tests/gateway/restores_tests.py
+++ b/dewridge/tests/gateway/restores_tests.py
@@ -186,6 +186,31 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_a_host_that_starts_after_a_restore_does_not_trust_an_older_version(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against accepting a removed key on a host that read the older version."""
+    data = StoreData(era=1)
+    store = MemoryStore(data)
+    state = ConfigurationState(trusted_for=4.0)
+    watcher = StoreWatcher(
+        store, store, state, ServerTable(), lambda: 1, 6000.0, lambda: Part.ALL
+    )
+    store.write(CONFIGURATION_KEY, b'{"version":1}')
+    async with trio.open_nursery() as nursery:
+        watcher.note_version(2)
+        nursery.start_soon(watcher.poll_configuration)
+        nursery.start_soon(watcher.watch_configuration)
+        for _ in range(100):
+            await trio.sleep(0.1)
+            assert not state.is_trusted
+        assert store.calls < 60
+        store.write(CONFIGURATION_KEY, b'{"version":2}')
+        await trio.sleep(1.0)
+        assert state.is_trusted
+        nursery.cancel_scope.cancel()
+
+
 def test_a_host_with_an_older_version_confirms_nothing() -> None:
     """Guards against confirmation by a host that read the restored version."""
     state = ConfigurationState(trusted_for=4.0)
