--- a/dewridge/tests/gateway/world.py
+++ b/dewridge/tests/gateway/world.py
@@ -124,17 +124,19 @@
     )
 
 
-def make_state(configuration: Configuration | None, **bounds: float) -> GatewayState:
+def make_state(
+    configuration: Configuration | None, *, host: HostId = HOST, **bounds: float
+) -> GatewayState:
     """Return the state of a gateway that has just confirmed a configuration."""
-    ledger = QuotaLedger(HOST)
+    ledger = QuotaLedger(host)
     state = GatewayState(
         settings=make_settings(**bounds),
-        host=HOST,
+        host=host,
         boot=1,
         configuration=ConfigurationState(trust_period=4.0),
         servers=ServerTable(),
-        hosts=HostTable(HOST),
-        sharing=SharedReports(HOST, ledger.record),
+        hosts=HostTable(host),
+        sharing=SharedReports(host, ledger.record),
         ledger=ledger,
         pool=ConnectionPool(),
         ingress=IngressState(Limits(), connection_limit=100),
@@ -389,10 +391,13 @@
 
 @asynccontextmanager
 async def open_world(
-    configuration: Configuration | None = None, **bounds: float
+    configuration: Configuration | None = None,
+    *,
+    host: HostId = HOST,
+    **bounds: float,
 ) -> AsyncIterator[World]:
     """Run the request path of a gateway on the loopback interface."""
-    state = make_state(configuration or make_configuration(), **bounds)
+    state = make_state(configuration or make_configuration(), host=host, **bounds)
     processor = RequestProcessor(state)
 
     async def accept(stream: trio.SocketStream) -> None:
