Divide a server's request limit among a few hosts, and pace each of them

Cause: no host read Server-Limit, and no part of the gateway knew of a bound that all hosts share: the class is a server's word on its answers that no path hears. Ways weighed: a static share for each host (nine hosts with a burst of one each are at the bound for 1.7 a second, and 60 are past it); a replicated bucket as for quotas (its word is 0.2 s old on nine hosts and seconds old on 440, where all see the same tokens); a few senders by rendezvous hashing (chosen, no word needed for the bound). On paper, for 1.7 a second, 15.2 allowed in 4 s: n senders send at most 0.9 x 1.7 x 4 + n. 2 hosts: both, 0.77/s each, 8.1; 9, 60, 195 and 440 hosts: 7 senders, 0.22/s each, 13.1; two senders are left over for hosts whose lists differ. What others saw is needed only for the end of a limit: hosts report what their own answers showed, never what others did. Change: policy/requestlimits.py decides, gateway/pushback.py is asked before every request and move; a request goes elsewhere, waits up to a quarter of its latency target, or is refused at once with a time that fits. The end of a limit is followed by a ramp; a server without news for 10 s is tried by any host; zero means one request in four seconds.

--- a/dewridge/explaining.py
+++ b/dewridge/explaining.py
@@ -22,6 +22,8 @@
         "request set aside",
         "server joined",
         "server left",
+        "server limit",
+        "server limit ended",
         "servers ordered",
         "started",
         "stopped",
--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -1,7 +1,6 @@
 """Attempts to run a request on servers, and the rules for retries."""
 
 import trio
-from loguru import logger as log
 
 from dewridge.codes import ResultCode
 from dewridge.gateway.events import EventSplitter
@@ -15,20 +14,16 @@
 from dewridge.gateway.jobs import Continuation, Job, compute_engine_priority
 from dewridge.gateway.losses import LossHandler
 from dewridge.gateway.model import RouteKind, ServerRecord
+from dewridge.gateway.moves import move_stream
 from dewridge.gateway.responder import Responder
 from dewridge.gateway.rollouts import AttemptResult, classify_attempt
 from dewridge.gateway.state import SERVER_ANSWER_TIME_METRIC, GatewayState
 from dewridge.gateway.streams import RunningStream
 from dewridge.gateway.suspects import check_quarantine, record_answer
-from dewridge.gateway.weighing import (
-    ServerChoice,
-    choose_move_target,
-    choose_server,
-    is_load_shed,
-)
+from dewridge.gateway.waiting import ServerChooser
+from dewridge.gateway.weighing import ServerChoice, is_load_shed
 from dewridge.http1.client import ConnectionBrokenError, Headers
 from dewridge.http1.headers import remove_hop_by_hop_headers
-from dewridge.platform.engines import stop_and_move
 from dewridge.platform.headers import Dispatch
 from dewridge.policy.losses import LossReason
 from dewridge.sentinels import Failure
@@ -53,6 +48,7 @@
     def __init__(self, state: GatewayState) -> None:
         self._state = state
         self._losses = LossHandler(state)
+        self._chooser = ServerChooser(state)
 
     async def run(self, job: Job, responder: Responder) -> Failure | None:
         """Run a job until it is answered or has failed.
@@ -75,18 +71,20 @@
             if refusal is not None:
                 return self._make_failure(job, refusal)
             continuation, job.continuation = job.continuation, None
-            now = trio.current_time()
-            # A stream that continues from copied memory has no prompt left to process.
-            choice = ServerChoice(continuation.server, 0) if continuation else None
-            choice = choice or choose_server(self._state, job, now)
-            if choice is None:
-                return self._refuse_with_retry_after(
-                    job, ResultCode.NO_BACKEND_SERVER, "no server"
-                )
+            if continuation is not None:
+                # The prompt of a stream that continues from copied memory is processed.
+                choice: ServerChoice | Failure = ServerChoice(continuation.server, 0)
+            else:
+                choice = await self._chooser.choose(job)
+            if isinstance(choice, Failure):
+                return self._refuse(job, choice)
             server = choice.server
             lost = await self._attempt(job, choice, continuation, responder)
             if lost is None:
                 return None
+            if lost.loss is LossReason.WITHHELD:
+                job.tried_servers.pop()
+                continue
             await self._losses.handle(job, server, lost)
             failure = self._decide_retry(job, lost, responder)
             if failure is not None:
@@ -256,7 +254,7 @@
                         return LostAttempt(LossReason.MOVED, job.continuation.server.id)
                     if not stream.is_due(trio.current_time()):
                         return LostAttempt(LossReason.CUT_OFF, "silent")
-                    await self._move_stream(job, server, stream)
+                    await move_stream(self._state, job, server, stream)
                     continue
                 if piece is None:
                     break
@@ -286,41 +284,6 @@
             stream.schedule_move(departure.stops_at)
         return stream
 
-    async def _move_stream(
-        self, job: Job, server: ServerRecord, stream: RunningStream
-    ) -> None:
-        """Stop a stream on a leaving server and have its memory copied to another.
-
-        A whole failure domain may be reclaimed on one second's notice. Without the
-        move, a stream that may not be retried would be lost, and the prompt of any
-        other would be processed again. The connection of the stopped stream closes
-        without an end marker; events still in transit are forwarded first.
-        """
-        state = self._state
-        now = trio.current_time()
-        target = choose_move_target(state, job, server.id, now)
-        budget = state.get_budget(job.service)
-        if target is None or not budget.acquire(now, state.hosts.count()):
-            stream.moves_at = float("inf")
-            return
-        moved = await stop_and_move(server.address, job.request.id, target.address)
-        outcome = moved.reason if isinstance(moved, Failure) else "moved"
-        log.bind(
-            id=job.request.id, server=server.id, target=target.id, outcome=outcome
-        ).info("stream moves")
-        if isinstance(moved, Failure):
-            state.metrics.add("streams_not_moved_total")
-            stream.postpone_move(trio.current_time())
-            return
-        state.metrics.add("streams_moved_total")
-        stream.await_remaining_events(trio.current_time())
-        job.was_moved = True
-        # If the target has no room, the source keeps the memory and continues itself.
-        job.fallback = Continuation(server, moved)
-        job.continuation = Continuation(target, moved) if moved.is_at_target else None
-        if job.continuation is None:
-            job.continuation, job.fallback = job.fallback, None
-
     async def _forward_events(
         self,
         job: Job,
@@ -395,6 +358,11 @@
         wait = min(1.0, time_left * self._state.rng.uniform(0.05, 0.25))
         return self._make_failure(job, Failure(code, reason, wait))
 
+    def _refuse(self, job: Job, failure: Failure) -> Failure:
+        if failure.retry_after is None:
+            return self._refuse_with_retry_after(job, failure.code, failure.reason)
+        return self._make_failure(job, failure)
+
     def _make_failure(self, job: Job, failure: Failure) -> Failure:
         """Return a refusal, or an unknown outcome if a server may have run the job."""
         if job.may_have_run:
--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -25,6 +25,7 @@
 from dewridge.gateway.hosts import HostEntry, HostTable, HostWatcher, Registration
 from dewridge.gateway.ingress import IngressState, RequestHandler, serve_connection
 from dewridge.gateway.leaving import leave_fleet
+from dewridge.gateway.limitsharing import list_limit_updates
 from dewridge.gateway.measures import count_store_call, observe_dependency_call
 from dewridge.gateway.model import Limits
 from dewridge.gateway.operations import Operations
@@ -270,6 +271,7 @@
         self._link.on_suspects = partial(apply_suspect_report, state, self._link)
         self._link.list_suspects = make_urgent_lister(state)
         state.list_suspects = make_update_lister(state)
+        state.list_limits = partial(list_limit_updates, state)
         state.on_suspects_changed = partial(
             self._link.schedule_urgent_send, Recipients.ALL
         )
--- a/dewridge/gateway/departures.py
+++ b/dewridge/gateway/departures.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from dewridge.gateway.limitsharing import apply_reported_limits
 from dewridge.gateway.model import ServerRecord
 from dewridge.gateway.reports import (
     CellReport,
@@ -27,6 +28,7 @@
     watcher.receive_version(update.version)
     is_new = drop_reported_servers(state, update.host, update.departing_servers)
     is_new |= apply_reported_suspects(state, update.suspects)
+    apply_reported_limits(state, update)
     for progress in update.rollouts:
         state.rollouts.apply_progress(progress)
     if is_new and isinstance(update, CellReport):
--- a/dewridge/gateway/forwarding.py
+++ b/dewridge/gateway/forwarding.py
@@ -104,7 +104,8 @@
         dispatch: additional information that is sent to the server in headers.
         server: the server to send it to.
         pool: connections to servers.
-        pushback: what the servers ask for; updated by the answer.
+        pushback: what the servers ask for; decides whether the request may be sent, and
+            learns from the answer.
         is_non_retryable: whether the request can't be retried if it is lost.
     """
     connection = pool.acquire_idle(server, is_non_retryable=is_non_retryable)
@@ -115,6 +116,12 @@
         return LostAttempt(LossReason.NOT_CONNECTED)
     is_answer_open = False
     try:
+        if not pushback.acquire(
+            server.id,
+            trio.current_time(),
+            is_essential=dispatch.cache_copy is not None,
+        ):
+            return LostAttempt(LossReason.WITHHELD)
         head = await _exchange(connection, request, dispatch)
         lost = check_head(head, request, is_reused=connection.exchange_count > 1)
         # The address may belong to another server by now, which answers with 421.
--- a/dewridge/gateway/hosts.py
+++ b/dewridge/gateway/hosts.py
@@ -213,6 +213,7 @@
         changed: set and replaced at each change of the table.
         restored: set and replaced at each restore of the store.
         lost_items: items known before restores, which the store may lack now.
+        is_listed: whether a complete listing has been applied.
     """
 
     def __init__(self, local_host: HostId) -> None:
@@ -226,6 +227,7 @@
         self.restored = trio.Event()
         self.lost_items: dict[str, Item] = {}
         self._restored_at = float("-inf")
+        self.is_listed = False
 
     def handle_restore(self) -> None:
         """Discard the revision and items; the restored store may lack recent keys.
@@ -245,6 +247,7 @@
         if listing.revision < self.revision:
             return
         self.revision = listing.revision
+        self.is_listed = True
         self.items = {item.key: item for item in listing.items}
         previous, self._entries = self._entries, {}
         for item in listing.items:
--- a/dewridge/gateway/measures.py
+++ b/dewridge/gateway/measures.py
@@ -81,7 +81,7 @@
         metrics.set_gauge(
             "dependency_failures", caller.failures, dependency=caller.name
         )
-    limits = state.pushback.list_limits()
+    limits = state.pushback.list_limits(trio.current_time())
     for server in state.servers.list_all():
         metrics.set_gauge("server_limit", limits.get(server.id, 0.0), server=server.id)
         in_flight = state.work_in_flight.requests.get(server.id, 0)
--- /dev/null
+++ b/dewridge/gateway/moves.py
@@ -0,0 +1,61 @@
+"""Moves of running streams, with their engine memory, away from leaving servers."""
+
+import trio
+from loguru import logger as log
+
+from dewridge.gateway.jobs import Continuation, Job
+from dewridge.gateway.model import ServerRecord
+from dewridge.gateway.state import GatewayState
+from dewridge.gateway.streams import RunningStream
+from dewridge.gateway.weighing import choose_move_target
+from dewridge.platform.engines import CacheCopy, stop_and_move
+from dewridge.sentinels import Failure
+
+
+async def move_stream(
+    state: GatewayState, job: Job, server: ServerRecord, stream: RunningStream
+) -> None:
+    """Stop a stream on a leaving server and have its memory copied to another.
+
+    A whole failure domain may be reclaimed on one second's notice. Without the move, a
+    stream that may not be retried would be lost, and the prompt of any other would be
+    processed again. The connection of the stopped stream closes without an end marker;
+    events still in transit are forwarded first.
+    """
+    now = trio.current_time()
+    target = choose_move_target(state, job, server.id, now)
+    budget = state.get_budget(job.service)
+    if target is None or not budget.acquire(now, state.hosts.count()):
+        stream.moves_at = float("inf")
+        return
+    moved = await _request_move(state, job, server, target)
+    outcome = moved.reason if isinstance(moved, Failure) else "moved"
+    log.bind(
+        id=job.request.id, server=server.id, target=target.id, outcome=outcome
+    ).info("stream moves")
+    if isinstance(moved, Failure):
+        state.metrics.add("streams_not_moved_total")
+        stream.postpone_move(trio.current_time())
+        return
+    state.metrics.add("streams_moved_total")
+    stream.await_remaining_events(trio.current_time())
+    job.was_moved = True
+    # If the target has no room, the source keeps the memory and continues itself.
+    job.fallback = Continuation(server, moved)
+    job.continuation = Continuation(target, moved) if moved.is_at_target else None
+    if job.continuation is None:
+        job.continuation, job.fallback = job.fallback, None
+
+
+async def _request_move(
+    state: GatewayState, job: Job, server: ServerRecord, target: ServerRecord
+) -> CacheCopy | Failure:
+    state.pushback.acquire(server.id, trio.current_time(), is_essential=True)
+    return await stop_and_move(
+        server.address,
+        job.request.id,
+        target.address,
+        lambda headers: state.pushback.record_answer(
+            server.id, headers, is_current=False
+        ),
+    )
--- a/dewridge/gateway/operations.py
+++ b/dewridge/gateway/operations.py
@@ -174,5 +174,6 @@
         "in_flight": state.work_in_flight.requests.get(server, 0),
         "failure_share": round(health.failure_share, 3),
         "rests_for_seconds": round(max(0.0, health.cooldown_until - now), 3),
+        "pushback": state.pushback.describe(server, now),
         "full_for_seconds": round(max(0.0, health.full_until - now), 3),
     }
--- a/dewridge/gateway/pushback.py
+++ b/dewridge/gateway/pushback.py
@@ -1,38 +1,117 @@
-"""Pushback of backend servers: what they ask of the hosts in their answers."""
+"""Pushback of backend servers: what they ask of the hosts in their answers.
 
-from dataclasses import dataclass
+Every request to a server is counted here before it is sent, and every answer is read
+here for the server's signals.
+"""
 
+import math
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import trio
 from loguru import logger as log
 
 from dewridge.http1.client import Headers
-from dewridge.ids import BackendServerId
+from dewridge.ids import BackendServerId, HostId
 from dewridge.metrics.registry import Metrics
 from dewridge.platform.signals import ServerSignals, decode_signals
+from dewridge.policy.requestlimits import (
+    LimitNotice,
+    LimitPacer,
+    compute_share,
+    find_later_send_time,
+    rank_sender,
+    select_notice,
+)
 
 LOGGED_LIMIT_RATIO = 1.25
 """Ratio between a limit and the last one logged from which it is logged again. Servers
 may name a slightly different limit in each answer."""
+HOST_RETENTION = 10.0
+"""Seconds for which limits are still divided among hosts that are no longer listed. A
+list may lack hosts that still send: after a restore of the store, or while they can't
+renew their leases."""
+HOSTS_POLL_INTERVAL = 0.25
+"""Seconds between two readings of the list of hosts."""
 
 
 @dataclass
 class _ServerPushback:
-    """What one server asks for.
+    """What one server asks for, and the requests that this host sent to it.
 
     Attributes:
-        limit: requests per second that it takes from all hosts; None for no limit.
-        logged_limit: limit in the last line of the log.
+        notice: the newest notice of its limit from any host; None if it named none.
+        source: the host that received that answer.
+        own_notice: the newest notice of this host's own answers.
+        logged_limit: limit in the last line of the log; None for no limit.
         is_fault_logged: whether a header that can't be read was logged.
+        pacer: spaces this host's requests.
+        rank: rank of this host among the senders, for a version of the list of hosts.
     """
 
-    limit: float | None = None
+    notice: LimitNotice | None = None
+    source: HostId | None = None
+    own_notice: LimitNotice | None = None
     logged_limit: float | None = None
     is_fault_logged: bool = False
+    pacer: LimitPacer = field(default_factory=LimitPacer)
+    rank: tuple[int, int | None] = (-1, None)
+
+
+class _SenderHosts:
+    """The hosts among which limits are divided.
+
+    Attributes:
+        hosts: their ids; empty while the list of hosts is not known.
+        version: number of changes.
+    """
+
+    def __init__(self, list_hosts: Callable[[], Iterable[HostId]]) -> None:
+        self.hosts: frozenset[HostId] = frozenset()
+        self.version = 0
+        self._list_hosts = list_hosts
+        self._listed_at: dict[HostId, float] = {}
+        self._polled_at = -math.inf
+
+    def poll(self, now: float) -> None:
+        """Read the list of hosts if it was not read recently."""
+        if now - self._polled_at < HOSTS_POLL_INTERVAL:
+            return
+        self._polled_at = now
+        self._listed_at |= dict.fromkeys(self._list_hosts(), now)
+        self._listed_at = {
+            host: listed_at
+            for host, listed_at in self._listed_at.items()
+            if now - listed_at < HOST_RETENTION
+        }
+        hosts = frozenset(self._listed_at)
+        if hosts != self.hosts:
+            self.hosts = hosts
+            self.version += 1
 
 
 class PushbackTable:
     """What the servers ask for, by server process."""
 
-    def __init__(self, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        local_host: HostId,
+        list_hosts: Callable[[], Iterable[HostId]],
+        draw_random: Callable[[], float],
+        metrics: Metrics,
+    ) -> None:
+        """Create a table without servers.
+
+        Args:
+            local_host: this host.
+            list_hosts: returns all entry hosts, including this one; none while they
+                are not known.
+            draw_random: returns a random number from 0 up to 1.
+            metrics: counts the signals.
+        """
+        self._local_host = local_host
+        self._senders = _SenderHosts(list_hosts)
+        self._draw_random = draw_random
         self._metrics = metrics
         self._servers: dict[BackendServerId, _ServerPushback] = {}
 
@@ -50,18 +129,33 @@
         """
         signals = decode_signals(headers)
         self._log_faults(server, signals)
+        now = trio.current_time()
         if signals.limit is not None:
             self._metrics.add("answers_with_pushback_total", signal="limit")
-            self._set_limit(server, signals.limit)
+            self._apply_own_notice(server, LimitNotice(signals.limit, now))
         elif is_current and not signals.has_limit_header and server in self._servers:
-            self._set_limit(server, None)
+            notice = self._servers[server].notice
+            if notice is not None and not notice.has_ended:
+                ended = LimitNotice(notice.limit, now, has_ended=True)
+                self._apply_own_notice(server, ended)
+
+    def _apply_own_notice(self, server: BackendServerId, notice: LimitNotice) -> None:
+        self._get(server).own_notice = notice
+        self.merge_notice(server, notice, self._local_host)
 
-    def _set_limit(self, server: BackendServerId, limit: float | None) -> None:
+    def merge_notice(
+        self, server: BackendServerId, notice: LimitNotice, source: HostId
+    ) -> None:
+        """Apply a notice of this or another host unless a newer one is known."""
         known = self._get(server)
-        known.limit = limit
+        selected = select_notice(known.notice, notice)
+        if selected is known.notice:
+            return
+        known.notice, known.source = selected, source
+        limit = None if selected.has_ended else selected.limit
         if not _is_similar(limit, known.logged_limit):
             known.logged_limit = limit
-            log.bind(server=server, limit=limit).info(
+            log.bind(server=server, limit=limit, source=source).info(
                 "server limit ended" if limit is None else "server limit"
             )
 
@@ -76,14 +170,97 @@
     def _get(self, server: BackendServerId) -> _ServerPushback:
         return self._servers.setdefault(server, _ServerPushback())
 
-    def list_limits(self) -> dict[BackendServerId, float]:
-        """Return the limits in force, in requests per second."""
+    def find_send_time(self, server: BackendServerId, now: float) -> float:
+        """Return the earliest time at which the server may get one more request.
+
+        Returns:
+            A monotonic time; infinite if only other hosts may send to it.
+        """
+        pacer = self._find_pacer(server, now)
+        return now if pacer is None else pacer.find_send_time(now)
+
+    def find_later_send_time(
+        self, servers: Iterable[BackendServerId], position: int, now: float
+    ) -> float:
+        """Return when one of several servers may get a request, behind others.
+
+        Args:
+            servers: servers with a limit in force.
+            position: number of requests that wait before this one.
+            now: monotonic time.
+        """
+        pacers = [self._find_pacer(server, now) for server in servers]
+        return find_later_send_time(
+            [pacer for pacer in pacers if pacer is not None], position, now
+        )
+
+    def acquire(
+        self, server: BackendServerId, now: float, *, is_essential: bool = False
+    ) -> bool:
+        """Return whether a request may be sent now, and count it if so.
+
+        Args:
+            server: the server.
+            now: monotonic time.
+            is_essential: whether a running stream would be lost without the request.
+                It is sent in any case, and later ones wait longer for it.
+        """
+        pacer = self._find_pacer(server, now)
+        if pacer is None:
+            return True
+        if not is_essential and pacer.find_send_time(now) > now:
+            return False
+        pacer.record_sent(now)
+        return True
+
+    def _find_pacer(self, server: BackendServerId, now: float) -> LimitPacer | None:
+        """Return a server's pacer with the share in force; None without a limit."""
+        known = self._servers.get(server)
+        if known is None or known.notice is None or known.notice.is_expired(now):
+            return None
+        self._senders.poll(now)
+        hosts = self._senders.hosts
+        if known.rank[0] != self._senders.version:
+            rank = rank_sender(server, self._local_host, hosts)
+            known.rank = self._senders.version, rank
+        share = compute_share(known.notice, known.rank[1], len(hosts), now)
+        known.pacer.set_share(share, now, self._draw_random())
+        return known.pacer
+
+    def is_withheld(self, server: BackendServerId, now: float) -> bool:
+        """Whether a server asks for fewer requests than it would get."""
+        known = self._servers.get(server)
+        notice = None if known is None else known.notice
+        return notice is not None and not notice.is_expired(now)
+
+    def list_own_notices(self) -> dict[BackendServerId, LimitNotice]:
+        """Return the newest notice of this host's own answers, by server."""
         return {
-            server: known.limit
+            server: known.own_notice
             for server, known in self._servers.items()
-            if known.limit is not None
+            if known.own_notice is not None
         }
 
+    def list_limits(self, now: float) -> dict[BackendServerId, float]:
+        """Return the requests per second that limited servers get from all hosts."""
+        return {
+            server: known.notice.compute_rate(now)
+            for server, known in self._servers.items()
+            if known.notice is not None and not known.notice.is_expired(now)
+        }
+
+    def describe(self, server: BackendServerId, now: float) -> str:
+        """Return what withholds requests from a server, for logs; empty if nothing."""
+        known = self._servers.get(server)
+        if known is None or known.notice is None or known.notice.is_expired(now):
+            return ""
+        notice = known.notice
+        verb = "ended" if notice.has_ended else "named"
+        return (
+            f"limit {notice.limit:g}/s {verb} {now - notice.observed_at:.1f} s ago"
+            f" to {known.source}"
+        )
+
     def retain(self, servers: set[BackendServerId]) -> None:
         """Drop what is known of all other servers."""
         self._servers = {
--- a/dewridge/gateway/reports.py
+++ b/dewridge/gateway/reports.py
@@ -131,6 +131,22 @@
     cleared: list[BackendServerId] = []
 
 
+class LimitUpdate(msgspec.Struct, frozen=True, array_like=True):
+    """What an answer of a server showed of its request limit.
+
+    Attributes:
+        server: the server process.
+        limit: thousandths of a request per second.
+        age_ms: milliseconds since the answer.
+        has_ended: whether the answer named no limit any more; `limit` is the last one.
+    """
+
+    server: BackendServerId
+    limit: int
+    age_ms: int
+    has_ended: bool = False
+
+
 class Report(msgspec.Struct, frozen=True, array_like=True, tag="host"):
     """Periodic report of one host to the peers of its cell.
 
@@ -152,6 +168,7 @@
         holder: the latest holder of the duties that the sender knows.
         suspects: requests during which servers crashed.
         rollouts: progress of the rollouts that the sender knows.
+        limits: request limits in the sender's own answers from servers.
     """
 
     host: HostId
@@ -168,6 +185,7 @@
     holder: DutyHolder = NO_HOLDER
     suspects: list[SuspectUpdate] = []
     rollouts: list[RolloutProgress] = []
+    limits: list[LimitUpdate] = []
 
 
 class CellReport(msgspec.Struct, frozen=True, array_like=True, tag="cell"):
@@ -187,6 +205,7 @@
         holder: the latest holder of the duties that the sender knows.
         suspects: requests during which servers crashed.
         rollouts: progress of the rollouts that the sender knows.
+        limits: request limits in the answers that the cell's hosts got from servers.
     """
 
     host: HostId
@@ -201,6 +220,7 @@
     holder: DutyHolder = NO_HOLDER
     suspects: list[SuspectUpdate] = []
     rollouts: list[RolloutProgress] = []
+    limits: list[LimitUpdate] = []
 
 
 class HostUsage(msgspec.Struct, frozen=True, array_like=True):
--- a/dewridge/gateway/rollouts.py
+++ b/dewridge/gateway/rollouts.py
@@ -40,7 +40,12 @@
 LATENCY_WEIGHT = 0.05
 """Weight of a new sample in the moving average."""
 NEUTRAL_LOSS_REASONS = frozenset(
-    {LossReason.REJECTED, LossReason.OTHER_SERVER, LossReason.MOVED}
+    {
+        LossReason.REJECTED,
+        LossReason.OTHER_SERVER,
+        LossReason.MOVED,
+        LossReason.WITHHELD,
+    }
 )
 """Losses that are not counted for or against a version."""
 REWRITE_WINDOW = 10.0
--- a/dewridge/gateway/scaling.py
+++ b/dewridge/gateway/scaling.py
@@ -108,11 +108,7 @@
             domain: DomainBounds(scaling.min_servers, scaling.max_servers, price)
             for domain, price in scaling.prices.items()
         }
-        serving = {
-            domain: self._count_servers((service.name, domain, True))
-            for domain in domains
-        }
-        wanted = self._plan(service, scaling, domains, serving)
+        wanted = self._plan(service, scaling, domains)
         for order in list_orders(service.name, wanted):
             if self._is_due(order, scaling.boot_time):
                 await self._send_order(order)
@@ -122,7 +118,6 @@
         service: Service,
         scaling: Scaling,
         domains: dict[FailureDomain, DomainBounds],
-        serving: dict[FailureDomain, int],
     ) -> dict[FailureDomain, WantedServers]:
         now = trio.current_time()
         name = service.name
@@ -143,7 +138,14 @@
             ).info("servers planned")
         self._totals[name] = total
         self._needed[name] = needed
-        self._detect_reclaims(name, serving, now)
+        listed = {
+            domain: self._count_servers((name, domain, True)) for domain in domains
+        }
+        serving = {
+            domain: count - self._count_withheld((name, domain, True), now)
+            for domain, count in listed.items()
+        }
+        self._detect_reclaims(name, listed, now)
         reclaimed_at = self._reclaimed_at.get(name, float("-inf"))
         return plan_servers(
             domains,
@@ -279,6 +281,19 @@
             for record in self._state.list_serving(service)
         )
 
+    def _count_withheld(self, pool: ServerPool, now: float) -> int:
+        """Return the servers that ask for fewer requests than they have slots for.
+
+        They can't take the place of a reclaimed server.
+        """
+        service, domain, is_reclaimable = pool
+        return sum(
+            record.failure_domain == domain
+            and record.is_reclaimable == is_reclaimable
+            and self._state.pushback.is_withheld(record.id, now)
+            for record in self._state.list_serving(service)
+        )
+
     async def _send_order(self, order: Order) -> None:
         pool = get_server_pool(order)
         now = trio.current_time()
--- a/dewridge/gateway/sharinglink.py
+++ b/dewridge/gateway/sharinglink.py
@@ -12,6 +12,7 @@
 from dewridge.gateway.datagrams import PacedSocket, PeerAddress, Urgency, read_address
 from dewridge.gateway.echoes import SentReportTimes
 from dewridge.gateway.hosts import HostEntry, HostTable
+from dewridge.gateway.limitsharing import merge_cell_limits
 from dewridge.gateway.reports import (
     CellReport,
     DepartureReport,
@@ -272,6 +273,7 @@
         self, cell: CellName, report: Report, totals: Totals
     ) -> CellReport:
         now = trio.current_time()
+        limits = merge_cell_limits(report.limits, self._sharing, report.number, now)
         unready = self._sharing.list_unready_cell_peers(now)
         if not report.is_ready:
             unready.append(report.host)
@@ -288,6 +290,7 @@
             holder=report.holder,
             suspects=report.suspects,
             rollouts=report.rollouts,
+            limits=limits,
         )
 
     def _enqueue(self, peers: list[HostEntry], data: bytes, urgency: Urgency) -> None:
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -19,6 +19,7 @@
     REPORTED_WINDOWS,
     TENTHS_PER_ATTEMPT,
     ZERO_SERVER_TOTALS,
+    LimitUpdate,
     Report,
     ServerTotals,
     SuspectUpdate,
@@ -143,6 +144,8 @@
     """Digests of the requests during which this host itself observed a server crash."""
     on_suspects_changed: Callable[[], None] = lambda: None
     """Called when the information on requests during which servers crashed changes."""
+    list_limits: Callable[[int], list[LimitUpdate]] = lambda number: []
+    """Returns the servers' request limits for the report of a given number."""
     list_suspects: Callable[[int], list[SuspectUpdate]] = lambda number: []
     """Returns the information on such requests for the report of a given number."""
     metrics: Metrics = field(default_factory=Metrics)
@@ -154,8 +157,10 @@
     """Time on the monotonic clock at which this process ends."""
 
     def __post_init__(self) -> None:
-        """Create the table of pushback, which counts in the metrics."""
-        self.pushback = PushbackTable(self.metrics)
+        """Create the table of pushback, which uses other parts of the state."""
+        self.pushback = PushbackTable(
+            self.host, self.list_sender_hosts, self.rng.random, self.metrics
+        )
 
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings."""
@@ -237,6 +242,7 @@
             holder=self.sharing.holder,
             suspects=self.list_suspects(number),
             rollouts=self.rollouts.list_progress(),
+            limits=self.list_limits(number),
         )
 
     def list_usage(self, windows: int) -> UsageCounts:
@@ -285,6 +291,13 @@
             return StoreRole.ALL
         return StoreRole.READER if self.sharing.is_reader else StoreRole.LISTENER
 
+    def list_sender_hosts(self) -> list[HostId]:
+        """Return the hosts that may send to servers; none while they are not known."""
+        if not self.hosts.is_listed:
+            return []
+        members = self.hosts.list_members(self.sharing.list_live_hosts())
+        return [self.host, *(entry.id for entry in members)]
+
     def count_live_peers(self) -> int:
         """Return the number of other live hosts."""
         return len(self.sharing.list_live_hosts())
--- a/dewridge/gateway/weighing.py
+++ b/dewridge/gateway/weighing.py
@@ -3,6 +3,8 @@
 import random
 from dataclasses import dataclass
 
+import trio
+
 from dewridge.gateway.jobs import Job
 from dewridge.gateway.model import ServerRecord
 from dewridge.gateway.reports import TENTHS_PER_ATTEMPT, ZERO_SERVER_TOTALS
@@ -52,14 +54,41 @@
     is_suspect: bool = False
 
 
-def choose_server(state: GatewayState, job: Job, now: float) -> ServerChoice | None:
+@dataclass(frozen=True, slots=True)
+class WithheldServers:
+    """The servers of a service if none of them may get one more request now.
+
+    Attributes:
+        servers: the servers.
+        reason: what withholds requests from the first of them.
+    """
+
+    servers: list[BackendServerId]
+    reason: str
+
+
+def choose_server(
+    state: GatewayState, job: Job, now: float
+) -> ServerChoice | WithheldServers | None:
     """Return the server for a job's next attempt; None if the service has none."""
-    records = state.rollouts.choose_servers(
+    listed = state.servers.list_service(job.service)
+    chosen = state.rollouts.choose_servers(
         job.service,
-        state.servers.list_service(job.service),
+        listed,
         is_first=not job.tried_servers,
         draw_random=state.rng.random,
     )
+    serving = state.rollouts.list_serving(job.service, listed)
+    records = list_open(state, chosen, now) or list_open(state, serving, now)
+    if not records and chosen:
+        return WithheldServers(
+            [record.id for record in chosen],
+            state.pushback.describe(chosen[0].id, now),
+        )
+    if len(records) < len(chosen):
+        state.metrics.add(
+            "requests_withheld_total", service=job.service, outcome="elsewhere"
+        )
     untried = [
         record for record in records if record.id not in job.tried_servers
     ] or records
@@ -86,12 +115,29 @@
     if server is None:
         return None
     holder = find_cache_holder(holders, make_prefix_name(job), server.id)
-    if holder is not None and now < state.get_health(holder).cooldown_until:
+    if holder is not None and not can_copy_from(state, holder, now):
         holder = None
     address = None if holder is None else cache_warm[holder].address
     return ServerChoice(server, placement.tokens, placement.is_idle, address)
 
 
+def list_open(
+    state: GatewayState, records: list[ServerRecord], now: float
+) -> list[ServerRecord]:
+    """Return the servers that may get one more request from this host now."""
+    return [
+        record
+        for record in records
+        if state.pushback.find_send_time(record.id, now) <= now
+    ]
+
+
+def can_copy_from(state: GatewayState, server: BackendServerId, now: float) -> bool:
+    """Return whether another server may copy a cached prefix from a server."""
+    is_cooling_down = now < state.get_health(server).cooldown_until
+    return not is_cooling_down and not state.pushback.is_withheld(server, now)
+
+
 def is_suspect(state: GatewayState, job: Job, now: float) -> bool:
     """Return whether a server crashed while it ran this request."""
     return (
@@ -162,7 +208,14 @@
 
 def is_load_shed(state: GatewayState, job: Job) -> bool:
     """Return whether a job is refused because its engines are overloaded."""
-    records = state.list_serving(job.service)
+    now = trio.current_time()
+    # A server in need takes fewer requests than it has slots, so that its slots would
+    # make the others look less loaded than they are.
+    records = [
+        record
+        for record in state.list_serving(job.service)
+        if not state.pushback.is_withheld(record.id, now)
+    ]
     in_flight = state.count_in_flight(records)
     slots = sum(record.slots for record in records)
     return should_shed(in_flight, slots, job.route.priority, state.rng.random())
@@ -175,6 +228,7 @@
     records = [
         record for record in state.list_serving(job.service) if record.id != source
     ]
+    records = list_open(state, records, now) or records
     candidates = list_candidates(state, records, now)
     with_free_slots = [
         candidate
--- a/dewridge/platform/engines.py
+++ b/dewridge/platform/engines.py
@@ -1,5 +1,6 @@
 """Control calls to model engines: moving the KV cache of a running stream."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -7,6 +8,7 @@
 from dewridge.codes import ResultCode
 from dewridge.gateway.model import AttemptKey
 from dewridge.http1.calls import Response, ServiceClient
+from dewridge.http1.client import Headers
 from dewridge.sentinels import Failure
 
 MOVE_TIMEOUT = 0.6
@@ -36,7 +38,10 @@
 
 
 async def stop_and_move(
-    source: str, attempt: AttemptKey, target: str
+    source: str,
+    attempt: AttemptKey,
+    target: str,
+    on_answer: Callable[[Headers], None] = lambda headers: None,
 ) -> CacheCopy | Failure:
     """Stop a run and copy its KV cache to another engine.
 
@@ -44,6 +49,7 @@
         source: `a.b.c.d:port` of the engine that runs it.
         attempt: the caller's id of the attempt that is running.
         target: `a.b.c.d:port` of the engine that is to continue the run.
+        on_answer: called with the headers of the source's answer.
     """
     body = msgspec.json.encode({"id": attempt, "target": target, "last": True})
     client = ServiceClient(f"engine {source}", source, MOVE_TIMEOUT)
@@ -51,6 +57,7 @@
     client.close_idle()
     if not isinstance(response, Response):
         return Failure(ResultCode.MOVE_FAILED, response.value)
+    on_answer(response.headers)
     try:
         moved = msgspec.json.decode(response.body or b"{}", type=_MoveReply)
     except msgspec.DecodeError as error:
--- a/dewridge/policy/losses.py
+++ b/dewridge/policy/losses.py
@@ -21,12 +21,19 @@
     CUT_OFF = "cut off"
     MISMATCHED = "the answer belongs to another request"
     MALFORMED = "malformed answer"
+    WITHHELD = "withheld"
+    """The gateway did not send it, because the server asks for fewer requests."""
     MOVED = "moved to another server"
     """The gateway itself stopped the attempt to move it."""
 
 
 NOT_RUN_REASONS = frozenset(
-    {LossReason.NOT_CONNECTED, LossReason.REJECTED, LossReason.OTHER_SERVER}
+    {
+        LossReason.NOT_CONNECTED,
+        LossReason.REJECTED,
+        LossReason.OTHER_SERVER,
+        LossReason.WITHHELD,
+    }
 )
 INTERRUPTED_REASONS = frozenset({LossReason.CUT_OFF, LossReason.MALFORMED})
 """Reasons that don't show whether the server is still running."""
@@ -91,7 +98,7 @@
             if there was none.
     """
     match loss:
-        case LossReason.MOVED:
+        case LossReason.MOVED | LossReason.WITHHELD:
             return LossVerdict(ServerVerdict.NO_EVIDENCE)
         case LossReason.OTHER_SERVER:
             return LossVerdict(ServerVerdict.REPLACED)
--- a/dewridge/tests/gateway/pushback_tests.py
+++ b/dewridge/tests/gateway/pushback_tests.py
@@ -1,16 +1,34 @@
 """Tests of gateways whose backend servers ask for fewer requests."""
 
-from contextlib import AsyncExitStack
-from dataclasses import dataclass, field
+import re
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field, replace
+from functools import partial
+from pathlib import Path
 
 import msgspec
+import pytest
 import trio
 
+from dewridge import gateway
+from dewridge.gateway.clock import read_boot_clock
 from dewridge.gateway.hosts import HOSTS_PREFIX, HostEntry
-from dewridge.ids import HostId
+from dewridge.gateway.limitsharing import (
+    apply_reported_limits,
+    decode_notice,
+    encode_notice,
+    list_limit_updates,
+    merge_cell_limits,
+)
+from dewridge.gateway.reports import Report, Totals
+from dewridge.gateway.sharing import SharedReports
+from dewridge.ids import BackendServerId, HostId
 from dewridge.platform.store import Item, Listing
+from dewridge.policy.requestlimits import LimitNotice
 from dewridge.tests.gateway.world import (
     DOMAIN,
+    CallerAnswer,
     Script,
     ScriptedServer,
     ServerExchange,
@@ -68,12 +86,16 @@
         return server
 
     async def exchange_reports(self) -> None:
-        """Deliver the reports of all gateways to each other forever."""
+        """Deliver the reports of all gateways to each other forever.
+
+        The configuration is confirmed as well, as it is by reads of the store.
+        """
         number = 0
         while True:
             number += 1
             reports = [world.state.make_report(number) for world in self.worlds]
             for world in self.worlds:
+                world.state.configuration.confirm(read_boot_clock())
                 for report in reports:
                     copy = msgspec.convert(msgspec.to_builtins(report), type(report))
                     world.state.sharing.apply_report(copy, trio.current_time())
@@ -114,6 +136,9 @@
         for number in range(count)
     ]
     register_hosts(worlds)
+    for world in worlds:
+        world.state.list_limits = partial(list_limit_updates, world.state)
+        world.state.sharing.on_report = partial(apply_reported_limits, world.state)
     fleet = Fleet(worlds)
     worlds[0].nursery.start_soon(fleet.exchange_reports)
     return fleet
@@ -147,3 +172,148 @@
     assert arrivals.count_max() <= 1.5 * limit * WINDOW + 5
     assert len(arrivals.times) > limit * 9.0 / 2
     assert set(statuses) == {200}
+
+
+async def send_together(world: World, count: int, path: str) -> list[CallerAnswer]:
+    """Send requests at the same time and return the answers."""
+    answers: list[CallerAnswer] = []
+
+    async def send(number: int) -> None:
+        answers.append(await world.request(path, request_id=f"r-{number}"))
+
+    async with trio.open_nursery() as nursery:
+        for number in range(count):
+            nursery.start_soon(send, number)
+    return answers
+
+
+@asynccontextmanager
+async def open_single_host(retry_slack: float = 0.0) -> AsyncIterator[World]:
+    """Start a gateway that knows that it is the only one."""
+    async with open_world(host=HostId("host-0"), retry_slack=retry_slack) as world:
+        register_hosts([world])
+        yield world
+
+
+def name_limit(limit: bytes) -> Script:
+    """Return a script that names a limit in each answer."""
+
+    async def answer(exchange: ServerExchange) -> None:
+        await exchange.answer(extra=b"Server-Limit: %s\r\n" % limit)
+
+    return answer
+
+
+async def test_callers_beyond_the_limits_of_all_servers_are_refused_at_once() -> None:
+    """Guards against requests that wait in vain, and against false refusals."""
+    async with open_single_host() as world:
+        server = await world.add_server("s-1", name_limit(b"20"))
+        await world.request("/read/a", request_id="first")
+        begin = trio.current_time()
+        answers = await send_together(world, 20, "/read/a")
+        seconds = trio.current_time() - begin
+    refused = [answer for answer in answers if answer.status == 503]
+    assert len(server.received) == 1 + len(answers) - len(refused)
+    assert 1 <= len(refused) < len(answers)
+    assert seconds < 0.5
+    assert all(0 <= float(answer.headers[b"retry-after"]) < 3 for answer in refused)
+    assert all(b"s-1: limit 20/s" in answer.body for answer in refused)
+
+
+async def test_a_second_attempt_is_withheld_from_a_limited_server() -> None:
+    """Guards against retries that bypass the limit of a server."""
+
+    async def fail(exchange: ServerExchange) -> None:
+        await exchange.answer(status=500)
+
+    async with open_single_host(retry_slack=100) as world:
+        limited = await world.add_server("s-limited", name_limit(b"0.3"))
+        while not limited.received:
+            await world.request("/read/a", request_id="first")
+        await world.add_server("s-failing", fail)
+        await send_together(world, 20, "/read/a")
+    assert len(limited.received) <= 2
+
+
+async def test_answer_of_another_server_at_an_address_names_no_limit() -> None:
+    """Guards against taking the limit of one server for that of another."""
+
+    async def misdirect(exchange: ServerExchange) -> None:
+        await exchange.answer(b"", 421, b"Server-Limit: 1\r\n")
+
+    async with open_single_host() as world:
+        server = await world.add_server("s-1", misdirect)
+        await world.request("/read/a")
+        assert not world.state.pushback.is_withheld(server.id, trio.current_time())
+
+
+@pytest.mark.parametrize("status", [200, 404, 500, 503])
+async def test_any_answer_may_name_a_limit(status: int) -> None:
+    async def answer(exchange: ServerExchange) -> None:
+        await exchange.answer(status=status, extra=b"Server-Limit: 2\r\n")
+
+    async with open_single_host() as world:
+        server = await world.add_server("s-1", answer)
+        await world.request("/write/a", method="POST", body=b"x")
+        limits = world.state.pushback.list_limits(trio.current_time())
+    assert limits == {server.id: 2.0}
+
+
+async def test_an_unreadable_limit_does_not_end_the_one_before() -> None:
+    values = [b"2", b"-1", b"many"]
+
+    async def answer(exchange: ServerExchange) -> None:
+        value = values.pop(0)
+        await exchange.answer(extra=b"Server-Limit: %s\r\n" % value)
+
+    async with open_single_host() as world:
+        server = await world.add_server("s-1", answer)
+        for number in range(3):
+            await world.request("/read/a", request_id=f"r-{number}")
+            await trio.sleep(0.6)
+        limits = world.state.pushback.list_limits(trio.current_time())
+    assert limits == {server.id: 2.0}
+
+
+async def test_a_restarted_server_has_no_limit() -> None:
+    """Guards against keeping the limit of a process that has ended."""
+    async with open_single_host() as world:
+        server = await world.add_server("s-1", name_limit(b"1"))
+        await world.request("/read/a")
+        record = world.state.servers.find(server.id)
+        assert record is not None
+        restarted = replace(
+            record, id=BackendServerId("s-1@2"), started_at_ms=record.started_at_ms + 1
+        )
+        world.state.servers.update(restarted, trio.current_time())
+        world.state.drop_expired()
+        now = trio.current_time()
+        assert not world.state.pushback.is_withheld(restarted.id, now)
+        assert world.state.pushback.list_limits(now) == {}
+
+
+def test_reported_limits_do_not_become_newer_on_their_way() -> None:
+    """Guards against hosts that refresh an old notice by repeating it to each other."""
+    sharing = SharedReports(HostId("host-0"), lambda *_: None)
+    notice = LimitNotice(1.7, observed_at=10.0)
+    update = encode_notice(BackendServerId("s-1"), notice, now=12.0)
+    report = Report(HostId("host-1"), 1, 1, True, 0.0, Totals(), limits=[update])
+    sharing.apply_report(report, 12.1)
+    (merged,) = merge_cell_limits([], sharing, 1, now=15.1)
+    assert decode_notice(merged, 15.1).observed_at == pytest.approx(10.1)
+    assert merge_cell_limits([], sharing, 1, now=30.0) == []
+
+
+def test_every_request_to_a_server_asks_the_table_of_pushback() -> None:
+    """Guards against a new way of sending that bypasses the limits of servers."""
+    folder = Path(gateway.__file__).parent
+    senders = {
+        path.name
+        for path in folder.glob("*.py")
+        if re.search(
+            r"(?<!def )\b(_exchange\(connection|stop_and_move\()", path.read_text()
+        )
+    }
+    assert senders == {"forwarding.py", "moves.py"}
+    for name in senders:
+        assert "pushback.acquire(" in (folder / name).read_text()
