Log the rests that servers ask for, and count the answers that do

Change: Retry-After of an answer with 503 or 429 is decoded, as seconds or as a date; `server rests` is logged when a rest begins, and answers_with_pushback_total counts it under signal="rest". Values that can't be read are logged once a server process. Nothing is decided by it yet. Evidence: tests of signals, pushback and moves pass.

--- a/dewridge/explaining.py
+++ b/dewridge/explaining.py
@@ -24,6 +24,7 @@
         "server left",
         "server limit",
         "server limit ended",
+        "server rests",
         "servers ordered",
         "started",
         "stopped",
--- a/dewridge/gateway/forwarding.py
+++ b/dewridge/gateway/forwarding.py
@@ -127,7 +127,9 @@
         # The address may belong to another server by now, which answers with 421.
         if not is_misdirected(head):
             is_current = lost is None or lost.loss is not LossReason.MISMATCHED
-            pushback.record_answer(server.id, head.headers, is_current=is_current)
+            pushback.record_answer(
+                server.id, head.status, head.headers, is_current=is_current
+            )
         if lost is not None:
             return lost
         is_answer_open = True
--- a/dewridge/gateway/moves.py
+++ b/dewridge/gateway/moves.py
@@ -55,7 +55,7 @@
         server.address,
         job.request.id,
         target.address,
-        lambda headers: state.pushback.record_answer(
-            server.id, headers, is_current=False
+        lambda status, headers: state.pushback.record_answer(
+            server.id, status, headers, is_current=False
         ),
     )
--- a/dewridge/gateway/pushback.py
+++ b/dewridge/gateway/pushback.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -45,6 +46,7 @@
         own_notice: the newest notice of this host's own answers.
         logged_limit: limit in the last line of the log; None for no limit.
         is_fault_logged: whether a header that can't be read was logged.
+        rests_until: monotonic time until which it wants nothing from this host.
         pacer: spaces this host's requests.
         rank: rank of this host among the senders, for a version of the list of hosts.
     """
@@ -54,6 +56,7 @@
     own_notice: LimitNotice | None = None
     logged_limit: float | None = None
     is_fault_logged: bool = False
+    rests_until: float = -math.inf
     pacer: LimitPacer = field(default_factory=LimitPacer)
     rank: tuple[int, int | None] = (-1, None)
 
@@ -116,20 +119,29 @@
         self._servers: dict[BackendServerId, _ServerPushback] = {}
 
     def record_answer(
-        self, server: BackendServerId, headers: Headers, *, is_current: bool = True
+        self,
+        server: BackendServerId,
+        status: int,
+        headers: Headers,
+        *,
+        is_current: bool = True,
     ) -> None:
         """Apply the signals of an answer.
 
         Args:
             server: the process that sent the answer.
+            status: status of the answer.
             headers: headers of the answer.
             is_current: whether it answers the request that was just sent. A second
                 answer to an earlier request may be old: that it lacks a signal shows
                 nothing.
         """
-        signals = decode_signals(headers)
+        signals = decode_signals(status, headers, time.time())
         self._log_faults(server, signals)
         now = trio.current_time()
+        if signals.rest is not None:
+            self._metrics.add("answers_with_pushback_total", signal="rest")
+            self._apply_rest(server, signals.rest, now)
         if signals.limit is not None:
             self._metrics.add("answers_with_pushback_total", signal="limit")
             self._apply_own_notice(server, LimitNotice(signals.limit, now))
@@ -139,6 +151,12 @@
                 ended = LimitNotice(notice.limit, now, has_ended=True)
                 self._apply_own_notice(server, ended)
 
+    def _apply_rest(self, server: BackendServerId, seconds: float, now: float) -> None:
+        known = self._get(server)
+        if now >= known.rests_until:
+            log.bind(server=server, seconds=round(seconds, 2)).info("server rests")
+        known.rests_until = max(known.rests_until, now + seconds)
+
     def _apply_own_notice(self, server: BackendServerId, notice: LimitNotice) -> None:
         self._get(server).own_notice = notice
         self.merge_notice(server, notice, self._local_host)
--- a/dewridge/platform/engines.py
+++ b/dewridge/platform/engines.py
@@ -41,7 +41,7 @@
     source: str,
     attempt: AttemptKey,
     target: str,
-    on_answer: Callable[[Headers], None] = lambda headers: None,
+    on_answer: Callable[[int, Headers], None] = lambda status, headers: None,
 ) -> CacheCopy | Failure:
     """Stop a run and copy its KV cache to another engine.
 
@@ -49,7 +49,7 @@
         source: `a.b.c.d:port` of the engine that runs it.
         attempt: the caller's id of the attempt that is running.
         target: `a.b.c.d:port` of the engine that is to continue the run.
-        on_answer: called with the headers of the source's answer.
+        on_answer: called with the status and headers of the source's answer.
     """
     body = msgspec.json.encode({"id": attempt, "target": target, "last": True})
     client = ServiceClient(f"engine {source}", source, MOVE_TIMEOUT)
@@ -57,7 +57,7 @@
     client.close_idle()
     if not isinstance(response, Response):
         return Failure(ResultCode.MOVE_FAILED, response.value)
-    on_answer(response.headers)
+    on_answer(response.status, response.headers)
     try:
         moved = msgspec.json.decode(response.body or b"{}", type=_MoveReply)
     except msgspec.DecodeError as error:
--- a/dewridge/platform/signals.py
+++ b/dewridge/platform/signals.py
@@ -2,12 +2,15 @@
 
 import re
 from dataclasses import dataclass
+from email.utils import parsedate_to_datetime
 
 from dewridge.http1.client import Headers
 from dewridge.platform import names
 
 DECIMAL_NUMBER = re.compile(rb"[0-9]{1,15}(\.[0-9]{0,15})?")
 """A number without a sign, an exponent or a name for infinity."""
+REST_STATUSES = frozenset({429, 503})
+"""Statuses with which `Retry-After` says for how long the sender should pause."""
 MAX_LOGGED_CHARS = 40
 
 
@@ -20,36 +23,81 @@
             if it names none, or none that can be read.
         has_limit_header: whether it names a limit, readable or not. An unreadable one
             does not show that an earlier limit has ended.
+        rest: seconds for which the server wants no requests from this host; None if it
+            does not ask for that.
         faults: descriptions of headers that can't be read.
     """
 
     limit: float | None = None
     has_limit_header: bool = False
+    rest: float | None = None
     faults: tuple[str, ...] = ()
 
 
 NO_SIGNALS = ServerSignals()
 
 
-def decode_signals(headers: Headers) -> ServerSignals:
+def decode_signals(status: int, headers: Headers, wall_time: float) -> ServerSignals:
     """Decode the signals of an answer.
 
-    Of several limits the lowest counts. Headers that can't be read are reported as
-    faults and change nothing.
+    Of several limits the lowest counts, and of several rests the longest. Headers that
+    can't be read are reported as faults and change nothing.
+
+    Args:
+        status: status of the answer.
+        headers: headers of the answer.
+        wall_time: current time in seconds since 1970.
     """
-    values = [value.strip() for name, value in headers if name == names.SERVER_LIMIT]
-    if not values:
+    faults: list[str] = []
+    limits: list[float] = []
+    rests: list[float] = []
+    has_limit_header = False
+    for name, value in headers:
+        if name == names.SERVER_LIMIT:
+            has_limit_header = True
+            _collect(parse_decimal(value), name, value, limits, faults)
+        elif name == b"retry-after" and status in REST_STATUSES:
+            _collect(parse_wait(value, wall_time), name, value, rests, faults)
+    if not has_limit_header and not rests and not faults:
         return NO_SIGNALS
-    limits = [parse_decimal(value) for value in values]
-    readable = [limit for limit in limits if limit is not None]
-    faults = tuple(
-        f"limit {value[:MAX_LOGGED_CHARS]!r}"
-        for value, limit in zip(values, limits, strict=True)
-        if limit is None
+    return ServerSignals(
+        min(limits, default=None),
+        has_limit_header,
+        max(rests, default=None),
+        tuple(faults),
     )
-    return ServerSignals(min(readable, default=None), True, faults)
+
+
+def _collect(
+    number: float | None,
+    name: bytes,
+    value: bytes,
+    numbers: list[float],
+    faults: list[str],
+) -> None:
+    if number is None:
+        faults.append(f"{name.decode()}: {value[:MAX_LOGGED_CHARS]!r}")
+    else:
+        numbers.append(number)
 
 
 def parse_decimal(value: bytes) -> float | None:
     """Return a non-negative decimal number; None if the text is not one."""
-    return float(value) if DECIMAL_NUMBER.fullmatch(value) else None
+    text = value.strip()
+    return float(text) if DECIMAL_NUMBER.fullmatch(text) else None
+
+
+def parse_wait(value: bytes, wall_time: float) -> float | None:
+    """Return the seconds of a `Retry-After` header, which may also be a date.
+
+    Returns:
+        The seconds; 0 for a date in the past, None if the text is neither.
+    """
+    seconds = parse_decimal(value)
+    if seconds is not None:
+        return seconds
+    try:
+        date = parsedate_to_datetime(value.decode("ascii"))
+        return max(0.0, date.timestamp() - wall_time)
+    except (ValueError, TypeError, OverflowError):
+        return None
--- a/dewridge/tests/platform/signals_tests.py
+++ b/dewridge/tests/platform/signals_tests.py
@@ -6,9 +6,12 @@
 
 from dewridge.platform.signals import NO_SIGNALS, decode_signals
 
+NOW = 1_700_000_000.0
+NAMES = (b"server-limit", b"retry-after")
+
 
 def test_an_answer_without_signals_has_none() -> None:
-    assert decode_signals([(b"content-length", b"3")]) is NO_SIGNALS
+    assert decode_signals(200, [(b"content-length", b"3")], NOW) is NO_SIGNALS
 
 
 @pytest.mark.parametrize(
@@ -16,7 +19,7 @@
     [(b"1.7", 1.7), (b" 12 ", 12.0), (b"0", 0.0), (b"3.", 3.0), (b"9" * 15, 1e15 - 1)],
 )
 def test_limit_is_a_decimal_number(value: bytes, limit: float) -> None:
-    signals = decode_signals([(b"server-limit", value)])
+    signals = decode_signals(200, [(b"server-limit", value)], NOW)
     assert signals.limit == limit
     assert signals.faults == ()
 
@@ -26,7 +29,7 @@
     [b"", b"-1", b"+1", b"nan", b"inf", b"1e3", b"1,7", b"two", b"9" * 400, b"\xff"],
 )
 def test_unreadable_limit_is_reported_and_not_taken_for_none(value: bytes) -> None:
-    signals = decode_signals([(b"server-limit", value)])
+    signals = decode_signals(200, [(b"server-limit", value)], NOW)
     assert signals.limit is None
     assert signals.has_limit_header
     assert len(signals.faults) == 1
@@ -34,12 +37,46 @@
 
 def test_lowest_of_several_limits_counts() -> None:
     headers = [(b"server-limit", value) for value in (b"4", b"x", b"2.5")]
-    signals = decode_signals(headers)
+    signals = decode_signals(200, headers, NOW)
     assert signals.limit == 2.5
     assert len(signals.faults) == 1
 
 
 @given(st.lists(st.binary(max_size=30), max_size=3))
 def test_any_value_is_decoded(values: list[bytes]) -> None:
-    signals = decode_signals([(b"server-limit", value) for value in values])
+    signals = decode_signals(
+        503, [(name, value) for name in NAMES for value in values], NOW
+    )
     assert signals.limit is None or 0 <= signals.limit < 1e16
+    assert signals.rest is None or signals.rest >= 0
+
+
+@pytest.mark.parametrize(
+    ("value", "rest"),
+    [
+        (b"3", 3.0),
+        (b" 0.25 ", 0.25),
+        (b"0", 0.0),
+        (b"3600", 3600.0),
+        (b"Tue, 14 Nov 2023 22:13:50 GMT", 30.0),
+        (b"Tue, 14 Nov 2023 22:00:00 GMT", 0.0),
+    ],
+)
+def test_rest_is_a_number_of_seconds_or_a_date(value: bytes, rest: float) -> None:
+    assert decode_signals(503, [(b"retry-after", value)], NOW).rest == rest
+
+
+@pytest.mark.parametrize("value", [b"", b"-3", b"soon", b"nan", b"Tue, 45 Foo 1"])
+def test_unreadable_rest_is_reported(value: bytes) -> None:
+    signals = decode_signals(503, [(b"retry-after", value)], NOW)
+    assert signals.rest is None
+    assert len(signals.faults) == 1
+
+
+def test_rest_is_asked_for_by_rejections_only() -> None:
+    assert decode_signals(200, [(b"retry-after", b"3")], NOW) is NO_SIGNALS
+
+
+def test_longest_of_several_rests_counts() -> None:
+    headers = [(b"retry-after", value) for value in (b"1", b"4", b"x")]
+    assert decode_signals(503, headers, NOW).rest == 4.0
