Add a failing test of requests to servers that asked for rest

A gateway has three servers that answer 503 with Retry-After: 3 and three that serve, and sends twenty requests a second. Evidence: a resting server gets 13 requests from half a second after its answer to the end of the rest; two are allowed. The test also asks that no caller is refused.

--- a/dewridge/tests/gateway/pushback_tests.py
+++ b/dewridge/tests/gateway/pushback_tests.py
@@ -28,11 +28,13 @@
 from dewridge.policy.requestlimits import LimitNotice
 from dewridge.tests.gateway.world import (
     DOMAIN,
+    PLAIN,
     CallerAnswer,
     Script,
     ScriptedServer,
     ServerExchange,
     World,
+    answer_ok,
     open_world,
 )
 
@@ -317,3 +319,38 @@
     assert senders == {"forwarding.py", "moves.py"}
     for name in senders:
         assert "pushback.acquire(" in (folder / name).read_text()
+
+
+def ask_for_rest(value: bytes, arrivals: list[float]) -> Script:
+    """Return a script that turns all requests away and asks for rest."""
+
+    async def answer(exchange: ServerExchange) -> None:
+        arrivals.append(trio.current_time())
+        extra = b"X-Not-Executed: 1\r\nRetry-After: %s\r\n" % value
+        await exchange.answer(b"", 503, extra)
+
+    return answer
+
+
+def count_during_rest(arrivals: list[float], seconds: float) -> int:
+    """Return the most requests that came in any rest, but for its first half second."""
+    return max(
+        sum(begin + TOLD_AFTER <= at < begin + seconds for at in arrivals)
+        for begin in arrivals
+    )
+
+
+async def test_a_resting_server_gets_no_requests_while_others_have_room() -> None:
+    """Guards against servers that turn requests away, look idle and get still more."""
+    resting: list[list[float]] = [[], [], []]
+    async with AsyncExitStack() as stack:
+        fleet = await open_fleet(stack, 1)
+        for number, arrivals in enumerate(resting):
+            await fleet.add_server(f"s-{number}", ask_for_rest(b"3", arrivals))
+        for number in range(3):
+            await fleet.add_server(f"s-free-{number}", answer_ok)
+        fleet.worlds[0].state.get_budget(PLAIN).slack = 100
+        statuses = await fleet.send(fleet.worlds[0], seconds=3.0, rate=20.0)
+    assert all(arrivals for arrivals in resting)
+    assert max(count_during_rest(arrivals, 3.0) for arrivals in resting) <= 2
+    assert set(statuses) == {200}
