--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -82,7 +82,7 @@
             lost = await self._attempt(job, choice, continuation, responder)
             if lost is None:
                 return None
-            if lost.loss is LossReason.WITHHELD:
+            if lost.loss is LossReason.WITHHELD and continuation is None:
                 job.tried_servers.pop()
                 continue
             await self._losses.handle(job, server, lost)
--- a/dewridge/gateway/measures.py
+++ b/dewridge/gateway/measures.py
@@ -82,8 +82,11 @@
             "dependency_failures", caller.failures, dependency=caller.name
         )
     limits = state.pushback.list_limits(trio.current_time())
+    rests = state.pushback.list_rests(trio.current_time())
     for server in state.servers.list_all():
         metrics.set_gauge("server_limit", limits.get(server.id, 0.0), server=server.id)
+        rest = rests.get(server.id, 0.0)
+        metrics.set_gauge("server_rest_seconds", rest, server=server.id)
         in_flight = state.work_in_flight.requests.get(server.id, 0)
         metrics.set_gauge("server_in_flight", in_flight, server=server.id)
         share = state.get_health(server.id).failure_share
--- a/dewridge/gateway/moves.py
+++ b/dewridge/gateway/moves.py
@@ -3,6 +3,7 @@
 import trio
 from loguru import logger as log
 
+from dewridge.codes import ResultCode
 from dewridge.gateway.jobs import Continuation, Job
 from dewridge.gateway.model import ServerRecord
 from dewridge.gateway.state import GatewayState
@@ -50,7 +51,9 @@
 async def _request_move(
     state: GatewayState, job: Job, server: ServerRecord, target: ServerRecord
 ) -> CacheCopy | Failure:
-    state.pushback.acquire(server.id, trio.current_time(), is_essential=True)
+    now = trio.current_time()
+    if not state.pushback.acquire(server.id, now, is_essential=True):
+        return Failure(ResultCode.MOVE_FAILED, state.pushback.describe(server.id, now))
     return await stop_and_move(
         server.address,
         job.request.id,
--- a/dewridge/gateway/pushback.py
+++ b/dewridge/gateway/pushback.py
@@ -19,11 +19,13 @@
 from dewridge.policy.requestlimits import (
     LimitNotice,
     LimitPacer,
+    SendSlot,
     compute_share,
     find_later_send_time,
     rank_sender,
     select_notice,
 )
+from dewridge.policy.rests import RestTimer
 
 LOGGED_LIMIT_RATIO = 1.25
 """Ratio between a limit and the last one logged from which it is logged again. Servers
@@ -46,7 +48,7 @@
         own_notice: the newest notice of this host's own answers.
         logged_limit: limit in the last line of the log; None for no limit.
         is_fault_logged: whether a header that can't be read was logged.
-        rests_until: monotonic time until which it wants nothing from this host.
+        rest: the rest that it asked of this host.
         pacer: spaces this host's requests.
         rank: rank of this host among the senders, for a version of the list of hosts.
     """
@@ -56,7 +58,7 @@
     own_notice: LimitNotice | None = None
     logged_limit: float | None = None
     is_fault_logged: bool = False
-    rests_until: float = -math.inf
+    rest: RestTimer = field(default_factory=RestTimer)
     pacer: LimitPacer = field(default_factory=LimitPacer)
     rank: tuple[int, int | None] = (-1, None)
 
@@ -152,10 +154,8 @@
                 self._apply_own_notice(server, ended)
 
     def _apply_rest(self, server: BackendServerId, seconds: float, now: float) -> None:
-        known = self._get(server)
-        if now >= known.rests_until:
+        if self._get(server).rest.extend(seconds, now):
             log.bind(server=server, seconds=round(seconds, 2)).info("server rests")
-        known.rests_until = max(known.rests_until, now + seconds)
 
     def _apply_own_notice(self, server: BackendServerId, notice: LimitNotice) -> None:
         self._get(server).own_notice = notice
@@ -194,8 +194,12 @@
         Returns:
             A monotonic time; infinite if only other hosts may send to it.
         """
+        known = self._servers.get(server)
+        if known is None:
+            return now
         pacer = self._find_pacer(server, now)
-        return now if pacer is None else pacer.find_send_time(now)
+        send_at = now if pacer is None else pacer.find_send_time(now)
+        return max(send_at, known.rest.until)
 
     def find_later_send_time(
         self, servers: Iterable[BackendServerId], position: int, now: float
@@ -203,14 +207,16 @@
         """Return when one of several servers may get a request, behind others.
 
         Args:
-            servers: servers with a limit in force.
+            servers: servers that may get no request now.
             position: number of requests that wait before this one.
             now: monotonic time.
         """
-        pacers = [self._find_pacer(server, now) for server in servers]
-        return find_later_send_time(
-            [pacer for pacer in pacers if pacer is not None], position, now
-        )
+        slots = []
+        for server in servers:
+            pacer = self._find_pacer(server, now)
+            interval = 0.0 if pacer is None else pacer.share.interval
+            slots.append(SendSlot(self.find_send_time(server, now), interval))
+        return find_later_send_time(slots, position)
 
     def acquire(
         self, server: BackendServerId, now: float, *, is_essential: bool = False
@@ -221,14 +227,19 @@
             server: the server.
             now: monotonic time.
             is_essential: whether a running stream would be lost without the request.
-                It is sent in any case, and later ones wait longer for it.
+                It exceeds a limit, and later ones wait longer for it; a rest has room
+                for few of them.
         """
-        pacer = self._find_pacer(server, now)
-        if pacer is None:
+        known = self._servers.get(server)
+        if known is None:
             return True
-        if not is_essential and pacer.find_send_time(now) > now:
+        pacer = self._find_pacer(server, now)
+        if pacer is not None and not is_essential and pacer.find_send_time(now) > now:
             return False
-        pacer.record_sent(now)
+        if not known.rest.acquire(now, is_essential=is_essential):
+            return False
+        if pacer is not None:
+            pacer.record_sent(now)
         return True
 
     def _find_pacer(self, server: BackendServerId, now: float) -> LimitPacer | None:
@@ -248,8 +259,23 @@
     def is_withheld(self, server: BackendServerId, now: float) -> bool:
         """Whether a server asks for fewer requests than it would get."""
         known = self._servers.get(server)
-        notice = None if known is None else known.notice
-        return notice is not None and not notice.is_expired(now)
+        if known is None:
+            return False
+        has_limit = known.notice is not None and not known.notice.is_expired(now)
+        return has_limit or known.rest.is_resting(now)
+
+    def is_resting(self, server: BackendServerId, now: float) -> bool:
+        """Whether a server wants no requests from this host now."""
+        known = self._servers.get(server)
+        return known is not None and known.rest.is_resting(now)
+
+    def list_rests(self, now: float) -> dict[BackendServerId, float]:
+        """Return the seconds for which each resting server still rests."""
+        return {
+            server: known.rest.until - now
+            for server, known in self._servers.items()
+            if known.rest.is_resting(now)
+        }
 
     def list_own_notices(self) -> dict[BackendServerId, LimitNotice]:
         """Return the newest notice of this host's own answers, by server."""
@@ -270,7 +296,11 @@
     def describe(self, server: BackendServerId, now: float) -> str:
         """Return what withholds requests from a server, for logs; empty if nothing."""
         known = self._servers.get(server)
-        if known is None or known.notice is None or known.notice.is_expired(now):
+        if known is None:
+            return ""
+        if known.rest.is_resting(now):
+            return f"asked this host for rest, {known.rest.until - now:.1f} s left"
+        if known.notice is None or known.notice.is_expired(now):
             return ""
         notice = known.notice
         verb = "ended" if notice.has_ended else "named"
--- a/dewridge/gateway/weighing.py
+++ b/dewridge/gateway/weighing.py
@@ -228,7 +228,10 @@
     records = [
         record for record in state.list_serving(job.service) if record.id != source
     ]
-    records = list_open(state, records, now) or records
+    # A stream that is not moved is lost, so that it may exceed a limit.
+    records = list_open(state, records, now) or [
+        record for record in records if not state.pushback.is_resting(record.id, now)
+    ]
     candidates = list_candidates(state, records, now)
     with_free_slots = [
         candidate
--- a/dewridge/policy/requestlimits.py
+++ b/dewridge/policy/requestlimits.py
@@ -8,8 +8,9 @@
 
 import heapq
 import math
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 from dataclasses import dataclass
+from typing import NamedTuple
 
 import xxhash
 
@@ -213,22 +214,26 @@
         self.full_at = max(now, self.full_at) + self.share.interval
 
 
-def find_later_send_time(
-    pacers: Iterable[LimitPacer], position: int, now: float
-) -> float:
+class SendSlot(NamedTuple):
+    """When a server may get a request, and the seconds until the next one."""
+
+    send_at: float
+    interval: float
+
+
+def find_later_send_time(slots: list[SendSlot], position: int) -> float:
     """Return when a request can be sent that has others waiting before it.
 
     Args:
-        pacers: pacers of the servers that may get it.
+        slots: the next slot of each server that may get it.
         position: number of requests that wait before it.
-        now: monotonic time.
 
     Returns:
         The earliest time; infinite if this host may send to none of the servers.
     """
-    times = [(pacer.find_send_time(now), pacer.share.interval) for pacer in pacers]
-    heapq.heapify(times)
-    for _ in range(position if times else 0):
-        send_at, interval = times[0]
-        heapq.heapreplace(times, (send_at + interval, interval))
-    return times[0][0] if times else math.inf
+    heap = list(slots)
+    heapq.heapify(heap)
+    for _ in range(position if heap else 0):
+        send_at, interval = heap[0]
+        heapq.heapreplace(heap, SendSlot(send_at + interval, interval))
+    return heap[0].send_at if heap else math.inf
--- a/dewridge/tests/policy/requestlimits_tests.py
+++ b/dewridge/tests/policy/requestlimits_tests.py
@@ -16,6 +16,7 @@
     WINDOW,
     LimitNotice,
     LimitPacer,
+    SendSlot,
     compute_share,
     count_senders,
     find_later_send_time,
@@ -229,11 +230,7 @@
 
 
 def test_waiting_requests_get_times_one_after_the_other() -> None:
-    pacers = [LimitPacer(), LimitPacer()]
-    for pacer, begin in zip(pacers, (0.2, 0.5), strict=True):
-        pacer.set_share(compute_share(LimitNotice(2.0, 0.0), 0, 1, 0.0), 0.0, 0.0)
-        pacer.full_at = begin + (pacer.share.burst - 1) * pacer.share.interval
-    times = [find_later_send_time(pacers, position, 0.0) for position in range(4)]
-    interval = pacers[0].share.interval
-    assert times == pytest.approx([0.2, 0.5, 0.2 + interval, 0.5 + interval])
-    assert find_later_send_time([], 3, 0.0) == math.inf
+    slots = [SendSlot(0.2, 0.4), SendSlot(0.5, 1.0)]
+    times = [find_later_send_time(slots, position) for position in range(4)]
+    assert times == pytest.approx([0.2, 0.5, 0.6, 1.0])
+    assert find_later_send_time([], 3) == math.inf
