Stop using a server as soon as its answer says that it leaves

Cause: the header was not read; the class of fault is that of the limit and the rest. Change: such an answer drops the server process, which tells the other hosts by the urgent message for departures that exists already. The table of pushback withholds requests that were assigned before, but for those that save a running stream. The first record that says when the server stops replaces the assumed time and moves its streams; other hosts' reports do so only if they are earlier.

--- a/dewridge/gateway/pushback.py
+++ b/dewridge/gateway/pushback.py
@@ -12,6 +12,7 @@
 import trio
 from loguru import logger as log
 
+from dewridge.gateway.servers import ServerTable
 from dewridge.http1.client import Headers
 from dewridge.ids import BackendServerId, HostId
 from dewridge.metrics.registry import Metrics
@@ -103,6 +104,7 @@
         local_host: HostId,
         list_hosts: Callable[[], Iterable[HostId]],
         draw_random: Callable[[], float],
+        servers: ServerTable,
         metrics: Metrics,
     ) -> None:
         """Create a table without servers.
@@ -112,11 +114,13 @@
             list_hosts: returns all entry hosts, including this one; none while they
                 are not known.
             draw_random: returns a random number from 0 up to 1.
+            servers: table of the servers; leaving ones are dropped from it.
             metrics: counts the signals.
         """
         self._local_host = local_host
         self._senders = _SenderHosts(list_hosts)
         self._draw_random = draw_random
+        self._table = servers
         self._metrics = metrics
         self._servers: dict[BackendServerId, _ServerPushback] = {}
 
@@ -144,6 +148,9 @@
         if signals.rest is not None:
             self._metrics.add("answers_with_pushback_total", signal="rest")
             self._apply_rest(server, signals.rest, now)
+        if signals.is_leaving:
+            self._metrics.add("answers_with_pushback_total", signal="leaving")
+            self._table.drop(server, now, "its answer says so")
         if signals.limit is not None:
             self._metrics.add("answers_with_pushback_total", signal="limit")
             self._apply_own_notice(server, LimitNotice(signals.limit, now))
@@ -230,6 +237,8 @@
                 It exceeds a limit, and later ones wait longer for it; a rest has room
                 for few of them.
         """
+        if not is_essential and self._table.find_departure(server) is not None:
+            return False
         known = self._servers.get(server)
         if known is None:
             return True
--- a/dewridge/gateway/servers.py
+++ b/dewridge/gateway/servers.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from loguru import logger as log
 
@@ -25,6 +25,9 @@
 know within 2 s, and single reports get lost."""
 DEFAULT_NOTICE = 2.0
 """Seconds for which a leaving server is assumed to keep serving if it gives no time."""
+MIN_NOTICE_CHANGE = 0.2
+"""Seconds by which two times of one departure may differ because of the delay of
+reports."""
 MAX_MISSING_TIME = 3.0
 """Seconds for which a server may be missing from lists that may be stale; after that,
 the current list has to be read. Hosts that read the store report real departures much
@@ -48,10 +51,14 @@
     Attributes:
         learned_at: when this host learned of it.
         stops_at: when the process stops serving, as far as is known.
+        is_notice_known: whether the server itself gave that time in its record.
+        record: the last record of the process; None if it had none.
     """
 
     learned_at: float
     stops_at: float
+    is_notice_known: bool
+    record: ServerRecord | None
 
 
 class ServerTable:
@@ -59,7 +66,8 @@
 
     Attributes:
         on_left: called for each process that leaves, with its record, the time at which
-            it stops, and whether another host reported the departure.
+            it stops, and whether the other hosts know it already; called again if that
+            time turns out to be another.
         drained_at: when a reclaimable server last began to drain, by service and
             failure domain.
         version: number of changes to the table.
@@ -129,6 +137,8 @@
         Requests, caches and counters of the earlier process do not carry over.
         """
         if record.is_draining:
+            if record.leaves_in is not None:
+                self._refine_notice(record.id, now, record.leaves_in, is_known=True)
             # Applies also if another host reported the departure: such a report does
             # not say whether the server drains.
             self._record_draining(record, now)
@@ -178,10 +188,14 @@
             is_reported: whether another host reported the departure.
         """
         if server in self._departures:
+            if is_reported and leaves_in is not None:
+                self._refine_notice(server, now, leaves_in, is_known=False)
             return
         notice = DEFAULT_NOTICE if leaves_in is None else leaves_in
-        departure = self._departures[server] = Departure(now, now + notice)
         record = self._records.pop(server, None)
+        is_notice_known = leaves_in is not None and not is_reported
+        departure = Departure(now, now + notice, is_notice_known, record)
+        self._departures[server] = departure
         self._joined_at.pop(server, None)
         if record is not None:
             log.bind(server=server, reason=reason, leaves_in=round(notice, 2)).info(
@@ -192,6 +206,28 @@
         if len(self._departures) > 1000:
             self._drop_expired(now)
 
+    def _refine_notice(
+        self, server: BackendServerId, now: float, leaves_in: float, *, is_known: bool
+    ) -> None:
+        """Replace the assumed time at which a departed server stops.
+
+        The first sign of a departure may not say when the server stops. Streams would
+        then be moved at the assumed time, which may be too late. Another host's report
+        may repeat an assumption and is used only if it is earlier.
+        """
+        departure = self._departures.get(server)
+        if departure is None or departure.is_notice_known:
+            return
+        stops_at = now + leaves_in
+        if not is_known and stops_at > departure.stops_at - MIN_NOTICE_CHANGE:
+            return
+        self._departures[server] = replace(
+            departure, stops_at=stops_at, is_notice_known=is_known
+        )
+        is_news = is_known and abs(stops_at - departure.stops_at) > MIN_NOTICE_CHANGE
+        if departure.record is not None:
+            self.on_left(departure.record, stops_at, not is_news)
+
     def find_departure(self, server: BackendServerId) -> Departure | None:
         """Return the departure of a server process; None if it has not left."""
         return self._departures.get(server)
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -159,7 +159,11 @@
     def __post_init__(self) -> None:
         """Create the table of pushback, which uses other parts of the state."""
         self.pushback = PushbackTable(
-            self.host, self.list_sender_hosts, self.rng.random, self.metrics
+            self.host,
+            self.list_sender_hosts,
+            self.rng.random,
+            self.servers,
+            self.metrics,
         )
 
     def apply_settings(self, settings: GatewaySettings) -> None:
--- a/dewridge/platform/signals.py
+++ b/dewridge/platform/signals.py
@@ -9,6 +9,7 @@
 
 DECIMAL_NUMBER = re.compile(rb"[0-9]{1,15}(\.[0-9]{0,15})?")
 """A number without a sign, an exponent or a name for infinity."""
+LEAVING_VALUES = {b"1": True, b"0": False}
 REST_STATUSES = frozenset({429, 503})
 """Statuses with which `Retry-After` says for how long the sender should pause."""
 MAX_LOGGED_CHARS = 40
@@ -25,12 +26,14 @@
             does not show that an earlier limit has ended.
         rest: seconds for which the server wants no requests from this host; None if it
             does not ask for that.
+        is_leaving: whether the server leaves.
         faults: descriptions of headers that can't be read.
     """
 
     limit: float | None = None
     has_limit_header: bool = False
     rest: float | None = None
+    is_leaving: bool = False
     faults: tuple[str, ...] = ()
 
 
@@ -51,19 +54,25 @@
     faults: list[str] = []
     limits: list[float] = []
     rests: list[float] = []
-    has_limit_header = False
+    has_limit_header = is_leaving = False
     for name, value in headers:
         if name == names.SERVER_LIMIT:
             has_limit_header = True
             _collect(parse_decimal(value), name, value, limits, faults)
+        elif name == names.SERVER_LEAVING:
+            if value.strip() in LEAVING_VALUES:
+                is_leaving |= LEAVING_VALUES[value.strip()]
+            else:
+                faults.append(_describe_fault(name, value))
         elif name == b"retry-after" and status in REST_STATUSES:
             _collect(parse_wait(value, wall_time), name, value, rests, faults)
-    if not has_limit_header and not rests and not faults:
+    if not (has_limit_header or rests or is_leaving or faults):
         return NO_SIGNALS
     return ServerSignals(
         min(limits, default=None),
         has_limit_header,
         max(rests, default=None),
+        is_leaving,
         tuple(faults),
     )
 
@@ -76,11 +85,15 @@
     faults: list[str],
 ) -> None:
     if number is None:
-        faults.append(f"{name.decode()}: {value[:MAX_LOGGED_CHARS]!r}")
+        faults.append(_describe_fault(name, value))
     else:
         numbers.append(number)
 
 
+def _describe_fault(name: bytes, value: bytes) -> str:
+    return f"{name.decode()}: {value[:MAX_LOGGED_CHARS]!r}"
+
+
 def parse_decimal(value: bytes) -> float | None:
     """Return a non-negative decimal number; None if the text is not one."""
     text = value.strip()
--- a/dewridge/tests/gateway/pushback_tests.py
+++ b/dewridge/tests/gateway/pushback_tests.py
@@ -433,3 +433,67 @@
     assert [memory for memory in runs if not memory] == [b""]
     assert len(runs) <= 3
     assert not answers[0].is_complete
+
+
+async def say_goodbye(exchange: ServerExchange) -> None:
+    """Answer as a server that leaves."""
+    await exchange.answer(extra=b"Server-Leaving: 1\r\n")
+
+
+async def test_a_server_that_says_that_it_leaves_gets_no_new_requests() -> None:
+    """Guards against new work for a server whose departure the store reports later."""
+    async with open_single_host() as world:
+        leaving = await world.add_server("s-leaving", say_goodbye)
+        while not leaving.received:
+            await world.request("/read/a", request_id="first")
+        await world.add_server("s-2", answer_ok)
+        answers = await send_together(world, 10, "/read/a")
+        record = world.state.servers.find(leaving.id)
+    assert {answer.status for answer in answers} == {200}
+    assert len(leaving.received) == 1
+    assert record is None
+
+
+async def test_hosts_are_told_of_a_server_that_says_that_it_leaves() -> None:
+    left: list[tuple[BackendServerId, bool]] = []
+    async with open_single_host() as world:
+        world.state.servers.on_left = lambda record, stops_at, is_reported: left.append(
+            (record.id, is_reported)
+        )
+        server = await world.add_server("s-1", say_goodbye)
+        await world.request("/read/a")
+        report = world.state.make_report(1)
+    assert left == [(server.id, False)]
+    assert set(report.departing_servers) == {server.id}
+
+
+async def test_a_request_that_waited_is_not_sent_to_a_server_that_left() -> None:
+    """Guards against requests that were assigned to a server before it said so."""
+    async with open_single_host() as world:
+        server = await world.add_server("s-1", answer_ok)
+        now = trio.current_time()
+        assert world.state.pushback.acquire(server.id, now)
+        world.state.servers.drop(server.id, now, "it leaves")
+        assert not world.state.pushback.acquire(server.id, now)
+        assert world.state.pushback.acquire(server.id, now, is_essential=True)
+
+
+async def test_notice_in_the_store_replaces_the_assumed_one() -> None:
+    """Guards against streams that are moved too late off a server that says it leaves.
+
+    Its answers do not say when it stops; its record in the store does, a moment later.
+    """
+    async with open_single_host() as world:
+        server = await world.add_server("s-1", say_goodbye, ENGINE)
+        servers = world.state.servers
+        record = servers.find(server.id)
+        assert record is not None
+        stops: list[float] = []
+        servers.on_left = lambda record, stops_at, is_reported: stops.append(stops_at)
+        servers.drop(server.id, 100.0, "it says so")
+        for now in (100.5, 101.0):
+            servers.update(replace(record, is_draining=True, leaves_in=0.8), now)
+        departure = servers.find_departure(server.id)
+    assert departure is not None
+    assert departure.stops_at == pytest.approx(101.3)
+    assert stops == pytest.approx([102.0, 101.3])
--- a/dewridge/tests/platform/signals_tests.py
+++ b/dewridge/tests/platform/signals_tests.py
@@ -7,7 +7,7 @@
 from dewridge.platform.signals import NO_SIGNALS, decode_signals
 
 NOW = 1_700_000_000.0
-NAMES = (b"server-limit", b"retry-after")
+NAMES = (b"server-limit", b"retry-after", b"server-leaving")
 
 
 def test_an_answer_without_signals_has_none() -> None:
@@ -80,3 +80,16 @@
 def test_longest_of_several_rests_counts() -> None:
     headers = [(b"retry-after", value) for value in (b"1", b"4", b"x")]
     assert decode_signals(503, headers, NOW).rest == 4.0
+
+
+@pytest.mark.parametrize(("value", "is_leaving"), [(b"1", True), (b"0", False)])
+def test_leaving_is_said_by_one(value: bytes, is_leaving: bool) -> None:
+    signals = decode_signals(200, [(b"server-leaving", value)], NOW)
+    assert signals.is_leaving is is_leaving
+    assert signals.faults == ()
+
+
+def test_unreadable_leaving_is_reported() -> None:
+    signals = decode_signals(200, [(b"server-leaving", b"soon")], NOW)
+    assert not signals.is_leaving
+    assert len(signals.faults) == 1
