Let servers of the fault soak ask for fewer requests, and check that hosts heed them

They use a generator of their own, so that a seed's faults stay as they were. Faults of the store alone excuse nobody.

--- a/dewridge/tests/gateway/world.py
+++ b/dewridge/tests/gateway/world.py
@@ -159,6 +159,8 @@
     target: bytes
     headers: dict[bytes, bytes]
     body: bytes
+    signals: bytes = b""
+    """Header lines that are added to each answer."""
 
     async def send(self, data: bytes) -> None:
         """Send raw bytes."""
@@ -172,8 +174,8 @@
         """Return an answer's head with the headers that identify request and server."""
         request = self.headers.get(b"x-attempt-id", b"")
         return (
-            b"HTTP/1.1 %d x\r\nX-Attempt-Id: %s\r\nX-Server-Seal: seal-%s\r\n%s\r\n"
-            % (status, request, self.server.encode(), extra)
+            b"HTTP/1.1 %d x\r\nX-Attempt-Id: %s\r\nX-Server-Seal: seal-%s\r\n%s%s\r\n"
+            % (status, request, self.server.encode(), self.signals, extra)
         )
 
     async def answer(
--- a/dewridge/tests/soak/__main__.py
+++ b/dewridge/tests/soak/__main__.py
@@ -21,12 +21,21 @@
     crashing: Annotated[
         int, typer.Option(help="Requests that end servers, sent again and again.")
     ] = 1,
+    signals: Annotated[
+        int, typer.Option(help="Times that a server asks for fewer requests.")
+    ] = 4,
     kept: Annotated[bool, typer.Option(help="The seeds that once failed.")] = False,
     folder: Annotated[Path, typer.Option(help="For logs.")] = Path("build/soak"),
 ) -> None:
     """Run seeds one after the other; exit with status 1 if a check failed."""
     first = seed or random.SystemRandom().randrange(1, 1_000_000)
-    size = SoakSize(hosts=hosts, callers=callers, seconds=seconds, crashing=crashing)
+    size = SoakSize(
+        hosts=hosts,
+        callers=callers,
+        seconds=seconds,
+        signals=signals,
+        crashing=crashing,
+    )
     planned_runs = [(run_seed, size) for run_seed in range(first, first + runs)]
     if kept:
         planned_runs = [(kept_seed.seed, kept_seed.size) for kept_seed in KEPT]
--- a/dewridge/tests/soak/checks.py
+++ b/dewridge/tests/soak/checks.py
@@ -4,6 +4,7 @@
 
 from dewridge.codes import ResultCode
 from dewridge.tests.soak.records import Execution, History, SentRequest
+from dewridge.tests.soak.signalchecks import check_signals
 
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 """Status codes that guarantee that the request was not executed."""
@@ -47,6 +48,7 @@
         *check_quotas(history, quotas),
         *check_recovery(history),
         *check_crashing_requests(history),
+        *check_signals(history),
     ]
 
 
@@ -308,6 +310,8 @@
         counts[f"{request.status}{suffix}"] += 1
         if request.body.startswith(QUARANTINED_CODE):
             counts["set aside" if request.crashes_servers else "set aside wrongly"] += 1
+    for answer in history.signal_answers:
+        counts[f"answers with {answer.signal.value}"] += 1
     if history.crashes:
         counts["servers ended"] = len(history.crashes)
     return dict(sorted(counts.items()))
--- a/dewridge/tests/soak/checks_tests.py
+++ b/dewridge/tests/soak/checks_tests.py
@@ -13,6 +13,8 @@
     History,
     RequestKind,
     SentRequest,
+    Signal,
+    SignalAnswer,
 )
 
 QUOTAS = {"account-a": 500.0}
@@ -135,6 +137,38 @@
         history.arrivals.append(Execution(request_id, "s-9", "account-a", 13.1))
 
 
+def add_arrivals(history: History, times: list[float]) -> None:
+    """Let requests of one host reach a server at given times."""
+    for number, at in enumerate(times):
+        request_id = f"p-{number}"
+        history.requests[request_id] = SentRequest(
+            request_id, RequestKind.READ, "host-1", "key-1", 0, at, at
+        )
+        history.server_arrivals.append(Execution(request_id, "s-1", "", at))
+
+
+def answer_with(history: History, signal: Signal, value: float, at: float) -> None:
+    """Let a server send a signal to one host."""
+    answer = SignalAnswer(signal, "s-1", "host-1", value, at)
+    history.signal_answers.append(answer)
+
+
+def exceed_server_limit(history: History) -> None:
+    for at in (10.0, 30.0):
+        answer_with(history, Signal.LIMIT, 1.0, at)
+    add_arrivals(history, [20.0 + number * 0.3 for number in range(12)])
+
+
+def send_to_resting_server(history: History) -> None:
+    answer_with(history, Signal.REST, 3.0, 10.0)
+    add_arrivals(history, [10.2, 10.6, 11.0, 12.9])
+
+
+def send_after_goodbye(history: History) -> None:
+    answer_with(history, Signal.LEAVING, 1.0, 10.0)
+    add_arrivals(history, [12.1])
+
+
 VIOLATIONS = (
     forge_success,
     return_other_response,
@@ -153,6 +187,9 @@
     exceed_quota,
     fail_after_recovery,
     keep_sending_crashing_request,
+    exceed_server_limit,
+    send_to_resting_server,
+    send_after_goodbye,
 )
 
 
@@ -181,3 +218,24 @@
     for execution in history.arrivals:
         history.executions.append(execution)
     assert check_all(history, QUOTAS) == []
+
+
+def test_signals_that_hosts_heed_in_time_are_no_violations() -> None:
+    history = make_history()
+    for at in (10.0, 30.0):
+        answer_with(history, Signal.LIMIT, 1.0, at)
+    answer_with(history, Signal.REST, 3.0, 40.0)
+    answer_with(history, Signal.LEAVING, 1.0, 50.0)
+    times = [20.0 + number * 0.4 for number in range(11)]
+    add_arrivals(history, [*times, 40.3, 40.6, 42.0, 43.0, 51.9])
+    assert check_all(history, QUOTAS) == []
+
+
+@pytest.mark.parametrize(
+    "violate", [exceed_server_limit, send_to_resting_server, send_after_goodbye]
+)
+def test_restarted_host_is_excused(violate: Callable[[History], None]) -> None:
+    history = make_history()
+    violate(history)
+    history.disturbances.append(Disturbance("host-1", 11.0, 13.0, is_planned=True))
+    assert check_all(history, QUOTAS) == []
--- a/dewridge/tests/soak/faults.py
+++ b/dewridge/tests/soak/faults.py
@@ -76,7 +76,7 @@
 async def disturb_store(environment: SoakEnvironment, seconds: float) -> None:
     """Disturb the links of all gateways to the store in the same way."""
     mode = environment.rng.choice([Mode.SILENT, Mode.RESET, Mode.SLOW, Mode.LOST_OPEN])
-    environment.record_disturbance("", seconds)
+    environment.record_disturbance("", seconds, affects_store_only=True)
     await _disturb_links(
         [gateway.link for gateway in environment.gateways], mode, seconds
     )
@@ -92,7 +92,7 @@
 
 async def lose_answers(environment: SoakEnvironment, seconds: float) -> None:
     """Make the store execute changes without responding to them."""
-    environment.record_disturbance("", seconds)
+    environment.record_disturbance("", seconds, affects_store_only=True)
     environment.store.drops_responses = True
     await trio.sleep(seconds)
     environment.store.drops_responses = False
@@ -100,7 +100,7 @@
 
 async def compact(environment: SoakEnvironment, seconds: float) -> None:
     """Compact the history of the store right after a configuration change."""
-    environment.record_disturbance("", 0.5)
+    environment.record_disturbance("", 0.5, affects_store_only=True)
     environment.write_configuration()
     environment.store.compact()
 
--- a/dewridge/tests/soak/records.py
+++ b/dewridge/tests/soak/records.py
@@ -104,7 +104,8 @@
 class Disturbance:
     """A period in which a fault was active; `host` is empty for all hosts.
 
-    `affects_servers_only` means that hosts still reach the store and each other.
+    `affects_servers_only` means that hosts still reach the store and each other, and
+    `affects_store_only` that they reach servers and each other.
     """
 
     host: str
@@ -112,6 +113,34 @@
     end: float
     is_planned: bool = False
     affects_servers_only: bool = False
+    affects_store_only: bool = False
+
+
+class Signal(Enum):
+    """Signals by which a server asks for fewer requests."""
+
+    LIMIT = "limit"
+    REST = "rest"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True)
+class SignalAnswer:
+    """An answer with a signal that a server sent to a host.
+
+    Attributes:
+        signal: the signal.
+        server: server that sent it.
+        host: entry host that got it.
+        value: requests per second of a limit, seconds of a rest.
+        at: monotonic time in seconds.
+    """
+
+    signal: Signal
+    server: str
+    host: str
+    value: float
+    at: float
 
 
 @dataclass
@@ -128,6 +157,8 @@
         key_revoked_at: when the store acknowledged the removal of a key.
         server_departing_at: when the store acknowledged that a server is draining.
         last_fault_end: end of the last fault.
+        signal_answers: answers of servers that asked for fewer requests.
+        server_arrivals: requests that reached servers that ever did, executed or not.
         end: end of the observed period; later interruptions are ignored.
     """
 
@@ -139,6 +170,8 @@
     disturbances: list[Disturbance] = field(default_factory=list)
     key_revoked_at: dict[str, float] = field(default_factory=dict)
     server_departing_at: dict[str, float] = field(default_factory=dict)
+    signal_answers: list[SignalAnswer] = field(default_factory=list)
+    server_arrivals: list[Execution] = field(default_factory=list)
     last_fault_end: float = 0.0
     end: float = 0.0
 
--- a/dewridge/tests/soak/runs.py
+++ b/dewridge/tests/soak/runs.py
@@ -11,8 +11,9 @@
 from dewridge.tests.soak.callers import Caller
 from dewridge.tests.soak.checks import RECOVERY_SECONDS, check_all, count_outcomes
 from dewridge.tests.soak.crashing import CrashingCaller
-from dewridge.tests.soak.faults import draw_faults, inject_faults
+from dewridge.tests.soak.faults import Fault, draw_faults, inject_faults
 from dewridge.tests.soak.records import RequestKind
+from dewridge.tests.soak.signals import send_signals
 from dewridge.tests.soak.stage import QUOTAS, SoakEnvironment
 
 WARM_UP_SECONDS = 4.0
@@ -31,6 +32,8 @@
     servers: int = 6
     callers: int = 12
     seconds: float = 20.0
+    signals: int = 0
+    """Number of times that a server asks for fewer requests."""
     crashing: int = 0
     """Number of requests that crash each server that begins to execute them."""
 
@@ -78,7 +81,9 @@
             await trio.sleep(WARM_UP_SECONDS)
             start_callers(environment, size)
             start_crashing_callers(environment, size, random.Random(f"crashing {seed}"))
-            await inject_faults(environment, faults)
+            await inject_all(
+                environment, faults, size, random.Random(f"signals {seed}")
+            )
             await trio.sleep(FAULT_FREE_SECONDS)
             environment.history.end = time.monotonic()
             await trio.sleep(0.5)
@@ -95,6 +100,26 @@
     )
 
 
+async def inject_all(
+    environment: SoakEnvironment,
+    faults: list[Fault],
+    size: SoakSize,
+    rng: random.Random,
+) -> None:
+    """Inject the faults, and beside them the signals of servers.
+
+    The signals use a separate random generator, so that a seed gives the same faults
+    with and without them.
+    """
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(inject_faults, environment, faults)
+        for _ in range(size.signals):
+            at = rng.uniform(0, size.seconds)
+            nursery.start_soon(
+                send_signals, environment, at, random.Random(rng.random())
+            )
+
+
 def start_callers(environment: SoakEnvironment, size: SoakSize) -> None:
     """Start the callers."""
     host_by_address = {
--- a/dewridge/tests/soak/servers.py
+++ b/dewridge/tests/soak/servers.py
@@ -12,7 +12,13 @@
 from dewridge.tests.gateway.memorystore import MemoryStore
 from dewridge.tests.gateway.world import ScriptedServer, ServerExchange
 from dewridge.tests.soak.links import Link
-from dewridge.tests.soak.records import Crash, Execution, History
+from dewridge.tests.soak.records import (
+    Crash,
+    Execution,
+    History,
+    Signal,
+    SignalAnswer,
+)
 
 CRASH_BODY_PREFIX = b"crash "
 """Prefix of a request body that crashes each server that begins to execute it."""
@@ -26,6 +32,14 @@
 """Events of a stream, which takes half a second, so that faults hit many streams."""
 
 
+SIGNAL_HEADERS = {
+    Signal.LIMIT: b"Server-Limit: %.2f\r\n",
+    Signal.REST: b"Retry-After: %.2f\r\n",
+    Signal.LEAVING: b"Server-Leaving: %d\r\n",
+}
+"""Header line of each signal."""
+
+
 class Mood(Enum):
     """How a server responds."""
 
@@ -53,6 +67,8 @@
         is_registered: whether it has a record in the store.
         link: proxy in front of it.
         on_crash: called when it crashes under a request.
+        signals: signals in its answers, with their values.
+        has_signalled: whether it ever had signals.
     """
 
     id: str
@@ -63,6 +79,8 @@
     is_registered: bool = True
     link: Link = field(default_factory=lambda: Link(""))
     on_crash: Callable[["SoakServer"], None] = lambda server: None
+    signals: dict[Signal, float] = field(default_factory=dict)
+    has_signalled: bool = False
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start the server and its link."""
@@ -93,6 +111,9 @@
         if expected != self.id:
             await exchange.answer(b"", 421)
             return
+        if self.has_signalled and self._add_signals(exchange):
+            await exchange.answer(b"", 503, b"X-Not-Executed: 1\r\n")
+            return
         if self.mood is Mood.FULL:
             await exchange.answer(b"", 503, b"X-Not-Executed: 1\r\n")
             return
@@ -113,6 +134,21 @@
         else:
             await self._send_plain_response(exchange, request_id.encode())
 
+    def _add_signals(self, exchange: ServerExchange) -> bool:
+        """Add the signals to the answer; return whether the request is rejected."""
+        request_id = exchange.headers.get(b"x-attempt-id", b"").decode()
+        request = self.history.requests.get(request_id)
+        if request is None:
+            return False
+        now = time.monotonic()
+        self.history.server_arrivals.append(Execution(request_id, self.id, "", now))
+        for signal, value in self.signals.items():
+            exchange.signals += SIGNAL_HEADERS[signal] % value
+            self.history.signal_answers.append(
+                SignalAnswer(signal, self.id, request.host, value, now)
+            )
+        return Signal.REST in self.signals
+
     async def _crash(self, request_id: str) -> None:
         await trio.sleep(CRASH_DELAY)
         content = self.history.requests[request_id].content
--- a/dewridge/tests/soak/soak_tests.py
+++ b/dewridge/tests/soak/soak_tests.py
@@ -12,6 +12,7 @@
 
 
 CRASHING_SEED = 29
+SIGNALS_SEED = 4000
 
 
 @pytest.mark.timeout(90)
@@ -35,3 +36,13 @@
     result = await run_soak(RANDOM_FAULTS_SEED, size, tmp_path)
     assert result.violations == []
     assert result.outcomes.get("200", 0) > 100
+
+
+@pytest.mark.timeout(90)
+async def test_servers_that_ask_for_fewer_requests_are_heeded(tmp_path: Path) -> None:
+    """Limits, rests and departures in answers are kept while hosts come and go."""
+    size = SoakSize(hosts=4, servers=8, callers=10, seconds=FAULT_SECONDS, signals=6)
+    result = await run_soak(SIGNALS_SEED, size, tmp_path)
+    assert result.violations == []
+    assert result.outcomes["answers with limit"] > 0
+    assert result.outcomes["answers with rest"] > 0
--- a/dewridge/tests/soak/stage.py
+++ b/dewridge/tests/soak/stage.py
@@ -298,11 +298,17 @@
         *,
         is_planned: bool = False,
         affects_servers_only: bool = False,
+        affects_store_only: bool = False,
     ) -> None:
         """Record that a fault is active from now on, for `seconds`."""
         now = time.monotonic()
         disturbance = Disturbance(
-            host, now, now + seconds, is_planned, affects_servers_only
+            host,
+            now,
+            now + seconds,
+            is_planned,
+            affects_servers_only,
+            affects_store_only,
         )
         self.history.disturbances.append(disturbance)
         self.history.last_fault_end = max(self.history.last_fault_end, disturbance.end)
