Forget the pushback of servers once it no longer applies

Cause: an entry stayed for each server that ever asked for fewer requests, so that each request on a fleet that is well looked at all servers. Dropped right after the ramp, the end of a limit would come back: hosts report their answers for 8 s, and the ramp takes 6. Change: entries go 15 s after a limit has ended, and once a rest is over; without entries a request looks at no server for them. Evidence: the new test of a late report fails if the end is dropped with the ramp.

--- a/dewridge/gateway/pushback.py
+++ b/dewridge/gateway/pushback.py
@@ -35,6 +35,9 @@
 """Seconds for which limits are still divided among hosts that are no longer listed. A
 list may lack hosts that still send: after a restore of the store, or while they can't
 renew their leases."""
+NOTICE_RETENTION = 15.0
+"""Seconds for which the end of a limit is remembered. Reports of other hosts may still
+repeat the limit for some seconds, and would bring it back."""
 HOSTS_POLL_INTERVAL = 0.25
 """Seconds between two readings of the list of hosts."""
 
@@ -286,6 +289,11 @@
             if known.rest.is_resting(now)
         }
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no server asks for anything."""
+        return not self._servers
+
     def list_own_notices(self) -> dict[BackendServerId, LimitNotice]:
         """Return the newest notice of this host's own answers, by server."""
         return {
@@ -318,15 +326,24 @@
             f" to {known.source}"
         )
 
-    def retain(self, servers: set[BackendServerId]) -> None:
-        """Drop what is known of all other servers."""
+    def drop_expired(self, servers: set[BackendServerId], now: float) -> None:
+        """Drop what no longer applies, and what is known of all other servers."""
         self._servers = {
             server: known
             for server, known in self._servers.items()
-            if server in servers
+            if server in servers and (known.is_fault_logged or _is_in_use(known, now))
         }
 
 
+def _is_in_use(known: _ServerPushback, now: float) -> bool:
+    notice = known.notice
+    if known.rest.is_resting(now):
+        return True
+    if notice is None:
+        return False
+    return not notice.has_ended or now - notice.observed_at < NOTICE_RETENTION
+
+
 def _is_similar(limit: float | None, logged: float | None) -> bool:
     if limit is None or logged is None:
         return limit is logged
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -323,8 +323,11 @@
         for server in departed:
             del self.health[server]
             self.metrics.remove_histogram(SERVER_ANSWER_TIME_METRIC, server=server)
-        self.pushback.retain({record.id for record in self.servers.list_all()})
-        self.suspects.drop_expired(trio.current_time())
+        now = trio.current_time()
+        self.pushback.drop_expired(
+            {record.id for record in self.servers.list_all()}, now
+        )
+        self.suspects.drop_expired(now)
         self.observed_crashes = {
             digest for digest in self.observed_crashes if self.suspects.find(digest)
         }
--- a/dewridge/gateway/weighing.py
+++ b/dewridge/gateway/weighing.py
@@ -125,6 +125,8 @@
     state: GatewayState, records: list[ServerRecord], now: float
 ) -> list[ServerRecord]:
     """Return the servers that may get one more request from this host now."""
+    if state.pushback.is_empty:
+        return records
     return [
         record
         for record in records
--- a/dewridge/tests/gateway/pushback_tests.py
+++ b/dewridge/tests/gateway/pushback_tests.py
@@ -36,6 +36,8 @@
     ServerExchange,
     World,
     answer_ok,
+    make_configuration,
+    make_state,
     open_world,
 )
 
@@ -497,3 +499,17 @@
     assert departure is not None
     assert departure.stops_at == pytest.approx(101.3)
     assert stops == pytest.approx([102.0, 101.3])
+
+
+def test_late_report_does_not_bring_back_a_limit_that_has_ended() -> None:
+    """Guards against a limit that comes back with the report of a slow host."""
+    state = make_state(make_configuration(), host=HostId("host-0"))
+    register_hosts([World(state, None)])  # type: ignore[arg-type]
+    server, peer = BackendServerId("s-1"), HostId("host-1")
+    ended = LimitNotice(2.0, observed_at=100.0, has_ended=True)
+    state.pushback.merge_notice(server, ended, peer)
+    state.pushback.drop_expired({server}, 107.0)
+    state.pushback.merge_notice(server, LimitNotice(2.0, observed_at=99.5), peer)
+    assert not state.pushback.is_withheld(server, 107.0)
+    state.pushback.drop_expired({server}, 120.0)
+    assert state.pushback.is_empty
