Keep the rest that a server of the product's own interface asks for

Evidence: without the two lines that rest the server, the new test of the scheduler fails: both servers are chosen within three seconds. Change: a refusal that proves that nothing ran carries the seconds, and the scheduler suspends the server until they are over; then one request probes it. Parsing of Retry-After moves to http1/headers.py, where both interfaces use it. After: tests of fleet, requests, policy, platform and http1 pass.

--- a/dewridge/fleet/dispatch.py
+++ b/dewridge/fleet/dispatch.py
@@ -1,5 +1,6 @@
 """Sends attempts to backend servers and streams their events back."""
 
+import time
 from collections.abc import AsyncGenerator, AsyncIterator
 from contextlib import AbstractAsyncContextManager, aclosing, asynccontextmanager
 from typing import TYPE_CHECKING
@@ -20,6 +21,7 @@
     Dispatch,
 )
 from dewridge.fleet.refusals import STATUS_OK, read_refusal
+from dewridge.http1.headers import parse_retry_after
 from dewridge.metrics.registry import Metrics
 from dewridge.providers.model import ServerKind
 from dewridge.sentinels import Failure
@@ -111,7 +113,9 @@
             async with self._open(server, order) as response:
                 if response.status_code != STATUS_OK:
                     content = await read_bounded(response, MAX_REFUSAL_BYTES) or b""
-                    refusal = read_refusal(response.status_code, content)
+                    value = response.headers.get("retry-after", "").encode()
+                    rest = parse_retry_after(value, time.time())
+                    refusal = read_refusal(response.status_code, content, rest)
                     yield self._record_failure(order, refusal)
                 elif server.listed.kind is ServerKind.ENGINE:
                     chunks = response.aiter_raw()
--- a/dewridge/http1/headers.py
+++ b/dewridge/http1/headers.py
@@ -1,7 +1,12 @@
-"""Hop-by-hop headers and the framing of request bodies."""
+"""Hop-by-hop headers, the framing of request bodies, and values of headers."""
+
+import re
+from email.utils import parsedate_to_datetime
 
 Headers = list[tuple[bytes, bytes]]
 
+DECIMAL_NUMBER = re.compile(rb"[0-9]{1,15}(\.[0-9]{0,15})?")
+"""A number without a sign, an exponent or a name for infinity."""
 HOP_BY_HOP_HEADERS = frozenset(
     {
         b"connection",
@@ -42,3 +47,25 @@
         if name == b"transfer-encoding" and value.strip().lower() != b"chunked":
             return "a transfer coding other than chunked"
     return None
+
+
+def parse_decimal(value: bytes) -> float | None:
+    """Return a non-negative decimal number; None if the text is not one."""
+    text = value.strip()
+    return float(text) if DECIMAL_NUMBER.fullmatch(text) else None
+
+
+def parse_retry_after(value: bytes, wall_time: float) -> float | None:
+    """Return the seconds of a `Retry-After` header, which may also be a date.
+
+    Returns:
+        The seconds; 0 for a date in the past, None if the text is neither.
+    """
+    seconds = parse_decimal(value)
+    if seconds is not None:
+        return seconds
+    try:
+        date = parsedate_to_datetime(value.decode("ascii"))
+        return max(0.0, date.timestamp() - wall_time)
+    except (ValueError, TypeError, OverflowError):
+        return None
--- a/dewridge/platform/signals.py
+++ b/dewridge/platform/signals.py
@@ -1,14 +1,10 @@
 """Signals in the answers of a backend server that ask for fewer requests."""
 
-import re
 from dataclasses import dataclass
-from email.utils import parsedate_to_datetime
 
-from dewridge.http1.client import Headers
+from dewridge.http1.headers import Headers, parse_decimal, parse_retry_after
 from dewridge.platform import names
 
-DECIMAL_NUMBER = re.compile(rb"[0-9]{1,15}(\.[0-9]{0,15})?")
-"""A number without a sign, an exponent or a name for infinity."""
 LEAVING_VALUES = {b"1": True, b"0": False}
 REST_STATUSES = frozenset({429, 503})
 """Statuses with which `Retry-After` says for how long the sender should pause."""
@@ -65,7 +61,7 @@
             else:
                 faults.append(_describe_fault(name, value))
         elif name == b"retry-after" and status in REST_STATUSES:
-            _collect(parse_wait(value, wall_time), name, value, rests, faults)
+            _collect(parse_retry_after(value, wall_time), name, value, rests, faults)
     if not (has_limit_header or rests or is_leaving or faults):
         return NO_SIGNALS
     return ServerSignals(
@@ -92,25 +88,3 @@
 
 def _describe_fault(name: bytes, value: bytes) -> str:
     return f"{name.decode()}: {value[:MAX_LOGGED_CHARS]!r}"
-
-
-def parse_decimal(value: bytes) -> float | None:
-    """Return a non-negative decimal number; None if the text is not one."""
-    text = value.strip()
-    return float(text) if DECIMAL_NUMBER.fullmatch(text) else None
-
-
-def parse_wait(value: bytes, wall_time: float) -> float | None:
-    """Return the seconds of a `Retry-After` header, which may also be a date.
-
-    Returns:
-        The seconds; 0 for a date in the past, None if the text is neither.
-    """
-    seconds = parse_decimal(value)
-    if seconds is not None:
-        return seconds
-    try:
-        date = parsedate_to_datetime(value.decode("ascii"))
-        return max(0.0, date.timestamp() - wall_time)
-    except (ValueError, TypeError, OverflowError):
-        return None
--- a/dewridge/policy/credits.py
+++ b/dewridge/policy/credits.py
@@ -6,6 +6,7 @@
 
 from dewridge.ids import RequestId
 from dewridge.policy.model import ServerView, WorkClass
+from dewridge.policy.rests import MAX_REST
 
 SMOOTHING_WEIGHT = 0.2
 """Weight of a new sample in an exponential average. Five samples move the average two
@@ -270,6 +271,16 @@
         if self.probe == request:
             self.suspend(now, jitter)
 
+    def rest(self, seconds: float, now: float) -> None:
+        """Send no requests for as long as the server asks for, then probe it.
+
+        A later answer with a shorter time does not shorten the rest.
+        """
+        self.health = Health.SUSPENDED
+        self.probe = None
+        self.retry_at = max(self.retry_at, now + min(seconds, MAX_REST))
+        self.limit = min(1.0, self.share)
+
     def record_failure(self, now: float, jitter: float) -> None:
         """Record a failed attempt; `jitter` is a random number from 0 to 1."""
         self.failures += 1
--- a/dewridge/policy/scheduler.py
+++ b/dewridge/policy/scheduler.py
@@ -214,6 +214,10 @@
             return None
         return self._recover(attempt, outcome, tokens_done, now)
 
+    def rest_server(self, server: BackendServerId, seconds: float, now: float) -> None:
+        """Send nothing to a server for as long as it asked for."""
+        self._servers.rest(server, seconds, now)
+
     def handle_server_leaving(
         self, server: BackendServerId, leaving_at: float, now: float
     ) -> list[Move]:
--- a/dewridge/policy/servers.py
+++ b/dewridge/policy/servers.py
@@ -227,6 +227,13 @@
         else:
             record.drop_probe(request)
 
+    def rest(self, server: BackendServerId, seconds: float, now: float) -> None:
+        """Send nothing to a server that turned a request away and asked for rest."""
+        record = self.records.get(server)
+        if record is not None:
+            record.rest(seconds, now)
+            self._refresh_at = 0.0
+
     def refresh(self, now: float) -> None:
         """Check all servers of the subset, at most once per `REFRESH_INTERVAL`."""
         if now < self._refresh_at:
--- a/dewridge/requests/attempts.py
+++ b/dewridge/requests/attempts.py
@@ -398,6 +398,11 @@
         else:
             if result.code is ResultCode.BACKEND_SERVER_LEAVING:
                 self._servers.handle_leaving(attempt.server, None, "engine")
+            is_refusal = result.code is ResultCode.NOT_STARTED
+            if is_refusal and result.retry_after is not None:
+                attempt.service_scheduler.scheduler.rest_server(
+                    attempt.server, result.retry_after, self._shared.clock()
+                )
             self._record_end(attempt, outcome, result)
 
     def _handle_complete(self, attempt: Attempt, end: AttemptEnd) -> None:
--- a/dewridge/tests/policy/scheduler_tests.py
+++ b/dewridge/tests/policy/scheduler_tests.py
@@ -144,3 +144,33 @@
         )
     scheduler.set_profile(service, make_profile("balanced"), 0.3)
     assert sum(scheduler.pick(0.3) is not None for _ in range(8)) == 4
+
+
+def test_a_server_that_asks_for_rest_gets_nothing_until_its_end() -> None:
+    """Guards against servers that turn requests away, look idle and get still more."""
+    scheduler = make_scheduler(servers=2)
+    scheduler.offer(make_work(1), 0.0)
+    first = scheduler.pick(0.0)
+    assert first
+    resting = first.server
+    scheduler.rest_server(resting, 3.0, 0.1)
+    scheduler.rest_server(resting, 0.5, 0.1)
+    scheduler.record_attempt_end(
+        first.work.request, resting, AttemptOutcome.NOT_STARTED, 0, 0.1
+    )
+    for number in range(2, 10):
+        scheduler.offer(make_work(number, arrival=0.2), 0.2)
+    chosen = set()
+    for step in range(2, 31):
+        picked = scheduler.pick(step / 10)
+        while picked is not None:
+            chosen.add(picked.server)
+            scheduler.record_attempt_end(
+                picked.work.request, picked.server, AttemptOutcome.DONE, 1, step / 10
+            )
+            picked = scheduler.pick(step / 10)
+    assert len(chosen) == 1
+    assert resting not in chosen
+    scheduler.offer(make_work(10, arrival=3.2), 3.2)
+    probe = scheduler.pick(3.2)
+    assert probe is not None
