Let stand-ins of the product's own interface ask for rest, and prove it

Cause: no stand-in of the product's own interface sent Retry-After, so that no proof could have found that it was not read. The scenario checks what callers are promised, not how many requests reach a resting server: the stand-ins can't tell the calling hosts apart.

--- a/dewridge/proofs/scenarios.py
+++ b/dewridge/proofs/scenarios.py
@@ -506,6 +506,7 @@
             "truncate",
             "misdirect",
             "silent",
+            "rest",
         )
     ),
 )
--- a/dewridge/standins/enginehttp.py
+++ b/dewridge/standins/enginehttp.py
@@ -19,6 +19,7 @@
     Misbehaviour,
     MisbehaviourMode,
     apply_misbehaviour,
+    reject_for_rest,
 )
 from dewridge.standins.serving import make_app, read_body, reply
 from dewridge.standins.tokens import make_token
@@ -78,6 +79,9 @@
     @app.post("/v1/completions")
     async def complete() -> Response:
         completion = await read_body(CompletionRequest)
+        rest = reject_for_rest(misbehaviour)
+        if rest is not None:
+            return rest
         rejection = engine.find_rejection(completion)
         if rejection is not None:
             return reply({"error": {"type": rejection[1]}}, rejection[0])
--- a/dewridge/standins/misbehaviour.py
+++ b/dewridge/standins/misbehaviour.py
@@ -5,6 +5,9 @@
 
 import msgspec
 import trio
+from quart import Response
+
+from dewridge.standins.serving import reply
 
 DEFAULT_SLOWDOWN = 10.0
 CRASH_PREFIX = "crash: "
@@ -35,6 +38,8 @@
     """Work continues, but nothing more is sent."""
     ERROR = "error"
     """A call is answered with status 500 after it ran, a stream with an error event."""
+    REST = "rest"
+    """Work is rejected as overloaded, with `seconds` as its `Retry-After`."""
     CRASH = "crash"
     """A request whose input begins with `CRASH_PREFIX` crashes the server, which
     restarts after `seconds`."""
@@ -50,6 +55,15 @@
     events: int = 3
 
 
+def reject_for_rest(misbehaviour: Misbehaviour) -> Response | None:
+    """Return the rejection of a server that asks for rest; None if it does not."""
+    if misbehaviour.mode is not MisbehaviourMode.REST:
+        return None
+    rejection = reply({"error": {"type": "overloaded"}}, 503)
+    rejection.headers["Retry-After"] = f"{misbehaviour.seconds:g}"
+    return rejection
+
+
 async def apply_misbehaviour(
     events: AsyncIterator[bytes],
     misbehaviour: Misbehaviour,
--- a/dewridge/standins/plain.py
+++ b/dewridge/standins/plain.py
@@ -10,7 +10,11 @@
 from quart_trio import QuartTrio
 
 from dewridge.standins.engine import Execution
-from dewridge.standins.misbehaviour import Misbehaviour, MisbehaviourMode
+from dewridge.standins.misbehaviour import (
+    Misbehaviour,
+    MisbehaviourMode,
+    reject_for_rest,
+)
 from dewridge.standins.serving import make_app, read_body, reply
 from dewridge.standins.tokens import digest_prompt
 
@@ -104,6 +108,9 @@
     @app.post("/v1/operations/<operation>")
     async def execute(operation: str) -> Response:
         call = await read_body(OperationCall)
+        rest = reject_for_rest(misbehaviour)
+        if rest is not None:
+            return rest
         rejection = service.find_rejection()
         if rejection is not None:
             return reply({"error": {"type": rejection}}, 503)
--- a/dewridge/tests/proofs/runs_tests.py
+++ b/dewridge/tests/proofs/runs_tests.py
@@ -12,6 +12,7 @@
     "copies-kill",
     "operators",
     "crashing-request",
+    "answers-rest",
 )
 """Together they check all eight promises except the graceful shutdown, which the tests
 of the frontend and of request processing cover."""
@@ -23,7 +24,7 @@
     # Guards against answers that never arrive, arrive twice or belong to another
     # request, and against profiles that revert, when a failure domain is
     # reclaimed, hosts are killed, submissions are duplicated, operators conflict or
-    # requests crash servers while callers wait.
+    # requests crash servers, or servers ask for rest, while callers wait.
     scenario = next(candidate for candidate in SCENARIOS if candidate.name == name)
     result = trio.run(run_scenario, scenario, 1, None)
     assert result.violations == ()
