Replay limits with frozen hosts and a divided fleet, and name the tables for what they hold

Change: two more replays of the division of a limit, for nine hosts of which half stand still for 6 s, and for fleets of 9 to 440 hosts whose halves count each other differently. The two tables in gateway/pushback.py are named for servers and for pushback by server; no behaviour changes. Conclusion: the margin in the share carries both.

--- a/dewridge/gateway/pushback.py
+++ b/dewridge/gateway/pushback.py
@@ -123,9 +123,9 @@
         self._local_host = local_host
         self._senders = _SenderHosts(list_hosts)
         self._draw_random = draw_random
-        self._table = servers
+        self._servers = servers
         self._metrics = metrics
-        self._servers: dict[BackendServerId, _ServerPushback] = {}
+        self._by_server: dict[BackendServerId, _ServerPushback] = {}
 
     def record_answer(
         self,
@@ -153,12 +153,12 @@
             self._apply_rest(server, signals.rest, now)
         if signals.is_leaving:
             self._metrics.add("answers_with_pushback_total", signal="leaving")
-            self._table.drop(server, now, "its answer says so")
+            self._servers.drop(server, now, "its answer says so")
         if signals.limit is not None:
             self._metrics.add("answers_with_pushback_total", signal="limit")
             self._apply_own_notice(server, LimitNotice(signals.limit, now))
-        elif is_current and not signals.has_limit_header and server in self._servers:
-            notice = self._servers[server].notice
+        elif is_current and not signals.has_limit_header and server in self._by_server:
+            notice = self._by_server[server].notice
             if notice is not None and not notice.has_ended:
                 ended = LimitNotice(notice.limit, now, has_ended=True)
                 self._apply_own_notice(server, ended)
@@ -196,7 +196,7 @@
         )
 
     def _get(self, server: BackendServerId) -> _ServerPushback:
-        return self._servers.setdefault(server, _ServerPushback())
+        return self._by_server.setdefault(server, _ServerPushback())
 
     def find_send_time(self, server: BackendServerId, now: float) -> float:
         """Return the earliest time at which the server may get one more request.
@@ -204,7 +204,7 @@
         Returns:
             A monotonic time; infinite if only other hosts may send to it.
         """
-        known = self._servers.get(server)
+        known = self._by_server.get(server)
         if known is None:
             return now
         pacer = self._find_pacer(server, now)
@@ -240,9 +240,9 @@
                 It exceeds a limit, and later ones wait longer for it; a rest has room
                 for few of them.
         """
-        if not is_essential and self._table.find_departure(server) is not None:
+        if not is_essential and self._servers.find_departure(server) is not None:
             return False
-        known = self._servers.get(server)
+        known = self._by_server.get(server)
         if known is None:
             return True
         pacer = self._find_pacer(server, now)
@@ -256,7 +256,7 @@
 
     def _find_pacer(self, server: BackendServerId, now: float) -> LimitPacer | None:
         """Return a server's pacer with the share in force; None without a limit."""
-        known = self._servers.get(server)
+        known = self._by_server.get(server)
         if known is None or known.notice is None or known.notice.is_expired(now):
             return None
         self._senders.poll(now)
@@ -270,7 +270,7 @@
 
     def is_withheld(self, server: BackendServerId, now: float) -> bool:
         """Whether a server asks for fewer requests than it would get."""
-        known = self._servers.get(server)
+        known = self._by_server.get(server)
         if known is None:
             return False
         has_limit = known.notice is not None and not known.notice.is_expired(now)
@@ -278,27 +278,27 @@
 
     def is_resting(self, server: BackendServerId, now: float) -> bool:
         """Whether a server wants no requests from this host now."""
-        known = self._servers.get(server)
+        known = self._by_server.get(server)
         return known is not None and known.rest.is_resting(now)
 
     def list_rests(self, now: float) -> dict[BackendServerId, float]:
         """Return the seconds for which each resting server still rests."""
         return {
             server: known.rest.until - now
-            for server, known in self._servers.items()
+            for server, known in self._by_server.items()
             if known.rest.is_resting(now)
         }
 
     @property
     def is_empty(self) -> bool:
         """Whether no server asks for anything."""
-        return not self._servers
+        return not self._by_server
 
     def list_own_notices(self) -> dict[BackendServerId, LimitNotice]:
         """Return the newest notice of this host's own answers, by server."""
         return {
             server: known.own_notice
-            for server, known in self._servers.items()
+            for server, known in self._by_server.items()
             if known.own_notice is not None
         }
 
@@ -306,13 +306,13 @@
         """Return the requests per second that limited servers get from all hosts."""
         return {
             server: known.notice.compute_rate(now)
-            for server, known in self._servers.items()
+            for server, known in self._by_server.items()
             if known.notice is not None and not known.notice.is_expired(now)
         }
 
     def describe(self, server: BackendServerId, now: float) -> str:
         """Return what withholds requests from a server, for logs; empty if nothing."""
-        known = self._servers.get(server)
+        known = self._by_server.get(server)
         if known is None:
             return ""
         if known.rest.is_resting(now):
@@ -328,9 +328,9 @@
 
     def drop_expired(self, servers: set[BackendServerId], now: float) -> None:
         """Drop what no longer applies, and what is known of all other servers."""
-        self._servers = {
+        self._by_server = {
             server: known
-            for server, known in self._servers.items()
+            for server, known in self._by_server.items()
             if server in servers and (known.is_fault_logged or _is_in_use(known, now))
         }
 
--- a/dewridge/tests/policy/requestlimits_tests.py
+++ b/dewridge/tests/policy/requestlimits_tests.py
@@ -234,3 +234,31 @@
     times = [find_later_send_time(slots, position) for position in range(4)]
     assert times == pytest.approx([0.2, 0.5, 0.6, 1.0])
     assert find_later_send_time([], 3) == math.inf
+
+
+@pytest.mark.parametrize("hosts", FLEET_SIZES[1:])
+@pytest.mark.parametrize("limit", LIMITS)
+def test_halves_that_cannot_reach_each_other_keep_within_the_limit(
+    hosts: int, limit: float
+) -> None:
+    """Half of the hosts has dropped the other half, which still knows all hosts."""
+    fleet = make_hosts(hosts)
+    half = frozenset(host.name for host in fleet[: hosts // 2])
+    for host in fleet[: hosts // 2]:
+        host.view = half
+    assert count_max(simulate(fleet, limit, SECONDS)) <= compute_bound(limit)
+
+
+@pytest.mark.parametrize("limit", LIMITS)
+def test_hosts_that_wake_after_a_freeze_keep_within_the_limit(limit: float) -> None:
+    """Guards against hosts that use up the shares of the time in which they stood."""
+    fleet = make_hosts(9)
+    rng = random.Random(7)
+    sent: list[float] = []
+    for step in range(round(SECONDS / STEP)):
+        now = step * STEP
+        for number, host in enumerate(fleet):
+            is_frozen = number % 2 == 0 and 4.0 <= now < 10.0
+            if not is_frozen:
+                sent += [now] * host.count_sent(LimitNotice(limit, now), now, rng)
+    assert count_max(sent) <= compute_bound(limit)
