Show in a refused request's line which servers asked for fewer requests

Cause: a request refused because all servers rest or have limits was sent nowhere, so that its line named no server, and `dewridge explain` left out the lines that say why. Change: the line has `withheld`, explain follows it, and the reason of a rest says how old it is. Evidence: the new test of an explanation, metrics and dump of a rest; tests of logs, pushback and commands pass.

--- a/dewridge/explaining.py
+++ b/dewridge/explaining.py
@@ -101,6 +101,7 @@
     servers: set[str] = set()
     for line in lines:
         servers |= set(str(line.fields.get("servers", "")).split(","))
+        servers |= set(str(line.fields.get("withheld", "")).split(","))
         servers.add(str(line.fields.get("server", "")))
     return servers - {""}
 
--- a/dewridge/gateway/jobs.py
+++ b/dewridge/gateway/jobs.py
@@ -49,6 +49,7 @@
         last_event_at: time of the last event forwarded.
         continuation: where and from which memory a stopped run continues.
         fallback: where it continues if the server of `continuation` rejects it.
+        withheld_servers: servers that asked for fewer requests when it was refused.
         was_moved: whether it was stopped and moved; it is never started anew then.
     """
 
@@ -74,6 +75,7 @@
     last_event_at: float | None = None
     continuation: "Continuation | None" = None
     fallback: "Continuation | None" = None
+    withheld_servers: list[BackendServerId] = field(default_factory=list)
     was_moved: bool = False
 
     def __post_init__(self) -> None:
--- a/dewridge/gateway/pushback.py
+++ b/dewridge/gateway/pushback.py
@@ -316,7 +316,10 @@
         if known is None:
             return ""
         if known.rest.is_resting(now):
-            return f"asked this host for rest, {known.rest.until - now:.1f} s left"
+            return (
+                f"asked this host for rest {now - known.rest.begun_at:.1f} s ago,"
+                f" {known.rest.until - now:.1f} s left"
+            )
         if known.notice is None or known.notice.is_expired(now):
             return ""
         notice = known.notice
--- a/dewridge/gateway/serving.py
+++ b/dewridge/gateway/serving.py
@@ -33,6 +33,8 @@
 configuration of this host is outdated or missing: half a poll interval."""
 STREAM_TIME_P99 = 4.0
 """Seconds within which 99% of the streams complete under load."""
+MAX_LOGGED_SERVERS = 8
+"""Servers that withheld requests, in the line of a request that was refused."""
 DEADLINE_SLACK = 0.1
 """Seconds past the deadline during which an answer may still be completed."""
 
@@ -205,6 +207,7 @@
         if job is not None and job.first_event_at is not None:
             observe_first_event(self._state, job, job.first_event_at - started_at)
         stream = describe_stream(job, started_at, now) if job else {}
+        withheld = ",".join(job.withheld_servers[:MAX_LOGGED_SERVERS]) if job else ""
         log.bind(
             id=request.id,
             **stream,
@@ -215,6 +218,7 @@
             reason=failure.reason if failure else reason,
             **describe_suspect(self._state, job),
             servers=",".join(job.tried_servers) if job else "",
+            **({"withheld": withheld} if withheld else {}),
             is_whole=responder.is_finished,
             ms=round((now - started_at) * 1000, 1),
             version=self._state.configuration.version,
--- a/dewridge/gateway/waiting.py
+++ b/dewridge/gateway/waiting.py
@@ -64,6 +64,7 @@
         self, job: Job, withheld: WithheldServers, send_at: float, now: float
     ) -> Failure:
         self._count(job, "refused")
+        job.withheld_servers = withheld.servers
         reason = f"{withheld.servers[0]}: {withheld.reason}"
         if send_at == float("inf"):
             # Other hosts may send to these servers: the caller should try one soon.
--- a/dewridge/policy/rests.py
+++ b/dewridge/policy/rests.py
@@ -15,10 +15,12 @@
     """The rest that one server asked of this host.
 
     Attributes:
+        begun_at: monotonic time at which the rest began.
         until: monotonic time until which the server wants no requests.
         essential_sent: requests sent since the rest began.
     """
 
+    begun_at: float = -math.inf
     until: float = -math.inf
     essential_sent: int = 0
 
@@ -33,6 +35,7 @@
         """
         begins = not self.is_resting(now)
         if begins:
+            self.begun_at = now
             self.essential_sent = 0
         self.until = max(self.until, now + min(seconds, MAX_REST))
         return begins and self.is_resting(now)
--- a/dewridge/tests/gateway/telling_tests.py
+++ b/dewridge/tests/gateway/telling_tests.py
@@ -13,11 +13,14 @@
 from dewridge.explaining import explain_request, read_lines
 from dewridge.gateway.ingress import serve_connection
 from dewridge.gateway.logs import MAX_BACKLOG_BYTES, LineWriter
+from dewridge.gateway.measures import update_gauges
 from dewridge.gateway.operations import Operations, describe_state
+from dewridge.metrics.exposition import format_metrics
 from dewridge.tests.gateway.world import (
     KEY,
     ScriptedServer,
     ServerExchange,
+    World,
     answer_ok,
     make_configuration,
     open_world,
@@ -265,3 +268,32 @@
     assert "code=CONFIGURATION_STALE" in explanation
     assert "the store is out of reach" in explanation
     assert "age=5." in explanation
+
+
+async def test_a_refusal_is_explained_by_the_rest_that_a_server_asked_for(
+    lines: Path,
+) -> None:
+    """A caller is refused without an attempt, so that no line names the server."""
+
+    async def ask_for_rest(exchange: ServerExchange) -> None:
+        await exchange.answer(b"", 503, b"X-Not-Executed: 1\r\nRetry-After: 3\r\n")
+
+    async with open_world(retry_slack=40) as world:
+        server = await world.add_server("s-1", ask_for_rest)
+        await world.request("/read/a", request_id="r-1")
+        await world.request("/read/a", request_id="r-2")
+        metrics = format_metrics_of(world)
+        dump = describe_state(world.state)
+    explanation = "\n".join(explain_request(read_lines(lines.open()), "r-2"))
+    assert len(server.received) == 1
+    assert "server rests  server=s-1" in explanation
+    assert "asked this host for rest" in explanation
+    assert "asked this host for rest" in dump["servers"][0]["pushback"]
+    assert 'dewridge_server_rest_seconds{server="s-1"}' in metrics
+    assert 'signal="rest"' in metrics
+
+
+def format_metrics_of(world: World) -> str:
+    """Return the metrics that a gateway serves."""
+    update_gauges(world.state)
+    return format_metrics(world.state.metrics).decode()
