Divide lists over successive reports in one place

Cause: the reports of limits and of suspects rotated their lists by two copies of the same lines. Change: gateway/rotation.py has them once. Evidence: tests of pushback and of crashing requests pass; no behaviour changes.

--- a/dewridge/gateway/limitsharing.py
+++ b/dewridge/gateway/limitsharing.py
@@ -8,6 +8,7 @@
 import trio
 
 from dewridge.gateway.reports import LimitUpdate, PeriodicReport
+from dewridge.gateway.rotation import select_part
 from dewridge.gateway.sharing import SharedReports
 from dewridge.gateway.state import GatewayState
 from dewridge.ids import BackendServerId
@@ -31,7 +32,7 @@
         for server, notice in state.pushback.list_own_notices().items()
         if now - notice.observed_at < LIMIT_REPORT_TIME
     ]
-    return select_part(updates, number)
+    return select_part(updates, number, LIMITS_PER_REPORT)
 
 
 def merge_cell_limits(
@@ -49,13 +50,7 @@
             if now - notice.observed_at < LIMIT_REPORT_TIME:
                 newest[update.server] = select_notice(newest.get(update.server), notice)
     updates = [encode_notice(server, notice, now) for server, notice in newest.items()]
-    return select_part(updates, number)
-
-
-def select_part(updates: list[LimitUpdate], number: int) -> list[LimitUpdate]:
-    """Return the part of a list that the report with a given number contains."""
-    begin = (number * LIMITS_PER_REPORT) % max(1, len(updates))
-    return [*updates[begin:], *updates[:begin]][:LIMITS_PER_REPORT]
+    return select_part(updates, number, LIMITS_PER_REPORT)
 
 
 def apply_reported_limits(state: GatewayState, report: PeriodicReport) -> None:
--- a/dewridge/gateway/suspects.py
+++ b/dewridge/gateway/suspects.py
@@ -12,6 +12,7 @@
 from dewridge.codes import ResultCode
 from dewridge.gateway.jobs import Job
 from dewridge.gateway.reports import SuspectUpdate
+from dewridge.gateway.rotation import select_part
 from dewridge.gateway.state import GatewayState
 from dewridge.ids import BackendServerId, ClientAccount, RequestDigest
 from dewridge.policy.suspects import Crash, Suspect
@@ -161,12 +162,15 @@
         now = trio.current_time()
         if now - polled_at >= QUARANTINE_POLL_INTERVAL:
             quarantined, polled_at = state.suspects.list_quarantined(now), now
-        updated = select_report_part(
-            _list_updated(state, now - SUSPECT_REPORT_TIME), turn
+        updated = select_part(
+            _list_updated(state, now - SUSPECT_REPORT_TIME), turn, SUSPECTS_PER_REPORT
         )
         chosen = {
             suspect.digest: suspect
-            for suspect in [*updated, *select_report_part(quarantined, turn)]
+            for suspect in [
+                *updated,
+                *select_part(quarantined, turn, SUSPECTS_PER_REPORT),
+            ]
         }
         return [encode_suspect(suspect, now) for suspect in chosen.values()]
 
@@ -179,12 +183,6 @@
     return sorted(updated, key=lambda suspect: -len(suspect.crashes))
 
 
-def select_report_part(suspects: list[Suspect], turn: int) -> list[Suspect]:
-    """Return the part of a list that the report with a given number contains."""
-    begin = (turn * SUSPECTS_PER_REPORT) % max(1, len(suspects))
-    return [*suspects[begin:], *suspects[:begin]][:SUSPECTS_PER_REPORT]
-
-
 def encode_suspect(suspect: Suspect, now: float) -> SuspectUpdate:
     """Return a suspect's wire form, with ages instead of local monotonic times."""
     return SuspectUpdate(
