Replace only servers that will still ask for fewer requests when a new one has started

Cause: any rest made the plan count a server as missing, also one of half a second, while an on-demand server takes seconds to start and costs several times as much. Change: what counts is whether the server still asks for fewer requests one boot time from now. Evidence: the new test orders on-demand servers for a named limit and a rest of 60 s, not for a rest of 3 s; the other tests of scaling pass.

--- a/dewridge/gateway/scaling.py
+++ b/dewridge/gateway/scaling.py
@@ -142,7 +142,8 @@
             domain: self._count_servers((name, domain, True)) for domain in domains
         }
         serving = {
-            domain: count - self._count_withheld((name, domain, True), now)
+            domain: count
+            - self._count_withheld((name, domain, True), now + scaling.boot_time)
             for domain, count in listed.items()
         }
         self._detect_reclaims(name, listed, now)
@@ -281,16 +282,17 @@
             for record in self._state.list_serving(service)
         )
 
-    def _count_withheld(self, pool: ServerPool, now: float) -> int:
-        """Return the servers that ask for fewer requests than they have slots for.
+    def _count_withheld(self, pool: ServerPool, at: float) -> int:
+        """Return the servers that will still ask for fewer requests at a later time.
 
-        They can't take the place of a reclaimed server.
+        A server ordered now could take their place then. One that rests for less than
+        the boot time of another is not replaced.
         """
         service, domain, is_reclaimable = pool
         return sum(
             record.failure_domain == domain
             and record.is_reclaimable == is_reclaimable
-            and self._state.pushback.is_withheld(record.id, now)
+            and self._state.pushback.is_withheld(record.id, at)
             for record in self._state.list_serving(service)
         )
 
--- a/dewridge/tests/gateway/scaling_tests.py
+++ b/dewridge/tests/gateway/scaling_tests.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 import msgspec
+import pytest
 import trio
 import trio.testing
 
@@ -173,3 +174,34 @@
         await trio.sleep(4.0)
         nursery.cancel_scope.cancel()
     assert fleet.cloud.count(is_reclaimable=True) > len(DOMAINS)
+
+
+@pytest.mark.parametrize(
+    ("headers", "is_replaced"),
+    [
+        ([(b"server-limit", b"0.5")], True),
+        ([(b"retry-after", b"60")], True),
+        ([(b"retry-after", b"3")], False),
+        ([], False),
+    ],
+)
+async def test_servers_that_ask_for_fewer_requests_for_long_are_replaced(
+    autojump_clock: trio.testing.MockClock,
+    headers: list[tuple[bytes, bytes]],
+    is_replaced: bool,
+) -> None:
+    """Guards against counting on servers that take next to nothing."""
+    fleet = Fleet(MemoryStore())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.add_demand, 2 * FOUR_SERVER_RATE)
+        nursery.start_soon(fleet.duty.run)
+        await trio.sleep(20.0)
+        assert fleet.cloud.count(is_reclaimable=False) == 0
+        for domain in DOMAINS[:2]:
+            for number in range(3):
+                server = BackendServerId(f"s-{domain}{number}")
+                fleet.state.pushback.record_answer(server, 503, headers)
+        await trio.sleep(2.0)
+        ordered = fleet.cloud.count(is_reclaimable=False)
+        nursery.cancel_scope.cancel()
+    assert (ordered > 0) is is_replaced
