Keep the time at which a server stops if its record is read later than a report

A record says how long the server still serves from when it was written; read a second later, it moved the time by that second, and streams on reclaimed servers would be moved after the end of their server. Change: a reported time is replaced by an earlier one only; a time that nothing had given is replaced by the record's.

--- a/dewridge/gateway/servers.py
+++ b/dewridge/gateway/servers.py
@@ -51,13 +51,15 @@
     Attributes:
         learned_at: when this host learned of it.
         stops_at: when the process stops serving, as far as is known.
-        is_notice_known: whether the server itself gave that time in its record.
+        is_notice_known: whether that time is from the server's record in the store.
+        is_notice_assumed: whether nothing has said when the process stops.
         record: the last record of the process; None if it had none.
     """
 
     learned_at: float
     stops_at: float
     is_notice_known: bool
+    is_notice_assumed: bool
     record: ServerRecord | None
 
 
@@ -194,7 +196,9 @@
         notice = DEFAULT_NOTICE if leaves_in is None else leaves_in
         record = self._records.pop(server, None)
         is_notice_known = leaves_in is not None and not is_reported
-        departure = Departure(now, now + notice, is_notice_known, record)
+        departure = Departure(
+            now, now + notice, is_notice_known, leaves_in is None, record
+        )
         self._departures[server] = departure
         self._joined_at.pop(server, None)
         if record is not None:
@@ -212,17 +216,22 @@
         """Replace the assumed time at which a departed server stops.
 
         The first sign of a departure may not say when the server stops. Streams would
-        then be moved at the assumed time, which may be too late. Another host's report
-        may repeat an assumption and is used only if it is earlier.
+        then be moved at the assumed time, which may be too late. A time that another
+        host reported is replaced by an earlier one only: a record that is read late
+        gives a later time than the true one, and a report may repeat an assumption.
         """
         departure = self._departures.get(server)
         if departure is None or departure.is_notice_known:
             return
         stops_at = now + leaves_in
-        if not is_known and stops_at > departure.stops_at - MIN_NOTICE_CHANGE:
+        is_earlier = stops_at < departure.stops_at - MIN_NOTICE_CHANGE
+        if not (is_earlier or (is_known and departure.is_notice_assumed)):
             return
         self._departures[server] = replace(
-            departure, stops_at=stops_at, is_notice_known=is_known
+            departure,
+            stops_at=stops_at,
+            is_notice_known=is_known,
+            is_notice_assumed=False,
         )
         is_news = is_known and abs(stops_at - departure.stops_at) > MIN_NOTICE_CHANGE
         if departure.record is not None:
--- a/dewridge/tests/gateway/pushback_tests.py
+++ b/dewridge/tests/gateway/pushback_tests.py
@@ -513,3 +513,21 @@
     assert not state.pushback.is_withheld(server, 107.0)
     state.pushback.drop_expired({server}, 120.0)
     assert state.pushback.is_empty
+
+
+async def test_record_that_is_read_late_does_not_delay_the_moves_of_streams() -> None:
+    """Guards against streams that are lost since a notice seems to begin when read.
+
+    Another host has reported that the server stops in a second; its record, which says
+    the same, is read nearly a second later.
+    """
+    async with open_single_host() as world:
+        server = await world.add_server("s-1", answer_ok, ENGINE)
+        servers = world.state.servers
+        record = servers.find(server.id)
+        assert record is not None
+        servers.drop(server.id, 100.0, "host-2 told", 1.0, is_reported=True)
+        servers.update(replace(record, is_draining=True, leaves_in=1.0), 100.9)
+        departure = servers.find_departure(server.id)
+    assert departure is not None
+    assert departure.stops_at == pytest.approx(101.0)
