Add settings for the placement and admission of requests

The parts described in docs/design/hard-load.md are switched by two settings with the same default for all deployments, so that both can be built side by side against one schema. Nothing reads them yet; the loader refuses any other value by its list of choices. Not measured: no behaviour changes.

--- a/dewridge/settings/gateway.py
+++ b/dewridge/settings/gateway.py
@@ -122,6 +122,22 @@
     )
 
 
+@dataclass(frozen=True)
+class GatewayDecisions:
+    """How requests are placed and admitted."""
+
+    placement: str = option(
+        "How a server is chosen for a prompt; auto: by the service.",
+        default="auto",
+        choices=("auto", "expected_time", "token_load"),
+    )
+    admission: str = option(
+        "How requests are refused under contention; auto: by the service.",
+        default="auto",
+        choices=("auto", "planned", "ramps"),
+    )
+
+
 @dataclass(frozen=True)
 class GatewaySettings:
     """The complete settings file of a gateway."""
@@ -130,5 +146,8 @@
     listen: GatewayListen = option("Addresses to listen on.", required=True)
     services: GatewayServices = option("Services that are called.", required=True)
     bounds: GatewayBounds = option("What operators count on.", default=GatewayBounds)
+    decisions: GatewayDecisions = option(
+        "How requests are placed and admitted.", default=GatewayDecisions
+    )
     log: LogSettings = option("Logs.", default=LogSettings)
     supervision: SupervisionSettings = option("Restarts.", default=SupervisionSettings)
