Draw the delays of polls and watches from the process's generator

Cause: the loops of watching.py, hosts.py and usagetelling.py drew from the unseeded module-level generator, so the replay of nine hosts that start together had other draws in each run, and rare draws cross its bounds: with the old test, seeded through the module, 1 of 60 draws had an age of 1.93 s and 1 of 60 made 120 calls.

What the bounds follow from: keys are trusted for 4 s after a confirmation and must outlive an outage of 2 s; ages are read every 0.1 s, hence 1.9 s. The calls must be fewer than half of those of hosts that each poll every POLL_INTERVAL. Both bounds are unchanged.

Change: StoreWatcher, HostWatcher, Registration and UsageReporter take the generator that the composition root creates for the process; it stays unseeded in production.

--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -115,7 +115,9 @@
             self._state.apply_settings,
             settings,
         )
-        self._registration = Registration(self._store, self._make_entry())
+        self._registration = Registration(
+            self._store, self._make_entry(), self._state.rng
+        )
         self._election = HolderElection(
             self._state.host,
             self._state.boot,
@@ -144,6 +146,7 @@
             self._socket,
             lambda: self._state.compute_window(time.time()),
             lambda: self._state.list_usage(REPORTED_WINDOWS),
+            self._state.rng,
         )
         self._link = ReportLink(
             self._socket,
@@ -252,6 +255,7 @@
             state.servers,
             state.hosts.count,
             self._settings.services.store_reads,
+            state.rng,
             state.get_store_role,
             state.count_live_peers,
             lambda: state.sharing.reader_count,
@@ -283,6 +287,7 @@
             self._watch_store,
             state.hosts,
             WATCH_WAIT,
+            state.rng,
             lambda: state.sharing.is_reader,
             lambda: state.sharing.reader_count,
         )
--- a/dewridge/gateway/hosts.py
+++ b/dewridge/gateway/hosts.py
@@ -90,8 +90,9 @@
 class Registration:
     """Registers this host in the store under a lease and renews the lease."""
 
-    def __init__(self, store: Store, entry: HostEntry) -> None:
+    def __init__(self, store: Store, entry: HostEntry, rng: random.Random) -> None:
         self._store = store
+        self._rng = rng
         self.entry = entry
         self.lease_state = LeaseState()
         self._written_entry: HostEntry | None = None
@@ -124,7 +125,7 @@
             self._changed = trio.Event()
             is_registered = await self._ensure_registered()
             period = RENEW_PERIOD if is_registered else RENEW_PERIOD / 4
-            with trio.move_on_after(period * random.uniform(0.9, 1.1)):
+            with trio.move_on_after(period * self._rng.uniform(0.9, 1.1)):
                 await self._changed.wait()
 
     async def _ensure_registered(self) -> bool:
@@ -352,9 +353,11 @@
         watch_store: Store,
         table: HostTable,
         watch_wait: float,
+        rng: random.Random,
         is_reader: Callable[[], bool] = lambda: True,
         count_readers: Callable[[], int] = lambda: 1,
     ) -> None:
+        self._rng = rng
         self._count_readers = count_readers
         self._store = store
         self._watch_store = watch_store
@@ -370,10 +373,10 @@
             if isinstance(listing, Listing):
                 self._table.replace(listing)
             is_restored = False
-            with trio.move_on_after(POLL_INTERVAL * random.uniform(0.8, 1.2)):
+            with trio.move_on_after(POLL_INTERVAL * self._rng.uniform(0.8, 1.2)):
                 await self._table.restored.wait()
                 is_restored = True
-                await trio.sleep(BATCH_DELAY * random.random())
+                await trio.sleep(BATCH_DELAY * self._rng.random())
             may_lag = not (is_restored or self._is_reader())
 
     async def watch(self) -> None:
@@ -406,4 +409,4 @@
         Its mean grows with the number of readers up to `MAX_BATCH_DELAY`.
         """
         mean_delay = min(MAX_BATCH_DELAY, BATCH_DELAY * self._count_readers())
-        return mean_delay * random.uniform(0.8, 1.2)
+        return mean_delay * self._rng.uniform(0.8, 1.2)
--- a/dewridge/gateway/usagetelling.py
+++ b/dewridge/gateway/usagetelling.py
@@ -125,7 +125,9 @@
         socket: PacedSocket,
         find_window: Callable[[], int],
         list_usage_counts: Callable[[], UsageCounts],
+        rng: random.Random,
     ) -> None:
+        self._rng = rng
         self._sharing = sharing
         self._host_table = host_table
         self._socket = socket
@@ -145,7 +147,9 @@
             if self._sharing.has_cells and self._unconfirmed_number:
                 self._send_usage()
             period = compute_usage_report_period(self._host_table.count())
-            await trio.sleep(period * random.uniform(0.9, 1.1) - CONFIRMATION_TIMEOUT)
+            await trio.sleep(
+                period * self._rng.uniform(0.9, 1.1) - CONFIRMATION_TIMEOUT
+            )
 
     def _send_usage(self) -> None:
         sharing = self._sharing
--- a/dewridge/gateway/watching.py
+++ b/dewridge/gateway/watching.py
@@ -103,7 +103,7 @@
 a watch that went silent."""
 
 
-def draw_batch_delay(readers: int) -> float:
+def draw_batch_delay(readers: int, rng: random.Random) -> float:
     """Return a delay in seconds before the next watch after one that returned changes.
 
     In a fleet whose servers join and leave all the time, each change would wake each
@@ -114,7 +114,7 @@
     if readers == 1:
         return BATCH_DELAY
     mean_delay = min(MAX_BATCH_DELAY / MAX_JITTER, BATCH_DELAY * readers)
-    return mean_delay * random.uniform(MIN_JITTER, MAX_JITTER)
+    return mean_delay * rng.uniform(MIN_JITTER, MAX_JITTER)
 
 
 class StoreRole(Enum):
@@ -147,11 +147,13 @@
         servers: ServerTable,
         count_hosts: Callable[[], int],
         reads_per_second: float,
+        rng: random.Random,
         find_role: Callable[[], StoreRole] = lambda: StoreRole.ALL,
         count_live_peers: Callable[[], int] = lambda: 0,
         count_readers: Callable[[], int] = lambda: 1,
         on_rollout_order: Callable[[RolloutOrder], None] = lambda order: None,
     ) -> None:
+        self._rng = rng
         self._on_rollout_order = on_rollout_order
         self._count_readers = count_readers
         self._find_role = find_role
@@ -249,7 +251,7 @@
         min_age = max(MIN_RECHECK_AGE, period / (1 + self._count_live_peers()))
         min_age = min(min_age, period)
         return float(
-            min_age + (period - min_age) * random.random() ** RECHECK_AGE_EXPONENT
+            min_age + (period - min_age) * self._rng.random() ** RECHECK_AGE_EXPONENT
         )
 
     def _is_behind_peers(self) -> bool:
@@ -411,7 +413,7 @@
                 if not changes.items:
                     on_empty(requested_at, wait)
                 elif prefix == SERVERS_PREFIX:
-                    await trio.sleep(draw_batch_delay(self._count_readers()))
+                    await trio.sleep(draw_batch_delay(self._count_readers(), self._rng))
                 revision = max(revision or 0, changes.revision)
                 continue
             # The history may be compacted, or the connection went silent: start again.
@@ -440,9 +442,9 @@
         return listing.revision
 
     async def _wait_for_wake(self, wake: trio.Event, period: float) -> trio.Event:
-        with trio.move_on_after(period * random.uniform(0.9, 1.1)):
+        with trio.move_on_after(period * self._rng.uniform(0.9, 1.1)):
             await wake.wait()
         return trio.Event()
 
     async def _sleep_with_jitter(self, seconds: float) -> None:
-        await trio.sleep(seconds * random.uniform(MIN_JITTER, MAX_JITTER))
+        await trio.sleep(seconds * self._rng.uniform(MIN_JITTER, MAX_JITTER))
--- a/dewridge/tests/gateway/rollouts_tests.py
+++ b/dewridge/tests/gateway/rollouts_tests.py
@@ -342,6 +342,7 @@
         ServerTable(),
         lambda: 1,
         6000.0,
+        random.Random(1),
         on_rollout_order=orders.append,
     )
     async with trio.open_nursery() as nursery:
--- a/dewridge/tests/gateway/weaklinks_tests.py
+++ b/dewridge/tests/gateway/weaklinks_tests.py
@@ -90,6 +90,7 @@
             self.socket,
             lambda: self.state.compute_window(time.time()),
             lambda: self.state.list_usage(REPORTED_WINDOWS),
+            self.state.rng,
         )
         self.link = ReportLink(
             self.socket,
