Run the test of garbled connections on a clock that stands still

Cause: after one call, the caller's connection counts as unused once it has been idle for as long as it was in use, at least half a heartbeat interval. In this test that is 0.1 s, not the idle timeout of 0.6 s as listed: with a pause of 0.12 s between two calls the connection ends with the reason "unused" and the next call dials again; with 0.08 s it does not. A busy machine takes longer than that for the connections in between. Closing a connection that is not needed is intended, so this is a fault of the test.

Change: the fixture paused_clock gives the test a clock that stands still, so that neither this limit nor the time-outs of calls and handshakes depend on how long the process waits for the CPU. As run_pair's limit of 20 s can't elapse then, the test limits its real time in a thread. The checks are unchanged.

--- a/dewridge/tests/conftest.py
+++ b/dewridge/tests/conftest.py
@@ -60,7 +60,7 @@
     async def call() -> None:
         await pyfuncitem.obj(**arguments)
 
-    clock = arguments.get("autojump_clock")
+    clock = arguments.get("autojump_clock") or arguments.get("paused_clock")
     trio.run(call, clock=clock)
     return True
 
@@ -69,3 +69,13 @@
 def autojump_clock() -> trio.testing.MockClock:
     """Return a clock that skips waiting times in a test."""
     return trio.testing.MockClock(autojump_threshold=0)
+
+
+@pytest.fixture
+def paused_clock() -> trio.testing.MockClock:
+    """Return a clock that stands still, so that no timeout of a test elapses.
+
+    For tests with real sockets whose checks must not depend on how long the process
+    waits for the CPU. Timeouts of the test itself don't elapse either.
+    """
+    return trio.testing.MockClock()
--- a/dewridge/tests/peers/transport_tests.py
+++ b/dewridge/tests/peers/transport_tests.py
@@ -1,10 +1,12 @@
 """Messages between peers, over connections that break, go silent or carry garbage."""
 
+import threading
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from functools import partial
 
 import trio
+import trio.testing
 
 from dewridge.codes import ResultCode
 from dewridge.ids import FailureDomain, HostId, Incarnation
@@ -62,6 +64,26 @@
             nursery.cancel_scope.cancel()
 
 
+@asynccontextmanager
+async def limit_real_time(seconds: float) -> AsyncIterator[None]:
+    """Fail the block after some seconds of real time, whatever clock the test uses."""
+    has_ended = threading.Event()
+
+    async def watch() -> None:
+        if not await trio.to_thread.run_sync(
+            has_ended.wait, seconds, abandon_on_cancel=True
+        ):
+            raise TimeoutError
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(watch)
+        try:
+            yield
+        finally:
+            has_ended.set()
+        nursery.cancel_scope.cancel()
+
+
 async def can_find(transport: PeerTransport, address: str) -> bool:
     reply = await transport.call(address, FIND, 1)
     return isinstance(reply, ttypes.FindReply) and reply.found
@@ -178,10 +200,17 @@
         await frozen_listeners[0].aclose()
 
 
-async def test_a_foreign_or_garbled_connection_does_not_affect_others() -> None:
+async def test_a_foreign_or_garbled_connection_does_not_affect_others(
+    paused_clock: trio.testing.MockClock,
+) -> None:
     # A port scanner, a faulty peer, a peer that sends an oversized frame and a host of
-    # another deployment connect. Calls of a valid peer continue on its connection.
-    async with run_pair() as (caller, callee, metrics, callee_metrics):
+    # another deployment connect. Calls of a valid peer continue on its connection. The
+    # clock stands still: after a single call, the connection would be closed as unused
+    # if the rest took more than half a heartbeat interval, 0.1 s.
+    async with (
+        limit_real_time(20),
+        run_pair() as (caller, callee, metrics, callee_metrics),
+    ):
         assert await can_find(caller, callee.address)
         hello = encode_frame(
             FrameContent(0, 0, make_hello(HelloInfo("test", make_identity("three")))),
