Keep the minimum number of servers in each failure domain

Cause: DomainBounds.min_servers was set from the configuration but never read, so a plan had fewer servers in a domain than the operators require if the demand needs fewer.

Change: reclaimable servers, which cost less, are added up to the minimum. If the minimum exceeds the maximum, the maximum applies. As each domain gets one reclaimable server in any plan of the gateway, plans with a minimum of 0 or 1 stay as they are, unless on-demand servers took all of the maximum.

While no reclaimable capacity is available, the order for the minimum stays open; on-demand servers still follow the demand.

--- a/dewridge/policy/scaling.py
+++ b/dewridge/policy/scaling.py
@@ -49,7 +49,7 @@
 
     Attributes:
         min_servers: servers at least.
-        max_servers: servers at most.
+        max_servers: servers at most; applies if the minimum exceeds it.
         price: price of an on-demand server per second.
     """
 
@@ -170,16 +170,22 @@
         count_on_demand_servers(serving, needed, is_reclaiming), cheapest
     )
     return {
-        domain: WantedServers(
-            on_demand=min(on_demand[domain], bounds.max_servers),
-            reclaimable=max(
-                0, min(reclaimable[domain], bounds.max_servers - on_demand[domain])
-            ),
-        )
+        domain: _apply_bounds(bounds, on_demand[domain], reclaimable[domain])
         for domain, bounds in domains.items()
     }
 
 
+def _apply_bounds(
+    bounds: DomainBounds, on_demand: int, reclaimable: int
+) -> WantedServers:
+    """Limit the servers of a domain; reclaimable ones are added up to the minimum."""
+    on_demand = min(on_demand, bounds.max_servers)
+    missing = bounds.min_servers - on_demand
+    return WantedServers(
+        on_demand, min(max(reclaimable, missing, 0), bounds.max_servers - on_demand)
+    )
+
+
 def count_on_demand_servers(
     serving: Mapping[FailureDomain, int], needed: int, is_reclaiming: bool
 ) -> int:
