Start a new ownership above the epochs of dropped ones

Cause: RecordTable stored the epochs of dropped ownerships but never read them. If an ownership of this process was superseded and its successor was lost, the same request submitted here again got the same ballot and the same generation. A caller that reconnects with the generation could get the start of one answer and the rest of another, and a late withdrawal of the first ownership removed the second.

Change: find_max_epoch includes the dropped epochs, and a dropped copy with a lower epoch no longer replaces a higher one. An acceptance now supersedes only epochs up to that of the owner it queried: with epochs that this process merely remembers, it could have replaced live records of owners that it had not queried.

That an acceptance does not supersede owners it has not queried has no test of its own.

--- a/dewridge/requests/acceptance.py
+++ b/dewridge/requests/acceptance.py
@@ -298,9 +298,9 @@
             if copies.conflicting:
                 known = max(copies.conflicting, key=lambda found: found.ballot)
                 resolved = await self._resolve_conflict(answer, known)
-                if resolved is not None:
+                if not isinstance(resolved, int):
                     return resolved
-                supersedes = record.ballot.epoch - 1
+                supersedes = max(supersedes, resolved)
                 continue
             if answer.lost:
                 return Accepted(record.request, record.generation, attached=True)
@@ -318,12 +318,17 @@
 
     async def _resolve_conflict(
         self, answer: Answer, known: Record
-    ) -> Accepted | Failure | None:
-        """Resolve a conflict with another owner; None to offer the record again.
+    ) -> Accepted | Failure | int:
+        """Resolve a conflict with another owner.
 
         The same key may reach several entry hosts at once. If both yielded, none
         would run it, and if neither did, it would run twice. Of two hosts that
         are still accepting, the one with the lower host name continues.
+
+        Returns:
+            The result of the submission, or the epoch that the record now supersedes
+            if it has to be offered again. This process may know of greater epochs
+            than the owner that it queried, and must not supersede those.
         """
         if known.digest not in (0, answer.record.digest):
             await self._withdraw(answer)
@@ -332,8 +337,9 @@
             return await self._resolve_with_ended(answer, known)
         rival = await self._query_owner(known)
         if rival is None or self._is_rival_yielding(rival, answer.record):
-            self._supersede(answer, rival or known)
-            return None
+            superseded = rival or known
+            self._supersede(answer, superseded)
+            return superseded.ballot.epoch
         if rival.ended is not None:
             return await self._resolve_with_ended(answer, rival)
         await self._withdraw(answer)
--- a/dewridge/requests/replicas.py
+++ b/dewridge/requests/replicas.py
@@ -149,7 +149,9 @@
         """
         if self._records.get(record.request) is record and record.ended is None:
             del self._records[record.request]
-            self._dropped_epochs[record.request] = record.ballot.epoch, now
+            earlier_epoch, _ = self._dropped_epochs.get(record.request, (0, 0.0))
+            epoch = max(earlier_epoch, record.ballot.epoch)
+            self._dropped_epochs[record.request] = epoch, now
             self.on_replaced(record, None)
 
     def store(self, offered: Record, now: float, supersedes: int = 0) -> StoreReply:
@@ -292,10 +294,18 @@
             self._closed[request] = ClosedSubmissions(number, ended, ballot.epoch, now)
 
     def find_max_epoch(self, request: RequestId) -> int:
-        """Return the greatest epoch stored for a request; 0 if there is none."""
+        """Return the greatest epoch known for a request; 0 if there is none.
+
+        It includes the ownerships that were dropped within the retention.
+        """
         record = self._records.get(request)
         closed = self._closed.get(request)
-        return max(record.ballot.epoch if record else 0, closed.epoch if closed else 0)
+        dropped_epoch, _ = self._dropped_epochs.get(request, (0, 0.0))
+        return max(
+            record.ballot.epoch if record else 0,
+            closed.epoch if closed else 0,
+            dropped_epoch,
+        )
 
     def prune(self, now: float, retention: float, limit: int) -> int:
         """Remove what ended longer ago than the retention, or exceeds a size limit.
