Measure a gateway that does not hold the duties

Cause: simulated hosts do not answer the holder's requests for usage, so that the holder sent them forever.

--- a/dewridge/slopes/gatewaycost.py
+++ b/dewridge/slopes/gatewaycost.py
@@ -38,11 +38,9 @@
     ServiceName,
 )
 from dewridge.platform.directory import READY_PATH
-from dewridge.standins.serving import Listener
 from dewridge.testbed.processes import choose_ports
 from dewridge.tests.soak.callers import Caller, resolve_addresses
 from dewridge.tests.soak.stage import SoakEnvironment
-from dewridge.tests.soak.standins import build_cloud_app
 
 LOCAL_HOST = HostId("host-0")
 FAILURE_DOMAINS = 4
@@ -179,8 +177,12 @@
     return int(Path(f"/proc/{process}/schedstat").read_text().split()[0]) / 1e9
 
 
-def write_settings(path: Path, ports: list[int], store: str, cloud: str) -> None:
-    """Write the settings of the gateway."""
+def write_settings(path: Path, ports: list[int], store: str) -> None:
+    """Write the settings of the gateway.
+
+    Without the address of a cloud API it does not become the holder of the duties,
+    which only one host of a fleet is.
+    """
     settings = {
         "host": {
             "id": LOCAL_HOST,
@@ -196,7 +198,7 @@
             "operations": f"127.0.0.1:{ports[3]}",
             "peer_ports": [ports[4], ports[4]],
         },
-        "services": {"store": store, "cloud": cloud},
+        "services": {"store": store},
         "bounds": {"quota_slack": 1e9, "retry_slack": 50},
     }
     path.write_text(json.dumps(settings))
@@ -237,8 +239,6 @@
     async with trio.open_nursery() as nursery:
         environment = SoakEnvironment(rng, folder, nursery)
         await environment.start(hosts=0, servers=SERVERS)
-        cloud = Listener(build_cloud_app(environment.history))
-        await nursery.start(cloud.run)
         ports = choose_ports(5)
         socket = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
         await socket.bind(("127.0.0.1", 0))
@@ -249,7 +249,7 @@
             key = f"{HOSTS_PREFIX}{peer.entry.id}/1"
             store.write(key, msgspec.json.encode(peer.entry))
         path = folder / "gateway.json"
-        write_settings(path, ports, environment.store.listener.address, cloud.address)
+        write_settings(path, ports, environment.store.listener.address)
         tracer = ["-m", "cProfile", "-o", str(profile)] if profile else []
         with (folder / "gateway.log").open("wb") as log_file:
             process = await trio.lowlevel.open_process(
@@ -314,7 +314,7 @@
         path = folder / "start.json"
         for _ in range(START_RUNS):
             ports = choose_ports(5)
-            write_settings(path, ports, environment.store.listener.address, "")
+            write_settings(path, ports, environment.store.listener.address)
             began_at = time.monotonic()
             process = await trio.lowlevel.open_process(
                 [sys.executable, "-S", "-m", "dewridge.gateway"],
