Send and receive datagrams between hosts in batches

Cause: each datagram sent took two passes of the event loop, and each one received woke the process. The fake socket of the weak-link tests has the new methods; what the tests check is unchanged.

--- a/dewridge/gateway/datagrams.py
+++ b/dewridge/gateway/datagrams.py
@@ -1,6 +1,7 @@
 """Paced datagram socket between hosts, with one queue per urgency."""
 
 import errno
+import socket
 from collections import deque
 from dataclasses import dataclass
 from enum import IntEnum
@@ -12,6 +13,8 @@
 from dewridge.policy.pacing import DatagramPacer
 
 MAX_DATAGRAM_BYTES = 60_000
+MAX_BATCH = 32
+"""Datagrams received in succession before other tasks run."""
 PeerAddress = tuple[str, int]
 """IP address and port."""
 
@@ -41,6 +44,45 @@
     return host, int(port)
 
 
+class DatagramSocket:
+    """A non-blocking datagram socket.
+
+    trio's own socket is not used: it costs one more pass of the event loop for each
+    datagram.
+    """
+
+    def __init__(self) -> None:
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+
+    def bind(self, address: PeerAddress) -> None:
+        """Bind the socket to an address."""
+        self._socket.bind(address)
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._socket.fileno() >= 0:
+            trio.lowlevel.notify_closing(self._socket)
+        self._socket.close()
+
+    def sendto(self, data: bytes, address: PeerAddress) -> None:
+        """Send a datagram; raises BlockingIOError while the kernel's buffer is full."""
+        self._socket.sendto(data, address)
+
+    def recvfrom(self, limit: int) -> tuple[bytes, PeerAddress]:
+        """Receive a datagram; raises BlockingIOError if none has arrived."""
+        data, address = self._socket.recvfrom(limit)
+        return data, address
+
+    async def wait_readable(self) -> None:
+        """Wait until a datagram can be received."""
+        await trio.lowlevel.wait_readable(self._socket)
+
+    async def wait_writable(self) -> None:
+        """Wait until a datagram can be sent."""
+        await trio.lowlevel.wait_writable(self._socket)
+
+
 class PacedSocket:
     """Sends queued datagrams in order of urgency, at a limited rate."""
 
@@ -55,7 +97,7 @@
         self._port = port
         self._pacer = pacer
         self._metrics = metrics or Metrics()
-        self._socket = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+        self._socket = DatagramSocket()
         self._queues: dict[Urgency, deque[Datagram]] = {
             urgency: deque() for urgency in Urgency
         }
@@ -68,16 +110,25 @@
 
     async def bind(self) -> None:
         """Bind the socket to its address and port."""
-        await self._socket.bind((self._address, self._port))
+        self._socket.bind((self._address, self._port))
 
     def close(self) -> None:
         """Close the socket."""
         self._socket.close()
 
-    async def receive(self) -> tuple[bytes, PeerAddress]:
-        """Wait for a datagram and return it with the address of its sender."""
-        data, address = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
-        return data, address
+    async def wait_for_input(self) -> None:
+        """Wait until a datagram can be received."""
+        await self._socket.wait_readable()
+
+    def receive_batch(self) -> list[tuple[bytes, PeerAddress]]:
+        """Return the datagrams that have arrived, at most `MAX_BATCH` of them."""
+        batch = []
+        try:
+            while len(batch) < MAX_BATCH:
+                batch.append(self._socket.recvfrom(MAX_DATAGRAM_BYTES))
+        except BlockingIOError:
+            pass
+        return batch
 
     def enqueue(self, address: PeerAddress, data: bytes, urgency: Urgency) -> None:
         """Queue a datagram to be sent."""
@@ -98,13 +149,14 @@
         """Send queued datagrams forever."""
         while True:
             await self._datagram_queued.wait()
-            wait = self._pacer.compute_wait(trio.current_time())
-            if wait > 0:
-                await trio.sleep(wait)
-            datagram = self._pop_next()
-            if datagram is None:
-                self._datagram_queued = trio.Event()
-            else:
+            self._datagram_queued = trio.Event()
+            while True:
+                wait = self._pacer.compute_wait(trio.current_time())
+                if wait > 0:
+                    await trio.sleep(wait)
+                datagram = self._pop_next()
+                if datagram is None:
+                    break
                 await self._send(datagram)
 
     def _pop_next(self) -> Datagram | None:
@@ -119,7 +171,7 @@
         self._metrics.add("datagrams_sent")
         self._metrics.add("datagram_bytes_sent", size)
         try:
-            await self._socket.sendto(datagram.data, datagram.address)
+            await self._send_to_kernel(datagram)
         except OSError as error:
             # Important messages are sent again. Refused and unreachable are common
             # while a peer is down, so only other errors are logged.
@@ -127,3 +179,13 @@
                 log.bind(peer=datagram.address[0], reason=str(error)).warning(
                     "datagram not sent"
                 )
+
+    async def _send_to_kernel(self, datagram: Datagram) -> None:
+        """Send a datagram; a checkpoint only while the kernel's buffer is full."""
+        while True:
+            try:
+                self._socket.sendto(datagram.data, datagram.address)
+            except BlockingIOError:
+                await self._socket.wait_writable()
+            else:
+                return
--- a/dewridge/gateway/sharinglink.py
+++ b/dewridge/gateway/sharinglink.py
@@ -38,6 +38,11 @@
 URGENT_BATCH_DELAY = 0.02
 """Seconds for which urgent updates are collected before they are sent: the servers of a
 failure domain leave within that time."""
+RECEIVE_DELAY_PERIODS = 0.1
+"""Pause after messages were received, in periods of the rounds. Without it, each one
+wakes the process, 40 times a second in a large fleet. The pause adds a twentieth of a
+period to the age of a report on average, and 42 ms at most to an urgent message in a
+fleet of 73 hosts."""
 MAX_SUSPECTS_PER_DATAGRAM = 16
 """About 1.5 KB, which fits into the queue of a weak link in addition to a round."""
 READERS_PER_CELL = 1
@@ -142,6 +147,8 @@
         self.list_suspects: Callable[[], list[SuspectUpdate]] = list
         self._encoder = msgspec.msgpack.Encoder()
         self._number = 0
+        self._planned_members: list[HostEntry] = []
+        self._plans: dict[int, Round] = {}
         self._urgent_requested = trio.Event()
         self._urgent_recipients: Recipients | None = None
 
--- a/dewridge/metrics/registry.py
+++ b/dewridge/metrics/registry.py
@@ -21,7 +21,8 @@
 
     def add(self, name: str, amount: float = 1, **labels: str) -> None:
         """Increase a counter."""
-        self._counters[name, tuple(sorted(labels.items()))] += amount
+        series = tuple(sorted(labels.items())) if labels else ()
+        self._counters[name, series] += amount
 
     def set_gauge(self, name: str, value: float, **labels: str) -> None:
         """Set the current value of a gauge."""
--- a/dewridge/tests/gateway/usagetelling_tests.py
+++ b/dewridge/tests/gateway/usagetelling_tests.py
@@ -67,8 +67,8 @@
 
     async def listen() -> None:
         while True:
-            data, _ = await receiver.receive()
-            received.append(data[:1])
+            await receiver.wait_for_input()
+            received.extend(data[:1] for data, _ in receiver.receive_batch())
 
     async with trio.open_nursery() as nursery:
         await sender.bind()
--- a/dewridge/tests/gateway/weaklinks.py
+++ b/dewridge/tests/gateway/weaklinks.py
@@ -1,12 +1,15 @@
 """Simulated links with a small queue, which drops the datagrams that do not fit."""
 
 import heapq
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import pytest
 import trio
 
+from dewridge.gateway import datagrams
+
 Address = tuple[str, int]
 
 DELAY = 0.001
@@ -59,7 +62,7 @@
             await trio.sleep_until(arrives_at)
             _, _, target, data, source = heapq.heappop(self._in_transit)
             if target in self.sockets:
-                self.sockets[target].arrived.send_nowait((data, source))
+                self.sockets[target].deliver(data, source)
 
 
 class WeakSocket:
@@ -68,11 +71,10 @@
     def __init__(self, network: WeakNetwork) -> None:
         self._network = network
         self._address: Address = ("", 0)
-        self.arrived, self._inbox = trio.open_memory_channel[tuple[bytes, Address]](
-            10_000
-        )
+        self._inbox: deque[tuple[bytes, Address]] = deque()
+        self._arrived = trio.Event()
 
-    async def bind(self, address: Address) -> None:
+    def bind(self, address: Address) -> None:
         """Bind the socket to an address."""
         self._address = address
         self._network.sockets[address] = self
@@ -81,16 +83,31 @@
         """Release the address."""
         self._network.sockets.pop(self._address, None)
 
-    async def sendto(self, data: bytes, address: Address) -> None:
+    def sendto(self, data: bytes, address: Address) -> None:
         """Send a datagram."""
         self._network.send(self._address, address, data)
-        await trio.lowlevel.checkpoint()
 
-    async def recvfrom(self, limit: int) -> tuple[bytes, Address]:
-        """Wait for a datagram."""
-        data, source = await self._inbox.receive()
+    def deliver(self, data: bytes, source: Address) -> None:
+        """Add a datagram that has arrived."""
+        self._inbox.append((data, source))
+        self._arrived.set()
+
+    def recvfrom(self, limit: int) -> tuple[bytes, Address]:
+        """Receive a datagram; raises BlockingIOError if none has arrived."""
+        if not self._inbox:
+            self._arrived = trio.Event()
+            raise BlockingIOError
+        data, source = self._inbox.popleft()
         return data[:limit], source
 
+    async def wait_readable(self) -> None:
+        """Wait until a datagram can be received."""
+        await self._arrived.wait()
+
+    async def wait_writable(self) -> None:
+        """Wait until a datagram can be sent, which is always the case."""
+        await trio.lowlevel.checkpoint()
+
 
 def use_weak_links(
     monkeypatch: pytest.MonkeyPatch, rate: float, queue: int
@@ -98,5 +115,5 @@
     """Make all sockets created from now on use one simulated network of weak links."""
     network = WeakNetwork(rate, queue)
     make_socket: Callable[..., WeakSocket] = lambda *_: WeakSocket(network)  # noqa: E731
-    monkeypatch.setattr(trio.socket, "socket", make_socket)
+    monkeypatch.setattr(datagrams, "DatagramSocket", make_socket)
     return network
