Cache lists of hosts and servers, plans of rounds and hashes of names

Cause: each request filtered all servers by service, hashed all server ids, listed all hosts and counted the silent ones; each round listed and planned the whole fleet anew. Change: the lists are kept until the table changes, the plan until the members change, hashes in an LRU cache, and the silent hosts are counted once per summary and list.

--- a/dewridge/gateway/hosts.py
+++ b/dewridge/gateway/hosts.py
@@ -219,6 +219,8 @@
     def __init__(self, local_host: HostId) -> None:
         self._local_host = local_host
         self._entries: dict[str, HostEntry] = {}
+        self._hosts: list[HostEntry] | None = None
+        self._peers: list[HostEntry] | None = None
         self._lapsed_registrations: dict[HostId, LapsedRegistration] = {}
         self.items: dict[str, Item] = {}
         self.on_item: Callable[[Item], None] = lambda item: None
@@ -250,11 +252,13 @@
         self.is_listed = True
         self.items = {item.key: item for item in listing.items}
         previous, self._entries = self._entries, {}
+        self._discard_cached()
         for item in listing.items:
             self._apply_item(item)
         for key in previous.keys() - self._entries.keys():
             if trio.current_time() - self._restored_at < REREGISTRATION_TIME:
                 self._entries[key] = previous[key]
+                self._discard_cached()
             else:
                 self._record_end(previous[key])
         self._notify_changed()
@@ -265,6 +269,7 @@
             self.items.pop(item.key, None)
             entry = self._entries.pop(item.key, None)
             if entry is not None:
+                self._discard_cached()
                 self._record_end(entry)
         else:
             self.items[item.key] = item
@@ -279,6 +284,13 @@
             self._entries[item.key] = msgspec.json.decode(item.value, type=HostEntry)
         except msgspec.DecodeError as error:
             log.bind(key=item.key, reason=str(error)).error("entry can't be read")
+        else:
+            self._discard_cached()
+
+    def _discard_cached(self) -> None:
+        """Discard the lists derived from the entries; call after each change."""
+        self._hosts = None
+        self._peers = None
 
     def _record_end(self, entry: HostEntry) -> None:
         # A host that leaves gracefully first sets its entry to not ready.
@@ -301,8 +313,10 @@
             live_hosts: the hosts from which reports arrive, directly or through their
                 cell.
         """
-        now = trio.current_time()
         registered = self.list_hosts()
+        if not self._lapsed_registrations:
+            return registered
+        now = trio.current_time()
         registered_ids = {entry.id for entry in registered}
         self._lapsed_registrations = {
             host: lapsed
@@ -322,20 +336,29 @@
 
     def list_hosts(self) -> list[HostEntry]:
         """Return the newest incarnation of each registered host."""
-        newest: dict[HostId, HostEntry] = {}
-        for entry in self._entries.values():
-            known = newest.get(entry.id)
-            if known is None or known.boot < entry.boot:
-                newest[entry.id] = entry
-        return list(newest.values())
+        if self._hosts is None:
+            newest: dict[HostId, HostEntry] = {}
+            for entry in self._entries.values():
+                known = newest.get(entry.id)
+                if known is None or known.boot < entry.boot:
+                    newest[entry.id] = entry
+            self._hosts = list(newest.values())
+        return self._hosts.copy()
 
     def list_peers(self) -> list[HostEntry]:
         """Return the registered hosts except this one."""
-        return [entry for entry in self.list_hosts() if entry.id != self._local_host]
+        return self._find_peers().copy()
 
     def count(self) -> int:
         """Return the number of hosts, including this one."""
-        return len(self.list_peers()) + 1
+        return len(self._find_peers()) + 1
+
+    def _find_peers(self) -> list[HostEntry]:
+        if self._peers is None:
+            self._peers = [
+                entry for entry in self.list_hosts() if entry.id != self._local_host
+            ]
+        return self._peers
 
 
 class HostWatcher:
--- a/dewridge/gateway/servers.py
+++ b/dewridge/gateway/servers.py
@@ -86,6 +86,8 @@
         self._newest_processes: dict[ServerName, ServerRecord] = {}
         self._uncertain_until = float("-inf")
         self.version = 0
+        self._by_service: dict[ServiceName, list[ServerRecord]] = {}
+        self._by_service_version = 0
 
     def record_outage(self, now: float) -> None:
         """Record that the store could not be read, so that records may have expired."""
@@ -268,21 +270,31 @@
 
     def list_service(self, service: ServiceName) -> list[ServerRecord]:
         """Return the servers of a service."""
-        return [
-            record for record in self._records.values() if record.service == service
-        ]
+        return self._find_service(service).copy()
+
+    def _find_service(self, service: ServiceName) -> list[ServerRecord]:
+        if self._by_service_version != self.version:
+            self._by_service.clear()
+            self._by_service_version = self.version
+        records = self._by_service.get(service)
+        if records is None:
+            records = self._by_service[service] = [
+                record for record in self._records.values() if record.service == service
+            ]
+        return records
 
     def list_cache_warm(self, service: ServiceName, now: float) -> list[ServerRecord]:
         """Return the servers of a service that have had time to fill their caches.
 
         Leaving servers are included as long as they certainly still serve.
         """
-        self._departing_records = {
-            server: record
-            for server, record in self._departing_records.items()
-            if server in self._departures
-            and self._departures[server].stops_at > now + COPY_CUTOFF
-        }
+        if self._departing_records:
+            self._departing_records = {
+                server: record
+                for server, record in self._departing_records.items()
+                if server in self._departures
+                and self._departures[server].stops_at > now + COPY_CUTOFF
+            }
         departing = [
             leaving_server
             for leaving_server in self._departing_records.values()
@@ -290,7 +302,7 @@
         ]
         cache_warm = [
             record
-            for record in self.list_service(service)
+            for record in self._find_service(service)
             if now - self._joined_at[record.id] > CACHE_WARMUP_TIME
         ]
         return [*cache_warm, *departing]
--- a/dewridge/gateway/sharinglink.py
+++ b/dewridge/gateway/sharinglink.py
@@ -158,13 +158,18 @@
             HostMessage
         )
         while True:
-            data, sender = await self._socket.receive()
-            try:
-                message = decoder.decode(data)
-            except msgspec.DecodeError as error:
-                log.bind(reason=str(error)).warning("datagram cannot be decoded")
-                continue
-            self._dispatch(message, sender)
+            batch = self._socket.receive_batch()
+            for data, sender in batch:
+                try:
+                    message = decoder.decode(data)
+                except msgspec.DecodeError as error:
+                    log.bind(reason=str(error)).warning("datagram cannot be decoded")
+                    continue
+                self._dispatch(message, sender)
+            if batch:
+                await trio.sleep(self._sharing.period * RECEIVE_DELAY_PERIODS)
+            else:
+                await self._socket.wait_for_input()
 
     def _dispatch(self, message: HostMessage, sender: PeerAddress) -> None:
         match message:
@@ -213,11 +218,23 @@
                 self._send_urgent()
 
     def _plan_round(self) -> Round:
+        """Return the recipients of a round, planned anew when the members change.
+
+        Even rounds have the same recipients, and so have odd ones, since the two
+        senders of a report between cells alternate.
+        """
         members = self._host_table.list_members(self._sharing.list_live_hosts())
-        entries = {entry.id: entry for entry in members}
-        return plan_round(
-            entries, self._sharing.local_host, self._local_domain, self._number
-        )
+        if members != self._planned_members:
+            self._planned_members = members
+            self._plans.clear()
+        parity = self._number % 2
+        plan = self._plans.get(parity)
+        if plan is None:
+            entries = {entry.id: entry for entry in members}
+            plan = self._plans[parity] = plan_round(
+                entries, self._sharing.local_host, self._local_domain, self._number
+            )
+        return plan
 
     def _send_round(self, plan: Round) -> None:
         sharing = self._sharing
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -10,7 +10,7 @@
 import trio
 
 from dewridge.gateway.configuration import ConfigurationState
-from dewridge.gateway.hosts import HostTable
+from dewridge.gateway.hosts import HostEntry, HostTable
 from dewridge.gateway.ingress import IngressState
 from dewridge.gateway.model import ServerRecord
 from dewridge.gateway.pool import ConnectionPool
@@ -155,6 +155,10 @@
     is_ready: bool = False
     leaves_at: float = float("inf")
     """Time on the monotonic clock at which this process ends."""
+    _silent_live_hosts: frozenset[HostId] = frozenset()
+    _silent_peers: list[HostEntry] = field(default_factory=list)
+    _silent_count: int = 0
+    """Number of silent peers, for the live hosts and peers above."""
 
     def __post_init__(self) -> None:
         """Create the table of pushback, which uses other parts of the state."""
@@ -282,11 +286,15 @@
 
     def make_fleet_view(self) -> FleetView:
         """Return this host's view of its peers, for quotas."""
-        summary = self.sharing.get_summary(trio.current_time())
+        live_hosts = self.sharing.get_summary(trio.current_time()).live_hosts
         peers = self.hosts.list_peers()
-        silent_count = sum(peer.id not in summary.live_hosts for peer in peers)
+        if live_hosts is not self._silent_live_hosts or peers != self._silent_peers:
+            self._silent_live_hosts, self._silent_peers = live_hosts, peers
+            self._silent_count = sum(peer.id not in live_hosts for peer in peers)
         return FleetView(
-            hosts=len(peers) + 1, silent=silent_count, staleness=self.sharing.staleness
+            hosts=len(peers) + 1,
+            silent=self._silent_count,
+            staleness=self.sharing.staleness,
         )
 
     def get_store_role(self) -> StoreRole:
--- a/dewridge/policy/choice.py
+++ b/dewridge/policy/choice.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Container, Sequence
 from dataclasses import dataclass
+from functools import lru_cache
 
 import xxhash
 
@@ -193,8 +194,17 @@
 
 def score_cache_holder(prefix: str, server: BackendServerId) -> int:
     """Return the rendezvous score of a server as cache holder of a prefix."""
-    seed = xxhash.xxh3_64_intdigest(prefix.encode())
-    return score_prefix(seed, xxhash.xxh3_64_intdigest(server.encode()))
+    return score_prefix(_hash_name(prefix), _hash_name(server))
+
+
+@lru_cache(maxsize=4096)
+def _hash_name(name: str) -> int:
+    """Return the hash of a prefix or a server.
+
+    Cached, since each placement hashes its prefix once for each server of the service,
+    and the same servers again.
+    """
+    return xxhash.xxh3_64_intdigest(name.encode())
 
 
 def choose_fewest_requests(
