--- a/dewridge/gateway/sharinglink.py
+++ b/dewridge/gateway/sharinglink.py
@@ -38,6 +38,11 @@
 URGENT_BATCH_DELAY = 0.02
 """Seconds for which urgent updates are collected before they are sent: the servers of a
 failure domain leave within that time."""
+RECEIVE_DELAY_PERIODS = 0.1
+"""Pause after messages were received, in periods of the rounds. Without it, each one
+wakes the process, 40 times a second in a large fleet. The pause adds a twentieth of a
+period to the age of a report on average, and 42 ms at most to an urgent message in a
+fleet of 73 hosts."""
 MAX_SUSPECTS_PER_DATAGRAM = 16
 """About 1.5 KB, which fits into the queue of a weak link in addition to a round."""
 READERS_PER_CELL = 1
@@ -142,6 +147,8 @@
         self.list_suspects: Callable[[], list[SuspectUpdate]] = list
         self._encoder = msgspec.msgpack.Encoder()
         self._number = 0
+        self._planned_members: list[HostEntry] = []
+        self._plans: dict[int, Round] = {}
         self._urgent_requested = trio.Event()
         self._urgent_recipients: Recipients | None = None
 
@@ -151,13 +158,18 @@
             HostMessage
         )
         while True:
-            data, sender = await self._socket.receive()
-            try:
-                message = decoder.decode(data)
-            except msgspec.DecodeError as error:
-                log.bind(reason=str(error)).warning("datagram cannot be decoded")
-                continue
-            self._dispatch(message, sender)
+            batch = self._socket.receive_batch()
+            for data, sender in batch:
+                try:
+                    message = decoder.decode(data)
+                except msgspec.DecodeError as error:
+                    log.bind(reason=str(error)).warning("datagram cannot be decoded")
+                    continue
+                self._dispatch(message, sender)
+            if batch:
+                await trio.sleep(self._sharing.period * RECEIVE_DELAY_PERIODS)
+            else:
+                await self._socket.wait_for_input()
 
     def _dispatch(self, message: HostMessage, sender: PeerAddress) -> None:
         match message:
@@ -206,11 +218,23 @@
                 self._send_urgent()
 
     def _plan_round(self) -> Round:
+        """Return the recipients of a round, planned anew when the members change.
+
+        Even rounds have the same recipients, and so have odd ones, since the two
+        senders of a report between cells alternate.
+        """
         members = self._host_table.list_members(self._sharing.list_live_hosts())
-        entries = {entry.id: entry for entry in members}
-        return plan_round(
-            entries, self._sharing.local_host, self._local_domain, self._number
-        )
+        if members != self._planned_members:
+            self._planned_members = members
+            self._plans.clear()
+        parity = self._number % 2
+        plan = self._plans.get(parity)
+        if plan is None:
+            entries = {entry.id: entry for entry in members}
+            plan = self._plans[parity] = plan_round(
+                entries, self._sharing.local_host, self._local_domain, self._number
+            )
+        return plan
 
     def _send_round(self, plan: Round) -> None:
         sharing = self._sharing
