Send the orders of a plan for servers at the same time

Cause: orders were sent one after the other. Change: all due orders of a plan are sent in one nursery. Each still reads the term of the holder before it is sent. Evidence: test_orders_after_a_reclaim_do_not_wait_for_each_other fails without the change and passes with it; the other eight tests of the module pass.

--- a/dewridge/gateway/scaling.py
+++ b/dewridge/gateway/scaling.py
@@ -109,9 +109,16 @@
             for domain, price in scaling.prices.items()
         }
         wanted = self._plan(service, scaling, domains)
-        for order in list_orders(service.name, wanted):
-            if self._is_due(order, scaling.boot_time):
-                await self._send_order(order)
+        due = [
+            order
+            for order in list_orders(service.name, wanted)
+            if self._is_due(order, scaling.boot_time)
+        ]
+        # One after the other, the orders after a reclaim take seconds while the cloud
+        # API is slow, and the servers start that much later.
+        async with trio.open_nursery() as nursery:
+            for order in due:
+                nursery.start_soon(self._send_order, order)
 
     def _plan(
         self,
--- a/dewridge/tests/gateway/scaling_tests.py
+++ b/dewridge/tests/gateway/scaling_tests.py
@@ -27,19 +27,26 @@
     Attributes:
         ordered: number of ordered servers by failure domain and whether reclaimable.
         is_dry: whether no further reclaimable servers are available.
+        latency: seconds until an order is answered.
+        on_demand_ordered: set at the first order of on-demand servers.
     """
 
     def __init__(self) -> None:
         self.ordered: dict[tuple[FailureDomain, bool], int] = {}
         self.is_dry = False
+        self.latency = 0.0
+        self.on_demand_ordered = trio.Event()
 
     async def order_servers(self, term: DutyTerm, order: Order) -> CallOutcome:
         """Record an order."""
+        await trio.sleep(self.latency)
         pool = order.failure_domain, order.is_reclaimable
         grows = order.count > self.ordered.get(pool, 0)
         if self.is_dry and order.is_reclaimable and grows:
             return CallOutcome.NONE_AVAILABLE
         self.ordered[pool] = order.count
+        if order.count and not order.is_reclaimable:
+            self.on_demand_ordered.set()
         return CallOutcome.ACCEPTED
 
     def count(self, *, is_reclaimable: bool) -> int:
@@ -116,6 +123,31 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_orders_after_a_reclaim_do_not_wait_for_each_other(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against late on-demand servers while the cloud API answers slowly.
+
+    An order for each failure domain and kind is due after a reclaim. Sent one after the
+    other at 0.4 s each, the last on-demand servers were ordered seconds late, when the
+    next domain was already being reclaimed.
+    """
+    fleet = Fleet(MemoryStore())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.add_demand, 2 * FOUR_SERVER_RATE)
+        nursery.start_soon(fleet.duty.run)
+        await trio.sleep(20.0)
+        fleet.cloud.latency = 0.4
+        for domain in DOMAINS:
+            fleet.reclaim(domain)
+        await fleet.cloud.on_demand_ordered.wait()
+        await trio.sleep(0.1)
+        ordered_at_once = fleet.cloud.count(is_reclaimable=False)
+        await trio.sleep(4.0)
+        assert ordered_at_once == fleet.cloud.count(is_reclaimable=False) > 3
+        nursery.cancel_scope.cancel()
+
+
 async def test_a_reduced_order_is_not_treated_as_a_reclaim(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
