Shorten the start of a gateway

Cause: the modules were compiled at each start wherever no bytecode is written, trio started ldconfig as a process when imported, and the garbage collector searched all modules while they were imported.

--- a/dewridge/gateway/__main__.py
+++ b/dewridge/gateway/__main__.py
@@ -1,19 +1,23 @@
-"""Entry point of `python3 -m dewridge.gateway`, which runs an entry host."""
+"""Entry point of `python3 -m dewridge.gateway`, which runs an entry host.
 
+Imports only what is needed to read the settings; `run` imports the rest.
+"""
+
+import ctypes.util
+import gc
 import os
 import sys
 from pathlib import Path
 
-import trio
-
-from dewridge.gateway.composition import run_gateway
-from dewridge.gateway.logs import set_up_logs
 from dewridge.settings.gateway import GatewaySettings
 from dewridge.settings.loading import LoadedSettings, load_file
 from dewridge.settings.problems import Problem
 
 SETTINGS_VARIABLE = "DEWRIDGE_NODE_FILE"
 INVALID_SETTINGS_STATUS = 2
+COLLECTION_THRESHOLD = 5_000
+"""Net allocations between two runs of the garbage collector, in place of 700: most
+objects of a request are freed without the collector."""
 
 
 def check_gateway_settings(
@@ -39,10 +43,36 @@
         print(f"{problem.path}: {problem.text}", file=sys.stderr)
     if loaded.settings is None:
         return INVALID_SETTINGS_STATUS
+    # The collector would search all modules again and again for garbage while they are
+    # imported, and later with each full collection.
+    gc.disable()
+    _import_trio()
+    import trio  # noqa: PLC0415
+
+    from dewridge.gateway.composition import run_gateway  # noqa: PLC0415
+    from dewridge.gateway.logs import set_up_logs  # noqa: PLC0415
+
+    gc.freeze()
+    gc.set_threshold(COLLECTION_THRESHOLD)
+    gc.enable()
     set_up_logs(loaded.settings.log.level, loaded.settings.host.id)
     trio.run(run_gateway, loaded.settings, path, load_gateway_settings)
     return 0
 
 
+def _import_trio() -> None:
+    """Import trio without its search for the thread library.
+
+    The search starts `ldconfig` as a process at each start. Its result only names the
+    threads of trio in the system's tools.
+    """
+    find_library = ctypes.util.find_library
+    ctypes.util.find_library = lambda name: None
+    try:
+        import trio  # noqa: F401, PLC0415
+    finally:
+        ctypes.util.find_library = find_library
+
+
 if __name__ == "__main__":
     sys.exit(run())
--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -27,8 +27,7 @@
 from dewridge.gateway.leaving import leave_fleet
 from dewridge.gateway.limitsharing import list_limit_updates
 from dewridge.gateway.measures import count_store_call, observe_dependency_call
-from dewridge.gateway.model import Limits
-from dewridge.gateway.operations import Operations
+from dewridge.gateway.model import CallerRequest, Limits
 from dewridge.gateway.pool import ConnectionPool
 from dewridge.gateway.reloading import (
     SettingsLoader,
@@ -36,6 +35,7 @@
     compute_trust_period,
 )
 from dewridge.gateway.reports import REPORTED_WINDOWS
+from dewridge.gateway.responder import Responder
 from dewridge.gateway.rolloutduty import RolloutDuty
 from dewridge.gateway.scaling import ScalingDuty
 from dewridge.gateway.servers import ServerTable
@@ -217,7 +217,7 @@
             (listen.readiness, directory.serve),
         ]
         if listen.operations:
-            endpoints.append((listen.operations, Operations(self._state).serve))
+            endpoints.append((listen.operations, self._serve_operations))
         if listen.directory:
             endpoints.append((listen.directory, directory.serve))
         for address, handler in endpoints:
@@ -225,6 +225,14 @@
             stack.push_async_callback(listener.aclose)
             self._listeners.append((listener, handler))
 
+    async def _serve_operations(
+        self, request: CallerRequest, responder: Responder
+    ) -> None:
+        # Imported on first use: no caller waits for it, but all wait for the start.
+        from dewridge.gateway.operations import Operations  # noqa: PLC0415
+
+        await Operations(self._state).serve(request, responder)
+
     async def run(self) -> None:
         """Run all tasks until the host has left the fleet."""
         bounds = self._settings.supervision
--- a/dewridge/gateway/datagrams.py
+++ b/dewridge/gateway/datagrams.py
@@ -122,7 +122,7 @@
 
     def receive_batch(self) -> list[tuple[bytes, PeerAddress]]:
         """Return the datagrams that have arrived, at most `MAX_BATCH` of them."""
-        batch = []
+        batch: list[tuple[bytes, PeerAddress]] = []
         try:
             while len(batch) < MAX_BATCH:
                 batch.append(self._socket.recvfrom(MAX_DATAGRAM_BYTES))
--- a/dewridge/logs.py
+++ b/dewridge/logs.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from loguru import Message
 
-    from dewridge.settings.schema import LogSettings
+    from dewridge.settings.common import LogSettings
 
 PLAIN_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level: <7} {name} {message}"
 
--- a/dewridge/slopes/gatewaycost.py
+++ b/dewridge/slopes/gatewaycost.py
@@ -301,7 +301,9 @@
         "loaded_seconds_per_minute": round(loaded / seconds * 60, 3),
         "requests": requests,
         "successes": statuses,
-        "seconds_per_1000_requests": round((loaded - idle) / max(1, requests) * 1000, 3),
+        "seconds_per_1000_requests": round(
+            (loaded - idle) / max(1, requests) * 1000, 3
+        ),
     }
 
 
--- a/dewridge/tests/commands/logs_tests.py
+++ b/dewridge/tests/commands/logs_tests.py
@@ -8,7 +8,7 @@
 from loguru import logger as log
 
 from dewridge.logs import set_up_logs
-from dewridge.settings.schema import LogSettings
+from dewridge.settings.common import LogSettings
 
 
 @pytest.fixture(autouse=True)
--- /dev/null
+++ b/dewridge/tests/gateway/start_tests.py
@@ -0,0 +1,47 @@
+"""What a gateway imports and does before its first answer.
+
+A gateway starts on half a core, and after the loss of all hosts callers wait for it.
+"""
+
+import subprocess
+import sys
+
+NOT_IMPORTED = {
+    "cryptography",
+    "dewridge.frontend",
+    "dewridge.gateway.operations",
+    "dewridge.metrics.exposition",
+    "dewridge.settings.schema",
+    "httpx",
+    "hypercorn",
+    "json5",
+    "matplotlib",
+    "numpy",
+    "prometheus_client",
+    "quart",
+    "thrift",
+    "typer",
+    "uuid6",
+}
+IMPORT = """
+import subprocess, sys
+
+def fail(*arguments, **options):
+    raise AssertionError("a process was started")
+
+subprocess.Popen.__init__ = fail
+from dewridge.gateway import __main__ as gateway
+gateway._import_trio()
+import dewridge.gateway.composition, dewridge.gateway.logs
+print(*sys.modules)
+"""
+
+
+def test_start_imports_nothing_that_is_needed_later_and_starts_no_process() -> None:
+    # One import of the metrics page at the top of a module delayed each start by a
+    # tenth of a second, and trio's search for the thread library by as much.
+    result = subprocess.run(
+        [sys.executable, "-c", IMPORT], capture_output=True, text=True, check=False
+    )
+    assert result.returncode == 0, result.stderr
+    assert NOT_IMPORTED.isdisjoint(result.stdout.split())
