Keep the sets of live hosts and the lists of addresses until they change

Cause: every summary of the fleet, up to twenty a second, added the members of each report of each other cell, and every lookup listed and shuffled all hosts. Change: equal lists of members are added once, equal sets are reused, the list of addresses is kept until its basis changes, and a lookup draws only the addresses that it returns. Reports that change nothing are compared as a whole. A test compares the addresses with new ones after random changes.

--- a/dewridge/gateway/directory.py
+++ b/dewridge/gateway/directory.py
@@ -3,10 +3,12 @@
 import trio
 
 from dewridge.codes import ResultCode
+from dewridge.gateway.hosts import HostEntry
 from dewridge.gateway.ingress import send_failure
 from dewridge.gateway.model import CallerRequest
 from dewridge.gateway.responder import Responder
 from dewridge.gateway.state import GatewayState
+from dewridge.ids import HostId
 from dewridge.platform.directory import (
     MAX_ADDRESSES,
     READY_PATH,
@@ -37,6 +39,10 @@
 
     def __init__(self, state: GatewayState) -> None:
         self._state = state
+        self._basis: (
+            tuple[bool, frozenset[HostId], frozenset[HostId], list[HostEntry]] | None
+        ) = None
+        self._candidates: list[str] = []
 
     async def serve(self, request: CallerRequest, responder: Responder) -> None:
         """Answer a lookup."""
@@ -74,17 +80,32 @@
         this host is partitioned or the store is unavailable to all hosts, and the
         registrations are the more reliable source.
         """
+        addresses = self._list_candidates()
+        count = min(MAX_ADDRESSES, len(addresses))
+        return self._state.rng.sample(addresses, count)
+
+    def _list_candidates(self) -> list[str]:
+        """Return the addresses to draw from, kept until what they depend on changes."""
         summary = self._state.sharing.get_summary(trio.current_time())
-        registered = [host for host in self._state.hosts.list_hosts() if host.is_ready]
+        basis = (
+            self._state.is_ready,
+            summary.live_hosts,
+            summary.unready_hosts,
+            self._state.hosts.list_hosts(),
+        )
+        if basis == self._basis:
+            return self._candidates
+        is_ready, live_hosts, unready_hosts, hosts = basis
+        registered = [host for host in hosts if host.is_ready]
         local = [host for host in registered if host.id == self._state.host]
-        if not self._state.is_ready:
+        if not is_ready:
             local = []
         others = [
             host
             for host in registered
-            if host.id in summary.live_hosts and host.id not in summary.unready_hosts
+            if host.id in live_hosts and host.id not in unready_hosts
         ]
         chosen = [*local, *others] if others else registered
-        addresses = [entry.frontend for entry in chosen]
-        self._state.rng.shuffle(addresses)
-        return addresses[:MAX_ADDRESSES]
+        self._basis = basis
+        self._candidates = [entry.frontend for entry in chosen]
+        return self._candidates
--- a/dewridge/gateway/serversums.py
+++ b/dewridge/gateway/serversums.py
@@ -33,10 +33,14 @@
         """Replace the totals of a source, or add them if it has none."""
         previous = self._reported.get(source, {})
         self._reported[source] = totals
+        if totals == previous:
+            return
         for server, new in totals.items():
             old = previous.get(server, ZERO_SERVER_TOTALS)
             if new != old:
                 self._apply_change(server, old, new)
+        if previous.keys() <= totals.keys():
+            return
         for server in previous.keys() - totals.keys():
             self._apply_change(server, previous[server], ZERO_SERVER_TOTALS)
             if self.totals[server] == ZERO_SERVER_TOTALS:
--- a/dewridge/gateway/sharing.py
+++ b/dewridge/gateway/sharing.py
@@ -305,16 +305,27 @@
                 for source in cell.sources.values()
                 if not self._is_stale(source.received_at, now)
             ]
-            self._update_server_sums(
-                name, cell.newest_report, is_stale=not live_sources
-            )
+            newest_report = cell.newest_report
+            self._update_server_sums(name, newest_report, is_stale=not live_sources)
+            members: list[HostId] = []
             for source in live_sources:
-                live.update(source.report.members)
+                # The sources of a cell mostly list the same members.
+                if source.report.members != members:
+                    members = source.report.members
+                    live.update(members)
             if live_sources:
-                unready.update(cell.newest_report.unready)
+                unready.update(newest_report.unready)
+        live.discard(self.local_host)
+        previous = self._summary
+        # The sets rarely change. The earlier ones are kept then, so that what depends
+        # on them can be cached until they are replaced.
         return FleetSummary(
-            live_hosts=frozenset(live - {self.local_host}),
-            unready_hosts=frozenset(unready),
+            live_hosts=previous.live_hosts
+            if previous is not None and previous.live_hosts == live
+            else frozenset(live),
+            unready_hosts=previous.unready_hosts
+            if previous is not None and previous.unready_hosts == unready
+            else frozenset(unready),
             server_totals=self._server_sums.totals,
         )
 
--- a/dewridge/tests/gateway/caches_tests.py
+++ b/dewridge/tests/gateway/caches_tests.py
@@ -13,6 +13,7 @@
 import trio.testing
 import xxhash
 
+from dewridge.gateway.directory import Directory
 from dewridge.gateway.hosts import HOSTS_PREFIX, HostEntry, HostTable
 from dewridge.gateway.model import ServerRecord
 from dewridge.gateway.servers import ServerTable
@@ -24,6 +25,7 @@
 from dewridge.policy.choice import score_cache_holder
 from dewridge.tests.gateway.weaklinks import use_weak_links
 from dewridge.tests.gateway.weaklinks_tests import FleetHost
+from dewridge.tests.gateway.world import make_configuration, make_state
 
 SEEDS = range(20)
 SERVICES = [ServiceName("engine"), ServiceName("plain")]
@@ -173,3 +175,39 @@
             xxhash.xxh3_64_intdigest(prefix.encode()),
             xxhash.xxh3_64_intdigest(server.encode()),
         )
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_addresses_follow_each_change(
+    seed: int,
+    autojump_clock: trio.testing.MockClock,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    rng = Random(seed)
+    state = make_state(make_configuration())
+    directory = Directory(state)
+    local = state.host
+    state.hosts._local_host = local
+    entry = HostEntry(local, 1, "local:80", "local:7000", FailureDomain("d"), True)
+    live: frozenset[HostId] = frozenset()
+    unready: frozenset[HostId] = frozenset()
+    for revision in range(100):
+        if rng.random() < 0.5:
+            change_hosts(state.hosts, rng, revision)
+        if rng.random() < 0.1:
+            value = msgspec.json.encode(entry)
+            state.hosts.update(Item(f"{HOSTS_PREFIX}{local}/1", value, revision))
+        if rng.random() < 0.5:
+            names = [HostId(f"host-{number:02}") for number in range(24)]
+            live = frozenset(rng.sample(names, rng.randrange(24)))
+            unready = frozenset(rng.sample(names, rng.randrange(8)))
+            summary = FleetSummary(live, unready, {})
+            monkeypatch.setattr(
+                state.sharing, "get_summary", partial(return_first, summary)
+            )
+        state.is_ready = rng.random() < 0.8
+        ready = [host for host in state.hosts.list_hosts() if host.is_ready]
+        others = [h for h in ready if h.id in live and h.id not in unready]
+        own = [h for h in ready if h.id == local and state.is_ready]
+        expected = [host.frontend for host in ([*own, *others] if others else ready)]
+        assert sorted(directory.list_addresses()) == sorted(expected)
