Let only one process at a time set up the environment

Cause: two concurrent runs of `make setup` in one clone both created the virtual environment and ran pip in it, each replacing files that the other read.

Change: the set-up runs under a lock (flock) on a file inside the environment, so that worktrees that share an environment by a link share the lock as well. A run that waited installs nothing if the environment is complete by then. The kernel releases the lock if the process ends. `make` now needs flock of util-linux.

--- a/Makefile
+++ b/Makefile
@@ -4,14 +4,20 @@
 RUN := $(VENV)/bin/python -m
 READY := $(VENV)/.ready-$(shell cksum < requirements.lock | cut -d' ' -f1)
 
-.PHONY: soak proofs setup demo bench test check format lint types contracts slopes generate binary clean
+.PHONY: soak proofs setup install demo bench test check format lint types contracts slopes generate binary clean
 
 setup: $(READY)
 
 $(READY): requirements.lock
+	mkdir -p $(VENV)
+	flock $(VENV)/.lock $(MAKE) --no-print-directory install
+
+# Run by `setup` under its lock, so that only one process changes the environment.
+install:
 	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
-	$(VENV)/bin/python -m pip install --quiet --disable-pip-version-check --requirement requirements.lock
-	touch $@
+	test $(READY) -nt requirements.lock || { \
+		$(VENV)/bin/python -m pip install --quiet --disable-pip-version-check \
+			--requirement requirements.lock && touch $(READY); }
 
 demo: setup
 	$(RUN) dewridge demo
