Count the time to the first token once in the loaded duration

Cause: estimate_loaded_duration added the time to the first token to predict_duration, which includes it. For short answers, servers that are quick to begin were preferred over those that complete sooner.

Change: the expected duration is used as it is; only a silence that exceeds the expected first token adds its excess.

The tests of dewridge/tests/policy pass.

--- a/dewridge/policy/placement.py
+++ b/dewridge/policy/placement.py
@@ -190,12 +190,15 @@
 def estimate_loaded_duration(
     work: Work, servers: Servers, record: ServerCredits, now: float
 ) -> float:
-    """Return the expected seconds of an attempt, weighted by the credits in use."""
-    first_token = max(
-        servers.latency_model.first_token, record.estimate_first_token(now)
-    )
-    duration = servers.latency_model.predict_duration(work, record)
-    return (first_token + duration) * (1 + record.in_flight / record.limit)
+    """Return the expected seconds of an attempt, weighted by the credits in use.
+
+    A silence that is longer than the expected first token counts in its place.
+    """
+    model = servers.latency_model
+    first_token = record.first_token or model.first_token
+    delay = max(0.0, record.compute_silence(now) - first_token)
+    duration = model.predict_duration(work, record) + delay
+    return duration * (1 + record.in_flight / record.limit)
 
 
 def make_random(
