Leave room for hosts that see a limit as stale

Cause: where hosts see only their own answers, a limit becomes stale for all but its chosen senders after 10 s, and the other hosts send half of it beside the senders, whose number left no room for that. In a lull of all demand, the turns of these hosts also add up, and all of them send when it ends.

Change: while a limit is stale, all hosts together send a tenth of it and 0.1 requests per second in place of a half; they only have to find out how the server is, and any answer ends it. count_senders leaves room for twice that rate. A turn that came in a pause of over a second is drawn again, once, over as long a time as the pause.

The test of a host with little demand fails (0 requests) if turns may be drawn again at each request.

Costs: fewer hosts send to a server with a limit (4 in place of 7 of 60 at a limit of 1.7, 21 in place of 31 at 12), and at a limit of 1.7 whose senders are silent another host asks after 3.7 s in place of 1.2 s in the mean, from the rates. No fleet was run to measure this. The test of silent senders takes its expected number from compute_stale_rate.

--- a/dewridge/policy/requestlimits.py
+++ b/dewridge/policy/requestlimits.py
@@ -39,8 +39,15 @@
 STALE_AFTER = 10.0
 """Seconds after the last answer that named a limit from which any host may send: the
 chosen senders may have ended or have no callers."""
-STALE_SHARE = 0.5
-"""Share of the limit that all hosts together send then, as each draws its own time."""
+STALE_SHARE = 0.1
+STALE_RATE = 0.1
+"""Share of the limit, and requests per second beside it, that all hosts together send
+then, as each draws its own time. They only find out how the server is: any answer
+makes the chosen senders the only ones again. Where hosts see only their own answers,
+they are sent in addition to the requests of the chosen senders."""
+MAX_MISSED_TIME = 1.0
+"""Seconds without demand after which a host whose turn came meanwhile draws a new time
+in such a period: after a lull of all demand, the hosts would send together."""
 RAMP_TIME = 6.0
 """Seconds from the end of a limit until requests are no longer paced. If all hosts
 released the server at once, the burst would overload it again."""
@@ -98,16 +105,28 @@
     """Return how many hosts send to a server with a limit.
 
     After a pause, a host sends one request more than its share, so that n hosts send up
-    to `USABLE_SHARE * rate * WINDOW + n` in a window.
+    to `USABLE_SHARE * rate * WINDOW + n` in a window. Hosts that see only their own
+    answers send up to twice the stale rate beside them: after a pause, the turns that
+    were missed are spread over as long a time as the pause was.
 
     Args:
         rate: requests per second that the server takes from all hosts.
         hosts: number of entry hosts.
     """
     extra = (TOLERANCE - USABLE_SHARE) * rate * WINDOW + SLACK - DIVERGENT_SENDERS
+    extra -= 2 * compute_stale_rate(rate) * WINDOW
     return max(1, min(hosts, math.floor(extra)))
 
 
+def compute_stale_rate(rate: float) -> float:
+    """Return the requests per second of all hosts while a limit is stale.
+
+    Args:
+        rate: requests per second that the server takes from all hosts.
+    """
+    return STALE_SHARE * rate + STALE_RATE
+
+
 def rank_sender(
     server: BackendServerId, host: HostId, hosts: Collection[HostId]
 ) -> int | None:
@@ -133,9 +152,11 @@
 
     Attributes:
         interval: seconds between two requests; infinite if the host may not send.
+        is_stale: whether the host sends because the limit is stale.
     """
 
     interval: float
+    is_stale: bool = False
 
     @property
     def burst(self) -> int:
@@ -164,7 +185,7 @@
     if rank < senders:
         return SendShare(senders / (rate * USABLE_SHARE))
     if notice.is_stale(now):
-        return SendShare(hosts / (rate * STALE_SHARE))
+        return SendShare(hosts / compute_stale_rate(rate), is_stale=True)
     return NO_SHARE
 
 
@@ -175,10 +196,14 @@
     Attributes:
         share: the share in force.
         full_at: time at which the whole burst may be sent again.
+        polled_at: time of the last demand for the server.
+        is_redrawn: whether the time of the next request was drawn again.
     """
 
     share: SendShare = NO_SHARE
     full_at: float = 0.0
+    polled_at: float = 0.0
+    is_redrawn: bool = False
 
     def set_share(self, share: SendShare, now: float, random_number: float) -> None:
         """Apply a share.
@@ -191,7 +216,9 @@
             now: monotonic time.
             random_number: random number from 0 up to 1.
         """
+        pause, self.polled_at = now - self.polled_at, now
         if share == self.share:
+            self._spread_missed_turn(pause, now, random_number)
             return
         if math.isinf(share.interval):
             self.full_at = math.inf
@@ -203,6 +230,17 @@
             self.full_at = now + debt * share.interval
         self.share = share
 
+    def _spread_missed_turn(
+        self, pause: float, now: float, random_number: float
+    ) -> None:
+        """Draw a new time, once, for a turn that came in a pause of the demand."""
+        if not self.share.is_stale or self.is_redrawn or pause <= MAX_MISSED_TIME:
+            return
+        if self.find_send_time(now) <= now:
+            self.is_redrawn = True
+            delay = random_number * min(pause, self.share.interval)
+            self.full_at = now + delay + (self.share.burst - 1) * self.share.interval
+
     def find_send_time(self, now: float) -> float:
         """Return the earliest time for the next request; infinite if there is none."""
         if math.isinf(self.share.interval):
@@ -212,6 +250,7 @@
     def record_sent(self, now: float) -> None:
         """Count a request that is sent now."""
         self.full_at = max(now, self.full_at) + self.share.interval
+        self.is_redrawn = False
 
 
 class SendSlot(NamedTuple):
--- a/dewridge/tests/policy/requestlimits_tests.py
+++ b/dewridge/tests/policy/requestlimits_tests.py
@@ -11,13 +11,14 @@
     RAMP_TIME,
     SLACK,
     STALE_AFTER,
-    STALE_SHARE,
     TOLERANCE,
     WINDOW,
     LimitNotice,
     LimitPacer,
+    SendShare,
     SendSlot,
     compute_share,
+    compute_stale_rate,
     count_senders,
     find_later_send_time,
     rank_sender,
@@ -164,7 +165,7 @@
     others = [host for host in fleet if host.rank is not None and host.rank >= senders]
     sent = simulate(others, limit, STALE_AFTER + 30.0, is_fresh=False)
     assert all(at >= STALE_AFTER for at in sent)
-    expected = 30.0 * limit * STALE_SHARE * len(others) / hosts
+    expected = 30.0 * compute_stale_rate(limit) * len(others) / hosts
     assert len(sent) >= math.floor(0.7 * expected)
     assert count_max(sent) <= compute_bound(limit)
 
@@ -191,6 +192,49 @@
     assert LimitNotice(limit, ended_at, True).is_expired(ended_at + RAMP_TIME)
 
 
+@pytest.mark.parametrize("hosts", [9, 60, 195])
+@pytest.mark.parametrize("limit", [0.3, 1.7, 8.0, 12.0, 50.0])
+@pytest.mark.parametrize("lull", [3.0, 10.0])
+def test_a_burst_after_a_lull_keeps_within_the_limit(
+    hosts: int, limit: float, lull: float
+) -> None:
+    """Guards against a burst of hosts that see only their own answers.
+
+    The limit is stale to all but the chosen senders, which still have answers, and both
+    send. All demand pauses and then returns at once.
+    """
+    begin, end = 12.0, 12.0 + lull
+    fleet = make_hosts(hosts)
+    rng = random.Random(7)
+    observed_at = dict.fromkeys((host.name for host in fleet), 0.0)
+    sent: list[float] = []
+    for step in range(round((end + WINDOW) / STEP)):
+        now = step * STEP
+        if begin <= now < end:
+            continue
+        for host in fleet:
+            notice = LimitNotice(limit, observed_at[host.name])
+            count = host.count_sent(notice, now, rng)
+            if count:
+                observed_at[host.name] = now
+            sent += [now] * count
+    assert count_max(sent) <= compute_bound(limit)
+
+
+def test_a_host_with_little_demand_gets_its_turn() -> None:
+    """Guards against a turn that is drawn again at each request and never comes."""
+    share = SendShare(60.0, is_stale=True)
+    pacer = LimitPacer()
+    rng = random.Random(7)
+    sent = 0
+    for second in range(0, 3_600, 7):
+        pacer.set_share(share, second, rng.random())
+        if pacer.find_send_time(second) <= second:
+            pacer.record_sent(second)
+            sent += 1
+    assert sent >= 45
+
+
 def test_lowered_limit_applies_at_once() -> None:
     """Guards against bursts that were saved up under a higher limit."""
     fleet = make_hosts(9)
