--- /dev/null
+++ b/dewridge/tests/gateway/pushback.py
@@ -0,0 +1,157 @@
+"""Gateways and requests for tests of servers that ask for fewer requests."""
+
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+from functools import partial
+
+import msgspec
+import trio
+
+from dewridge.gateway.clock import read_boot_clock
+from dewridge.gateway.hosts import HOSTS_PREFIX, HostEntry
+from dewridge.gateway.limitsharing import (
+    apply_reported_limits,
+    list_limit_updates,
+)
+from dewridge.ids import HostId
+from dewridge.platform.store import Item, Listing
+from dewridge.tests.gateway.world import (
+    DOMAIN,
+    CallerAnswer,
+    Script,
+    ScriptedServer,
+    ServerExchange,
+    World,
+    open_world,
+)
+
+WINDOW = 4.0
+"""Seconds over which the requests at a server are counted."""
+
+TOLD_AFTER = 0.5
+"""Seconds after a host's first answer with a limit from which its requests count."""
+
+REPORT_PERIOD = 0.1
+
+
+@dataclass
+class Arrivals:
+    """Times at which requests reached a server, by the host that sent them."""
+
+    times: list[tuple[float, HostId]] = field(default_factory=list)
+    told_at: dict[HostId, float] = field(default_factory=dict)
+
+    def record(self, exchange: ServerExchange) -> HostId:
+        """Record a request; its id begins with the name of the host that sent it."""
+        host = HostId(exchange.headers[b"x-attempt-id"].decode().split("/")[0])
+        self.times.append((trio.current_time(), host))
+        return host
+
+    def count_max(self, after: float = 0.0) -> int:
+        """Return the most requests of informed hosts in any window."""
+        counted = sorted(
+            at
+            for at, host in self.times
+            if at >= max(after, self.told_at.get(host, at) + TOLD_AFTER)
+        )
+        return max(
+            (sum(begin <= at < begin + WINDOW for at in counted) for begin in counted),
+            default=0,
+        )
+
+
+@dataclass
+class Fleet:
+    """Gateways that know each other and the same servers."""
+
+    worlds: list[World]
+    _number: int = 0
+
+    async def add_server(self, name: str, script: Script) -> ScriptedServer:
+        """Start a server of the plain service that all gateways know."""
+        server = await self.worlds[0].add_server(name, script)
+        record = self.worlds[0].state.servers.find(server.id)
+        assert record is not None
+        for world in self.worlds[1:]:
+            world.state.servers.update(record, trio.current_time())
+        return server
+
+    async def exchange_reports(self) -> None:
+        """Deliver the reports of all gateways to each other forever.
+
+        The configuration is confirmed as well, as it is by reads of the store.
+        """
+        number = 0
+        while True:
+            number += 1
+            reports = [world.state.make_report(number) for world in self.worlds]
+            for world in self.worlds:
+                world.state.configuration.confirm(read_boot_clock())
+                for report in reports:
+                    copy = msgspec.convert(msgspec.to_builtins(report), type(report))
+                    world.state.sharing.apply_report(copy, trio.current_time())
+            await trio.sleep(REPORT_PERIOD)
+
+    async def send(self, world: World, seconds: float, rate: float) -> list[int]:
+        """Send requests to one gateway; return the status codes of the answers."""
+        statuses: list[int] = []
+
+        async def send_one(request_id: str) -> None:
+            answer = await world.request("/read/a", request_id=request_id)
+            statuses.append(answer.status)
+
+        end = trio.current_time() + seconds
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < end:
+                self._number += 1
+                nursery.start_soon(send_one, f"{world.state.host}/{self._number}")
+                await trio.sleep(1 / rate)
+        return statuses
+
+
+def register_hosts(worlds: list[World]) -> None:
+    """Enter all gateways in the table of hosts of each."""
+    items = []
+    for world in worlds:
+        host = world.state.host
+        entry = HostEntry(host, 1, "127.0.0.1:1", "127.0.0.1:2", DOMAIN, is_ready=True)
+        items.append(Item(f"{HOSTS_PREFIX}{host}/1", msgspec.json.encode(entry), 1))
+    for world in worlds:
+        world.state.hosts.replace(Listing(tuple(items), revision=1))
+
+
+async def open_fleet(stack: AsyncExitStack, count: int) -> Fleet:
+    """Start gateways that exchange reports."""
+    worlds = [
+        await stack.enter_async_context(open_world(host=HostId(f"host-{number}")))
+        for number in range(count)
+    ]
+    register_hosts(worlds)
+    for world in worlds:
+        world.state.list_limits = partial(list_limit_updates, world.state)
+        world.state.sharing.on_report = partial(apply_reported_limits, world.state)
+    fleet = Fleet(worlds)
+    worlds[0].nursery.start_soon(fleet.exchange_reports)
+    return fleet
+
+
+async def send_together(world: World, count: int, path: str) -> list[CallerAnswer]:
+    """Send requests at the same time and return the answers."""
+    answers: list[CallerAnswer] = []
+
+    async def send(number: int) -> None:
+        answers.append(await world.request(path, request_id=f"r-{number}"))
+
+    async with trio.open_nursery() as nursery:
+        for number in range(count):
+            nursery.start_soon(send, number)
+    return answers
+
+
+@asynccontextmanager
+async def open_single_host(retry_slack: float = 0.0) -> AsyncIterator[World]:
+    """Start a gateway that knows that it is the only one."""
+    async with open_world(host=HostId("host-0"), retry_slack=retry_slack) as world:
+        register_hosts([world])
+        yield world
