--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -15,6 +15,11 @@
 from dewridge.gateway.losses import LossHandler
 from dewridge.gateway.model import RouteKind, ServerRecord
 from dewridge.gateway.moves import move_stream
+from dewridge.gateway.placement.outcomes import (
+    record_complete_run,
+    record_first_event,
+    record_placement,
+)
 from dewridge.gateway.responder import Responder
 from dewridge.gateway.rollouts import AttemptResult, classify_attempt
 from dewridge.gateway.state import SERVER_ANSWER_TIME_METRIC, GatewayState
@@ -103,6 +108,8 @@
         job.unprocessed_tokens = choice.unprocessed_tokens
         job.prefill_measured_from = trio.current_time() if choice.is_idle else None
         job.cache_holder = choice.cache_holder
+        job.expected = choice.expected
+        record_placement(self._state, job)
         work.add(server.id, job.unprocessed_tokens, is_suspect=choice.is_suspect)
         result = AttemptResult.ABANDONED
         try:
@@ -274,6 +281,7 @@
         if not responder.has_started:
             await responder.send_head(200, clean_answer_headers(answer.head.headers))
         record_answer(self._state, job)
+        record_complete_run(self._state, job, trio.current_time())
         await responder.finish()
         return None
 
@@ -306,6 +314,7 @@
         job.last_event_at = trio.current_time()
         if job.attempt_first_event_at is None:
             job.attempt_first_event_at = job.last_event_at
+            record_first_event(self._state, job, job.last_event_at)
         if job.first_event_at is None:
             job.first_event_at = job.last_event_at
             self._record_prefill_rate(job, job.first_event_at)
--- a/dewridge/gateway/jobs.py
+++ b/dewridge/gateway/jobs.py
@@ -7,6 +7,7 @@
 from dewridge.gateway.model import Account, CallerRequest, Route, ServerRecord
 from dewridge.ids import BackendServerId, RequestDigest, ServiceName
 from dewridge.platform.engines import CacheCopy
+from dewridge.policy.expectedtime import ExpectedPlacement
 
 PRIORITY_STEP = 3
 """Route priorities within one account priority on the engines' scale from 0 to 9."""
@@ -42,6 +43,8 @@
         unprocessed_tokens: prompt tokens that the server probably has yet to process.
         prefill_measured_from: time at which the attempt was sent to an idle engine, to
             measure its prompt processing rate; None if the engine was not idle.
+        expected: expected times to the first event of the current attempt; None if its
+            server was not chosen by them.
         cache_holder: address of a server that probably has the prompt's shared prefix
             cached; None if no copy is needed.
         events: number of events forwarded.
@@ -69,6 +72,7 @@
     is_usage_counted: bool = False
     unprocessed_tokens: int = 0
     prefill_measured_from: float | None = None
+    expected: ExpectedPlacement | None = None
     cache_holder: str | None = None
     events: int = 0
     first_event_at: float | None = None
@@ -95,3 +99,14 @@
     if account is None:
         return min(9, job.route.priority)
     return min(9, account * PRIORITY_STEP + min(PRIORITY_STEP - 1, job.route.priority))
+
+
+def make_prefix_name(job: Job) -> str:
+    """Return the name of a prompt's shared prefix, which determines its cache holder.
+
+    A prompt without a shared prefix is named by its request id, which spreads such
+    prompts over all servers.
+    """
+    sizes = job.request.sizes
+    shared = sizes.parts[:-1]
+    return f"{sizes.model}/{shared[-1].id if shared else job.request.id}"
--- a/dewridge/gateway/operations.py
+++ b/dewridge/gateway/operations.py
@@ -9,6 +9,7 @@
 from dewridge.gateway.ingress import send_failure
 from dewridge.gateway.measures import update_gauges
 from dewridge.gateway.model import CallerRequest
+from dewridge.gateway.placement.dump import describe_placement, describe_server_pace
 from dewridge.gateway.reports import RolloutProgress
 from dewridge.gateway.responder import Responder
 from dewridge.gateway.rollouts import compute_elapsed, describe_evidence
@@ -113,6 +114,7 @@
             _describe_rollout(state, progress)
             for progress in state.rollouts.list_progress()
         ],
+        "placement": describe_placement(state),
         "quotas": state.ledger.describe(),
         "connections": {
             "callers": state.ingress.connections,
@@ -174,6 +176,7 @@
         "in_flight": state.work_in_flight.requests.get(server, 0),
         "failure_share": round(health.failure_share, 3),
         "rests_for_seconds": round(max(0.0, health.cooldown_until - now), 3),
+        "pace": describe_server_pace(state, server, now),
         "pushback": state.pushback.describe(server, now),
         "full_for_seconds": round(max(0.0, health.full_until - now), 3),
     }
--- /dev/null
+++ b/dewridge/gateway/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of prompts by the expected time to their first event."""
--- /dev/null
+++ b/dewridge/gateway/placement/dump.py
@@ -0,0 +1,34 @@
+"""State of the placement by expected time in an operator's dump."""
+
+from typing import Any
+
+from dewridge.gateway.placement.activation import is_enabled
+from dewridge.gateway.placement.loads import read_pace, read_speed
+from dewridge.gateway.state import GatewayState
+from dewridge.ids import BackendServerId
+
+
+def describe_placement(state: GatewayState) -> list[dict[str, Any]]:
+    """Return what has been learned of each service."""
+    described = []
+    for service, figures in sorted(state.placement.services.items()):
+        speed = read_speed(state, service)
+        described.append(
+            {
+                "service": service,
+                "is_by_expected_time": is_enabled(state, service),
+                "samples": figures.speed.samples,
+                "prefill_tokens_per_second": round(speed.prefill_rate),
+                "fixed_seconds": round(speed.fixed_time, 4),
+                "run_seconds": round(speed.run_time, 3),
+                "request_tokens": round(speed.request_tokens),
+            }
+        )
+    return described
+
+
+def describe_server_pace(
+    state: GatewayState, server: BackendServerId, now: float
+) -> float:
+    """Return the factor by which a server takes longer than usual."""
+    return round(read_pace(state, server, now), 3)
--- a/dewridge/gateway/reports.py
+++ b/dewridge/gateway/reports.py
@@ -49,12 +49,18 @@
         attempts: recent attempts, in tenths, because the weight of an attempt decays
             below one with its age.
         failures: the failed ones among these attempts, in tenths.
+        pace_samples: recent first events that were compared with the expected times,
+            in tenths (`dewridge.policy.serverpace`).
+        pace_sum: sum of their ratios of actual to expected seconds, in tenths. Older
+            builds neither send nor read the last two fields.
     """
 
     requests: int = 0
     tokens: int = 0
     attempts: int = 0
     failures: int = 0
+    pace_samples: int = 0
+    pace_sum: int = 0
 
     def __add__(self, other: "ServerTotals") -> "ServerTotals":
         return ServerTotals(
@@ -62,6 +68,8 @@
             self.tokens + other.tokens,
             self.attempts + other.attempts,
             self.failures + other.failures,
+            self.pace_samples + other.pace_samples,
+            self.pace_sum + other.pace_sum,
         )
 
 
--- a/dewridge/gateway/serversums.py
+++ b/dewridge/gateway/serversums.py
@@ -58,3 +58,5 @@
         total.tokens += new.tokens - old.tokens
         total.attempts += new.attempts - old.attempts
         total.failures += new.failures - old.failures
+        total.pace_samples += new.pace_samples - old.pace_samples
+        total.pace_sum += new.pace_sum - old.pace_sum
--- a/dewridge/gateway/serving.py
+++ b/dewridge/gateway/serving.py
@@ -17,6 +17,7 @@
     Route,
     RouteKind,
 )
+from dewridge.gateway.placement.outcomes import describe_choice
 from dewridge.gateway.responder import CallerDisconnectedError, Responder
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.suspects import check_quarantine, describe_suspect
@@ -218,6 +219,7 @@
             reason=failure.reason if failure else reason,
             **describe_suspect(self._state, job),
             servers=",".join(job.tried_servers) if job else "",
+            **(describe_choice(job) if job else {}),
             **({"withheld": withheld} if withheld else {}),
             is_whole=responder.is_finished,
             ms=round((now - started_at) * 1000, 1),
--- a/dewridge/gateway/sharing.py
+++ b/dewridge/gateway/sharing.py
@@ -31,6 +31,7 @@
 from dewridge.ids import BackendServerId, ClientAccount, HostId, ServiceName
 from dewridge.policy.cells import CellName
 from dewridge.policy.mergedtotals import compute_growth
+from dewridge.policy.serverpace import is_credible
 
 MIN_REPORT_PERIOD = 0.1
 """Seconds between two reports: a tenth of the shortest time to first token, so that
@@ -107,6 +108,8 @@
         on_outcomes: called with the growth of a rollout outcome counter at other hosts.
         is_outcome_open: whether such a counter belongs to a rollout in progress.
         on_report: called with each periodic report that is accepted.
+        on_ignored_paces: called with the number of servers whose pace in a report is
+            not credible.
         started_at: monotonic time at which this process started.
         boot: start time of this process, in microseconds since 1970.
         cell_peers: the last report of each other host of the local cell.
@@ -116,6 +119,7 @@
         reports_received: number of reports received from hosts of the local cell.
         reports_missed: number of their reports that were lost or arrived too late.
         holder: the latest known holder of the duties.
+        last_report_at: monotonic time of the last accepted report.
         period: seconds between two rounds.
         has_cells: whether the fleet is large enough for more than one cell.
         is_reader: whether this host follows the store on behalf of its cell.
@@ -129,6 +133,7 @@
     on_outcomes: Callable[[OutcomeKey, float], None] = _ignore
     is_outcome_open: Callable[[OutcomeKey], bool] = lambda name: True
     on_report: Callable[[PeriodicReport], None] = _ignore
+    on_ignored_paces: Callable[[int], None] = _ignore
     started_at: float = 0.0
     boot: int = 0
     cell_peers: dict[HostId, PeerView] = field(default_factory=dict)
@@ -137,6 +142,7 @@
     reports_received: int = 0
     reports_missed: int = 0
     holder: DutyHolder = NO_HOLDER
+    last_report_at: float = float("-inf")
     period: float = MIN_REPORT_PERIOD
     has_cells: bool = False
     is_reader: bool = True
@@ -168,11 +174,15 @@
         """Apply a report; drop late ones and those of earlier incarnations."""
         if report.host == self.local_host:
             return
+        ignored = clear_bad_paces(report.totals.servers)
+        if ignored:
+            self.on_ignored_paces(ignored)
         if isinstance(report, CellReport):
             is_accepted = self._apply_cell_report(report, now)
         else:
             is_accepted = self._apply_host_report(report, now)
         if is_accepted:
+            self.last_report_at = now
             self.record_holder(report.holder)
             self.on_report(report)
 
@@ -391,6 +401,20 @@
                 self._server_sums.drop(name)
 
 
+def clear_bad_paces(servers: Mapping[BackendServerId, ServerTotals]) -> int:
+    """Set reported paces that are not credible to zero; return their number.
+
+    A host with a faulty clock or build would otherwise spoil the sums of all hosts.
+    """
+    ignored = 0
+    for totals in servers.values():
+        samples, ratio_sum = totals.pace_samples, totals.pace_sum
+        if (samples or ratio_sum) and not is_credible(samples, ratio_sum):
+            totals.pace_samples = totals.pace_sum = 0
+            ignored += 1
+    return ignored
+
+
 def sum_server_totals(parts: Iterable[Totals]) -> dict[BackendServerId, ServerTotals]:
     """Return the sums by server."""
     total: dict[BackendServerId, ServerTotals] = {}
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -5,6 +5,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TypeVar
 
 import trio
@@ -13,6 +14,7 @@
 from dewridge.gateway.hosts import HostTable
 from dewridge.gateway.ingress import IngressState
 from dewridge.gateway.model import ServerRecord
+from dewridge.gateway.placement.table import PlacementTable
 from dewridge.gateway.pool import ConnectionPool
 from dewridge.gateway.pushback import PushbackTable
 from dewridge.gateway.reports import (
@@ -139,6 +141,7 @@
         default_factory=lambda: defaultdict(float)
     )
     rollouts: RolloutTable = field(default_factory=RolloutTable)
+    placement: PlacementTable = field(default_factory=PlacementTable)
     suspects: SuspectLedger = field(default_factory=SuspectLedger)
     observed_crashes: set[RequestDigest] = field(default_factory=set)
     """Digests of the requests during which this host itself observed a server crash."""
@@ -165,6 +168,9 @@
             self.servers,
             self.metrics,
         )
+        self.sharing.on_ignored_paces = partial(
+            self.metrics.add, "pace_reports_ignored_total"
+        )
 
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings."""
@@ -270,11 +276,14 @@
         reported = {}
         for server in {*self.work_in_flight.requests, *self.health}:
             attempts, failures = self.get_health(server).recent.read(now)
+            pace_samples, pace_sum = self.placement.read_reported_pace(server, now)
             totals = ServerTotals(
                 requests=self.work_in_flight.requests.get(server, 0),
                 tokens=self.work_in_flight.tokens.get(server, 0),
                 attempts=round(attempts * TENTHS_PER_ATTEMPT),
                 failures=round(failures * TENTHS_PER_ATTEMPT),
+                pace_samples=pace_samples,
+                pace_sum=pace_sum,
             )
             if totals != ZERO_SERVER_TOTALS:
                 reported[server] = totals
@@ -324,9 +333,9 @@
             del self.health[server]
             self.metrics.remove_histogram(SERVER_ANSWER_TIME_METRIC, server=server)
         now = trio.current_time()
-        self.pushback.drop_expired(
-            {record.id for record in self.servers.list_all()}, now
-        )
+        listed = {record.id for record in self.servers.list_all()}
+        self.pushback.drop_expired(listed, now)
+        self.placement.drop_departed(listed)
         self.suspects.drop_expired(now)
         self.observed_crashes = {
             digest for digest in self.observed_crashes if self.suspects.find(digest)
--- a/dewridge/gateway/weighing.py
+++ b/dewridge/gateway/weighing.py
@@ -5,10 +5,12 @@
 
 import trio
 
-from dewridge.gateway.jobs import Job
+from dewridge.gateway.jobs import Job, make_prefix_name
 from dewridge.gateway.model import ServerRecord
-from dewridge.gateway.reports import TENTHS_PER_ATTEMPT, ZERO_SERVER_TOTALS
-from dewridge.gateway.sharing import FleetSummary
+from dewridge.gateway.placement.activation import is_enabled
+from dewridge.gateway.placement.expected import place_by_expected_time
+from dewridge.gateway.placement.failures import compute_fleet_failure_share
+from dewridge.gateway.reports import ZERO_SERVER_TOTALS
 from dewridge.gateway.state import GatewayState
 from dewridge.ids import BackendServerId
 from dewridge.policy.choice import (
@@ -19,11 +21,8 @@
     find_cache_holder,
     place_prompt,
 )
-from dewridge.policy.serverhealth import (
-    ServerHealth,
-    compute_failure_share,
-    compute_median,
-)
+from dewridge.policy.expectedtime import ExpectedPlacement
+from dewridge.policy.serverhealth import compute_median
 from dewridge.policy.shedding import should_shed
 
 MIN_COPIED_TOKENS = 1_500
@@ -45,6 +44,7 @@
         cache_holder: `a.b.c.d:port` of a server that probably has the shared prefix
             cached, if the chosen one does not.
         is_suspect: whether a server crashed while it ran this request before.
+        expected: expected times by which it was chosen; None if it was chosen by load.
     """
 
     server: ServerRecord
@@ -52,6 +52,7 @@
     is_idle: bool = False
     cache_holder: str | None = None
     is_suspect: bool = False
+    expected: ExpectedPlacement | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,7 +95,6 @@
     ] or records
     if is_suspect(state, job, now):
         return choose_isolated_server(state, job, untried, now)
-    candidates = list_candidates(state, untried, now)
     versions = {record.version for record in records}
     cache_warm = {
         record.id: record
@@ -102,13 +102,20 @@
         if record.version in versions
     }
     holders = list(cache_warm) if is_worth_copying(job) else []
-    placement = choose_placement(
-        job,
-        candidates,
-        state.rng,
-        can_copy=bool(holders),
-        staleness=state.sharing.staleness,
-    )
+    expected = None
+    if job.is_engine and is_enabled(state, job.service):
+        expected = place_by_expected_time(
+            state, job, untried, now, can_copy=bool(holders)
+        )
+        placement = None if expected is None else make_placement(expected)
+    else:
+        placement = choose_placement(
+            job,
+            list_candidates(state, untried, now),
+            state.rng,
+            can_copy=bool(holders),
+            staleness=state.sharing.staleness,
+        )
     if placement is None:
         return None
     server = state.servers.find(placement.server)
@@ -118,7 +125,9 @@
     if holder is not None and not can_copy_from(state, holder, now):
         holder = None
     address = None if holder is None else cache_warm[holder].address
-    return ServerChoice(server, placement.tokens, placement.is_idle, address)
+    return ServerChoice(
+        server, placement.tokens, placement.is_idle, address, expected=expected
+    )
 
 
 def list_open(
@@ -173,17 +182,6 @@
     return job.is_engine and sum(part.tokens for part in shared) >= MIN_COPIED_TOKENS
 
 
-def make_prefix_name(job: Job) -> str:
-    """Return the name of a prompt's shared prefix, which determines its cache holder.
-
-    A prompt without a shared prefix is named by its request id, which spreads such
-    prompts over all servers.
-    """
-    sizes = job.request.sizes
-    shared = sizes.parts[:-1]
-    return f"{sizes.model}/{shared[-1].id if shared else job.request.id}"
-
-
 def choose_placement(
     job: Job,
     candidates: list[Candidate],
@@ -208,6 +206,12 @@
     return None if chosen is None else Placement(chosen.id, 0)
 
 
+def make_placement(expected: ExpectedPlacement) -> Placement:
+    """Return the placement that a choice by expected time amounts to."""
+    load = expected.load
+    return Placement(load.id, round(expected.tokens), load.unprocessed_tokens <= 0)
+
+
 def is_load_shed(state: GatewayState, job: Job) -> bool:
     """Return whether a job is refused because its engines are overloaded."""
     now = trio.current_time()
@@ -275,19 +279,3 @@
             )
         )
     return candidates
-
-
-def compute_fleet_failure_share(
-    server: BackendServerId, health: ServerHealth, others: FleetSummary, now: float
-) -> float | None:
-    """Return the share of all hosts' recent attempts at a server that failed.
-
-    Returns:
-        None if there were too few attempts to tell.
-    """
-    elsewhere = others.server_totals.get(server, ZERO_SERVER_TOTALS)
-    attempts, failures = health.recent.read(now)
-    return compute_failure_share(
-        elsewhere.attempts / TENTHS_PER_ATTEMPT + attempts,
-        elsewhere.failures / TENTHS_PER_ATTEMPT + failures,
-    )
