--- a/dewridge/gateway/placement/expected.py
+++ b/dewridge/gateway/placement/expected.py
@@ -122,8 +122,9 @@
     count = RANDOM_CANDIDATES if holders else RANDOM_CANDIDATES_WITHOUT_PREFIX
     others = list(_draw_others(scene, holders, count))
     if not holders and not others:
-        # No server is usable: any of them is better than none.
-        others = list(scene.records)
+        # The draws missed the few usable servers; if there are none, any server is
+        # better than none.
+        others = list(filter(scene.is_usable, scene.records)) or list(scene.records)
     return [
         estimate_placement(
             read_load(state, scene.records[server], now, is_holder=server in holders),
--- a/dewridge/policy/serverpace.py
+++ b/dewridge/policy/serverpace.py
@@ -24,6 +24,10 @@
 replays with slow periods of 0.6 s and reports 0.9 s old, using them made 13% to 19% of
 the answers late instead of 10% to 12%."""
 
+MAX_AGE = 3.0
+"""Seconds after which a host drops its samples of a server: a process that was
+suspended knows nothing of the paces since then."""
+
 
 def is_credible(samples: float, ratio_sum: float) -> bool:
     """Return whether the mean of reported ratios is one that a server can have."""
@@ -68,6 +72,8 @@
 
     def read(self, now: float) -> tuple[float, float]:
         """Return the samples and the sum of their ratios, decayed up to now."""
+        if now - self.updated_at > MAX_AGE:
+            return 0.0, 0.0
         decay = compute_decay(now - self.updated_at)
         return self.samples * decay, self.ratio_sum * decay
 
--- a/dewridge/tests/policy/placementreplay.py
+++ b/dewridge/tests/policy/placementreplay.py
@@ -88,6 +88,8 @@
         hot_share: share of the requests with the same prefix.
         burst: factor of the requests in the middle of the replay.
         group: mean number of requests that a host gets at once.
+        parts: parts of the fleet whose hosts get no reports from the others.
+        slow_period: seconds after which other servers are slow.
     """
 
     fleet: Fleet
@@ -97,6 +99,8 @@
     hot_share: float = 0.0
     burst: float = 1.0
     group: float = 2.0
+    parts: int = 1
+    slow_period: float = SLOW_PERIOD
     seed: int = 1
 
 
@@ -129,7 +133,7 @@
     Attributes:
         late: share of the requests whose first event was late.
         prefilled_twice: shared tokens prefilled or copied again, per request.
-        busiest: most requests sent to one server, as a multiple of the mean.
+        late_by_kind: the share of late ones by kind.
     """
 
     late: float
@@ -140,8 +144,9 @@
 class SimulatedServer:
     """A server that prefills in order of arrival and has slow periods."""
 
-    def __init__(self, fleet: Fleet, slow: list[bool]) -> None:
+    def __init__(self, fleet: Fleet, slow: list[bool], period: float) -> None:
         self._fleet = fleet
+        self._period = period
         self._slow = slow
         self._free_at = 0.0
         self._slots = [0.0] * fleet.slots
@@ -170,10 +175,10 @@
         """Return when work is done that takes so long at the usual speed."""
         at = begin
         while True:
-            period = int(at / SLOW_PERIOD + 1e-9)
+            period = int(at / self._period + 1e-9)
             is_slow = period < len(self._slow) and self._slow[period]
             factor = SLOWDOWN if is_slow else 1.0
-            until = (period + 1) * SLOW_PERIOD
+            until = (period + 1) * self._period
             if at + work * factor <= until:
                 return at + work * factor
             work -= (until - at) / factor
@@ -191,8 +196,16 @@
 
 @dataclass
 class Host:
-    """One host: what it knows at once, and what the others know of it."""
+    """One host.
 
+    Attributes:
+        others: what was reported by the hosts of its part, including itself.
+        own: what it knows at once of its own requests.
+        reported: what it reported of them.
+        demand: its recent requests by prefix.
+    """
+
+    others: View
     own: View = field(default_factory=View)
     reported: View = field(default_factory=View)
     demand: PrefixDemand = field(default_factory=PrefixDemand)
@@ -206,7 +219,7 @@
         self._rules = rules
         fleet = scene.fleet
         self._rng = random.Random(scene.seed)
-        periods = int((SECONDS + 40) / SLOW_PERIOD)
+        periods = int((SECONDS + 40) / scene.slow_period)
         slow = [
             set(
                 self._rng.sample(
@@ -216,11 +229,15 @@
             for _ in range(periods)
         ]
         self._servers = [
-            SimulatedServer(fleet, [n in slow[period] for period in range(periods)])
+            SimulatedServer(
+                fleet,
+                [n in slow[period] for period in range(periods)],
+                scene.slow_period,
+            )
             for n in range(fleet.servers)
         ]
-        self._hosts = [Host() for _ in range(fleet.hosts)]
-        self._all = View()
+        parts = [View() for _ in range(scene.parts)]
+        self._hosts = [Host(parts[n % scene.parts]) for n in range(fleet.hosts)]
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._number = 0
         self._speed = ServiceSpeed(fleet.prefill_rate, FIXED_TIME, 1.0)
@@ -343,7 +360,7 @@
     def _find_load(
         self, now: float, host: Host, server: int, *, is_holder: bool = False
     ) -> ServerLoad:
-        everyone, told, own = self._all, host.reported, host.own
+        everyone, told, own = host.others, host.reported, host.own
         requests = everyone.requests[server] - told.requests[server]
         tokens = everyone.tokens[server] - told.tokens[server]
         return ServerLoad(
@@ -361,7 +378,7 @@
         reported = ReportedPace()
         if self._rules.has_reported_pace:
             then = now - self._scene.age
-            samples, ratios = self._all.paces[server].read(then)
+            samples, ratios = host.others.paces[server].read(then)
             own_samples, own_ratios = host.reported.paces[server].read(then)
             others = samples - own_samples
             if others > 0.05:
@@ -397,7 +414,7 @@
         begin(host.own)
         self._schedule(first, lambda: read(host.own))
         self._schedule(end, lambda: finish(host.own))
-        for view in (self._all, host.reported):
+        for view in (host.others, host.reported):
             for at, change in ((now, begin), (first, read), (end, finish)):
                 self._schedule(
                     at + self._scene.age,
