Draft the admission of requests by a plan under contention

Cause: load shedding refuses by a random number and urgency only; accounts, returning callers and the work of requests do not count (docs/design/hard-load.md, part D). Change: policy modules (workdemand, admissionplan, fairshares, admissioncredits, returntimes, ratemeter moved out of quota), wiring in gateway/contention, the trailing field work_demand of Totals. Switched by decisions.admission; the ramps are unchanged. Evidence: tests of the folders gateway and policy pass (421 passed, 1 xpassed). The effect on callers is not measured yet.

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -3,6 +3,7 @@
 import trio
 
 from dewridge.codes import ResultCode
+from dewridge.gateway.contention.admitting import AdmissionControl, record_answer_end
 from dewridge.gateway.events import EventSplitter
 from dewridge.gateway.forwarding import (
     CompleteAnswer,
@@ -21,7 +22,7 @@
 from dewridge.gateway.streams import RunningStream
 from dewridge.gateway.suspects import check_quarantine, record_answer
 from dewridge.gateway.waiting import ServerChooser
-from dewridge.gateway.weighing import ServerChoice, is_load_shed
+from dewridge.gateway.weighing import ServerChoice
 from dewridge.http1.client import ConnectionBrokenError, Headers
 from dewridge.http1.headers import remove_hop_by_hop_headers
 from dewridge.platform.headers import Dispatch
@@ -49,6 +50,7 @@
         self._state = state
         self._losses = LossHandler(state)
         self._chooser = ServerChooser(state)
+        self._admission = AdmissionControl(state)
 
     async def run(self, job: Job, responder: Responder) -> Failure | None:
         """Run a job until it is answered or has failed.
@@ -61,10 +63,9 @@
             self._state.record_local_demand(
                 job.service, job.request.sizes.prompt_tokens
             )
-            if is_load_shed(self._state, job):
-                return self._refuse_with_retry_after(
-                    job, ResultCode.QUEUE_FULL, "shed: overloaded"
-                )
+        refusal = self._admission.check(job)
+        if refusal is not None:
+            return self._refuse(job, refusal)
         self._state.get_budget(job.service).record_first_attempt(trio.current_time())
         while True:
             refusal = check_quarantine(self._state, job)
@@ -274,6 +275,7 @@
         if not responder.has_started:
             await responder.send_head(200, clean_answer_headers(answer.head.headers))
         record_answer(self._state, job)
+        record_answer_end(self._state, job, trio.current_time())
         await responder.finish()
         return None
 
--- a/dewridge/gateway/cellview.py
+++ b/dewridge/gateway/cellview.py
@@ -5,6 +5,7 @@
 from dewridge.gateway.reports import CellReport, OutcomeKey
 from dewridge.ids import ClientAccount, HostId, ServiceName
 from dewridge.policy.mergedtotals import MergedTotals
+from dewridge.policy.workdemand import MAX_GROWTH_MS
 
 
 @dataclass
@@ -25,6 +26,7 @@
         quota_demand: demand of each account in the cell.
         token_demand: prompt tokens that arrived for each service in the cell.
         outcomes: counters of rollout outcomes in the cell.
+        work_demand: work in ms that arrived in the cell, by service and urgency.
     """
 
     sources: dict[HostId, SourceView] = field(default_factory=dict)
@@ -32,6 +34,9 @@
     quota_demand: MergedTotals[ClientAccount] = field(default_factory=MergedTotals)
     token_demand: MergedTotals[ServiceName] = field(default_factory=MergedTotals)
     outcomes: MergedTotals[OutcomeKey] = field(default_factory=MergedTotals)
+    work_demand: MergedTotals[str] = field(
+        default_factory=lambda: MergedTotals(max_growth=MAX_GROWTH_MS)
+    )
 
     @property
     def received_at(self) -> float:
@@ -55,5 +60,6 @@
             self.quota_demand,
             self.token_demand,
             self.outcomes,
+            self.work_demand,
         ):
             totals.reset_baselines()
--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -12,6 +12,7 @@
 from loguru import logger as log
 
 from dewridge.gateway.configuration import ConfigurationState
+from dewridge.gateway.contention.accounts import connect_reports
 from dewridge.gateway.datagrams import PacedSocket
 from dewridge.gateway.departures import (
     apply_left_report,
@@ -262,6 +263,7 @@
         state.sharing.on_outcomes = state.rollouts.add_remote_count
         state.sharing.is_outcome_open = state.rollouts.is_outcome_open
         state.sharing.on_token_demand = state.record_remote_demand
+        connect_reports(state)
         state.servers.on_left = partial(handle_server_left, state, self._link)
         state.sharing.on_report = partial(apply_peer_update, state, watcher, self._link)
         self._link.on_departures = partial(apply_left_report, state, self._link)
--- a/dewridge/gateway/jobs.py
+++ b/dewridge/gateway/jobs.py
@@ -51,6 +51,8 @@
         fallback: where it continues if the server of `continuation` rejects it.
         withheld_servers: servers that asked for fewer requests when it was refused.
         was_moved: whether it was stopped and moved; it is never started anew then.
+        admission_share: share of its account's requests that the plan admitted; None
+            if the service was not contended.
     """
 
     request: CallerRequest
@@ -77,6 +79,7 @@
     fallback: "Continuation | None" = None
     withheld_servers: list[BackendServerId] = field(default_factory=list)
     was_moved: bool = False
+    admission_share: float | None = None
 
     def __post_init__(self) -> None:
         """Set the event after which the caller resumes."""
--- a/dewridge/gateway/operations.py
+++ b/dewridge/gateway/operations.py
@@ -6,6 +6,7 @@
 import trio
 
 from dewridge.codes import ResultCode
+from dewridge.gateway.contention.describing import describe_plans
 from dewridge.gateway.ingress import send_failure
 from dewridge.gateway.measures import update_gauges
 from dewridge.gateway.model import CallerRequest
@@ -114,6 +115,7 @@
             for progress in state.rollouts.list_progress()
         ],
         "quotas": state.ledger.describe(),
+        "admission": describe_plans(state, now),
         "connections": {
             "callers": state.ingress.connections,
             "requests": state.ingress.requests,
--- a/dewridge/gateway/reports.py
+++ b/dewridge/gateway/reports.py
@@ -81,6 +81,8 @@
             lost.
         outcomes: counts of answers and bad answers of both versions of each rollout
             in progress.
+        work_demand: work that arrived, in ms of one server, by `SERVICE/URGENCY`;
+            missing in the reports of earlier builds, which ignore it.
     """
 
     quota_usage: dict[ClientAccount, int] = {}
@@ -88,6 +90,7 @@
     token_demand: dict[ServiceName, int] = {}
     servers: dict[BackendServerId, ServerTotals] = {}
     outcomes: dict[OutcomeKey, int] = {}
+    work_demand: dict[str, int] = {}
 
 
 class RolloutProgress(msgspec.Struct, frozen=True):
--- a/dewridge/gateway/serving.py
+++ b/dewridge/gateway/serving.py
@@ -7,6 +7,8 @@
 
 from dewridge.codes import ResultCode
 from dewridge.gateway.attempts import JobRunner
+from dewridge.gateway.contention.accounts import count_unlimited_usage, count_usage
+from dewridge.gateway.contention.describing import describe_admission
 from dewridge.gateway.ingress import send_failure
 from dewridge.gateway.jobs import Job
 from dewridge.gateway.measures import count_request, observe_first_event
@@ -132,10 +134,14 @@
     def _check_quota(
         self, request: CallerRequest, account: Account | None
     ) -> Failure | None:
-        if account is None or account.rate <= 0:
+        if account is None:
             return None
-        amount = compute_quota_units(request, account)
         state = self._state
+        amount = compute_quota_units(request, account)
+        now = trio.current_time()
+        if account.rate <= 0:
+            count_unlimited_usage(state, account.name, amount, now)
+            return None
         bounds = state.settings.bounds
         quota = make_quota(
             account.rate,
@@ -144,7 +150,6 @@
             bounds.quota_slack,
             bounds.quota_window,
         )
-        now = trio.current_time()
         fleet = state.make_fleet_view()
         random_number = state.rng.random()
         wait = state.ledger.compute_wait(
@@ -159,6 +164,7 @@
             )
             return Failure(ResultCode.SHARE_EXCEEDED, reason, retry_after)
         state.ledger.record(state.host, account.name, amount, now)
+        count_usage(state, account.name, amount, now)
         return None
 
     def _make_job(self, request: CallerRequest, resolved: ResolvedRequest) -> Job:
@@ -219,6 +225,7 @@
             **describe_suspect(self._state, job),
             servers=",".join(job.tried_servers) if job else "",
             **({"withheld": withheld} if withheld else {}),
+            **describe_admission(job),
             is_whole=responder.is_finished,
             ms=round((now - started_at) * 1000, 1),
             version=self._state.configuration.version,
--- a/dewridge/gateway/sharing.py
+++ b/dewridge/gateway/sharing.py
@@ -31,6 +31,7 @@
 from dewridge.ids import BackendServerId, ClientAccount, HostId, ServiceName
 from dewridge.policy.cells import CellName
 from dewridge.policy.mergedtotals import compute_growth
+from dewridge.policy.workdemand import MAX_GROWTH_MS, parse_demand_key
 
 MIN_REPORT_PERIOD = 0.1
 """Seconds between two reports: a tenth of the shortest time to first token, so that
@@ -104,6 +105,9 @@
         on_quota_demand: called with the growth of an account's demand at other hosts.
         on_token_demand: called with the growth of the prompt tokens for a service at
             other hosts.
+        on_work_demand: called with the growth in ms of the work of a class that arrived
+            at other hosts.
+        on_demand_ignored: called for each reported work demand that is impossible.
         on_outcomes: called with the growth of a rollout outcome counter at other hosts.
         is_outcome_open: whether such a counter belongs to a rollout in progress.
         on_report: called with each periodic report that is accepted.
@@ -126,6 +130,8 @@
     on_quota_usage: Callable[[HostId, ClientAccount, float, float], None]
     on_quota_demand: Callable[[ClientAccount, float, float], None] = _ignore
     on_token_demand: Callable[[ServiceName, float, float], None] = _ignore
+    on_work_demand: Callable[[str, float, float], None] = _ignore
+    on_demand_ignored: Callable[[], None] = _ignore
     on_outcomes: Callable[[OutcomeKey, float], None] = _ignore
     is_outcome_open: Callable[[OutcomeKey], bool] = lambda name: True
     on_report: Callable[[PeriodicReport], None] = _ignore
@@ -150,6 +156,9 @@
     _cell_token_demand: dict[ServiceName, float] = field(
         default_factory=lambda: defaultdict(float)
     )
+    _cell_work_demand: dict[str, float] = field(
+        default_factory=lambda: defaultdict(float)
+    )
     _cell_outcomes: dict[OutcomeKey, float] = field(
         default_factory=lambda: defaultdict(float)
     )
@@ -233,6 +242,17 @@
         for name, growth in compute_growth(totals.outcomes, earlier.outcomes).items():
             self._cell_outcomes[name] += growth
             self.on_outcomes(name, growth)
+        for key, growth in compute_growth(
+            self._select_possible(totals.work_demand), earlier.work_demand
+        ).items():
+            if earlier.work_demand.get(key, 0) < 0:
+                # The growth since an impossible total is not known.
+                continue
+            if growth > MAX_GROWTH_MS:
+                self.on_demand_ignored()
+                continue
+            self._cell_work_demand[key] += growth
+            self.on_work_demand(key, growth, now)
 
     def _apply_cell_report(self, report: CellReport, now: float) -> bool:
         cell = self.cells.setdefault(report.cell, CellView())
@@ -262,8 +282,33 @@
             self.on_token_demand(service, growth, now)
         for name, growth in cell.outcomes.record(source, totals.outcomes).items():
             self.on_outcomes(name, growth)
+        self._apply_cell_work(cell, source, totals.work_demand, now)
         return True
 
+    def _apply_cell_work(
+        self,
+        cell: CellView,
+        source: tuple[HostId, int],
+        reported: Mapping[str, int],
+        now: float,
+    ) -> None:
+        ignored = cell.work_demand.ignored
+        growths = cell.work_demand.record(source, self._select_possible(reported))
+        for key, growth in growths.items():
+            self.on_work_demand(key, growth, now)
+        for _ in range(cell.work_demand.ignored - ignored):
+            self.on_demand_ignored()
+
+    def _select_possible(self, reported: Mapping[str, int]) -> dict[str, float]:
+        """Return the reported work demands without negative and malformed ones."""
+        possible: dict[str, float] = {}
+        for key, amount in reported.items():
+            if amount < 0 or parse_demand_key(key) is None:
+                self.on_demand_ignored()
+            else:
+                possible[key] = amount
+        return possible
+
     def record_holder(self, holder: DutyHolder) -> None:
         """Record the holder of the duties unless a later one is known."""
         self.holder = max(self.holder, holder)
@@ -369,6 +414,7 @@
             token_demand=_add(self._cell_token_demand, local.token_demand),
             servers=sum_server_totals([local, *peer_totals]),
             outcomes=self._sum_outcomes(local),
+            work_demand=_add(self._cell_work_demand, local.work_demand),
         )
 
     def _sum_outcomes(self, local: Totals) -> dict[OutcomeKey, int]:
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -10,6 +10,7 @@
 import trio
 
 from dewridge.gateway.configuration import ConfigurationState
+from dewridge.gateway.contention.records import ContentionRecords
 from dewridge.gateway.hosts import HostTable
 from dewridge.gateway.ingress import IngressState
 from dewridge.gateway.model import ServerRecord
@@ -150,6 +151,7 @@
     """Returns the information on such requests for the report of a given number."""
     metrics: Metrics = field(default_factory=Metrics)
     pushback: PushbackTable = field(init=False)
+    contention: ContentionRecords = field(init=False)
     dependencies: list[ServiceClient] = field(default_factory=list)
     describe_duties: Callable[[], dict[str, object]] = dict
     is_ready: bool = False
@@ -157,7 +159,7 @@
     """Time on the monotonic clock at which this process ends."""
 
     def __post_init__(self) -> None:
-        """Create the table of pushback, which uses other parts of the state."""
+        """Create the parts that use other parts of the state."""
         self.pushback = PushbackTable(
             self.host,
             self.list_sender_hosts,
@@ -165,6 +167,7 @@
             self.servers,
             self.metrics,
         )
+        self.contention = ContentionRecords(self.rng.random)
 
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings."""
@@ -264,6 +267,7 @@
             token_demand=round_totals(self.local_demand),
             servers=self._list_server_totals(now),
             outcomes=dict(self.rollouts.outcomes),
+            work_demand=self.contention.demand.list_totals_ms(),
         )
 
     def _list_server_totals(self, now: float) -> dict[BackendServerId, ServerTotals]:
@@ -331,4 +335,6 @@
         self.observed_crashes = {
             digest for digest in self.observed_crashes if self.suspects.find(digest)
         }
+        if self.configuration.current is not None:
+            self.contention.drop_unknown(self.configuration.current)
         self.pool.close_expired()
--- /dev/null
+++ b/dewridge/policy/fairshares.py
@@ -0,0 +1,56 @@
+"""Weighted max-min fair division of a capacity among client accounts."""
+
+from collections.abc import Mapping
+from typing import TypeVar
+
+Name = TypeVar("Name", bound=str)
+
+MIN_WEIGHT = 1e-9
+"""Lower bound for weights; a weight of zero would be divided by."""
+
+
+def compute_fair_amounts(
+    demands: Mapping[Name, float], weights: Mapping[Name, float], capacity: float
+) -> dict[Name, float]:
+    """Return the amount that each account gets, at most its demand.
+
+    All accounts that do not get their whole demand get the same amount per weight, and
+    no account that gets its whole demand gets more per weight than these. What an
+    account does not ask for is divided among the others.
+
+    Args:
+        demands: what each account asks for.
+        weights: weight of each account; 1 for those without one.
+        capacity: the amount to divide.
+    """
+    amounts = dict.fromkeys(demands, 0.0)
+    left = max(0.0, capacity)
+    by_need = sorted(
+        (max(0.0, demand) / _get_weight(weights, name), name)
+        for name, demand in demands.items()
+    )
+    total_weight = sum(_get_weight(weights, name) for name in demands)
+    for need, name in by_need:
+        weight = _get_weight(weights, name)
+        amount = min(need * weight, left * weight / total_weight)
+        amounts[name] = amount
+        left -= amount
+        total_weight -= weight
+        if total_weight <= 0:
+            break
+    return amounts
+
+
+def compute_served_shares(
+    demands: Mapping[Name, float], weights: Mapping[Name, float], capacity: float
+) -> dict[Name, float]:
+    """Return the part of each account's demand that its fair amount covers."""
+    amounts = compute_fair_amounts(demands, weights, capacity)
+    return {
+        name: min(1.0, amounts[name] / demand) if demand > 0 else 1.0
+        for name, demand in demands.items()
+    }
+
+
+def _get_weight(weights: Mapping[Name, float], name: Name) -> float:
+    return max(MIN_WEIGHT, weights.get(name, 1.0))
--- a/dewridge/policy/mergedtotals.py
+++ b/dewridge/policy/mergedtotals.py
@@ -26,9 +26,16 @@
     Two hosts report the same sums, so that the crash of one leaves no gap. Their counts
     began at different times: the first report of each source is aligned with the merged
     totals, and a later one adds only what exceeds them.
+
+    Attributes:
+        totals: the merged totals.
+        max_growth: growth in one report that is possible; more than that is ignored.
+        ignored: number of totals that were ignored.
     """
 
     totals: dict[Name, float] = field(default_factory=dict)
+    max_growth: float = float("inf")
+    ignored: int = 0
     _baselines: dict[Source, _Baseline[Name]] = field(default_factory=dict)
 
     def record(
@@ -51,7 +58,13 @@
                 - baseline.reported.get(name, 0.0)
             )
             increase = aligned - self.totals.get(name, 0.0)
-            if increase > 0:
+            if increase > self.max_growth:
+                # Aligned anew: otherwise the impossible total would hide the growth
+                # that the source reports from now on, or be added by its next report.
+                baseline.reported[name] = value
+                baseline.totals[name] = self.totals.get(name, 0.0)
+                self.ignored += 1
+            elif increase > 0:
                 self.totals[name] = aligned
                 growth[name] = increase
         return growth
--- a/dewridge/policy/quota.py
+++ b/dewridge/policy/quota.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 from dewridge.ids import ClientAccount, HostId
+from dewridge.policy.ratemeter import RateMeter
 
 USABLE_TOLERANCE_SHARE = 0.6
 """Operators tolerate some usage above a quota; the buckets use this share of the
@@ -98,25 +99,6 @@
         return max(1, self.hosts - self.silent) / max(1, self.hosts)
 
 
-class _RateMeter:
-    """Mean rate of units per second over the last `DEMAND_WINDOW`."""
-
-    def __init__(self) -> None:
-        self._amounts: deque[tuple[float, float]] = deque()
-        self._sum = 0.0
-
-    def add(self, amount: float, now: float) -> None:
-        """Count units."""
-        self._amounts.append((now, amount))
-        self._sum += amount
-
-    def compute_rate(self, now: float) -> float:
-        """Return units per second."""
-        while self._amounts and self._amounts[0][0] < now - DEMAND_WINDOW:
-            self._sum -= self._amounts.popleft()[1]
-        return max(0.0, self._sum) / DEMAND_WINDOW
-
-
 @dataclass
 class _Bucket:
     """This host's replica of one account's bucket."""
@@ -137,6 +119,10 @@
         self.filled_at = now
 
 
+def _make_meter() -> RateMeter:
+    return RateMeter(DEMAND_WINDOW)
+
+
 class QuotaLedger:
     """One host's replicas of the buckets of all accounts.
 
@@ -171,8 +157,8 @@
         self._early_usage: dict[ClientAccount, deque[tuple[float, float]]] = (
             defaultdict(deque)
         )
-        self._local_demand: dict[ClientAccount, _RateMeter] = defaultdict(_RateMeter)
-        self._remote_demand: dict[ClientAccount, _RateMeter] = defaultdict(_RateMeter)
+        self._local_demand: dict[ClientAccount, RateMeter] = defaultdict(_make_meter)
+        self._remote_demand: dict[ClientAccount, RateMeter] = defaultdict(_make_meter)
 
     def record(
         self, host: HostId, account: ClientAccount, amount: float, now: float
@@ -186,6 +172,11 @@
         if host == self._local_host:
             self.usage_totals[account] += amount
 
+    def record_unlimited(self, account: ClientAccount, amount: float) -> None:
+        """Count units of an account without a quota, which has no bucket."""
+        self.usage_totals[account] += amount
+        self.demand_totals[account] += amount
+
     def record_remote_demand(
         self, account: ClientAccount, amount: float, now: float
     ) -> None:
