--- a/dewridge/gateway/contention/planning.py
+++ b/dewridge/gateway/contention/planning.py
@@ -23,12 +23,9 @@
     if known is not None and 0 <= now - known.planned_at < PLAN_PERIOD:
         return known
     load = measure_load(state, service, now)
-    was_contended = known is not None and known.plan.is_contended
-    plan = make_plan(load, was_contended=was_contended)
-    state.contention.histories[service].add(plan, now)
-    new = ServicePlan(plan, now, load.servers, load.in_flight, load.slots)
-    state.contention.plans[service] = new
-    return new
+    plan = ServicePlan(make_plan(load), now, load.servers, load.in_flight, load.slots)
+    state.contention.plans[service] = plan
+    return plan
 
 
 def measure_load(state: GatewayState, service: ServiceName, now: float) -> ServiceLoad:
@@ -46,17 +43,12 @@
     part = state.make_fleet_view().live_share
     contention = state.contention
     configuration = state.configuration.current
-    servers = len(records) * part
-    demand = contention.demand.compute_rates(service, now)
     return ServiceLoad(
         in_flight=state.count_in_flight(records),
         slots=sum(record.slots for record in records) * part,
-        servers=servers,
+        servers=len(records) * part,
         mean_work=contention.mean_work.get(service, MIN_MEAN_WORK),
-        demand=demand,
-        unreported_work=contention.histories[service].estimate_unreported(
-            demand, servers, state.sharing.staleness, now
-        ),
+        demand=contention.demand.compute_rates(service, now),
         accounts=contention.compute_account_rates(now),
         weights=contention.weights.get(configuration) if configuration else {},
     )
--- a/dewridge/gateway/contention/records.py
+++ b/dewridge/gateway/contention/records.py
@@ -8,7 +8,7 @@
 from dewridge.gateway.model import Account, Configuration, RouteName
 from dewridge.ids import ClientAccount, ServiceName
 from dewridge.policy.admissioncredits import AdmissionCredits
-from dewridge.policy.admissionplan import AdmissionPlan, PlanHistory
+from dewridge.policy.admissionplan import AdmissionPlan
 from dewridge.policy.ratemeter import RateMeter
 from dewridge.policy.workdemand import OutputTimeMeter, WorkDemand
 
@@ -104,7 +104,6 @@
         mean_work: mean work of a request, by service, in seconds of one server.
         credits: credits of the classes that are not admitted completely.
         plans: the plans in force.
-        histories: the plans that reports do not cover yet, by service.
         weights: weights of the accounts.
         planned_services: the services to which the setting `auto` applies plans.
         prefill_rates: prefill rate of each service, and when it was estimated.
@@ -122,9 +121,6 @@
     mean_work: dict[ServiceName, float] = field(default_factory=dict)
     credits: AdmissionCredits[CreditKey] = field(init=False)
     plans: dict[ServiceName, ServicePlan] = field(default_factory=dict)
-    histories: dict[ServiceName, PlanHistory] = field(
-        default_factory=lambda: defaultdict(PlanHistory)
-    )
     weights: AccountWeights = field(default_factory=AccountWeights)
     planned_services: PlannedServices = field(default_factory=PlannedServices)
     prefill_rates: dict[ServiceName, tuple[float, float]] = field(default_factory=dict)
@@ -156,7 +152,8 @@
         self.demand.retain(configuration.services)
         _drop_others(self.accounts, names)
         _drop_others(self.output_times, routes)
-        _drop_others(self.histories, configuration.services)
+        _drop_others(self.prefill_rates, configuration.services)
+        _drop_others(self.lost_at, configuration.services)
         _drop_others(self.mean_work, configuration.services)
         _drop_others(self.plans, configuration.services)
 
--- a/dewridge/policy/admissionplan.py
+++ b/dewridge/policy/admissionplan.py
@@ -3,7 +3,6 @@
 All hosts compute the plan from the same reports, each for the requests that it gets.
 """
 
-from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -13,10 +12,6 @@
 CONTENDED_LOAD = 0.8
 """Requests in flight per slot above which a service is contended. The engines still
 have free slots then, and the reports of all hosts take up to a second."""
-RELIEVED_LOAD = 0.7
-"""Requests in flight per slot at which contention ends. Ended at the load at which it
-begins, all requests were admitted until the reports showed the next overload, so that
-hosts alternated between admitting too many and too few."""
 PLANNED_LOAD = 1.1
 """Part of the servers' time that is planned for, in estimated work. Estimates
 were too high by 8 to 25 parts in 100 in the replay, the more the busier the engines
@@ -46,8 +41,6 @@
         servers: number of serving servers.
         mean_work: mean work of a request, in seconds of one server.
         demand: work per second that arrives, by urgency class.
-        unreported_work: work that all hosts admitted beyond what the servers do, since
-            the time that the reports are from.
         accounts: units per second that each account asks for.
         weights: weight of each account.
     """
@@ -57,19 +50,18 @@
     servers: float
     mean_work: float
     demand: Mapping[int, float]
-    unreported_work: float = 0.0
     accounts: Mapping[ClientAccount, float] = field(default_factory=dict)
     weights: Mapping[ClientAccount, float] = field(default_factory=dict)
 
-    def is_contended(self, *, was_contended: bool) -> bool:
-        """Return whether requests compete for the servers."""
-        limit = RELIEVED_LOAD if was_contended else CONTENDED_LOAD
-        return self.in_flight > limit * self.slots
+    @property
+    def is_contended(self) -> bool:
+        """Whether requests compete for the servers."""
+        return self.in_flight > CONTENDED_LOAD * self.slots
 
     @property
     def free_work(self) -> float:
         """Work that the free slots can take; negative if requests wait for slots."""
-        return (self.slots - self.in_flight) * self.mean_work - self.unreported_work
+        return (self.slots - self.in_flight) * self.mean_work
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,42 +98,9 @@
         )
 
 
-@dataclass
-class PlanHistory:
-    """The plans of the seconds that the reports of other hosts do not cover yet."""
-
-    _plans: deque[tuple[float, AdmissionPlan]] = field(default_factory=deque)
-
-    def add(self, plan: AdmissionPlan, now: float) -> None:
-        """Add a plan that comes into force."""
-        self._plans.append((now, plan))
-
-    def estimate_unreported(
-        self, demand: Mapping[int, float], servers: float, staleness: float, now: float
-    ) -> float:
-        """Return the work admitted by all hosts beyond what the servers do meanwhile.
-
-        All hosts follow nearly the same plans, so that each knows what the others
-        admitted before they report it. Without this, hosts reacted to an overload that
-        they had already ended, and refused half of the requests too many.
-
-        Args:
-            demand: work per second that arrives, by urgency class.
-            servers: number of serving servers.
-            staleness: seconds by which reports lag.
-            now: monotonic time.
-        """
-        while self._plans and self._plans[0][0] <= now - staleness:
-            self._plans.popleft()
-        if not self._plans:
-            return 0.0
-        admitted = sum(plan.compute_admitted(demand) for _, plan in self._plans)
-        return (admitted / len(self._plans) - servers) * staleness
-
-
-def make_plan(load: ServiceLoad, *, was_contended: bool = False) -> AdmissionPlan:
+def make_plan(load: ServiceLoad) -> AdmissionPlan:
     """Return the plan for a load; it admits everything without contention."""
-    if not load.is_contended(was_contended=was_contended):
+    if not load.is_contended:
         return AdmissionPlan(is_contended=False)
     planned = load.servers * PLANNED_LOAD
     capacity = max(
