--- a/dewridge/tests/gateway/contention_tests.py
+++ b/dewridge/tests/gateway/contention_tests.py
@@ -31,6 +31,7 @@
     ServerRecord,
     Sizes,
 )
+from dewridge.gateway.operations import describe_state
 from dewridge.gateway.reports import CellReport, Report, ServerTotals, Totals
 from dewridge.gateway.state import GatewayState
 from dewridge.ids import (
@@ -48,9 +49,11 @@
     DOMAIN,
     ENGINE,
     PLAIN,
+    answer_ok,
     make_configuration,
     make_route,
     make_state,
+    open_world,
 )
 
 PEER = HostId("host-2")
@@ -456,3 +459,29 @@
         assert state.contention.demand.list_totals_ms() == {}
 
     run(check)
+
+
+def test_a_contended_service_refuses_over_http_with_a_return_time() -> None:
+    """Covers the path from a caller's request to the refusal that it gets."""
+
+    async def check() -> None:
+        configuration = make_unequal_configuration()
+        async with open_world(configuration) as world:
+            await world.add_server("s-1", answer_ok, ENGINE)
+            world.state.work_in_flight.requests[SERVER] = 40
+            now = trio.current_time()
+            for _ in range(100):
+                world.state.contention.demand.record_local(ENGINE, 2, 0.5, now)
+            answers = [
+                await world.request(
+                    "/slow/", method="POST", key="key-large", deadline_ms=9000
+                )
+                for _ in range(10)
+            ]
+            refused = [answer for answer in answers if answer.status == 503]
+            assert len(refused) >= 8
+            for answer in refused:
+                assert 1.5 < float(answer.headers[b"retry-after"]) <= 3.0
+            assert msgspec.json.encode(describe_state(world.state), enc_hook=str)
+
+    trio.run(check)
