Assume a loss of all servers only after some were known

Cause: a host that has just started has an empty table of servers; callers would have been asked to return after the boot time of a server. Change: without known servers before, the choice of a server refuses as it did. Evidence: dewridge/tests/gateway/contention_tests.py 25 passed.

--- a/dewridge/gateway/contention/admitting.py
+++ b/dewridge/gateway/contention/admitting.py
@@ -81,13 +81,13 @@
 
     def _check_servers(self, job: Job, now: float) -> Failure | None:
         state = self._state
-        if get_service_plan(state, job.service, now).servers:
-            state.contention.lost_at.pop(job.service, None)
-            return None
-        if state.list_serving(job.service):
-            # All servers ask for rest; the choice of a server handles this.
+        if state.servers.list_service(job.service):
+            # If all of them ask for rest, the choice of a server handles this.
+            state.contention.last_served_at[job.service] = now
             return None
         ready_in = estimate_return_of_servers(state, job.service, now)
+        if ready_in is None:
+            return None
         wait = compute_wait_until(ready_in, job.deadline - now, state.rng.random())
         return Failure(ResultCode.NO_BACKEND_SERVER, "no server", wait)
 
--- a/dewridge/gateway/contention/planning.py
+++ b/dewridge/gateway/contention/planning.py
@@ -67,10 +67,17 @@
 
 def estimate_return_of_servers(
     state: GatewayState, service: ServiceName, now: float
-) -> float:
-    """Return the seconds until ordered servers serve, for a service that has none."""
+) -> float | None:
+    """Return the seconds until ordered servers serve, for a service that has none.
+
+    Returns:
+        None if this host has not known any server of the service yet: it may only have
+        started, and will know them in a moment.
+    """
+    lost_at = state.contention.last_served_at.get(service)
+    if lost_at is None:
+        return None
     configuration = state.configuration.current
     known = configuration.services.get(service) if configuration else None
     boot_time = known.scaling.boot_time if known and known.scaling else 0.0
-    lost_at = state.contention.lost_at.setdefault(service, now)
     return max(0.0, lost_at + boot_time - now)
--- a/dewridge/gateway/contention/records.py
+++ b/dewridge/gateway/contention/records.py
@@ -107,7 +107,7 @@
         weights: weights of the accounts.
         planned_services: the services to which the setting `auto` applies plans.
         prefill_rates: prefill rate of each service, and when it was estimated.
-        lost_at: time since which a service has had no server.
+        last_served_at: time of the last request for each service while it had servers.
     """
 
     draw_random: Callable[[], float]
@@ -124,7 +124,7 @@
     weights: AccountWeights = field(default_factory=AccountWeights)
     planned_services: PlannedServices = field(default_factory=PlannedServices)
     prefill_rates: dict[ServiceName, tuple[float, float]] = field(default_factory=dict)
-    lost_at: dict[ServiceName, float] = field(default_factory=dict)
+    last_served_at: dict[ServiceName, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Create the credits, which start at random."""
@@ -153,7 +153,7 @@
         _drop_others(self.accounts, names)
         _drop_others(self.output_times, routes)
         _drop_others(self.prefill_rates, configuration.services)
-        _drop_others(self.lost_at, configuration.services)
+        _drop_others(self.last_served_at, configuration.services)
         _drop_others(self.mean_work, configuration.services)
         _drop_others(self.plans, configuration.services)
 
--- a/dewridge/tests/gateway/contention_tests.py
+++ b/dewridge/tests/gateway/contention_tests.py
@@ -28,6 +28,7 @@
     Configuration,
     PromptPart,
     RouteKind,
+    Scaling,
     ServerRecord,
     Sizes,
 )
@@ -245,16 +246,41 @@
 
 
 def test_callers_return_when_ordered_servers_serve_if_all_are_lost() -> None:
+    """They would be refused again if they returned before."""
+
     async def check() -> None:
-        state = make_contended_state(in_flight=0)
+        configuration = make_unequal_configuration()
+        engine = configuration.services[ENGINE]
+        scaling = Scaling(1, 2, boot_time=2.5, reclaimable_price=0.5, prices={})
+        services = {ENGINE: replace(engine, scaling=scaling)}
+        configuration = replace(configuration, services=services)
+        state = make_contended_state(0, configuration=configuration)
+        control = AdmissionControl(state)
+        assert control.check(make_job(state)) is None
         record = state.servers.find(SERVER)
         assert record is not None
         state.servers.update(replace(record, is_draining=True), trio.current_time())
-        failure = AdmissionControl(state).check(make_job(state))
-        assert failure is not None
-        assert failure.code is ResultCode.NO_BACKEND_SERVER
-        assert failure.retry_after is not None
-        assert 0.1 <= failure.retry_after <= 4.0
+        for seconds, low, high in (
+            (0.0, 2.5, 3.25),
+            (1.0, 1.5, 1.95),
+            (5.0, 0.1, 0.13),
+        ):
+            await trio.sleep(seconds)
+            failure = control.check(make_job(state))
+            assert failure is not None
+            assert failure.code is ResultCode.NO_BACKEND_SERVER
+            assert failure.retry_after is not None
+            assert low <= failure.retry_after <= high
+
+    run(check)
+
+
+def test_a_host_that_has_just_started_does_not_assume_a_loss() -> None:
+    """Its table of servers is empty until it has read the store."""
+
+    async def check() -> None:
+        state = make_state(make_unequal_configuration())
+        assert AdmissionControl(state).check(make_job(state)) is None
 
     run(check)
 
