--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -11,6 +11,7 @@
 import trio
 
 from dewridge.gateway.configuration import ConfigurationState
+from dewridge.gateway.contention.records import ContentionRecords
 from dewridge.gateway.hosts import HostEntry, HostTable
 from dewridge.gateway.ingress import IngressState
 from dewridge.gateway.model import ServerRecord
@@ -153,6 +154,7 @@
     """Returns the information on such requests for the report of a given number."""
     metrics: Metrics = field(default_factory=Metrics)
     pushback: PushbackTable = field(init=False)
+    contention: ContentionRecords = field(init=False)
     dependencies: list[ServiceClient] = field(default_factory=list)
     describe_duties: Callable[[], dict[str, object]] = dict
     is_ready: bool = False
@@ -164,7 +166,7 @@
     """Number of silent peers, for the live hosts and peers above."""
 
     def __post_init__(self) -> None:
-        """Create the table of pushback, which uses other parts of the state."""
+        """Create the parts that use other parts of the state."""
         self.pushback = PushbackTable(
             self.host,
             self.list_sender_hosts,
@@ -175,6 +177,7 @@
         self.sharing.on_ignored_paces = partial(
             self.metrics.add, "pace_reports_ignored_total"
         )
+        self.contention = ContentionRecords(self.rng.random)
 
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings."""
@@ -274,6 +277,7 @@
             token_demand=round_totals(self.local_demand),
             servers=self._list_server_totals(now),
             outcomes=dict(self.rollouts.outcomes),
+            work_demand=self.contention.demand.list_totals_ms(),
         )
 
     def _list_server_totals(self, now: float) -> dict[BackendServerId, ServerTotals]:
@@ -348,4 +352,6 @@
         self.observed_crashes = {
             digest for digest in self.observed_crashes if self.suspects.find(digest)
         }
+        if self.configuration.current is not None:
+            self.contention.drop_unknown(self.configuration.current)
         self.pool.close_expired()
