Select the servers of a pool in one function

ScalingDuty._count_servers and _count_withheld both selected a pool's servers from the listed ones; _list_servers does so for both. No change of behaviour.

--- a/dewridge/gateway/scaling.py
+++ b/dewridge/gateway/scaling.py
@@ -5,7 +5,7 @@
 from loguru import logger as log
 
 from dewridge.gateway.duties import HolderElection
-from dewridge.gateway.model import Scaling, Service
+from dewridge.gateway.model import Scaling, ServerRecord, Service
 from dewridge.gateway.state import GatewayState
 from dewridge.ids import FailureDomain, ServiceName
 from dewridge.platform.cloud import CallOutcome, Cloud, Order
@@ -275,12 +275,18 @@
         since = self._lower_since.setdefault(pool, now)
         return now - since > (ON_DEMAND_SHRINK_DELAY if is_on_demand else SHRINK_DELAY)
 
-    def _count_servers(self, pool: ServerPool) -> int:
+    def _list_servers(self, pool: ServerPool) -> list[ServerRecord]:
+        """Return the serving servers of a pool."""
         service, domain, is_reclaimable = pool
-        return sum(
-            record.failure_domain == domain and record.is_reclaimable == is_reclaimable
+        return [
+            record
             for record in self._state.list_serving(service)
-        )
+            if record.failure_domain == domain
+            and record.is_reclaimable == is_reclaimable
+        ]
+
+    def _count_servers(self, pool: ServerPool) -> int:
+        return len(self._list_servers(pool))
 
     def _count_withheld(self, pool: ServerPool, at: float) -> int:
         """Return the servers that will still ask for fewer requests at a later time.
@@ -288,12 +294,9 @@
         A server ordered now could take their place then. One that rests for less than
         the boot time of another is not replaced.
         """
-        service, domain, is_reclaimable = pool
         return sum(
-            record.failure_domain == domain
-            and record.is_reclaimable == is_reclaimable
-            and self._state.pushback.is_withheld(record.id, at)
-            for record in self._state.list_serving(service)
+            self._state.pushback.is_withheld(record.id, at)
+            for record in self._list_servers(pool)
         )
 
     async def _send_order(self, order: Order) -> None:
