--- a/dewridge/gateway/weighing.py
+++ b/dewridge/gateway/weighing.py
@@ -7,7 +7,7 @@
 
 from dewridge.gateway.jobs import Job, make_prefix_name
 from dewridge.gateway.model import ServerRecord
-from dewridge.gateway.placement.activation import is_enabled
+from dewridge.gateway.placement.activation import is_chosen
 from dewridge.gateway.placement.expected import place_by_expected_time
 from dewridge.gateway.placement.failures import compute_fleet_failure_share
 from dewridge.gateway.reports import ZERO_SERVER_TOTALS
@@ -103,7 +103,7 @@
     }
     holders = list(cache_warm) if is_worth_copying(job) else []
     expected = None
-    if job.is_engine and is_enabled(state, job.service):
+    if job.is_engine and is_chosen(state, job.service, len(listed)):
         expected = place_by_expected_time(
             state, job, untried, now, can_copy=bool(holders)
         )
