--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -109,6 +109,7 @@
         job.prefill_measured_from = trio.current_time() if choice.is_idle else None
         job.cache_holder = choice.cache_holder
         job.expected = choice.expected
+        job.probed = choice.probed
         record_placement(self._state, job)
         work.add(server.id, job.unprocessed_tokens, is_suspect=choice.is_suspect)
         result = AttemptResult.ABANDONED
--- a/dewridge/gateway/jobs.py
+++ b/dewridge/gateway/jobs.py
@@ -45,6 +45,8 @@
             measure its prompt processing rate; None if the engine was not idle.
         expected: expected times to the first event of the current attempt; None if its
             server was not chosen by them.
+        probed: how many of the servers asked for their load answered before the current
+            attempt; empty if none was asked.
         cache_holder: address of a server that probably has the prompt's shared prefix
             cached; None if no copy is needed.
         events: number of events forwarded.
@@ -73,6 +75,7 @@
     unprocessed_tokens: int = 0
     prefill_measured_from: float | None = None
     expected: ExpectedPlacement | None = None
+    probed: str = ""
     cache_holder: str | None = None
     events: int = 0
     first_event_at: float | None = None
--- a/dewridge/gateway/placement/expected.py
+++ b/dewridge/gateway/placement/expected.py
@@ -54,7 +54,7 @@
     now: float,
     *,
     can_copy: bool,
-) -> ExpectedPlacement | None:
+) -> list[ExpectedPlacement]:
     """Choose the server with the earliest expected first event.
 
     Args:
@@ -65,12 +65,16 @@
         can_copy: whether servers can copy the shared prefix from a cache holder.
 
     Returns:
-        The server and the expected times; None if there are no servers.
+        The chosen server and the other candidates with their expected times; empty if
+        there are no servers.
     """
     scene = _make_scene(state, job, records, now)
     scene.figures.demand.record(_name_shared_prefix(job), now)
     placements = _estimate_candidates(scene, job, can_copy=can_copy)
-    return choose_soonest(placements, scene.loads.staleness, state.rng)
+    chosen = choose_soonest(placements, scene.loads.staleness, state.rng)
+    if chosen is None:
+        return []
+    return [chosen, *(other for other in placements if other is not chosen)]
 
 
 def estimate_first_event(state: GatewayState, job: Job, now: float) -> float | None:
@@ -93,7 +97,7 @@
     lowest = min(placement.seconds for placement in placements)
     if lowest <= job.route.latency_target:
         return lowest
-    prompt, speed = _make_prompt(job, can_copy=False), read_speed(state, job.service)
+    prompt, speed = make_prompt(job, can_copy=False), read_speed(state, job.service)
     others = [
         estimate_placement(scene.loads.read_load(record), prompt, speed).seconds
         for record in records
@@ -117,7 +121,7 @@
 ) -> list[ExpectedPlacement]:
     state = scene.state
     holders = _list_holders(scene, job)
-    prompt, speed = _make_prompt(job, can_copy=can_copy), read_speed(state, job.service)
+    prompt, speed = make_prompt(job, can_copy=can_copy), read_speed(state, job.service)
     count = RANDOM_CANDIDATES if holders else RANDOM_CANDIDATES_WITHOUT_PREFIX
     others = list(_draw_others(scene, holders, count))
     if not holders and not others:
@@ -176,7 +180,8 @@
                 break
 
 
-def _make_prompt(job: Job, *, can_copy: bool) -> Prompt:
+def make_prompt(job: Job, *, can_copy: bool) -> Prompt:
+    """Return the sizes of a request's prompt."""
     sizes = job.request.sizes
     return Prompt(
         tokens=sizes.prompt_tokens,
--- a/dewridge/gateway/placement/outcomes.py
+++ b/dewridge/gateway/placement/outcomes.py
@@ -1,6 +1,7 @@
 """Figures learned from the answers to prompts placed by expected time."""
 
 from dewridge.gateway.jobs import Job
+from dewridge.gateway.placement.probing import record_sent_prompt
 from dewridge.gateway.state import GatewayState
 
 
@@ -9,6 +10,7 @@
     if job.expected is not None:
         choice = "holder" if job.expected.load.is_holder else "other"
         state.metrics.add("placements_total", service=job.service, choice=choice)
+        record_sent_prompt(state, job, job.expected)
 
 
 def record_first_event(state: GatewayState, job: Job, now: float) -> None:
@@ -49,4 +51,5 @@
         "expected_slot_wait_ms": round(expected.slot_wait * 1000, 1),
         "server_requests": expected.load.requests,
         "server_pace": round(expected.load.pace, 2),
+        **({"probed": job.probed} if job.probed else {}),
     }
--- a/dewridge/gateway/placement/table.py
+++ b/dewridge/gateway/placement/table.py
@@ -5,9 +5,10 @@
 from dewridge.gateway.placement.rankings import HolderRankings
 from dewridge.gateway.reports import TENTHS_PER_ATTEMPT
 from dewridge.ids import BackendServerId, ServiceName
+from dewridge.policy.loadprobes import ProbeRecord
 from dewridge.policy.prefixdemand import PrefixDemand
 from dewridge.policy.serverpace import MAX_RATIO, PaceMeter
-from dewridge.policy.servicespeed import SpeedMeter
+from dewridge.policy.servicespeed import MEAN_WEIGHT, SpeedMeter
 
 
 @dataclass
@@ -20,6 +21,7 @@
         rankings: order of the cache holders of its prefixes.
         median_share: median failure share of its servers.
         median_computed_at: when that was computed.
+        prompt_tokens: mean tokens that a prompt has to prefill; 0 before the first one.
     """
 
     speed: SpeedMeter = field(default_factory=SpeedMeter)
@@ -27,6 +29,13 @@
     rankings: HolderRankings = field(default_factory=HolderRankings)
     median_share: float = 0.0
     median_computed_at: float = float("-inf")
+    prompt_tokens: float = 0.0
+
+    def add_prompt(self, tokens: float) -> None:
+        """Add the tokens that a prompt has to prefill to their mean."""
+        if self.prompt_tokens == 0:
+            self.prompt_tokens = tokens
+        self.prompt_tokens += (tokens - self.prompt_tokens) * MEAN_WEIGHT
 
 
 @dataclass
@@ -35,6 +44,7 @@
 
     services: dict[ServiceName, ServiceFigures] = field(default_factory=dict)
     paces: dict[BackendServerId, PaceMeter] = field(default_factory=dict)
+    probes: dict[BackendServerId, ProbeRecord] = field(default_factory=dict)
 
     def get_figures(self, service: ServiceName) -> ServiceFigures:
         """Return the figures of a service."""
@@ -50,6 +60,13 @@
             meter = self.paces[server] = PaceMeter()
         return meter
 
+    def get_probes(self, server: BackendServerId) -> ProbeRecord:
+        """Return what is known of a server from load probes."""
+        record = self.probes.get(server)
+        if record is None:
+            record = self.probes[server] = ProbeRecord()
+        return record
+
     def read_reported_pace(
         self, server: BackendServerId, now: float
     ) -> tuple[int, int]:
@@ -69,3 +86,5 @@
         """Remove the figures of servers that are no longer listed."""
         for server in [known for known in self.paces if known not in listed]:
             del self.paces[server]
+        for server in [known for known in self.probes if known not in listed]:
+            del self.probes[server]
--- a/dewridge/gateway/waiting.py
+++ b/dewridge/gateway/waiting.py
@@ -1,13 +1,20 @@
 """Choice of a server for an attempt, with a short wait if servers have limits."""
 
 from collections import Counter
+from dataclasses import replace
 
 import trio
 
 from dewridge.codes import ResultCode
 from dewridge.gateway.jobs import Job
+from dewridge.gateway.placement.probing import probe_candidates
 from dewridge.gateway.state import GatewayState
-from dewridge.gateway.weighing import ServerChoice, WithheldServers, choose_server
+from dewridge.gateway.weighing import (
+    ServerChoice,
+    WithheldServers,
+    change_choice,
+    choose_server,
+)
 from dewridge.ids import ServiceName
 from dewridge.sentinels import Failure
 
@@ -44,7 +51,7 @@
             if choice is None:
                 return Failure(ResultCode.NO_BACKEND_SERVER, "no server")
             if isinstance(choice, ServerChoice):
-                return choice
+                return await self._refine(job, choice, now)
             send_at = self._find_turn(job, choice, now)
             if send_at > give_up_at:
                 return self._refuse(job, choice, send_at, now)
@@ -55,6 +62,23 @@
             finally:
                 self._waiting[job.service] -= 1
 
+    async def _refine(self, job: Job, choice: ServerChoice, now: float) -> ServerChoice:
+        """Return the choice by the engines' own load if they are asked for it."""
+        if choice.expected is None:
+            return choice
+        result = await probe_candidates(
+            self._state,
+            job,
+            [choice.expected, *choice.others],
+            now,
+            can_copy=bool(choice.copy_sources),
+        )
+        if result is None:
+            return choice
+        if result.answers:
+            choice = change_choice(self._state, job, choice, result.chosen)
+        return replace(choice, probed=f"{result.answers} of {result.asked}")
+
     def _find_turn(self, job: Job, withheld: WithheldServers, now: float) -> float:
         position = self._waiting[job.service]
         pushback = self._state.pushback
--- a/dewridge/gateway/weighing.py
+++ b/dewridge/gateway/weighing.py
@@ -1,12 +1,13 @@
 """Choice of the server for a request by the loads and outcomes known to this host."""
 
 import random
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
 
 import trio
 
 from dewridge.gateway.jobs import Job, make_prefix_name
-from dewridge.gateway.model import ServerRecord
+from dewridge.gateway.model import ServerRecord, ServerVersion
 from dewridge.gateway.placement.activation import is_enabled
 from dewridge.gateway.placement.expected import place_by_expected_time
 from dewridge.gateway.placement.failures import compute_fleet_failure_share
@@ -45,6 +46,10 @@
             cached, if the chosen one does not.
         is_suspect: whether a server crashed while it ran this request before.
         expected: expected times by which it was chosen; None if it was chosen by load.
+        others: the other servers that were compared by expected time.
+        copy_sources: servers that the shared prefix may be copied from.
+        probed: how many of the servers that were asked for their load answered; empty
+            if none was asked.
     """
 
     server: ServerRecord
@@ -53,6 +58,9 @@
     cache_holder: str | None = None
     is_suspect: bool = False
     expected: ExpectedPlacement | None = None
+    others: tuple[ExpectedPlacement, ...] = ()
+    copy_sources: Mapping[BackendServerId, ServerRecord] = field(default_factory=dict)
+    probed: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,39 +103,100 @@
     ] or records
     if is_suspect(state, job, now):
         return choose_isolated_server(state, job, untried, now)
-    versions = {record.version for record in records}
-    cache_warm = {
+    holders = list_copy_sources(state, job, {record.version for record in records}, now)
+    if job.is_engine and is_enabled(state, job.service):
+        return choose_by_expected_time(state, job, untried, holders, now)
+    placement = choose_placement(
+        job,
+        list_candidates(state, untried, now),
+        state.rng,
+        can_copy=bool(holders),
+        staleness=state.sharing.staleness,
+    )
+    if placement is None:
+        return None
+    return make_choice(state, job, placement, holders, now)
+
+
+def choose_by_expected_time(
+    state: GatewayState,
+    job: Job,
+    records: list[ServerRecord],
+    holders: Mapping[BackendServerId, ServerRecord],
+    now: float,
+) -> ServerChoice | None:
+    """Return the server with the earliest expected first event, and the candidates."""
+    placements = place_by_expected_time(
+        state, job, records, now, can_copy=bool(holders)
+    )
+    if not placements:
+        return None
+    expected, *others = placements
+    choice = make_choice(state, job, make_placement(expected), holders, now)
+    if choice is None:
+        return None
+    return replace(
+        choice, expected=expected, others=tuple(others), copy_sources=holders
+    )
+
+
+def list_copy_sources(
+    state: GatewayState, job: Job, versions: set[ServerVersion], now: float
+) -> dict[BackendServerId, ServerRecord]:
+    """Return the servers that a prompt's shared prefix may be copied from."""
+    if not is_worth_copying(job):
+        return {}
+    return {
         record.id: record
         for record in state.servers.list_cache_warm(job.service, now)
         if record.version in versions
     }
-    holders = list(cache_warm) if is_worth_copying(job) else []
-    expected = None
-    if job.is_engine and is_enabled(state, job.service):
-        expected = place_by_expected_time(
-            state, job, untried, now, can_copy=bool(holders)
-        )
-        placement = None if expected is None else make_placement(expected)
-    else:
-        placement = choose_placement(
-            job,
-            list_candidates(state, untried, now),
-            state.rng,
-            can_copy=bool(holders),
-            staleness=state.sharing.staleness,
-        )
-    if placement is None:
-        return None
+
+
+def make_choice(
+    state: GatewayState,
+    job: Job,
+    placement: Placement,
+    holders: Mapping[BackendServerId, ServerRecord],
+    now: float,
+) -> ServerChoice | None:
+    """Return the choice of a server with the source to copy the shared prefix from.
+
+    Args:
+        state: the state of this host.
+        job: the request.
+        placement: where it is placed.
+        holders: servers that the prefix may be copied from.
+        now: monotonic time.
+
+    Returns:
+        None if the server has left.
+    """
     server = state.servers.find(placement.server)
     if server is None:
         return None
-    holder = find_cache_holder(holders, make_prefix_name(job), server.id)
+    holder = find_cache_holder(list(holders), make_prefix_name(job), server.id)
     if holder is not None and not can_copy_from(state, holder, now):
         holder = None
-    address = None if holder is None else cache_warm[holder].address
-    return ServerChoice(
-        server, placement.tokens, placement.is_idle, address, expected=expected
+    address = None if holder is None else holders[holder].address
+    return ServerChoice(server, placement.tokens, placement.is_idle, address)
+
+
+def change_choice(
+    state: GatewayState, job: Job, choice: ServerChoice, expected: ExpectedPlacement
+) -> ServerChoice:
+    """Return a choice by expected time with newer figures, or of another candidate.
+
+    The first choice is returned if the other server has left.
+    """
+    changed = make_choice(
+        state,
+        job,
+        make_placement(expected),
+        choice.copy_sources,
+        trio.current_time(),
     )
+    return choice if changed is None else replace(changed, expected=expected)
 
 
 def list_open(
--- a/dewridge/platform/engines.py
+++ b/dewridge/platform/engines.py
@@ -1,7 +1,8 @@
-"""Control calls to model engines: moving the KV cache of a running stream."""
+"""Control calls to model engines: load reports, and moving a running stream."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
@@ -13,10 +14,64 @@
 
 MOVE_TIMEOUT = 0.6
 """Seconds for a move: a leaving server is removed before a longer one completes."""
+REPORT_PATH = b"/-/report"
+MAX_REPORTED_REQUESTS = 10_000
+"""Requests above which a load report is not credible: hundreds of times the slots of
+any engine."""
 STATUS_MOVED = 200
 STATUS_TARGET_FULL = 503
 
 
+_Amount = Annotated[float, msgspec.Meta(ge=0)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_REPORTED_REQUESTS)]
+
+
+class _ReportedRun(msgspec.Struct, frozen=True, array_like=True):
+    id: str | int | None
+    tokens: _Amount
+    events: Annotated[int, msgspec.Meta(ge=0)]
+
+
+class _ReportReply(msgspec.Struct, frozen=True):
+    waiting: _Count
+    running: _Count
+    runs: Annotated[list[_ReportedRun], msgspec.Meta(max_length=MAX_REPORTED_REQUESTS)]
+    kv_used: _Amount | None = None
+    kv_total: _Amount | None = None
+    next_token: _Amount | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class EngineReport:
+    """Requests at an engine, as it reports them.
+
+    Attributes:
+        waiting: requests that wait for a slot.
+        running: requests that have a slot.
+        prefilling: those of them that have made no event yet.
+        run_ids: ids of the attempts that have a slot.
+    """
+
+    waiting: int
+    running: int
+    prefilling: int
+    run_ids: frozenset[str]
+
+
+def decode_report(body: bytes) -> EngineReport | None:
+    """Decode a load report; None if it is malformed or its figures are impossible."""
+    try:
+        reply = msgspec.json.decode(body, type=_ReportReply)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    return EngineReport(
+        waiting=reply.waiting,
+        running=max(reply.running, len(reply.runs)),
+        prefilling=sum(run.events == 0 for run in reply.runs),
+        run_ids=frozenset(str(run.id) for run in reply.runs if run.id is not None),
+    )
+
+
 class _MoveReply(msgspec.Struct, frozen=True):
     handle: str | int = ""
 
--- a/dewridge/settings/gateway.py
+++ b/dewridge/settings/gateway.py
@@ -136,6 +136,12 @@
         default="auto",
         choices=("auto", "planned", "ramps"),
     )
+    load_probes: str = option(
+        "Whether engines are asked for their load before a long prompt is sent, where "
+        "placement is by expected time; auto: they are.",
+        default="auto",
+        choices=("auto", "on", "off"),
+    )
 
 
 @dataclass(frozen=True)
--- a/dewridge/tests/gateway/placement_tests.py
+++ b/dewridge/tests/gateway/placement_tests.py
@@ -412,6 +412,6 @@
         loads.open_loads(state, NOW).read_load(
             make_record(job.expected.load.id[:3]), is_holder=True
         ),
-        expected._make_prompt(job, can_copy=False),
+        expected.make_prompt(job, can_copy=False),
         loads.read_speed(state, ENGINE),
     )
