--- a/dewridge/gateway/placement/dump.py
+++ b/dewridge/gateway/placement/dump.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from dewridge.gateway.placement.activation import is_enabled
+from dewridge.gateway.placement.activation import is_chosen
 from dewridge.gateway.placement.loads import open_loads, read_speed
 from dewridge.gateway.state import GatewayState
 from dewridge.ids import BackendServerId
@@ -13,10 +13,11 @@
     described = []
     for service, figures in sorted(state.placement.services.items()):
         speed = read_speed(state, service)
+        servers = len(state.servers.list_service(service))
         described.append(
             {
                 "service": service,
-                "is_by_expected_time": is_enabled(state, service),
+                "is_by_expected_time": is_chosen(state, service, servers),
                 "samples": figures.speed.samples,
                 "prefill_tokens_per_second": round(speed.prefill_rate),
                 "fixed_seconds": round(speed.fixed_time, 4),
