--- a/dewridge/gateway/operations.py
+++ b/dewridge/gateway/operations.py
@@ -9,7 +9,11 @@
 from dewridge.gateway.ingress import send_failure
 from dewridge.gateway.measures import update_gauges
 from dewridge.gateway.model import CallerRequest
-from dewridge.gateway.placement.dump import describe_placement, describe_server_pace
+from dewridge.gateway.placement.dump import (
+    describe_load_probe,
+    describe_placement,
+    describe_server_pace,
+)
 from dewridge.gateway.reports import RolloutProgress
 from dewridge.gateway.responder import Responder
 from dewridge.gateway.rollouts import compute_elapsed, describe_evidence
@@ -177,6 +181,7 @@
         "failure_share": round(health.failure_share, 3),
         "rests_for_seconds": round(max(0.0, health.cooldown_until - now), 3),
         "pace": describe_server_pace(state, server, now),
+        "load_probe": describe_load_probe(state, server, now),
         "pushback": state.pushback.describe(server, now),
         "full_for_seconds": round(max(0.0, health.full_until - now), 3),
     }
--- a/dewridge/gateway/placement/dump.py
+++ b/dewridge/gateway/placement/dump.py
@@ -22,6 +22,7 @@
                 "fixed_seconds": round(speed.fixed_time, 4),
                 "run_seconds": round(speed.run_time, 3),
                 "request_tokens": round(speed.request_tokens),
+                "prompt_tokens": round(figures.prompt_tokens),
             }
         )
     return described
@@ -32,3 +33,21 @@
 ) -> float:
     """Return the factor by which a server takes longer than usual."""
     return round(open_loads(state, now).read_pace(server), 3)
+
+
+def describe_load_probe(
+    state: GatewayState, server: BackendServerId, now: float
+) -> dict[str, Any]:
+    """Return the last answer of a server to a load probe, and failures since then."""
+    record = state.placement.probes.get(server)
+    if record is None:
+        return {}
+    described: dict[str, Any] = {
+        "failures": record.failures,
+        "is_paused": record.is_paused(now),
+    }
+    if record.answer is not None:
+        described["requests"] = record.answer.requests
+        described["prompts"] = record.answer.prompts
+        described["age_seconds"] = round(now - record.answer.received_at, 3)
+    return described
--- a/dewridge/gateway/placement/probing.py
+++ b/dewridge/gateway/placement/probing.py
@@ -94,7 +94,9 @@
         for index, record in enumerate(records):
             if record is not None:
                 nursery.start_soon(ask, index, record)
-    prompt_tokens = state.placement.get_figures(job.service).prompt_tokens
+    # Before the first placement, the other prompts are taken to be like this one.
+    figures = state.placement.get_figures(job.service)
+    prompt_tokens = figures.prompt_tokens or placements[0].tokens
     loads = [
         read_probed_load(state, placement, answer, prompt_tokens)
         for placement, answer in zip(pair, answers, strict=True)
