Test that no connection is released after an invalid load report

Cause: the test of a stray answer before the report passed also if such a connection was returned to the pool, and nothing guarded the first prompt of a host, for which no mean of the tokens is known.

Change: the stray answer is now a valid report that names a request, and the pool must be empty after it; the same after `{}` and a status of 503; a prompt in an answer counts before the first placement.

--- a/dewridge/tests/gateway/probing_tests.py
+++ b/dewridge/tests/gateway/probing_tests.py
@@ -239,18 +239,55 @@
 
 
 async def test_the_late_answer_to_an_earlier_request_does_not_stay_unread() -> None:
-    """Guards against a connection with an unread report after a stray answer."""
+    """Guards against a request that reads the report after a stray answer."""
+    report_sent = trio.Semaphore(0)
 
     async def answer_twice(exchange: ServerExchange) -> None:
-        head = b"HTTP/1.1 200 x\r\nX-Attempt-Id: r-0\r\nContent-Length: 2\r\n\r\nok"
-        await exchange.send(head)
+        head = b"HTTP/1.1 200 x\r\nX-Attempt-Id: r-0\r\nContent-Length: %d\r\n\r\n%s"
+        await exchange.send(head % (len(make_report()), make_report()))
+        await report_sent.acquire()
         await answer_report(make_report())(exchange)
 
     async with open_engines(answer_twice, answer_twice) as (world, engines):
+        state = world.state
+        record = state.servers.find(engines[0].server.id)
+        assert record is not None
+        assert await probing.request_report(state.pool, record) == "invalid"
+        assert state.pool.acquire_idle(record, is_non_retryable=False) is None
+        report_sent.release()
         await ask(world)
-        await ask(world, number=2)
-        assert read_outcomes(world)["invalid"] == 4
-        assert sum(engine.requests for engine in engines) == 2
+        assert sum(engine.requests for engine in engines) == 1
+
+
+@pytest.mark.parametrize("script", [answer_report(b"{}"), answer_report(b"", 503)])
+async def test_a_connection_is_not_released_after_an_invalid_answer(
+    script: ProbeScript,
+) -> None:
+    """Guards against the reuse of a connection whose last answer is not known."""
+    async with open_engines(script) as (world, engines):
+        state = world.state
+        record = state.servers.find(engines[0].server.id)
+        assert record is not None
+        assert await probing.request_report(state.pool, record) == "invalid"
+        assert state.pool.acquire_idle(record, is_non_retryable=False) is None
+
+
+async def test_before_the_first_placement_the_prompts_of_an_answer_count() -> None:
+    """Guards against mean tokens of 0 that make a busy engine look idle."""
+    async with open_engines(
+        answer_report(make_report(1)), answer_report(b"garbage")
+    ) as (world, engines):
+        state, now = world.state, trio.current_time()
+        state.work_in_flight.add(engines[1].server.id, LONG // 2)
+        job = make_job(PromptPart("own", LONG))
+        placements = place_by_expected_time(
+            state, job, state.servers.list_service(ENGINE), now, can_copy=False
+        )
+        result = await probing.probe_candidates(
+            state, job, placements, now, can_copy=False
+        )
+        assert result is not None
+        assert result.chosen.load.id == engines[1].server.id
 
 
 async def test_an_engine_that_refuses_connections_is_only_counted() -> None:
