--- a/dewridge/tests/gateway/probing_tests.py
+++ b/dewridge/tests/gateway/probing_tests.py
@@ -115,7 +115,8 @@
     async with open_world(with_memory(500_000)) as world:
         state = world.state
         state.settings = replace(
-            state.settings, decisions=GatewayDecisions(load_probes=load_probes)
+            state.settings,
+            decisions=GatewayDecisions("expected_time", load_probes=load_probes),
         )
         engines = []
         for number, script in enumerate(scripts):
