Insure against a second loss of a domain only for the ordinary demand

Change: for the loss of one further domain the plan keeps the whole need as before; for the loss of two it keeps 0.6 of it, with which about as many requests run as there are slots.

--- a/dewridge/policy/scaling.py
+++ b/dewridge/policy/scaling.py
@@ -43,6 +43,10 @@
 ordered again."""
 
 
+MIN_REMAINING_SHARE = 0.6
+"""Share of the needed servers that remains after all losses that are expected. Planned
+loads leave headroom: with this share, about as many requests run as there are slots,
+and none has to be refused until further servers have started."""
 MAX_EXPECTED_LOSSES = 2
 """Failure domains that are expected to be lost within the start of a server, while one
 after the other is reclaimed."""
@@ -196,14 +200,24 @@
 ) -> int:
     """Return how many on-demand servers are needed beside the reclaimable ones.
 
-    During reclaims, the domains with the most servers that may be lost before a server
-    ordered now has started count as lost already.
+    During reclaims, the domain with the most servers counts as lost already. Besides,
+    a minimum for the ordinary demand has to remain after the loss of all domains that
+    may be lost before a server ordered now has started.
     """
     left = sum(serving.values())
-    if is_reclaiming:
-        largest = sorted(serving.values(), reverse=True)
-        left -= sum(largest[: count_expected_losses(len(serving))])
-    return max(0, math.ceil(needed - left - TOLERATED_DEFICIT_SHARE * needed))
+    if not is_reclaiming:
+        return _count_missing(needed - TOLERATED_DEFICIT_SHARE * needed, left)
+    largest = sorted(serving.values(), reverse=True)
+    after_next = left - sum(largest[:1])
+    after_all = left - sum(largest[: count_expected_losses(len(serving))])
+    return max(
+        _count_missing(needed - TOLERATED_DEFICIT_SHARE * needed, after_next),
+        _count_missing(MIN_REMAINING_SHARE * needed, after_all),
+    )
+
+
+def _count_missing(wanted: float, left: int) -> int:
+    return max(0, math.ceil(wanted - left))
 
 
 def count_expected_losses(domains: int) -> int:
