Order on-demand servers only where a domain has room for them

Cause: the limits of a domain count both kinds of servers together. Change: on-demand servers are spread over the domains with room, evenly as before.

--- a/dewridge/policy/scaling.py
+++ b/dewridge/policy/scaling.py
@@ -175,8 +175,13 @@
     """
     cheapest = sorted(domains, key=lambda domain: (domains[domain].price, domain))
     reclaimable = _spread(total, cheapest)
-    on_demand = _spread(
-        count_on_demand_servers(serving, needed, is_reclaiming), cheapest
+    # On-demand servers in a domain that is full would displace its reclaimable ones.
+    room = {
+        domain: max(0, domains[domain].max_servers - serving.get(domain, 0))
+        for domain in cheapest
+    }
+    on_demand = _spread_within_room(
+        count_on_demand_servers(serving, needed, is_reclaiming), room
     )
     return {
         domain: _apply_bounds(bounds, on_demand[domain], reclaimable[domain])
@@ -235,3 +240,18 @@
     """Spread servers evenly; the first domains get the remainder."""
     each, remainder = divmod(count, max(1, len(domains)))
     return {domain: each + (n < remainder) for n, domain in enumerate(domains)}
+
+
+def _spread_within_room(
+    count: int, room: Mapping[FailureDomain, int]
+) -> dict[FailureDomain, int]:
+    """Spread servers evenly as far as there is room in each domain."""
+    spread = dict.fromkeys(room, 0)
+    left = min(count, sum(room.values()))
+    while left > 0:
+        open_domains = [domain for domain in room if spread[domain] < room[domain]]
+        for domain, share in _spread(left, open_domains).items():
+            added = min(share, room[domain] - spread[domain])
+            spread[domain] += added
+            left -= added
+    return spread
--- a/dewridge/tests/policy/servers_tests.py
+++ b/dewridge/tests/policy/servers_tests.py
@@ -24,6 +24,7 @@
     TARGET_LOAD,
     DomainBounds,
     Load,
+    WantedServers,
     count_needed_servers,
     count_reclaimable_servers,
     estimate_initial_need,
@@ -374,6 +375,23 @@
         assert on_demand < 22
 
 
+def test_on_demand_servers_do_not_displace_reclaimable_ones() -> None:
+    """Guards against removing servers from full domains while others are reclaimed.
+
+    The limits of a domain count both kinds together. On-demand servers ordered there
+    would reduce its reclaimable ones, just when none are to be had elsewhere.
+    """
+    serving = {
+        FailureDomain(name): n for name, n in zip("abcd", (0, 10, 10, 0), strict=True)
+    }
+    plan = plan_servers(DOMAINS, serving, 40, 34, is_reclaiming=True)
+    assert plan[FailureDomain("b")] == WantedServers(on_demand=0, reclaimable=10)
+    assert plan[FailureDomain("c")] == WantedServers(on_demand=0, reclaimable=10)
+    assert (
+        plan[FailureDomain("a")].on_demand == plan[FailureDomain("d")].on_demand == 10
+    )
+
+
 def test_nothing_is_replaced_before_the_first_request() -> None:
     assert plan_on_demand({"a": 0, "b": 0, "c": 0, "d": 0}, needed=0) == 0
 
