Read the current list when a peer uses a server that is not known here

Cause: listeners of a large fleet find new servers by reads that may lag. Change: a listener that finds an unknown server in a peer's totals reads the current list once. No message grows; a server that no list contains is looked for once. Not measured yet: calls of the store, at most one more a host and wave.

--- a/dewridge/gateway/watching.py
+++ b/dewridge/gateway/watching.py
@@ -10,7 +10,7 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from enum import Enum
 
 import trio
@@ -20,6 +20,7 @@
 from dewridge.gateway.configuration import ConfigurationState
 from dewridge.gateway.model import RolloutOrder, ServerRecord
 from dewridge.gateway.servers import ServerTable
+from dewridge.ids import BackendServerId
 from dewridge.platform.configuration import decode_configuration
 from dewridge.platform.names import (
     CONFIGURATION_KEY,
@@ -95,6 +96,9 @@
 MAX_JITTER = 1.5
 """Limits of the random factor on a delay, so that hosts that waited for the same event
 do not act at the same time."""
+MAX_REQUESTED_SERVERS = 1_000
+"""Servers for which the list was read once since a peer named them. A server that only
+the peer knows, because it left long ago, does not cause further reads."""
 MAX_LOGGED_REASONS = 200
 """Maximum number of different reasons for unreadable records that a process logs:
 enough to find the writer, and a limit on lines and memory if records change often."""
@@ -171,6 +175,8 @@
         self._started_at = float("-inf")
         self._is_store_outdated = False
         self._newest_peer_version = 0
+        self._is_server_list_outdated = False
+        self._requested_servers: set[BackendServerId] = set()
 
     def compute_poll_interval(self) -> float:
         """Return the seconds between polls.
@@ -192,6 +198,28 @@
         if current is None or version > current.version:
             self._configuration_wake.set()
 
+    def receive_servers(self, servers: Iterable[BackendServerId]) -> None:
+        """Record the servers that a peer uses; read the current list if one is unknown.
+
+        The cheaper reads of a listener may lack a server for seconds after its start,
+        in particular while the store loses its history. The readers use it by then, and
+        after a reclaim the other hosts refuse requests for which it has room.
+        """
+        unknown = [
+            server
+            for server in servers
+            if self._servers.find(server) is None
+            and self._servers.find_departure(server) is None
+            and server not in self._requested_servers
+        ]
+        if not unknown:
+            return
+        if len(self._requested_servers) > MAX_REQUESTED_SERVERS:
+            self._requested_servers.clear()
+        self._requested_servers.update(unknown)
+        self._is_server_list_outdated = True
+        self._servers_wake.set()
+
     async def poll_configuration(self) -> None:
         """Poll and confirm the configuration indefinitely."""
         retry_delay = MIN_RETRY_DELAY
@@ -311,7 +339,8 @@
             if role is StoreRole.LISTENER:
                 period = LISTENER_POLL_INTERVAL
             self._servers_wake = await self._wait_for_wake(self._servers_wake, period)
-            may_lag = role is StoreRole.LISTENER
+            may_lag = role is StoreRole.LISTENER and not self._is_server_list_outdated
+            self._is_server_list_outdated = False
 
     def _apply_server_listing(self, listing: Listing, *, may_lag: bool) -> bool:
         """Apply a list of servers; return whether a current list has to be read."""
--- a/dewridge/tests/gateway/readers_tests.py
+++ b/dewridge/tests/gateway/readers_tests.py
@@ -13,6 +13,7 @@
 from dewridge.gateway.servers import ServerTable
 from dewridge.gateway.watching import (
     CONFIRM_WAIT,
+    LISTENER_POLL_INTERVAL,
     UNCONFIRMED_AFTER,
     WATCH_WAIT,
     StoreRole,
@@ -20,6 +21,8 @@
 )
 from dewridge.ids import ServerName, make_server_id
 from dewridge.platform.names import CONFIGURATION_KEY, SERVERS_PREFIX
+from dewridge.platform.store import Listing, Write
+from dewridge.sentinels import Failure
 from dewridge.tests.gateway.memorystore import MemoryStore, StoreData
 
 READERS = 9
@@ -223,3 +226,65 @@
             await trio.sleep(0.1)
             assert all(state.is_trusted for state in cell.configurations[1:])
         nursery.cancel_scope.cancel()
+
+
+class LaggingStore(MemoryStore):
+    """A store whose cheaper reads return no servers while it lags.
+
+    Attributes:
+        is_lagging: whether it lags.
+        current_reads: number of reads of the current list.
+    """
+
+    is_lagging = True
+    current_reads = 0
+
+    async def list_items(
+        self, prefix: str, *, allow_stale: bool = False
+    ) -> Listing | Failure:
+        """Return an empty list to a read that may lag."""
+        if allow_stale and self.is_lagging:
+            return Listing((), 1)
+        self.current_reads += not allow_stale
+        return await super().list_items(prefix)
+
+
+async def test_a_listener_finds_a_server_that_its_peers_use(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against seconds in which only the readers use a server that has started.
+
+    The cheaper reads of the other hosts lag, and these hosts would go on refusing
+    requests. A server that no list contains is looked for once.
+    """
+    data = StoreData()
+    store = LaggingStore(data)
+    servers = ServerTable()
+    watcher = StoreWatcher(
+        store,
+        MemoryStore(data),
+        ConfigurationState(trust_period=4.0),
+        servers,
+        lambda: 60,
+        6000.0,
+        random.Random(1),
+        lambda: StoreRole.LISTENER,
+    )
+    started = make_server_id(ServerName("s-0"), 1_000)
+    unlisted = make_server_id(ServerName("s-9"), 1_000)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(watcher.poll_servers)
+        await trio.sleep(5.0)
+        await MemoryStore(data).change(writes=(Write(*make_server(0, "ready")),))
+        await trio.sleep(LISTENER_POLL_INTERVAL)
+        assert servers.find(started) is None
+        watcher.receive_servers([started])
+        await trio.sleep(0.1)
+        assert servers.find(started) is not None
+        store.is_lagging = False
+        reads = store.current_reads
+        for _ in range(20):
+            watcher.receive_servers([started, unlisted])
+            await trio.sleep(0.5)
+        assert store.current_reads == reads + 1
+        nursery.cancel_scope.cancel()
