Order the reclaimable servers of a domain before its on-demand ones again

Cause: since the orders of a plan are sent at the same time, the order for no on-demand servers could arrive before that for the reclaimable ones. Change: the orders of a domain follow each other; domains do not wait for each other. Evidence: test_reclaimable_servers_of_a_domain_are_ordered_before_on_demand_ones fails without the change and passes with it; 12 tests of the module pass.

--- a/dewridge/gateway/scaling.py
+++ b/dewridge/gateway/scaling.py
@@ -1,5 +1,6 @@
 """The duty to order backend servers from the cloud."""
 
+from collections import defaultdict
 from collections.abc import Iterable
 
 import msgspec
@@ -142,16 +143,24 @@
             for domain, price in scaling.prices.items()
         }
         wanted = self._plan(service, scaling, domains)
-        due = [
-            order
-            for order in list_orders(service.name, wanted)
-            if self._is_due(order, scaling.boot_time)
-        ]
-        # One after the other, the orders after a reclaim take seconds while the cloud
-        # API is slow, and the servers start that much later.
+        due: dict[FailureDomain, list[Order]] = defaultdict(list)
+        for order in list_orders(service.name, wanted):
+            if self._is_due(order, scaling.boot_time):
+                due[order.failure_domain].append(order)
+        # One domain after the other, the orders after a reclaim take seconds while the
+        # cloud API is slow, and the servers start that much later.
         async with trio.open_nursery() as nursery:
-            for order in due:
-                nursery.start_soon(self._send_order, order)
+            for orders in due.values():
+                nursery.start_soon(self._send_orders, orders)
+
+    async def _send_orders(self, orders: list[Order]) -> None:
+        """Send the orders of one domain, reclaimable servers first.
+
+        The minimum of a domain counts both kinds: an order for no on-demand servers
+        keeps some of them if it arrives before the reclaimable ones are ordered.
+        """
+        for order in orders:
+            await self._send_order(order)
 
     def _plan(
         self,
--- a/dewridge/tests/gateway/scaling_tests.py
+++ b/dewridge/tests/gateway/scaling_tests.py
@@ -35,6 +35,7 @@
         is_dry: whether no further reclaimable servers are available.
         latency: seconds until an order is answered.
         on_demand_ordered: set at the first order of on-demand servers.
+        log: failure domain and kind of each order, in the order of arrival.
     """
 
     def __init__(self) -> None:
@@ -42,11 +43,13 @@
         self.is_dry = False
         self.latency = 0.0
         self.on_demand_ordered = trio.Event()
+        self.log: list[tuple[FailureDomain, bool]] = []
 
     async def order_servers(self, term: DutyTerm, order: Order) -> CallOutcome:
         """Record an order."""
         await trio.sleep(self.latency)
         pool = order.failure_domain, order.is_reclaimable
+        self.log.append(pool)
         grows = order.count > self.ordered.get(pool, 0)
         if self.is_dry and order.is_reclaimable and grows:
             return CallOutcome.NONE_AVAILABLE
@@ -170,6 +173,24 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_reclaimable_servers_of_a_domain_are_ordered_before_on_demand_ones(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against paying for on-demand servers that nobody needs.
+
+    The cloud keeps the minimum of a domain, which counts both kinds. If the order for
+    no on-demand servers arrives first, one of those found at the start stays all day.
+    """
+    for _ in range(5):
+        fleet = Fleet(MemoryStore())
+        fleet.cloud.latency = 0.1
+        with trio.move_on_after(10.0):
+            await fleet.duty.run()
+        for domain in DOMAINS:
+            kinds = [kind for place, kind in fleet.cloud.log if place == domain]
+            assert kinds[:2] == [True, False]
+
+
 async def test_a_holder_elected_during_reclaims_orders_at_once(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
