Log and count how connections to servers failed

Callers of partitioned hosts got 503, and the logs said only NOT_CONNECTED: a connection that was refused, one that was reset and one that was never answered had the same line, so that a host without a path to any server could not be told from servers that had ended, nor one kind of partition from another.

The result is now the reason in `attempt lost`, and the metric server_connects_failed counts it. No decision changes. Guarded by test_metrics_say_how_connections_failed.

--- a/dewridge/gateway/forwarding.py
+++ b/dewridge/gateway/forwarding.py
@@ -7,7 +7,12 @@
 from dewridge.gateway.model import CallerRequest, ServerRecord
 from dewridge.gateway.pool import ConnectionPool
 from dewridge.gateway.pushback import PushbackTable
-from dewridge.http1.client import ClientConnection, ConnectionBrokenError, ResponseHead
+from dewridge.http1.client import (
+    ClientConnection,
+    ConnectFailure,
+    ConnectionBrokenError,
+    ResponseHead,
+)
 from dewridge.platform.headers import (
     Dispatch,
     has_signature,
@@ -111,9 +116,10 @@
     connection = pool.acquire_idle(server, is_non_retryable=is_non_retryable)
     is_reused = connection is not None
     if connection is None:
-        connection = await pool.open(server)
-    if connection is None:
-        return LostAttempt(LossReason.NOT_CONNECTED)
+        opened = await pool.open(server)
+        if isinstance(opened, ConnectFailure):
+            return LostAttempt(LossReason.NOT_CONNECTED, opened.value)
+        connection = opened
     is_answer_open = False
     try:
         if not pushback.acquire(
--- a/dewridge/gateway/measures.py
+++ b/dewridge/gateway/measures.py
@@ -71,6 +71,8 @@
     metrics.set_gauge("requests_in_flight", state.ingress.requests)
     metrics.set_gauge("server_connections_opened", state.pool.opened)
     metrics.set_gauge("server_connections_reused", state.pool.reused)
+    for result, count in state.pool.connect_failures.items():
+        metrics.set_gauge("server_connects_failed", count, result=result.value)
     for progress in state.rollouts.list_progress():
         evidence = state.rollouts.compute_evidence(progress.order)
         set_rollout_gauges(metrics, progress, "new", evidence.target)
--- a/dewridge/gateway/placement/probing.py
+++ b/dewridge/gateway/placement/probing.py
@@ -16,7 +16,11 @@
 from dewridge.gateway.placement.loads import compute_staleness, read_speed
 from dewridge.gateway.pool import ConnectionPool
 from dewridge.gateway.state import GatewayState
-from dewridge.http1.client import ClientConnection, ConnectionBrokenError
+from dewridge.http1.client import (
+    ClientConnection,
+    ConnectFailure,
+    ConnectionBrokenError,
+)
 from dewridge.platform import names
 from dewridge.platform.engines import REPORT_PATH, EngineReport, decode_report
 from dewridge.platform.headers import read_request_id
@@ -177,9 +181,10 @@
     """Return the load report of an engine, or the outcome without one."""
     connection = pool.acquire_idle(server, is_non_retryable=False)
     if connection is None:
-        connection = await pool.open(server)
-    if connection is None:
-        return "refused"
+        opened = await pool.open(server)
+        if isinstance(opened, ConnectFailure):
+            return "refused"
+        connection = opened
     is_reusable = False
     try:
         report = await _exchange(connection, server)
--- a/dewridge/gateway/pool.py
+++ b/dewridge/gateway/pool.py
@@ -1,6 +1,6 @@
 """Pool of idle connections to backend servers, retained while certainly usable."""
 
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 from dataclasses import dataclass
 
 import trio
@@ -37,6 +37,7 @@
     Attributes:
         opened: connections opened so far.
         reused: times that an idle connection was used again.
+        connect_failures: connections that could not be opened, by result.
     """
 
     def __init__(self) -> None:
@@ -46,6 +47,7 @@
         )
         self.opened = 0
         self.reused = 0
+        self.connect_failures: Counter[ConnectFailure] = Counter()
 
     def acquire_idle(
         self, server: ServerRecord, *, is_non_retryable: bool
@@ -70,11 +72,13 @@
             idle.connection.close()
         return None
 
-    async def open(self, server: ServerRecord) -> ClientConnection | None:
-        """Open a connection; return None if the server does not accept it in time."""
+    async def open(self, server: ServerRecord) -> ClientConnection | ConnectFailure:
+        """Open a connection; return why the server does not accept it in time."""
         self.opened += 1
         connection = await open_connection(server.address, CONNECT_TIMEOUT)
-        return None if isinstance(connection, ConnectFailure) else connection
+        if isinstance(connection, ConnectFailure):
+            self.connect_failures[connection] += 1
+        return connection
 
     async def probe(self, server: ServerRecord) -> ConnectResult:
         """Return whether a server accepts new connections."""
--- a/dewridge/tests/gateway/pool_tests.py
+++ b/dewridge/tests/gateway/pool_tests.py
@@ -6,6 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from dewridge.gateway.measures import update_gauges
+from dewridge.http1.client import ConnectFailure
 from dewridge.policy.idletime import MIN_LIMIT, IdleLimitEstimator
 from dewridge.tests.gateway.world import (
     ServerExchange,
@@ -121,3 +123,17 @@
             )
             assert answer.status == 200
         assert world.state.pool.opened == 1
+
+
+async def test_metrics_say_how_connections_failed() -> None:
+    """Guards against partitions that can't be told from servers that have ended."""
+    async with open_world() as world:
+        server = await world.add_server("s-1", answer_ok)
+        server.crash()
+        await trio.sleep(0.01)
+        record = world.state.servers.find(server.id)
+        assert record is not None
+        assert await world.state.pool.open(record) is ConnectFailure.REFUSED
+        update_gauges(world.state)
+        gauges = world.state.metrics.list_gauges()
+    assert ("server_connects_failed", (("result", "refused"),), 1) in gauges
