--- a/dewridge/tests/gateway/partitions.py
+++ b/dewridge/tests/gateway/partitions.py
@@ -56,6 +56,7 @@
     _hung: set[trio.SocketStream] = field(default_factory=set)
     _mode: NewConnections | None = None
     _changed: trio.Event = field(default_factory=trio.Event)
+    _waiting: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     def open(self) -> None:
         """Listen on a free port."""
@@ -85,10 +86,9 @@
         if self._listener is None or self._mode is NewConnections.SILENT:
             await changed.wait()
             return
-        async with trio.open_nursery() as waiting:
-            waiting.start_soon(_cancel_when_set, changed, waiting.cancel_scope)
+        with trio.CancelScope() as scope:
+            self._waiting = scope
             await trio.lowlevel.wait_readable(self._listener)
-            waiting.cancel_scope.cancel()
         if self._changed is not changed:
             return
         try:
@@ -151,6 +151,7 @@
 
     def _set_mode(self, mode: NewConnections | None) -> None:
         self._mode = mode
+        self._waiting.cancel()
         self._drop_fillers()
         port = int(self.address.rpartition(":")[2])
         if mode is NewConnections.REFUSED:
@@ -168,7 +169,6 @@
 
     def _close_listener(self) -> None:
         if self._listener is not None:
-            trio.lowlevel.notify_closing(self._listener)
             self._listener.close()
             self._listener = None
 
@@ -185,11 +185,6 @@
     return filler
 
 
-async def _cancel_when_set(event: trio.Event, scope: trio.CancelScope) -> None:
-    await event.wait()
-    scope.cancel()
-
-
 @dataclass
 class LinkedFleet:
     """A fleet whose gateways reach each server over links of their own."""
