--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -1,5 +1,7 @@
 """Attempts to run a request on servers, and the rules for retries."""
 
+from contextlib import ExitStack
+
 import trio
 
 from dewridge.codes import ResultCode
@@ -9,8 +11,8 @@
     CompleteAnswer,
     IncomingAnswer,
     LostAttempt,
+    ServerRequest,
     read_complete_answer,
-    send_request,
 )
 from dewridge.gateway.jobs import Continuation, Job, compute_engine_priority
 from dewridge.gateway.losses import LossHandler
@@ -22,6 +24,7 @@
     record_first_event,
     record_placement,
 )
+from dewridge.gateway.reach.sending import send_by_path
 from dewridge.gateway.responder import Responder
 from dewridge.gateway.rollouts import AttemptResult, classify_attempt
 from dewridge.gateway.state import SERVER_ANSWER_TIME_METRIC, GatewayState
@@ -31,8 +34,9 @@
 from dewridge.gateway.weighing import ServerChoice
 from dewridge.http1.client import ConnectionBrokenError, Headers
 from dewridge.http1.headers import remove_hop_by_hop_headers
-from dewridge.platform.headers import Dispatch
+from dewridge.platform.headers import Dispatch, make_dispatch_headers
 from dewridge.policy.losses import LossReason
+from dewridge.policy.reachability import ServerPath
 from dewridge.sentinels import Failure
 
 MAX_REJECTIONS = 3
@@ -186,15 +190,17 @@
             cache_holder=job.cache_holder,
         )
         answer: IncomingAnswer | LostAttempt = LostAttempt(LossReason.CUT_OFF, "silent")
-        with trio.move_on_after(self._compute_silence_timeout(job)):
-            answer = await send_request(
-                job.request,
-                dispatch,
-                server,
-                self._state.pool,
-                self._state.pushback,
-                is_non_retryable=not job.route.is_repeatable,
-            )
+        request = ServerRequest(
+            job.request.id,
+            job.request.method,
+            job.request.target,
+            make_dispatch_headers(job.request, dispatch),
+            job.request.body,
+        )
+        with trio.move_on_after(self._compute_silence_timeout(job)) as scope:
+            answer = await self._send_within(scope, job, request, server, dispatch)
+        if answer.relay is not None:
+            job.relays.append(answer.relay)
         if isinstance(answer, IncomingAnswer):
             seconds = trio.current_time() - now
             metrics = self._state.metrics
@@ -205,6 +211,36 @@
             job.may_have_run = True
         return answer
 
+    async def _send_within(
+        self,
+        scope: trio.CancelScope,
+        job: Job,
+        request: ServerRequest,
+        server: ServerRecord,
+        dispatch: Dispatch,
+    ) -> IncomingAnswer | LostAttempt:
+        """Send a request; if it may be retried, do not wait on a connection that hangs.
+
+        Args:
+            scope: ends the wait.
+            job: the request's job.
+            request: the request.
+            server: the server to send it to.
+            dispatch: what the request's headers were made of.
+        """
+        links = self._state.links
+        with ExitStack() as stack:
+            is_direct = links.find_path(server.service) is ServerPath.DIRECT
+            if is_direct and self._may_retry(job):
+                stack.enter_context(links.cancel_when_hanging(server.service, scope))
+            return await send_by_path(
+                self._state,
+                request,
+                server,
+                is_non_retryable=not job.route.is_repeatable,
+                is_essential=dispatch.cache_copy is not None,
+            )
+
     def _compute_silence_timeout(self, job: Job) -> float:
         if not job.route.is_repeatable or not self._has_attempts_left(job):
             return float("inf")
@@ -251,7 +287,7 @@
         responder: Responder,
     ) -> LostAttempt | None:
         splitter = EventSplitter()
-        stream = self._open_stream(server)
+        stream = self._open_stream(server, is_direct=answer.relay is None)
         try:
             while True:
                 piece: bytes | None = None
@@ -260,11 +296,9 @@
                     stream.scope = scope
                     piece = await answer.receive()
                 if scope.cancelled_caught:
-                    if job.continuation is not None:
-                        return LostAttempt(LossReason.MOVED, job.continuation.server.id)
-                    if not stream.is_due(trio.current_time()):
-                        return LostAttempt(LossReason.CUT_OFF, "silent")
-                    await move_stream(self._state, job, server, stream)
+                    lost = await self._handle_silence(job, server, stream)
+                    if lost is not None:
+                        return lost
                     continue
                 if piece is None:
                     break
@@ -289,8 +323,23 @@
         await responder.finish()
         return None
 
-    def _open_stream(self, server: ServerRecord) -> RunningStream:
+    async def _handle_silence(
+        self, job: Job, server: ServerRecord, stream: RunningStream
+    ) -> LostAttempt | None:
+        """Move a stream if that is due; return why no more events are awaited."""
+        if job.continuation is not None:
+            return LostAttempt(LossReason.MOVED, job.continuation.server.id)
+        if not stream.is_due(trio.current_time()):
+            return LostAttempt(LossReason.CUT_OFF, "silent")
+        await move_stream(self._state, job, server, stream)
+        is_moved = job.continuation is not None
+        if stream.is_hanging and not is_moved and self._may_retry(job):
+            return LostAttempt(LossReason.CUT_OFF, "the connection hangs")
+        return None
+
+    def _open_stream(self, server: ServerRecord, *, is_direct: bool) -> RunningStream:
         stream = self._state.streams.register(server.id)
+        stream.is_direct = is_direct
         departure = self._state.servers.find_departure(server.id)
         if departure is not None:
             stream.schedule_move(departure.stops_at)
@@ -347,6 +396,10 @@
         if lost.is_not_run and job.fallback is not None:
             job.continuation, job.fallback = job.fallback, None
             return None
+        if lost.loss is LossReason.NO_PATH and not job.may_have_run:
+            return self._refuse_with_retry_after(
+                job, ResultCode.NO_BACKEND_SERVER, lost.reason
+            )
         now = trio.current_time()
         budget = self._state.get_budget(job.service)
         hosts = self._state.hosts.count()
--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -30,6 +30,7 @@
 from dewridge.gateway.measures import count_store_call, observe_dependency_call
 from dewridge.gateway.model import CallerRequest, Limits
 from dewridge.gateway.pool import ConnectionPool
+from dewridge.gateway.reach.relay import Relay
 from dewridge.gateway.reloading import (
     SettingsLoader,
     SettingsReloader,
@@ -165,7 +166,9 @@
             self._election.handle_restore,
             self._suspect_persistence.handle_restore,
         ]
-        self._listeners: list[tuple[trio.SocketListener, RequestHandler]] = []
+        self._listeners: list[
+            tuple[trio.SocketListener, IngressState, RequestHandler]
+        ] = []
 
     def _make_state(self, metrics: Metrics) -> GatewayState:
         settings = self._settings
@@ -207,6 +210,7 @@
             peers=f"{settings.host.address}:{settings.listen.peer_ports[0]}",
             failure_domain=FailureDomain(settings.host.failure_domain),
             is_ready=False,
+            relay_key=self._state.relay_key,
         )
 
     async def open(self, stack: AsyncExitStack) -> None:
@@ -225,9 +229,22 @@
         if listen.directory:
             endpoints.append((listen.directory, directory.serve))
         for address, handler in endpoints:
-            listener = await open_listener(address)
-            stack.push_async_callback(listener.aclose)
-            self._listeners.append((listener, handler))
+            await self._listen(stack, address, self._state.ingress, handler)
+        # Requests of peers use the port number of the datagrams.
+        relay_address = self._registration.entry.peers
+        relay = Relay(self._state)
+        await self._listen(stack, relay_address, self._state.relay_ingress, relay.serve)
+
+    async def _listen(
+        self,
+        stack: AsyncExitStack,
+        address: str,
+        ingress: IngressState,
+        handler: RequestHandler,
+    ) -> None:
+        listener = await open_listener(address)
+        stack.push_async_callback(listener.aclose)
+        self._listeners.append((listener, ingress, handler))
 
     async def _serve_operations(
         self, request: CallerRequest, responder: Responder
@@ -315,13 +332,12 @@
             ("usage-out", self._usage_reporter.run),
             ("datagrams-out", self._socket.run),
             ("settings", self._settings_reloader.run),
+            ("links", state.links.run),
             ("upkeep", partial(run_upkeep, state, self._registration)),
             *self._list_duty_tasks(rollouts),
         ]
-        for number, (listener, handler) in enumerate(self._listeners):
-            serve_stream = partial(
-                serve_connection, ingress=state.ingress, handler=handler
-            )
+        for number, (listener, ingress, handler) in enumerate(self._listeners):
+            serve_stream = partial(serve_connection, ingress=ingress, handler=handler)
             tasks.append(
                 (
                     f"listener-{number}",
--- a/dewridge/gateway/directory.py
+++ b/dewridge/gateway/directory.py
@@ -15,6 +15,7 @@
     RESOLVE_PATH,
     encode_addresses,
 )
+from dewridge.policy.reachability import select_listed
 from dewridge.sentinels import Failure
 
 ADDRESS_TTL = 1.0
@@ -40,7 +41,10 @@
     def __init__(self, state: GatewayState) -> None:
         self._state = state
         self._basis: (
-            tuple[bool, frozenset[HostId], frozenset[HostId], list[HostEntry]] | None
+            tuple[
+                bool, frozenset[HostId], frozenset[HostId], set[HostId], list[HostEntry]
+            ]
+            | None
         ) = None
         self._candidates: list[str] = []
 
@@ -91,11 +95,12 @@
             self._state.is_ready,
             summary.live_hosts,
             summary.unready_hosts,
+            self._list_partitioned(summary.partitioned_hosts),
             self._state.hosts.list_hosts(),
         )
         if basis == self._basis:
             return self._candidates
-        is_ready, live_hosts, unready_hosts, hosts = basis
+        is_ready, live_hosts, unready_hosts, partitioned, hosts = basis
         registered = [host for host in hosts if host.is_ready]
         local = [host for host in registered if host.id == self._state.host]
         if not is_ready:
@@ -106,6 +111,11 @@
             if host.id in live_hosts and host.id not in unready_hosts
         ]
         chosen = [*local, *others] if others else registered
+        listed = set(select_listed([entry.id for entry in chosen], partitioned))
         self._basis = basis
-        self._candidates = [entry.frontend for entry in chosen]
+        self._candidates = [entry.frontend for entry in chosen if entry.id in listed]
         return self._candidates
+
+    def _list_partitioned(self, peers: frozenset[HostId]) -> set[HostId]:
+        is_local = self._state.links.is_partitioned
+        return {*peers, self._state.host} if is_local else set(peers)
--- a/dewridge/gateway/forwarding.py
+++ b/dewridge/gateway/forwarding.py
@@ -1,24 +1,25 @@
 """Attempts: sends a request to a backend server and checks the answer."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 import trio
 
-from dewridge.gateway.model import CallerRequest, ServerRecord
+from dewridge.gateway.model import ServerRecord
 from dewridge.gateway.pool import ConnectionPool
-from dewridge.gateway.pushback import PushbackTable
 from dewridge.http1.client import (
     ClientConnection,
     ConnectFailure,
     ConnectionBrokenError,
+    Headers,
     ResponseHead,
 )
+from dewridge.ids import BackendServerId, HostId
 from dewridge.platform.headers import (
-    Dispatch,
     has_signature,
     is_misdirected,
     is_not_executed,
-    make_dispatch_headers,
     read_request_id,
 )
 from dewridge.policy.losses import NOT_RUN_REASONS, LossReason
@@ -30,6 +31,25 @@
 """Maximum size of an answer that is buffered completely."""
 
 
+@dataclass(frozen=True, slots=True)
+class ServerRequest:
+    """A request as a backend server gets it.
+
+    Attributes:
+        id: the caller's id for its attempt, which the answer names.
+        method: HTTP method.
+        target: path and query.
+        headers: headers for the server.
+        body: the body.
+    """
+
+    id: str
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class LostAttempt:
     """An attempt without a usable answer.
@@ -38,11 +58,13 @@
         loss: why there is none.
         reason: details for the log.
         status: status of the server's answer; 0 if there was none or it was not used.
+        relay: the peer by which the request was sent; None if it was sent directly.
     """
 
     loss: LossReason
     reason: str = ""
     status: int = 0
+    relay: HostId | None = None
 
     @property
     def is_not_run(self) -> bool:
@@ -59,19 +81,35 @@
 
 
 class IncomingAnswer:
-    """An answer whose body is still being received; must be closed with `close`."""
+    """An answer whose body is still being received; must be closed with `close`.
+
+    Attributes:
+        head: head of the answer.
+        relay: the peer that passes it on; None if it comes directly.
+    """
 
     def __init__(
         self,
         head: ResponseHead,
         connection: ClientConnection,
-        server: ServerRecord,
-        pool: ConnectionPool,
+        release: Callable[[ClientConnection], None],
+        relay: HostId | None = None,
+        on_received: Callable[[], None] = lambda: None,
     ) -> None:
+        """Take over an open connection.
+
+        Args:
+            head: head of the answer.
+            connection: connection on which the body follows.
+            release: takes the connection back when the answer is closed.
+            relay: the peer that passes the answer on.
+            on_received: called with each part of the body.
+        """
         self.head = head
+        self.relay = relay
         self._connection: ClientConnection | None = connection
-        self._server = server
-        self._pool = pool
+        self._release = release
+        self._on_received = on_received
 
     async def receive(self) -> bytes | None:
         """Wait for the next part of the body; return None after its end.
@@ -80,41 +118,73 @@
             ConnectionBrokenError: the answer was interrupted.
         """
         assert self._connection is not None
-        return await self._connection.receive_body()
+        part = await self._connection.receive_body()
+        self._on_received()
+        return part
 
     def close(self) -> None:
-        """Release the connection to the pool after a complete answer, else close it."""
+        """Release the connection; the rest of the answer is not read."""
         connection, self._connection = self._connection, None
-        if connection is None:
-            return
-        if connection.finish_exchange(trio.current_time()):
-            self._pool.release(self._server, connection)
-        else:
-            connection.close()
+        if connection is not None:
+            self._release(connection)
+
+
+def release_to_pool(
+    pool: ConnectionPool, server: ServerRecord, connection: ClientConnection
+) -> None:
+    """Release a connection to the pool after a complete answer, else close it."""
+    if connection.finish_exchange(trio.current_time()):
+        pool.release(server, connection)
+    else:
+        connection.close()
+
+
+RecordAnswer = Callable[[BackendServerId, ResponseHead, bool], None]
+"""Applies the signals of an answer; the last argument says whether it answers the
+request that was just sent."""
+
+
+@dataclass(frozen=True, slots=True)
+class SendingHooks:
+    """What is asked and told while a request is sent.
+
+    Attributes:
+        may_send: whether the server may get a request now; counts it.
+        record_answer: called with the head of each answer of the server.
+        record_received: called whenever bytes of an answer arrive.
+    """
+
+    may_send: Callable[[], bool]
+    record_answer: RecordAnswer
+    record_received: Callable[[], None]
 
 
 async def send_request(
-    request: CallerRequest,
-    dispatch: Dispatch,
+    request: ServerRequest,
     server: ServerRecord,
     pool: ConnectionPool,
-    pushback: PushbackTable,
+    hooks: SendingHooks,
     *,
     is_non_retryable: bool,
+    may_open: bool = True,
+    is_relayed: bool = False,
 ) -> IncomingAnswer | LostAttempt:
     """Send a request to a server and wait for the head of its answer.
 
     Args:
-        request: the caller's request.
-        dispatch: additional information that is sent to the server in headers.
+        request: the request.
         server: the server to send it to.
         pool: connections to servers.
-        pushback: what the servers ask for; decides whether the request may be sent, and
-            learns from the answer.
+        hooks: what is asked and told meanwhile.
         is_non_retryable: whether the request can't be retried if it is lost.
+        may_open: whether a connection may be opened if none is idle.
+        is_relayed: whether a peer asked for it and judges the answer; only an answer to
+            another request is held back then.
     """
     connection = pool.acquire_idle(server, is_non_retryable=is_non_retryable)
     is_reused = connection is not None
+    if connection is None and not may_open:
+        return LostAttempt(LossReason.NO_PATH, "no open connection is left")
     if connection is None:
         opened = await pool.open(server)
         if isinstance(opened, ConnectFailure):
@@ -122,24 +192,22 @@
         connection = opened
     is_answer_open = False
     try:
-        if not pushback.acquire(
-            server.id,
-            trio.current_time(),
-            is_essential=dispatch.cache_copy is not None,
-        ):
+        if not hooks.may_send():
             return LostAttempt(LossReason.WITHHELD)
-        head = await _exchange(connection, request, dispatch)
-        lost = check_head(head, request, is_reused=connection.exchange_count > 1)
+        head = await _exchange(connection, request)
+        hooks.record_received()
+        lost = check_head(head, request.id, is_reused=connection.exchange_count > 1)
+        is_current = lost is None or lost.loss is not LossReason.MISMATCHED
         # The address may belong to another server by now, which answers with 421.
         if not is_misdirected(head):
-            is_current = lost is None or lost.loss is not LossReason.MISMATCHED
-            pushback.record_answer(
-                server.id, head.status, head.headers, is_current=is_current
-            )
-        if lost is not None:
+            hooks.record_answer(server.id, head, is_current)
+        if lost is not None and not (is_relayed and is_current):
             return lost
         is_answer_open = True
-        return IncomingAnswer(head, connection, server, pool)
+        release = partial(release_to_pool, pool, server)
+        return IncomingAnswer(
+            head, connection, release, on_received=hooks.record_received
+        )
     except ConnectionBrokenError as error:
         if is_reused:
             pool.handle_broken(server)
@@ -151,15 +219,16 @@
 
 
 async def _exchange(
-    connection: ClientConnection, request: CallerRequest, dispatch: Dispatch
+    connection: ClientConnection, request: ServerRequest
 ) -> ResponseHead:
-    headers = make_dispatch_headers(request, dispatch)
     if len(request.body) <= MAX_INLINE_BODY_BYTES:
-        await connection.send(request.method, request.target, headers, request.body)
+        await connection.send(
+            request.method, request.target, request.headers, request.body
+        )
         return await connection.receive_head()
     result: ResponseHead | ConnectionBrokenError
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_send_ignoring_errors, connection, request, headers)
+        nursery.start_soon(_send_ignoring_errors, connection, request)
         try:
             result = await connection.receive_head()
         except ConnectionBrokenError as error:
@@ -171,12 +240,12 @@
 
 
 async def _send_ignoring_errors(
-    connection: ClientConnection,
-    request: CallerRequest,
-    headers: list[tuple[bytes, bytes]],
+    connection: ClientConnection, request: ServerRequest
 ) -> None:
     try:
-        await connection.send(request.method, request.target, headers, request.body)
+        await connection.send(
+            request.method, request.target, request.headers, request.body
+        )
     except ConnectionBrokenError:
         # The server may have answered early. The concurrent read returns that answer,
         # or reports that the connection is broken.
@@ -184,7 +253,7 @@
 
 
 def check_head(
-    head: ResponseHead, request: CallerRequest, *, is_reused: bool
+    head: ResponseHead, request_id: str, *, is_reused: bool
 ) -> LostAttempt | None:
     """Return why an answer can't be forwarded to the caller; None if it can.
 
@@ -194,7 +263,7 @@
     connection.
     """
     answered = read_request_id(head)
-    if answered is not None and answered != request.id:
+    if answered is not None and answered != request_id:
         return LostAttempt(LossReason.MISMATCHED, f"names {answered[:40]}")
     if answered is None and is_reused:
         return LostAttempt(LossReason.MISMATCHED, "names no request")
--- a/dewridge/gateway/hosts.py
+++ b/dewridge/gateway/hosts.py
@@ -58,6 +58,8 @@
         peers: address `a.b.c.d:port` for the other entry hosts.
         failure_domain: failure domain of the host.
         is_ready: whether callers may be sent to the host.
+        relay_key: secret that a peer has to name when it asks this host to relay a
+            request; empty if it does not relay. Only hosts can read it in the store.
     """
 
     id: HostId
@@ -66,6 +68,7 @@
     peers: str
     failure_domain: FailureDomain
     is_ready: bool
+    relay_key: str = ""
 
 
 @dataclass
--- a/dewridge/gateway/jobs.py
+++ b/dewridge/gateway/jobs.py
@@ -5,7 +5,7 @@
 
 from dewridge.gateway.digests import make_digest
 from dewridge.gateway.model import Account, CallerRequest, Route, ServerRecord
-from dewridge.ids import BackendServerId, RequestDigest, ServiceName
+from dewridge.ids import BackendServerId, HostId, RequestDigest, ServiceName
 from dewridge.platform.engines import CacheCopy
 from dewridge.policy.expectedtime import ExpectedPlacement
 
@@ -56,6 +56,7 @@
         fallback: where it continues if the server of `continuation` rejects it.
         withheld_servers: servers that asked for fewer requests when it was refused.
         was_moved: whether it was stopped and moved; it is never started anew then.
+        relays: peers by which it was sent.
         admission_share: share of its account's requests that the plan admitted; None
             if the service was not contended.
     """
@@ -86,6 +87,7 @@
     fallback: "Continuation | None" = None
     withheld_servers: list[BackendServerId] = field(default_factory=list)
     was_moved: bool = False
+    relays: list[HostId] = field(default_factory=list)
     admission_share: float | None = None
 
     def __post_init__(self) -> None:
--- a/dewridge/gateway/leaving.py
+++ b/dewridge/gateway/leaving.py
@@ -62,7 +62,7 @@
     quiet_since = trio.current_time()
     while trio.current_time() < exit_deadline:
         now = trio.current_time()
-        if state.ingress.requests > 0:
+        if state.ingress.requests + state.relay_ingress.requests > 0:
             quiet_since = now
         if now >= serves_until:
             state.ingress.close_idle_connections()
--- a/dewridge/gateway/losses.py
+++ b/dewridge/gateway/losses.py
@@ -14,9 +14,11 @@
 from dewridge.policy.losses import (
     INTERRUPTED_REASONS,
     ConnectResult,
+    LossReason,
     ServerVerdict,
     classify_loss,
 )
+from dewridge.policy.reachability import ServerPath
 
 REJECTION_BACKOFF = 0.1
 """Seconds for which a server counts as full after it rejected a request: the time of a
@@ -49,6 +51,12 @@
             if lost.loss in INTERRUPTED_REASONS
             else None
         )
+        path = state.links.find_path(server.service)
+        is_broken = lost.loss in {*INTERRUPTED_REASONS, LossReason.NOT_CONNECTED}
+        if is_broken and path is not ServerPath.DIRECT and lost.relay is None:
+            # The links of this host are at fault, not the server or the request.
+            self._record_loss(job, server, lost, connect_result, now)
+            return
         self._record_loss(job, server, lost, connect_result, now)
         verdict = classify_loss(
             lost.loss,
@@ -83,18 +91,39 @@
         now = trio.current_time()
         self._drop_expired_probes(now)
         probe = self._probes[server.id] = _Probe(now)
+        path = self._state.links.find_path(server.service)
         # The server counts as full meanwhile. A crashed server has no requests left, so
         # it would look like the best choice for the requests that it lost; if several
         # crash together, a request would be sent to one after the other.
         health = self._state.get_health(server.id)
         health.full_until = now + PROBE_LIFETIME
         try:
-            probe.connect_result = await self._state.pool.probe(server)
+            probe.connect_result = await self._connect(server, path)
         finally:
             health.full_until = float("-inf")
             probe.done.set()
         return probe.connect_result
 
+    async def _connect(self, server: ServerRecord, path: ServerPath) -> ConnectResult:
+        """Return whether a server accepts connections of this host, or of a relay."""
+        if path is ServerPath.BY_PEER:
+            return await self._ask_relay(server)
+        started_at = trio.current_time()
+        result = await self._state.pool.probe(server)
+        if result is not ConnectResult.ACCEPTED:
+            await self._state.links.check(server, started_at)
+        return result
+
+    async def _ask_relay(self, server: ServerRecord) -> ConnectResult:
+        state = self._state
+        peer = state.links.choose_relay(
+            server.service, set(), state.failure_domain, state.count_domain_hosts()
+        )
+        if peer is None:
+            return ConnectResult.SILENT
+        results = await state.links.ask_peer(peer, [server])
+        return results[0] if results else ConnectResult.SILENT
+
     def _drop_expired_probes(self, now: float) -> None:
         self._probes = {
             server: probe
--- a/dewridge/gateway/measures.py
+++ b/dewridge/gateway/measures.py
@@ -9,6 +9,7 @@
 from dewridge.gateway.responder import Responder
 from dewridge.gateway.state import GatewayState
 from dewridge.metrics.registry import Metrics
+from dewridge.policy.reachability import ServerPath
 from dewridge.policy.rollouts import RouteLabel, Tally
 from dewridge.sentinels import Failure
 
@@ -71,6 +72,9 @@
     metrics.set_gauge("requests_in_flight", state.ingress.requests)
     metrics.set_gauge("server_connections_opened", state.pool.opened)
     metrics.set_gauge("server_connections_reused", state.pool.reused)
+    for service, path in state.links.list_paths().items():
+        is_direct = path is ServerPath.DIRECT
+        metrics.set_gauge("server_path_direct", float(is_direct), service=service)
     for result, count in state.pool.connect_failures.items():
         metrics.set_gauge("server_connects_failed", count, result=result.value)
     for progress in state.rollouts.list_progress():
--- a/dewridge/gateway/moves.py
+++ b/dewridge/gateway/moves.py
@@ -1,11 +1,14 @@
 """Moves of running streams, with their engine memory, away from leaving servers."""
 
+from functools import partial
+
 import trio
 from loguru import logger as log
 
 from dewridge.codes import ResultCode
 from dewridge.gateway.jobs import Continuation, Job
 from dewridge.gateway.model import ServerRecord
+from dewridge.gateway.reach.control import post_to_engine
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.streams import RunningStream
 from dewridge.gateway.weighing import choose_move_target
@@ -58,6 +61,7 @@
         server.address,
         job.request.id,
         target.address,
+        partial(post_to_engine, state, server),
         lambda status, headers: state.pushback.record_answer(
             server.id, status, headers, is_current=False
         ),
--- a/dewridge/gateway/operations.py
+++ b/dewridge/gateway/operations.py
@@ -122,6 +122,7 @@
         "placement": describe_placement(state),
         "quotas": state.ledger.describe(),
         "admission": describe_plans(state, now),
+        "paths": state.links.describe(),
         "connections": {
             "callers": state.ingress.connections,
             "requests": state.ingress.requests,
--- a/dewridge/gateway/placement/probing.py
+++ b/dewridge/gateway/placement/probing.py
@@ -33,6 +33,7 @@
     compute_timeout,
     should_probe,
 )
+from dewridge.policy.reachability import ServerPath
 
 MAX_REPORT_BYTES = 262_144
 """Maximum size of an answer. A report of a hundred runs takes some 5,000 bytes."""
@@ -121,6 +122,8 @@
         return None
     if state.pushback.is_withheld(server, now):
         return None
+    if state.links.find_path(record.service) is not ServerPath.DIRECT:
+        return None
     return None if state.placement.get_probes(server).is_paused(now) else record
 
 
--- a/dewridge/gateway/pushback.py
+++ b/dewridge/gateway/pushback.py
@@ -13,7 +13,7 @@
 from loguru import logger as log
 
 from dewridge.gateway.servers import ServerTable
-from dewridge.http1.client import Headers
+from dewridge.http1.client import Headers, ResponseHead
 from dewridge.ids import BackendServerId, HostId
 from dewridge.metrics.registry import Metrics
 from dewridge.platform.signals import ServerSignals, decode_signals
@@ -127,6 +127,12 @@
         self._metrics = metrics
         self._by_server: dict[BackendServerId, _ServerPushback] = {}
 
+    def record_head(
+        self, server: BackendServerId, head: ResponseHead, is_current: bool
+    ) -> None:
+        """Apply the signals in the head of an answer; see `record_answer`."""
+        self.record_answer(server, head.status, head.headers, is_current=is_current)
+
     def record_answer(
         self,
         server: BackendServerId,
@@ -150,7 +156,7 @@
         now = trio.current_time()
         if signals.rest is not None:
             self._metrics.add("answers_with_pushback_total", signal="rest")
-            self._apply_rest(server, signals.rest, now)
+            self.apply_rest(server, signals.rest, now)
         if signals.is_leaving:
             self._metrics.add("answers_with_pushback_total", signal="leaving")
             self._servers.drop(server, now, "its answer says so")
@@ -163,7 +169,8 @@
                 ended = LimitNotice(notice.limit, now, has_ended=True)
                 self._apply_own_notice(server, ended)
 
-    def _apply_rest(self, server: BackendServerId, seconds: float, now: float) -> None:
+    def apply_rest(self, server: BackendServerId, seconds: float, now: float) -> None:
+        """Send a server nothing for some seconds."""
         if self._get(server).rest.extend(seconds, now):
             log.bind(server=server, seconds=round(seconds, 2)).info("server rests")
 
@@ -254,6 +261,19 @@
             pacer.record_sent(now)
         return True
 
+    def acquire_relayed(
+        self, server: BackendServerId, now: float, *, is_essential: bool = False
+    ) -> bool:
+        """Return whether a request of a peer may be sent now, and count it if so.
+
+        The peer sends it within its own share of the server's limit. A rest is asked
+        of the host that sends to the server, which is this one.
+        """
+        if not is_essential and self._servers.find_departure(server) is not None:
+            return False
+        known = self._by_server.get(server)
+        return known is None or known.rest.acquire(now, is_essential=is_essential)
+
     def _find_pacer(self, server: BackendServerId, now: float) -> LimitPacer | None:
         """Return a server's pacer with the share in force; None without a limit."""
         known = self._by_server.get(server)
--- /dev/null
+++ b/dewridge/gateway/reach/__init__.py
@@ -0,0 +1,1 @@
+"""Paths from this host to the servers: by its own links, or relayed by a peer."""
--- /dev/null
+++ b/dewridge/gateway/reach/control.py
@@ -0,0 +1,74 @@
+"""Control calls to engines, by this host's own links or by a peer."""
+
+import trio
+
+from dewridge.gateway.model import ServerRecord
+from dewridge.gateway.reach.peers import (
+    RelayedCall,
+    RelayFailure,
+    call_by_relay,
+    open_relay,
+)
+from dewridge.gateway.reach.protocol import RelayCall
+from dewridge.gateway.state import GatewayState
+from dewridge.http1.calls import CallFailure, Response, ServiceClient
+from dewridge.http1.client import ClientConnection, ConnectionBrokenError
+from dewridge.policy.reachability import ServerPath
+
+
+async def post_to_engine(
+    state: GatewayState, server: ServerRecord, path: str, body: bytes, timeout: float
+) -> Response | CallFailure:
+    """Make one control call with a JSON body.
+
+    Args:
+        state: the state of this host.
+        server: the engine.
+        path: path of the call.
+        body: JSON body.
+        timeout: seconds for the call.
+    """
+    if state.links.find_path(server.service) is ServerPath.DIRECT:
+        client = ServiceClient(f"engine {server.address}", server.address, timeout)
+        response = await client.call("POST", path, body=body)
+        client.close_idle()
+        return response
+    with trio.move_on_after(timeout):
+        return await _post_by_relay(state, server, path, body)
+    return CallFailure.LOST
+
+
+async def _post_by_relay(
+    state: GatewayState, server: ServerRecord, path: str, body: bytes
+) -> Response | CallFailure:
+    peer = state.links.choose_relay(
+        server.service, set(), state.failure_domain, state.count_domain_hosts()
+    )
+    if peer is None:
+        return CallFailure.NOT_SENT
+    connection = await open_relay(peer)
+    if isinstance(connection, RelayFailure):
+        return CallFailure.NOT_SENT
+    headers = [
+        (b"host", server.address.encode()),
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(body)).encode()),
+    ]
+    call = RelayedCall(RelayCall.CONTROL, server, b"POST", path.encode(), headers, body)
+    try:
+        head = await call_by_relay(connection, state.host, peer, call)
+        if isinstance(head, RelayFailure):
+            return CallFailure.NOT_SENT if head.is_not_run else CallFailure.LOST
+        content = await _read_body(connection)
+        return Response(head.status, content, head.headers)
+    except ConnectionBrokenError:
+        return CallFailure.LOST
+    finally:
+        connection.close()
+
+
+async def _read_body(connection: ClientConnection) -> bytes:
+    parts = []
+    while (part := await connection.receive_body()) is not None:
+        parts.append(part)
+    return b"".join(parts)
--- /dev/null
+++ b/dewridge/gateway/reach/peers.py
@@ -0,0 +1,142 @@
+"""Calls to peers that relay requests to servers."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import msgspec
+import trio
+
+from dewridge.gateway.hosts import HostEntry
+from dewridge.gateway.model import ServerRecord
+from dewridge.gateway.reach.protocol import (
+    PROBE_PATH,
+    RelayCall,
+    RelayOrder,
+    decode_loss,
+    encode_order,
+    remove_relay_headers,
+)
+from dewridge.http1.client import (
+    ClientConnection,
+    ConnectFailure,
+    ConnectionBrokenError,
+    Headers,
+    ResponseHead,
+    open_connection,
+)
+from dewridge.ids import HostId
+from dewridge.policy.losses import NOT_RUN_REASONS, ConnectResult, LossReason
+
+CONNECT_TIMEOUT = 0.2
+"""Seconds for a connection to a peer, which may have ended just now."""
+PROBE_TIMEOUT = 0.4
+"""Seconds for a peer's answer about servers that may not respond to it either."""
+STATUS_OK = 200
+MAX_PROBE_BYTES = 65_536
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedCall:
+    """A call that a peer relays to a server.
+
+    Attributes:
+        call: kind of the call.
+        server: the server.
+        method: HTTP method.
+        target: path and query.
+        headers: headers for the server.
+        body: the body.
+    """
+
+    call: RelayCall
+    server: ServerRecord
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class RelayFailure:
+    """Why a relay passes on no answer.
+
+    Attributes:
+        loss: why; NO_PATH if another relay may do better.
+        detail: details for the log.
+    """
+
+    loss: LossReason
+    detail: str
+
+    @property
+    def is_not_run(self) -> bool:
+        """Whether the server provably did not get the call."""
+        return self.loss in NOT_RUN_REASONS
+
+
+async def open_relay(peer: HostEntry) -> ClientConnection | RelayFailure:
+    """Open a connection to a relay."""
+    connection = await open_connection(peer.peers, CONNECT_TIMEOUT)
+    if isinstance(connection, ConnectFailure):
+        return RelayFailure(LossReason.NO_PATH, f"{peer.id}: {connection.value}")
+    return connection
+
+
+async def call_by_relay(
+    connection: ClientConnection, sender: HostId, peer: HostEntry, call: RelayedCall
+) -> ResponseHead | RelayFailure:
+    """Send a call to a relay and wait for the head of the answer.
+
+    The caller closes the connection.
+
+    Raises:
+        ConnectionBrokenError: the connection to the relay ended, or the relay's to the
+            server after the head of the answer.
+    """
+    order = RelayOrder(peer.relay_key, sender, call.call, (call.server.id,))
+    headers = [*call.headers, *encode_order(order)]
+    await connection.send(call.method, call.target, headers, call.body)
+    head = await connection.receive_head()
+    lost = decode_loss(head.status, head.headers)
+    if lost is not None:
+        return RelayFailure(lost[0], f"{peer.id}: {lost[1]}")
+    return ResponseHead(head.status, remove_relay_headers(head.headers))
+
+
+async def ask_peer(
+    sender: HostId, peer: HostEntry, servers: Sequence[ServerRecord]
+) -> Sequence[ConnectResult]:
+    """Return whether servers accept a peer's connections; empty without an answer."""
+    results: Sequence[ConnectResult] = ()
+    with trio.move_on_after(PROBE_TIMEOUT):
+        connection = await open_relay(peer)
+        if isinstance(connection, RelayFailure):
+            return ()
+        try:
+            results = await _exchange_probe(connection, sender, peer, servers)
+        except (ConnectionBrokenError, msgspec.DecodeError):
+            return ()
+        finally:
+            connection.close()
+    return results
+
+
+async def _exchange_probe(
+    connection: ClientConnection,
+    sender: HostId,
+    peer: HostEntry,
+    servers: Sequence[ServerRecord],
+) -> Sequence[ConnectResult]:
+    names = tuple(server.id for server in servers)
+    order = RelayOrder(peer.relay_key, sender, RelayCall.PROBE, names)
+    headers = [(b"host", peer.peers.encode()), *encode_order(order)]
+    await connection.send(b"GET", PROBE_PATH, headers, b"")
+    head = await connection.receive_head()
+    if head.status != STATUS_OK:
+        return ()
+    body = b""
+    while (part := await connection.receive_body()) is not None:
+        body += part
+        if len(body) > MAX_PROBE_BYTES:
+            return ()
+    return msgspec.json.decode(body, type=list[ConnectResult])
--- /dev/null
+++ b/dewridge/gateway/reach/protocol.py
@@ -0,0 +1,101 @@
+"""Headers of the calls between hosts that relay requests.
+
+A relayed request has the method, the target, the body and the headers that the server
+gets, and beside them the headers below, which the relay removes. The relay returns the
+answer of the server, or a status of its own with the reason for which there is none.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+from dewridge.http1.client import Headers
+from dewridge.ids import BackendServerId, HostId
+from dewridge.policy.losses import LossReason
+
+PREFIX = b"dewridge-"
+KEY = PREFIX + b"key"
+SENDER = PREFIX + b"sender"
+SERVER = PREFIX + b"server"
+CALL = PREFIX + b"call"
+LOSS = PREFIX + b"loss"
+ANSWERED = PREFIX + b"answered"
+"""Marks the answer of a server; without it, the relay itself answered."""
+DETAIL = PREFIX + b"detail"
+LOST_STATUS = 502
+UNUSABLE_STATUS = 503
+PROBE_PATH = b"/probe"
+
+
+class RelayCall(Enum):
+    """What a relay is asked for."""
+
+    REQUEST = "request"
+    """A request of a caller that may be retried if it is lost."""
+    SINGLE_REQUEST = "single request"
+    """A request of a caller that may not be retried."""
+    CONTROL = "control"
+    """A control call to an engine."""
+    PROBE = "probe"
+    """Whether servers accept connections of the relay."""
+
+
+@dataclass(frozen=True, slots=True)
+class RelayOrder:
+    """What a peer asks of this host as a relay.
+
+    Attributes:
+        key: the key of this host that the peer read from the store.
+        sender: the peer.
+        call: what it asks for.
+        servers: the server, or the servers to probe.
+    """
+
+    key: str
+    sender: HostId
+    call: RelayCall
+    servers: tuple[BackendServerId, ...]
+
+
+def encode_order(order: RelayOrder) -> Headers:
+    """Return the headers of an order."""
+    return [
+        (KEY, order.key.encode()),
+        (SENDER, order.sender.encode()),
+        (CALL, order.call.value.encode()),
+        (SERVER, ",".join(order.servers).encode()),
+    ]
+
+
+def decode_order(headers: Iterable[tuple[bytes, bytes]]) -> RelayOrder | None:
+    """Return the order in the headers of a request; None without a valid one."""
+    values = {name: value.decode("latin-1") for name, value in headers}
+    try:
+        call = RelayCall(values[CALL])
+        key, sender, servers = values[KEY], values[SENDER], values[SERVER]
+    except (KeyError, ValueError):
+        return None
+    names = tuple(BackendServerId(name) for name in servers.split(",") if name)
+    return RelayOrder(key, HostId(sender), call, names) if names else None
+
+
+def remove_relay_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
+    """Return the headers without those between hosts."""
+    return [(name, value) for name, value in headers if not name.startswith(PREFIX)]
+
+
+def encode_loss(loss: LossReason, detail: str) -> Headers:
+    """Return the headers of an answer that says why the server gave none."""
+    text = detail.encode("ascii", "replace").replace(b"\r", b" ").replace(b"\n", b" ")
+    return [(LOSS, loss.name.encode()), (DETAIL, text)]
+
+
+def decode_loss(status: int, headers: Headers) -> tuple[LossReason, str] | None:
+    """Return why a relay has no answer; None if the answer is the server's."""
+    values = dict(headers)
+    if ANSWERED in values:
+        return None
+    name = values.get(LOSS, b"").decode("latin-1")
+    if name not in LossReason.__members__:
+        return LossReason.NO_PATH, f"status {status}"
+    return LossReason[name], values.get(DETAIL, b"").decode("latin-1")
--- a/dewridge/gateway/reports.py
+++ b/dewridge/gateway/reports.py
@@ -180,6 +180,8 @@
         suspects: requests during which servers crashed.
         rollouts: progress of the rollouts that the sender knows.
         limits: request limits in the sender's own answers from servers.
+        is_partitioned: whether the sender does not reach the servers of some service
+            by itself; missing in the reports of earlier builds.
     """
 
     host: HostId
@@ -197,6 +199,7 @@
     suspects: list[SuspectUpdate] = []
     rollouts: list[RolloutProgress] = []
     limits: list[LimitUpdate] = []
+    is_partitioned: bool = False
 
 
 class CellReport(msgspec.Struct, frozen=True, array_like=True, tag="cell"):
@@ -217,6 +220,8 @@
         suspects: requests during which servers crashed.
         rollouts: progress of the rollouts that the sender knows.
         limits: request limits in the answers that the cell's hosts got from servers.
+        partitioned: the members that do not reach the servers of some service by
+            themselves; missing in the reports of earlier builds.
     """
 
     host: HostId
@@ -232,6 +237,7 @@
     suspects: list[SuspectUpdate] = []
     rollouts: list[RolloutProgress] = []
     limits: list[LimitUpdate] = []
+    partitioned: list[HostId] = []
 
 
 class HostUsage(msgspec.Struct, frozen=True, array_like=True):
--- a/dewridge/gateway/rollouts.py
+++ b/dewridge/gateway/rollouts.py
@@ -45,6 +45,7 @@
         LossReason.OTHER_SERVER,
         LossReason.MOVED,
         LossReason.WITHHELD,
+        LossReason.NO_PATH,
     }
 )
 """Losses that are not counted for or against a version."""
--- a/dewridge/gateway/serving.py
+++ b/dewridge/gateway/serving.py
@@ -227,6 +227,7 @@
             servers=",".join(job.tried_servers) if job else "",
             **(describe_choice(job) if job else {}),
             **({"withheld": withheld} if withheld else {}),
+            **({"relays": ",".join(job.relays)} if job and job.relays else {}),
             **describe_admission(job),
             is_whole=responder.is_finished,
             ms=round((now - started_at) * 1000, 1),
--- a/dewridge/gateway/sharing.py
+++ b/dewridge/gateway/sharing.py
@@ -85,11 +85,13 @@
         unready_hosts: the live hosts to which callers should not be directed.
         server_totals: load and recent failures at each server; updated in place as
             reports arrive.
+        partitioned_hosts: the live hosts that do not reach the servers of some service.
     """
 
     live_hosts: frozenset[HostId]
     unready_hosts: frozenset[HostId]
     server_totals: dict[BackendServerId, ServerTotals]
+    partitioned_hosts: frozenset[HostId] = frozenset()
 
 
 def _ignore(*_: object) -> None:
@@ -347,6 +349,7 @@
     def _make_summary(self, now: float) -> FleetSummary:
         live: set[HostId] = set()
         unready: set[HostId] = set()
+        partitioned: set[HostId] = set()
         for host, view in self.cell_peers.items():
             is_stale = self._is_stale(view.received_at, now)
             self._update_server_sums(host, view.report, is_stale=is_stale)
@@ -354,6 +357,8 @@
                 live.add(host)
                 if not view.report.is_ready:
                     unready.add(host)
+                if view.report.is_partitioned:
+                    partitioned.add(host)
         for name, cell in self.cells.items():
             live_sources = [
                 source
@@ -370,6 +375,7 @@
                     live.update(members)
             if live_sources:
                 unready.update(newest_report.unready)
+                partitioned.update(newest_report.partitioned)
         live.discard(self.local_host)
         previous = self._summary
         # The sets rarely change. The earlier ones are kept then, so that what depends
@@ -381,6 +387,9 @@
             unready_hosts=previous.unready_hosts
             if previous is not None and previous.unready_hosts == unready
             else frozenset(unready),
+            partitioned_hosts=previous.partitioned_hosts
+            if previous is not None and previous.partitioned_hosts == partitioned
+            else frozenset(partitioned),
             server_totals=self._server_sums.totals,
         )
 
@@ -417,6 +426,14 @@
             if not self._is_stale(view.received_at, now) and not view.report.is_ready
         ]
 
+    def list_partitioned_cell_peers(self, now: float) -> list[HostId]:
+        """Return the live cell peers that do not reach the servers of some service."""
+        return [
+            host
+            for host, view in self.cell_peers.items()
+            if not self._is_stale(view.received_at, now) and view.report.is_partitioned
+        ]
+
     def sum_cell_totals(self, local: Totals, now: float) -> Totals:
         """Return the totals of the local cell.
 
--- a/dewridge/gateway/sharinglink.py
+++ b/dewridge/gateway/sharinglink.py
@@ -312,6 +312,9 @@
         unready = self._sharing.list_unready_cell_peers(now)
         if not report.is_ready:
             unready.append(report.host)
+        partitioned = self._sharing.list_partitioned_cell_peers(now)
+        if report.is_partitioned:
+            partitioned.append(report.host)
         return CellReport(
             host=report.host,
             boot=report.boot,
@@ -326,6 +329,7 @@
             suspects=report.suspects,
             rollouts=report.rollouts,
             limits=limits,
+            partitioned=partitioned,
         )
 
     def _enqueue(self, peers: list[HostEntry], data: bytes, urgency: Urgency) -> None:
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -1,6 +1,7 @@
 """State that the components of one gateway process share."""
 
 import random
+import secrets
 import time
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Mapping
@@ -14,10 +15,12 @@
 from dewridge.gateway.contention.records import ContentionRecords
 from dewridge.gateway.hosts import HostEntry, HostTable
 from dewridge.gateway.ingress import IngressState
-from dewridge.gateway.model import ServerRecord
+from dewridge.gateway.model import Limits, ServerRecord
 from dewridge.gateway.placement.table import PlacementTable
 from dewridge.gateway.pool import ConnectionPool
 from dewridge.gateway.pushback import PushbackTable
+from dewridge.gateway.reach.links import ServerLinks
+from dewridge.gateway.reach.peers import ask_peer
 from dewridge.gateway.reports import (
     REPORTED_WINDOWS,
     TENTHS_PER_ATTEMPT,
@@ -38,6 +41,7 @@
 from dewridge.ids import (
     BackendServerId,
     ClientAccount,
+    FailureDomain,
     HostId,
     RequestDigest,
     ServiceName,
@@ -46,6 +50,7 @@
 from dewridge.policy.capacity import PrefillRateMeter
 from dewridge.policy.demand import DemandMeter
 from dewridge.policy.quota import FleetView, QuotaLedger
+from dewridge.policy.reachability import ServerPath
 from dewridge.policy.retrybudget import RetryBudget
 from dewridge.policy.serverhealth import ServerHealth
 from dewridge.policy.suspects import SuspectLedger
@@ -53,6 +58,10 @@
 
 Name = TypeVar("Name", bound=str)
 
+MAX_RELAYED_HEAD_BYTES = 131_072
+"""Largest head of a relayed request: a caller's, with the headers that hosts add."""
+MAX_RELAYED_BODY_BYTES = 67_108_864
+"""Largest body of a relayed request; the peer has checked the configured limit."""
 CELL_REPORT_WINDOWS = 2
 """Usage windows in a report to the local cell of a large fleet. The cell retains the
 last counts of a host that ends, and the holder of the duties gets separate reports."""
@@ -154,6 +163,10 @@
     """Returns the information on such requests for the report of a given number."""
     metrics: Metrics = field(default_factory=Metrics)
     pushback: PushbackTable = field(init=False)
+    links: ServerLinks = field(init=False)
+    relay_ingress: IngressState = field(init=False)
+    """The connections of peers that have requests relayed."""
+    relay_key: str = field(default_factory=partial(secrets.token_hex, 16))
     contention: ContentionRecords = field(init=False)
     dependencies: list[ServiceClient] = field(default_factory=list)
     describe_duties: Callable[[], dict[str, object]] = dict
@@ -174,6 +187,17 @@
             self.servers,
             self.metrics,
         )
+        self.links = ServerLinks(
+            self.servers.list_service, self.pool.probe, self.rng, self.metrics
+        )
+        self.links.list_peers = self.list_relays
+        self.links.ask_peer = partial(ask_peer, self.host)
+        self.links.on_changed = self._handle_path_change
+        self.links.on_hanging = self._move_hanging_streams
+        self.relay_ingress = IngressState(
+            Limits(MAX_RELAYED_HEAD_BYTES, MAX_RELAYED_BODY_BYTES),
+            self.ingress.connection_limit,
+        )
         self.sharing.on_ignored_paces = partial(
             self.metrics.add, "pace_reports_ignored_total"
         )
@@ -192,6 +216,21 @@
         self.hosts.handle_restore()
         self.rollouts.handle_restore()
 
+    def _handle_path_change(self, service: ServiceName) -> None:
+        """Forget the failures that this host's own links may have caused."""
+        for record in self.servers.list_service(service):
+            self.health.pop(record.id, None)
+
+    def _move_hanging_streams(self, service: ServiceName) -> None:
+        now = trio.current_time()
+        for server in self.servers.list_service(service):
+            self.streams.move_hanging(server.id, now)
+
+    def check_silent_services(self) -> None:
+        """Check the paths to servers that have sent nothing while requests wait."""
+        records = map(self.servers.find, self.work_in_flight.requests)
+        self.links.check_silent({record.service for record in records if record})
+
     def get_health(self, server: BackendServerId) -> ServerHealth:
         """Return the health of a server as observed by this host's attempts."""
         if server not in self.health:
@@ -260,6 +299,7 @@
             suspects=self.list_suspects(number),
             rollouts=self.rollouts.list_progress(),
             limits=self.list_limits(number),
+            is_partitioned=self.links.is_partitioned,
         )
 
     def list_usage(self, windows: int) -> UsageCounts:
@@ -283,7 +323,7 @@
     def _list_server_totals(self, now: float) -> dict[BackendServerId, ServerTotals]:
         reported = {}
         for server in {*self.work_in_flight.requests, *self.health}:
-            attempts, failures = self.get_health(server).recent.read(now)
+            attempts, failures = self._read_outcomes(server, now)
             pace_samples, pace_sum = self.placement.read_reported_pace(server, now)
             totals = ServerTotals(
                 requests=self.work_in_flight.requests.get(server, 0),
@@ -297,6 +337,20 @@
                 reported[server] = totals
         return reported
 
+    def _read_outcomes(
+        self, server: BackendServerId, now: float
+    ) -> tuple[float, float]:
+        """Return the recent attempts and failures at a server that peers may count.
+
+        What a partitioned host sees of a server may be the fault of its own links.
+        """
+        record = self.servers.find(server)
+        if record is None:
+            return 0.0, 0.0
+        if self.links.find_path(record.service) is not ServerPath.DIRECT:
+            return 0.0, 0.0
+        return self.get_health(server).recent.read(now)
+
     def make_fleet_view(self) -> FleetView:
         """Return this host's view of its peers, for quotas."""
         live_hosts = self.sharing.get_summary(trio.current_time()).live_hosts
@@ -327,6 +381,29 @@
         """Return the number of other live hosts."""
         return len(self.sharing.list_live_hosts())
 
+    @property
+    def failure_domain(self) -> FailureDomain:
+        """The failure domain of this host."""
+        return FailureDomain(self.settings.host.failure_domain)
+
+    def count_domain_hosts(self) -> int:
+        """Return the number of live hosts in this host's failure domain."""
+        live = self.sharing.list_live_hosts()
+        return 1 + sum(
+            peer.id in live and peer.failure_domain == self.failure_domain
+            for peer in self.hosts.list_peers()
+        )
+
+    def list_relays(self) -> list[HostEntry]:
+        """Return the peers that may relay requests, as far as their reports tell."""
+        summary = self.sharing.get_summary(trio.current_time())
+        usable = summary.live_hosts - summary.unready_hosts - summary.partitioned_hosts
+        return [
+            peer
+            for peer in self.hosts.list_peers()
+            if peer.relay_key and peer.id in usable
+        ]
+
     def list_silent_hosts(self) -> list[HostId]:
         """Return the other registered hosts that are silent."""
         live = self.sharing.list_live_hosts()
--- a/dewridge/gateway/streams.py
+++ b/dewridge/gateway/streams.py
@@ -26,11 +26,15 @@
         moves_at: time at which it is moved or, once stopped, no longer waited for.
         server_stops_at: time at which its server stops.
         scope: scope in which its task waits for the next event.
+        is_direct: whether its events arrive on a connection of this host.
+        is_hanging: whether it moves because that connection brings no bytes any more.
     """
 
     moves_at: float = float("inf")
     server_stops_at: float = float("inf")
     scope: trio.CancelScope | None = None
+    is_direct: bool = True
+    is_hanging: bool = False
 
     def schedule_move(self, stops_at: float) -> None:
         """Schedule the move, and have the waiting task wake up for it."""
@@ -39,8 +43,20 @@
         if self.scope is not None:
             self.scope.deadline = min(self.scope.deadline, self.moves_at)
 
+    def move_hanging(self, now: float) -> None:
+        """Move the stream now unless that was tried already."""
+        if not self.is_direct or self.is_hanging:
+            return
+        self.is_hanging = True
+        self.moves_at = now
+        if self.scope is not None:
+            self.scope.deadline = min(self.scope.deadline, now)
+
     def postpone_move(self, now: float) -> None:
         """Schedule another try if the server still serves by then."""
+        if self.is_hanging:
+            self.moves_at = float("inf")
+            return
         retry_at = now + MOVE_RETRY_DELAY
         self.moves_at = retry_at if retry_at < self.server_stops_at else float("inf")
 
@@ -74,6 +90,11 @@
         if not streams:
             del self._by_server[server]
 
+    def move_hanging(self, server: BackendServerId, now: float) -> None:
+        """Move the streams whose connections to a server hang."""
+        for stream in self._by_server.get(server, ()):
+            stream.move_hanging(now)
+
     def schedule_moves(self, server: BackendServerId, stops_at: float) -> None:
         """Schedule moves for all streams on a leaving server."""
         for stream in self._by_server.get(server, ()):
--- a/dewridge/gateway/upkeep.py
+++ b/dewridge/gateway/upkeep.py
@@ -28,6 +28,7 @@
     while True:
         update_readiness(state, registration)
         update_limits(state)
+        state.check_silent_services()
         rounds += 1
         if rounds % PERIODS_PER_CLEANUP == 0:
             state.drop_expired()
--- a/dewridge/http1/reach.py
+++ b/dewridge/http1/reach.py
@@ -31,4 +31,4 @@
             connection.close()
             if is_open:
                 return ConnectResult.ACCEPTED
-    return ConnectResult.ACCEPTED
+    return ConnectResult.RESET
--- a/dewridge/platform/engines.py
+++ b/dewridge/platform/engines.py
@@ -1,6 +1,6 @@
 """Control calls to model engines: load reports, and moving a running stream."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Annotated
 
@@ -8,12 +8,13 @@
 
 from dewridge.codes import ResultCode
 from dewridge.gateway.model import AttemptKey
-from dewridge.http1.calls import Response, ServiceClient
+from dewridge.http1.calls import CallFailure, Response
 from dewridge.http1.client import Headers
 from dewridge.sentinels import Failure
 
 MOVE_TIMEOUT = 0.6
 """Seconds for a move: a leaving server is removed before a longer one completes."""
+MOVE_PATH = "/-/kv-move"
 REPORT_PATH = b"/-/report"
 MAX_REPORTED_REQUESTS = 10_000
 """Requests above which a load report is not credible: hundreds of times the slots of
@@ -72,6 +73,10 @@
     )
 
 
+PostToEngine = Callable[[str, bytes, float], Awaitable[Response | CallFailure]]
+"""Makes a control call with a path, a JSON body and a timeout in seconds."""
+
+
 class _MoveReply(msgspec.Struct, frozen=True):
     handle: str | int = ""
 
@@ -96,6 +101,7 @@
     source: str,
     attempt: AttemptKey,
     target: str,
+    post: PostToEngine,
     on_answer: Callable[[int, Headers], None] = lambda status, headers: None,
 ) -> CacheCopy | Failure:
     """Stop a run and copy its KV cache to another engine.
@@ -104,12 +110,11 @@
         source: `a.b.c.d:port` of the engine that runs it.
         attempt: the caller's id of the attempt that is running.
         target: `a.b.c.d:port` of the engine that is to continue the run.
+        post: makes the call to the engine that runs it.
         on_answer: called with the status and headers of the source's answer.
     """
     body = msgspec.json.encode({"id": attempt, "target": target, "last": True})
-    client = ServiceClient(f"engine {source}", source, MOVE_TIMEOUT)
-    response = await client.call("POST", "/-/kv-move", body=body)
-    client.close_idle()
+    response = await post(MOVE_PATH, body, MOVE_TIMEOUT)
     if not isinstance(response, Response):
         return Failure(ResultCode.MOVE_FAILED, response.value)
     on_answer(response.status, response.headers)
--- a/dewridge/policy/losses.py
+++ b/dewridge/policy/losses.py
@@ -23,6 +23,8 @@
     MALFORMED = "malformed answer"
     WITHHELD = "withheld"
     """The gateway did not send it, because the server asks for fewer requests."""
+    NO_PATH = "no path to the servers"
+    """Neither this host nor a peer that it can use reaches the server."""
     MOVED = "moved to another server"
     """The gateway itself stopped the attempt to move it."""
 
@@ -33,6 +35,7 @@
         LossReason.REJECTED,
         LossReason.OTHER_SERVER,
         LossReason.WITHHELD,
+        LossReason.NO_PATH,
     }
 )
 INTERRUPTED_REASONS = frozenset({LossReason.CUT_OFF, LossReason.MALFORMED})
@@ -45,6 +48,8 @@
     ACCEPTED = "accepted"
     REFUSED = "refused"
     """The server's host refused the connection: the server process has ended."""
+    RESET = "reset"
+    """Each connection was reset: the server has too many, or is ending."""
     SILENT = "silent"
 
 
@@ -98,7 +103,7 @@
             if there was none.
     """
     match loss:
-        case LossReason.MOVED | LossReason.WITHHELD:
+        case LossReason.MOVED | LossReason.WITHHELD | LossReason.NO_PATH:
             return LossVerdict(ServerVerdict.NO_EVIDENCE)
         case LossReason.OTHER_SERVER:
             return LossVerdict(ServerVerdict.REPLACED)
--- a/dewridge/tests/gateway/partition_tests.py
+++ b/dewridge/tests/gateway/partition_tests.py
@@ -1,17 +1,33 @@
 """Tests of gateways that are partitioned from the backend servers."""
 
-from contextlib import AsyncExitStack
+from collections.abc import AsyncIterator, Iterable
+from contextlib import AsyncExitStack, asynccontextmanager
 
 import pytest
 import trio
 
+from dewridge.gateway.directory import Directory
+from dewridge.policy.reachability import ServerPath
+from dewridge.tests.gateway.moving_tests import (
+    LAST_EVENT,
+    ScriptedEngine,
+    join_events,
+)
 from dewridge.tests.gateway.partitions import (
     LinkedFleet,
     NewConnections,
     OpenConnections,
 )
 from dewridge.tests.gateway.pushback import open_fleet
-from dewridge.tests.gateway.world import World, answer_ok
+from dewridge.tests.gateway.world import (
+    ENGINE,
+    PLAIN,
+    CallerAnswer,
+    ServerExchange,
+    World,
+    answer_ok,
+    read_answer,
+)
 
 CONTACT_SECONDS = 3.0
 """Seconds after the start of a partition from which callers must be served."""
@@ -51,3 +67,276 @@
     elsewhere = sum(shares[cut_count:]) / (host_count - cut_count)
     assert elsewhere > 0.98
     assert sum(shares[:cut_count]) / cut_count >= MIN_RELATIVE_SHARE * elsewhere
+
+
+@asynccontextmanager
+async def open_linked_fleet(host_count: int) -> AsyncIterator[LinkedFleet]:
+    """Start gateways that reach each server over links of their own."""
+    async with AsyncExitStack() as stack:
+        yield LinkedFleet(await open_fleet(stack, host_count))
+
+
+def partition(
+    linked: LinkedFleet,
+    hosts: Iterable[int],
+    new: NewConnections = NewConnections.REFUSED,
+    opened: OpenConnections = OpenConnections.RESET,
+) -> None:
+    linked.cut(hosts, new, opened)
+
+
+async def wait_for_path(world: World, path: ServerPath, seconds: float = 2.0) -> None:
+    """Wait until a gateway reaches the plain service by a path."""
+    for _ in range(round(seconds / 0.02)):
+        if world.state.links.find_path(PLAIN) is path:
+            return
+        await trio.sleep(0.02)
+    raise AssertionError(world.state.links.describe())
+
+
+async def write(world: World, number: int) -> CallerAnswer:
+    """Send a request that may not be repeated."""
+    return await world.request(
+        "/write/a", method="POST", body=b"x" * 9_000, request_id=f"w-{number}"
+    )
+
+
+async def test_host_serves_by_itself_soon_after_a_partition() -> None:
+    """Guards against a host that goes on relaying, also after the third partition."""
+    async with open_linked_fleet(2) as linked:
+        await linked.add_server("s-1", answer_ok)
+        world = linked.fleet.worlds[0]
+        for _ in range(3):
+            partition(linked, [0])
+            assert (await world.request("/read/a")).status == 200
+            assert world.state.links.find_path(PLAIN) is ServerPath.BY_PEER
+            linked.heal([0])
+            await wait_for_path(world, ServerPath.DIRECT, seconds=1.0)
+            relayed = world.state.metrics.read("requests_relayed_total", outcome="sent")
+            assert (await world.request("/read/a")).status == 200
+            assert relayed == world.state.metrics.read(
+                "requests_relayed_total", outcome="sent"
+            )
+
+
+async def test_relayed_requests_run_once() -> None:
+    """Guards against requests that both this host and a relay send."""
+    async with open_linked_fleet(3) as linked:
+        servers = [await linked.add_server(f"s-{n}", answer_ok) for n in range(3)]
+        partition(linked, [0, 1], NewConnections.SILENT)
+        statuses = []
+        for number in range(12):
+            answer = await write(linked.fleet.worlds[number % 2], number)
+            statuses.append(answer.status)
+        received = [exchange for server in servers for exchange in server.received]
+    ids = [exchange.headers[b"x-attempt-id"] for exchange in received]
+    assert set(statuses) == {200}
+    assert len(ids) == len(set(ids)) == 12
+    assert all(len(exchange.body) == 9_000 for exchange in received)
+    assert not any(
+        name.startswith(b"dewridge-") for each in received for name in each.headers
+    )
+
+
+@pytest.mark.parametrize("new", list(NewConnections))
+async def test_partitioned_fleet_refuses_at_once(new: NewConnections) -> None:
+    """Guards against callers that wait in vain while no host reaches a server."""
+    async with open_linked_fleet(2) as linked:
+        server = await linked.add_server("s-1", answer_ok)
+        partition(linked, [0, 1], new)
+        world = linked.fleet.worlds[0]
+        await world.request("/read/a", request_id="first")
+        begin = trio.current_time()
+        answer = await world.request("/read/a", request_id="second")
+        seconds = trio.current_time() - begin
+        assert not server.received
+        assert answer.status in {502, 503}
+        if new is not NewConnections.RESET:
+            assert answer.status == 503
+            assert 0 < float(answer.headers[b"retry-after"]) <= 1
+            assert seconds < 0.1
+
+
+async def test_lost_servers_are_no_partition() -> None:
+    """Guards against a lost server or service that is taken for a partition."""
+    async with open_linked_fleet(3) as linked:
+        plain = [await linked.add_server(f"p-{n}", answer_ok) for n in range(3)]
+        engine = await linked.add_server("e-1", answer_ok, ENGINE)
+        world = linked.fleet.worlds[0]
+        linked.cut(range(3), NewConnections.REFUSED, OpenConnections.RESET, plain[:1])
+        for number in range(6):
+            answer = await world.request("/read/a", request_id=f"r-{number}")
+            assert answer.status == 200
+        assert world.state.links.find_path(PLAIN) is ServerPath.DIRECT
+        linked.cut(range(3), NewConnections.REFUSED, OpenConnections.RESET, [engine])
+        await world.request("/chat/a")
+        assert world.state.links.find_path(ENGINE) is ServerPath.NONE
+        assert (await world.request("/read/a")).status == 200
+        relayed = world.state.metrics.read("requests_relayed_total", outcome="sent")
+    assert relayed == 0
+
+
+async def test_partition_from_some_servers_uses_the_others() -> None:
+    """Guards against relays while a host still reaches half of the servers."""
+    async with open_linked_fleet(2) as linked:
+        servers = [await linked.add_server(f"s-{n}", answer_ok) for n in range(4)]
+        linked.cut([0], NewConnections.SILENT, OpenConnections.HANG, servers[:2])
+        world = linked.fleet.worlds[0]
+        for number in range(8):
+            answer = await world.request("/read/a", request_id=f"r-{number}")
+            assert answer.status == 200
+        assert world.state.links.find_path(PLAIN) is ServerPath.DIRECT
+
+
+async def test_partitioned_host_blames_no_server_and_no_request() -> None:
+    """Guards against servers and requests that the whole fleet avoids in vain."""
+
+    async def answer_late(exchange: ServerExchange) -> None:
+        await trio.sleep(0.3)
+        await exchange.answer()
+
+    async with open_linked_fleet(2) as linked:
+        for number in range(3):
+            await linked.add_server(f"s-{number}", answer_late)
+        world, peer = linked.fleet.worlds
+        async with trio.open_nursery() as nursery:
+            for number in range(6):
+                nursery.start_soon(write, world, number)
+            await trio.sleep(0.15)
+            partition(linked, [0])
+        assert (await world.request("/read/a")).status == 200
+        totals = world.state.make_report(1_000).totals.servers.values()
+        assert all(server.failures == 0 for server in totals)
+        assert world.state.suspects.is_empty
+        assert peer.state.suspects.is_empty
+
+
+async def test_relay_that_can_not_send_is_replaced() -> None:
+    """Guards against requests lost at relays that are partitioned, leaving or gone."""
+    async with open_linked_fleet(5) as linked:
+        await linked.add_server("s-1", answer_ok)
+        world, leaving, partitioned, gone, _ = linked.fleet.worlds
+        partition(linked, [0])
+        assert (await world.request("/read/a")).status == 200
+        asked = partitioned.state.metrics.read("requests_relayed_for_peers_total")
+        partition(linked, [2])
+        leaving.state.ingress.is_leaving = True
+        gone.state.relay_key = "another"
+        for number in range(12):
+            answer = await write(world, number)
+            assert answer.status == 200
+        asked -= partitioned.state.metrics.read("requests_relayed_for_peers_total")
+        assert abs(asked) <= 1
+
+
+async def test_stranger_can_not_use_the_relay() -> None:
+    """Guards against callers that reach servers past routes, keys and quotas."""
+    async with open_linked_fleet(2) as linked:
+        server = await linked.add_server("s-1", answer_ok)
+        peer = linked.fleet.worlds[0].state.hosts.list_peers()[0]
+        host, _, port = peer.peers.rpartition(":")
+        for key in (b"", b"dewridge-key: wrong\r\n"):
+            stream = await trio.open_tcp_stream(host, int(port))
+            async with stream:
+                await stream.send_all(
+                    b"GET /read/a HTTP/1.1\r\nHost: x\r\ndewridge-sender: host-0\r\n"
+                    b"dewridge-call: request\r\ndewridge-server: s-1\r\n%s\r\n" % key
+                )
+                answer = await read_answer(stream)
+            assert answer.status == 401
+        assert not server.received
+
+
+async def test_caller_that_leaves_ends_the_relayed_request() -> None:
+    """Guards against servers that go on working for callers of a partitioned host."""
+    ended = trio.Event()
+
+    async def hold(exchange: ServerExchange) -> None:
+        assert not await exchange.stream.receive_some(1)
+        ended.set()
+
+    async with open_linked_fleet(2) as linked:
+        await linked.add_server("s-1", hold)
+        world = linked.fleet.worlds[0]
+        partition(linked, [0])
+        with trio.move_on_after(0.5):
+            await world.request("/write/a", method="POST", body=b"x")
+        with trio.fail_after(0.5):
+            await ended.wait()
+
+
+async def test_incomplete_answer_stays_incomplete_through_a_relay() -> None:
+    """Guards against a truncated answer that looks complete."""
+
+    async def cut_short(exchange: ServerExchange) -> None:
+        await exchange.send(exchange.make_head(200) + b"half")
+        exchange.reset()
+
+    async with open_linked_fleet(2) as linked:
+        await linked.add_server("s-1", cut_short)
+        partition(linked, [0])
+        answer = await write(linked.fleet.worlds[0], 1)
+    assert answer.status == 502
+
+
+async def test_rest_asked_of_a_relay_holds_for_relayed_requests() -> None:
+    """Guards against a server that gets more than it wants by way of a relay."""
+
+    async def ask_for_rest(exchange: ServerExchange) -> None:
+        await exchange.answer(b"", 503, b"X-Not-Executed: 1\r\nRetry-After: 3\r\n")
+
+    async with open_linked_fleet(3) as linked:
+        server = await linked.add_server("s-1", ask_for_rest)
+        partition(linked, [0, 1])
+        for number in range(12):
+            answer = await write(linked.fleet.worlds[number % 2], number)
+            assert answer.status == 503
+        assert len(server.received) <= 3
+
+
+async def test_streams_on_hanging_connections_go_on_elsewhere() -> None:
+    """Guards against streams that end without their last event."""
+    async with open_linked_fleet(2) as linked:
+        engines = [ScriptedEngine(f"s-{number}") for number in range(2)]
+        for engine in engines:
+            await linked.add_server(engine.id, engine.answer, ENGINE)
+        world = linked.fleet.worlds[0]
+        answers: dict[str, CallerAnswer] = {}
+
+        async def stream(path: str) -> None:
+            answers[path] = await world.request(path, deadline_ms=8000)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stream, "/draft/a")
+            await trio.sleep(0.1)
+            linked.cut([0], NewConnections.SILENT, OpenConnections.HANG)
+            nursery.start_soon(stream, "/chat/a")
+    assert answers["/draft/a"].body == join_events(1, LAST_EVENT)
+    assert answers["/chat/a"].body == join_events(1, LAST_EVENT)
+    assert answers["/draft/a"].is_complete
+
+
+async def test_partitioned_hosts_are_not_listed() -> None:
+    """Guards against callers that are sent to hosts that have to relay."""
+    async with open_linked_fleet(3) as linked:
+        await linked.add_server("s-1", answer_ok)
+        worlds = linked.fleet.worlds
+        partition(linked, [0])
+        assert (await worlds[0].request("/read/a")).status == 200
+        await trio.sleep(0.3)
+        for world in worlds:
+            listed = Directory(world.state).list_addresses()
+            assert sorted(listed) == sorted(other.address for other in worlds[1:])
+
+
+async def test_idle_host_finds_a_partition_by_the_silence_of_its_servers() -> None:
+    """Guards against a request that waits for its timeout on a hanging connection."""
+    async with open_linked_fleet(2) as linked:
+        await linked.add_server("s-1", answer_ok)
+        world = linked.fleet.worlds[0]
+        assert (await world.request("/read/a", request_id="first")).status == 200
+        linked.cut([0], NewConnections.SILENT, OpenConnections.HANG)
+        begin = trio.current_time()
+        answer = await world.request("/read/a", request_id="second")
+        assert answer.status == 200
+        assert trio.current_time() - begin < 1.5
--- a/dewridge/tests/gateway/pushback.py
+++ b/dewridge/tests/gateway/pushback.py
@@ -1,20 +1,24 @@
 """Gateways and requests for tests of servers that ask for fewer requests."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from functools import partial
+from types import MappingProxyType
 
 import msgspec
 import trio
 
 from dewridge.gateway.clock import read_boot_clock
 from dewridge.gateway.hosts import HOSTS_PREFIX, HostEntry
+from dewridge.gateway.ingress import serve_connection
 from dewridge.gateway.limitsharing import (
     apply_reported_limits,
     list_limit_updates,
 )
-from dewridge.ids import HostId
+from dewridge.gateway.reach.relay import Relay
+from dewridge.gateway.upkeep import UPKEEP_PERIOD
+from dewridge.ids import FailureDomain, HostId
 from dewridge.platform.store import Item, Listing
 from dewridge.tests.gateway.world import (
     DOMAIN,
@@ -110,12 +114,45 @@
         return statuses
 
 
-def register_hosts(worlds: list[World]) -> None:
-    """Enter all gateways in the table of hosts of each."""
+async def open_relay(world: World) -> str:
+    """Relay requests of peers at a gateway; return its address for them."""
+    state = world.state
+    relay = Relay(state)
+
+    async def accept(stream: trio.SocketStream) -> None:
+        await serve_connection(stream, state.relay_ingress, relay.serve)
+
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    world.nursery.start_soon(trio.serve_listeners, accept, listeners)
+    world.nursery.start_soon(state.links.run)
+    port = listeners[0].socket.getsockname()[1]
+    return f"127.0.0.1:{port}"
+
+
+def register_hosts(
+    worlds: list[World],
+    relays: Mapping[HostId, str] = MappingProxyType({}),
+    domains: Mapping[HostId, FailureDomain] = MappingProxyType({}),
+) -> None:
+    """Enter all gateways in the table of hosts of each.
+
+    Args:
+        worlds: the gateways.
+        relays: addresses for peers, of gateways that relay requests.
+        domains: failure domains of the gateways that are not in the usual one.
+    """
     items = []
     for world in worlds:
         host = world.state.host
-        entry = HostEntry(host, 1, "127.0.0.1:1", "127.0.0.1:2", DOMAIN, is_ready=True)
+        entry = HostEntry(
+            host,
+            1,
+            world.address,
+            relays.get(host, "127.0.0.1:2"),
+            domains.get(host, DOMAIN),
+            is_ready=True,
+            relay_key=world.state.relay_key if host in relays else "",
+        )
         items.append(Item(f"{HOSTS_PREFIX}{host}/1", msgspec.json.encode(entry), 1))
     for world in worlds:
         world.state.hosts.replace(Listing(tuple(items), revision=1))
@@ -127,8 +164,11 @@
         await stack.enter_async_context(open_world(host=HostId(f"host-{number}")))
         for number in range(count)
     ]
-    register_hosts(worlds)
+    relays = {world.state.host: await open_relay(world) for world in worlds}
+    register_hosts(worlds, relays)
     for world in worlds:
+        world.state.is_ready = True
+        world.nursery.start_soon(check_silence, world)
         world.state.list_limits = partial(list_limit_updates, world.state)
         world.state.sharing.on_report = partial(apply_reported_limits, world.state)
     fleet = Fleet(worlds)
@@ -136,6 +176,13 @@
     return fleet
 
 
+async def check_silence(world: World) -> None:
+    """Check services that are silent forever, as the upkeep of a gateway does."""
+    while True:
+        world.state.check_silent_services()
+        await trio.sleep(UPKEEP_PERIOD)
+
+
 async def send_together(world: World, count: int, path: str) -> list[CallerAnswer]:
     """Send requests at the same time and return the answers."""
     answers: list[CallerAnswer] = []
--- a/dewridge/tests/gateway/pushback_tests.py
+++ b/dewridge/tests/gateway/pushback_tests.py
@@ -174,19 +174,33 @@
     assert merge_cell_limits([], sharing, 1, now=30.0) == []
 
 
+def list_files_with(pattern: str) -> dict[str, str]:
+    """Return the contents of the gateway's modules that match, by file name."""
+    folder = Path(gateway.__file__).parent
+    texts = {path.name: path.read_text() for path in folder.rglob("*.py")}
+    return {name: text for name, text in texts.items() if re.search(pattern, text)}
+
+
 def test_every_request_to_a_server_asks_the_table_of_pushback() -> None:
     """Guards against a new way of sending that bypasses the limits of servers."""
-    folder = Path(gateway.__file__).parent
-    senders = {
-        path.name
-        for path in folder.glob("*.py")
-        if re.search(
-            r"(?<!def )\b(_exchange\(connection|stop_and_move\()", path.read_text()
-        )
+    # Load probes take no slot and are no requests.
+    exchanges = list_files_with(r"\.receive_head\(") | list_files_with(
+        "ServiceClient\\("
+    )
+    assert exchanges.keys() - {"probing.py", "composition.py"} == {
+        "forwarding.py",
+        "control.py",
+        "peers.py",
+        "relay.py",
     }
-    assert senders == {"forwarding.py", "moves.py"}
-    for name in senders:
-        assert "pushback.acquire(" in (folder / name).read_text()
+    assert "if not hooks.may_send():" in exchanges["forwarding.py"]
+    senders = list_files_with(r"SendingHooks\(\n|(?<!def )\bstop_and_move\(")
+    assert senders.keys() == {"sending.py", "relay.py", "moves.py"}
+    for text in senders.values():
+        assert "pushback.acquire" in text
+    relayed = list_files_with(r"(?<!def )\bcall_by_relay\(").keys()
+    assert relayed == {"sending.py", "control.py"}
+    assert list_files_with(r"(?<!def )\bpost_to_engine\b[^(]").keys() == {"moves.py"}
 
 
 def test_late_report_does_not_bring_back_a_limit_that_has_ended() -> None:
--- a/dewridge/tests/http1/reach_tests.py
+++ b/dewridge/tests/http1/reach_tests.py
@@ -3,7 +3,7 @@
 import trio
 
 from dewridge.http1.reach import probe_server
-from dewridge.policy.losses import ConnectResult
+from dewridge.policy.losses import ConnectResult, LossReason, classify_loss
 from dewridge.tests.gateway.world import reset
 
 
@@ -30,7 +30,7 @@
     assert reach is ConnectResult.REFUSED
 
 
-async def test_server_that_resets_excess_connections_is_accepting() -> None:
+async def test_server_that_resets_excess_connections_makes_no_suspect() -> None:
     """A server with too many connections must not make a request a crash suspect."""
     listeners, address = await open_port()
 
@@ -41,7 +41,11 @@
         nursery.start_soon(trio.serve_listeners, reset_all, listeners)
         reach = await probe_server(address)
         nursery.cancel_scope.cancel()
-    assert reach is ConnectResult.ACCEPTED
+    assert reach is ConnectResult.RESET
+    verdict = classify_loss(
+        LossReason.CUT_OFF, reach, is_leaving=False, seconds_since_first_event=None
+    )
+    assert not verdict.is_request_suspect
 
 
 async def test_server_that_waits_for_requests_is_accepting() -> None:
