Divide the room of brittle servers among the hosts

A server that says Server-Brittle: N falls over, for all, once it has to reject more than N requests within a second.

Change: the header is decoded once and belongs to one boot; a server that has not answered yet counts as brittle as the others of its service. While a server is brittle, each host has a share of the requests that it runs at once, in an order that all hosts compute alike (policy/brittleness.py). A host without any share, in a fleet with more hosts than room, goes by reports with a margin. After a rejection, which hosts report to each other, nobody sends for a second, and the assumed room is lower. Requests go to other servers, wait for a part of their latency target, or are refused at once with the time to return.

--- a/dewridge/gateway/departures.py
+++ b/dewridge/gateway/departures.py
@@ -30,12 +30,20 @@
     is_new = drop_reported_servers(state, update.host, update.departing_servers)
     is_new |= apply_reported_suspects(state, update.suspects)
     apply_reported_limits(state, update)
+    apply_reported_rejections(state, update)
     for progress in update.rollouts:
         state.rollouts.apply_progress(progress)
     if is_new and isinstance(update, CellReport):
         link.schedule_urgent_send(Recipients.CELL_PEERS)
 
 
+def apply_reported_rejections(state: GatewayState, update: PeriodicReport) -> None:
+    """Apply what a peer reports about requests that brittle servers rejected."""
+    now = trio.current_time()
+    for server, age_ms in update.rejections.items():
+        state.pushback.brittle.record_rejection(server, now - max(0, age_ms) / 1000)
+
+
 def apply_left_report(
     state: GatewayState, link: ReportLink, report: DepartureReport
 ) -> None:
--- a/dewridge/gateway/measures.py
+++ b/dewridge/gateway/measures.py
@@ -88,9 +88,12 @@
             "dependency_failures", caller.failures, dependency=caller.name
         )
     limits = state.pushback.list_limits(trio.current_time())
+    brittle = state.pushback.brittle.list_tolerances(trio.current_time())
     rests = state.pushback.list_rests(trio.current_time())
     for server in state.servers.list_all():
         metrics.set_gauge("server_limit", limits.get(server.id, 0.0), server=server.id)
+        is_brittle = float(server.id in brittle)
+        metrics.set_gauge("server_is_brittle", is_brittle, server=server.id)
         rest = rests.get(server.id, 0.0)
         metrics.set_gauge("server_rest_seconds", rest, server=server.id)
         in_flight = state.work_in_flight.requests.get(server.id, 0)
--- a/dewridge/gateway/pushback.py
+++ b/dewridge/gateway/pushback.py
@@ -12,6 +12,7 @@
 import trio
 from loguru import logger as log
 
+from dewridge.gateway.brittleservers import BrittleServers
 from dewridge.gateway.servers import ServerTable
 from dewridge.http1.client import Headers, ResponseHead
 from dewridge.ids import BackendServerId, HostId
@@ -100,7 +101,11 @@
 
 
 class PushbackTable:
-    """What the servers ask for, by server process."""
+    """What the servers ask for, by server process.
+
+    Attributes:
+        brittle: the servers that fall over if they have to reject many requests.
+    """
 
     def __init__(
         self,
@@ -126,6 +131,7 @@
         self._servers = servers
         self._metrics = metrics
         self._by_server: dict[BackendServerId, _ServerPushback] = {}
+        self.brittle = BrittleServers(servers, metrics, self._rank_host)
 
     def record_head(
         self, server: BackendServerId, head: ResponseHead, is_current: bool
@@ -168,6 +174,8 @@
             if notice is not None and not notice.has_ended:
                 ended = LimitNotice(notice.limit, now, has_ended=True)
                 self._apply_own_notice(server, ended)
+        if is_current:
+            self.brittle.record_answer(server, status, headers, signals)
 
     def apply_rest(self, server: BackendServerId, seconds: float, now: float) -> None:
         """Send a server nothing for some seconds."""
@@ -211,12 +219,13 @@
         Returns:
             A monotonic time; infinite if only other hosts may send to it.
         """
+        room_at = self.brittle.find_send_time(server, now)
         known = self._by_server.get(server)
         if known is None:
-            return now
+            return room_at
         pacer = self._find_pacer(server, now)
         send_at = now if pacer is None else pacer.find_send_time(now)
-        return max(send_at, known.rest.until)
+        return max(send_at, known.rest.until, room_at)
 
     def find_later_send_time(
         self, servers: Iterable[BackendServerId], position: int, now: float
@@ -249,6 +258,9 @@
         """
         if not is_essential and self._servers.find_departure(server) is not None:
             return False
+        room_at = self.brittle.find_send_time(server, now, is_counted=True)
+        if not is_essential and room_at > now:
+            return False
         known = self._by_server.get(server)
         if known is None:
             return True
@@ -279,14 +291,20 @@
         known = self._by_server.get(server)
         if known is None or known.notice is None or known.notice.is_expired(now):
             return None
+        rank, host_count = self._rank_host(server, now)
+        share = compute_share(known.notice, rank, host_count, now)
+        known.pacer.set_share(share, now, self._draw_random())
+        return known.pacer
+
+    def _rank_host(self, server: BackendServerId, now: float) -> tuple[int | None, int]:
+        """Return this host's rank among the senders of a server, and their number."""
         self._senders.poll(now)
         hosts = self._senders.hosts
+        known = self._get(server)
         if known.rank[0] != self._senders.version:
             rank = rank_sender(server, self._local_host, hosts)
             known.rank = self._senders.version, rank
-        share = compute_share(known.notice, known.rank[1], len(hosts), now)
-        known.pacer.set_share(share, now, self._draw_random())
-        return known.pacer
+        return known.rank[1], len(hosts)
 
     def is_withheld(self, server: BackendServerId, now: float) -> bool:
         """Whether a server asks for fewer requests than it would get."""
@@ -312,7 +330,7 @@
     @property
     def is_empty(self) -> bool:
         """Whether no server asks for anything."""
-        return not self._by_server
+        return not self._by_server and self.brittle.is_empty
 
     def list_own_notices(self) -> dict[BackendServerId, LimitNotice]:
         """Return the newest notice of this host's own answers, by server."""
@@ -334,14 +352,14 @@
         """Return what withholds requests from a server, for logs; empty if nothing."""
         known = self._by_server.get(server)
         if known is None:
-            return ""
+            return self.brittle.describe(server, now)
         if known.rest.is_resting(now):
             return (
                 f"asked this host for rest {now - known.rest.begun_at:.1f} s ago,"
                 f" {known.rest.until - now:.1f} s left"
             )
         if known.notice is None or known.notice.is_expired(now):
-            return ""
+            return self.brittle.describe(server, now)
         notice = known.notice
         verb = "ended" if notice.has_ended else "named"
         return (
@@ -351,6 +369,7 @@
 
     def drop_expired(self, servers: set[BackendServerId], now: float) -> None:
         """Drop what no longer applies, and what is known of all other servers."""
+        self.brittle.drop_expired(servers, now)
         self._by_server = {
             server: known
             for server, known in self._by_server.items()
--- a/dewridge/gateway/reports.py
+++ b/dewridge/gateway/reports.py
@@ -181,7 +181,8 @@
         rollouts: progress of the rollouts that the sender knows.
         limits: request limits in the sender's own answers from servers.
         is_partitioned: whether the sender does not reach the servers of some service
-            by itself; missing in the reports of earlier builds.
+            by itself; missing in the reports of earlier builds, as the next field.
+        rejections: milliseconds since the last rejection of brittle servers.
     """
 
     host: HostId
@@ -200,6 +201,7 @@
     rollouts: list[RolloutProgress] = []
     limits: list[LimitUpdate] = []
     is_partitioned: bool = False
+    rejections: dict[BackendServerId, int] = {}
 
 
 class CellReport(msgspec.Struct, frozen=True, array_like=True, tag="cell"):
@@ -221,7 +223,8 @@
         rollouts: progress of the rollouts that the sender knows.
         limits: request limits in the answers that the cell's hosts got from servers.
         partitioned: the members that do not reach the servers of some service by
-            themselves; missing in the reports of earlier builds.
+            themselves; missing in the reports of earlier builds, as the next field.
+        rejections: milliseconds since the last rejection of brittle servers.
     """
 
     host: HostId
@@ -238,6 +241,7 @@
     rollouts: list[RolloutProgress] = []
     limits: list[LimitUpdate] = []
     partitioned: list[HostId] = []
+    rejections: dict[BackendServerId, int] = {}
 
 
 class HostUsage(msgspec.Struct, frozen=True, array_like=True):
--- a/dewridge/gateway/sharinglink.py
+++ b/dewridge/gateway/sharinglink.py
@@ -330,6 +330,7 @@
             rollouts=report.rollouts,
             limits=limits,
             partitioned=partitioned,
+            rejections=report.rejections,
         )
 
     def _enqueue(self, peers: list[HostEntry], data: bytes, urgency: Urgency) -> None:
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -47,12 +47,13 @@
     ServiceName,
 )
 from dewridge.metrics.registry import Metrics
+from dewridge.policy.brittleness import ServerLoad, compute_room
 from dewridge.policy.capacity import PrefillRateMeter
 from dewridge.policy.demand import DemandMeter
 from dewridge.policy.quota import FleetView, QuotaLedger
 from dewridge.policy.reachability import ServerPath
 from dewridge.policy.retrybudget import RetryBudget
-from dewridge.policy.serverhealth import ServerHealth
+from dewridge.policy.serverhealth import ServerHealth, compute_attempt_rate
 from dewridge.policy.suspects import SuspectLedger
 from dewridge.settings.gateway import GatewaySettings
 
@@ -62,6 +63,8 @@
 """Largest head of a relayed request: a caller's, with the headers that hosts add."""
 MAX_RELAYED_BODY_BYTES = 67_108_864
 """Largest body of a relayed request; the peer has checked the configured limit."""
+MEAN_TOKENS_WEIGHT = 0.02
+"""Weight of the newest prompt in the mean size of prompts."""
 CELL_REPORT_WINDOWS = 2
 """Usage windows in a report to the local cell of a large fleet. The cell retains the
 last counts of a host that ends, and the holder of the duties gets separate reports."""
@@ -150,6 +153,8 @@
     local_demand: dict[ServiceName, float] = field(
         default_factory=lambda: defaultdict(float)
     )
+    mean_tokens: dict[ServiceName, float] = field(default_factory=dict)
+    """Mean tokens of the prompts that arrived here, by service."""
     rollouts: RolloutTable = field(default_factory=RolloutTable)
     placement: PlacementTable = field(default_factory=PlacementTable)
     suspects: SuspectLedger = field(default_factory=SuspectLedger)
@@ -187,6 +192,7 @@
             self.servers,
             self.metrics,
         )
+        self.pushback.brittle.measure_load = self.measure_load
         self.links = ServerLinks(
             self.servers.list_service, self.pool.probe, self.rng, self.metrics
         )
@@ -249,6 +255,8 @@
     def record_local_demand(self, service: ServiceName, tokens: float) -> None:
         """Record the prompt tokens of a request that arrived at this host."""
         self.local_demand[service] += tokens
+        mean = self.mean_tokens.get(service, tokens)
+        self.mean_tokens[service] = mean + (tokens - mean) * MEAN_TOKENS_WEIGHT
         self.demand[service].add(tokens, trio.current_time())
 
     def list_serving(self, service: ServiceName) -> list[ServerRecord]:
@@ -300,6 +308,7 @@
             rollouts=self.rollouts.list_progress(),
             limits=self.list_limits(number),
             is_partitioned=self.links.is_partitioned,
+            rejections=self.pushback.brittle.list_rejections(now),
         )
 
     def list_usage(self, windows: int) -> UsageCounts:
@@ -337,6 +346,30 @@
                 reported[server] = totals
         return reported
 
+    def measure_load(self, server: BackendServerId) -> ServerLoad | None:
+        """Return the load of a server by this host's requests and peers' reports."""
+        record = self.servers.find(server)
+        if record is None:
+            return None
+        summary = self.sharing.get_summary(trio.current_time())
+        elsewhere = summary.server_totals.get(server, ZERO_SERVER_TOTALS)
+        own = self.work_in_flight.requests.get(server, 0)
+        attempts = elsewhere.attempts / TENTHS_PER_ATTEMPT
+        configuration = self.configuration.current
+        service = configuration and configuration.services.get(record.service)
+        engine = service.engine if service else None
+        return ServerLoad(
+            requests=own + elsewhere.requests,
+            own_requests=own,
+            room=compute_room(
+                record.slots,
+                engine.memory_tokens if engine else 0.0,
+                self.mean_tokens.get(record.service, 0.0),
+            ),
+            arrival_rate=compute_attempt_rate(attempts),
+            staleness=self.sharing.staleness,
+        )
+
     def _read_outcomes(
         self, server: BackendServerId, now: float
     ) -> tuple[float, float]:
--- a/dewridge/platform/signals.py
+++ b/dewridge/platform/signals.py
@@ -23,6 +23,9 @@
         rest: seconds for which the server wants no requests from this host; None if it
             does not ask for that.
         is_leaving: whether the server leaves.
+        tolerance: rejections in a second beyond which the server falls over; None if it
+            names none, or none that can be read.
+        has_tolerance_header: whether it names a tolerance, readable or not.
         faults: descriptions of headers that can't be read.
     """
 
@@ -30,6 +33,8 @@
     has_limit_header: bool = False
     rest: float | None = None
     is_leaving: bool = False
+    tolerance: float | None = None
+    has_tolerance_header: bool = False
     faults: tuple[str, ...] = ()
 
 
@@ -50,11 +55,15 @@
     faults: list[str] = []
     limits: list[float] = []
     rests: list[float] = []
-    has_limit_header = is_leaving = False
+    tolerances: list[float] = []
+    has_limit_header = has_tolerance_header = is_leaving = False
     for name, value in headers:
         if name == names.SERVER_LIMIT:
             has_limit_header = True
             _collect(parse_decimal(value), name, value, limits, faults)
+        elif name == names.SERVER_BRITTLE:
+            has_tolerance_header = True
+            _collect(parse_decimal(value), name, value, tolerances, faults)
         elif name == names.SERVER_LEAVING:
             if value.strip() in LEAVING_VALUES:
                 is_leaving |= LEAVING_VALUES[value.strip()]
@@ -62,13 +71,15 @@
                 faults.append(_describe_fault(name, value))
         elif name == b"retry-after" and status in REST_STATUSES:
             _collect(parse_retry_after(value, wall_time), name, value, rests, faults)
-    if not (has_limit_header or rests or is_leaving or faults):
+    if not (has_limit_header or has_tolerance_header or rests or is_leaving or faults):
         return NO_SIGNALS
     return ServerSignals(
         min(limits, default=None),
         has_limit_header,
         max(rests, default=None),
         is_leaving,
+        min(tolerances, default=None),
+        has_tolerance_header,
         tuple(faults),
     )
 
--- a/dewridge/policy/serverhealth.py
+++ b/dewridge/policy/serverhealth.py
@@ -1,5 +1,6 @@
 """Health of backend servers, by the recent attempts of this host and of all hosts."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -44,6 +45,11 @@
         return self.attempts * decay, self.failures * decay
 
 
+def compute_attempt_rate(attempts: float) -> float:
+    """Return the attempts per second that decayed counts amount to."""
+    return attempts * math.log(2) / OUTCOME_HALF_LIFE
+
+
 def compute_failure_share(attempts: float, failures: float) -> float | None:
     """Return the share of failed attempts, or None if there were too few attempts."""
     return failures / attempts if attempts >= MIN_ATTEMPTS else None
--- a/dewridge/tests/gateway/pushback.py
+++ b/dewridge/tests/gateway/pushback.py
@@ -10,6 +10,7 @@
 import trio
 
 from dewridge.gateway.clock import read_boot_clock
+from dewridge.gateway.departures import apply_reported_rejections
 from dewridge.gateway.hosts import HOSTS_PREFIX, HostEntry
 from dewridge.gateway.ingress import serve_connection
 from dewridge.gateway.limitsharing import (
@@ -17,6 +18,8 @@
     list_limit_updates,
 )
 from dewridge.gateway.reach.relay import Relay
+from dewridge.gateway.reports import PeriodicReport
+from dewridge.gateway.state import GatewayState
 from dewridge.gateway.upkeep import UPKEEP_PERIOD
 from dewridge.ids import FailureDomain, HostId
 from dewridge.platform.store import Item, Listing
@@ -114,6 +117,12 @@
         return statuses
 
 
+def apply_signals(state: GatewayState, report: PeriodicReport) -> None:
+    """Apply what a report says that servers asked for."""
+    apply_reported_limits(state, report)
+    apply_reported_rejections(state, report)
+
+
 async def open_relay(world: World) -> str:
     """Relay requests of peers at a gateway; return its address for them."""
     state = world.state
@@ -170,7 +179,7 @@
         world.state.is_ready = True
         world.nursery.start_soon(check_silence, world)
         world.state.list_limits = partial(list_limit_updates, world.state)
-        world.state.sharing.on_report = partial(apply_reported_limits, world.state)
+        world.state.sharing.on_report = partial(apply_signals, world.state)
     fleet = Fleet(worlds)
     worlds[0].nursery.start_soon(fleet.exchange_reports)
     return fleet
--- a/dewridge/tests/platform/signals_tests.py
+++ b/dewridge/tests/platform/signals_tests.py
@@ -93,3 +93,27 @@
     signals = decode_signals(200, [(b"server-leaving", b"soon")], NOW)
     assert not signals.is_leaving
     assert len(signals.faults) == 1
+
+
+@pytest.mark.parametrize(
+    ("value", "tolerance"),
+    [(b"3", 3.0), (b" 0 ", 0.0), (b"999999999999", 999999999999.0)],
+)
+def test_tolerance_of_rejections_is_decoded(value: bytes, tolerance: float) -> None:
+    signals = decode_signals(200, [(b"server-brittle", value)], NOW)
+    assert signals.tolerance == tolerance
+    assert signals.has_tolerance_header
+
+
+@pytest.mark.parametrize("value", [b"", b"-1", b"many", b"nan", b"inf", b"1e3"])
+def test_unreadable_tolerance_is_a_fault_and_changes_nothing(value: bytes) -> None:
+    """Guards against a header that can't be read and seems to end brittleness."""
+    signals = decode_signals(200, [(b"server-brittle", value)], NOW)
+    assert signals.tolerance is None
+    assert signals.has_tolerance_header
+    assert signals.faults
+
+
+def test_least_of_several_tolerances_counts() -> None:
+    headers = [(b"server-brittle", value) for value in (b"4", b"x", b"2")]
+    assert decode_signals(200, headers, NOW).tolerance == 2.0
