Blame no request for a partition in the product's own interface

What callers would see: a host whose connections to all servers are refused takes each lost attempt for a server that crashed under its request, reports it to all hosts, and after three of them every host sets the request aside.

Change: after a probe that is refused, a few other servers of the service are probed too. A request ends one server, so that it is blamed only if another one accepts connections, or if the service has no other. Requests of a partitioned host are still not relayed there (open).

--- a/dewridge/requests/service.py
+++ b/dewridge/requests/service.py
@@ -110,7 +110,7 @@
             table=RecordTable(membership.local_member.host),
             jobs=Jobs(metrics),
         )
-        suspects = SuspectRequests(shared, rumors, probe_server)
+        suspects = SuspectRequests(shared, rumors, probe_server, servers.servers)
         self._usage = UsageLedger()
         self._replicator = Replicator(shared)
         self._scheduling = Scheduling(
--- a/dewridge/requests/suspects.py
+++ b/dewridge/requests/suspects.py
@@ -32,6 +32,8 @@
 from dewridge.sentinels import Failure
 
 KIND_CRASH = "server_ended"
+MAX_PROBED_SERVERS = 4
+"""Other servers that are probed after a server seems to have crashed."""
 VERSION_REPORTED = 1
 """Version of a rumor that reports a crash."""
 VERSION_CLEARED = 2
@@ -64,8 +66,10 @@
         shared: Shared,
         rumors: Rumors,
         probe_server: Callable[[str], Awaitable[ConnectResult]],
+        list_servers: Callable[[ServiceName], list[BackendServer]],
     ) -> None:
         self._shared = shared
+        self._list_servers = list_servers
         self._rumors = rumors
         self._probe_server = probe_server
         self._ledger = SuspectLedger()
@@ -105,6 +109,11 @@
         now = self._shared.clock()
         sent_at = now - (trio.current_time() - attempt.dispatched_at)
         reach = await self._probe_server(server.listed.address)
+        if reach is ConnectResult.REFUSED and not await self._reaches_others(
+            attempt.record.service, server
+        ):
+            # A request ends one server, a partition cuts this host from all.
+            return
         first_token_at = attempt.first_token_at
         verdict = classify_loss(
             LossReason.CUT_OFF,
@@ -117,6 +126,21 @@
         if verdict.is_request_suspect:
             self._report_crash(attempt, Crash(now, sent_at))
 
+    async def _reaches_others(self, service: ServiceName, lost: BackendServer) -> bool:
+        """Whether other servers of a service accept connections, if it has any."""
+        others = [
+            server
+            for server in self._list_servers(service)
+            if server.id != lost.id and server.state is ServerState.LIVE
+        ]
+        for server in others[:MAX_PROBED_SERVERS]:
+            if (
+                await self._probe_server(server.listed.address)
+                is ConnectResult.ACCEPTED
+            ):
+                return True
+        return not others
+
     def _report_crash(self, attempt: Attempt, crash: Crash) -> None:
         record = attempt.record
         account, _ = split_request_id(record.request)
--- a/dewridge/tests/requests/fakes.py
+++ b/dewridge/tests/requests/fakes.py
@@ -513,6 +513,7 @@
         self.key_value = FakeKeyValue()
         self.servers = FakeServers()
         self.workers = FakeWorkers()
+        self.is_partitioned_from_servers = False
         self.nodes: dict[str, Node] = {}
         self.views: dict[str, FakeMembership] = {}
         self.blocked_links: set[tuple[str, str]] = set()
@@ -571,6 +572,8 @@
 
     async def probe_server(self, address: str) -> ConnectResult:
         """Return the result of a connection to a server, whose address is its id."""
+        if self.is_partitioned_from_servers:
+            return ConnectResult.REFUSED
         is_crashed = BackendServerId(address) in self.workers.crashed_servers
         return ConnectResult.REFUSED if is_crashed else ConnectResult.ACCEPTED
 
--- a/dewridge/tests/requests/service_tests.py
+++ b/dewridge/tests/requests/service_tests.py
@@ -72,3 +72,22 @@
         assert last.code is ResultCode.REQUEST_SET_ASIDE
 
     run_cluster(scenario)
+
+
+def test_partition_from_all_servers_makes_no_request_a_suspect() -> None:
+    """Guards against requests that all hosts refuse because one host was cut off."""
+
+    async def scenario(cluster: Cluster) -> None:
+        for index in range(4, 16):
+            cluster.servers.add(f"engine-{index}", FINDINGS, ServerKind.ENGINE)
+        cluster.workers.crashing_inputs.add(cluster.make("draft_finding").input)
+        cluster.is_partitioned_from_servers = True
+        for number in range(6):
+            service = cluster.nodes["host-0"].service
+            submission = cluster.make("draft_finding")
+            result = await service.submit(submission)
+            assert isinstance(result, Accepted), number
+            with trio.move_on_after(5.0):
+                await cluster.follow("host-0", submission.key)
+
+    run_cluster(scenario)
