Count a silence that ends several attempts as one failure

What callers would see: a sound server that stands still for a second is avoided for up to four seconds by each host that had requests there, and its share of failures keeps other hosts away too.

Change: a timeout of an attempt, or of a connection, counts only if the attempt was sent after the last silence that counted. Servers that refuse, reset or answer with errors are treated as before.

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -189,7 +189,9 @@
             cache_copy=continuation.memory if continuation else None,
             cache_holder=job.cache_holder,
         )
-        answer: IncomingAnswer | LostAttempt = LostAttempt(LossReason.CUT_OFF, "silent")
+        answer: IncomingAnswer | LostAttempt = LostAttempt(
+            LossReason.CUT_OFF, "silent", is_silent=True
+        )
         request = ServerRequest(
             job.request.id,
             job.request.method,
@@ -330,7 +332,7 @@
         if job.continuation is not None:
             return LostAttempt(LossReason.MOVED, job.continuation.server.id)
         if not stream.is_due(trio.current_time()):
-            return LostAttempt(LossReason.CUT_OFF, "silent")
+            return LostAttempt(LossReason.CUT_OFF, "silent", is_silent=True)
         await move_stream(self._state, job, server, stream)
         is_moved = job.continuation is not None
         if stream.is_hanging and not is_moved and self._may_retry(job):
--- a/dewridge/gateway/forwarding.py
+++ b/dewridge/gateway/forwarding.py
@@ -59,12 +59,14 @@
         reason: details for the log.
         status: status of the server's answer; 0 if there was none or it was not used.
         relay: the peer by which the request was sent; None if it was sent directly.
+        is_silent: whether the server did nothing at all until a timeout.
     """
 
     loss: LossReason
     reason: str = ""
     status: int = 0
     relay: HostId | None = None
+    is_silent: bool = False
 
     @property
     def is_not_run(self) -> bool:
@@ -188,7 +190,10 @@
     if connection is None:
         opened = await pool.open(server)
         if isinstance(opened, ConnectFailure):
-            return LostAttempt(LossReason.NOT_CONNECTED, opened.value)
+            is_silent = opened is ConnectFailure.SILENT
+            return LostAttempt(
+                LossReason.NOT_CONNECTED, opened.value, is_silent=is_silent
+            )
         connection = opened
     is_answer_open = False
     try:
--- a/dewridge/gateway/losses.py
+++ b/dewridge/gateway/losses.py
@@ -66,7 +66,7 @@
             if job.attempt_first_event_at is None
             else now - job.attempt_first_event_at,
         )
-        self._apply_verdict(server, verdict.server)
+        self._apply_verdict(job, server, lost, verdict.server)
         if verdict.is_request_suspect:
             record_crash(state, job, server.id, now)
         elif (
@@ -131,7 +131,9 @@
             if now - probe.started_at < PROBE_LIFETIME
         }
 
-    def _apply_verdict(self, server: ServerRecord, verdict: ServerVerdict) -> None:
+    def _apply_verdict(
+        self, job: Job, server: ServerRecord, lost: LostAttempt, verdict: ServerVerdict
+    ) -> None:
         now = trio.current_time()
         health = self._state.get_health(server.id)
         match verdict:
@@ -139,10 +141,12 @@
                 self._state.servers.drop(server.id, now, "another has its address")
             case ServerVerdict.FULL:
                 health.full_until = now + REJECTION_BACKOFF
-            case ServerVerdict.FAILED:
-                health.record_failure(now, is_hard=False)
-            case ServerVerdict.ENDED_OR_UNREACHABLE:
-                health.record_failure(now, is_hard=True)
+            case ServerVerdict.FAILED | ServerVerdict.ENDED_OR_UNREACHABLE:
+                is_hard = verdict is ServerVerdict.ENDED_OR_UNREACHABLE
+                if lost.is_silent:
+                    health.record_silence(now, job.sent_at, is_hard=is_hard)
+                else:
+                    health.record_failure(now, is_hard=is_hard)
 
     def _record_loss(
         self,
--- a/dewridge/policy/serverhealth.py
+++ b/dewridge/policy/serverhealth.py
@@ -71,6 +71,7 @@
         cooldown_until: monotonic time until which it gets no work if others can take
             it.
         full_until: monotonic time until which it counts as full.
+        silent_at: monotonic time of the last silence that counted as a failure.
         recent: recent attempts, as reported to the other hosts.
     """
 
@@ -78,6 +79,7 @@
     failure_share: float = 0.0
     cooldown_until: float = float("-inf")
     full_until: float = float("-inf")
+    silent_at: float = float("-inf")
     recent: OutcomeMeter = field(default_factory=OutcomeMeter)
 
     def record_success(self, now: float) -> None:
@@ -86,6 +88,22 @@
         self.consecutive_failures = 0
         self.failure_share *= 1 - OUTCOME_WEIGHT
 
+    def record_silence(self, now: float, sent_at: float, *, is_hard: bool) -> None:
+        """Record an attempt that the server left without an answer.
+
+        A sound server may stand still for a second. The attempts that this affects end
+        at about the same time, and count as one failure: taken for failures in a row,
+        they would keep work from the server for seconds after it goes on.
+
+        Args:
+            now: monotonic time.
+            sent_at: monotonic time at which the attempt was sent.
+            is_hard: as in `record_failure`.
+        """
+        if sent_at >= self.silent_at:
+            self.silent_at = now
+            self.record_failure(now, is_hard=is_hard)
+
     def record_failure(self, now: float, *, is_hard: bool) -> None:
         """Record a failed attempt.
 
