Ask again for answers that hang in their body

What callers saw: when a partition began in the middle of an answer, the host waited for the rest until the deadline, although the request may be repeated.

Cause: only the wait for the head of an answer ended once connections hang. test_answer_that_hangs_in_its_body_is_asked_for_again covers the body. It was written together with the change; it was not run without it.

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -1,7 +1,5 @@
 """Attempts to run a request on servers, and the rules for retries."""
 
-from contextlib import ExitStack
-
 import trio
 
 from dewridge.codes import ResultCode
@@ -12,7 +10,6 @@
     IncomingAnswer,
     LostAttempt,
     ServerRequest,
-    read_complete_answer,
 )
 from dewridge.gateway.jobs import Continuation, Job, compute_engine_priority
 from dewridge.gateway.losses import LossHandler
@@ -24,7 +21,7 @@
     record_first_event,
     record_placement,
 )
-from dewridge.gateway.reach.sending import send_by_path
+from dewridge.gateway.reach.sending import read_answer, send_by_path
 from dewridge.gateway.responder import Responder
 from dewridge.gateway.rollouts import AttemptResult, classify_attempt
 from dewridge.gateway.state import SERVER_ANSWER_TIME_METRIC, GatewayState
@@ -36,7 +33,6 @@
 from dewridge.http1.headers import remove_hop_by_hop_headers
 from dewridge.platform.headers import Dispatch, make_dispatch_headers
 from dewridge.policy.losses import LossReason
-from dewridge.policy.reachability import ServerPath
 from dewridge.sentinels import Failure
 
 MAX_REJECTIONS = 3
@@ -151,7 +147,9 @@
         is_stream = job.route.kind is RouteKind.STREAM
         if is_stream and answer.head.status == 200:
             return await self._relay_stream(job, server, answer, responder)
-        complete = await read_complete_answer(answer)
+        complete = await read_answer(
+            self._state, server, answer, may_repeat=self._may_retry(job)
+        )
         if isinstance(complete, LostAttempt):
             return complete
         if responder.has_started:
@@ -200,7 +198,14 @@
             job.request.body,
         )
         with trio.move_on_after(self._compute_silence_timeout(job)) as scope:
-            answer = await self._send_within(scope, job, request, server, dispatch)
+            answer = await send_by_path(
+                self._state,
+                request,
+                server,
+                is_non_retryable=not job.route.is_repeatable,
+                is_essential=dispatch.cache_copy is not None,
+                scope=scope if self._may_retry(job) else None,
+            )
         if answer.relay is not None:
             job.relays.append(answer.relay)
         if isinstance(answer, IncomingAnswer):
@@ -213,36 +218,6 @@
             job.may_have_run = True
         return answer
 
-    async def _send_within(
-        self,
-        scope: trio.CancelScope,
-        job: Job,
-        request: ServerRequest,
-        server: ServerRecord,
-        dispatch: Dispatch,
-    ) -> IncomingAnswer | LostAttempt:
-        """Send a request; if it may be retried, do not wait on a connection that hangs.
-
-        Args:
-            scope: ends the wait.
-            job: the request's job.
-            request: the request.
-            server: the server to send it to.
-            dispatch: what the request's headers were made of.
-        """
-        links = self._state.links
-        with ExitStack() as stack:
-            is_direct = links.find_path(server.service) is ServerPath.DIRECT
-            if is_direct and self._may_retry(job):
-                stack.enter_context(links.cancel_when_hanging(server.service, scope))
-            return await send_by_path(
-                self._state,
-                request,
-                server,
-                is_non_retryable=not job.route.is_repeatable,
-                is_essential=dispatch.cache_copy is not None,
-            )
-
     def _compute_silence_timeout(self, job: Job) -> float:
         if not job.route.is_repeatable or not self._has_attempts_left(job):
             return float("inf")
--- a/dewridge/gateway/reach/links.py
+++ b/dewridge/gateway/reach/links.py
@@ -159,9 +159,12 @@
 
     @contextmanager
     def cancel_when_hanging(
-        self, service: ServiceName, scope: trio.CancelScope
+        self, service: ServiceName, scope: trio.CancelScope | None
     ) -> Iterator[None]:
-        """Cancel the scope if connections hang while it waits for a direct answer."""
+        """Cancel the scope, if any, if connections hang while it waits on one."""
+        if scope is None:
+            yield
+            return
         waiting = self._links[service].waiting
         waiting.add(scope)
         try:
--- a/dewridge/gateway/reach/sending.py
+++ b/dewridge/gateway/reach/sending.py
@@ -3,11 +3,13 @@
 import trio
 
 from dewridge.gateway.forwarding import (
+    CompleteAnswer,
     IncomingAnswer,
     LostAttempt,
     SendingHooks,
     ServerRequest,
     check_head,
+    read_complete_answer,
     send_request,
 )
 from dewridge.gateway.hosts import HostEntry
@@ -37,6 +39,7 @@
     *,
     is_non_retryable: bool,
     is_essential: bool,
+    scope: trio.CancelScope | None,
 ) -> IncomingAnswer | LostAttempt:
     """Send a request to a server and wait for the head of its answer.
 
@@ -49,13 +52,16 @@
         server: the server to send it to.
         is_non_retryable: whether the request can't be retried if it is lost.
         is_essential: whether a running stream would be lost without the request.
+        scope: is cancelled if the request waits on a connection that hangs; None if it
+            may not be sent again.
     """
     path = state.links.find_path(server.service)
     if path is ServerPath.DIRECT:
         started_at = trio.current_time()
-        answer = await _send_directly(
-            state, request, server, is_non_retryable, is_essential, may_open=True
-        )
+        with state.links.cancel_when_hanging(server.service, scope):
+            answer = await _send_directly(
+                state, request, server, is_non_retryable, is_essential, may_open=True
+            )
         if not _is_not_connected(answer):
             return answer
         path = await state.links.check(server, started_at)
@@ -78,6 +84,22 @@
     return LostAttempt(LossReason.NO_PATH, "no peer reaches the servers either")
 
 
+async def read_answer(
+    state: GatewayState,
+    server: ServerRecord,
+    answer: IncomingAnswer,
+    *,
+    may_repeat: bool,
+) -> CompleteAnswer | LostAttempt:
+    """Read an answer to its end, or, if it may be repeated, until it hangs."""
+    with trio.CancelScope() as scope:
+        is_ended_early = may_repeat and answer.relay is None
+        waiting = scope if is_ended_early else None
+        with state.links.cancel_when_hanging(server.service, waiting):
+            return await read_complete_answer(answer)
+    return LostAttempt(LossReason.CUT_OFF, "the connection hangs", is_silent=True)
+
+
 def _is_not_connected(answer: IncomingAnswer | LostAttempt) -> bool:
     return isinstance(answer, LostAttempt) and answer.loss is LossReason.NOT_CONNECTED
 
--- a/dewridge/tests/gateway/partition_tests.py
+++ b/dewridge/tests/gateway/partition_tests.py
@@ -340,3 +340,32 @@
         answer = await world.request("/read/a", request_id="second")
         assert answer.status == 200
         assert trio.current_time() - begin < 1.5
+
+
+async def test_answer_that_hangs_in_its_body_is_asked_for_again() -> None:
+    """Guards against a partition in the middle of an answer that costs its deadline."""
+    is_first = True
+
+    async def pause_in_body(exchange: ServerExchange) -> None:
+        nonlocal is_first
+        if not is_first:
+            await exchange.answer(b"complete")
+            return
+        is_first = False
+        await exchange.send(exchange.make_head(200, b"Content-Length: 8\r\n") + b"com")
+        await trio.sleep(0.2)
+        await exchange.send(b"plete")
+
+    async with open_linked_fleet(2) as linked:
+        await linked.add_server("s-1", pause_in_body)
+        world = linked.fleet.worlds[0]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(cut_later, linked, 0.1)
+            answer = await world.request("/read/a")
+        assert (answer.status, answer.body) == (200, b"complete")
+
+
+async def cut_later(linked: LinkedFleet, seconds: float) -> None:
+    """Cut the first host from all servers, so that its connections hang."""
+    await trio.sleep(seconds)
+    linked.cut([0], NewConnections.SILENT, OpenConnections.HANG)
--- a/dewridge/tests/gateway/partitions.py
+++ b/dewridge/tests/gateway/partitions.py
@@ -89,7 +89,7 @@
         with trio.CancelScope() as scope:
             self._waiting = scope
             await trio.lowlevel.wait_readable(self._listener)
-        if self._changed is not changed:
+        if self._changed is not changed or self._listener is None:
             return
         try:
             accepted, _ = self._listener.accept()
@@ -107,7 +107,10 @@
         try:
             server = await trio.open_tcp_stream(host, int(port))
         except OSError:
+            # The server has ended: its address refuses connections from now on.
             reset(client)
+            self._waiting.cancel()
+            self._close_listener()
             return
         self.accepted += 1
         pair = (client, server)
