Use peers as relays although one of their services is down

What callers would see: while all servers of one service are down, a host that is partitioned from the servers of another service finds no relay.

Cause: a host without a path to any service was reported as partitioned, and no such host was asked. test_service_that_is_down_does_not_stop_the_relay_of_another failed before (503, no peer reaches the servers either) and passes now.

The stand-in's links keep their ports while nothing listens on them, and refuse connections for good once their server has ended.

--- a/dewridge/gateway/reach/links.py
+++ b/dewridge/gateway/reach/links.py
@@ -113,6 +113,8 @@
 
     Attributes:
         list_peers: returns the peers that may relay requests.
+        list_partitioned: returns the peers that do not reach the servers of some
+            service, maybe of another one.
         ask_peer: asks a peer whether servers accept its connections.
         on_changed: called with each service whose path changed.
         on_hanging: called with each service whose open connections hang.
@@ -133,6 +135,7 @@
         self._links: dict[ServiceName, ServiceLink] = defaultdict(ServiceLink)
         self._nursery: trio.Nursery | None = None
         self.list_peers: Callable[[], list[HostEntry]] = list
+        self.list_partitioned: Callable[[], frozenset[HostId]] = frozenset
         self.ask_peer: AskPeer = _ask_nobody
         self.on_changed: Callable[[ServiceName], None] = lambda service: None
         self.on_hanging: Callable[[ServiceName], None] = lambda service: None
@@ -324,8 +327,14 @@
         if len(link.relays) >= MAX_RELAYS:
             return []
         unknown = [peer for peer in self.list_peers() if peer.id not in link.relays]
+        partitioned = self.list_partitioned()
         self._rng.shuffle(unknown)
-        unknown.sort(key=lambda peer: link.dropped_at.get(peer.id, -math.inf))
+        unknown.sort(
+            key=lambda peer: (
+                peer.id in partitioned,
+                link.dropped_at.get(peer.id, -math.inf),
+            )
+        )
         return unknown[:ASKED_PEERS]
 
     def _drop_relays(self, link: ServiceLink) -> None:
@@ -373,10 +382,11 @@
         """Return the peer that relays the next request; None if there is none."""
         self._drop_relays(self._links[service])
         relays = self._links[service].relays
+        usable = [entry for entry in relays.values() if entry.id not in excluded]
+        partitioned = self.list_partitioned()
+        preferred = [entry for entry in usable if entry.id not in partitioned]
         peers = [
-            PeerHost(entry.id, entry.failure_domain)
-            for entry in relays.values()
-            if entry.id not in excluded
+            PeerHost(entry.id, entry.failure_domain) for entry in preferred or usable
         ]
         chosen = choose_relay(
             peers, self.in_flight, local_domain, domain_size, self._rng
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -197,6 +197,7 @@
             self.servers.list_service, self.pool.probe, self.rng, self.metrics
         )
         self.links.list_peers = self.list_relays
+        self.links.list_partitioned = self._list_partitioned
         self.links.ask_peer = partial(ask_peer, self.host)
         self.links.on_changed = self._handle_path_change
         self.links.on_hanging = self._move_hanging_streams
@@ -427,10 +428,13 @@
             for peer in self.hosts.list_peers()
         )
 
+    def _list_partitioned(self) -> frozenset[HostId]:
+        return self.sharing.get_summary(trio.current_time()).partitioned_hosts
+
     def list_relays(self) -> list[HostEntry]:
         """Return the peers that may relay requests, as far as their reports tell."""
         summary = self.sharing.get_summary(trio.current_time())
-        usable = summary.live_hosts - summary.unready_hosts - summary.partitioned_hosts
+        usable = summary.live_hosts - summary.unready_hosts
         return [
             peer
             for peer in self.hosts.list_peers()
--- a/dewridge/tests/gateway/partition_tests.py
+++ b/dewridge/tests/gateway/partition_tests.py
@@ -369,3 +369,18 @@
     """Cut the first host from all servers, so that its connections hang."""
     await trio.sleep(seconds)
     linked.cut([0], NewConnections.SILENT, OpenConnections.HANG)
+
+
+async def test_service_that_is_down_does_not_stop_the_relay_of_another() -> None:
+    """Guards against peers that count as partitioned while a service is down."""
+    async with open_linked_fleet(3) as linked:
+        plain = await linked.add_server("p-1", answer_ok)
+        engine = await linked.add_server("e-1", answer_ok, ENGINE)
+        new, opened = NewConnections.REFUSED, OpenConnections.RESET
+        linked.cut(range(3), new, opened, [engine])
+        for world in linked.fleet.worlds:
+            await world.request("/chat/a")
+            assert world.state.links.find_path(ENGINE) is ServerPath.NONE
+        await trio.sleep(0.3)
+        linked.cut([0], new, opened, [plain])
+        assert (await linked.fleet.worlds[0].request("/read/a")).status == 200
--- a/dewridge/tests/gateway/partitions.py
+++ b/dewridge/tests/gateway/partitions.py
@@ -48,7 +48,10 @@
     target: str
     address: str = ""
     accepted: int = 0
+    _holder: socket.socket | None = None
+    """Keeps the port for this link while nothing listens on it."""
     _listener: socket.socket | None = None
+    _has_target_ended: bool = False
     _fillers: list[socket.socket] = field(default_factory=list)
     _pairs: list[tuple[trio.SocketStream, trio.SocketStream]] = field(
         default_factory=list
@@ -60,16 +63,16 @@
 
     def open(self) -> None:
         """Listen on a free port."""
-        self._listener = self._listen(0)
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._holder = _bind(0)
+        self._listener = _bind(self._port)
+        self._listener.listen(BACKLOG)
+        self.address = f"127.0.0.1:{self._port}"
 
-    def _listen(self, port: int) -> socket.socket:
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.setblocking(False)
-        listener.bind(("127.0.0.1", port))
-        listener.listen(BACKLOG)
-        return listener
+    @property
+    def _port(self) -> int:
+        assert self._holder is not None
+        port: int = self._holder.getsockname()[1]
+        return port
 
     async def run(self) -> None:
         """Forward connections until cancelled."""
@@ -80,6 +83,8 @@
             finally:
                 self._close_listener()
                 self._drop_fillers()
+                if self._holder is not None:
+                    self._holder.close()
 
     async def _accept(self, nursery: trio.Nursery) -> None:
         changed = self._changed
@@ -109,8 +114,8 @@
         except OSError:
             # The server has ended: its address refuses connections from now on.
             reset(client)
-            self._waiting.cancel()
-            self._close_listener()
+            self._has_target_ended = True
+            self._set_mode(NewConnections.REFUSED)
             return
         self.accepted += 1
         pair = (client, server)
@@ -153,18 +158,21 @@
         self._set_mode(None)
 
     def _set_mode(self, mode: NewConnections | None) -> None:
+        if self._has_target_ended:
+            mode = NewConnections.REFUSED
         self._mode = mode
         self._waiting.cancel()
         self._drop_fillers()
-        port = int(self.address.rpartition(":")[2])
         if mode is NewConnections.REFUSED:
             self._close_listener()
         elif self._listener is None:
-            self._listener = self._listen(port)
+            self._listener = _bind(self._port)
         if mode is NewConnections.SILENT:
             assert self._listener is not None
             self._listener.listen(0)
-            self._fillers = [_start_connecting(port) for _ in range(FILLER_CONNECTIONS)]
+            self._fillers = [
+                _start_connecting(self._port) for _ in range(FILLER_CONNECTIONS)
+            ]
         elif self._listener is not None:
             self._listener.listen(BACKLOG)
         self._changed.set()
@@ -181,6 +189,15 @@
         self._fillers.clear()
 
 
+def _bind(port: int) -> socket.socket:
+    """Return a socket on a port that may be bound more than once."""
+    bound = socket.socket()
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    bound.setblocking(False)
+    bound.bind(("127.0.0.1", port))
+    return bound
+
+
 def _start_connecting(port: int) -> socket.socket:
     filler = socket.socket()
     filler.setblocking(False)
