--- a/dewridge/tests/soak/__main__.py
+++ b/dewridge/tests/soak/__main__.py
@@ -24,6 +24,12 @@
     signals: Annotated[
         int, typer.Option(help="Times that a server asks for fewer requests.")
     ] = 4,
+    partitions: Annotated[
+        int, typer.Option(help="Times that hosts are partitioned from all servers.")
+    ] = 2,
+    brittle: Annotated[
+        int, typer.Option(help="Times that the servers of a service are brittle.")
+    ] = 1,
     kept: Annotated[bool, typer.Option(help="The seeds that once failed.")] = False,
     folder: Annotated[Path, typer.Option(help="For logs.")] = Path("build/soak"),
 ) -> None:
@@ -34,6 +40,8 @@
         callers=callers,
         seconds=seconds,
         signals=signals,
+        partitions=partitions,
+        brittle=brittle,
         crashing=crashing,
     )
     planned_runs = [(run_seed, size) for run_seed in range(first, first + runs)]
--- a/dewridge/tests/soak/checks.py
+++ b/dewridge/tests/soak/checks.py
@@ -3,8 +3,9 @@
 from collections import Counter, defaultdict
 
 from dewridge.codes import ResultCode
+from dewridge.tests.soak.partitionchecks import check_partitions
 from dewridge.tests.soak.records import Execution, History, SentRequest
-from dewridge.tests.soak.signalchecks import check_signals
+from dewridge.tests.soak.signalchecks import check_brittle_servers, check_signals
 
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 """Status codes that guarantee that the request was not executed."""
@@ -49,6 +50,8 @@
         *check_recovery(history),
         *check_crashing_requests(history),
         *check_signals(history),
+        *check_partitions(history),
+        *check_brittle_servers(history),
     ]
 
 
@@ -314,4 +317,11 @@
         counts[f"answers with {answer.signal.value}"] += 1
     if history.crashes:
         counts["servers ended"] = len(history.crashes)
+    extras = {
+        "partitions": len(history.partitions),
+        "brittle periods": len(history.brittle_periods),
+        "rejections for room": history.rejections_for_room,
+        "falls": len(history.falls),
+    }
+    counts.update({name: count for name, count in extras.items() if count})
     return dict(sorted(counts.items()))
--- a/dewridge/tests/soak/records.py
+++ b/dewridge/tests/soak/records.py
@@ -143,6 +143,34 @@
     at: float
 
 
+@dataclass(frozen=True)
+class Fall:
+    """A brittle server that fell over since it had to reject too many requests."""
+
+    server: str
+    service: str
+    at: float
+
+
+@dataclass(frozen=True)
+class BrittlePeriod:
+    """A period in which the servers of a service are brittle and have little room."""
+
+    service: str
+    server_count: int
+    begin: float
+    end: float
+
+
+@dataclass(frozen=True)
+class Partition:
+    """A period in which some hosts did not reach any server."""
+
+    hosts: frozenset[str]
+    begin: float
+    end: float
+
+
 @dataclass
 class History:
     """All records of one run of the soak test.
@@ -159,6 +187,10 @@
         last_fault_end: end of the last fault.
         signal_answers: answers of servers that asked for fewer requests.
         server_arrivals: requests that reached servers that ever did, executed or not.
+        falls: brittle servers that fell over.
+        brittle_periods: periods in which servers were brittle.
+        rejections_for_room: requests that brittle servers rejected for want of room.
+        partitions: periods in which hosts were partitioned from all servers.
         end: end of the observed period; later interruptions are ignored.
     """
 
@@ -172,6 +204,10 @@
     server_departing_at: dict[str, float] = field(default_factory=dict)
     signal_answers: list[SignalAnswer] = field(default_factory=list)
     server_arrivals: list[Execution] = field(default_factory=list)
+    falls: list[Fall] = field(default_factory=list)
+    brittle_periods: list[BrittlePeriod] = field(default_factory=list)
+    rejections_for_room: int = 0
+    partitions: list[Partition] = field(default_factory=list)
     last_fault_end: float = 0.0
     end: float = 0.0
 
--- a/dewridge/tests/soak/runs.py
+++ b/dewridge/tests/soak/runs.py
@@ -12,8 +12,9 @@
 from dewridge.tests.soak.checks import RECOVERY_SECONDS, check_all, count_outcomes
 from dewridge.tests.soak.crashing import CrashingCaller
 from dewridge.tests.soak.faults import Fault, draw_faults, inject_faults
+from dewridge.tests.soak.partitions import partition_hosts
 from dewridge.tests.soak.records import RequestKind
-from dewridge.tests.soak.signals import send_signals
+from dewridge.tests.soak.signals import BRITTLE_SLOTS, make_brittle, send_signals
 from dewridge.tests.soak.stage import QUOTAS, SoakEnvironment
 
 WARM_UP_SECONDS = 4.0
@@ -34,6 +35,10 @@
     seconds: float = 20.0
     signals: int = 0
     """Number of times that a server asks for fewer requests."""
+    partitions: int = 0
+    """Number of times that hosts are partitioned from all servers."""
+    brittle: int = 0
+    """Number of times that the servers of a service are brittle."""
     crashing: int = 0
     """Number of requests that crash each server that begins to execute them."""
 
@@ -76,14 +81,14 @@
     faults = draw_faults(rng, size.seconds)
     async with trio.open_nursery() as nursery:
         environment = SoakEnvironment(rng, folder, nursery)
+        if size.brittle:
+            environment.slots = BRITTLE_SLOTS
         try:
             await environment.start(size.hosts, size.servers)
             await trio.sleep(WARM_UP_SECONDS)
             start_callers(environment, size)
             start_crashing_callers(environment, size, random.Random(f"crashing {seed}"))
-            await inject_all(
-                environment, faults, size, random.Random(f"signals {seed}")
-            )
+            await inject_all(environment, faults, size, seed)
             await trio.sleep(FAULT_FREE_SECONDS)
             environment.history.end = time.monotonic()
             await trio.sleep(0.5)
@@ -104,15 +109,26 @@
     environment: SoakEnvironment,
     faults: list[Fault],
     size: SoakSize,
-    rng: random.Random,
+    seed: int,
 ) -> None:
-    """Inject the faults, and beside them the signals of servers.
+    """Inject the faults, and beside them the signals of servers and partitions.
 
-    The signals use a separate random generator, so that a seed gives the same faults
-    with and without them.
+    These use separate random generators, so that a seed gives the same faults with and
+    without them.
     """
+    rng = random.Random(f"signals {seed}")
+    partition_rng = random.Random(f"partitions {seed}")
     async with trio.open_nursery() as nursery:
         nursery.start_soon(inject_faults, environment, faults)
+        brittle_rng = random.Random(f"brittle {seed}")
+        for _ in range(size.brittle):
+            at = brittle_rng.uniform(0, size.seconds)
+            drawn_rng = random.Random(brittle_rng.random())
+            nursery.start_soon(make_brittle, environment, at, drawn_rng)
+        for _ in range(size.partitions):
+            at = partition_rng.uniform(0, size.seconds)
+            drawn_rng = random.Random(partition_rng.random())
+            nursery.start_soon(partition_hosts, environment, at, drawn_rng)
         for _ in range(size.signals):
             at = rng.uniform(0, size.seconds)
             nursery.start_soon(
--- a/dewridge/tests/soak/servers.py
+++ b/dewridge/tests/soak/servers.py
@@ -15,6 +15,7 @@
 from dewridge.tests.soak.records import (
     Crash,
     Execution,
+    Fall,
     History,
     Signal,
     SignalAnswer,
@@ -69,6 +70,10 @@
         on_crash: called when it crashes under a request.
         signals: signals in its answers, with their values.
         has_signalled: whether it ever had signals.
+        slots: requests that it runs at once, as its record says.
+        tolerance: rejections in a second beyond which it falls over; None if it takes
+            any number.
+        has_room: whether it runs more requests than `slots` at once.
     """
 
     id: str
@@ -81,6 +86,11 @@
     on_crash: Callable[["SoakServer"], None] = lambda server: None
     signals: dict[Signal, float] = field(default_factory=dict)
     has_signalled: bool = False
+    slots: int = 16
+    tolerance: int | None = None
+    has_room: bool = True
+    _running: int = 0
+    _rejections: list[float] = field(default_factory=list)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start the server and its link."""
@@ -101,7 +111,7 @@
             "service": self.service,
             "address": self.link.address,
             "zone": "domain-a",
-            "slots": 16,
+            "slots": self.slots,
             "state": "draining" if self.is_draining else "ready",
         }
         store.write(key, json.dumps(record).encode())
@@ -111,6 +121,33 @@
         if expected != self.id:
             await exchange.answer(b"", 421)
             return
+        if self.tolerance is not None:
+            exchange.signals += b"Server-Brittle: %d\r\n" % self.tolerance
+            if not self.has_room and self._running >= self.slots:
+                await self._reject_for_room(exchange, self.tolerance)
+                return
+        self._running += 1
+        try:
+            await self._serve(exchange)
+        finally:
+            self._running -= 1
+
+    async def _reject_for_room(self, exchange: ServerExchange, tolerance: int) -> None:
+        """Reject a request, and fall over if there were too many in a second."""
+        now = time.monotonic()
+        self._rejections = [at for at in self._rejections if now - at < 1.0] + [now]
+        self.history.rejections_for_room += 1
+        if len(self._rejections) > tolerance:
+            self.history.falls.append(Fall(self.id, self.service, now))
+            self._end()
+            return
+        await exchange.answer(b"", 503, b"X-Not-Executed: 1\r\n")
+
+    def _end(self) -> None:
+        self.link.close()
+        self.on_crash(self)
+
+    async def _serve(self, exchange: ServerExchange) -> None:
         if self.has_signalled and self._add_signals(exchange):
             await exchange.answer(b"", 503, b"X-Not-Executed: 1\r\n")
             return
@@ -153,8 +190,7 @@
         await trio.sleep(CRASH_DELAY)
         content = self.history.requests[request_id].content
         self.history.crashes.append(Crash(content, self.id, time.monotonic()))
-        self.link.close()
-        self.on_crash(self)
+        self._end()
 
     async def _send_plain_response(self, exchange: ServerExchange, body: bytes) -> None:
         await trio.sleep(PLAIN_RESPONSE_SECONDS)
--- a/dewridge/tests/soak/signalchecks.py
+++ b/dewridge/tests/soak/signalchecks.py
@@ -20,6 +20,10 @@
 EXCUSE_SECONDS = 3.0
 """Seconds after a fault of a host in which it need not heed a signal from before."""
 
+MAX_FALLS = 2
+MAX_FALL_SHARE = 0.1
+"""Falls of brittle servers beyond `MAX_FALLS`, as a share of their number."""
+
 Arrivals = dict[str, list[Execution]]
 
 
@@ -42,6 +46,19 @@
     return violations
 
 
+def check_brittle_servers(history: History) -> list[str]:
+    """Return the periods in which brittle servers fell over too often."""
+    violations = []
+    for period in history.brittle_periods:
+        falls = sum(
+            fall.service == period.service and period.begin <= fall.at <= period.end
+            for fall in history.falls
+        )
+        if falls > MAX_FALLS + MAX_FALL_SHARE * period.server_count:
+            violations.append(f"{period.service}: brittle servers fell {falls} times")
+    return violations
+
+
 def _get_host(history: History, arrival: Execution) -> str:
     return history.requests[arrival.id].host
 
--- a/dewridge/tests/soak/signals.py
+++ b/dewridge/tests/soak/signals.py
@@ -1,13 +1,20 @@
 """Servers that ask in their answers for fewer requests, or say that they leave."""
 
 import random
+import time
 
 import trio
 
-from dewridge.tests.soak.records import Signal
+from dewridge.tests.soak.records import BrittlePeriod, Signal
 from dewridge.tests.soak.servers import SoakServer
 from dewridge.tests.soak.stage import SoakEnvironment
 
+BRITTLE_SLOTS = 6
+TOLERANCE = 3
+"""Rejections in a second beyond which brittle servers fall over."""
+BRITTLE_NOTICE_SECONDS = 3.0
+"""Seconds for which they say so before they have less room."""
+BRITTLE_SECONDS = 7.0
 MIN_LIMIT, MAX_LIMIT = 0.3, 6.0
 """Range of the limits that servers name, in requests per second."""
 LIMIT_SECONDS = 9.0
@@ -37,6 +44,26 @@
             nursery.start_soon(_send_signal, environment, server, signal, rng.random())
 
 
+async def make_brittle(
+    environment: SoakEnvironment, at: float, rng: random.Random
+) -> None:
+    """Make all servers of a service brittle for a time, some seconds from now."""
+    await trio.sleep(at)
+    service = rng.choice(["plain", "engine"])
+    servers = [each for each in environment.list_servers() if each.service == service]
+    for server in servers:
+        server.tolerance = TOLERANCE
+    await trio.sleep(BRITTLE_NOTICE_SECONDS)
+    begin = time.monotonic()
+    for server in servers:
+        server.has_room = False
+    await trio.sleep(BRITTLE_SECONDS)
+    period = BrittlePeriod(service, len(servers), begin, time.monotonic())
+    environment.history.brittle_periods.append(period)
+    for server in servers:
+        server.tolerance, server.has_room = None, True
+
+
 async def _send_signal(
     environment: SoakEnvironment, server: SoakServer, signal: Signal, size: float
 ) -> None:
--- a/dewridge/tests/soak/soak_tests.py
+++ b/dewridge/tests/soak/soak_tests.py
@@ -13,6 +13,7 @@
 
 CRASHING_SEED = 29
 SIGNALS_SEED = 4000
+PARTITIONS_SEED = 8000
 
 
 @pytest.mark.timeout(90)
@@ -46,3 +47,20 @@
     assert result.violations == []
     assert result.outcomes["answers with limit"] > 0
     assert result.outcomes["answers with rest"] > 0
+
+
+@pytest.mark.timeout(90)
+async def test_partitioned_hosts_and_brittle_servers_serve_on(tmp_path: Path) -> None:
+    """Hosts without a path to servers serve their callers, brittle servers stay up."""
+    size = SoakSize(
+        hosts=4,
+        servers=8,
+        callers=30,
+        seconds=FAULT_SECONDS,
+        partitions=2,
+        brittle=1,
+    )
+    result = await run_soak(PARTITIONS_SEED, size, tmp_path)
+    assert result.violations == []
+    assert result.outcomes["partitions"] == 2
+    assert result.outcomes["brittle periods"] == 1
--- a/dewridge/tests/soak/stage.py
+++ b/dewridge/tests/soak/stage.py
@@ -14,9 +14,14 @@
 from dewridge.standins.serving import Listener
 from dewridge.testbed.processes import Process, choose_ports
 from dewridge.tests.soak.links import Link
+from dewridge.tests.soak.partitions import ServerPaths
 from dewridge.tests.soak.records import Disturbance, History
 from dewridge.tests.soak.servers import Mood, SoakServer
-from dewridge.tests.soak.standins import StoreStandIn, build_cloud_app
+from dewridge.tests.soak.standins import (
+    StoreStandIn,
+    build_cloud_app,
+    build_store_app,
+)
 
 RESTART_DELAY = 0.3
 """Seconds until a gateway process that ended is restarted."""
@@ -63,6 +68,7 @@
     link: Link
     process: Process | None = None
     should_restart: bool = True
+    paths: "ServerPaths | None" = None
 
     @property
     def caller_address(self) -> str:
@@ -90,6 +96,7 @@
         keys: account keys that are not revoked, by account.
         written_version: version of the last configuration written.
         stalls: seconds of each stall of this process.
+        slots: requests that a server runs at once.
     """
 
     rng: random.Random
@@ -102,6 +109,7 @@
     keys: dict[str, list[str]] = field(default_factory=dict)
     written_version: int = 0
     stalls: list[float] = field(default_factory=list)
+    slots: int = 16
     _server_count: int = 0
 
     async def start(self, hosts: int, servers: int) -> None:
@@ -124,11 +132,14 @@
             self.nursery.start_soon(self._supervise_gateway, gateway)
 
     async def _add_gateway(self, name: str, cloud_address: str) -> None:
-        link = Link(self.store.listener.address)
+        paths = ServerPaths(self.nursery)
+        store = Listener(build_store_app(self.store, paths.rewrite))
+        await self.nursery.start(store.run)
+        link = Link(store.address)
         await link.start(self.nursery)
         ports = choose_ports(5)
         path = self.folder / f"{name}.json"
-        gateway = Gateway(name, path, ports, link)
+        gateway = Gateway(name, path, ports, link, paths=paths)
         settings = {
             "host": {
                 "id": name,
@@ -225,6 +236,7 @@
         """Start a server and write its record."""
         self._server_count += 1
         server = SoakServer(f"{service}-{self._server_count}", service, self.history)
+        server.slots = self.slots
         server.on_crash = lambda crashed: self.nursery.start_soon(
             self._replace_crashed_server, crashed
         )
--- a/dewridge/tests/soak/standins.py
+++ b/dewridge/tests/soak/standins.py
@@ -2,6 +2,7 @@
 
 import time
 from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -71,8 +72,15 @@
         return after >= self._compacted_at
 
 
-def build_store_app(stand_in: StoreStandIn) -> QuartTrio:
-    """Return an app with the store's HTTP API."""
+def build_store_app(
+    stand_in: StoreStandIn, rewrite: Callable[[Item], Item] = lambda item: item
+) -> QuartTrio:
+    """Return an app with the store's HTTP API.
+
+    Args:
+        stand_in: the store.
+        rewrite: changes the items that one gateway reads.
+    """
     app = make_app("store")
     store = stand_in.memory_store
 
@@ -81,7 +89,11 @@
         item = await store.read(request.args["key"])
         if isinstance(item, Failure):
             return reply({}, 503)
-        return reply({}, 404) if item is None else reply(msgspec.to_builtins(item))
+        return (
+            reply({}, 404)
+            if item is None
+            else reply(msgspec.to_builtins(rewrite(item)))
+        )
 
     @app.get("/-/kv-range")
     async def list_items() -> Response:
@@ -93,7 +105,8 @@
             listing = await store.list_items(prefix)
         if isinstance(listing, Failure):
             return reply({}, 503)
-        return reply({"items": listing.items, "current_rev": listing.revision})
+        items = [rewrite(item) for item in listing.items]
+        return reply({"items": items, "current_rev": listing.revision})
 
     @app.get("/-/kv-watch")
     async def watch() -> Response:
@@ -104,7 +117,8 @@
         update = await store.watch(request.args["path_prefix"], after, wait_seconds)
         if isinstance(update, Failure):
             return reply({}, 503)
-        return reply({"events": update.items, "current_rev": update.revision})
+        events = [rewrite(item) for item in update.items]
+        return reply({"events": events, "current_rev": update.revision})
 
     @app.post("/-/kv-txn")
     async def change() -> Response:
