Treat a connection without a free descriptor as failed

What callers would see: a host that runs out of file descriptors raised an exception for each new connection; in the task that checks the paths to servers it would have ended the task, and after some restarts the process.

Change: it counts as a connection that was not made, and is logged.

--- a/dewridge/http1/client.py
+++ b/dewridge/http1/client.py
@@ -7,6 +7,7 @@
 
 import h11
 import trio
+from loguru import logger as log
 
 from dewridge.http1.sockets import has_input, receive_some, send_all
 
@@ -202,7 +203,11 @@
 ) -> ClientConnection | ConnectFailure:
     """Connect to `a.b.c.d:port`; fail after `timeout` seconds."""
     host, _, port = address.rpartition(":")
-    sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        log.bind(address=address, reason=str(error)).warning("no socket to connect")
+        return ConnectFailure.SILENT
     with trio.move_on_after(timeout):
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/dewridge/tests/gateway/pool_tests.py
+++ b/dewridge/tests/gateway/pool_tests.py
@@ -1,13 +1,15 @@
 """Tests of idle connections to backend servers: which are reused and which are not."""
 
+import errno
 import random
 
+import pytest
 import trio
 from hypothesis import given
 from hypothesis import strategies as st
 
 from dewridge.gateway.measures import update_gauges
-from dewridge.http1.client import ConnectFailure
+from dewridge.http1.client import ConnectFailure, open_connection
 from dewridge.policy.idletime import MIN_LIMIT, IdleLimitEstimator
 from dewridge.tests.gateway.world import (
     ServerExchange,
@@ -137,3 +139,15 @@
         update_gauges(world.state)
         gauges = world.state.metrics.list_gauges()
     assert ("server_connects_failed", (("result", "refused"),), 1) in gauges
+
+
+async def test_no_free_descriptor_is_a_failed_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an exception that ends the task that checks paths to servers."""
+
+    def fail(*_: object) -> None:
+        raise OSError(errno.EMFILE, "too many open files")
+
+    monkeypatch.setattr(trio.socket, "socket", fail)
+    assert await open_connection("127.0.0.1:1", 0.1) is ConnectFailure.SILENT
