Shorten the deadline of a request that is relayed after a failed connection

What callers would see: nothing; servers were told the time that was left before a connection was tried and the path was checked, some 0.5 s too long.

Guarded by test_relayed_request_has_no_more_time_than_its_caller (1499 of 1500 ms named after more than 0.3 s before, now what is left).

--- a/dewridge/gateway/reach/sending.py
+++ b/dewridge/gateway/reach/sending.py
@@ -1,5 +1,7 @@
 """Sends requests to servers by this host's own links, or by a peer."""
 
+from dataclasses import replace
+
 import trio
 
 from dewridge.gateway.forwarding import (
@@ -23,8 +25,9 @@
 from dewridge.gateway.reach.protocol import RelayCall
 from dewridge.gateway.state import GatewayState
 from dewridge.http1.client import ClientConnection, ConnectionBrokenError
+from dewridge.http1.headers import parse_decimal
 from dewridge.ids import HostId, ServiceName
-from dewridge.platform.headers import is_misdirected
+from dewridge.platform.headers import is_misdirected, shorten_deadline
 from dewridge.policy.losses import LossReason
 from dewridge.policy.reachability import ServerPath
 
@@ -67,6 +70,8 @@
         path = await state.links.check(server, started_at)
         if path is ServerPath.DIRECT:
             return answer
+        headers = shorten_deadline(request.headers, trio.current_time() - started_at)
+        request = replace(request, headers=headers)
     if path is ServerPath.BY_PEER:
         call = RelayedCall(
             RelayCall.SINGLE_REQUEST if is_non_retryable else RelayCall.REQUEST,
@@ -221,8 +226,8 @@
     """
     if failure.loss is not LossReason.WITHHELD:
         return LostAttempt(failure.loss, failure.detail, relay=peer.id)
-    seconds = float(failure.detail.rpartition(" ")[2])
-    if seconds <= 0:
+    seconds = parse_decimal(failure.detail.rpartition(" ")[2].encode())
+    if not seconds:
         return LostAttempt(LossReason.REJECTED, failure.detail, relay=peer.id)
     state.pushback.apply_rest(server.id, seconds, trio.current_time())
     return LostAttempt(LossReason.WITHHELD, failure.detail, relay=peer.id)
--- a/dewridge/platform/headers.py
+++ b/dewridge/platform/headers.py
@@ -138,6 +138,17 @@
     return headers
 
 
+def shorten_deadline(headers: Headers, seconds: float) -> Headers:
+    """Return the headers of a request with less time left."""
+    spent_ms = round(seconds * 1000)
+    return [
+        (name, str(max(1, int(value) - spent_ms)).encode())
+        if name == names.DEADLINE
+        else (name, value)
+        for name, value in headers
+    ]
+
+
 def read_request_id(head: ResponseHead) -> str | None:
     """Return the id of the request that a response names; None if it names none."""
     value = head.find_header(names.REQUEST_ID)
--- a/dewridge/tests/gateway/partition_tests.py
+++ b/dewridge/tests/gateway/partition_tests.py
@@ -384,3 +384,16 @@
         await trio.sleep(0.3)
         linked.cut([0], new, opened, [plain])
         assert (await linked.fleet.worlds[0].request("/read/a")).status == 200
+
+
+async def test_relayed_request_has_no_more_time_than_its_caller() -> None:
+    """Guards against servers that work on after the caller's deadline."""
+    async with open_linked_fleet(2) as linked:
+        server = await linked.add_server("s-1", answer_ok)
+        linked.cut([0], NewConnections.SILENT, OpenConnections.HANG)
+        begin = trio.current_time()
+        answer = await linked.fleet.worlds[0].request("/read/a", deadline_ms=1500)
+        spent_ms = (trio.current_time() - begin) * 1000
+        assert answer.status == 200
+        left_ms = int(server.received[0].headers[b"x-deadline-ms"])
+        assert 1500 - spent_ms <= left_ms < 1500 - 300
