Make the hooks of both ways of sending in one function

The relay and the direct way built them alike (duplicates), and the list of relays of last resort had a vague name. No decision changes.

--- a/dewridge/gateway/reach/links.py
+++ b/dewridge/gateway/reach/links.py
@@ -114,9 +114,9 @@
     Attributes:
         list_peers: returns the peers that may relay requests.
         list_live: returns the peers that are not silent.
-        list_poor_relays: returns the peers that are used only if no other reaches the
-            servers: those that are not ready, and those that do not reach the servers
-            of some service, maybe of another one.
+        list_fallback_relays: returns the peers that are used only if no other reaches
+            the servers: those that are not ready, and those that do not reach the
+            servers of some service, maybe of another one.
         ask_peer: asks a peer whether servers accept its connections.
         on_changed: called with each service whose path changed.
         on_hanging: called with each service whose open connections hang.
@@ -138,7 +138,7 @@
         self._nursery: trio.Nursery | None = None
         self.list_peers: Callable[[], list[HostEntry]] = list
         self.list_live: Callable[[], frozenset[HostId]] = frozenset
-        self.list_poor_relays: Callable[[], frozenset[HostId]] = frozenset
+        self.list_fallback_relays: Callable[[], frozenset[HostId]] = frozenset
         self.ask_peer: AskPeer = _ask_nobody
         self.on_changed: Callable[[ServiceName], None] = lambda service: None
         self.on_hanging: Callable[[ServiceName], None] = lambda service: None
@@ -330,11 +330,11 @@
         if len(link.relays) >= MAX_RELAYS:
             return []
         unknown = [peer for peer in self.list_peers() if peer.id not in link.relays]
-        poor = self.list_poor_relays()
+        fallbacks = self.list_fallback_relays()
         self._rng.shuffle(unknown)
         unknown.sort(
             key=lambda peer: (
-                peer.id in poor,
+                peer.id in fallbacks,
                 link.dropped_at.get(peer.id, -math.inf),
             )
         )
@@ -387,8 +387,8 @@
         self._drop_relays(self._links[service])
         relays = self._links[service].relays
         usable = [entry for entry in relays.values() if entry.id not in excluded]
-        poor = self.list_poor_relays()
-        preferred = [entry for entry in usable if entry.id not in poor]
+        fallbacks = self.list_fallback_relays()
+        preferred = [entry for entry in usable if entry.id not in fallbacks]
         peers = [
             PeerHost(entry.id, entry.failure_domain) for entry in preferred or usable
         ]
--- a/dewridge/gateway/reach/relay.py
+++ b/dewridge/gateway/reach/relay.py
@@ -7,6 +7,7 @@
 
 import hmac
 from dataclasses import dataclass, field
+from functools import partial
 
 import msgspec
 import trio
@@ -16,7 +17,6 @@
 from dewridge.gateway.forwarding import (
     IncomingAnswer,
     LostAttempt,
-    SendingHooks,
     ServerRequest,
     send_request,
 )
@@ -32,6 +32,7 @@
     encode_loss,
     remove_relay_headers,
 )
+from dewridge.gateway.reach.sending import make_hooks
 from dewridge.gateway.responder import Responder
 from dewridge.gateway.state import GatewayState
 from dewridge.http1.client import (
@@ -184,13 +185,8 @@
             return await self._send_control(request, server)
         state = self._state
         is_essential = any(name == names.CACHE_COPY for name, _ in request.headers)
-        hooks = SendingHooks(
-            lambda: state.pushback.acquire_relayed(
-                server.id, trio.current_time(), is_essential=is_essential
-            ),
-            state.pushback.record_head,
-            lambda: state.links.record_received(server.service),
-        )
+        acquire = partial(state.pushback.acquire_relayed, is_essential=is_essential)
+        hooks = make_hooks(state, server, acquire)
         return await send_request(
             request,
             server,
--- a/dewridge/gateway/reach/sending.py
+++ b/dewridge/gateway/reach/sending.py
@@ -1,6 +1,8 @@
 """Sends requests to servers by this host's own links, or by a peer."""
 
+from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 
 import trio
 
@@ -26,7 +28,7 @@
 from dewridge.gateway.state import GatewayState
 from dewridge.http1.client import ClientConnection, ConnectionBrokenError
 from dewridge.http1.headers import parse_decimal
-from dewridge.ids import HostId, ServiceName
+from dewridge.ids import BackendServerId, HostId, ServiceName
 from dewridge.platform.headers import is_misdirected, shorten_deadline
 from dewridge.policy.losses import LossReason
 from dewridge.policy.reachability import ServerPath
@@ -89,6 +91,25 @@
     return LostAttempt(LossReason.NO_PATH, "no peer reaches the servers either")
 
 
+def make_hooks(
+    state: GatewayState,
+    server: ServerRecord,
+    acquire: Callable[[BackendServerId, float], bool],
+) -> SendingHooks:
+    """Return what is asked and told while this host sends a request to a server.
+
+    Args:
+        state: the state of this host.
+        server: the server.
+        acquire: returns whether the server may get a request now, and counts it.
+    """
+    return SendingHooks(
+        lambda: acquire(server.id, trio.current_time()),
+        state.pushback.record_head,
+        lambda: state.links.record_received(server.service),
+    )
+
+
 async def read_answer(
     state: GatewayState,
     server: ServerRecord,
@@ -118,13 +139,8 @@
     *,
     may_open: bool,
 ) -> IncomingAnswer | LostAttempt:
-    hooks = SendingHooks(
-        lambda: state.pushback.acquire(
-            server.id, trio.current_time(), is_essential=is_essential
-        ),
-        state.pushback.record_head,
-        lambda: state.links.record_received(server.service),
-    )
+    acquire = partial(state.pushback.acquire, is_essential=is_essential)
+    hooks = make_hooks(state, server, acquire)
     return await send_request(
         request,
         server,
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -198,7 +198,7 @@
         )
         self.links.list_peers = self.list_relays
         self.links.list_live = self.sharing.list_live_hosts
-        self.links.list_poor_relays = self._list_poor_relays
+        self.links.list_fallback_relays = self._list_fallback_relays
         self.links.ask_peer = partial(ask_peer, self.host)
         self.links.on_changed = self._handle_path_change
         self.links.on_hanging = self._move_hanging_streams
@@ -429,7 +429,7 @@
             for peer in self.hosts.list_peers()
         )
 
-    def _list_poor_relays(self) -> frozenset[HostId]:
+    def _list_fallback_relays(self) -> frozenset[HostId]:
         summary = self.sharing.get_summary(trio.current_time())
         return summary.partitioned_hosts | summary.unready_hosts
 
