Close idle connections from before a partition

Cause: a host that relays leaves its idle connections in the pool; where servers keep them open for long, they are taken for usable afterwards. test_connections_from_before_a_partition_are_not_used_after_it: 504 before, 200 now.

Change: idle connections to the servers of a service are closed when its path changes, but not while no path is known and open ones are all that is left.

--- a/dewridge/gateway/pool.py
+++ b/dewridge/gateway/pool.py
@@ -100,7 +100,11 @@
         The other idle connections to that server are in the same state.
         """
         self._idle_times[server.service].record_closed(0.0)
-        for idle in self._idle.pop(server.id, ()):
+        self.close_idle(server.id)
+
+    def close_idle(self, server: BackendServerId) -> None:
+        """Close all idle connections to a server."""
+        for idle in self._idle.pop(server, ()):
             idle.connection.close()
 
     def close_expired(self) -> None:
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -225,9 +225,16 @@
         self.rollouts.handle_restore()
 
     def _handle_path_change(self, service: ServiceName) -> None:
-        """Forget the failures that this host's own links may have caused."""
+        """Forget the failures that this host's own links may have caused.
+
+        Idle connections are closed as well: those from before a partition may hang
+        after its end. They are the only ones left while no path is known.
+        """
+        has_path = self.links.find_path(service) is not ServerPath.NONE
         for record in self.servers.list_service(service):
             self.health.pop(record.id, None)
+            if has_path:
+                self.pool.close_idle(record.id)
 
     def _move_hanging_streams(self, service: ServiceName) -> None:
         now = trio.current_time()
--- a/dewridge/tests/gateway/partition_tests.py
+++ b/dewridge/tests/gateway/partition_tests.py
@@ -18,7 +18,11 @@
     NewConnections,
     OpenConnections,
 )
-from dewridge.tests.gateway.pushback import open_fleet, register_hosts
+from dewridge.tests.gateway.pushback import (
+    open_fleet,
+    register_hosts,
+    send_together,
+)
 from dewridge.tests.gateway.world import (
     ENGINE,
     PLAIN,
@@ -412,3 +416,26 @@
         register_hosts([world])
         await trio.sleep(0.7)
         assert (await world.request("/read/a")).status == 200
+
+
+async def test_connections_from_before_a_partition_are_not_used_after_it() -> None:
+    """Guards against requests that hang although the partition has ended."""
+
+    async def announce_idle_time(exchange: ServerExchange) -> None:
+        await exchange.answer(extra=b"Keep-Alive: timeout=20\r\n")
+
+    async with open_linked_fleet(2) as linked:
+        await linked.add_server("s-1", announce_idle_time)
+        world = linked.fleet.worlds[0]
+        # As learned from servers that keep idle connections open for long.
+        world.state.pool._idle_times[PLAIN].limit = 10.0
+        await send_together(world, 4, "/read/a")
+        linked.cut([0], NewConnections.REFUSED, OpenConnections.HANG)
+        await world.request("/read/a")
+        await wait_for_path(world, ServerPath.BY_PEER)
+        linked.heal([0])
+        await wait_for_path(world, ServerPath.DIRECT)
+        begin = trio.current_time()
+        for number in range(4):
+            assert (await write(world, number)).status == 200
+        assert trio.current_time() - begin < 0.5
