Bound the bodies that a relay reads by the configured limit

A relay read up to 64 MB before it looked at the key of a call, so that a stranger on its port could fill its memory. It reads no more than a caller may send now. No test measures the memory.

--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -61,8 +61,6 @@
 
 MAX_RELAYED_HEAD_BYTES = 131_072
 """Largest head of a relayed request: a caller's, with the headers that hosts add."""
-MAX_RELAYED_BODY_BYTES = 67_108_864
-"""Largest body of a relayed request; the peer has checked the configured limit."""
 MEAN_TOKENS_WEIGHT = 0.02
 """Weight of the newest prompt in the mean size of prompts."""
 CELL_REPORT_WINDOWS = 2
@@ -203,7 +201,7 @@
         self.links.on_changed = self._handle_path_change
         self.links.on_hanging = self._move_hanging_streams
         self.relay_ingress = IngressState(
-            Limits(MAX_RELAYED_HEAD_BYTES, MAX_RELAYED_BODY_BYTES),
+            Limits(head_bytes=MAX_RELAYED_HEAD_BYTES),
             self.ingress.connection_limit,
         )
         self.sharing.on_ignored_paces = partial(
--- a/dewridge/gateway/upkeep.py
+++ b/dewridge/gateway/upkeep.py
@@ -1,9 +1,11 @@
 """Periodic maintenance of a gateway's state."""
 
+from dataclasses import replace
+
 import trio
 
 from dewridge.gateway.hosts import Registration
-from dewridge.gateway.state import GatewayState
+from dewridge.gateway.state import MAX_RELAYED_HEAD_BYTES, GatewayState
 
 UPKEEP_PERIOD = 0.25
 """Seconds between two updates of readiness, which is queried each second."""
@@ -51,4 +53,7 @@
     configuration = state.configuration.current
     if configuration is not None:
         state.ingress.limits = configuration.limits
+        state.relay_ingress.limits = replace(
+            configuration.limits, head_bytes=MAX_RELAYED_HEAD_BYTES
+        )
         state.ingress.idle_timeout = state.configuration.idle_timeout
