Find requests that crash servers through a relay

Cause: the host that the caller reached asked a relay whether the server accepts connections, later and maybe another one, or used the result of its own probe from just before it knew of the partition.

Change: the relay that lost the request probes the server at once and sends the result along. A probe's result is shared only while the path is the same. The soak's links refuse connections as soon as their server ends.

--- a/dewridge/gateway/forwarding.py
+++ b/dewridge/gateway/forwarding.py
@@ -22,7 +22,7 @@
     is_not_executed,
     read_request_id,
 )
-from dewridge.policy.losses import NOT_RUN_REASONS, LossReason
+from dewridge.policy.losses import NOT_RUN_REASONS, ConnectResult, LossReason
 
 MAX_INLINE_BODY_BYTES = 4_096
 """Size of a body up to which it is sent before the answer is read. A longer one is sent
@@ -60,6 +60,8 @@
         status: status of the server's answer; 0 if there was none or it was not used.
         relay: the peer by which the request was sent; None if it was sent directly.
         is_silent: whether the server did nothing at all until a timeout.
+        reach: whether the server accepted a connection of the relay after the loss;
+            None if that is not known.
     """
 
     loss: LossReason
@@ -67,6 +69,7 @@
     status: int = 0
     relay: HostId | None = None
     is_silent: bool = False
+    reach: ConnectResult | None = None
 
     @property
     def is_not_run(self) -> bool:
--- a/dewridge/gateway/losses.py
+++ b/dewridge/gateway/losses.py
@@ -31,6 +31,7 @@
 @dataclass
 class _Probe:
     started_at: float
+    path: ServerPath
     connect_result: ConnectResult | None = None
     done: trio.Event = field(default_factory=trio.Event)
 
@@ -46,11 +47,9 @@
         """Apply what a lost attempt shows about its server and about its request."""
         state = self._state
         now = trio.current_time()
-        connect_result = (
-            await self._probe_server(server)
-            if lost.loss in INTERRUPTED_REASONS
-            else None
-        )
+        connect_result = lost.reach
+        if connect_result is None and lost.loss in INTERRUPTED_REASONS:
+            connect_result = await self._probe_server(server)
         path = state.links.find_path(server.service)
         is_broken = lost.loss in {*INTERRUPTED_REASONS, LossReason.NOT_CONNECTED}
         if is_broken and path is not ServerPath.DIRECT and lost.relay is None:
@@ -79,8 +78,10 @@
     async def _probe_server(self, server: ServerRecord) -> ConnectResult | None:
         """Return whether a server accepts connections; jobs share one probe."""
         recent = self._probes.get(server.id)
+        path = self._state.links.find_path(server.service)
         if (
             recent is not None
+            and recent.path is path
             and trio.current_time() - recent.started_at < PROBE_LIFETIME
         ):
             await recent.done.wait()
@@ -90,8 +91,7 @@
                 return recent.connect_result
         now = trio.current_time()
         self._drop_expired_probes(now)
-        probe = self._probes[server.id] = _Probe(now)
-        path = self._state.links.find_path(server.service)
+        probe = self._probes[server.id] = _Probe(now, path)
         # The server counts as full meanwhile. A crashed server has no requests left, so
         # it would look like the best choice for the requests that it lost; if several
         # crash together, a request would be sent to one after the other.
--- a/dewridge/gateway/reach/peers.py
+++ b/dewridge/gateway/reach/peers.py
@@ -13,6 +13,7 @@
     RelayCall,
     RelayOrder,
     decode_loss,
+    decode_reach,
     encode_order,
     remove_relay_headers,
 )
@@ -63,10 +64,13 @@
     Attributes:
         loss: why; NO_PATH if another relay may do better.
         detail: details for the log.
+        reach: whether the server of a lost request accepts connections of the relay;
+            None if the relay did not try.
     """
 
     loss: LossReason
     detail: str
+    reach: ConnectResult | None = None
 
     @property
     def is_not_run(self) -> bool:
@@ -99,7 +103,8 @@
     head = await connection.receive_head()
     lost = decode_loss(head.status, head.headers)
     if lost is not None:
-        return RelayFailure(lost[0], f"{peer.id}: {lost[1]}")
+        reach = decode_reach(head.headers)
+        return RelayFailure(lost[0], f"{peer.id}: {lost[1]}", reach)
     return ResponseHead(head.status, remove_relay_headers(head.headers))
 
 
--- a/dewridge/gateway/reach/protocol.py
+++ b/dewridge/gateway/reach/protocol.py
@@ -11,7 +11,7 @@
 
 from dewridge.http1.client import Headers
 from dewridge.ids import BackendServerId, HostId
-from dewridge.policy.losses import LossReason
+from dewridge.policy.losses import ConnectResult, LossReason
 
 PREFIX = b"dewridge-"
 KEY = PREFIX + b"key"
@@ -22,6 +22,8 @@
 ANSWERED = PREFIX + b"answered"
 """Marks the answer of a server; without it, the relay itself answered."""
 DETAIL = PREFIX + b"detail"
+REACH = PREFIX + b"reach"
+"""Result of a new connection of the relay to a server that lost a request."""
 LOST_STATUS = 502
 UNUSABLE_STATUS = 503
 PROBE_PATH = b"/probe"
@@ -84,10 +86,21 @@
     return [(name, value) for name, value in headers if not name.startswith(PREFIX)]
 
 
-def encode_loss(loss: LossReason, detail: str) -> Headers:
+def encode_loss(
+    loss: LossReason, detail: str, reach: ConnectResult | None = None
+) -> Headers:
     """Return the headers of an answer that says why the server gave none."""
     text = detail.encode("ascii", "replace").replace(b"\r", b" ").replace(b"\n", b" ")
-    return [(LOSS, loss.name.encode()), (DETAIL, text)]
+    headers = [(LOSS, loss.name.encode()), (DETAIL, text)]
+    if reach is not None:
+        headers.append((REACH, reach.value.encode()))
+    return headers
+
+
+def decode_reach(headers: Headers) -> ConnectResult | None:
+    """Return whether the relay reaches the server of a lost request, if it says so."""
+    value = dict(headers).get(REACH, b"").decode("latin-1")
+    return next((result for result in ConnectResult if result.value == value), None)
 
 
 def decode_loss(status: int, headers: Headers) -> tuple[LossReason, str] | None:
--- a/dewridge/gateway/reach/relay.py
+++ b/dewridge/gateway/reach/relay.py
@@ -44,7 +44,7 @@
 from dewridge.http1.headers import remove_hop_by_hop_headers
 from dewridge.ids import BackendServerId
 from dewridge.platform import names
-from dewridge.policy.losses import ConnectResult, LossReason
+from dewridge.policy.losses import INTERRUPTED_REASONS, ConnectResult, LossReason
 from dewridge.policy.reachability import ServerPath
 from dewridge.sentinels import Failure
 
@@ -167,7 +167,9 @@
         answer = await self._send(order, make_server_request(request), server)
         if isinstance(answer, LostAttempt):
             loss, detail = await self._classify(answer, server, started_at)
-            await self._send_loss(responder, loss, detail)
+            is_interrupted = loss in INTERRUPTED_REASONS
+            reach = await self._state.pool.probe(server) if is_interrupted else None
+            await self._send_loss(responder, loss, detail, reach)
             return loss.value
         try:
             await forward_answer(answer, responder)
@@ -234,11 +236,15 @@
         return lost.loss, lost.reason
 
     async def _send_loss(
-        self, responder: Responder, loss: LossReason, detail: str
+        self,
+        responder: Responder,
+        loss: LossReason,
+        detail: str,
+        reach: ConnectResult | None = None,
     ) -> None:
         is_unusable = loss is LossReason.NO_PATH
         status = UNUSABLE_STATUS if is_unusable else LOST_STATUS
-        await responder.send_complete(status, encode_loss(loss, detail), b"")
+        await responder.send_complete(status, encode_loss(loss, detail, reach), b"")
 
 
 def make_server_request(request: CallerRequest) -> ServerRequest:
--- a/dewridge/gateway/reach/sending.py
+++ b/dewridge/gateway/reach/sending.py
@@ -241,7 +241,9 @@
     relay would only be turned away in its turn.
     """
     if failure.loss is not LossReason.WITHHELD:
-        return LostAttempt(failure.loss, failure.detail, relay=peer.id)
+        return LostAttempt(
+            failure.loss, failure.detail, relay=peer.id, reach=failure.reach
+        )
     seconds = parse_decimal(failure.detail.rpartition(" ")[2].encode())
     if not seconds:
         return LostAttempt(LossReason.REJECTED, failure.detail, relay=peer.id)
--- a/dewridge/tests/gateway/partition_tests.py
+++ b/dewridge/tests/gateway/partition_tests.py
@@ -27,6 +27,7 @@
     ENGINE,
     PLAIN,
     CallerAnswer,
+    ScriptedServer,
     ServerExchange,
     World,
     answer_ok,
@@ -439,3 +440,26 @@
         for number in range(4):
             assert (await write(world, number)).status == 200
         assert trio.current_time() - begin < 0.5
+
+
+async def test_request_that_crashes_servers_is_found_through_a_relay() -> None:
+    """Guards against a crashing request that ends one server after the other."""
+    async with open_linked_fleet(2) as linked:
+        servers: dict[str, ScriptedServer] = {}
+
+        async def crash(exchange: ServerExchange) -> None:
+            for link in linked.links.values():
+                if link.target == targets[exchange.server]:
+                    link.end()
+            servers[exchange.server].crash()
+
+        for number in range(3):
+            name = f"s-{number}"
+            servers[name] = await linked.add_server(name, crash)
+        targets = {server: link.target for (_, server), link in linked.links.items()}
+        world = linked.fleet.worlds[0]
+        linked.cut([0], NewConnections.RESET, OpenConnections.RESET)
+        await world.request("/read/a", request_id="first")
+        digests = [suspect.digest for suspect in world.state.suspects.list_all()]
+        assert len(digests) == 1
+        assert world.state.suspects.count_crashes(digests[0], trio.current_time()) >= 1
--- a/dewridge/tests/gateway/partitions.py
+++ b/dewridge/tests/gateway/partitions.py
@@ -112,10 +112,8 @@
         try:
             server = await trio.open_tcp_stream(host, int(port))
         except OSError:
-            # The server has ended: its address refuses connections from now on.
             reset(client)
-            self._has_target_ended = True
-            self._set_mode(NewConnections.REFUSED)
+            self.end()
             return
         self.accepted += 1
         pair = (client, server)
@@ -153,6 +151,14 @@
                     reset(stream)
         self._set_mode(new)
 
+    def end(self) -> None:
+        """Reset all connections and refuse new ones: the server has ended."""
+        self._has_target_ended = True
+        for pair in list(self._pairs):
+            for stream in pair:
+                reset(stream)
+        self._set_mode(NewConnections.REFUSED)
+
     def heal(self) -> None:
         """Forward new connections again."""
         self._set_mode(None)
--- a/dewridge/tests/soak/partitions.py
+++ b/dewridge/tests/soak/partitions.py
@@ -60,6 +60,14 @@
         for link in self._links.values():
             link.cut(new, opened)
 
+    def end(self, target: str) -> None:
+        """Refuse connections to a server that has ended.
+
+        The link to it would accept them first, so that the server seemed to run.
+        """
+        if target in self._links:
+            self._links[target].end()
+
     def heal(self) -> None:
         """End the cut."""
         self._cut = None
--- a/dewridge/tests/soak/seeds.py
+++ b/dewridge/tests/soak/seeds.py
@@ -35,4 +35,11 @@
         SoakSize(callers=30, seconds=6.0, partitions=1),
         "hosts that leave relayed nothing, and no other host was left",
     ),
+    KeptSeed(
+        9102,
+        SoakSize(
+            callers=16, seconds=8.0, signals=3, crashing=1, partitions=2, brittle=1
+        ),
+        "crashes under requests that were relayed were not put down to them",
+    ),
 )
--- a/dewridge/tests/soak/stage.py
+++ b/dewridge/tests/soak/stage.py
@@ -237,13 +237,17 @@
         self._server_count += 1
         server = SoakServer(f"{service}-{self._server_count}", service, self.history)
         server.slots = self.slots
-        server.on_crash = lambda crashed: self.nursery.start_soon(
-            self._replace_crashed_server, crashed
-        )
+        server.on_crash = self._handle_crash
         await server.start(self.nursery)
         server.write_record(self.store.memory_store)
         self.servers.append(server)
 
+    def _handle_crash(self, server: SoakServer) -> None:
+        for gateway in self.gateways:
+            if gateway.paths is not None:
+                gateway.paths.end(server.link.address)
+        self.nursery.start_soon(self._replace_crashed_server, server)
+
     async def _replace_crashed_server(self, server: SoakServer) -> None:
         """Start a new incarnation of a crashed server; its old record expires later."""
         if server not in self.servers:
