Probe more servers before no request is blamed for a crash

Cause: the change that blames no request for a partition probed the first four other servers of the list. Once the request had ended these, each further crash was taken for a partition.

Change: up to sixteen are drawn at random. If all sixteen have ended, a crash is still not put down to the request.

--- a/dewridge/requests/suspects.py
+++ b/dewridge/requests/suspects.py
@@ -1,5 +1,6 @@
 """Quarantine of requests that crash backend servers, identified by their content."""
 
+import random
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -32,7 +33,7 @@
 from dewridge.sentinels import Failure
 
 KIND_CRASH = "server_ended"
-MAX_PROBED_SERVERS = 4
+MAX_PROBED_SERVERS = 16
 """Other servers that are probed after a server seems to have crashed."""
 VERSION_REPORTED = 1
 """Version of a rumor that reports a crash."""
@@ -70,6 +71,7 @@
     ) -> None:
         self._shared = shared
         self._list_servers = list_servers
+        self._rng = random.Random()
         self._rumors = rumors
         self._probe_server = probe_server
         self._ledger = SuspectLedger()
@@ -133,7 +135,9 @@
             for server in self._list_servers(service)
             if server.id != lost.id and server.state is ServerState.LIVE
         ]
-        for server in others[:MAX_PROBED_SERVERS]:
+        # Servers that the request crashed before are still listed, maybe first.
+        drawn = self._rng.sample(others, min(len(others), MAX_PROBED_SERVERS))
+        for server in drawn:
             if (
                 await self._probe_server(server.listed.address)
                 is ConnectResult.ACCEPTED
