--- a/dewridge/gateway/brittleservers.py
+++ b/dewridge/gateway/brittleservers.py
@@ -51,7 +51,7 @@
         self._metrics = metrics
         self._rank_host = rank_host
         self._by_server: dict[BackendServerId, BrittleServer] = {}
-        self._last_told_at = -math.inf
+        self._last_observed_at = -math.inf
         self.measure_load: Callable[[BackendServerId], ServerLoad | None] = (
             lambda server: None
         )
@@ -71,7 +71,7 @@
             known = self._by_server[server]
             if known.is_brittle(now):
                 log.bind(server=server).info("server is no longer brittle")
-            known.tolerance, known.told_at = None, now
+            known.tolerance, known.observed_at = None, now
         is_rejection = status == STATUS_UNAVAILABLE and any(
             name == names.NOT_EXECUTED for name, _ in headers
         )
@@ -88,8 +88,8 @@
         if not known.is_brittle(now):
             log.bind(server=server, tolerance=tolerance).info("server is brittle")
         self._metrics.add("answers_with_pushback_total", signal="brittle")
-        known.tolerance, known.told_at = tolerance, now
-        self._last_told_at = now
+        known.tolerance, known.observed_at = tolerance, now
+        self._last_observed_at = now
 
     def _get(self, server: BackendServerId) -> BrittleServer:
         return self._by_server.setdefault(server, BrittleServer())
@@ -99,7 +99,7 @@
 
         A server that has not answered yet is as brittle as the others of its service.
         """
-        if now - self._last_told_at >= NOTICE_LIFETIME:
+        if now - self._last_observed_at >= NOTICE_LIFETIME:
             return None
         known = self._by_server.get(server)
         if known is not None and known.has_answered(now):
@@ -182,7 +182,8 @@
         known = self._by_server.get(server)
         if known is None or not known.is_brittle(now):
             return ""
-        text = f"brittle at {known.tolerance:g}/s, said {now - known.told_at:.1f} s ago"
+        age = now - known.observed_at
+        text = f"brittle at {known.tolerance:g}/s, said {age:.1f} s ago"
         if now - known.rejected_at < NOTICE_LIFETIME:
             text += f", rejected a request {now - known.rejected_at:.1f} s ago"
         return text
--- a/dewridge/gateway/forwarding.py
+++ b/dewridge/gateway/forwarding.py
@@ -151,7 +151,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SendingHooks:
-    """What is asked and told while a request is sent.
+    """Callbacks used while a request is sent.
 
     Attributes:
         may_send: whether the server may get a request now; counts it.
@@ -180,7 +180,7 @@
         request: the request.
         server: the server to send it to.
         pool: connections to servers.
-        hooks: what is asked and told meanwhile.
+        hooks: callbacks used meanwhile.
         is_non_retryable: whether the request can't be retried if it is lost.
         may_open: whether a connection may be opened if none is idle.
         is_relayed: whether a peer asked for it and judges the answer; only an answer to
--- a/dewridge/gateway/reach/sending.py
+++ b/dewridge/gateway/reach/sending.py
@@ -96,7 +96,7 @@
     server: ServerRecord,
     acquire: Callable[[BackendServerId, float], bool],
 ) -> SendingHooks:
-    """Return what is asked and told while this host sends a request to a server.
+    """Return the callbacks used while this host sends a request to a server.
 
     Args:
         state: the state of this host.
--- a/dewridge/policy/brittleness.py
+++ b/dewridge/policy/brittleness.py
@@ -88,23 +88,23 @@
     Attributes:
         tolerance: rejections in a second that it stands; None if its last answer did
             not say that it is brittle.
-        told_at: monotonic time of that answer.
+        observed_at: monotonic time of that answer.
         rejected_at: monotonic time of the last rejection that any host reported.
         learned_room: room that the last rejection showed; infinite before one.
     """
 
     tolerance: float | None = None
-    told_at: float = -math.inf
+    observed_at: float = -math.inf
     rejected_at: float = -math.inf
     learned_room: float = math.inf
 
     def is_brittle(self, now: float) -> bool:
         """Whether the server said recently that it is brittle."""
-        return self.tolerance is not None and now - self.told_at < NOTICE_LIFETIME
+        return self.tolerance is not None and now - self.observed_at < NOTICE_LIFETIME
 
     def has_answered(self, now: float) -> bool:
         """Whether the server said recently whether it is brittle."""
-        return now - self.told_at < NOTICE_LIFETIME
+        return now - self.observed_at < NOTICE_LIFETIME
 
     def record_rejection(self, at: float, requests: int | None) -> None:
         """Record that the server rejected a request for want of room.
