--- a/dewridge/tests/gateway/pushback.py
+++ b/dewridge/tests/gateway/pushback.py
@@ -21,10 +21,11 @@
 from dewridge.gateway.reports import PeriodicReport
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.upkeep import UPKEEP_PERIOD
-from dewridge.ids import FailureDomain, HostId
+from dewridge.ids import FailureDomain, HostId, ServiceName
 from dewridge.platform.store import Item, Listing
 from dewridge.tests.gateway.world import (
     DOMAIN,
+    PLAIN,
     CallerAnswer,
     Script,
     ScriptedServer,
@@ -75,9 +76,15 @@
     worlds: list[World]
     _number: int = 0
 
-    async def add_server(self, name: str, script: Script) -> ScriptedServer:
-        """Start a server of the plain service that all gateways know."""
-        server = await self.worlds[0].add_server(name, script)
+    async def add_server(
+        self,
+        name: str,
+        script: Script,
+        service: ServiceName = PLAIN,
+        version: str = "",
+    ) -> ScriptedServer:
+        """Start a server that all gateways know."""
+        server = await self.worlds[0].add_server(name, script, service, version)
         record = self.worlds[0].state.servers.find(server.id)
         assert record is not None
         for world in self.worlds[1:]:
--- a/dewridge/tests/gateway/world.py
+++ b/dewridge/tests/gateway/world.py
@@ -22,6 +22,7 @@
     RouteKind,
     RouteName,
     ServerRecord,
+    ServerVersion,
     Service,
     Share,
 )
@@ -300,7 +301,11 @@
     address: str = ""
 
     async def add_server(
-        self, name: str, script: Script, service: ServiceName = PLAIN
+        self,
+        name: str,
+        script: Script,
+        service: ServiceName = PLAIN,
+        version: str = "",
     ) -> ScriptedServer:
         """Start a server and add it to the gateway's server table."""
         server = ScriptedServer(BackendServerId(name), script)
@@ -315,6 +320,7 @@
             DOMAIN,
             8,
             is_draining=False,
+            version=ServerVersion(version),
         )
         self.state.servers.update(record, trio.current_time())
         return server
