Continue streams only at the software version that began them

Cause: choose_server and choose_move_target choose among all servers of the service. No rollout order excluded a version, and engines do not check.

Change: the first event that is passed on binds a request to the version of its server. Retries, silent streams, servers that reject and second choices stay with that version; engine memory and cached prefixes are taken only from servers of the same version. Without a server of the version the stream ends visibly incomplete, and a resumed one is refused as not run, with a time to return only if the last server left without notice. Estimates of the wait count the servers of the version.

A resumed stream whose origin is not known is refused, unless all servers of the service had one version for long.

Observability: 'server joined', 'stream moves' and the line of a request name versions; the latter also the attempt that it resumes and how the version is known.

--- a/dewridge/codes.py
+++ b/dewridge/codes.py
@@ -57,6 +57,8 @@
     CANCELLED = 210
     TOO_MANY_CONNECTIONS = 211
     REQUEST_SET_ASIDE = 212
+    STREAM_ORIGIN_UNKNOWN = 213
+    STREAM_VERSION_GONE = 214
 
     OUTCOME_UNKNOWN = 300
     HOLDER_LOST = 301
@@ -231,6 +233,18 @@
         "The request ended the backend servers that ran it",
         "Come back after the time given, or ask the operators to let it through.",
     ),
+    ResultCode.STREAM_ORIGIN_UNKNOWN: CodeEntry(
+        503,
+        _NOT_RUN,
+        "No host knows which software version began the stream",
+        "Come back after the time given, if any; otherwise start the stream again.",
+    ),
+    ResultCode.STREAM_VERSION_GONE: CodeEntry(
+        503,
+        _NOT_RUN,
+        "No backend server has the software version that began the stream",
+        "Come back after the time given, if any; otherwise start the stream again.",
+    ),
     ResultCode.OUTCOME_UNKNOWN: CodeEntry(
         502,
         _UNKNOWN,
--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -15,18 +15,17 @@
 from dewridge.gateway.losses import LossHandler
 from dewridge.gateway.model import RouteKind, ServerRecord
 from dewridge.gateway.moves import move_stream
+from dewridge.gateway.placement import outcomes
 from dewridge.gateway.placement.expected import estimate_first_event
-from dewridge.gateway.placement.outcomes import (
-    record_complete_run,
-    record_first_event,
-    record_placement,
-)
+from dewridge.gateway.placement.outcomes import record_complete_run, record_placement
 from dewridge.gateway.reach.sending import read_answer, send_by_path
 from dewridge.gateway.responder import Responder
 from dewridge.gateway.rollouts import AttemptResult, classify_attempt
 from dewridge.gateway.state import SERVER_ANSWER_TIME_METRIC, GatewayState
 from dewridge.gateway.streams import RunningStream
 from dewridge.gateway.suspects import check_quarantine, record_answer
+from dewridge.gateway.versions.eligibility import list_bound_servers
+from dewridge.gateway.versions.origins import record_first_event
 from dewridge.gateway.waiting import ServerChooser
 from dewridge.gateway.weighing import ServerChoice
 from dewridge.http1.client import ConnectionBrokenError, Headers
@@ -231,6 +230,8 @@
         )
 
     def _has_attempts_left(self, job: Job) -> bool:
+        if job.release is not None and not list_bound_servers(self._state, job):
+            return False
         return job.possible_runs < job.route.attempts_limit
 
     def _may_retry(self, job: Job) -> bool:
@@ -280,7 +281,9 @@
                 if piece is None:
                     break
                 self._record_prompt_read(job, server)
-                await self._forward_events(job, splitter, piece, answer, responder)
+                await self._forward_events(
+                    job, server, splitter, piece, answer, responder
+                )
         except ConnectionBrokenError as error:
             if job.continuation is not None:
                 return LostAttempt(LossReason.MOVED, job.continuation.server.id)
@@ -325,6 +328,7 @@
     async def _forward_events(
         self,
         job: Job,
+        server: ServerRecord,
         splitter: EventSplitter,
         piece: bytes,
         answer: IncomingAnswer,
@@ -339,12 +343,13 @@
             new_events.append(event.raw)
         if not new_events:
             return
+        record_first_event(self._state, job, server.release)
         self._count_usage(job)
         job.events += len(new_events)
         job.last_event_at = trio.current_time()
         if job.attempt_first_event_at is None:
             job.attempt_first_event_at = job.last_event_at
-            record_first_event(self._state, job, job.last_event_at)
+            outcomes.record_first_event(self._state, job, job.last_event_at)
         if job.first_event_at is None:
             job.first_event_at = job.last_event_at
             self._record_prefill_rate(job, job.first_event_at)
@@ -402,7 +407,8 @@
         return self._make_failure(job, Failure(code, reason, wait))
 
     def _refuse(self, job: Job, failure: Failure) -> Failure:
-        if failure.retry_after is None:
+        is_final = failure.code is ResultCode.STREAM_VERSION_GONE
+        if failure.retry_after is None and not is_final:
             return self._refuse_with_retry_after(job, failure.code, failure.reason)
         return self._make_failure(job, failure)
 
--- a/dewridge/gateway/ingress.py
+++ b/dewridge/gateway/ingress.py
@@ -302,6 +302,7 @@
         last_event=parsed.last_event_id,
         arrived_at=arrived_at,
         deadline=arrived_at + caller_timeout,
+        resumed_attempt=parsed.resumed_attempt,
     )
 
 
--- a/dewridge/gateway/jobs.py
+++ b/dewridge/gateway/jobs.py
@@ -8,6 +8,12 @@
 from dewridge.ids import BackendServerId, HostId, RequestDigest, ServiceName
 from dewridge.platform.engines import CacheCopy
 from dewridge.policy.expectedtime import ExpectedPlacement
+from dewridge.policy.streamversions import (
+    Origin,
+    Release,
+    StreamKey,
+    make_stream_key,
+)
 
 PRIORITY_STEP = 3
 """Route priorities within one account priority on the engines' scale from 0 to 9."""
@@ -57,6 +63,10 @@
         withheld_servers: servers that asked for fewer requests when it was refused.
         was_moved: whether it was stopped and moved; it is never started anew then.
         relays: peers by which it was sent.
+        origin: the version that began the stream, and how it is known; None before the
+            first event of a new stream, and for other requests.
+        is_version_recorded: whether the version is recorded for the caller's later
+            attempts.
         admission_share: share of its account's requests that the plan admitted; None
             if the service was not contended.
     """
@@ -88,6 +98,8 @@
     withheld_servers: list[BackendServerId] = field(default_factory=list)
     was_moved: bool = False
     relays: list[HostId] = field(default_factory=list)
+    origin: Origin | None = None
+    is_version_recorded: bool = False
     admission_share: float | None = None
 
     def __post_init__(self) -> None:
@@ -95,6 +107,24 @@
         if self.route.is_resumable:
             self.last_event = self.request.last_event
 
+    @property
+    def release(self) -> Release | None:
+        """The version whose servers alone may continue the stream; None for any."""
+        return None if self.origin is None else self.origin.release
+
+    @cached_property
+    def stream_key(self) -> StreamKey:
+        """Digest of the attempt that brought, or will bring, the stream's first event.
+
+        All later attempts of the caller name that attempt.
+        """
+        first_attempt = self.request.resumed_attempt or self.request.id.encode(
+            "latin-1"
+        )
+        return make_stream_key(
+            self.account.name if self.account else None, first_attempt
+        )
+
     @cached_property
     def digest(self) -> RequestDigest:
         """Digest of the request's content, computed on first use."""
--- a/dewridge/gateway/model.py
+++ b/dewridge/gateway/model.py
@@ -12,6 +12,7 @@
     ServerName,
     ServiceName,
 )
+from dewridge.policy.streamversions import Release, make_release
 
 RouteName = NewType("RouteName", str)
 ServerVersion = NewType("ServerVersion", str)
@@ -214,6 +215,11 @@
     started_at_ms: int = 0
     version: ServerVersion = ServerVersion("")
 
+    @property
+    def release(self) -> Release:
+        """Digest of the service and of the version of its software."""
+        return make_release(self.service, self.version)
+
 
 @dataclass(frozen=True, slots=True)
 class RolloutOrder:
@@ -280,6 +286,8 @@
             request.
         arrived_at: monotonic time at which its head was read.
         deadline: monotonic time at which the caller stops waiting.
+        resumed_attempt: id of the attempt that brought the first event of the stream
+            to resume, as the caller sent it; None for a new request.
     """
 
     id: AttemptKey
@@ -293,6 +301,7 @@
     last_event: int | None
     arrived_at: float
     deadline: float
+    resumed_attempt: bytes | None = None
 
     @property
     def path(self) -> str:
--- a/dewridge/gateway/moves.py
+++ b/dewridge/gateway/moves.py
@@ -13,6 +13,7 @@
 from dewridge.gateway.streams import RunningStream
 from dewridge.gateway.weighing import choose_move_target
 from dewridge.platform.engines import CacheCopy, stop_and_move
+from dewridge.policy.streamversions import MAX_NAME_LENGTH
 from dewridge.sentinels import Failure
 
 
@@ -27,7 +28,7 @@
     events still in transit are forwarded first.
     """
     now = trio.current_time()
-    target = choose_move_target(state, job, server.id, now)
+    target = choose_move_target(state, server, now)
     budget = state.get_budget(job.service)
     if target is None or not budget.acquire(now, state.hosts.count()):
         stream.moves_at = float("inf")
@@ -35,7 +36,11 @@
     moved = await _request_move(state, job, server, target)
     outcome = moved.reason if isinstance(moved, Failure) else "moved"
     log.bind(
-        id=job.request.id, server=server.id, target=target.id, outcome=outcome
+        id=job.request.id,
+        server=server.id,
+        target=target.id,
+        server_version=server.version[:MAX_NAME_LENGTH],
+        outcome=outcome,
     ).info("stream moves")
     if isinstance(moved, Failure):
         state.metrics.add("streams_not_moved_total")
--- a/dewridge/gateway/servers.py
+++ b/dewridge/gateway/servers.py
@@ -16,6 +16,7 @@
     ServerName,
     ServiceName,
 )
+from dewridge.policy.streamversions import MAX_NAME_LENGTH, Release
 
 REREGISTRATION_TIME = 2.2
 """Seconds after a store outage during which missing records may reappear: servers take
@@ -70,6 +71,7 @@
         on_left: called for each process that leaves, with its record, the time at which
             it stops, and whether the other hosts know it already; called again if that
             time turns out to be another.
+        on_serving: called with each record that is new or has changed, and the time.
         drained_at: when a reclaimable server last began to drain, by service and
             failure domain.
         version: number of changes to the table.
@@ -77,6 +79,7 @@
 
     def __init__(self) -> None:
         self.on_left: Callable[[ServerRecord, float, bool], None] = lambda *_: None
+        self.on_serving: Callable[[ServerRecord, float], None] = lambda *_: None
         self.drained_at: dict[tuple[ServiceName, FailureDomain], float] = {}
         self._records: dict[BackendServerId, ServerRecord] = {}
         self._departures: dict[BackendServerId, Departure] = {}
@@ -87,6 +90,7 @@
         self._uncertain_until = float("-inf")
         self.version = 0
         self._by_service: dict[ServiceName, list[ServerRecord]] = {}
+        self._by_release: dict[Release, list[ServerRecord]] = {}
         self._by_service_version = 0
 
     def record_outage(self, now: float) -> None:
@@ -153,10 +157,15 @@
             return
         if self._records.get(record.id) != record:
             if record.id not in self._records:
-                log.bind(server=record.id, service=record.service).info("server joined")
+                log.bind(
+                    server=record.id,
+                    service=record.service,
+                    server_version=record.version[:MAX_NAME_LENGTH],
+                ).info("server joined")
                 self._joined_at[record.id] = now
             self._records[record.id] = record
             self.version += 1
+            self.on_serving(record, now)
 
     def _record_draining(self, record: ServerRecord, now: float) -> None:
         self._departing_records[record.id] = record
@@ -243,6 +252,22 @@
         """Return the departure of a server process; None if it has not left."""
         return self._departures.get(server)
 
+    def find_last_crash(
+        self, service: ServiceName, release: Release | None
+    ) -> float | None:
+        """Return when a server of a version last left without notice; None if never."""
+        return max(
+            (
+                departure.learned_at
+                for departure in self._departures.values()
+                if departure.is_notice_assumed
+                and departure.record is not None
+                and departure.record.service == service
+                and departure.record.release == release
+            ),
+            default=None,
+        )
+
     def list_recently_left(self, now: float) -> dict[BackendServerId, float]:
         """Return the server processes that left recently, for reports to other hosts.
 
@@ -275,6 +300,7 @@
     def _find_service(self, service: ServiceName) -> list[ServerRecord]:
         if self._by_service_version != self.version:
             self._by_service.clear()
+            self._by_release.clear()
             self._by_service_version = self.version
         records = self._by_service.get(service)
         if records is None:
@@ -283,6 +309,17 @@
             ]
         return records
 
+    def list_release(
+        self, service: ServiceName, release: Release
+    ) -> list[ServerRecord]:
+        """Return the servers of one version of a service."""
+        servers = self._find_service(service)
+        if release not in self._by_release:
+            self._by_release[release] = [
+                record for record in servers if record.release == release
+            ]
+        return self._by_release[release].copy()
+
     def list_cache_warm(self, service: ServiceName, now: float) -> list[ServerRecord]:
         """Return the servers of a service that have had time to fill their caches.
 
--- a/dewridge/gateway/serving.py
+++ b/dewridge/gateway/serving.py
@@ -23,6 +23,11 @@
 from dewridge.gateway.responder import CallerDisconnectedError, Responder
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.suspects import check_quarantine, describe_suspect
+from dewridge.gateway.versions.origins import (
+    describe_origin,
+    find_origin,
+    record_end,
+)
 from dewridge.ids import ServiceName
 from dewridge.policy.quota import make_quota
 from dewridge.sentinels import Failure
@@ -69,7 +74,11 @@
                 failure = resolved
             else:
                 job = self._make_job(request, resolved)
-                failure = self._admit(job) or await self._run(job, responder)
+                failure = (
+                    await find_origin(self._state, job)
+                    or self._admit(job)
+                    or await self._run(job, responder)
+                )
         except (CallerDisconnectedError, trio.Cancelled):
             self._record_completion(
                 request, job, responder, None, started_at, "caller left"
@@ -78,6 +87,9 @@
         except Exception as error:
             log.bind(id=request.id).opt(exception=error).error("request failed")
             failure = Failure(ResultCode.INTERNAL, type(error).__name__)
+        finally:
+            if job is not None:
+                record_end(self._state, job)
         if failure is not None and not responder.has_started:
             await send_failure(responder, failure)
         self._record_completion(request, job, responder, failure, started_at, "")
@@ -224,6 +236,7 @@
             code=failure.code.name if failure else "",
             reason=failure.reason if failure else reason,
             **describe_suspect(self._state, job),
+            **describe_origin(self._state, job),
             servers=",".join(job.tried_servers) if job else "",
             **(describe_choice(job) if job else {}),
             **({"withheld": withheld} if withheld else {}),
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -36,6 +36,11 @@
 from dewridge.gateway.servers import ServerTable
 from dewridge.gateway.sharing import SharedReports
 from dewridge.gateway.streams import RunningStreams
+from dewridge.gateway.versions.records import (
+    AskPeers,
+    StreamVersions,
+    ask_nobody,
+)
 from dewridge.gateway.watching import StoreRole
 from dewridge.http1.calls import ServiceClient
 from dewridge.ids import (
@@ -54,6 +59,7 @@
 from dewridge.policy.reachability import ServerPath
 from dewridge.policy.retrybudget import RetryBudget
 from dewridge.policy.serverhealth import ServerHealth, compute_attempt_rate
+from dewridge.policy.streamversions import ReleaseHistory
 from dewridge.policy.suspects import SuspectLedger
 from dewridge.settings.gateway import GatewaySettings
 
@@ -171,6 +177,9 @@
     """The connections of peers that have requests relayed."""
     relay_key: str = field(default_factory=partial(secrets.token_hex, 16))
     contention: ContentionRecords = field(init=False)
+    versions: StreamVersions = field(init=False)
+    ask_peers: AskPeers = ask_nobody
+    """Asks the other hosts at which version a stream of a service began."""
     dependencies: list[ServiceClient] = field(default_factory=list)
     describe_duties: Callable[[], dict[str, object]] = dict
     is_ready: bool = False
@@ -208,6 +217,13 @@
             self.metrics.add, "pace_reports_ignored_total"
         )
         self.contention = ContentionRecords(self.rng.random)
+        is_first_start = self.settings.host.is_first_start
+        started_at = float("-inf") if is_first_start else self.sharing.started_at
+        self.versions = StreamVersions(ReleaseHistory(complete_since=started_at))
+        self.servers.on_serving = self._record_serving
+
+    def _record_serving(self, record: ServerRecord, now: float) -> None:
+        self.versions.record_servers([record], now)
 
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings."""
@@ -447,6 +463,12 @@
             if peer.relay_key and peer.id in live
         ]
 
+    def list_live_entries(self) -> list[HostEntry]:
+        """Return the registrations of the other hosts that are not silent."""
+        live = self.sharing.list_live_hosts()
+        members = self.hosts.list_members(live)
+        return [entry for entry in members if entry.id in live]
+
     def list_silent_hosts(self) -> list[HostId]:
         """Return the other registered hosts that are silent."""
         live = self.sharing.list_live_hosts()
@@ -465,6 +487,7 @@
             del self.health[server]
             self.metrics.remove_histogram(SERVER_ANSWER_TIME_METRIC, server=server)
         now = trio.current_time()
+        self.versions.record_servers(self.servers.list_all(), now)
         listed = {record.id for record in self.servers.list_all()}
         self.pushback.drop_expired(listed, now)
         self.placement.drop_departed(listed)
--- /dev/null
+++ b/dewridge/gateway/versions/__init__.py
@@ -0,0 +1,1 @@
+"""Continues streams only at the software version of a service that began them."""
--- /dev/null
+++ b/dewridge/gateway/versions/eligibility.py
@@ -0,0 +1,68 @@
+"""Servers that a request may be sent to by its software version."""
+
+import trio
+
+from dewridge.codes import ResultCode
+from dewridge.gateway.jobs import Job
+from dewridge.gateway.model import RouteKind, ServerRecord
+from dewridge.gateway.state import GatewayState
+from dewridge.policy.rollouts import Stage
+from dewridge.policy.streamversions import compute_return_delay
+from dewridge.sentinels import Failure
+
+
+def list_bound_servers(state: GatewayState, job: Job) -> list[ServerRecord]:
+    """Return the servers that may continue a stream that has begun.
+
+    A rollout does not matter, except that a reverted version gets no requests at all.
+    """
+    assert job.release is not None
+    servers = state.servers.list_release(job.service, job.release)
+    if state.rollouts.find_stage(job.service) is not Stage.REVERTED:
+        return servers
+    serving = {
+        server.id for server in state.rollouts.list_serving(job.service, servers)
+    }
+    return [server for server in servers if server.id in serving]
+
+
+def list_job_servers(state: GatewayState, job: Job) -> list[ServerRecord]:
+    """Return the servers that may run a request, for estimates of its wait."""
+    if job.release is not None:
+        return list_bound_servers(state, job)
+    return state.list_serving(job.service)
+
+
+def prefer_known_versions(
+    state: GatewayState, job: Job, servers: list[ServerRecord], now: float
+) -> list[ServerRecord]:
+    """Leave out servers of versions that other hosts may not know yet.
+
+    A host that knows only one version takes any stream for one of it.
+    """
+    if job.route.kind is not RouteKind.STREAM or job.release is not None:
+        return servers
+    history = state.versions.history
+    if not history.is_mixed(job.service, now):
+        return servers
+    known = [server for server in servers if not history.is_new(server.release, now)]
+    return known or servers
+
+
+def list_same_version(state: GatewayState, source: ServerRecord) -> list[ServerRecord]:
+    """Return the other servers that can use the engine memory of a server."""
+    servers = state.servers.list_release(source.service, source.release)
+    return [server for server in servers if server.id != source.id]
+
+
+def refuse_for_version(state: GatewayState, job: Job) -> Failure:
+    """Return the refusal of a stream whose version has no servers."""
+    now = trio.current_time()
+    crashed_at = state.servers.find_last_crash(job.service, job.release)
+    since_crash = None if crashed_at is None else now - crashed_at
+    wait = compute_return_delay(since_crash)
+    if wait is not None:
+        wait *= state.rng.uniform(0.5, 1.5)
+    state.metrics.add("streams_without_version_total", service=job.service)
+    reason = "no server has the version that began the stream"
+    return Failure(ResultCode.STREAM_VERSION_GONE, reason, wait)
--- /dev/null
+++ b/dewridge/gateway/versions/origins.py
@@ -0,0 +1,154 @@
+"""Finds out at which version a stream began that its caller resumes."""
+
+import trio
+from loguru import logger as log
+
+from dewridge.codes import ResultCode
+from dewridge.gateway.jobs import Job
+from dewridge.gateway.model import RouteKind
+from dewridge.gateway.state import GatewayState
+from dewridge.ids import ServiceName
+from dewridge.policy.streamversions import (
+    MAX_VIEW_AGE,
+    Origin,
+    OriginSource,
+    Release,
+)
+from dewridge.sentinels import Failure
+
+UNKNOWN_RETRY_AFTER = 0.4
+"""Mean seconds after which a caller may resume while some hosts did not answer: other
+hosts may know more, and silent ones answer again."""
+MAX_LOGGED_ATTEMPT = 40
+"""Characters of a resumed attempt's id in a log line."""
+
+
+async def find_origin(state: GatewayState, job: Job) -> Failure | None:
+    """Bind a job that resumes a stream to the version that began the stream.
+
+    Returns:
+        A refusal if that version is not known: events of two versions do not fit
+        together, and no host may guess.
+    """
+    if not is_resumed(job):
+        return None
+    origin = find_local_origin(state, job)
+    silent = 0
+    if origin is None:
+        knowledge = await state.ask_peers(job.service, job.stream_key)
+        origin, silent = knowledge.origin, knowledge.silent
+        if origin is not None and not is_plausible(state, job, origin):
+            origin = None
+    count_resumption(state, job, origin)
+    if origin is not None:
+        job.origin = origin
+        choose_bound_service(state, job)
+        return None
+    log.bind(id=job.request.id, silent_hosts=silent).info("stream origin unknown")
+    reason = f"no host knows the stream, {silent} did not answer"
+    wait = UNKNOWN_RETRY_AFTER * state.rng.uniform(0.5, 1.5) if silent else None
+    return Failure(ResultCode.STREAM_ORIGIN_UNKNOWN, reason, wait)
+
+
+def is_resumed(job: Job) -> bool:
+    """Return whether a request resumes a stream that servers have begun."""
+    if job.route.kind is not RouteKind.STREAM or not job.route.is_resumable:
+        return False
+    return job.request.last_event is not None or job.request.resumed_attempt is not None
+
+
+def find_local_origin(state: GatewayState, job: Job) -> Origin | None:
+    """Return the version by what this host knows itself."""
+    now = trio.current_time()
+    origin = state.versions.find(job.stream_key, now)
+    if origin is not None:
+        return origin
+    only = find_only_release(state, job.service)
+    return Origin(only, OriginSource.ONLY_VERSION) if only else None
+
+
+def find_only_release(state: GatewayState, service: ServiceName) -> Release | None:
+    """Return the only version that a service had recently.
+
+    Returns:
+        0 if it had several; None if this host can't know, because it started recently
+        or its view of the store is old.
+    """
+    now = trio.current_time()
+    if state.versions.history.is_mixed(service, now):
+        return Release(0)
+    if state.configuration.age > MAX_VIEW_AGE:
+        return None
+    return state.versions.history.find_only(service, now)
+
+
+def is_plausible(state: GatewayState, job: Job, origin: Origin) -> bool:
+    """Return whether this host's own view does not contradict a peer's.
+
+    A peer that has not heard of the newest version yet takes the one before for the
+    only one.
+    """
+    if state.versions.find(job.stream_key, trio.current_time()) is not None:
+        return True
+    recent = state.versions.history.list_recent(job.service, trio.current_time())
+    return set(recent) <= {origin.release}
+
+
+def choose_bound_service(state: GatewayState, job: Job) -> None:
+    """Choose the service of the stream if the route is divided between several."""
+    for share in job.route.shares:
+        servers = state.servers.list_service(share.service)
+        if any(server.release == job.release for server in servers):
+            job.service = share.service
+            return
+
+
+def record_first_event(state: GatewayState, job: Job, release: Release) -> None:
+    """Bind a job to the version of its first event.
+
+    That happens before the event is passed on, so that no caller has an event of a
+    stream that its host does not know.
+    """
+    if job.origin is None:
+        job.origin = Origin(release, OriginSource.LOCAL)
+    if job.route.is_resumable and not job.is_version_recorded:
+        job.is_version_recorded = True
+        now = trio.current_time()
+        state.versions.begin(job.service, job.stream_key, release, now)
+
+
+def record_end(state: GatewayState, job: Job) -> None:
+    """Record that a stream does not run here any more."""
+    if job.is_version_recorded:
+        state.versions.end(job.service, job.stream_key)
+
+
+def count_resumption(state: GatewayState, job: Job, origin: Origin | None) -> None:
+    """Count a stream that a caller resumes."""
+    source = origin.source.value if origin else "unknown"
+    state.metrics.add("streams_resumed_total", service=job.service, source=source)
+
+
+def describe_origin(state: GatewayState, job: Job | None) -> dict[str, object]:
+    """Return the log fields on the version of a request's stream.
+
+    They are left out for new streams of a service whose servers have one version.
+    """
+    if job is None or job.route.kind is not RouteKind.STREAM:
+        return {}
+    fields: dict[str, object] = {}
+    if job.request.resumed_attempt is not None:
+        attempt = job.request.resumed_attempt[:MAX_LOGGED_ATTEMPT]
+        fields["resumes"] = attempt.decode("latin-1")
+    if job.request.last_event is not None:
+        fields["resumes_after"] = job.request.last_event
+    origin = job.origin
+    now = trio.current_time()
+    if origin is None or not (
+        fields or state.versions.history.is_mixed(job.service, now)
+    ):
+        return fields
+    fields["server_version"] = state.versions.history.name_release(origin.release)
+    fields["version_known_by"] = origin.source.value
+    fields["version_known_s"] = round(origin.age, 1)
+    return fields
--- /dev/null
+++ b/dewridge/gateway/versions/records.py
@@ -0,0 +1,120 @@
+"""The versions at which streams began, as far as this host knows them."""
+
+from collections import defaultdict
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, field
+
+from dewridge.gateway.model import ServerRecord
+from dewridge.ids import ServiceName
+from dewridge.policy.streamversions import (
+    Origin,
+    OriginSource,
+    Release,
+    ReleaseHistory,
+    StreamKey,
+    StreamLedger,
+)
+
+Streams = dict[StreamKey, Release]
+
+
+@dataclass(frozen=True, slots=True)
+class PeerKnowledge:
+    """What the other hosts know of a stream.
+
+    Attributes:
+        origin: where it began; None if none of them knows.
+        silent: number of hosts that did not answer.
+    """
+
+    origin: Origin | None
+    silent: int = 0
+
+
+AskPeers = Callable[[ServiceName, StreamKey], Awaitable[PeerKnowledge]]
+
+
+async def ask_nobody(service: ServiceName, stream: StreamKey) -> PeerKnowledge:
+    """Answer for a host without peers."""
+    return PeerKnowledge(None)
+
+
+@dataclass
+class StreamVersions:
+    """The streams of this host, those that it keeps for peers, and recent versions.
+
+    Attributes:
+        history: the versions that had servers recently.
+        ledger: versions of the streams of this host and of its peers.
+        on_due: called when there are streams that other hosts have to keep.
+        check_keepers: called regularly, to find out whether other hosts have to keep
+            the running streams.
+    """
+
+    history: ReleaseHistory
+    ledger: StreamLedger = field(default_factory=StreamLedger)
+    on_due: Callable[[], None] = lambda: None
+    check_keepers: Callable[[], None] = lambda: None
+    _running: dict[ServiceName, Streams] = field(
+        default_factory=lambda: defaultdict(dict)
+    )
+    _unsent: dict[ServiceName, Streams] = field(
+        default_factory=lambda: defaultdict(dict)
+    )
+
+    def record_servers(self, servers: Iterable[ServerRecord], now: float) -> None:
+        """Record that servers serve now, or did until now."""
+        services = {server.service for server in servers}
+        for server in servers:
+            self.history.record(server.service, server.version, now)
+        if any(self._unsent.get(service) for service in services):
+            self.on_due()
+
+    def begin(
+        self, service: ServiceName, stream: StreamKey, release: Release, now: float
+    ) -> None:
+        """Record the version of a stream that brings its first event here."""
+        self.ledger.record(stream, release, now)
+        self._running[service][stream] = release
+        self._unsent[service][stream] = release
+        if self.history.is_mixed(service, now):
+            self.on_due()
+
+    def end(self, service: ServiceName, stream: StreamKey) -> None:
+        """Record that a stream does not run here any more."""
+        self._running[service].pop(stream, None)
+        self._unsent[service].pop(stream, None)
+
+    def take_unsent(self, now: float) -> Streams:
+        """Return the running streams that other hosts have to keep from now on.
+
+        While a service has one version, its streams are not sent to any host.
+        """
+        taken: Streams = {}
+        for service, streams in self._unsent.items():
+            if streams and self.history.is_mixed(service, now):
+                taken.update(streams)
+                streams.clear()
+        return taken
+
+    def resend(self) -> None:
+        """Have all running streams sent again, since other hosts keep them now."""
+        for service, streams in self._running.items():
+            self._unsent[service].update(streams)
+        self.on_due()
+
+    def list_running(self, now: float) -> Streams:
+        """Return the running streams of services with several versions."""
+        return {
+            stream: release
+            for service, streams in self._running.items()
+            if streams and self.history.is_mixed(service, now)
+            for stream, release in streams.items()
+        }
+
+    def find(self, stream: StreamKey, now: float) -> Origin | None:
+        """Return the version of a stream that ran or is kept here."""
+        known = self.ledger.find(stream)
+        if known is None:
+            return None
+        return Origin(known[0], OriginSource.LOCAL, now - known[1])
--- a/dewridge/gateway/waiting.py
+++ b/dewridge/gateway/waiting.py
@@ -9,6 +9,7 @@
 from dewridge.gateway.jobs import Job
 from dewridge.gateway.placement.probing import probe_candidates
 from dewridge.gateway.state import GatewayState
+from dewridge.gateway.versions.eligibility import refuse_for_version
 from dewridge.gateway.weighing import (
     ServerChoice,
     WithheldServers,
@@ -48,6 +49,8 @@
         while True:
             now = trio.current_time()
             choice = choose_server(self._state, job, now)
+            if choice is None and job.release is not None:
+                return refuse_for_version(self._state, job)
             if choice is None:
                 return Failure(ResultCode.NO_BACKEND_SERVER, "no server")
             if isinstance(choice, ServerChoice):
--- a/dewridge/gateway/weighing.py
+++ b/dewridge/gateway/weighing.py
@@ -13,6 +13,12 @@
 from dewridge.gateway.placement.failures import compute_fleet_failure_share
 from dewridge.gateway.reports import ZERO_SERVER_TOTALS
 from dewridge.gateway.state import GatewayState
+from dewridge.gateway.versions.eligibility import (
+    list_bound_servers,
+    list_job_servers,
+    list_same_version,
+    prefer_known_versions,
+)
 from dewridge.ids import BackendServerId
 from dewridge.policy.choice import (
     Candidate,
@@ -80,14 +86,18 @@
     state: GatewayState, job: Job, now: float
 ) -> ServerChoice | WithheldServers | None:
     """Return the server for a job's next attempt; None if the service has none."""
-    listed = state.servers.list_service(job.service)
-    chosen = state.rollouts.choose_servers(
-        job.service,
-        listed,
-        is_first=not job.tried_servers,
-        draw_random=state.rng.random,
-    )
-    serving = state.rollouts.list_serving(job.service, listed)
+    if job.release is not None:
+        listed = chosen = serving = list_bound_servers(state, job)
+    else:
+        listed = state.servers.list_service(job.service)
+        drawn = state.rollouts.choose_servers(
+            job.service,
+            listed,
+            is_first=not job.tried_servers,
+            draw_random=state.rng.random,
+        )
+        chosen = prefer_known_versions(state, job, drawn, now)
+        serving = state.rollouts.list_serving(job.service, listed)
     records = list_open(state, chosen, now) or list_open(state, serving, now)
     if not records and chosen:
         return WithheldServers(
@@ -175,7 +185,9 @@
     server = state.servers.find(placement.server)
     if server is None:
         return None
-    holder = find_cache_holder(list(holders), make_prefix_name(job), server.id)
+    # The caches of another version can't be used.
+    sources = [id for id, record in holders.items() if record.version == server.version]
+    holder = find_cache_holder(sources, make_prefix_name(job), server.id)
     if holder is not None and not can_copy_from(state, holder, now):
         holder = None
     address = None if holder is None else holders[holder].address
@@ -288,7 +300,7 @@
     # make the others look less loaded than they are.
     records = [
         record
-        for record in state.list_serving(job.service)
+        for record in list_job_servers(state, job)
         if not state.pushback.is_withheld(record.id, now)
     ]
     in_flight = state.count_in_flight(records)
@@ -297,12 +309,10 @@
 
 
 def choose_move_target(
-    state: GatewayState, job: Job, source: BackendServerId, now: float
+    state: GatewayState, source: ServerRecord, now: float
 ) -> ServerRecord | None:
     """Return the server that a stream moves to: the one with the most free slots."""
-    records = [
-        record for record in state.list_serving(job.service) if record.id != source
-    ]
+    records = list_same_version(state, source)
     # A stream that is not moved is lost, so that it may exceed a limit.
     records = list_open(state, records, now) or [
         record for record in records if not state.pushback.is_resting(record.id, now)
--- a/dewridge/platform/headers.py
+++ b/dewridge/platform/headers.py
@@ -25,6 +25,8 @@
         caller_timeout: seconds for which the caller waits; None if not given.
         sizes: size of the prompt and of the output.
         last_event_id: event after which to resume; None for a new stream.
+        resumed_attempt: the attempt that brought the first event of the stream to
+            resume; empty if there are several of them, None without one.
     """
 
     id: str
@@ -32,6 +34,7 @@
     caller_timeout: float | None
     sizes: Sizes
     last_event_id: int | None
+    resumed_attempt: bytes | None
 
 
 def parse_request_headers(headers: Headers) -> RequestHeaders | str:
@@ -54,9 +57,17 @@
         caller_timeout=None if timeout_ms is None else timeout_ms / 1000,
         sizes=sizes,
         last_event_id=None if last_event_id is None else int(last_event_id),
+        resumed_attempt=_find_resumed_attempt(headers),
     )
 
 
+def _find_resumed_attempt(headers: Headers) -> bytes | None:
+    values = {value for name, value in headers if name == names.RESUMED_ATTEMPT}
+    if len(values) > 1:
+        return b""
+    return next(iter(values), None)
+
+
 def _parse_number(value: bytes | None) -> float | None:
     if value is None:
         return None
--- /dev/null
+++ b/dewridge/policy/streamversions.py
@@ -0,0 +1,233 @@
+"""Decides at which software version a stream may continue that its caller resumes.
+
+What two versions of a service write does not fit together, so that a stream continues
+at the version that began it, or not at all. The load it is for: callers that resume
+streams at any host, while several versions serve and hosts are killed or restarted.
+"""
+
+from collections import defaultdict
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from functools import lru_cache
+from hashlib import blake2b
+from typing import NewType
+
+from dewridge.ids import ClientAccount, FailureDomain, HostId, ServiceName
+
+Release = NewType("Release", int)
+"""Digest of a service and a version of its software: 32 bits, never 0."""
+StreamKey = NewType("StreamKey", int)
+"""Digest of an account and the id of an attempt: 48 bits."""
+
+STREAM_KEY_BYTES = 6
+RETENTION = 180.0
+"""Seconds for which the versions of a service, and those of streams, are remembered: at
+least the time between a stream's begin and the last attempt to resume it."""
+MAX_STREAMS = 30_000
+"""Streams remembered in each of two generations, at most 7 MB each. The older one is
+dropped first."""
+NEW_VERSION_DELAY = 1.0
+"""Seconds during which the first servers of a version get no new streams while others
+can take them, so that all hosts know the version before a stream of it is resumed."""
+MAX_VIEW_AGE = 2.0
+"""Age in seconds of this host's view of the store up to which it is certain to know all
+versions that serve streams: twice the delay above covers single polls that fail."""
+KEEPER_COUNT = 2
+"""Other hosts that keep the versions of a host's running streams."""
+MAX_NAME_LENGTH = 40
+"""Characters of a version in a log line or a label."""
+CRASH_RESTART_TIME = 5.0
+"""Seconds within which a server that left without notice usually serves again."""
+RESTART_POLL_INTERVAL = 0.8
+"""Mean seconds after which callers return while such a server may start again."""
+
+
+class OriginSource(Enum):
+    """How a host knows the version at which a stream began."""
+
+    LOCAL = "this host"
+    """The stream ran here, or its host had this one keep its version."""
+    ONLY_VERSION = "only version"
+    """All servers of the service had one version since the stream can have begun."""
+    PEER = "a peer"
+    STORE = "the store"
+
+
+@dataclass(frozen=True, slots=True)
+class Origin:
+    """The version at which a stream began.
+
+    Attributes:
+        release: the service and the version.
+        source: how that is known.
+        age: seconds since this host learned it; 0 if it just did.
+    """
+
+    release: Release
+    source: OriginSource
+    age: float = 0.0
+
+
+@lru_cache(maxsize=1024)
+def make_release(service: ServiceName, version: str) -> Release:
+    """Return the digest of a version of a service."""
+    text = f"{service}\0{version}".encode("utf-8", "surrogatepass")
+    return Release(int.from_bytes(blake2b(text, digest_size=4).digest()) or 1)
+
+
+def make_stream_key(account: ClientAccount | None, attempt: bytes) -> StreamKey:
+    """Return the digest of an attempt; another account's attempt has another one."""
+    text = f"{account or ''}\0".encode() + attempt
+    digest = blake2b(text, digest_size=STREAM_KEY_BYTES).digest()
+    return StreamKey(int.from_bytes(digest))
+
+
+@dataclass
+class StreamLedger:
+    """The versions at which recent streams began."""
+
+    _recent: dict[StreamKey, tuple[Release, float]] = field(default_factory=dict)
+    _older: dict[StreamKey, tuple[Release, float]] = field(default_factory=dict)
+    _turned_at: float = float("-inf")
+
+    def record(self, stream: StreamKey, release: Release, now: float) -> None:
+        """Record the version of a stream; the first one recorded is kept."""
+        if now - self._turned_at > RETENTION or len(self._recent) >= MAX_STREAMS:
+            self._recent, self._older = {}, self._recent
+            self._turned_at = now
+        if stream not in self._recent:
+            known = self._older.get(stream)
+            self._recent[stream] = (release if known is None else known[0], now)
+
+    def find(self, stream: StreamKey) -> tuple[Release, float] | None:
+        """Return the version of a stream and when it was recorded."""
+        return self._recent.get(stream) or self._older.get(stream)
+
+    def __len__(self) -> int:
+        return len(self._recent) + len(self._older)
+
+
+@dataclass
+class ReleaseHistory:
+    """The versions of each service that had servers recently.
+
+    Attributes:
+        complete_since: monotonic time since which this host has seen all versions.
+    """
+
+    complete_since: float
+    _first_seen: dict[Release, float] = field(default_factory=dict)
+    _names: dict[Release, str] = field(default_factory=dict)
+    _last_seen: dict[ServiceName, dict[Release, float]] = field(
+        default_factory=lambda: defaultdict(dict)
+    )
+
+    def record(self, service: ServiceName, version: str, now: float) -> None:
+        """Record that a server of a version serves now."""
+        release = make_release(service, version)
+        self._first_seen.setdefault(release, now)
+        self._names.setdefault(release, version[:MAX_NAME_LENGTH])
+        self._last_seen[service][release] = now
+
+    def name_release(self, release: Release) -> str:
+        """Return the version of a digest for logs, cut to some length."""
+        return self._names.get(release, f"#{release:08x}")
+
+    def is_new(self, release: Release, now: float) -> bool:
+        """Whether other hosts may not know the version yet."""
+        return now - self._first_seen.get(release, now) < NEW_VERSION_DELAY
+
+    def list_recent(self, service: ServiceName, now: float) -> list[Release]:
+        """Return the versions that had servers within the retention period."""
+        seen = self._last_seen.get(service, {})
+        for release in [known for known, at in seen.items() if now - at > RETENTION]:
+            del seen[release]
+            self._first_seen.pop(release, None)
+            self._names.pop(release, None)
+        return list(seen)
+
+    def is_mixed(self, service: ServiceName, now: float) -> bool:
+        """Whether streams of more than one version may run or be resumed."""
+        return len(self.list_recent(service, now)) > 1
+
+    def find_only(self, service: ServiceName, now: float) -> Release | None:
+        """Return the only version that a recent stream can have begun at.
+
+        Returns:
+            None if there were several, or if this host started too recently to know.
+        """
+        recent = self.list_recent(service, now)
+        if len(recent) != 1 or now - self.complete_since < RETENTION:
+            return None
+        return recent[0]
+
+
+def choose_keepers(
+    local_host: HostId,
+    domains: Mapping[HostId, FailureDomain],
+    count: int = KEEPER_COUNT,
+) -> list[HostId]:
+    """Return the hosts that keep the versions of a host's running streams.
+
+    They are the next ones in the order of digests of the ids, so that each host keeps
+    those of about as many, and a host that comes or goes changes few of them. Hosts of
+    other failure domains go first, because the hosts of a domain end together.
+
+    Args:
+        local_host: the host whose streams are kept.
+        domains: failure domains of the live hosts, including this one.
+        count: number of keepers.
+    """
+    own = (digest_host(local_host), local_host)
+    others = sorted(
+        ((digest_host(host), host) for host in domains if host != local_host),
+        key=lambda entry: (entry < own, entry),
+    )
+    ranked = [host for _, host in others]
+    local_domain = domains.get(local_host)
+    keepers: list[HostId] = []
+    used = {local_domain}
+    for host in ranked:
+        if len(keepers) < count and domains[host] not in used:
+            keepers.append(host)
+            used.add(domains[host])
+    fallback = [host for host in ranked if host not in keepers]
+    fallback.sort(key=lambda host: domains[host] == local_domain)
+    return [*keepers, *fallback][:count]
+
+
+def digest_host(host: HostId) -> int:
+    """Return a number that orders hosts independently of their names."""
+    return int.from_bytes(blake2b(host.encode(), digest_size=8).digest())
+
+
+def compute_return_delay(seconds_since_crash: float | None) -> float | None:
+    """Return after which delay a stream may find a server of its version again.
+
+    Args:
+        seconds_since_crash: seconds since the last server of the version left without
+            notice; None if all of them left as planned, and so for good.
+
+    Returns:
+        None if waiting does not help.
+    """
+    if seconds_since_crash is None or seconds_since_crash > CRASH_RESTART_TIME:
+        return None
+    return RESTART_POLL_INTERVAL
+
+
+def pack_streams(streams: list[StreamKey]) -> bytes:
+    """Return the bytes of stream digests for a message."""
+    return b"".join(stream.to_bytes(STREAM_KEY_BYTES) for stream in streams)
+
+
+def unpack_streams(data: bytes) -> list[StreamKey]:
+    """Return the stream digests of a message; an incomplete last one is ignored."""
+    count = len(data) // STREAM_KEY_BYTES
+    return [
+        StreamKey(
+            int.from_bytes(data[i * STREAM_KEY_BYTES : (i + 1) * STREAM_KEY_BYTES])
+        )
+        for i in range(count)
+    ]
