Ask other hosts at which version a stream began that a caller resumes

What callers saw: a stream that began at one version went on at another one when its caller resumed it, since the host that the caller came to knew nothing of it.

Cause: the record of a stream was the task that served it.

Change: each host remembers the versions of its streams for three minutes, and has two hosts, of other failure domains if there are any, keep those of its running streams while the service has several versions. A host that does not know a stream asks all live hosts at once and is answered also by those that know nothing; it waits 0.6 s at most. A host that just started learns from its peers whether the service has had one version only. In a service with one version nothing is sent: when a second one appears, the running streams are.

--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -50,6 +50,8 @@
 from dewridge.gateway.upkeep import run_upkeep
 from dewridge.gateway.usage import UsageDuty
 from dewridge.gateway.usagetelling import UsageReporter
+from dewridge.gateway.versions.link import VersionLink
+from dewridge.gateway.versions.origins import find_only_release
 from dewridge.gateway.watching import WATCH_WAIT, StoreWatcher
 from dewridge.http1.calls import ServiceClient
 from dewridge.ids import FailureDomain, HostId
@@ -160,6 +162,18 @@
             self._usage_reporter,
             self._state.configuration.confirm_by_peer,
         )
+        self._version_link = VersionLink(
+            self._socket,
+            self._state.versions,
+            self._state.host,
+            self._state.failure_domain,
+            self._state.list_live_entries,
+            partial(find_only_release, self._state),
+        )
+        self._state.ask_peers = self._version_link.ask
+        self._state.versions.on_due = self._version_link.request_report
+        self._state.versions.check_keepers = self._version_link.check_keepers
+        self._link.on_stream_message = self._version_link.receive
         self._era.on_restored += [
             self._state.handle_restore,
             self._registration.handle_restore,
@@ -329,6 +343,7 @@
             ("suspects", self._suspect_persistence.run),
             ("sharing-in", self._link.receive),
             ("sharing-out", self._link.send),
+            ("stream-versions", self._version_link.run),
             ("usage-out", self._usage_reporter.run),
             ("datagrams-out", self._socket.run),
             ("settings", self._settings_reloader.run),
--- a/dewridge/gateway/reports.py
+++ b/dewridge/gateway/reports.py
@@ -20,6 +20,7 @@
 )
 from dewridge.policy.cells import CellName
 from dewridge.policy.rollouts import Stage
+from dewridge.policy.streamversions import Release
 
 DutyHolder = tuple[int, HostId]
 """Fencing token and id of a holder of the duties; each holder has a higher token than
@@ -321,7 +322,54 @@
     holder: DutyHolder
 
 
+class StreamVersionReport(msgspec.Struct, frozen=True, array_like=True, tag="streams"):
+    """Versions of the sender's running streams, for the hosts that keep them.
+
+    Attributes:
+        host: the sender.
+        streams: digests of the streams, 6 bytes each, by the version's digest
+            (`dewridge.policy.streamversions`).
+    """
+
+    host: HostId
+    streams: dict[Release, bytes]
+
+
+class StreamVersionQuery(msgspec.Struct, frozen=True, array_like=True, tag="streams?"):
+    """Request for the versions of streams that the sender does not know.
+
+    Attributes:
+        host: the sender.
+        number: number of the request, which the answer repeats.
+        service: the service that ran the streams.
+        streams: digests of the streams, 6 bytes each.
+    """
+
+    host: HostId
+    number: int
+    service: ServiceName
+    streams: bytes
+
+
+class StreamVersionAnswer(msgspec.Struct, frozen=True, array_like=True, tag="streams!"):
+    """What a host knows of the streams that a peer asked for.
+
+    Attributes:
+        host: the sender.
+        number: number of the request.
+        streams: digests of the streams that it knows, by the version's digest.
+        only: the only version that the service had recently; 0 if it had several, None
+            if the sender does not know.
+    """
+
+    host: HostId
+    number: int
+    streams: dict[Release, bytes]
+    only: Release | None = None
+
+
 PeriodicReport = Report | CellReport
+StreamVersionMessage = StreamVersionReport | StreamVersionQuery | StreamVersionAnswer
 HostMessage = (
     Report
     | CellReport
@@ -330,4 +378,5 @@
     | UsageReport
     | UsageConfirmation
     | UsageRequest
+    | StreamVersionMessage
 )
--- a/dewridge/gateway/sharinglink.py
+++ b/dewridge/gateway/sharinglink.py
@@ -24,6 +24,10 @@
     DepartureReport,
     HostMessage,
     Report,
+    StreamVersionAnswer,
+    StreamVersionMessage,
+    StreamVersionQuery,
+    StreamVersionReport,
     SuspectReport,
     SuspectUpdate,
     Totals,
@@ -128,6 +132,7 @@
         list_departing: returns seconds until each departing server stops serving.
         on_suspects: called with each urgent message about suspect requests.
         list_suspects: returns the suspects not yet sent in an urgent message.
+        on_stream_message: called with each message on the versions of streams.
     """
 
     def __init__(
@@ -153,6 +158,9 @@
         self.list_departing: Callable[[], dict[BackendServerId, float]] = dict
         self.on_suspects: Callable[[SuspectReport], None] = lambda report: None
         self.list_suspects: Callable[[], list[SuspectUpdate]] = list
+        self.on_stream_message: Callable[[StreamVersionMessage, PeerAddress], None] = (
+            lambda message, sender: None
+        )
         self._encoder = msgspec.msgpack.Encoder()
         self._number = 0
         self._planned_members: list[HostEntry] = []
@@ -194,6 +202,8 @@
                 self.on_departures(message)
             case SuspectReport():
                 self.on_suspects(message)
+            case StreamVersionReport() | StreamVersionQuery() | StreamVersionAnswer():
+                self.on_stream_message(message, sender)
             case CellReport():
                 self._sharing.apply_report(message, trio.current_time())
             case Report():
--- a/dewridge/gateway/upkeep.py
+++ b/dewridge/gateway/upkeep.py
@@ -31,6 +31,7 @@
         update_readiness(state, registration)
         update_limits(state)
         state.check_silent_services()
+        state.versions.check_keepers()
         rounds += 1
         if rounds % PERIODS_PER_CLEANUP == 0:
             state.drop_expired()
--- a/dewridge/tests/gateway/pushback.py
+++ b/dewridge/tests/gateway/pushback.py
@@ -23,6 +23,11 @@
 from dewridge.gateway.upkeep import UPKEEP_PERIOD
 from dewridge.ids import FailureDomain, HostId, ServiceName
 from dewridge.platform.store import Item, Listing
+from dewridge.tests.gateway.versionlinks import (
+    MessageNetwork,
+    connect_link,
+    list_others,
+)
 from dewridge.tests.gateway.world import (
     DOMAIN,
     PLAIN,
@@ -74,6 +79,9 @@
     """Gateways that know each other and the same servers."""
 
     worlds: list[World]
+    network: MessageNetwork
+    silent: set[HostId] = field(default_factory=set)
+    """Hosts that their peers know to be silent."""
     _number: int = 0
 
     async def add_server(
@@ -187,7 +195,11 @@
         world.nursery.start_soon(check_silence, world)
         world.state.list_limits = partial(list_limit_updates, world.state)
         world.state.sharing.on_report = partial(apply_signals, world.state)
-    fleet = Fleet(worlds)
+    fleet = Fleet(worlds, MessageNetwork(worlds[0].nursery))
+    for world in worlds:
+        list_live = partial(list_others, world.state, fleet.silent)
+        address = relays[world.state.host]
+        connect_link(world.state, fleet.network, address, list_live)
     worlds[0].nursery.start_soon(fleet.exchange_reports)
     return fleet
 
--- /dev/null
+++ b/dewridge/tests/gateway/versionlinks.py
@@ -0,0 +1,92 @@
+"""Messages on the versions of streams between gateways of one process."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+
+import msgspec
+import trio
+
+from dewridge.gateway.datagrams import PeerAddress, Urgency
+from dewridge.gateway.hosts import HostEntry
+from dewridge.gateway.reports import StreamVersionMessage
+from dewridge.gateway.state import GatewayState
+from dewridge.gateway.versions.link import VersionLink
+from dewridge.gateway.versions.origins import find_only_release
+from dewridge.ids import HostId
+
+DELIVERY_TIME = 0.005
+
+
+@dataclass
+class MessageNetwork:
+    """Delivers messages between gateways.
+
+    Attributes:
+        links: the link of each gateway, by its address.
+        silent: addresses that neither send nor receive.
+        sent_bytes: bytes of all messages sent.
+        sent: number of messages sent.
+    """
+
+    nursery: trio.Nursery
+    links: dict[str, VersionLink] = field(default_factory=dict)
+    silent: set[str] = field(default_factory=set)
+    sent_bytes: int = 0
+    sent: int = 0
+
+    def send(self, sender: str, receiver: str, data: bytes) -> None:
+        """Deliver a message soon unless one of the two is silent."""
+        self.sent += 1
+        self.sent_bytes += len(data)
+        if sender not in self.silent:
+            self.nursery.start_soon(self._deliver, sender, receiver, data)
+
+    async def _deliver(self, sender: str, receiver: str, data: bytes) -> None:
+        await trio.sleep(DELIVERY_TIME)
+        link = self.links.get(receiver)
+        if link is None or receiver in self.silent:
+            return
+        host, _, port = sender.rpartition(":")
+        message = msgspec.msgpack.decode(data, type=StreamVersionMessage)
+        link.receive(message, (host, int(port)))
+
+
+@dataclass
+class MemorySocket:
+    """Stands in for the paced socket of one gateway."""
+
+    network: MessageNetwork
+    address: str
+
+    def enqueue(self, address: PeerAddress, data: bytes, urgency: Urgency) -> None:
+        """Send a message."""
+        self.network.send(self.address, f"{address[0]}:{address[1]}", data)
+
+
+def connect_link(
+    state: GatewayState,
+    network: MessageNetwork,
+    address: str,
+    list_live: Callable[[], list[HostEntry]],
+) -> VersionLink:
+    """Connect a gateway as the composition root does."""
+    link = VersionLink(
+        MemorySocket(network, address),  # type: ignore[arg-type]
+        state.versions,
+        state.host,
+        state.failure_domain,
+        list_live,
+        partial(find_only_release, state),
+    )
+    network.links[address] = link
+    network.nursery.start_soon(link.run)
+    state.ask_peers = link.ask
+    state.versions.on_due = link.request_report
+    state.versions.check_keepers = link.check_keepers
+    return link
+
+
+def list_others(state: GatewayState, silent: set[HostId]) -> list[HostEntry]:
+    """Return the registered peers that are not silent."""
+    return [peer for peer in state.hosts.list_peers() if peer.id not in silent]
