Let the soak run several versions and resume streams at other hosts

Servers of streams have versions in turn, which their events name. Callers break off in the middle of streams and resume them at random hosts. Two checks: no stream holds events of two versions, and at least half as large a share of the resumed streams goes on as of new ones begins.

--- a/dewridge/tests/soak/__main__.py
+++ b/dewridge/tests/soak/__main__.py
@@ -30,6 +30,12 @@
     brittle: Annotated[
         int, typer.Option(help="Times that the servers of a service are brittle.")
     ] = 1,
+    versions: Annotated[
+        int, typer.Option(help="Software versions of the servers of streams.")
+    ] = 3,
+    resuming: Annotated[
+        int, typer.Option(help="Callers that resume streams at other hosts.")
+    ] = 4,
     kept: Annotated[bool, typer.Option(help="The seeds that once failed.")] = False,
     folder: Annotated[Path, typer.Option(help="For logs.")] = Path("build/soak"),
 ) -> None:
@@ -43,6 +49,8 @@
         partitions=partitions,
         brittle=brittle,
         crashing=crashing,
+        versions=versions,
+        resuming=resuming,
     )
     planned_runs = [(run_seed, size) for run_seed in range(first, first + runs)]
     if kept:
--- a/dewridge/tests/soak/callers.py
+++ b/dewridge/tests/soak/callers.py
@@ -149,6 +149,7 @@
             ("X-Api-Key", request.key),
             ("X-Token-Count", f"{request.tokens - 5},5"),
             ("Content-Length", str(len(request.content))),
+            *_list_resumption_headers(request),
         ],
     )
     data = state.send(head) or b""
@@ -156,6 +157,15 @@
     return data + (state.send(h11.EndOfMessage()) or b"")
 
 
+def _list_resumption_headers(request: SentRequest) -> list[tuple[str, str]]:
+    if not request.first_attempt:
+        return []
+    return [
+        ("Resumes", request.first_attempt),
+        ("Last-Event-Id", str(request.resumes_after)),
+    ]
+
+
 async def receive_response(
     stream: trio.SocketStream, state: h11.Connection, request: SentRequest
 ) -> None:
@@ -177,6 +187,7 @@
             if request.kind.is_stream and request.status == 200:
                 *events, remainder = (remainder + bytes(event.data)).split(b"\n\n")
                 request.events += [parse_event(raw) for raw in events]
+                request.versions |= {find_version(raw) for raw in events}
         elif isinstance(event, h11.EndOfMessage):
             request.is_complete = not remainder
             return
@@ -189,7 +200,12 @@
     lines = raw.decode().split("\n")
     number = int(lines[0].removeprefix("id: "))
     owner, _, last = lines[1].removeprefix("data: ").partition(" ")
-    return number, owner, last == "last"
+    return number, owner.partition("#")[0], last == "last"
+
+
+def find_version(raw: bytes) -> str:
+    """Return the version of the server that wrote an event; empty without one."""
+    return raw.decode().partition("#")[2].partition(" ")[0].strip()
 
 
 async def resolve_addresses(address: str) -> list[str]:
--- a/dewridge/tests/soak/checks.py
+++ b/dewridge/tests/soak/checks.py
@@ -6,6 +6,7 @@
 from dewridge.tests.soak.partitionchecks import check_partitions
 from dewridge.tests.soak.records import Execution, History, SentRequest
 from dewridge.tests.soak.signalchecks import check_brittle_servers, check_signals
+from dewridge.tests.soak.versionchecks import check_versions, count_resumptions
 
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 """Status codes that guarantee that the request was not executed."""
@@ -52,6 +53,7 @@
         *check_signals(history),
         *check_partitions(history),
         *check_brittle_servers(history),
+        *check_versions(history),
     ]
 
 
@@ -77,7 +79,8 @@
 
 def _check_events(request: SentRequest) -> list[str]:
     numbers = [number for number, _, _ in request.events]
-    expected = list(range(FIRST_EVENT_NUMBER, FIRST_EVENT_NUMBER + len(numbers)))
+    first = request.resumes_after + FIRST_EVENT_NUMBER
+    expected = list(range(first, first + len(numbers)))
     violations = []
     if numbers != expected:
         violations.append(f"{request.id}: events {numbers}")
@@ -322,6 +325,7 @@
         "brittle periods": len(history.brittle_periods),
         "rejections for room": history.rejections_for_room,
         "falls": len(history.falls),
+        **count_resumptions(history),
     }
     counts.update({name: count for name, count in extras.items() if count})
     return dict(sorted(counts.items()))
--- a/dewridge/tests/soak/records.py
+++ b/dewridge/tests/soak/records.py
@@ -43,6 +43,10 @@
         is_abandoned: whether the caller stopped waiting for the response.
         content: body of the request; the same for retries of one request.
         crashes_servers: whether it crashes each server that begins to execute it.
+        first_attempt: id of the attempt that brought the first event of the stream that
+            it resumes; empty for a new stream.
+        resumes_after: number of the last event that the caller has of that stream.
+        versions: versions of the servers that wrote the events, if they have any.
     """
 
     id: str
@@ -60,6 +64,9 @@
     is_abandoned: bool = False
     content: str = ""
     crashes_servers: bool = False
+    first_attempt: str = ""
+    resumes_after: int = 0
+    versions: set[str] = field(default_factory=set)
 
 
 @dataclass(frozen=True)
@@ -171,6 +178,15 @@
     end: float
 
 
+@dataclass
+class ServerPeriod:
+    """The period in which a server of a version took requests."""
+
+    version: str
+    begin: float
+    end: float = float("inf")
+
+
 @dataclass
 class History:
     """All records of one run of the soak test.
@@ -191,6 +207,7 @@
         brittle_periods: periods in which servers were brittle.
         rejections_for_room: requests that brittle servers rejected for want of room.
         partitions: periods in which hosts were partitioned from all servers.
+        server_periods: periods of the servers that have versions, by server.
         end: end of the observed period; later interruptions are ignored.
     """
 
@@ -208,6 +225,7 @@
     brittle_periods: list[BrittlePeriod] = field(default_factory=list)
     rejections_for_room: int = 0
     partitions: list[Partition] = field(default_factory=list)
+    server_periods: dict[str, ServerPeriod] = field(default_factory=dict)
     last_fault_end: float = 0.0
     end: float = 0.0
 
--- a/dewridge/tests/soak/runs.py
+++ b/dewridge/tests/soak/runs.py
@@ -14,6 +14,7 @@
 from dewridge.tests.soak.faults import Fault, draw_faults, inject_faults
 from dewridge.tests.soak.partitions import partition_hosts
 from dewridge.tests.soak.records import RequestKind
+from dewridge.tests.soak.resuming import ResumingCaller
 from dewridge.tests.soak.signals import BRITTLE_SLOTS, make_brittle, send_signals
 from dewridge.tests.soak.stage import QUOTAS, SoakEnvironment
 
@@ -41,6 +42,10 @@
     """Number of times that the servers of a service are brittle."""
     crashing: int = 0
     """Number of requests that crash each server that begins to execute them."""
+    versions: int = 0
+    """Number of software versions of the servers of streams."""
+    resuming: int = 0
+    """Number of callers that resume streams at other hosts."""
 
 
 @dataclass
@@ -83,11 +88,14 @@
         environment = SoakEnvironment(rng, folder, nursery)
         if size.brittle:
             environment.slots = BRITTLE_SLOTS
+        if size.versions:
+            environment.versions = tuple(f"v{n}" for n in range(size.versions))
         try:
             await environment.start(size.hosts, size.servers)
             await trio.sleep(WARM_UP_SECONDS)
             start_callers(environment, size)
             start_crashing_callers(environment, size, random.Random(f"crashing {seed}"))
+            start_resuming_callers(environment, size, random.Random(f"resume {seed}"))
             await inject_all(environment, faults, size, seed)
             await trio.sleep(FAULT_FREE_SECONDS)
             environment.history.end = time.monotonic()
@@ -177,3 +185,20 @@
             rng=random.Random(rng.random()),
         )
         environment.nursery.start_soon(caller.run)
+
+
+def start_resuming_callers(
+    environment: SoakEnvironment, size: SoakSize, rng: random.Random
+) -> None:
+    """Start the callers that resume streams, with a random generator of their own."""
+    for number in range(size.resuming):
+        caller = ResumingCaller(
+            name=f"s{number}",
+            key=rng.choice(
+                [account_keys[0] for account_keys in environment.keys.values()]
+            ),
+            history=environment.history,
+            gateways=environment.gateways,
+            rng=random.Random(rng.random()),
+        )
+        environment.nursery.start_soon(caller.run)
--- a/dewridge/tests/soak/servers.py
+++ b/dewridge/tests/soak/servers.py
@@ -63,6 +63,7 @@
         id: new at each start.
         service: name of the service.
         history: records the requests that it executes.
+        version: version of its software, which its events name; empty for none.
         mood: how it currently responds.
         is_draining: whether its record says that it departs.
         is_registered: whether it has a record in the store.
@@ -79,6 +80,7 @@
     id: str
     service: str
     history: History
+    version: str = ""
     mood: Mood = Mood.GOOD
     is_draining: bool = False
     is_registered: bool = True
@@ -113,6 +115,7 @@
             "zone": "domain-a",
             "slots": self.slots,
             "state": "draining" if self.is_draining else "ready",
+            "version": self.version,
         }
         store.write(key, json.dumps(record).encode())
 
@@ -210,7 +213,8 @@
         for number in range(last_received + 1, EVENTS_PER_STREAM + 1):
             await trio.sleep(EVENT_INTERVAL)
             last_marker = " last" if number == EVENTS_PER_STREAM else ""
-            event = f"id: {number}\ndata: {request_id}{last_marker}\n\n".encode()
+            owner = f"{request_id}#{self.version}" if self.version else request_id
+            event = f"id: {number}\ndata: {owner}{last_marker}\n\n".encode()
             if self.mood is Mood.CUTTING and number == EVENTS_PER_STREAM // 2:
                 event = event[: len(event) // 2]
                 await exchange.send(b"%x\r\n%s\r\n" % (len(event), event))
--- a/dewridge/tests/soak/stage.py
+++ b/dewridge/tests/soak/stage.py
@@ -15,7 +15,7 @@
 from dewridge.testbed.processes import Process, choose_ports
 from dewridge.tests.soak.links import Link
 from dewridge.tests.soak.partitions import ServerPaths
-from dewridge.tests.soak.records import Disturbance, History
+from dewridge.tests.soak.records import Disturbance, History, ServerPeriod
 from dewridge.tests.soak.servers import Mood, SoakServer
 from dewridge.tests.soak.standins import (
     StoreStandIn,
@@ -97,6 +97,7 @@
         written_version: version of the last configuration written.
         stalls: seconds of each stall of this process.
         slots: requests that a server runs at once.
+        versions: software versions of the servers of streams, in turn.
     """
 
     rng: random.Random
@@ -110,6 +111,7 @@
     written_version: int = 0
     stalls: list[float] = field(default_factory=list)
     slots: int = 16
+    versions: tuple[str, ...] = ("",)
     _server_count: int = 0
 
     async def start(self, hosts: int, servers: int) -> None:
@@ -237,10 +239,15 @@
         self._server_count += 1
         server = SoakServer(f"{service}-{self._server_count}", service, self.history)
         server.slots = self.slots
+        if service == "engine":
+            server.version = self.versions[self._server_count // 2 % len(self.versions)]
         server.on_crash = self._handle_crash
         await server.start(self.nursery)
         server.write_record(self.store.memory_store)
         self.servers.append(server)
+        if server.version:
+            period = ServerPeriod(server.version, time.monotonic())
+            self.history.server_periods[server.id] = period
 
     def _handle_crash(self, server: SoakServer) -> None:
         for gateway in self.gateways:
@@ -253,6 +260,7 @@
         if server not in self.servers:
             return
         self.servers.remove(server)
+        self._end_period(server)
         self.record_disturbance(
             "", CRASH_RESTART_DELAY + CRASH_IMPACT_SECONDS, affects_servers_only=True
         )
@@ -268,6 +276,7 @@
         await trio.sleep(0.5)
         server.is_draining = True
         server.write_record(self.store.memory_store)
+        self._end_period(server)
         self.history.server_departing_at[server.id] = time.monotonic()
         await trio.sleep(DEPARTURE_SECONDS)
         server.is_registered = False
@@ -275,6 +284,11 @@
         if server in self.servers:
             self.servers.remove(server)
 
+    def _end_period(self, server: SoakServer) -> None:
+        period = self.history.server_periods.get(server.id)
+        if period is not None:
+            period.end = time.monotonic()
+
     async def _restore_records(self) -> None:
         while True:
             await trio.sleep(RECORD_CHECK_PERIOD)
