Start an answer again rather than continue it at another version

What callers of the product's own interface would have seen: the first tokens of an answer from one version of an engine, the rest from another, after an interruption, a move or a takeover. Found by looking for the cause of mixed streams elsewhere: the host list had no field for a server's version.

Change: the list may name the version of a server's software. A record keeps the version that wrote its tokens; replicas and hosts that take over know it. A server of another version starts the answer again under a new generation, of which followers are told as before. Placement prefers servers of the version, so that little is generated twice. A record from an earlier build names no version; its tokens fit servers without one only.

--- a/dewridge/peers/dewridge.thrift
+++ b/dewridge/peers/dewridge.thrift
@@ -116,6 +116,7 @@
   21: optional bool maybe_run  // an attempt may have started; unset counts as true
   22: optional bool pending    // its owner has not accepted it yet
   23: optional string digest   // of the input, in hexadecimal
+  24: optional string version  // software version of the server that wrote the tokens
 }
 
 struct RequestEnd {
@@ -141,6 +142,7 @@
   4: list<string> tokens
   5: optional RequestEnd ended
   6: i64 epoch
+  7: optional string version   // software version of the server that wrote the tokens
 }
 
 struct Replicate {
--- a/dewridge/peers/wire/ttypes.py
+++ b/dewridge/peers/wire/ttypes.py
@@ -2022,6 +2022,7 @@
      - maybe_run
      - pending
      - digest
+     - version
 
     """
 
@@ -2049,10 +2050,11 @@
         'maybe_run',
         'pending',
         'digest',
+        'version',
     )
 
 
-    def __init__(self, request=None, service_name=None, operation=None, number=None, deadline=None, input=None, max_tokens=None, idempotent=None, profile=None, accepted_at=None, owner=None, owner_incarnation=None, generation=None, replicas=None, attempts=None, recomputed=None, cost=None, claimed=None, cache_handle=None, epoch=None, maybe_run=None, pending=None, digest=None,):
+    def __init__(self, request=None, service_name=None, operation=None, number=None, deadline=None, input=None, max_tokens=None, idempotent=None, profile=None, accepted_at=None, owner=None, owner_incarnation=None, generation=None, replicas=None, attempts=None, recomputed=None, cost=None, claimed=None, cache_handle=None, epoch=None, maybe_run=None, pending=None, digest=None, version=None,):
         self.request = request
         self.service_name = service_name
         self.operation = operation
@@ -2076,6 +2078,7 @@
         self.maybe_run = maybe_run
         self.pending = pending
         self.digest = digest
+        self.version = version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2206,6 +2209,11 @@
                     self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2311,6 +2319,10 @@
             oprot.writeFieldBegin('digest', TType.STRING, 23)
             oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
             oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 24)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2545,6 +2557,7 @@
      - tokens
      - ended
      - epoch
+     - version
 
     """
 
@@ -2555,16 +2568,18 @@
         'tokens',
         'ended',
         'epoch',
+        'version',
     )
 
 
-    def __init__(self, request=None, generation=None, offset=None, tokens=None, ended=None, epoch=None,):
+    def __init__(self, request=None, generation=None, offset=None, tokens=None, ended=None, epoch=None, version=None,):
         self.request = request
         self.generation = generation
         self.offset = offset
         self.tokens = tokens
         self.ended = ended
         self.epoch = epoch
+        self.version = version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2611,6 +2626,11 @@
                     self.epoch = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2648,6 +2668,10 @@
             oprot.writeFieldBegin('epoch', TType.I64, 6)
             oprot.writeI64(self.epoch)
             oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 7)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5691,6 +5715,7 @@
     (21, TType.BOOL, 'maybe_run', None, None, ),  # 21
     (22, TType.BOOL, 'pending', None, None, ),  # 22
     (23, TType.STRING, 'digest', 'UTF8', None, ),  # 23
+    (24, TType.STRING, 'version', 'UTF8', None, ),  # 24
 )
 all_structs.append(RequestEnd)
 RequestEnd.thrift_spec = (
@@ -5717,6 +5742,7 @@
     (4, TType.LIST, 'tokens', (TType.STRING, 'UTF8', False), None, ),  # 4
     (5, TType.STRUCT, 'ended', [RequestEnd, None], None, ),  # 5
     (6, TType.I64, 'epoch', None, None, ),  # 6
+    (7, TType.STRING, 'version', 'UTF8', None, ),  # 7
 )
 all_structs.append(Replicate)
 Replicate.thrift_spec = (
--- a/dewridge/policy/model.py
+++ b/dewridge/policy/model.py
@@ -32,6 +32,8 @@
         idempotent: whether the request may be repeated after it may have run.
         prefix: hash of the prompt's first part, salted with the account; 0 for none.
         tokens_done: tokens retained from earlier attempts.
+        version: software version of the servers that can continue after these tokens;
+            None for any.
     """
 
     request: RequestId
@@ -45,6 +47,7 @@
     idempotent: bool = True
     prefix: int = 0
     tokens_done: int = 0
+    version: str | None = None
 
     @property
     def size(self) -> int:
@@ -63,6 +66,7 @@
         leaving_at: when a leaving server ends; it gets no new work.
         load: queued and running requests in the last report, which may be stale.
         load_at: time of that report.
+        version: version of its software.
     """
 
     id: BackendServerId
@@ -74,6 +78,7 @@
     leaving_at: float | None = None
     load: float = 0.0
     load_at: float = 0.0
+    version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/dewridge/policy/placement.py
+++ b/dewridge/policy/placement.py
@@ -165,7 +165,10 @@
     ]
     if avoid is not None and len(free) > 1:
         free = [record for record in free if record.view.id != avoid]
-    return free
+    if work.tokens_done == 0 or work.version is None:
+        return free
+    # A server of another version would have to generate the whole answer again.
+    return [record for record in free if record.view.version == work.version] or free
 
 
 def find_probe(work: Work, servers: Servers, now: float) -> ServerCredits | None:
--- a/dewridge/policy/recovery.py
+++ b/dewridge/policy/recovery.py
@@ -42,6 +42,7 @@
         last_token_at: when the latest token was received.
         tokens: tokens received in this attempt.
         moves_at: when the attempt is to be stopped for a planned move.
+        version: software version of the server.
     """
 
     entry: QueueEntry
@@ -52,6 +53,7 @@
     last_token_at: float | None = None
     tokens: int = 0
     moves_at: float | None = None
+    version: str = ""
 
     @property
     def request(self) -> RequestId:
--- a/dewridge/policy/scheduler.py
+++ b/dewridge/policy/scheduler.py
@@ -344,7 +344,9 @@
         self._backlog.dequeue(entry, now)
         self._servers.acquire(record, work.request, work.work_class, now)
         price = compute_slot_price(record.view)
-        attempt = RunningAttempt(entry, record.view.id, now, price)
+        attempt = RunningAttempt(
+            entry, record.view.id, now, price, version=record.view.version
+        )
         self._running[work.request] = attempt
         self._by_server[record.view.id][work.request] = attempt
         if not entry.failed_attempts:
@@ -384,7 +386,8 @@
         retained = tokens_done if self._recovery.retains_tokens else 0
         self._usage.count("retries")
         self._usage.count("tokens_dropped", tokens_done - retained)
-        entry.work = replace(entry.work, tokens_done=retained)
+        version = attempt.version if attempt.tokens else entry.work.version
+        entry.work = replace(entry.work, tokens_done=retained, version=version)
         if decision.after > 0:
             self._backlog.delay(entry, now + decision.after)
         else:
--- a/dewridge/providers/model.py
+++ b/dewridge/providers/model.py
@@ -89,6 +89,7 @@
         reclaimable: whether the cloud may reclaim it at short notice.
         capacity: maximum number of concurrent requests.
         checks_fencing: whether it rejects an order with an old fencing number.
+        version: version of its software; empty if the list does not say.
     """
 
     backend_server: BackendServerId
@@ -102,6 +103,7 @@
     capacity: int
     checks_fencing: bool
     state: HostState
+    version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/dewridge/requests/attempts.py
+++ b/dewridge/requests/attempts.py
@@ -119,7 +119,7 @@
             self._scheduling.release_slot(assignment)
             return
         self._displace_earlier(request)
-        self._discard_tokens(answer, assignment.work.tokens_done)
+        self._discard_tokens(answer, self._count_usable_tokens(answer, assignment))
         attempt = Attempt(answer.record, answer, entry, assignment.server)
         self._running[request] = attempt
         is_interactive = assignment.work.work_class is WorkClass.INTERACTIVE
@@ -140,6 +140,14 @@
         else:
             earlier.stop(StopCause.LOST)
 
+    def _count_usable_tokens(self, answer: Answer, assignment: Assignment) -> int:
+        """Return how many tokens the assigned server continues after."""
+        server = self._servers.find(assignment.server)
+        if server is None or answer.record.may_continue_at(server.listed.version):
+            return assignment.work.tokens_done
+        self._shared.metrics.add("answers_restarted_for_version")
+        return 0
+
     def _discard_tokens(self, answer: Answer, kept_count: int) -> None:
         """Discard tokens that the recovery policy drops, under a new generation."""
         record = answer.record
@@ -148,6 +156,8 @@
         record.recomputed += len(record.tokens) - kept_count
         record.cache_handle = None
         del record.tokens[kept_count:]
+        if not record.tokens:
+            record.version = None
         renew_generation(record)
         answer.acked_tokens.clear()
         answer.visible_tokens = 0
@@ -344,11 +354,15 @@
                         ResultCode.ANSWER_MISMATCHED,
                         "a token's sequence number does not fit",
                     )
-                self._append_tokens(attempt, event)
+                self._append_tokens(attempt, server, event)
         return Failure(ResultCode.CONNECTION_LOST, "the answer stopped midway")
 
-    def _append_tokens(self, attempt: Attempt, event: AttemptTokens) -> None:
+    def _append_tokens(
+        self, attempt: Attempt, server: BackendServer, event: AttemptTokens
+    ) -> None:
         record = attempt.record
+        if not record.tokens:
+            record.version = server.listed.version
         scheduler = attempt.service_scheduler.scheduler
         now = self._shared.clock()
         record.tokens.extend(event.tokens)
--- a/dewridge/requests/codec.py
+++ b/dewridge/requests/codec.py
@@ -46,6 +46,7 @@
         maybe_run=record.maybe_run,
         pending=record.pending,
         digest=f"{record.digest:x}",
+        version=record.version,
     )
 
 
@@ -79,6 +80,7 @@
         pending=bool(message.pending),
         maybe_run=message.maybe_run is not False,
         tokens=list(tokens or ()),
+        version=message.version,
     )
 
 
--- a/dewridge/requests/handlers.py
+++ b/dewridge/requests/handlers.py
@@ -189,4 +189,5 @@
         tokens=tuple(message.tokens),
         ended=ended,
         number=message.ended.number if message.ended is not None else 0,
+        version=message.version,
     )
--- a/dewridge/requests/records.py
+++ b/dewridge/requests/records.py
@@ -64,6 +64,8 @@
         pending: its owner has not accepted it yet.
         maybe_run: an attempt may have started, so that it can't end as "not run".
         renewals: number of times the generation was renewed under this ballot.
+        version: software version of the server that wrote the tokens; None if there are
+            none, or if an earlier build of this host wrote the record.
         size: bytes of memory it occupies; set when it ends.
         last_update_at: when this host last received an update from its owner.
         claim_requested: this process requested a claim under this ballot.
@@ -96,6 +98,7 @@
     renewals: int = 0
     claim_requested: bool = False
     last_update_at: float = 0.0
+    version: str | None = None
     size: int = 0
 
     @property
@@ -103,6 +106,13 @@
         """Whether a model's answer is complete except for its end."""
         return 0 < self.max_tokens <= len(self.tokens)
 
+    def may_continue_at(self, version: str) -> bool:
+        """Whether a server of a version may continue the answer.
+
+        What two versions generate does not fit together.
+        """
+        return not self.tokens or (self.version or "") == version
+
     @property
     def outcome(self) -> Outcome:
         """The outcome of its end, or RUNNING if it has not ended."""
--- a/dewridge/requests/replicas.py
+++ b/dewridge/requests/replicas.py
@@ -64,6 +64,7 @@
         offset: position of the first token in the answer.
         ended: the end of the request, if these are its last tokens.
         number: highest submission number that the end applies to.
+        version: software version of the server that wrote the tokens, if known.
     """
 
     request: RequestId
@@ -73,6 +74,7 @@
     tokens: tuple[str, ...]
     ended: EndedEvent | None = None
     number: int = 0
+    version: str | None = None
 
 
 class RecordTable:
@@ -239,6 +241,7 @@
         current.maybe_run = True
         new_tokens = run.tokens[len(current.tokens) - run.offset :]
         current.tokens.extend(new_tokens)
+        current.version = run.version
         if run.ended is not None:
             current.number = max(current.number, run.number)
             self.end(current, run.ended, now)
--- a/dewridge/requests/replication.py
+++ b/dewridge/requests/replication.py
@@ -332,6 +332,7 @@
         tokens=record.tokens[offset:],
         ended=ended,
         epoch=record.ballot.epoch,
+        version=record.version,
     )
 
 
--- a/dewridge/requests/scheduling.py
+++ b/dewridge/requests/scheduling.py
@@ -174,6 +174,7 @@
             idempotent=record.idempotent,
             prefix=hash_prefix(account, record.input) if is_model else 0,
             tokens_done=len(record.tokens),
+            version=record.version,
         )
 
     async def run(self) -> None:
@@ -305,4 +306,5 @@
         leaving_at=leaving_at,
         load=server.load,
         load_at=server.load_at,
+        version=listed.version,
     )
--- a/dewridge/tests/requests/fakes.py
+++ b/dewridge/tests/requests/fakes.py
@@ -263,7 +263,9 @@
         self.table: dict[BackendServerId, BackendServer] = {}
         self.listeners: list[Callable[[BackendServer], None]] = []
 
-    def add(self, name: str, service: ServiceName, kind: ServerKind) -> None:
+    def add(
+        self, name: str, service: ServiceName, kind: ServerKind, version: str = ""
+    ) -> None:
         id = BackendServerId(name)
         listed = ListedServer(
             backend_server=id,
@@ -277,11 +279,20 @@
             capacity=16,
             checks_fencing=False,
             state=HostState.LIVE,
+            version=version,
         )
         self.table[id] = BackendServer(listed, ServerState.LIVE)
         for listener in self.listeners:
             listener(self.table[id])
 
+    def set_version(self, name: str, version: str) -> None:
+        """Change the software version of a server in the list."""
+        server = self.table[BackendServerId(name)]
+        listed = replace(server.listed, version=version)
+        self.table[server.id] = replace(server, listed=listed)
+        for listener in self.listeners:
+            listener(self.table[server.id])
+
     def servers(self, service: ServiceName) -> list[BackendServer]:
         return [s for s in self.table.values() if service in s.listed.services]
 
@@ -319,6 +330,7 @@
         failures: results of the next attempts, which then are not executed.
         lose_answers: number of plain answers still to lose with the connection.
         lose_ends: number of drafts still to interrupt after their last token.
+        interruptions: number of drafts still to interrupt in their middle.
         computed_tokens: tokens computed in all attempts.
         is_salted: whether each attempt computes different tokens.
         complete_answers: all answers computed to the end, by key.
@@ -334,6 +346,7 @@
         self.failures: list[ResultCode] = []
         self.lose_answers = 0
         self.lose_ends = 0
+        self.interruptions = 0
         self.computed_tokens = 0
         self.is_salted = False
         self.complete_answers: dict[RequestKey, list[list[str]]] = {}
@@ -357,7 +370,7 @@
                 self.crashed_servers.add(server_id)
                 yield self._fail(ResultCode.CONNECTION_LOST)
             else:
-                yield self._stream_answer(node, order)
+                yield self._stream_answer(node, order, server.listed.version)
 
         return dispatch
 
@@ -365,7 +378,7 @@
         yield Failure(code)
 
     async def _stream_answer(
-        self, node: Node, order: AttemptOrder
+        self, node: Node, order: AttemptOrder, version: str
     ) -> AsyncIterator[AttemptEvent]:
         if self.failures:
             yield Failure(self.failures.pop(0))
@@ -384,10 +397,16 @@
         tokens = make_tokens(order.key, order.max_tokens)
         if self.is_salted:
             tokens = [f"{token}{order.attempt} " for token in tokens]
+        if version:
+            tokens = [f"{token}{version} " for token in tokens]
         tokens[: order.first_sequence] = order.tokens_done
         for index in range(order.first_sequence, len(tokens)):
             await trio.sleep(self.step)
             await node.wait_until_running()
+            if self.interruptions and index == len(tokens) // 2:
+                self.interruptions -= 1
+                yield Failure(ResultCode.CONNECTION_LOST)
+                return
             if order.attempt in self.cancelled_attempts:
                 yield Failure(ResultCode.BACKEND_SERVER_FAILED)
                 return
