Know the one version of a service during an outage of the store

A host with an old view of the store does not trust it alone: it may have been frozen or cut off. While the store was down for all hosts, each would have refused the resumed streams of services that have one version. It asks its peers now, and takes the version for the only one if most hosts are of one mind and none knows a second one: with the store down, none can come.

Tests: that outage, rollouts that complete and that are reverted while streams of both versions run, and the version of copied prefixes.

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -24,7 +24,7 @@
 from dewridge.gateway.state import SERVER_ANSWER_TIME_METRIC, GatewayState
 from dewridge.gateway.streams import RunningStream
 from dewridge.gateway.suspects import check_quarantine, record_answer
-from dewridge.gateway.versions.eligibility import list_bound_servers
+from dewridge.gateway.versions.eligibility import has_bound_servers
 from dewridge.gateway.versions.origins import record_first_event
 from dewridge.gateway.waiting import ServerChooser
 from dewridge.gateway.weighing import ServerChoice
@@ -230,7 +230,7 @@
         )
 
     def _has_attempts_left(self, job: Job) -> bool:
-        if job.release is not None and not list_bound_servers(self._state, job):
+        if job.release is not None and not has_bound_servers(self._state, job):
             return False
         return job.possible_runs < job.route.attempts_limit
 
--- a/dewridge/gateway/servers.py
+++ b/dewridge/gateway/servers.py
@@ -320,6 +320,12 @@
             ]
         return self._by_release[release].copy()
 
+    def has_release(self, service: ServiceName, release: Release) -> bool:
+        """Return whether a version of a service has servers."""
+        self._find_service(service)
+        known = self._by_release.get(release)
+        return bool(self.list_release(service, release) if known is None else known)
+
     def list_cache_warm(self, service: ServiceName, now: float) -> list[ServerRecord]:
         """Return the servers of a service that have had time to fill their caches.
 
--- a/dewridge/gateway/versions/eligibility.py
+++ b/dewridge/gateway/versions/eligibility.py
@@ -26,6 +26,14 @@
     return [server for server in servers if server.id in serving]
 
 
+def has_bound_servers(state: GatewayState, job: Job) -> bool:
+    """Return whether any server may continue a stream that has begun."""
+    assert job.release is not None
+    if state.rollouts.find_stage(job.service) is Stage.REVERTED:
+        return bool(list_bound_servers(state, job))
+    return state.servers.has_release(job.service, job.release)
+
+
 def list_job_servers(state: GatewayState, job: Job) -> list[ServerRecord]:
     """Return the servers that may run a request, for estimates of its wait."""
     if job.release is not None:
--- a/dewridge/gateway/versions/link.py
+++ b/dewridge/gateway/versions/link.py
@@ -78,9 +78,15 @@
         return bool(self.asked) and not self.has_timed_out
 
     def find_only(self) -> Release | None:
-        """Return the only version of the service if no answer contradicts it."""
+        """Return the only version of the service if most hosts are of one mind.
+
+        A host that is cut off from the store may have missed a version, but not most
+        of them: while the store is down for all, no version can come.
+        """
         claims = {only for only in self.onlys if only is not None}
-        return claims.pop() if len(claims) == 1 and 0 not in claims else None
+        if len(claims) != 1 or 0 in claims or len(self.onlys) <= len(self.asked):
+            return None
+        return claims.pop()
 
 
 class VersionLink:
--- a/dewridge/gateway/versions/origins.py
+++ b/dewridge/gateway/versions/origins.py
@@ -74,10 +74,12 @@
 
 def find_local_origin(state: GatewayState, job: Job) -> Origin | None:
     """Return the version by what this host knows itself."""
-    now = trio.current_time()
-    origin = state.versions.find(job.stream_key, now)
+    origin = state.versions.find(job.stream_key, trio.current_time())
     if origin is not None:
         return origin
+    if state.configuration.age > MAX_VIEW_AGE:
+        # This host may have missed a version, as after a pause of its machine.
+        return None
     only = find_only_release(state, job.service)
     return Origin(only, OriginSource.ONLY_VERSION) if only else None
 
@@ -86,14 +88,11 @@
     """Return the only version that a service had recently.
 
     Returns:
-        0 if it had several; None if this host can't know, because it started recently
-        or its view of the store is old.
+        0 if it had several; None if this host started too recently to know.
     """
     now = trio.current_time()
     if state.versions.history.is_mixed(service, now):
         return Release(0)
-    if state.configuration.age > MAX_VIEW_AGE:
-        return None
     return state.versions.history.find_only(service, now)
 
 
--- a/dewridge/tests/gateway/resuming_tests.py
+++ b/dewridge/tests/gateway/resuming_tests.py
@@ -255,6 +255,20 @@
     assert all(len(stream.versions) == 1 for stream in streams)
 
 
+async def test_one_version_is_known_while_the_store_is_down_for_all() -> None:
+    """Guards against refusing resumed streams in an outage of the store."""
+    async with AsyncExitStack() as stack:
+        scene = await open_scene(stack, ("v1",))
+        streams = await begin_streams(scene, 4)
+        scene.silence(0)
+        for world in scene.worlds[1:]:
+            world.state.configuration.confirm = ignore  # type: ignore[method-assign]
+            confirmed_at = read_boot_clock() - MAX_VIEW_AGE - 1
+            world.state.configuration.confirmed_at = confirmed_at
+        await resume_all(scene, streams, lambda number: 1 + number % 3)
+    assert all(stream.is_whole for stream in streams)
+
+
 async def send(world: World, extra: str, request_id: str = "r-1") -> int:
     """Send a request to the resumable route and return the status."""
     connection = await world.connect()
--- a/dewridge/tests/gateway/versionedengines.py
+++ b/dewridge/tests/gateway/versionedengines.py
@@ -152,7 +152,8 @@
         with trio.move_on_after(seconds):
             while data := await connection.receive_some(65536):
                 received += bytes(data)
-    stream.add(CallerAnswer(200, {}, received, is_complete=False))
+    is_complete = received.endswith(b"0\r\n\r\n")
+    stream.add(CallerAnswer(200, {}, received, is_complete))
     return stream
 
 
--- a/dewridge/tests/gateway/versions_tests.py
+++ b/dewridge/tests/gateway/versions_tests.py
@@ -1,10 +1,18 @@
 """Tests of streams while servers of several software versions serve side by side."""
 
+import time
 from contextlib import AsyncExitStack
 
+import pytest
 import trio
 
 from dewridge.gateway import streams
+from dewridge.gateway.model import ServerVersion
+from dewridge.gateway.reports import RolloutProgress
+from dewridge.gateway.weighing import make_choice
+from dewridge.policy.choice import Placement
+from dewridge.policy.rollouts import Stage
+from dewridge.tests.gateway.crashing_tests import make_job
 from dewridge.tests.gateway.moving_tests import connect_departures
 from dewridge.tests.gateway.pushback import open_fleet
 from dewridge.tests.gateway.versionedengines import (
@@ -14,12 +22,21 @@
     begin_stream,
     resume_stream,
 )
-from dewridge.tests.gateway.world import World, open_world
+from dewridge.tests.gateway.world import ENGINE, World, open_world
 
 STREAMS = 16
+ROLLOUT_SECONDS = 30.0
 VERSIONS = ("v1", "v1.1")
 
 
+def make_progress(stage: Stage) -> RolloutProgress:
+    """Return the progress of a rollout of the second version."""
+    target = ServerVersion(VERSIONS[1])
+    return RolloutProgress(
+        ENGINE, target, 1, stage, 0.5, ordered_at=time.time(), duration=ROLLOUT_SECONDS
+    )
+
+
 async def add_engines(world: World) -> VersionedEngines:
     """Start two engines of each version that one gateway knows."""
     engines = VersionedEngines(world.add_server)
@@ -82,6 +99,68 @@
     assert [stream for stream in results if len(stream.versions) > 1] == []
 
 
+async def test_a_stream_goes_on_at_its_version_while_a_rollout_moves_on() -> None:
+    """Guards against streams that change their version when a rollout completes."""
+    async with open_world(retry_slack=100) as world:
+        engines = await add_engines(world)
+
+        async def complete_and_crash() -> None:
+            await trio.sleep(4 * EVENT_SECONDS)
+            world.state.rollouts.apply_progress(make_progress(Stage.COMPLETED))
+            engines.crash("v1")
+
+        world.nursery.start_soon(complete_and_crash)
+        results = await run_streams(world)
+    assert all(stream.is_whole for stream in results)
+    assert [stream for stream in results if len(stream.versions) > 1] == []
+    assert {min(stream.versions) for stream in results} == set(VERSIONS)
+
+
+async def test_streams_of_a_reverted_version_are_not_sent_to_it_again() -> None:
+    """Guards against requests at a bad version, and against joining it to another."""
+    async with open_world(retry_slack=100) as world:
+        engines = await add_engines(world)
+
+        async def revert_and_crash() -> None:
+            await trio.sleep(4 * EVENT_SECONDS)
+            world.state.rollouts.apply_progress(make_progress(Stage.REVERTED))
+            engines.crash("v1.1")
+
+        world.nursery.start_soon(revert_and_crash)
+        results = await run_streams(world)
+    cut = [stream for stream in results if not stream.is_whole]
+    assert cut
+    assert {version for stream in cut for version in stream.versions} == {"v1.1"}
+    assert [stream for stream in results if len(stream.versions) > 1] == []
+
+
+@pytest.mark.parametrize("version", VERSIONS)
+async def test_prefixes_are_copied_from_servers_of_the_same_version(
+    version: str,
+) -> None:
+    """Guards against an engine that reads the cache of another version."""
+    async with open_world() as world:
+        await add_engines(world)
+        now = trio.current_time()
+        records = world.state.servers.list_service(ENGINE)
+        holders = {record.id: record for record in records}
+        others = {id: one for id, one in holders.items() if one.version != version}
+        addresses = {one.address for one in records if one.version == version}
+        job = make_job(world, b"")
+        copied_from = set()
+        for record in records:
+            if record.version != version:
+                continue
+            placement = Placement(record.id, 100)
+            choice = make_choice(world.state, job, placement, others, now)
+            assert choice is not None and choice.cache_holder is None
+            choice = make_choice(world.state, job, placement, holders, now)
+            assert choice is not None
+            copied_from.add(choice.cache_holder)
+    assert copied_from - {None}
+    assert copied_from - {None} <= addresses
+
+
 async def test_a_stream_is_resumed_at_any_host_at_the_version_that_began_it() -> None:
     """Guards against joining events of two versions over a caller's attempts."""
     async with AsyncExitStack() as stack:
--- a/dewridge/tests/soak/soak_tests.py
+++ b/dewridge/tests/soak/soak_tests.py
@@ -5,6 +5,7 @@
 import pytest
 
 from dewridge.tests.soak.runs import SoakSize, run_soak
+from dewridge.tests.soak.versionchecks import MIN_RESUMPTIONS
 
 RANDOM_FAULTS_SEED = 7
 FAULT_SECONDS = 6.0
@@ -14,6 +15,7 @@
 CRASHING_SEED = 29
 SIGNALS_SEED = 4000
 PARTITIONS_SEED = 8000
+VERSIONS_SEED = 9500
 
 
 @pytest.mark.timeout(90)
@@ -64,3 +66,19 @@
     assert result.violations == []
     assert result.outcomes["partitions"] == 2
     assert result.outcomes["brittle periods"] == 1
+
+
+@pytest.mark.timeout(90)
+async def test_streams_stay_at_their_version_over_hosts(tmp_path: Path) -> None:
+    """Streams that callers resume at any host hold events of one version only."""
+    size = SoakSize(
+        hosts=4,
+        servers=12,
+        callers=6,
+        seconds=FAULT_SECONDS,
+        versions=3,
+        resuming=8,
+    )
+    result = await run_soak(VERSIONS_SEED, size, tmp_path)
+    assert result.violations == []
+    assert result.outcomes["resumed at hosts in touch"] >= MIN_RESUMPTIONS
