Send running streams again to keepers that started again

A keeper that is killed and back within a second is never silent, but has forgotten the streams that it kept. Keepers are compared by their process now. A query holds as many streams as fit into one datagram: with more, the answer to the first part counted as the answer to all.

--- a/dewridge/gateway/versions/link.py
+++ b/dewridge/gateway/versions/link.py
@@ -52,9 +52,10 @@
     """A query that waits for answers.
 
     Attributes:
-        streams: the streams asked for that no host has named yet.
+        streams: the streams asked for.
         asked: hosts that have not answered.
-        onlys: what hosts said of the versions of the service.
+        only_releases: the only version of the service by each answer; 0 if that host
+            knows several, None if it does not know.
         found: versions of the streams that hosts named.
         sent: set when the hosts are asked.
         changed: set when an answer arrives or their time is over.
@@ -65,7 +66,7 @@
     service: ServiceName
     streams: list[StreamKey]
     asked: dict[HostId, HostEntry] = field(default_factory=dict)
-    onlys: list[Release | None] = field(default_factory=list)
+    only_releases: list[Release | None] = field(default_factory=list)
     found: Streams = field(default_factory=dict)
     sent: trio.Event = field(default_factory=trio.Event)
     changed: trio.Event = field(default_factory=trio.Event)
@@ -82,10 +83,11 @@
         A host that is cut off from the store may have missed a version, but not most
         of them: while the store is down for all, no version can come.
         """
-        claims = {only for only in self.onlys if only is not None}
-        if len(claims) != 1 or 0 in claims or len(self.onlys) <= len(self.asked):
+        named = {release for release in self.only_releases if release is not None}
+        has_majority = len(self.only_releases) > len(self.asked)
+        if len(named) != 1 or 0 in named or not has_majority:
             return None
-        return claims.pop()
+        return named.pop()
 
 
 class VersionLink:
@@ -119,7 +121,7 @@
         self._find_only = find_only
         self._encoder = msgspec.msgpack.Encoder()
         self._due = trio.Event()
-        self._keepers: list[HostId] = []
+        self._keepers: list[tuple[HostId, int]] = []
         self._queries: dict[int, _Query] = {}
         self._collecting: dict[ServiceName, _Query] = {}
         self._number = 0
@@ -146,8 +148,9 @@
         domains = {host: entry.failure_domain for host, entry in hosts.items()}
         domains[self._local_host] = self._local_domain
         keepers = choose_keepers(self._local_host, domains)
-        if keepers != self._keepers:
-            self._keepers = keepers
+        processes = [(keeper, hosts[keeper].boot) for keeper in keepers]
+        if processes != self._keepers:
+            self._keepers = processes
             self._versions.resend()
         streams = list(self._versions.take_unsent(trio.current_time()).items())
         for first in range(0, len(streams), MAX_STREAMS_PER_DATAGRAM):
@@ -157,9 +160,11 @@
                 self._send(hosts[keeper].peers, report)
 
     def check_keepers(self) -> None:
-        """Have the running streams sent again if other hosts have to keep them."""
-        live = {entry.id for entry in self._list_live_hosts()}
-        if self._keepers and not live.issuperset(self._keepers):
+        """Have running streams sent again if a keeper is silent or started again."""
+        if not self._keepers:
+            return
+        live = {(entry.id, entry.boot) for entry in self._list_live_hosts()}
+        if not live.issuperset(self._keepers):
             self.request_report()
 
     def _send(self, address: str, message: StreamVersionMessage) -> None:
@@ -184,22 +189,22 @@
 
     async def _join_query(self, service: ServiceName, stream: StreamKey) -> _Query:
         """Return the query that asks for a stream, together with others."""
+        assert self._nursery is not None
         query = self._collecting.get(service)
-        is_first = query is None
-        if query is None:
+        if query is None or len(query.streams) >= MAX_STREAMS_PER_DATAGRAM:
             self._number += 1
             query = _Query(self._number, service, [])
             self._collecting[service] = query
-        query.streams.append(stream)
-        if is_first and self._nursery is not None:
             self._nursery.start_soon(self._run_query, query)
+        query.streams.append(stream)
         await query.sent.wait()
         return query
 
     async def _run_query(self, query: _Query) -> None:
         """Send a query until all hosts have answered or their time is over."""
         await trio.sleep(QUERY_DELAY)
-        del self._collecting[query.service]
+        if self._collecting.get(query.service) is query:
+            del self._collecting[query.service]
         query.asked = {entry.id: entry for entry in self._list_live_hosts()}
         query.sent.set()
         self._queries[query.number] = query
@@ -220,13 +225,11 @@
 
     def _send_query(self, query: _Query) -> None:
         missing = [stream for stream in query.streams if stream not in query.found]
-        for first in range(0, len(missing), MAX_STREAMS_PER_DATAGRAM):
-            streams = pack_streams(missing[first : first + MAX_STREAMS_PER_DATAGRAM])
-            message = StreamVersionQuery(
-                self._local_host, query.number, query.service, streams
-            )
-            for entry in query.asked.values():
-                self._send(entry.peers, message)
+        message = StreamVersionQuery(
+            self._local_host, query.number, query.service, pack_streams(missing)
+        )
+        for entry in query.asked.values():
+            self._send(entry.peers, message)
 
     def receive(self, message: StreamVersionMessage, sender: PeerAddress) -> None:
         """Apply a message of a peer."""
@@ -266,7 +269,7 @@
         query = self._queries.get(answer.number)
         if query is None or query.asked.pop(answer.host, None) is None:
             return
-        query.onlys.append(answer.only)
+        query.only_releases.append(answer.only)
         now = trio.current_time()
         for release, data in answer.streams.items():
             for stream in unpack_streams(data):
