Ask a server that was unreachable whether it is still the same process

A server may start again under its name with another version. Hosts name it by its name, and until its new record is read they would take its events for those of the version before. A host whose connections to it were refused or broken asks for its report before the next stream; if the start time is not that of the record, the old process is dropped and another server chosen.

Not covered: a host that had no connection to the server when it ended, until it reads the record.

choose_server is split: the servers that a request may be sent to are listed in a function of their own.

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -26,6 +26,7 @@
 from dewridge.gateway.suspects import check_quarantine, record_answer
 from dewridge.gateway.versions.eligibility import has_bound_servers
 from dewridge.gateway.versions.origins import record_first_event
+from dewridge.gateway.versions.processes import is_same_process
 from dewridge.gateway.waiting import ServerChooser
 from dewridge.gateway.weighing import ServerChoice
 from dewridge.http1.client import ConnectionBrokenError, Headers
@@ -85,6 +86,9 @@
             if isinstance(choice, Failure):
                 return self._refuse(job, choice)
             server = choice.server
+            is_moved = continuation is not None
+            if not is_moved and not await is_same_process(self._state, job, server):
+                continue
             lost = await self._attempt(job, choice, continuation, responder)
             if lost is None:
                 return None
--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -172,7 +172,7 @@
             self._state.list_live_entries,
             partial(find_only_release, self._state),
         )
-        self._state.ask_peers = self._version_link.ask
+        self._state.ask_peers_for_origin = self._version_link.ask
         self._state.versions.on_due = self._version_link.request_report
         self._state.versions.check_keepers = self._version_link.check_keepers
         self._stream_copies = StreamCopies(
--- a/dewridge/gateway/losses.py
+++ b/dewridge/gateway/losses.py
@@ -144,6 +144,8 @@
                 health.full_until = now + REJECTION_BACKOFF
             case ServerVerdict.FAILED | ServerVerdict.ENDED_OR_UNREACHABLE:
                 is_hard = verdict is ServerVerdict.ENDED_OR_UNREACHABLE
+                if is_hard:
+                    self._state.versions.doubtful_servers.add(server.id)
                 if lost.is_silent:
                     health.record_silence(now, job.sent_at, is_hard=is_hard)
                 else:
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -180,7 +180,7 @@
     relay_key: str = field(default_factory=partial(secrets.token_hex, 16))
     contention: ContentionRecords = field(init=False)
     versions: StreamVersions = field(init=False)
-    ask_peers: AskPeers = ask_nobody
+    ask_peers_for_origin: AskPeers = ask_nobody
     """Asks the other hosts at which version a stream of a service began."""
     find_stored_origin: FindStored = find_nothing_stored
     """Reads from the store's copies at which version a stream of a service began."""
@@ -493,6 +493,7 @@
         now = trio.current_time()
         self.versions.record_servers(self.servers.list_all(), now)
         listed = {record.id for record in self.servers.list_all()}
+        self.versions.doubtful_servers &= listed
         self.pushback.drop_expired(listed, now)
         self.placement.drop_departed(listed)
         self.suspects.drop_expired(now)
--- a/dewridge/gateway/versions/eligibility.py
+++ b/dewridge/gateway/versions/eligibility.py
@@ -34,7 +34,7 @@
     return state.servers.has_release(job.service, job.release)
 
 
-def list_job_servers(state: GatewayState, job: Job) -> list[ServerRecord]:
+def list_eligible_servers(state: GatewayState, job: Job) -> list[ServerRecord]:
     """Return the servers that may run a request, for estimates of its wait."""
     if job.release is not None:
         return list_bound_servers(state, job)
@@ -63,7 +63,7 @@
     return [server for server in servers if server.id != source.id]
 
 
-def refuse_for_version(state: GatewayState, job: Job) -> Failure:
+def make_version_refusal(state: GatewayState, job: Job) -> Failure:
     """Return the refusal of a stream whose version has no servers."""
     now = trio.current_time()
     crashed_at = state.servers.find_last_crash(job.service, job.release)
--- a/dewridge/gateway/versions/origins.py
+++ b/dewridge/gateway/versions/origins.py
@@ -53,7 +53,7 @@
     Returns:
         Where the stream began, and why a later search may find more; empty if it can't.
     """
-    knowledge = await state.ask_peers(job.service, job.stream_key)
+    knowledge = await state.ask_peers_for_origin(job.service, job.stream_key)
     origin = knowledge.origin
     if origin is not None and is_plausible(state, job, origin):
         return origin, ""
--- a/dewridge/gateway/versions/records.py
+++ b/dewridge/gateway/versions/records.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from dewridge.gateway.model import ServerRecord
-from dewridge.ids import ServiceName
+from dewridge.ids import BackendServerId, ServiceName
 from dewridge.policy.streamversions import (
     RETENTION,
     Origin,
@@ -59,6 +59,7 @@
     Attributes:
         history: the versions that had servers recently.
         ledger: versions of the streams of this host and of its peers.
+        doubtful_servers: servers that were unreachable, and may be another process now.
         on_due: called when there are streams that other hosts have to keep.
         on_mixed: called regularly while a service has several versions.
         check_keepers: called regularly, to find out whether other hosts have to keep
@@ -67,6 +68,7 @@
 
     history: ReleaseHistory
     ledger: StreamLedger = field(default_factory=StreamLedger)
+    doubtful_servers: set[BackendServerId] = field(default_factory=set)
     on_due: Callable[[], None] = lambda: None
     on_mixed: Callable[[], None] = lambda: None
     check_keepers: Callable[[], None] = lambda: None
--- a/dewridge/gateway/waiting.py
+++ b/dewridge/gateway/waiting.py
@@ -9,7 +9,7 @@
 from dewridge.gateway.jobs import Job
 from dewridge.gateway.placement.probing import probe_candidates
 from dewridge.gateway.state import GatewayState
-from dewridge.gateway.versions.eligibility import refuse_for_version
+from dewridge.gateway.versions.eligibility import make_version_refusal
 from dewridge.gateway.weighing import (
     ServerChoice,
     WithheldServers,
@@ -50,7 +50,7 @@
             now = trio.current_time()
             choice = choose_server(self._state, job, now)
             if choice is None and job.release is not None:
-                return refuse_for_version(self._state, job)
+                return make_version_refusal(self._state, job)
             if choice is None:
                 return Failure(ResultCode.NO_BACKEND_SERVER, "no server")
             if isinstance(choice, ServerChoice):
--- a/dewridge/gateway/weighing.py
+++ b/dewridge/gateway/weighing.py
@@ -15,7 +15,7 @@
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.versions.eligibility import (
     list_bound_servers,
-    list_job_servers,
+    list_eligible_servers,
     list_same_version,
     prefer_known_versions,
 )
@@ -86,18 +86,7 @@
     state: GatewayState, job: Job, now: float
 ) -> ServerChoice | WithheldServers | None:
     """Return the server for a job's next attempt; None if the service has none."""
-    if job.release is not None:
-        listed = chosen = serving = list_bound_servers(state, job)
-    else:
-        listed = state.servers.list_service(job.service)
-        drawn = state.rollouts.choose_servers(
-            job.service,
-            listed,
-            is_first=not job.tried_servers,
-            draw_random=state.rng.random,
-        )
-        chosen = prefer_known_versions(state, job, drawn, now)
-        serving = state.rollouts.list_serving(job.service, listed)
+    chosen, serving = list_allowed_servers(state, job, now)
     records = list_open(state, chosen, now) or list_open(state, serving, now)
     if not records and chosen:
         return WithheldServers(
@@ -114,7 +103,7 @@
     if is_suspect(state, job, now):
         return choose_isolated_server(state, job, untried, now)
     holders = list_copy_sources(state, job, {record.version for record in records}, now)
-    if job.is_engine and is_chosen(state, job.service, len(listed)):
+    if job.is_engine and is_chosen(state, job.service, count_servers(state, job)):
         return choose_by_expected_time(state, job, untried, holders, now)
     placement = choose_placement(
         job,
@@ -128,6 +117,34 @@
     return make_choice(state, job, placement, holders, now)
 
 
+def list_allowed_servers(
+    state: GatewayState, job: Job, now: float
+) -> tuple[list[ServerRecord], list[ServerRecord]]:
+    """Return the servers for a job's next attempt, and those that may replace them.
+
+    The others are used while none of the first ones may get one more request.
+    """
+    if job.release is not None:
+        bound = list_bound_servers(state, job)
+        return bound, bound
+    listed = state.servers.list_service(job.service)
+    drawn = state.rollouts.choose_servers(
+        job.service,
+        listed,
+        is_first=not job.tried_servers,
+        draw_random=state.rng.random,
+    )
+    serving = state.rollouts.list_serving(job.service, listed)
+    return prefer_known_versions(state, job, drawn, now), serving
+
+
+def count_servers(state: GatewayState, job: Job) -> int:
+    """Return how many servers a job is placed among, before limits and rollouts."""
+    if job.release is not None:
+        return len(list_bound_servers(state, job))
+    return len(state.servers.list_service(job.service))
+
+
 def choose_by_expected_time(
     state: GatewayState,
     job: Job,
@@ -300,7 +317,7 @@
     # make the others look less loaded than they are.
     records = [
         record
-        for record in list_job_servers(state, job)
+        for record in list_eligible_servers(state, job)
         if not state.pushback.is_withheld(record.id, now)
     ]
     in_flight = state.count_in_flight(records)
--- a/dewridge/platform/engines.py
+++ b/dewridge/platform/engines.py
@@ -40,6 +40,8 @@
     kv_used: _Amount | None = None
     kv_total: _Amount | None = None
     next_token: _Amount | None = None
+    born: int | None = None
+    """Start time of the server in milliseconds since the Unix epoch (not a year)."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,12 +53,15 @@
         running: requests that have a slot.
         prefilling: those of them that have made no event yet.
         run_ids: ids of the attempts that have a slot.
+        started_at_ms: when the process started, in milliseconds since 1970; None if
+            the engine does not say.
     """
 
     waiting: int
     running: int
     prefilling: int
     run_ids: frozenset[str]
+    started_at_ms: int | None = None
 
 
 def decode_report(body: bytes) -> EngineReport | None:
@@ -70,6 +75,7 @@
         running=max(reply.running, len(reply.runs)),
         prefilling=sum(run.events == 0 for run in reply.runs),
         run_ids=frozenset(str(run.id) for run in reply.runs if run.id is not None),
+        started_at_ms=reply.born,
     )
 
 
--- a/dewridge/tests/gateway/versionedengines.py
+++ b/dewridge/tests/gateway/versionedengines.py
@@ -34,6 +34,7 @@
         moves: versions of the source and of the target of each move.
         copies: versions of the source and of the engine of each copied prefix.
         event_seconds: seconds before each event.
+        started_at_ms: start time of the engines by their reports.
     """
 
     add_server: AddServer
@@ -43,6 +44,7 @@
     moves: list[tuple[str, str]] = field(default_factory=list)
     copies: list[tuple[str, str]] = field(default_factory=list)
     event_seconds: float = EVENT_SECONDS
+    started_at_ms: int = 1
     _stopped: dict[bytes, trio.Event] = field(
         default_factory=lambda: defaultdict(trio.Event)
     )
@@ -64,6 +66,10 @@
         self._versions[address] = version
 
     async def _answer(self, exchange: ServerExchange, version: str) -> None:
+        if exchange.target == b"/-/report":
+            report = b'{"waiting":0,"running":0,"runs":[],"born":%d}'
+            await exchange.answer(report % self.started_at_ms)
+            return
         if exchange.target == b"/-/kv-move":
             await self._move(exchange, version)
             return
--- a/dewridge/tests/gateway/versionlinks.py
+++ b/dewridge/tests/gateway/versionlinks.py
@@ -81,7 +81,7 @@
     )
     network.links[address] = link
     network.nursery.start_soon(link.run)
-    state.ask_peers = link.ask
+    state.ask_peers_for_origin = link.ask
     state.versions.on_due = link.request_report
     state.versions.check_keepers = link.check_keepers
     return link
--- a/dewridge/tests/gateway/versions_tests.py
+++ b/dewridge/tests/gateway/versions_tests.py
@@ -2,6 +2,7 @@
 
 import time
 from contextlib import AsyncExitStack
+from dataclasses import replace
 
 import pytest
 import trio
@@ -134,6 +135,24 @@
     assert [stream for stream in results if len(stream.versions) > 1] == []
 
 
+async def test_a_server_that_started_again_gets_no_stream_of_its_old_version() -> None:
+    """Guards against a server that is back under its name with another version."""
+    async with open_world(retry_slack=100) as world:
+        engines = await add_engines(world)
+        for record in world.state.servers.list_service(ENGINE):
+            known = replace(record, started_at_ms=1)
+            world.state.servers.update(known, trio.current_time())
+        restarted = engines.servers["v1"][0]
+        engines.started_at_ms = 2
+        world.state.versions.doubtful_servers.add(restarted.id)
+        results = await run_streams(world)
+        runs = [one for one in restarted.received if b"/chat/" in one.target]
+        left = world.state.servers.find(restarted.id)
+    assert runs == []
+    assert left is None
+    assert all(stream.is_whole for stream in results)
+
+
 @pytest.mark.parametrize("version", VERSIONS)
 async def test_prefixes_are_copied_from_servers_of_the_same_version(
     version: str,
