--- a/dewridge/digests.py
+++ b/dewridge/digests.py
@@ -1,11 +1,20 @@
-"""Digests of requests by their account, called operation and content."""
+"""Digests of requests, of streams, and of versions of a service."""
 
 from collections.abc import Iterable
+from functools import lru_cache
 from hashlib import blake2b
 
-from dewridge.ids import ClientAccount, RequestDigest
+from dewridge.ids import (
+    ClientAccount,
+    Release,
+    RequestDigest,
+    ServiceName,
+    StreamKey,
+)
 
 DIGEST_BYTES = 8
+RELEASE_BYTES = 4
+STREAM_KEY_BYTES = 6
 
 
 def compute_content_digest(
@@ -29,3 +38,19 @@
         digest.update(part)
     digest.update(body)
     return RequestDigest(digest.hexdigest())
+
+
+@lru_cache(maxsize=1024)
+def make_release(service: ServiceName, version: str) -> Release:
+    """Return the digest of a version of a service."""
+    text = f"{service}\0{version}".encode("utf-8", "surrogatepass")
+    return Release(
+        int.from_bytes(blake2b(text, digest_size=RELEASE_BYTES).digest()) or 1
+    )
+
+
+def make_stream_key(account: ClientAccount | None, attempt: bytes) -> StreamKey:
+    """Return the digest of an attempt; another account's attempt has another one."""
+    text = f"{account or ''}\0".encode() + attempt
+    digest = blake2b(text, digest_size=STREAM_KEY_BYTES).digest()
+    return StreamKey(int.from_bytes(digest))
--- a/dewridge/gateway/jobs.py
+++ b/dewridge/gateway/jobs.py
@@ -3,16 +3,21 @@
 from dataclasses import dataclass, field
 from functools import cached_property
 
+from dewridge.digests import make_stream_key
 from dewridge.gateway.digests import make_digest
 from dewridge.gateway.model import Account, CallerRequest, Route, ServerRecord
-from dewridge.ids import BackendServerId, HostId, RequestDigest, ServiceName
+from dewridge.ids import (
+    BackendServerId,
+    HostId,
+    Release,
+    RequestDigest,
+    ServiceName,
+    StreamKey,
+)
 from dewridge.platform.engines import CacheCopy
 from dewridge.policy.expectedtime import ExpectedPlacement
 from dewridge.policy.streamversions import (
     Origin,
-    Release,
-    StreamKey,
-    make_stream_key,
 )
 
 PRIORITY_STEP = 3
--- a/dewridge/gateway/model.py
+++ b/dewridge/gateway/model.py
@@ -5,14 +5,15 @@
 from enum import Enum
 from typing import NewType
 
+from dewridge.digests import make_release
 from dewridge.ids import (
     BackendServerId,
     ClientAccount,
     FailureDomain,
+    Release,
     ServerName,
     ServiceName,
 )
-from dewridge.policy.streamversions import Release, make_release
 
 RouteName = NewType("RouteName", str)
 ServerVersion = NewType("ServerVersion", str)
--- a/dewridge/gateway/reports.py
+++ b/dewridge/gateway/reports.py
@@ -15,12 +15,12 @@
     BackendServerId,
     ClientAccount,
     HostId,
+    Release,
     RequestDigest,
     ServiceName,
 )
 from dewridge.policy.cells import CellName
 from dewridge.policy.rollouts import Stage
-from dewridge.policy.streamversions import Release
 
 DutyHolder = tuple[int, HostId]
 """Fencing token and id of a holder of the duties; each holder has a higher token than
--- a/dewridge/gateway/servers.py
+++ b/dewridge/gateway/servers.py
@@ -13,10 +13,13 @@
 from dewridge.ids import (
     BackendServerId,
     FailureDomain,
+    Release,
     ServerName,
     ServiceName,
 )
-from dewridge.policy.streamversions import MAX_NAME_LENGTH, Release
+from dewridge.policy.streamversions import (
+    MAX_NAME_LENGTH,
+)
 
 REREGISTRATION_TIME = 2.2
 """Seconds after a store outage during which missing records may reappear: servers take
--- a/dewridge/gateway/versions/copies.py
+++ b/dewridge/gateway/versions/copies.py
@@ -14,14 +14,17 @@
 from dewridge.codes import ResultCode
 from dewridge.gateway.versions.link import group_by_release
 from dewridge.gateway.versions.records import StreamVersions
-from dewridge.ids import HostId, ServiceName
+from dewridge.ids import (
+    HostId,
+    Release,
+    ServiceName,
+    StreamKey,
+)
 from dewridge.platform.store import Item, Lease, Store, Write
 from dewridge.policy.streamversions import (
     RETENTION,
     Origin,
     OriginSource,
-    Release,
-    StreamKey,
     unpack_streams,
 )
 from dewridge.sentinels import Failure
--- a/dewridge/gateway/versions/link.py
+++ b/dewridge/gateway/versions/link.py
@@ -24,12 +24,16 @@
     Streams,
     StreamVersions,
 )
-from dewridge.ids import FailureDomain, HostId, ServiceName
+from dewridge.ids import (
+    FailureDomain,
+    HostId,
+    Release,
+    ServiceName,
+    StreamKey,
+)
 from dewridge.policy.streamversions import (
     Origin,
     OriginSource,
-    Release,
-    StreamKey,
     choose_keepers,
     compute_report_delay,
     pack_streams,
--- a/dewridge/gateway/versions/origins.py
+++ b/dewridge/gateway/versions/origins.py
@@ -7,12 +7,14 @@
 from dewridge.gateway.jobs import Job
 from dewridge.gateway.model import RouteKind
 from dewridge.gateway.state import GatewayState
-from dewridge.ids import ServiceName
+from dewridge.ids import (
+    Release,
+    ServiceName,
+)
 from dewridge.policy.streamversions import (
     MAX_VIEW_AGE,
     Origin,
     OriginSource,
-    Release,
 )
 from dewridge.sentinels import Failure
 
--- a/dewridge/gateway/versions/records.py
+++ b/dewridge/gateway/versions/records.py
@@ -6,14 +6,17 @@
 from typing import Any
 
 from dewridge.gateway.model import ServerRecord
-from dewridge.ids import BackendServerId, ServiceName
+from dewridge.ids import (
+    BackendServerId,
+    Release,
+    ServiceName,
+    StreamKey,
+)
 from dewridge.policy.streamversions import (
     RETENTION,
     Origin,
     OriginSource,
-    Release,
     ReleaseHistory,
-    StreamKey,
     StreamLedger,
 )
 from dewridge.sentinels import Failure
--- a/dewridge/ids.py
+++ b/dewridge/ids.py
@@ -24,6 +24,12 @@
 RequestDigest = NewType("RequestDigest", str)
 """Identifies a request by its content; the same for retries under other ids."""
 
+Release = NewType("Release", int)
+"""Digest of a service and a version of its software: 32 bits, never 0."""
+
+StreamKey = NewType("StreamKey", int)
+"""Digest of an account and the id of an attempt: 48 bits."""
+
 AttemptId = NewType("AttemptId", str)
 """Identifies one dispatch of a request to a backend server."""
 
--- a/dewridge/policy/streamversions.py
+++ b/dewridge/policy/streamversions.py
@@ -9,18 +9,10 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
-from functools import lru_cache
-from hashlib import blake2b
-from typing import NewType
 
-from dewridge.ids import ClientAccount, FailureDomain, HostId, ServiceName
+from dewridge.digests import STREAM_KEY_BYTES, make_release
+from dewridge.ids import FailureDomain, HostId, Release, ServiceName, StreamKey
 
-Release = NewType("Release", int)
-"""Digest of a service and a version of its software: 32 bits, never 0."""
-StreamKey = NewType("StreamKey", int)
-"""Digest of an account and the id of an attempt: 48 bits."""
-
-STREAM_KEY_BYTES = 6
 RETENTION = 180.0
 """Seconds for which the versions of a service, and those of streams, are remembered: at
 least the time between a stream's begin and the last attempt to resume it."""
@@ -74,20 +66,6 @@
     age: float = 0.0
 
 
-@lru_cache(maxsize=1024)
-def make_release(service: ServiceName, version: str) -> Release:
-    """Return the digest of a version of a service."""
-    text = f"{service}\0{version}".encode("utf-8", "surrogatepass")
-    return Release(int.from_bytes(blake2b(text, digest_size=4).digest()) or 1)
-
-
-def make_stream_key(account: ClientAccount | None, attempt: bytes) -> StreamKey:
-    """Return the digest of an attempt; another account's attempt has another one."""
-    text = f"{account or ''}\0".encode() + attempt
-    digest = blake2b(text, digest_size=STREAM_KEY_BYTES).digest()
-    return StreamKey(int.from_bytes(digest))
-
-
 @dataclass
 class StreamLedger:
     """The versions at which recent streams began."""
--- a/dewridge/tests/policy/streamversions_tests.py
+++ b/dewridge/tests/policy/streamversions_tests.py
@@ -5,7 +5,15 @@
 
 import pytest
 
-from dewridge.ids import ClientAccount, FailureDomain, HostId, ServiceName
+from dewridge.digests import STREAM_KEY_BYTES, make_release, make_stream_key
+from dewridge.ids import (
+    ClientAccount,
+    FailureDomain,
+    HostId,
+    Release,
+    ServiceName,
+    StreamKey,
+)
 from dewridge.policy.streamversions import (
     CRASH_RESTART_TIME,
     KEEPER_COUNT,
@@ -13,16 +21,11 @@
     NEW_VERSION_DELAY,
     RETENTION,
     SMALL_FLEET_HOSTS,
-    STREAM_KEY_BYTES,
-    Release,
     ReleaseHistory,
-    StreamKey,
     StreamLedger,
     choose_keepers,
     compute_report_delay,
     compute_return_delay,
-    make_release,
-    make_stream_key,
     pack_streams,
     unpack_streams,
 )
