Test odd resumptions, and wait for streams rather than for time in tests of versions

test_a_stream_is_moved_to_the_version_that_began_it failed once at a load of 10: 2 moves, where 6 are usual. Traced: the servers were reclaimed 0.12 s after the callers began, when 11 of the 16 streams had reached a server in a run with the counts printed. The tests wait until all streams run now, and callers break off some time after their first event.

New tests: peers that do not answer, overlapping attempts, another account's stream, a record that changes its version, and requests that no version binds.

--- a/dewridge/tests/gateway/resuming_tests.py
+++ b/dewridge/tests/gateway/resuming_tests.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Callable
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import trio
 
 from dewridge.gateway.clock import read_boot_clock
+from dewridge.gateway.model import Account, AccountKey
 from dewridge.gateway.versions.copies import StreamCopies, make_key
-from dewridge.ids import HostId
+from dewridge.ids import ClientAccount, HostId
 from dewridge.policy.streamversions import MAX_VIEW_AGE, ReleaseHistory
 from dewridge.tests.gateway.memorystore import MemoryStore, StoreData
 from dewridge.tests.gateway.pushback import Fleet, open_fleet
@@ -19,7 +20,14 @@
     begin_stream,
     resume_stream,
 )
-from dewridge.tests.gateway.world import ENGINE, World, make_request, read_answer
+from dewridge.tests.gateway.world import (
+    ENGINE,
+    KEY,
+    World,
+    make_configuration,
+    make_request,
+    read_answer,
+)
 
 PART = 6 * EVENT_SECONDS
 """Seconds after which the callers' first connections break."""
@@ -234,6 +242,12 @@
     assert {version for stream in streams for version in stream.versions} == {"v1"}
 
 
+def make_account() -> Account:
+    """Return the account of the test's callers."""
+    configuration = make_configuration()
+    return configuration.accounts[KEY]
+
+
 def ignore(requested_at: float) -> None:
     """Stand in for a confirmation that never arrives."""
 
@@ -269,6 +283,69 @@
     assert all(stream.is_whole for stream in streams)
 
 
+async def test_callers_return_if_the_peers_that_may_know_do_not_answer() -> None:
+    """Guards against a final refusal by a host that is cut off from its peers."""
+    async with AsyncExitStack() as stack:
+        scene = await open_scene(stack)
+        streams = await begin_streams(scene, 4)
+        scene.forget(3)
+        scene.fleet.network.silent.add(scene.find_address(3))
+        await resume_all(scene, streams, lambda number: 3)
+        statuses = [stream.status for stream in streams]
+        waits = [float(stream.headers[b"retry-after"]) for stream in streams]
+        scene.fleet.network.silent.clear()
+        await resume_all(scene, streams, lambda number: 3)
+    assert statuses == [503] * 4
+    assert max(waits) < 1.0
+    assert all(stream.is_whole for stream in streams)
+    assert all(len(stream.versions) == 1 for stream in streams)
+
+
+async def test_overlapping_attempts_are_streams_of_their_own() -> None:
+    """Guards against two attempts of one request that are taken for one stream."""
+    async with AsyncExitStack() as stack:
+        scene = await open_scene(stack)
+        streams: list[Stream] = []
+
+        async def begin(number: int) -> None:
+            world = scene.worlds[number % 2]
+            streams.append(await begin_stream(world, f"a-{number}", PART))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(12):
+                nursery.start_soon(begin, number)
+        await resume_all(scene, streams, lambda number: 2 + number % 2)
+    assert all(stream.is_whole for stream in streams)
+    assert all(len(stream.versions) == 1 for stream in streams)
+    assert {min(stream.versions) for stream in streams} == set(VERSIONS)
+
+
+async def test_another_accounts_stream_looks_like_one_that_was_never_sent() -> None:
+    """Guards against an account that finds out which streams another one has."""
+    async with AsyncExitStack() as stack:
+        scene = await open_scene(stack)
+        await begin_streams(scene, 1)
+        for world in scene.worlds:
+            account = replace(make_account(), name=ClientAccount("account-2"))
+            configuration = world.state.configuration.current
+            assert configuration is not None
+            accounts = {**configuration.accounts, AccountKey("key-2"): account}
+            changed = replace(configuration, version=2, accounts=accounts)
+            world.state.configuration.apply(changed)
+        answers = []
+        for attempt in ("a-0", "never-sent"):
+            extra = f"Resumes: {attempt}\r\nLast-Event-Id: 2\r\n"
+            connection = await scene.worlds[0].connect()
+            async with connection:
+                await connection.send_all(
+                    make_request("/chat/a", key="key-2", extra=extra)
+                )
+                answers.append(await read_answer(connection))
+    assert [answer.status for answer in answers] == [503, 503]
+    assert answers[0].body == answers[1].body
+    assert answers[0].headers.keys() == answers[1].headers.keys()
+
+
 async def send(world: World, extra: str, request_id: str = "r-1") -> int:
     """Send a request to the resumable route and return the status."""
     connection = await world.connect()
--- a/dewridge/tests/gateway/versionedengines.py
+++ b/dewridge/tests/gateway/versionedengines.py
@@ -35,6 +35,7 @@
         copies: versions of the source and of the engine of each copied prefix.
         event_seconds: seconds before each event.
         started_at_ms: start time of the engines by their reports.
+        running: number of runs that have begun.
     """
 
     add_server: AddServer
@@ -45,6 +46,8 @@
     copies: list[tuple[str, str]] = field(default_factory=list)
     event_seconds: float = EVENT_SECONDS
     started_at_ms: int = 1
+    running: int = 0
+    _begun: trio.Event = field(default_factory=trio.Event)
     _stopped: dict[bytes, trio.Event] = field(
         default_factory=lambda: defaultdict(trio.Event)
     )
@@ -93,6 +96,9 @@
             self._stopped.pop(request, None)
         stopped = self._stopped[request]
         await exchange.begin_stream()
+        self.running += 1
+        begun, self._begun = self._begun, trio.Event()
+        begun.set()
         for number in range(first, EVENTS + 1):
             with trio.move_on_after(self.event_seconds):
                 await stopped.wait()
@@ -102,6 +108,11 @@
             await exchange.send(b"%x\r\n%s\r\n" % (len(event), event))
         await exchange.end_stream()
 
+    async def wait_for_streams(self, count: int) -> None:
+        """Wait until engines have begun to run some streams."""
+        while self.running < count:
+            await self._begun.wait()
+
     def crash(self, version: str) -> None:
         """Crash one engine of a version."""
         next(
@@ -149,12 +160,14 @@
 async def begin_stream(
     world: World, attempt: str, seconds: float, path: str = "/chat/a"
 ) -> Stream:
-    """Start a stream whose caller's connection breaks after some seconds."""
+    """Start a stream whose caller's connection breaks some seconds after it began."""
     stream = Stream(attempt)
     connection = await world.connect()
     received = b""
     async with connection:
         await connection.send_all(make_request(path, request_id=attempt))
+        while b"\n\n" not in received:
+            received += bytes(await connection.receive_some(65536))
         with trio.move_on_after(seconds):
             while data := await connection.receive_some(65536):
                 received += bytes(data)
--- a/dewridge/tests/gateway/versions_tests.py
+++ b/dewridge/tests/gateway/versions_tests.py
@@ -23,7 +23,14 @@
     begin_stream,
     resume_stream,
 )
-from dewridge.tests.gateway.world import ENGINE, World, open_world
+from dewridge.tests.gateway.world import (
+    ENGINE,
+    PLAIN,
+    ServerExchange,
+    World,
+    answer_ok,
+    open_world,
+)
 
 STREAMS = 16
 ROLLOUT_SECONDS = 30.0
@@ -69,6 +76,7 @@
         engines = await add_engines(world)
 
         async def crash() -> None:
+            await engines.wait_for_streams(STREAMS)
             await trio.sleep(4 * EVENT_SECONDS)
             for version in VERSIONS:
                 engines.crash(version)
@@ -86,6 +94,7 @@
         engines = await add_engines(world)
 
         async def reclaim() -> None:
+            await engines.wait_for_streams(STREAMS)
             await trio.sleep(3 * EVENT_SECONDS)
             now = trio.current_time()
             for version in VERSIONS:
@@ -106,6 +115,7 @@
         engines = await add_engines(world)
 
         async def complete_and_crash() -> None:
+            await engines.wait_for_streams(STREAMS)
             await trio.sleep(4 * EVENT_SECONDS)
             world.state.rollouts.apply_progress(make_progress(Stage.COMPLETED))
             engines.crash("v1")
@@ -123,6 +133,7 @@
         engines = await add_engines(world)
 
         async def revert_and_crash() -> None:
+            await engines.wait_for_streams(STREAMS)
             await trio.sleep(4 * EVENT_SECONDS)
             world.state.rollouts.apply_progress(make_progress(Stage.REVERTED))
             engines.crash("v1.1")
@@ -135,6 +146,51 @@
     assert [stream for stream in results if len(stream.versions) > 1] == []
 
 
+async def test_a_record_that_changes_its_version_moves_no_stream() -> None:
+    """Guards against a stream that follows the record of its server to a version."""
+    async with open_world(retry_slack=100) as world:
+        engines = await add_engines(world)
+
+        async def change_and_crash() -> None:
+            await engines.wait_for_streams(STREAMS)
+            await trio.sleep(4 * EVENT_SECONDS)
+            for server in engines.servers["v1"]:
+                record = world.state.servers.find(server.id)
+                assert record is not None
+                changed = replace(record, version=ServerVersion("v9"))
+                world.state.servers.update(changed, trio.current_time())
+            engines.crash("v1")
+
+        world.nursery.start_soon(change_and_crash)
+        results = await run_streams(world)
+    assert [stream for stream in results if len(stream.versions) > 1] == []
+    assert any(not stream.is_whole for stream in results)
+
+
+async def test_requests_that_are_no_resumable_streams_go_to_any_version() -> None:
+    """Guards against refusing requests that a version has no meaning for."""
+
+    async def fail(exchange: ServerExchange) -> None:
+        await exchange.answer(b"failed", 500)
+
+    async with open_world(retry_slack=100) as world:
+        await world.add_server("p-1", fail, PLAIN, "v1")
+        await world.add_server("p-2", answer_ok, PLAIN, "v2")
+        extra = "Resumes: a-0\r\nLast-Event-Id: 3\r\n"
+        plain = [await world.request("/read/a", extra=extra) for _ in range(8)]
+        engines = await add_engines(world)
+        draft = await world.request("/draft/a", extra=extra)
+        received = [
+            exchange.headers.get(b"resumes")
+            for servers in engines.servers.values()
+            for server in servers
+            for exchange in server.received
+        ]
+    assert [answer.status for answer in plain] == [200] * 8
+    assert draft.status == 200
+    assert received == [b"a-0"]
+
+
 async def test_a_server_that_started_again_gets_no_stream_of_its_old_version() -> None:
     """Guards against a server that is back under its name with another version."""
     async with open_world(retry_slack=100) as world:
