Leave requests whose caller breaks off out of the soak's check of recovery

Traced in the hosts' logs: in the last 8 s all 321 requests but those set aside were answered whole, save 42 whose caller left, 40 of them from the callers that break off in the middle of half of their requests. Only requests that such a caller breaks off on purpose are left out.

--- a/dewridge/tests/soak/checks.py
+++ b/dewridge/tests/soak/checks.py
@@ -264,6 +264,7 @@
         and request.key not in history.key_revoked_at
         and request.status != 429
         and not request.crashes_servers
+        and not request.breaks_off
     ]
     served = sum(
         request.status == 200 and request.is_complete for request in late_requests
--- a/dewridge/tests/soak/records.py
+++ b/dewridge/tests/soak/records.py
@@ -43,6 +43,7 @@
         is_abandoned: whether the caller stopped waiting for the response.
         content: body of the request; the same for retries of one request.
         crashes_servers: whether it crashes each server that begins to execute it.
+        breaks_off: whether its caller breaks the connection in the middle.
         first_attempt: id of the attempt that brought the first event of the stream that
             it resumes; empty for a new stream.
         resumes_after: number of the last event that the caller has of that stream.
@@ -64,6 +65,7 @@
     is_abandoned: bool = False
     content: str = ""
     crashes_servers: bool = False
+    breaks_off: bool = False
     first_attempt: str = ""
     resumes_after: int = 0
     versions: set[str] = field(default_factory=set)
--- a/dewridge/tests/soak/resuming.py
+++ b/dewridge/tests/soak/resuming.py
@@ -62,6 +62,7 @@
             state = h11.Connection(h11.CLIENT)
             timeout = REQUEST_TIMEOUTS[RequestKind.CHAT]
             if self.rng.random() < 0.5:
+                request.breaks_off = True
                 timeout = self.rng.uniform(*BREAK_TIMES)
             await send_request(stream, state, request, self.history, timeout)
         return request
