Ask all registered hosts for the origin of a stream

Cause: a host asked those peers that it had heard of, and a host that has just started has heard of few, or does not have all in its table yet.

Change: all registered hosts are asked. That costs no wait where the stream is known, or where most answers name the same only version: a query ends with either.

Evidence: the tests of resumed streams, some of whose hosts are silent, pass.

--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -169,6 +169,7 @@
             self._state.versions,
             self._state.host,
             self._state.failure_domain,
+            self._state.list_member_entries,
             self._state.list_live_entries,
             partial(find_only_release, self._state),
         )
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -467,11 +467,14 @@
             if peer.relay_key and peer.id in live
         ]
 
+    def list_member_entries(self) -> list[HostEntry]:
+        """Return the registrations of the other hosts."""
+        return self.hosts.list_members(self.sharing.list_live_hosts())
+
     def list_live_entries(self) -> list[HostEntry]:
         """Return the registrations of the other hosts that are not silent."""
         live = self.sharing.list_live_hosts()
-        members = self.hosts.list_members(live)
-        return [entry for entry in members if entry.id in live]
+        return [entry for entry in self.list_member_entries() if entry.id in live]
 
     def list_silent_hosts(self) -> list[HostId]:
         """Return the other registered hosts that are silent."""
--- a/dewridge/gateway/versions/link.py
+++ b/dewridge/gateway/versions/link.py
@@ -81,7 +81,11 @@
         """Whether more answers may tell more."""
         return bool(self.asked) and not self.has_timed_out
 
-    def find_only(self) -> Release | None:
+    def find(self, stream: StreamKey) -> Release | None:
+        """Return the version of a stream by the answers so far."""
+        return self.found.get(stream) or self._find_only()
+
+    def _find_only(self) -> Release | None:
         """Return the only version of the service if most hosts are of one mind.
 
         A host that is cut off from the store may have missed a version, but not most
@@ -103,6 +107,7 @@
         versions: StreamVersions,
         local_host: HostId,
         local_domain: FailureDomain,
+        list_hosts: Callable[[], list[HostEntry]],
         list_live_hosts: Callable[[], list[HostEntry]],
         find_only: Callable[[ServiceName], Release | None],
     ) -> None:
@@ -113,7 +118,8 @@
             versions: the versions that this host knows.
             local_host: this host.
             local_domain: its failure domain.
-            list_live_hosts: returns the other hosts that are not silent.
+            list_hosts: returns the other registered hosts.
+            list_live_hosts: returns those of them that are not silent.
             find_only: returns the only version that a service had recently; 0 if it
                 had several, None if this host can't know.
         """
@@ -121,6 +127,7 @@
         self._versions = versions
         self._local_host = local_host
         self._local_domain = local_domain
+        self._list_hosts = list_hosts
         self._list_live_hosts = list_live_hosts
         self._find_only = find_only
         self._encoder = msgspec.msgpack.Encoder()
@@ -178,15 +185,15 @@
     async def ask(self, service: ServiceName, stream: StreamKey) -> PeerKnowledge:
         """Ask the other hosts at which version a stream began."""
         if self._nursery is None:
-            return PeerKnowledge(None, len(self._list_live_hosts()))
+            return PeerKnowledge(None, len(self._list_hosts()))
         query = await self._join_query(service, stream)
         deadline = trio.current_time() + ANSWER_TIMEOUT
-        while stream not in query.found and query.is_open:
+        while query.find(stream) is None and query.is_open:
             with trio.move_on_at(deadline) as scope:
                 await query.changed.wait()
             if scope.cancelled_caught:
                 break
-        release = query.found.get(stream) or query.find_only()
+        release = query.find(stream)
         if release is None:
             return PeerKnowledge(None, len(query.asked))
         return PeerKnowledge(Origin(release, OriginSource.PEER), len(query.asked))
@@ -209,7 +216,8 @@
         await trio.sleep(QUERY_DELAY)
         if self._collecting.get(query.service) is query:
             del self._collecting[query.service]
-        query.asked = {entry.id: entry for entry in self._list_live_hosts()}
+        # A host that started just now has not heard from all hosts yet.
+        query.asked = {entry.id: entry for entry in self._list_hosts()}
         query.sent.set()
         self._queries[query.number] = query
         try:
--- a/dewridge/gateway/versions/origins.py
+++ b/dewridge/gateway/versions/origins.py
@@ -4,6 +4,7 @@
 from loguru import logger as log
 
 from dewridge.codes import ResultCode
+from dewridge.gateway.hosts import POLL_INTERVAL
 from dewridge.gateway.jobs import Job
 from dewridge.gateway.model import RouteKind
 from dewridge.gateway.state import GatewayState
@@ -21,6 +22,8 @@
 UNKNOWN_RETRY_AFTER = 0.4
 """Mean seconds after which a caller may resume while some hosts did not answer: other
 hosts may know more, and silent ones answer again."""
+LEARNING_TIME = POLL_INTERVAL + 1.0
+"""Seconds after its start within which a host may not know all other hosts."""
 MAX_LOGGED_ATTEMPT = 40
 """Characters of a resumed attempt's id in a log line."""
 
@@ -64,7 +67,11 @@
         return stored, ""
     if isinstance(stored, Failure):
         return None, "the store is out of reach"
-    return None, f"{knowledge.silent} hosts silent" if knowledge.silent else ""
+    if knowledge.silent:
+        return None, f"{knowledge.silent} hosts silent"
+    if trio.current_time() - state.sharing.started_at < LEARNING_TIME:
+        return None, "this host may not know all others yet"
+    return None, ""
 
 
 def is_resumed(job: Job) -> bool:
--- a/dewridge/tests/gateway/pushback.py
+++ b/dewridge/tests/gateway/pushback.py
@@ -199,7 +199,8 @@
     for world in worlds:
         list_live = partial(list_others, world.state, fleet.silent)
         address = relays[world.state.host]
-        connect_link(world.state, fleet.network, address, list_live)
+        list_hosts = world.state.hosts.list_peers
+        connect_link(world.state, fleet.network, address, list_hosts, list_live)
     worlds[0].nursery.start_soon(fleet.exchange_reports)
     return fleet
 
--- a/dewridge/tests/gateway/versionlinks.py
+++ b/dewridge/tests/gateway/versionlinks.py
@@ -68,6 +68,7 @@
     state: GatewayState,
     network: MessageNetwork,
     address: str,
+    list_hosts: Callable[[], list[HostEntry]],
     list_live: Callable[[], list[HostEntry]],
 ) -> VersionLink:
     """Connect a gateway as the composition root does."""
@@ -76,6 +77,7 @@
         state.versions,
         state.host,
         state.failure_domain,
+        list_hosts,
         list_live,
         partial(find_only_release, state),
     )
