Write the copy of stream versions again after a restore of the store

Found by reading: after a restore the copy's lease was given up, but its time of renewal was kept, so that the next write failed on an assertion, again and again until the host ended. The lease alone decides now whether a new one is granted; a failed write is logged once. The new test of a restore failed with AssertionError before.

A query of peers is bounded in time also if the task that sends it ends.

--- a/dewridge/gateway/versions/copies.py
+++ b/dewridge/gateway/versions/copies.py
@@ -120,33 +120,36 @@
         return StoredStreams(streams, self._versions.history.list_mixed(now))
 
     async def _write(self, stored: StoredStreams, now: float) -> None:
-        if now - self._renewed_at > RENEW_PERIOD and not await self._renew(now):
-            return
-        assert self._lease is not None
-        write = Write(self._key, msgspec.json.encode(stored), self._lease.id)
-        result = await self._store.change(writes=(write,))
-        if isinstance(result, Failure):
-            log.bind(reason=result.reason).info("stream versions not stored")
-            # The lease may have ended while the store was away.
-            self._lease, self._renewed_at = None, float("-inf")
-        else:
+        lease = await self._hold_lease(now)
+        result: int | Failure = lease if isinstance(lease, Failure) else 0
+        if not isinstance(lease, Failure):
+            write = Write(self._key, msgspec.json.encode(stored), lease.id)
+            result = await self._store.change(writes=(write,))
+        if not isinstance(result, Failure):
             self._written = stored
-
-    async def _renew(self, now: float) -> bool:
-        lease: Lease | Failure
-        if self._lease is None:
-            lease = await self._store.grant_lease(RETENTION)
-        else:
-            lease = await self._store.renew_lease(self._lease.id)
-        if isinstance(lease, Failure):
-            self._lease = None
-            return False
-        self._lease, self._renewed_at = lease, now
-        return True
+            return
+        if self._written is not None:
+            log.bind(reason=result.reason).warning("stream versions not stored")
+        # The lease may have ended while the store was away.
+        self._lease, self._written = None, None
+
+    async def _hold_lease(self, now: float) -> Lease | Failure:
+        """Return the lease, granted or renewed if that is due."""
+        held = self._lease
+        if held is not None and now - self._renewed_at <= RENEW_PERIOD:
+            return held
+        lease = await (
+            self._store.grant_lease(RETENTION)
+            if held is None
+            else self._store.renew_lease(held.id)
+        )
+        if not isinstance(lease, Failure):
+            self._lease, self._renewed_at = lease, now
+        return lease
 
     async def _remove(self) -> None:
         lease, self._lease = self._lease, None
-        self._written, self._renewed_at = None, float("-inf")
+        self._written = None
         if lease is not None:
             await self._store.end_lease(lease.id)
 
@@ -191,7 +194,7 @@
         """Remember the streams of a copy; return its services with several versions."""
         try:
             stored = msgspec.json.decode(item.value, type=StoredStreams)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
             log.bind(key=item.key, reason=str(error)).error("copy can't be read")
             return set()
         now = trio.current_time()
--- a/dewridge/gateway/versions/link.py
+++ b/dewridge/gateway/versions/link.py
@@ -146,12 +146,18 @@
         """Send the versions of new streams to their keepers forever, and queries."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            while True:
-                await self._due.wait()
-                hosts = 1 + len(self._list_live_hosts())
-                await trio.sleep(compute_report_delay(hosts))
-                self._due = trio.Event()
-                self.send_report()
+            try:
+                await self._send_reports()
+            finally:
+                self._nursery = None
+
+    async def _send_reports(self) -> None:
+        while True:
+            await self._due.wait()
+            hosts = 1 + len(self._list_live_hosts())
+            await trio.sleep(compute_report_delay(hosts))
+            self._due = trio.Event()
+            self.send_report()
 
     def send_report(self) -> None:
         """Send the versions of new streams to the keepers of this host's streams."""
@@ -186,19 +192,17 @@
         """Ask the other hosts at which version a stream began."""
         if self._nursery is None:
             return PeerKnowledge(None, len(self._list_hosts()))
-        query = await self._join_query(service, stream)
-        deadline = trio.current_time() + ANSWER_TIMEOUT
-        while query.find(stream) is None and query.is_open:
-            with trio.move_on_at(deadline) as scope:
+        query = self._join_query(service, stream)
+        with trio.move_on_after(QUERY_DELAY + ANSWER_TIMEOUT):
+            await query.sent.wait()
+            while query.find(stream) is None and query.is_open:
                 await query.changed.wait()
-            if scope.cancelled_caught:
-                break
         release = query.find(stream)
         if release is None:
             return PeerKnowledge(None, len(query.asked))
         return PeerKnowledge(Origin(release, OriginSource.PEER), len(query.asked))
 
-    async def _join_query(self, service: ServiceName, stream: StreamKey) -> _Query:
+    def _join_query(self, service: ServiceName, stream: StreamKey) -> _Query:
         """Return the query that asks for a stream, together with others."""
         assert self._nursery is not None
         query = self._collecting.get(service)
@@ -208,7 +212,6 @@
             self._collecting[service] = query
             self._nursery.start_soon(self._run_query, query)
         query.streams.append(stream)
-        await query.sent.wait()
         return query
 
     async def _run_query(self, query: _Query) -> None:
--- a/dewridge/tests/gateway/resuming_tests.py
+++ b/dewridge/tests/gateway/resuming_tests.py
@@ -8,7 +8,11 @@
 
 from dewridge.gateway.clock import read_boot_clock
 from dewridge.gateway.model import Account, AccountKey
-from dewridge.gateway.versions.copies import StreamCopies, make_key
+from dewridge.gateway.versions.copies import (
+    MIN_WRITE_PERIOD,
+    StreamCopies,
+    make_key,
+)
 from dewridge.ids import ClientAccount, HostId
 from dewridge.policy.streamversions import MAX_VIEW_AGE, ReleaseHistory
 from dewridge.tests.gateway.memorystore import MemoryStore, StoreData
@@ -92,8 +96,9 @@
     return scene
 
 
-def connect_store(scene: Scene, data: StoreData) -> None:
+def connect_store(scene: Scene, data: StoreData) -> list[StreamCopies]:
     """Have all gateways keep copies in a store."""
+    connected = []
     for number, world in enumerate(scene.worlds):
         key = make_key(HostId(f"host-{number}"), 1)
         copies = StreamCopies(
@@ -105,6 +110,8 @@
         world.state.versions.record_servers(
             world.state.servers.list_all(), trio.current_time()
         )
+        connected.append(copies)
+    return connected
 
 
 async def begin_streams(
@@ -171,6 +178,23 @@
     assert all(len(stream.versions) == 1 for stream in streams)
 
 
+async def test_the_copy_is_written_again_after_the_store_was_restored() -> None:
+    """Guards against a lost copy, or a host that ends, after a restore."""
+    async with AsyncExitStack() as stack:
+        scene = await open_scene(stack)
+        data = StoreData()
+        copies = connect_store(scene, data)
+        await trio.sleep(0.1)
+        written = set(data.items)
+        data.items.clear()
+        data.leases.clear()
+        for copy in copies:
+            copy.handle_restore()
+        await trio.sleep(MIN_WRITE_PERIOD + 0.3)
+    assert len(written) == 4
+    assert set(data.items) == written
+
+
 async def test_one_version_is_known_after_all_hosts_were_killed() -> None:
     """Guards against refusing all resumed streams although only one version served."""
     async with AsyncExitStack() as stack:
