Count a host as just started after its view of the store was outdated

A version may come and go while a host is frozen or cut off from the store. Its servers leave no trace in the host's table, so that it would take the version that it knows for the only one, and send a stream of the other to it.

Change: once the configuration is trusted again after it was not, the host counts its knowledge of versions from then. It asks peers and the store for three minutes, as after a start. Test: the only version is not named after such a time; before, it was.

--- a/dewridge/gateway/upkeep.py
+++ b/dewridge/gateway/upkeep.py
@@ -31,6 +31,9 @@
         update_readiness(state, registration)
         update_limits(state)
         state.check_silent_services()
+        state.versions.check_view(
+            trio.current_time(), is_current=state.configuration.is_trusted
+        )
         state.versions.check_keepers()
         rounds += 1
         if rounds % PERIODS_PER_CLEANUP == 0:
--- a/dewridge/tests/gateway/resuming_tests.py
+++ b/dewridge/tests/gateway/resuming_tests.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from dewridge.digests import make_release
 from dewridge.gateway.clock import read_boot_clock
 from dewridge.gateway.model import Account, AccountKey
 from dewridge.gateway.versions.copies import (
@@ -13,6 +14,7 @@
     StreamCopies,
     make_key,
 )
+from dewridge.gateway.versions.origins import find_only_release
 from dewridge.ids import ClientAccount, HostId
 from dewridge.policy.streamversions import MAX_VIEW_AGE, ReleaseHistory
 from dewridge.tests.gateway.memorystore import MemoryStore, StoreData
@@ -293,6 +295,21 @@
     assert all(len(stream.versions) == 1 for stream in streams)
 
 
+async def test_a_host_that_was_frozen_may_have_missed_a_version() -> None:
+    """Guards against a version that came and went while a host was frozen."""
+    async with AsyncExitStack() as stack:
+        scene = await open_scene(stack, ("v1",))
+        versions = scene.worlds[1].state.versions
+        now = trio.current_time()
+        versions.check_view(now, is_current=True)
+        before = find_only_release(scene.worlds[1].state, ENGINE)
+        versions.check_view(now, is_current=False)
+        versions.check_view(now, is_current=True)
+        after = find_only_release(scene.worlds[1].state, ENGINE)
+    assert before == make_release(ENGINE, "v1")
+    assert after is None
+
+
 async def test_one_version_is_known_while_the_store_is_down_for_all() -> None:
     """Guards against refusing resumed streams in an outage of the store."""
     async with AsyncExitStack() as stack:
