Have other hosts keep the streams of a host that leaves

All had run on one host that was leaving and still served.

Cause: a leaving host is no longer registered, so that its peers send it no reports. After a second it took all of them for silent, and had no keepers.

Change: without a live host the registered ones are candidates. The new test, a host that hears nobody, fails without the change.

The server now sends the second part only after the caller has the first, so that a gateway that holds events back fails the test on any machine, and a slow machine does not.

--- a/dewridge/gateway/versions/link.py
+++ b/dewridge/gateway/versions/link.py
@@ -161,7 +161,7 @@
 
     def send_report(self) -> None:
         """Send the versions of new streams to the keepers of this host's streams."""
-        hosts = {entry.id: entry for entry in self._list_live_hosts()}
+        hosts = {entry.id: entry for entry in self._list_keeper_candidates()}
         domains = {host: entry.failure_domain for host, entry in hosts.items()}
         domains[self._local_host] = self._local_domain
         keepers = choose_keepers(self._local_host, domains)
@@ -180,10 +180,17 @@
         """Have running streams sent again if a keeper is silent or started again."""
         if not self._keepers:
             return
-        live = {(entry.id, entry.boot) for entry in self._list_live_hosts()}
+        live = {(entry.id, entry.boot) for entry in self._list_keeper_candidates()}
         if not live.issuperset(self._keepers):
             self.request_report()
 
+    def _list_keeper_candidates(self) -> list[HostEntry]:
+        """Return the live hosts, or all registered ones if none can be heard.
+
+        A leaving host gets no reports any more, but still runs streams.
+        """
+        return self._list_live_hosts() or self._list_hosts()
+
     def _send(self, address: str, message: StreamVersionMessage) -> None:
         data = self._encoder.encode(message)
         self._socket.enqueue(read_address(address), data, Urgency.URGENT)
--- a/dewridge/tests/gateway/answers_tests.py
+++ b/dewridge/tests/gateway/answers_tests.py
@@ -292,10 +292,12 @@
 
 
 async def test_events_are_forwarded_as_they_arrive() -> None:
+    has_received = trio.Event()
+
     async def stream_two_parts(exchange: ServerExchange) -> None:
         await exchange.begin_stream()
         await exchange.send_events(0, 1)
-        await trio.sleep(0.2)
+        await has_received.wait()
         await exchange.send_events(2, 3)
         await exchange.end_stream()
 
@@ -304,10 +306,14 @@
         stream = await world.connect()
         await stream.send_all(make_request("/draft/a", method="POST", body=b"x"))
         received = b""
-        with trio.fail_after(0.15):
+        with trio.fail_after(1.5):
             while make_event(1) not in received:
                 received += bytes(await stream.receive_some(1000))
         assert make_event(2) not in received
+        has_received.set()
+        with trio.fail_after(1.5):
+            while make_event(3) not in received:
+                received += bytes(await stream.receive_some(1000))
 
 
 async def test_a_resumable_stream_continues_elsewhere_without_a_gap() -> None:
--- a/dewridge/tests/gateway/resuming_tests.py
+++ b/dewridge/tests/gateway/resuming_tests.py
@@ -153,6 +153,19 @@
     assert all(stream.is_whole for stream in streams)
 
 
+async def test_streams_of_a_leaving_host_are_kept_by_others() -> None:
+    """Guards against a host that hears nobody any more and has no keepers then."""
+    async with AsyncExitStack() as stack:
+        scene = await open_scene(stack)
+        leaving = next(iter(scene.fleet.network.links.values()))
+        leaving._list_live_hosts = list
+        streams = await begin_streams(scene, 6)
+        scene.silence(0)
+        await resume_all(scene, streams, lambda number: 1 + number % 3)
+    assert all(stream.is_whole for stream in streams)
+    assert all(len(stream.versions) == 1 for stream in streams)
+
+
 async def test_streams_go_on_after_their_host_and_a_keeper_were_killed() -> None:
     """Guards against a single keeper that ends together with the host."""
     async with AsyncExitStack() as stack:
