--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -175,7 +175,7 @@
         )
         self._state.ask_peers_for_origin = self._version_link.ask
         self._state.versions.on_due = self._version_link.request_report
-        self._state.versions.check_keepers = self._version_link.check_keepers
+        self._state.versions.check_replicas = self._version_link.check_replicas
         self._stream_copies = StreamCopies(
             self._state.versions,
             self._store,
--- a/dewridge/gateway/upkeep.py
+++ b/dewridge/gateway/upkeep.py
@@ -34,7 +34,7 @@
         state.versions.check_view(
             trio.current_time(), is_current=state.configuration.is_trusted
         )
-        state.versions.check_keepers()
+        state.versions.check_replicas()
         rounds += 1
         if rounds % PERIODS_PER_CLEANUP == 0:
             state.drop_expired()
--- a/dewridge/gateway/versions/link.py
+++ b/dewridge/gateway/versions/link.py
@@ -34,7 +34,7 @@
 from dewridge.policy.streamversions import (
     Origin,
     OriginSource,
-    choose_keepers,
+    choose_replicas,
     compute_report_delay,
     pack_streams,
     unpack_streams,
@@ -132,18 +132,18 @@
         self._find_only = find_only
         self._encoder = msgspec.msgpack.Encoder()
         self._due = trio.Event()
-        self._keepers: list[tuple[HostId, int]] = []
+        self._replicas: list[tuple[HostId, int]] = []
         self._queries: dict[int, _Query] = {}
         self._collecting: dict[ServiceName, _Query] = {}
         self._number = 0
         self._nursery: trio.Nursery | None = None
 
     def request_report(self) -> None:
-        """Have new streams sent to their keepers soon."""
+        """Have new streams sent to their replicas soon."""
         self._due.set()
 
     async def run(self) -> None:
-        """Send the versions of new streams to their keepers forever, and queries."""
+        """Send the versions of new streams to their replicas forever, and queries."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             try:
@@ -160,32 +160,32 @@
             self.send_report()
 
     def send_report(self) -> None:
-        """Send the versions of new streams to the keepers of this host's streams."""
-        hosts = {entry.id: entry for entry in self._list_keeper_candidates()}
+        """Send the versions of new streams to the replicas of this host's streams."""
+        hosts = {entry.id: entry for entry in self._list_replica_candidates()}
         domains = {host: entry.failure_domain for host, entry in hosts.items()}
         domains[self._local_host] = self._local_domain
-        keepers = choose_keepers(self._local_host, domains)
-        processes = [(keeper, hosts[keeper].boot) for keeper in keepers]
-        if processes != self._keepers:
-            self._keepers = processes
+        replicas = choose_replicas(self._local_host, domains)
+        processes = [(replica, hosts[replica].boot) for replica in replicas]
+        if processes != self._replicas:
+            self._replicas = processes
             self._versions.resend()
         streams = list(self._versions.take_unsent(trio.current_time()).items())
         for first in range(0, len(streams), MAX_STREAMS_PER_DATAGRAM):
             part = dict(streams[first : first + MAX_STREAMS_PER_DATAGRAM])
             report = StreamVersionReport(self._local_host, group_by_release(part))
-            for keeper in keepers:
-                self._send(hosts[keeper].peers, report)
+            for replica in replicas:
+                self._send(hosts[replica].peers, report)
 
-    def check_keepers(self) -> None:
-        """Have running streams sent again if a keeper is silent or started again."""
-        if not self._keepers:
+    def check_replicas(self) -> None:
+        """Have running streams sent again if a replica is silent or started again."""
+        if not self._replicas:
             return
-        live = {(entry.id, entry.boot) for entry in self._list_keeper_candidates()}
-        if not live.issuperset(self._keepers):
+        live = {(entry.id, entry.boot) for entry in self._list_replica_candidates()}
+        if not live.issuperset(self._replicas):
             self.request_report()
 
-    def _list_keeper_candidates(self) -> list[HostEntry]:
-        """Return the live hosts, or all registered ones if none can be heard.
+    def _list_replica_candidates(self) -> list[HostEntry]:
+        """Return the live hosts, or all registered ones if no reports arrive.
 
         A leaving host gets no reports any more, but still runs streams.
         """
@@ -226,7 +226,7 @@
         await trio.sleep(QUERY_DELAY)
         if self._collecting.get(query.service) is query:
             del self._collecting[query.service]
-        # A host that started just now has not heard from all hosts yet.
+        # A host that started just now has not received reports of all hosts yet.
         query.asked = {entry.id: entry for entry in self._list_hosts()}
         query.sent.set()
         self._queries[query.number] = query
--- a/dewridge/gateway/versions/origins.py
+++ b/dewridge/gateway/versions/origins.py
@@ -108,7 +108,7 @@
 def is_plausible(state: GatewayState, job: Job, origin: Origin) -> bool:
     """Return whether this host's own view does not contradict a peer's.
 
-    A peer that has not heard of the newest version yet takes the one before for the
+    A peer that does not know the newest version yet takes the one before for the
     only one.
     """
     if state.versions.find(job.stream_key, trio.current_time()) is not None:
--- a/dewridge/gateway/versions/records.py
+++ b/dewridge/gateway/versions/records.py
@@ -65,7 +65,7 @@
         doubtful_servers: servers that were unreachable, and may be another process now.
         on_due: called when there are streams that other hosts have to keep.
         on_mixed: called regularly while a service has several versions.
-        check_keepers: called regularly, to find out whether other hosts have to keep
+        check_replicas: called regularly, to find out whether other hosts have to keep
             the running streams.
     """
 
@@ -74,7 +74,7 @@
     doubtful_servers: set[BackendServerId] = field(default_factory=set)
     on_due: Callable[[], None] = lambda: None
     on_mixed: Callable[[], None] = lambda: None
-    check_keepers: Callable[[], None] = lambda: None
+    check_replicas: Callable[[], None] = lambda: None
     _is_view_outdated: bool = False
     _running: dict[ServiceName, Streams] = field(
         default_factory=lambda: defaultdict(dict)
--- a/dewridge/policy/streamversions.py
+++ b/dewridge/policy/streamversions.py
@@ -25,15 +25,15 @@
 MAX_VIEW_AGE = 2.0
 """Age in seconds of this host's view of the store up to which it is certain to know all
 versions that serve streams: twice the delay above covers single polls that fail."""
-KEEPER_COUNT = 2
+REPLICA_COUNT = 2
 """Other hosts that keep the versions of a host's running streams."""
 MAX_NAME_LENGTH = 40
 """Characters of a version in a log line or a label."""
 SMALL_FLEET_HOSTS = 16
 MIN_REPORT_DELAY = 0.05
 MAX_REPORT_DELAY = 0.1
-"""Seconds for which new streams are collected before they are sent to the keepers. In a
-large fleet the headers of more messages would exceed what a host may send."""
+"""Seconds for which new streams are collected before they are sent to the replicas. In
+a large fleet the headers of more messages would exceed what a host may send."""
 CRASH_RESTART_TIME = 5.0
 """Seconds within which a server that left without notice usually serves again."""
 RESTART_POLL_INTERVAL = 0.8
@@ -161,20 +161,20 @@
         return recent[0]
 
 
-def choose_keepers(
+def choose_replicas(
     local_host: HostId,
     domains: Mapping[HostId, FailureDomain],
-    count: int = KEEPER_COUNT,
+    count: int = REPLICA_COUNT,
 ) -> list[HostId]:
     """Return the hosts that keep the versions of a host's running streams.
 
     They are in other failure domains, because the hosts of a domain end together. A
-    host has the keepers of its own rank there, so that each keeps as many streams.
+    host has the replicas of its own rank there, so that each stores as many streams.
 
     Args:
         local_host: the host whose streams are kept.
         domains: failure domains of the live hosts, including this one.
-        count: number of keepers.
+        count: number of replicas.
     """
     members: dict[FailureDomain, list[HostId]] = defaultdict(list)
     for host in sorted(domains):
@@ -193,7 +193,7 @@
 
 
 def compute_report_delay(hosts: int) -> float:
-    """Return the seconds from a stream's first event until its keepers are told."""
+    """Return the seconds from a stream's first event until replicas are notified."""
     return MIN_REPORT_DELAY if hosts <= SMALL_FLEET_HOSTS else MAX_REPORT_DELAY
 
 
--- a/dewridge/tests/gateway/resuming_tests.py
+++ b/dewridge/tests/gateway/resuming_tests.py
@@ -59,7 +59,7 @@
         self.fleet.silent.add(host)
         self.fleet.network.silent.add(self.find_address(number))
         for world in self.worlds:
-            world.state.versions.check_keepers()
+            world.state.versions.check_replicas()
 
     def find_address(self, number: int) -> str:
         """Return the address of a gateway for messages."""
@@ -154,7 +154,7 @@
 
 
 async def test_streams_of_a_leaving_host_are_kept_by_others() -> None:
-    """Guards against a host that hears nobody any more and has no keepers then."""
+    """Guards against a host that gets no reports any more and has no replicas then."""
     async with AsyncExitStack() as stack:
         scene = await open_scene(stack)
         leaving = next(iter(scene.fleet.network.links.values()))
@@ -166,8 +166,8 @@
     assert all(len(stream.versions) == 1 for stream in streams)
 
 
-async def test_streams_go_on_after_their_host_and_a_keeper_were_killed() -> None:
-    """Guards against a single keeper that ends together with the host."""
+async def test_streams_go_on_after_their_host_and_a_replica_were_killed() -> None:
+    """Guards against a single replica that ends together with the host."""
     async with AsyncExitStack() as stack:
         scene = await open_scene(stack)
         streams = await begin_streams(scene, 8)
--- a/dewridge/tests/gateway/versionlinks.py
+++ b/dewridge/tests/gateway/versionlinks.py
@@ -85,7 +85,7 @@
     network.nursery.start_soon(link.run)
     state.ask_peers_for_origin = link.ask
     state.versions.on_due = link.request_report
-    state.versions.check_keepers = link.check_keepers
+    state.versions.check_replicas = link.check_replicas
     return link
 
 
--- a/dewridge/tests/policy/streamversions_tests.py
+++ b/dewridge/tests/policy/streamversions_tests.py
@@ -16,14 +16,14 @@
 )
 from dewridge.policy.streamversions import (
     CRASH_RESTART_TIME,
-    KEEPER_COUNT,
     MAX_STREAMS,
     NEW_VERSION_DELAY,
+    REPLICA_COUNT,
     RETENTION,
     SMALL_FLEET_HOSTS,
     ReleaseHistory,
     StreamLedger,
-    choose_keepers,
+    choose_replicas,
     compute_report_delay,
     compute_return_delay,
     pack_streams,
@@ -48,26 +48,26 @@
 
 
 @pytest.mark.parametrize("hosts", [2, 9, 73, 195, 440])
-def test_keepers_are_in_other_domains_and_share_the_work(hosts: int) -> None:
+def test_replicas_are_in_other_domains_and_share_the_work(hosts: int) -> None:
     """Guards against losing a stream's version with the failure domain of its host."""
     domains = make_domains(hosts)
     kept = dict.fromkeys(domains, 0)
     for host in domains:
-        keepers = choose_keepers(host, domains)
-        assert len(keepers) == min(KEEPER_COUNT, hosts - 1)
-        assert host not in keepers
+        replicas = choose_replicas(host, domains)
+        assert len(replicas) == min(REPLICA_COUNT, hosts - 1)
+        assert host not in replicas
         if hosts >= DOMAINS:
-            assert len({domains[name] for name in [host, *keepers]}) == 3
-        for keeper in keepers:
-            kept[keeper] += 1
-    assert sum(kept.values()) == len(domains) * min(KEEPER_COUNT, hosts - 1)
-    assert max(kept.values()) <= 2 * KEEPER_COUNT
+            assert len({domains[name] for name in [host, *replicas]}) == 3
+        for replica in replicas:
+            kept[replica] += 1
+    assert sum(kept.values()) == len(domains) * min(REPLICA_COUNT, hosts - 1)
+    assert max(kept.values()) <= 2 * REPLICA_COUNT
 
 
 def test_hosts_of_a_single_domain_keep_each_others_streams() -> None:
-    """Guards against streams without keepers where there is one failure domain."""
+    """Guards against streams without replicas where there is one failure domain."""
     domains = {HostId(f"host-{n}"): FailureDomain("domain") for n in range(5)}
-    kept = [keeper for host in domains for keeper in choose_keepers(host, domains)]
+    kept = [replica for host in domains for replica in choose_replicas(host, domains)]
     assert sorted(kept) == sorted([*domains, *domains])
 
 
@@ -77,12 +77,12 @@
 
     Hosts of a small fleet serve far fewer streams than those of the size that decides.
     """
-    per_keeper = STREAMS_PER_SECOND * STREAM_KEY_BYTES
-    per_keeper += DATAGRAM_OVERHEAD / compute_report_delay(hosts)
-    keepers = len(choose_keepers(HostId("host-0"), make_domains(hosts)))
-    assert keepers == KEEPER_COUNT
+    per_replica = STREAMS_PER_SECOND * STREAM_KEY_BYTES
+    per_replica += DATAGRAM_OVERHEAD / compute_report_delay(hosts)
+    replicas = len(choose_replicas(HostId("host-0"), make_domains(hosts)))
+    assert replicas == REPLICA_COUNT
     if hosts > SMALL_FLEET_HOSTS:
-        assert keepers * per_keeper < RECORD_BUDGET
+        assert replicas * per_replica < RECORD_BUDGET
 
 
 def test_the_ledger_drops_the_oldest_streams_first() -> None:
