--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from standins.client import AddressList, Call, Reply, resolve
-from standins.deployment import (
+from client import AddressList, Call, Reply, resolve
+from deployment import (
     Deployment,
     Gateway,
     Record,
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 PYTHONPATH=review PYTHONDONTWRITEBYTECODE=1 python3 -c \
-    "import standins.client, standins.deployment, standins.load, standins.worker"
+    "import client, deployment, load, worker"
--- a/review/standins/client.py
+++ b/review/client.py
@@ -6,8 +6,8 @@
 import time
 from dataclasses import dataclass, field
 
-from standins.deployment import HOSTNAME, KEY, Gateway
-from standins.wire import (
+from deployment import HOSTNAME, KEY, Gateway
+from wire import (
     EndedError,
     Message,
     format_head,
--- a/review/standins/deployment.py
+++ b/review/deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -15,16 +16,18 @@
 from pathlib import Path
 from typing import Any, TextIO
 
-from standins.proxy import Proxy
-from standins.store import Store, serve
-from standins.worker import Options
+from proxy import Proxy
+from store import Store, serve
+from worker import Options
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 SERVICE = "pool"
 TENANT = "tenant-a"
 KEY = "key-a"
 HOSTNAME = "review.example"
 START_SECONDS = 20.0
+PORTS = (18_000, 30_000)
+"""Below those that the kernel gives to clients."""
 ENTRY_SECONDS = 3.6
 """Three liveness reports, after which the entry of a silent worker is removed."""
 BOUNDS = {
@@ -91,18 +94,23 @@
     """The case can't be run here."""
 
 
-def choose_port() -> int:
-    """Return a port that is free for TCP and UDP."""
+def choose_port(used: set[int]) -> int:
+    """Return a port that is free for TCP and UDP, and that no client is given."""
     while True:
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp:
-            tcp.bind(("127.0.0.1", 0))
-            port = int(tcp.getsockname()[1])
-            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-                try:
-                    udp.bind(("127.0.0.1", port))
-                except OSError:
-                    continue
-                return port
+        port = random.randrange(*PORTS)
+        if port in used:
+            continue
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+        ):
+            try:
+                tcp.bind(("127.0.0.1", port))
+                udp.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        used.add(port)
+        return port
 
 
 def make_route(name: str, kind: str, **fields: Any) -> dict[str, Any]:
@@ -160,6 +168,7 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._processes: list[asyncio.subprocess.Process] = []
         self._worker_count = 0
+        self._ports: set[int] = set()
 
     async def __aenter__(self) -> "Deployment":
         """Start the store and the cloud API."""
@@ -167,7 +176,7 @@
             raise UnableError("target/deps is missing: run the deploy file's build")
         self._folder = Path(tempfile.mkdtemp(prefix="review-"))
         self._stack.callback(shutil.rmtree, self._folder, ignore_errors=True)
-        self._cloud = await serve(self.store.answer_cloud)
+        self._cloud = await serve(self.store.answer_cloud, self._find_era)
         self.start_task(self.store.sweep())
         return self
 
@@ -183,12 +192,19 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._stack.close()
 
+    def _find_era(self) -> int:
+        return self.store.era
+
     def start_task(self, task: Any) -> None:
         """Run a coroutine until the deployment ends."""
         self._tasks.add(asyncio.ensure_future(task))
 
     def write_config(
-        self, version: int, services: list[Any], routes: list[Any]
+        self,
+        version: int,
+        services: list[Any],
+        routes: list[Any],
+        keys: tuple[str, ...] = (KEY,),
     ) -> None:
         """Write a config as the operator does."""
         config = {
@@ -204,7 +220,7 @@
             "tenants": [
                 {
                     "name": TENANT,
-                    "api_keys": [KEY],
+                    "api_keys": list(keys),
                     "priority": 1,
                     "unit": "tokens",
                     "plain_tokens": 200,
@@ -223,7 +239,7 @@
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "standins.worker",
+            "worker",
             json.dumps(asdict(options)),
             stdout=asyncio.subprocess.PIPE,
             cwd=ROOT,
@@ -283,10 +299,10 @@
         await self.wait_until_ready(self.gateways)
 
     async def _prepare_gateway(self, name: str, number: int) -> None:
-        proxy = Proxy(await serve(self.store.answer))
+        proxy = Proxy(await serve(self.store.answer, self._find_era))
         await proxy.start()
         frontend, readiness, directory, operations, peers = (
-            choose_port() for _ in range(5)
+            choose_port(self._ports) for _ in range(5)
         )
         settings = {
             "host": {
--- a/review/standins/load.py
+++ b/review/load.py
@@ -5,8 +5,8 @@
 import time
 from collections.abc import Callable
 
-from standins.client import Call, Reply, resolve
-from standins.deployment import Deployment, Record
+from client import Call, Reply, resolve
+from deployment import Deployment, Record
 
 DOWN_SECONDS = 2.0
 """Seconds for which a crashed worker is away."""
--- a/review/standins/store.py
+++ b/review/store.py
@@ -9,9 +9,8 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from standins.wire import EndedError, Message, format_json, read_head, read_sized
+from wire import EndedError, Message, format_json, read_head, read_sized
 
-ERA = {"Store-Era": "1"}
 ANSWER_SECONDS = 0.004
 SWEEP_SECONDS = 0.05
 PAGE_ITEMS = 500
@@ -19,11 +18,28 @@
 Answer = tuple[int, Any]
 
 
+@dataclass
+class Copy:
+    """A copy of the store.
+
+    Attributes:
+        items: the keys.
+        events: number of changes that it holds.
+        revision: its revision.
+    """
+
+    items: dict[str, dict[str, Any]]
+    events: int
+    revision: int
+
+
 @dataclass
 class Store:
     """Keys with revisions and leases; the operator and workers write directly.
 
     Attributes:
+        era: rises by one each time that the store comes back from a copy.
+        is_away: whether calls are cut off without an answer.
         usage: counts that were reported, by window.
         orders: number of servers that were ordered.
     """
@@ -32,6 +48,8 @@
     events: list[dict[str, Any]] = field(default_factory=list)
     leases: dict[int, tuple[float, float]] = field(default_factory=dict)
     revision: int = 10
+    era: int = 1
+    is_away: bool = False
     usage: dict[int, Any] = field(default_factory=dict)
     orders: int = 0
     _next_lease: int = 1
@@ -67,6 +85,26 @@
             removal = {"key": key, "revision": self.revision, "removed": True}
             self.events.append(removal)
 
+    def go_away(self) -> None:
+        """Cut off all calls from now on, also those that wait."""
+        self.is_away = True
+        self._notify()
+
+    def take_copy(self) -> "Copy":
+        """Return a copy to come back from."""
+        return Copy(dict(self.items), len(self.events), self.revision)
+
+    def come_back(self, copy: "Copy") -> None:
+        """Serve again from an older copy, without leases and their keys."""
+        self.items = dict(copy.items)
+        self.events = self.events[: copy.events]
+        self.revision = copy.revision
+        self.leases = {}
+        for key in [key for key, item in self.items.items() if item["lease"]]:
+            del self.items[key]
+        self.era += 1
+        self.is_away = False
+
     def _notify(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
@@ -91,6 +129,13 @@
     async def answer(self, head: Message, body: bytes) -> Answer:
         """Return the status and body of the answer to a call."""
         await asyncio.sleep(ANSWER_SECONDS)
+        era = self.era
+        found = await self._answer(head, body)
+        if self.is_away or era != self.era:
+            raise ConnectionResetError
+        return found
+
+    async def _answer(self, head: Message, body: bytes) -> Answer:
         url = urlsplit(head.target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         name, _, lease = url.path.removeprefix("/-/").partition("/")
@@ -141,7 +186,7 @@
                 if event["revision"] > after and event["key"].startswith(prefix)
             ]
             left = end - time.monotonic()
-            if events or left <= 0:
+            if events or left <= 0 or self.is_away:
                 return 200, {"events": events, "current_rev": self.revision}
             changed = self._changed
             try:
@@ -193,7 +238,9 @@
         return 200, {}
 
 
-async def serve(answer: Callable[[Message, bytes], Awaitable[Answer]]) -> str:
+async def serve(
+    answer: Callable[[Message, bytes], Awaitable[Answer]], find_era: Callable[[], int]
+) -> str:
     """Serve calls on a free port and return its address."""
 
     async def handle(
@@ -203,7 +250,7 @@
             while (head := await read_head(reader)) is not None:
                 body = await read_sized(reader, head)
                 status, value = await answer(head, body)
-                writer.write(format_json(status, value, ERA))
+                writer.write(format_json(status, value, {"Store-Era": str(find_era())}))
                 await writer.drain()
         except (EndedError, ConnectionError, asyncio.CancelledError):
             pass
--- a/review/standins/worker.py
+++ b/review/worker.py
@@ -11,7 +11,7 @@
 import time
 from dataclasses import dataclass
 
-from standins.wire import (
+from wire import (
     EndedError,
     Message,
     format_answer,
