--- a/review/2/case.py
+++ b/review/2/case.py
@@ -193,4 +193,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(Path(__file__).parent, play, 60.0))
+    sys.exit(run_case(Path(__file__).with_name("record.txt"), play, 60.0))
--- a/review/deployment.py
+++ b/review/deployment.py
@@ -47,7 +47,7 @@
 
 
 class Record:
-    """The file `record.txt` of a case."""
+    """The record of what was sent, answered and run in a case."""
 
     def __init__(self, path: Path) -> None:
         self._file: TextIO = path.open("w", encoding="ascii")
@@ -406,16 +406,16 @@
     return await task
 
 
-def run_case(folder: Path, play: Play, seconds: float) -> int:
+def run_case(path: Path, play: Play, seconds: float) -> int:
     """Run a case and return its exit code.
 
     Args:
-        folder: folder of the case, where its record is written.
+        path: file of the record of what was sent, answered and run.
         play: plays the case; returns what broke the rule, a line each.
         seconds: time limit.
     """
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(folder / "record.txt")
+    record = Record(path)
     record.add(f"TROUBLE={int(has_trouble)}")
     played = asyncio.wait_for(play(record, has_trouble), seconds)
     try:
