Show how old a host's knowledge of software versions is

Change: a host keeps the time at which the store last confirmed its list of servers, and with it that it knows all versions. The line of a resumed stream, the dump and a metric have that age. Servers that peers use and this host does not know are counted, and logged after half a second. No decision changes.

--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -333,6 +333,7 @@
                 state.watches_document,
                 self._announce_document,
             ),
+            state.versions.view,
         )
         self._link.on_version = lambda host, version: (
             watcher.configuration.receive_version(version, host)
--- a/dewridge/gateway/departures.py
+++ b/dewridge/gateway/departures.py
@@ -26,7 +26,9 @@
     What is new in a report from another cell is broadcast to the cell peers at once.
     """
     watcher.configuration.receive_version(update.version, update.host)
-    watcher.receive_servers(update.totals.servers)
+    now = trio.current_time()
+    added = state.unknown_servers.record(update.totals.servers, update.host, now)
+    watcher.receive_servers(added)
     is_new = drop_reported_servers(state, update.host, update.departing_servers)
     is_new |= apply_reported_suspects(state, update.suspects)
     apply_reported_limits(state, update)
--- a/dewridge/gateway/measures.py
+++ b/dewridge/gateway/measures.py
@@ -73,6 +73,8 @@
     metrics.set_gauge("configuration_in_force_seconds", in_force)
     metrics.set_gauge("configuration_bytes", arrival.size)
     metrics.set_gauge("configuration_received_bytes", arrival.received, source=source)
+    metrics.set_gauge("versions_age_seconds", state.versions.view.age)
+    metrics.set_gauge("servers_only_peers_know", len(state.unknown_servers))
     metrics.set_gauge("hosts", state.hosts.count())
     metrics.set_gauge("hosts_silent", len(state.list_silent_hosts()))
     metrics.set_gauge("reports_heard", state.sharing.reports_received)
--- a/dewridge/gateway/servers.py
+++ b/dewridge/gateway/servers.py
@@ -357,6 +357,10 @@
         """Return the record of a server process; None if it is not in the table."""
         return self._records.get(server)
 
+    def has_known(self, server: BackendServerId) -> bool:
+        """Return whether a server process is in the table, or has left it."""
+        return server in self._records or server in self._departures
+
     def list_all(self) -> list[ServerRecord]:
         """Return the records of all servers."""
         return list(self._records.values())
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -44,6 +44,7 @@
     ask_nobody,
     find_nothing_stored,
 )
+from dewridge.gateway.versions.unknownservers import UnknownServers
 from dewridge.http1.calls import ServiceClient
 from dewridge.ids import (
     BackendServerId,
@@ -183,6 +184,7 @@
     relay_key: str = field(default_factory=partial(secrets.token_hex, 16))
     contention: ContentionRecords = field(init=False)
     versions: StreamVersions = field(init=False)
+    unknown_servers: UnknownServers = field(init=False)
     ask_peers_for_origin: AskPeers = ask_nobody
     """Asks the other hosts at which version a stream of a service began."""
     find_stored_origin: FindStored = find_nothing_stored
@@ -228,6 +230,7 @@
         started_at = float("-inf") if is_first_start else self.sharing.started_at
         self.versions = StreamVersions(ReleaseHistory(complete_since=started_at))
         self.servers.on_serving = self._record_serving
+        self.unknown_servers = UnknownServers(self.servers.has_known)
 
     def _record_serving(self, record: ServerRecord, now: float) -> None:
         self.versions.record_servers([record], now)
--- a/dewridge/gateway/upkeep.py
+++ b/dewridge/gateway/upkeep.py
@@ -35,6 +35,9 @@
             trio.current_time(), is_current=state.configuration.is_trusted
         )
         state.versions.check_replicas()
+        now = trio.current_time()
+        state.unknown_servers.drop_known(now)
+        state.unknown_servers.log_overdue(now, state.versions.view.age)
         rounds += 1
         if rounds % PERIODS_PER_CLEANUP == 0:
             state.drop_expired()
--- a/dewridge/gateway/versions/origins.py
+++ b/dewridge/gateway/versions/origins.py
@@ -90,7 +90,9 @@
         # This host may have missed a version, as after a pause of its machine.
         return None
     only = find_only_release(state, job.service)
-    return Origin(only, OriginSource.ONLY_VERSION) if only else None
+    if not only:
+        return None
+    return Origin(only, OriginSource.ONLY_VERSION, state.versions.view.age)
 
 
 def find_only_release(state: GatewayState, service: ServiceName) -> Release | None:
--- a/dewridge/gateway/versions/records.py
+++ b/dewridge/gateway/versions/records.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from dewridge.gateway.model import ServerRecord
+from dewridge.gateway.versions.freshness import VersionView
 from dewridge.ids import (
     BackendServerId,
     Release,
@@ -61,6 +62,7 @@
 
     Attributes:
         history: the versions that had servers recently.
+        view: when this host last certainly knew all versions.
         ledger: versions of the streams of this host and of its peers.
         doubtful_servers: servers that were unreachable, and may be another process now.
         on_due: called when there are streams that other hosts have to keep.
@@ -70,6 +72,7 @@
     """
 
     history: ReleaseHistory
+    view: VersionView = field(default_factory=VersionView)
     ledger: StreamLedger = field(default_factory=StreamLedger)
     doubtful_servers: set[BackendServerId] = field(default_factory=set)
     on_due: Callable[[], None] = lambda: None
@@ -150,6 +153,8 @@
         """Return the recent versions and the known streams, for a dump."""
         names = self.history.name_release
         return {
+            "view_age_seconds": round(self.view.age, 3),
+            "view_confirmed_by": self.view.confirmed_by.value,
             "streams_known": len(self.ledger),
             "streams_running": sum(map(len, self._running.values())),
             "services": {
--- a/dewridge/gateway/watching.py
+++ b/dewridge/gateway/watching.py
@@ -15,6 +15,7 @@
 import trio
 from loguru import logger as log
 
+from dewridge.gateway.clock import read_boot_clock
 from dewridge.gateway.configuration import ConfigurationState
 from dewridge.gateway.documents.fetching import DocumentPeers
 from dewridge.gateway.documents.following import (
@@ -32,6 +33,7 @@
 from dewridge.gateway.mirrors import ListMirror
 from dewridge.gateway.model import RolloutOrder, ServerRecord
 from dewridge.gateway.servers import ServerTable
+from dewridge.gateway.versions.freshness import ConfirmedBy, VersionView
 from dewridge.ids import BackendServerId
 from dewridge.platform.names import SERVERS_PREFIX
 from dewridge.platform.servers import decode_server
@@ -93,8 +95,10 @@
         count_readers: Callable[[], int] = lambda: 1,
         on_rollout_order: Callable[[RolloutOrder], None] = lambda order: None,
         peers: DocumentPeers | None = None,
+        version_view: VersionView | None = None,
     ) -> None:
         self._rng = rng
+        self._version_view = version_view or VersionView()
         self._count_readers = count_readers
         self._find_role = find_role
         self._watch_store = watch_store
@@ -129,8 +133,7 @@
         unknown = [
             server
             for server in servers
-            if self._servers.find(server) is None
-            and self._servers.find_departure(server) is None
+            if not self._servers.has_known(server)
             and server not in self._requested_servers
         ]
         if not unknown:
@@ -146,6 +149,7 @@
         retry_delay = MIN_RETRY_DELAY
         may_lag = False
         while True:
+            requested_at = read_boot_clock()
             read = await self._server_list.read(may_lag=may_lag)
             if isinstance(read, Failure):
                 self._servers.record_outage(trio.current_time())
@@ -159,6 +163,8 @@
             if needs_current_list:
                 may_lag = False
                 continue
+            if not read.may_lag:
+                self._confirm_versions(requested_at, requested_at)
             role = self._find_role()
             period = (
                 self.pacing.compute_interval()
@@ -209,6 +215,7 @@
                 revision = await self._read_start_revision()
                 era = self._watch_store.era.number
             changes: Listing | Failure | None = None
+            requested_at = read_boot_clock()
             if revision is not None:
                 changes = await self._watch_store.watch(
                     SERVERS_PREFIX, revision, WATCH_WAIT
@@ -217,6 +224,10 @@
                 retry_delay = MIN_RETRY_DELAY
                 for item in changes.items:
                     self._apply_server_item(item)
+                self._confirm_versions(
+                    requested_at if changes.items else requested_at + WATCH_WAIT,
+                    requested_at,
+                )
                 if changes.items:
                     await trio.sleep(draw_batch_delay(self._count_readers(), self._rng))
                 revision = max(revision or 0, changes.revision)
@@ -239,12 +250,24 @@
         if record is not None:
             self._servers.update(record, trio.current_time())
 
+    def _confirm_versions(self, at: float, requested_at: float) -> None:
+        """Record that this host knew all servers, and so all versions, at a time.
+
+        Args:
+            at: the earliest time at which the store can have answered.
+            requested_at: when it was asked, for an answer that came before that.
+        """
+        confirmed_at = at if at <= read_boot_clock() else requested_at
+        self._version_view.confirm(confirmed_at, ConfirmedBy.STORE)
+
     async def _read_start_revision(self) -> int | None:
+        requested_at = read_boot_clock()
         listing = await self._watch_store.list_items(SERVERS_PREFIX)
         if isinstance(listing, Failure):
             return None
         for item in listing.items:
             self._apply_server_item(item)
+        self._confirm_versions(requested_at, requested_at)
         return listing.revision
 
     async def _wait_for_wake(self, wake: trio.Event, period: float) -> trio.Event:
--- a/dewridge/policy/streamversions.py
+++ b/dewridge/policy/streamversions.py
@@ -58,7 +58,8 @@
     Attributes:
         release: the service and the version.
         source: how that is known.
-        age: seconds since this host learned it; 0 if it just did.
+        age: seconds since this host learned it, or since it certainly knew all
+            versions if it goes by the only one.
     """
 
     release: Release
