Keep servers that joined after a list of servers was requested

What callers would see: a service with a server less, at all hosts and for good. A host drops what a list of the store lacks, and tells all others. It judged the list by the time at which it arrived. A slow store answers seconds later, and a watch, or a peer, may have shown a server in between.

Change: a list is judged by the time at which it was requested. Servers that joined later stay until the next list.

--- a/dewridge/gateway/servers.py
+++ b/dewridge/gateway/servers.py
@@ -100,12 +100,23 @@
         """Record that the store could not be read, so that records may have expired."""
         self._uncertain_until = now + REREGISTRATION_TIME
 
-    def apply_full_list(self, records: Iterable[ServerRecord], now: float) -> None:
-        """Update the table from a current and complete list.
+    def apply_full_list(
+        self,
+        records: Iterable[ServerRecord],
+        now: float,
+        requested_at: float = float("inf"),
+    ) -> None:
+        """Update the table from a complete list that was current when it was requested.
+
+        Servers without a record are dropped, except shortly after a store outage, and
+        those that joined after the request. Records expire during an outage although
+        the servers still run, and dropping them all would leave no server to send
+        requests to.
 
-        Servers without a record are dropped, except shortly after a store outage.
-        Records expire during an outage although the servers still run, and dropping
-        them all would leave no server to send requests to.
+        Args:
+            records: the list.
+            now: monotonic time.
+            requested_at: monotonic time at which the list was requested.
         """
         listed = {record.id: record for record in records}
         for record in listed.values():
@@ -113,7 +124,12 @@
         self._missing_since.clear()
         if now < self._uncertain_until:
             return
-        for server in [known for known in self._records if known not in listed]:
+        missing = [
+            known
+            for known in self._records
+            if known not in listed and self._joined_at[known] < requested_at
+        ]
+        for server in missing:
             self.drop(server, now, "its record is gone")
 
     def merge_stale_list(self, records: Iterable[ServerRecord], now: float) -> bool:
--- a/dewridge/gateway/watching.py
+++ b/dewridge/gateway/watching.py
@@ -150,6 +150,7 @@
         may_lag = False
         while True:
             requested_at = read_boot_clock()
+            began_at = trio.current_time()
             read = await self._server_list.read(may_lag=may_lag)
             if isinstance(read, Failure):
                 self._servers.record_outage(trio.current_time())
@@ -158,7 +159,7 @@
                 continue
             retry_delay = MIN_RETRY_DELAY
             needs_current_list = self._apply_server_listing(
-                read.listing, may_lag=read.may_lag
+                read.listing, began_at, may_lag=read.may_lag
             )
             if needs_current_list:
                 may_lag = False
@@ -177,14 +178,16 @@
             may_lag = role is StoreRole.LISTENER and not self._is_server_list_outdated
             self._is_server_list_outdated = False
 
-    def _apply_server_listing(self, listing: Listing, *, may_lag: bool) -> bool:
+    def _apply_server_listing(
+        self, listing: Listing, requested_at: float, *, may_lag: bool
+    ) -> bool:
         """Apply a list of servers; return whether a current list has to be read."""
         decoded = [self._decode_server(item) for item in listing.items]
         records = [record for record in decoded if record is not None]
         now = trio.current_time()
         if may_lag:
             return self._servers.merge_stale_list(records, now)
-        self._servers.apply_full_list(records, now)
+        self._servers.apply_full_list(records, now, requested_at)
         return False
 
     def _decode_server(self, item: Item) -> ServerRecord | None:
--- a/dewridge/tests/gateway/state_tests.py
+++ b/dewridge/tests/gateway/state_tests.py
@@ -117,6 +117,20 @@
     assert list_names(table) == ["s-1", "s-3"]
 
 
+def test_a_late_list_drops_no_server_that_joined_meanwhile() -> None:
+    """Guards against dropping a server for good that a slow answer of the store lacks.
+
+    Peers or a watch may show a server between the request and its answer.
+    """
+    table = ServerTable()
+    table.apply_full_list([make_record("s-1")], 0.0)
+    table.update(make_record("s-2"), 1.5)
+    table.apply_full_list([], 2.0, requested_at=1.0)
+    assert list_names(table) == ["s-2"]
+    table.apply_full_list([], 3.0, requested_at=2.5)
+    assert list_names(table) == []
+
+
 def test_a_server_that_leaves_during_an_outage_is_dropped() -> None:
     table = ServerTable()
     table.apply_full_list([make_record("s-1")], 0.0)
