Judge which versions serve by the list of servers, and learn of them from peers

Cause: a host that knows one version of a service takes it for the version of any stream if its view of the store is current. That was judged by the age of the configuration, which peers confirm to a host without the store. Its list of servers, from which it knows the versions, was as old as the cut, and nothing recorded that. The host also had no way to learn of the new version or of its servers: to a report that names an unknown server it answered with a read of the store.

Change: the age is that of the list, and one second in place of two, which is the time in which a new version has no streams yet. Reports between hosts have a digest of the versions that their sender saw and the age of its list. A peer with the same versions confirms the list of a host to its own age; with other ones the two exchange them, and the next round of reports is sent at once. Servers that peers use and this host does not know, or that a stream or a service needs, are asked for at peers, one query for all requests. So a host without the store resumes streams at their version, and begins new ones, as the others do.

Why it works: a host may name the only version if it was certain of all versions less than a second ago, by the store or by a peer that was. A version that appears later has no streams yet. Otherwise it asks, as before.

--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -7,6 +7,7 @@
 from contextlib import AsyncExitStack
 from functools import partial
 from pathlib import Path
+from typing import ParamSpec
 
 import trio
 from loguru import logger as log
@@ -62,13 +63,15 @@
 from dewridge.gateway.versions.copies import make_key as make_copy_key
 from dewridge.gateway.versions.link import VersionLink
 from dewridge.gateway.versions.origins import find_only_release
+from dewridge.gateway.versions.releaseexchange import ReleaseExchange
+from dewridge.gateway.versions.serversearch import ServerSearch
 from dewridge.gateway.watching import StoreWatcher
 from dewridge.http1.calls import ServiceClient
 from dewridge.ids import FailureDomain, HostId
 from dewridge.metrics.registry import Metrics
 from dewridge.platform.cloud import Cloud
 from dewridge.platform.eras import StoreEra
-from dewridge.platform.store import Item, Store
+from dewridge.platform.store import Store
 from dewridge.policy.documentsources import LARGE_DOCUMENT_BYTES
 from dewridge.policy.pacing import DatagramPacer, compute_datagram_rate
 from dewridge.policy.quota import QuotaLedger
@@ -81,6 +84,7 @@
 """Connections that may wait to be accepted: allows bursts while the process is busy."""
 
 Task = Callable[[], Awaitable[None]]
+Arguments = ParamSpec("Arguments")
 
 
 async def run_gateway(
@@ -197,7 +201,28 @@
         )
         self._state.find_stored_origin = self._stream_copies.find
         self._state.versions.on_mixed = self._stream_copies.handle_mixed
-        self._link.on_stream_message = self._version_link.receive
+        exchange = ReleaseExchange(
+            self._state.versions,
+            self._state.host,
+            self._state.list_member_entries,
+            self._version_link.send,
+        )
+        self._state.compare_releases = exchange.compare
+        self._state.versions.on_new = self._link.schedule_round
+        self._link.on_dated_report = exchange.confirm
+        self._server_search = ServerSearch(
+            self._state.host,
+            self._state.servers,
+            self._state.unknown_servers,
+            self._state.rank_informed_peers,
+            self._version_link.send,
+            self._state.rng,
+        )
+        self._state.find_release_servers = self._server_search.find_release
+        self._state.find_service_servers = self._server_search.find_service
+        self._link.on_stream_message = fan_out(
+            self._version_link.receive, exchange.receive, self._server_search.receive
+        )
         self._era.on_restored += [
             self._state.handle_restore,
             self._registration.handle_restore,
@@ -383,6 +408,7 @@
             ("sharing-out", self._link.send),
             ("stream-versions", self._version_link.run),
             ("stream-copies", self._stream_copies.run),
+            ("server-search", self._server_search.run),
             ("usage-out", self._usage_reporter.run),
             ("datagrams-out", self._socket.run),
             ("settings", self._settings_reloader.run),
@@ -425,14 +451,14 @@
         ]
 
 
-def fan_out(*handlers: Callable[[Item], None]) -> Callable[[Item], None]:
-    """Return a handler that calls all given handlers with each item of the store."""
+def fan_out(*handlers: Callable[Arguments, None]) -> Callable[Arguments, None]:
+    """Return a handler that calls all given handlers."""
 
-    def handle_item(item: Item) -> None:
+    def handle_all(*args: Arguments.args, **kwargs: Arguments.kwargs) -> None:
         for handle in handlers:
-            handle(item)
+            handle(*args, **kwargs)
 
-    return handle_item
+    return handle_all
 
 
 async def open_listener(address: str) -> trio.SocketListener:
--- a/dewridge/gateway/departures.py
+++ b/dewridge/gateway/departures.py
@@ -26,6 +26,7 @@
     What is new in a report from another cell is broadcast to the cell peers at once.
     """
     watcher.configuration.receive_version(update.version, update.host)
+    state.compare_releases(update)
     now = trio.current_time()
     added = state.unknown_servers.record(update.totals.servers, update.host, now)
     watcher.receive_servers(added)
--- a/dewridge/gateway/echoes.py
+++ b/dewridge/gateway/echoes.py
@@ -38,9 +38,17 @@
     def find_confirmation_time(self, report: Report) -> float | None:
         """Return a time at which the sender's configuration version was the newest.
 
+        Returns None if the report answers no report whose send time is kept.
+        """
+        made_at = self.find_earliest_time(report)
+        return None if made_at is None else made_at - report.confirmed_age
+
+    def find_earliest_time(self, report: Report) -> float | None:
+        """Return the earliest time at which a report can have been made.
+
         Returns None if the report answers no report whose send time is kept.
         """
         boot, number = report.last_received.get(self._local_host, (0, 0))
         if boot != self._boot or number not in self._sent_at:
             return None
-        return self._sent_at[number] - report.confirmed_age
+        return self._sent_at[number]
--- a/dewridge/gateway/reports.py
+++ b/dewridge/gateway/reports.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from dewridge.gateway.model import ServerVersion
+from dewridge.gateway.model import ServerRecord, ServerVersion
 from dewridge.ids import (
     BackendServerId,
     ClientAccount,
@@ -188,6 +188,9 @@
         is_partitioned: whether the sender does not reach the servers of some service
             by itself; missing in the reports of earlier builds, as the next field.
         rejections: milliseconds since the last rejection of brittle servers.
+        releases: digest of the versions that the sender saw recently; None in the
+            reports of earlier builds, as the next field.
+        versions_age_ms: milliseconds since the sender certainly knew all versions.
     """
 
     host: HostId
@@ -207,6 +210,8 @@
     limits: list[LimitUpdate] = []
     is_partitioned: bool = False
     rejections: dict[BackendServerId, int] = {}
+    releases: int | None = None
+    versions_age_ms: int | None = None
 
 
 class CellReport(msgspec.Struct, frozen=True, array_like=True, tag="cell"):
@@ -230,6 +235,8 @@
         partitioned: the members that do not reach the servers of some service by
             themselves; missing in the reports of earlier builds, as the next field.
         rejections: milliseconds since the last rejection of brittle servers.
+        releases: digest of the versions that the sender saw recently; None in the
+            reports of earlier builds.
     """
 
     host: HostId
@@ -247,6 +254,7 @@
     limits: list[LimitUpdate] = []
     partitioned: list[HostId] = []
     rejections: dict[BackendServerId, int] = {}
+    releases: int | None = None
 
 
 class HostUsage(msgspec.Struct, frozen=True, array_like=True):
@@ -387,8 +395,81 @@
     only: Release | None = None
 
 
+class ReportedRelease(msgspec.Struct, frozen=True, array_like=True):
+    """A version that had servers recently.
+
+    Attributes:
+        service: the service.
+        release: digest of the service and the version.
+        name: the version, cut to some length.
+        age_ms: milliseconds since a server was last seen.
+    """
+
+    service: ServiceName
+    release: Release
+    name: str
+    age_ms: int
+
+
+class RecentReleases(msgspec.Struct, frozen=True, array_like=True, tag="releases"):
+    """The versions that the sender saw recently, for a peer that saw other ones.
+
+    Attributes:
+        host: the sender.
+        releases: the versions.
+        wants_answer: whether the receiver has to send its own.
+    """
+
+    host: HostId
+    releases: list[ReportedRelease]
+    wants_answer: bool
+
+
+class ServerQuery(msgspec.Struct, frozen=True, array_like=True, tag="servers?"):
+    """Request for the records of servers that the sender does not know.
+
+    Attributes:
+        host: the sender.
+        number: number of the request, which the answers repeat; 0 if none waits.
+        servers: servers that the receiver uses.
+        releases: versions whose servers the sender needs.
+        services: services whose servers the sender needs.
+    """
+
+    host: HostId
+    number: int
+    servers: list[BackendServerId] = []
+    releases: list[Release] = []
+    services: list[ServiceName] = []
+
+
+class ServerAnswer(msgspec.Struct, frozen=True, array_like=True, tag="servers!"):
+    """Records of servers, for a peer that asked for them.
+
+    Attributes:
+        host: the sender.
+        number: number of the request.
+        records: some of the servers.
+        departed: servers asked for that have left, with the seconds until they stop.
+        is_last: whether no further answer to the request follows.
+    """
+
+    host: HostId
+    number: int
+    records: list[ServerRecord] = []
+    departed: dict[BackendServerId, float] = {}
+    is_last: bool = True
+
+
 PeriodicReport = Report | CellReport
-StreamVersionMessage = StreamVersionReport | StreamVersionQuery | StreamVersionAnswer
+StreamVersionMessage = (
+    StreamVersionReport
+    | StreamVersionQuery
+    | StreamVersionAnswer
+    | RecentReleases
+    | ServerQuery
+    | ServerAnswer
+)
 HostMessage = (
     Report
     | CellReport
--- a/dewridge/gateway/servers.py
+++ b/dewridge/gateway/servers.py
@@ -345,6 +345,10 @@
         known = self._by_release.get(release)
         return bool(self.list_release(service, release) if known is None else known)
 
+    def has_any_of_release(self, release: Release) -> bool:
+        """Return whether a version has servers, in whichever service."""
+        return any(record.release == release for record in self._records.values())
+
     def list_cache_warm(self, service: ServiceName, now: float) -> list[ServerRecord]:
         """Return the servers of a service that have had time to fill their caches.
 
--- a/dewridge/gateway/sharinglink.py
+++ b/dewridge/gateway/sharinglink.py
@@ -24,10 +24,7 @@
     DepartureReport,
     HostMessage,
     Report,
-    StreamVersionAnswer,
     StreamVersionMessage,
-    StreamVersionQuery,
-    StreamVersionReport,
     SuspectReport,
     SuspectUpdate,
     Totals,
@@ -141,6 +138,8 @@
         list_departing: returns seconds until each departing server stops serving.
         on_suspects: called with each urgent message about suspect requests.
         list_suspects: returns the suspects not yet sent in an urgent message.
+        on_dated_report: called with each report of a cell peer that can be dated, and
+            the earliest time on the boot clock at which it can have been made.
         on_stream_message: called with each message on the versions of streams.
         on_version: called with each host that has a version, and the version.
         link_mbps: bandwidth of this host's link in Mbit/s; 0 if unknown.
@@ -169,6 +168,7 @@
         self.list_departing: Callable[[], dict[BackendServerId, float]] = dict
         self.on_suspects: Callable[[SuspectReport], None] = lambda report: None
         self.list_suspects: Callable[[], list[SuspectUpdate]] = list
+        self.on_dated_report: Callable[[Report, float], None] = lambda report, at: None
         self.on_stream_message: Callable[[StreamVersionMessage, PeerAddress], None] = (
             lambda message, sender: None
         )
@@ -181,6 +181,7 @@
         self._plans: dict[int, Round] = {}
         self._urgent_requested = trio.Event()
         self._urgent_recipients: Recipients | None = None
+        self._is_round_due = False
 
     async def receive(self) -> None:
         """Receive and apply messages forever."""
@@ -218,18 +219,21 @@
                 self.on_suspects(message)
             case VersionNotice():
                 self._apply_version_notice(message)
-            case StreamVersionReport() | StreamVersionQuery() | StreamVersionAnswer():
-                self.on_stream_message(message, sender)
             case CellReport():
                 self._sharing.apply_report(message, trio.current_time())
             case Report():
                 self._apply_report(message)
+            case _:
+                self.on_stream_message(message, sender)
 
     def _apply_report(self, report: Report) -> None:
         self._sharing.apply_report(report, trio.current_time())
         confirmed_at = self._sent_times.find_confirmation_time(report)
         if confirmed_at is not None:
             self._on_confirmed(report.version, confirmed_at)
+        made_at = self._sent_times.find_earliest_time(report)
+        if made_at is not None:
+            self.on_dated_report(report, made_at)
 
     def announce_version(self, version: int) -> None:
         """Tell the other hosts at once that this host has a version."""
@@ -242,6 +246,11 @@
             self._notices[notice.host] = notice.version
             self.schedule_urgent_send(Recipients.CELL_PEERS)
 
+    def schedule_round(self) -> None:
+        """Send the next round of reports soon, with what has just changed."""
+        self._is_round_due = True
+        self._urgent_requested.set()
+
     def schedule_urgent_send(self, recipients: Recipients) -> None:
         """Send departing servers and suspect requests before the next round.
 
@@ -259,11 +268,12 @@
             self._number += 1
             self._send_round(self._plan_round())
             next_at = trio.current_time() + self._sharing.period
-            while trio.current_time() < next_at:
+            while trio.current_time() < next_at and not self._is_round_due:
                 with trio.move_on_at(next_at):
                     await self._urgent_requested.wait()
                     await trio.sleep(URGENT_BATCH_DELAY)
                 self._send_urgent()
+            self._is_round_due = False
 
     def _plan_round(self) -> Round:
         """Return the recipients of a round, planned anew when the members change.
@@ -384,6 +394,7 @@
             limits=limits,
             partitioned=partitioned,
             rejections=report.rejections,
+            releases=report.releases,
         )
 
     def _enqueue(self, peers: list[HostEntry], data: bytes, urgency: Urgency) -> None:
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -4,7 +4,7 @@
 import secrets
 import time
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from functools import partial
 from typing import TypeVar
@@ -27,6 +27,7 @@
     TENTHS_PER_ATTEMPT,
     ZERO_SERVER_TOTALS,
     LimitUpdate,
+    PeriodicReport,
     Report,
     ServerTotals,
     SuspectUpdate,
@@ -42,6 +43,7 @@
     FindStored,
     StreamVersions,
     ask_nobody,
+    find_no_servers,
     find_nothing_stored,
 )
 from dewridge.gateway.versions.unknownservers import UnknownServers
@@ -51,6 +53,7 @@
     ClientAccount,
     FailureDomain,
     HostId,
+    Release,
     RequestDigest,
     ServiceName,
 )
@@ -189,6 +192,12 @@
     """Asks the other hosts at which version a stream of a service began."""
     find_stored_origin: FindStored = find_nothing_stored
     """Reads from the store's copies at which version a stream of a service began."""
+    compare_releases: Callable[[PeriodicReport], None] = lambda report: None
+    """Exchanges the recent versions with a peer whose report shows other ones."""
+    find_release_servers: Callable[[Release], Awaitable[None]] = find_no_servers
+    """Waits until a server of a version is known, or peers know none."""
+    find_service_servers: Callable[[ServiceName], Awaitable[None]] = find_no_servers
+    """Waits until a server of a service is known, or peers know none."""
     dependencies: list[ServiceClient] = field(default_factory=list)
     describe_duties: Callable[[], dict[str, object]] = dict
     is_ready: bool = False
@@ -342,6 +351,8 @@
             limits=self.list_limits(number),
             is_partitioned=self.links.is_partitioned,
             rejections=self.pushback.brittle.list_rejections(now),
+            releases=self.versions.history.compute_digest(now),
+            versions_age_ms=self.versions.view.age_ms,
         )
 
     def list_usage(self, windows: int) -> UsageCounts:
@@ -495,6 +506,22 @@
         live = self.sharing.list_live_hosts()
         return [entry for entry in self.list_member_entries() if entry.id in live]
 
+    def rank_informed_peers(self) -> list[HostEntry]:
+        """Return the live peers, those that were last sure to know all servers first.
+
+        Peers of other cells do not report that, and come last in random order.
+        """
+        peers = self.list_live_entries()
+        self.rng.shuffle(peers)
+        views = self.sharing.cell_peers
+
+        def read_age(peer: HostEntry) -> float:
+            view = views.get(peer.id)
+            age_ms = view.report.versions_age_ms if view else None
+            return float("inf") if age_ms is None else age_ms
+
+        return sorted(peers, key=read_age)
+
     def list_silent_hosts(self) -> list[HostId]:
         """Return the other registered hosts that are silent."""
         live = self.sharing.list_live_hosts()
--- a/dewridge/gateway/versions/copies.py
+++ b/dewridge/gateway/versions/copies.py
@@ -22,6 +22,7 @@
 )
 from dewridge.platform.store import Item, Lease, Store, Write
 from dewridge.policy.streamversions import (
+    MAX_VIEW_GAP,
     RETENTION,
     Origin,
     OriginSource,
@@ -170,6 +171,8 @@
             return Failure(ResultCode.KEY_VALUE_DOWN, "copies not read")
         if service in self._stored_mixed:
             return None
+        if self._versions.view.age > MAX_VIEW_GAP:
+            return Failure(ResultCode.KEY_VALUE_DOWN, "list of servers is outdated")
         recent = self._versions.history.list_recent(service, trio.current_time())
         return Origin(recent[0], OriginSource.STORE) if len(recent) == 1 else None
 
--- a/dewridge/gateway/versions/freshness.py
+++ b/dewridge/gateway/versions/freshness.py
@@ -1,8 +1,10 @@
 """When this host last certainly knew all software versions that serve."""
 
 from enum import Enum
+from math import isfinite
 
 from dewridge.gateway.clock import read_boot_clock
+from dewridge.policy.streamversions import MAX_VIEW_AGE
 
 
 class ConfirmedBy(Enum):
@@ -39,3 +41,14 @@
     def age(self) -> float:
         """Seconds since this host certainly knew all versions."""
         return read_boot_clock() - self.confirmed_at
+
+    @property
+    def age_ms(self) -> int | None:
+        """The age in milliseconds; None if this host has never known all versions."""
+        age = self.age
+        return round(age * 1000) if isfinite(age) else None
+
+    @property
+    def is_current(self) -> bool:
+        """Whether no version that this host does not know has streams yet."""
+        return self.age <= MAX_VIEW_AGE
--- a/dewridge/gateway/versions/link.py
+++ b/dewridge/gateway/versions/link.py
@@ -174,7 +174,7 @@
             part = dict(streams[first : first + MAX_STREAMS_PER_DATAGRAM])
             report = StreamVersionReport(self._local_host, group_by_release(part))
             for replica in replicas:
-                self._send(hosts[replica].peers, report)
+                self.send(hosts[replica].peers, report)
 
     def check_replicas(self) -> None:
         """Have running streams sent again if a replica is silent or started again."""
@@ -191,7 +191,8 @@
         """
         return self._list_live_hosts() or self._list_hosts()
 
-    def _send(self, address: str, message: StreamVersionMessage) -> None:
+    def send(self, address: str, message: StreamVersionMessage) -> None:
+        """Send a message to a peer."""
         data = self._encoder.encode(message)
         self._socket.enqueue(read_address(address), data, Urgency.URGENT)
 
@@ -251,7 +252,7 @@
             self._local_host, query.number, query.service, pack_streams(missing)
         )
         for entry in query.asked.values():
-            self._send(entry.peers, message)
+            self.send(entry.peers, message)
 
     def receive(self, message: StreamVersionMessage, sender: PeerAddress) -> None:
         """Apply a message of a peer."""
@@ -284,7 +285,7 @@
             group_by_release(known),
             self._find_only(query.service),
         )
-        self._send(f"{sender[0]}:{sender[1]}", answer)
+        self.send(f"{sender[0]}:{sender[1]}", answer)
 
     def receive_answer(self, answer: StreamVersionAnswer) -> None:
         """Apply an answer to a query of this host."""
--- a/dewridge/gateway/versions/origins.py
+++ b/dewridge/gateway/versions/origins.py
@@ -13,7 +13,6 @@
     ServiceName,
 )
 from dewridge.policy.streamversions import (
-    MAX_VIEW_AGE,
     Origin,
     OriginSource,
 )
@@ -44,6 +43,9 @@
     count_resumption(state, job, origin)
     if origin is not None:
         job.origin = origin
+        if not has_release(state, job, origin.release):
+            # The store may not have shown them to this host.
+            await state.find_release_servers(origin.release)
         choose_bound_service(state, job)
         return None
     log.bind(id=job.request.id, doubts=doubts).info("stream origin unknown")
@@ -86,7 +88,7 @@
     origin = state.versions.find(job.stream_key, trio.current_time())
     if origin is not None:
         return origin
-    if state.configuration.age > MAX_VIEW_AGE:
+    if not state.versions.view.is_current:
         # This host may have missed a version, as after a pause of its machine.
         return None
     only = find_only_release(state, job.service)
@@ -119,6 +121,13 @@
     return set(recent) <= {origin.release}
 
 
+def has_release(state: GatewayState, job: Job, release: Release) -> bool:
+    """Return whether a version of any service of the route has servers."""
+    return any(
+        state.servers.has_release(share.service, release) for share in job.route.shares
+    )
+
+
 def choose_bound_service(state: GatewayState, job: Job) -> None:
     """Choose the service of the stream if the route is divided between several."""
     for share in job.route.shares:
--- a/dewridge/gateway/versions/records.py
+++ b/dewridge/gateway/versions/records.py
@@ -18,6 +18,7 @@
     Origin,
     OriginSource,
     ReleaseHistory,
+    SeenRelease,
     StreamLedger,
 )
 from dewridge.sentinels import Failure
@@ -51,6 +52,10 @@
     return None
 
 
+async def find_no_servers(needed: Release | ServiceName) -> None:
+    """Find no further servers, for a host without peers."""
+
+
 async def ask_nobody(service: ServiceName, stream: StreamKey) -> PeerKnowledge:
     """Answer for a host without peers."""
     return PeerKnowledge(None)
@@ -67,6 +72,7 @@
         doubtful_servers: servers that were unreachable, and may be another process now.
         on_due: called when there are streams that other hosts have to keep.
         on_mixed: called regularly while a service has several versions.
+        on_new: called when a version is seen the first time.
         check_replicas: called regularly, to find out whether other hosts have to keep
             the running streams.
     """
@@ -77,6 +83,7 @@
     doubtful_servers: set[BackendServerId] = field(default_factory=set)
     on_due: Callable[[], None] = lambda: None
     on_mixed: Callable[[], None] = lambda: None
+    on_new: Callable[[], None] = lambda: None
     check_replicas: Callable[[], None] = lambda: None
     _is_view_outdated: bool = False
     _running: dict[ServiceName, Streams] = field(
@@ -89,8 +96,22 @@
     def record_servers(self, servers: Iterable[ServerRecord], now: float) -> None:
         """Record that servers serve now, or did until now."""
         services = {server.service for server in servers}
-        for server in servers:
+        added = [
             self.history.record(server.service, server.version, now)
+            for server in servers
+        ]
+        if any(added):
+            self.on_new()
+        self._notify_mixed(services, now)
+
+    def merge(self, releases: Iterable[SeenRelease], now: float) -> None:
+        """Record versions that a peer has seen."""
+        added = [seen for seen in releases if self.history.merge(seen, now)]
+        if added:
+            self.on_new()
+            self._notify_mixed({seen.service for seen in added}, now)
+
+    def _notify_mixed(self, services: set[ServiceName], now: float) -> None:
         if any(self._unsent.get(service) for service in services):
             self.on_due()
         if any(self.history.is_mixed(service, now) for service in services):
--- a/dewridge/gateway/versions/unknownservers.py
+++ b/dewridge/gateway/versions/unknownservers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
+import trio
 from loguru import logger as log
 
 from dewridge.ids import BackendServerId, HostId
@@ -13,6 +14,8 @@
 """Servers retained; further ones are ignored."""
 RETENTION = 10.0
 """Seconds after the last report for which a server is retained."""
+MAX_QUERIES = 10
+"""Queries for a server. A peer may use one whose record this host rejects."""
 
 
 class UnknownServers:
@@ -27,7 +30,9 @@
         self._is_known = is_known
         self._first_named: dict[BackendServerId, float] = {}
         self._last_named: dict[BackendServerId, tuple[float, HostId]] = {}
+        self._queries: dict[BackendServerId, int] = {}
         self._logged: set[BackendServerId] = set()
+        self._recorded = trio.Event()
 
     def record(
         self, servers: Iterable[BackendServerId], peer: HostId, now: float
@@ -41,10 +46,19 @@
                 if len(self._first_named) >= MAX_SERVERS:
                     continue
                 self._first_named[server] = now
+                self._queries[server] = 0
                 added.append(server)
             self._last_named[server] = (now, peer)
+        if added:
+            self._recorded.set()
         return added
 
+    async def wait(self) -> None:
+        """Wait until there are servers to ask for."""
+        while min(self._queries.values(), default=MAX_QUERIES) >= MAX_QUERIES:
+            self._recorded = trio.Event()
+            await self._recorded.wait()
+
     def drop_known(self, now: float) -> None:
         """Forget servers that this host knows by now, or that no peer uses any more."""
         dropped = [
@@ -54,14 +68,17 @@
         ]
         for server in dropped:
             del self._first_named[server]
+            del self._queries[server]
             del self._last_named[server]
             self._logged.discard(server)
 
-    def list_by_peer(self) -> dict[HostId, list[BackendServerId]]:
-        """Return the servers by the peer that named them last."""
+    def take_queries(self) -> dict[HostId, list[BackendServerId]]:
+        """Return the servers to ask for now, by the peer that named them last."""
         servers: dict[HostId, list[BackendServerId]] = {}
         for server, (_, peer) in self._last_named.items():
-            servers.setdefault(peer, []).append(server)
+            if self._queries[server] < MAX_QUERIES:
+                self._queries[server] += 1
+                servers.setdefault(peer, []).append(server)
         return servers
 
     def log_overdue(self, now: float, versions_age: float) -> None:
--- a/dewridge/gateway/waiting.py
+++ b/dewridge/gateway/waiting.py
@@ -46,6 +46,9 @@
         learns when to come back, instead of waiting in vain.
         """
         give_up_at = trio.current_time() + _compute_max_wait(job)
+        if not self._state.servers.list_service(job.service):
+            # The store may not have shown them to this host.
+            await self._state.find_service_servers(job.service)
         while True:
             now = trio.current_time()
             choice = choose_server(self._state, job, now)
--- a/dewridge/policy/streamversions.py
+++ b/dewridge/policy/streamversions.py
@@ -9,6 +9,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import reduce
+from operator import xor
 
 from dewridge.digests import STREAM_KEY_BYTES, make_release
 from dewridge.ids import FailureDomain, HostId, Release, ServiceName, StreamKey
@@ -22,9 +24,12 @@
 NEW_VERSION_DELAY = 1.0
 """Seconds during which the first servers of a version get no new streams while others
 can take them, so that all hosts know the version before a stream of it is resumed."""
-MAX_VIEW_AGE = 2.0
-"""Age in seconds of this host's view of the store up to which it is certain to know all
-versions that serve streams: twice the delay above covers single polls that fail."""
+MAX_VIEW_AGE = NEW_VERSION_DELAY
+"""Age in seconds of this host's knowledge of the versions that serve up to which a
+version that it does not know has no streams yet."""
+MAX_VIEW_GAP = 4.0
+"""Seconds between two confirmations of that knowledge from which a version may have
+come and gone unseen. Servers take about that long to start."""
 REPLICA_COUNT = 2
 """Other hosts that keep the versions of a host's running streams."""
 MAX_NAME_LENGTH = 40
@@ -92,6 +97,23 @@
         return len(self._recent) + len(self._older)
 
 
+@dataclass(frozen=True, slots=True)
+class SeenRelease:
+    """A version that had servers recently.
+
+    Attributes:
+        service: the service.
+        release: the service and the version.
+        name: the version, cut to some length.
+        seen_at: monotonic time at which a server was last seen.
+    """
+
+    service: ServiceName
+    release: Release
+    name: str
+    seen_at: float
+
+
 @dataclass
 class ReleaseHistory:
     """The versions of each service that had servers recently.
@@ -107,12 +129,40 @@
         default_factory=lambda: defaultdict(dict)
     )
 
-    def record(self, service: ServiceName, version: str, now: float) -> None:
-        """Record that a server of a version serves now."""
+    def record(self, service: ServiceName, version: str, now: float) -> bool:
+        """Record that a server of a version serves now; return whether it is new."""
         release = make_release(service, version)
-        self._first_seen.setdefault(release, now)
-        self._names.setdefault(release, version[:MAX_NAME_LENGTH])
-        self._last_seen[service][release] = now
+        name = version[:MAX_NAME_LENGTH]
+        return self.merge(SeenRelease(service, release, name, now), now)
+
+    def merge(self, seen: SeenRelease, now: float) -> bool:
+        """Record a version that had servers recently; return whether it is new here."""
+        if now - seen.seen_at > RETENTION:
+            return False
+        is_new = seen.release not in self._first_seen
+        self._first_seen.setdefault(seen.release, now)
+        self._names.setdefault(seen.release, seen.name)
+        releases = self._last_seen[seen.service]
+        releases[seen.release] = max(seen.seen_at, releases.get(seen.release, 0.0))
+        return is_new
+
+    def list_seen(self, now: float) -> list[SeenRelease]:
+        """Return the recent versions of all services."""
+        return [
+            SeenRelease(service, release, self._names[release], seen_at)
+            for service, releases in self._last_seen.items()
+            if self.list_recent(service, now)
+            for release, seen_at in releases.items()
+        ]
+
+    def compute_digest(self, now: float) -> int:
+        """Return a digest of the recent versions of all services."""
+        releases = [
+            release
+            for service in self._last_seen
+            for release in self.list_recent(service, now)
+        ]
+        return reduce(xor, releases, 0)
 
     def name_release(self, release: Release) -> str:
         """Return the version of a digest for logs, cut to some length."""
--- a/dewridge/tests/gateway/pushback.py
+++ b/dewridge/tests/gateway/pushback.py
@@ -10,6 +10,7 @@
 import trio
 
 from dewridge.gateway.clock import read_boot_clock
+from dewridge.gateway.composition import fan_out
 from dewridge.gateway.departures import apply_reported_rejections
 from dewridge.gateway.hosts import HOSTS_PREFIX, HostEntry
 from dewridge.gateway.ingress import serve_connection
@@ -21,6 +22,7 @@
 from dewridge.gateway.reports import PeriodicReport
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.upkeep import UPKEEP_PERIOD
+from dewridge.gateway.versions.freshness import ConfirmedBy
 from dewridge.ids import FailureDomain, HostId, ServiceName
 from dewridge.platform.store import Item, Listing
 from dewridge.tests.gateway.versionlinks import (
@@ -82,6 +84,8 @@
     network: MessageNetwork
     silent: set[HostId] = field(default_factory=set)
     """Hosts that their peers know to be silent."""
+    without_store: set[HostId] = field(default_factory=set)
+    """Hosts that do not reach the store; peers confirm the configuration to them."""
     _number: int = 0
 
     async def add_server(
@@ -91,28 +95,37 @@
         service: ServiceName = PLAIN,
         version: str = "",
     ) -> ScriptedServer:
-        """Start a server that all gateways know."""
+        """Start a server that all gateways know which reach the store."""
         server = await self.worlds[0].add_server(name, script, service, version)
         record = self.worlds[0].state.servers.find(server.id)
         assert record is not None
         for world in self.worlds[1:]:
-            world.state.servers.update(record, trio.current_time())
+            if world.state.host not in self.without_store:
+                world.state.servers.update(record, trio.current_time())
         return server
 
     async def exchange_reports(self) -> None:
         """Deliver the reports of all gateways to each other forever.
 
-        The configuration is confirmed as well, as it is by reads of the store.
+        The configuration and the versions are confirmed as well, as by reads of the
+        store.
         """
         number = 0
         while True:
             number += 1
+            now = read_boot_clock()
+            for world in self.worlds:
+                world.state.configuration.confirm(now)
+                if world.state.host not in self.without_store:
+                    world.state.versions.view.confirm(now, ConfirmedBy.STORE)
             reports = [world.state.make_report(number) for world in self.worlds]
             for world in self.worlds:
-                world.state.configuration.confirm(read_boot_clock())
+                exchange = self.network.exchanges.get(world.state.host)
                 for report in reports:
                     copy = msgspec.convert(msgspec.to_builtins(report), type(report))
                     world.state.sharing.apply_report(copy, trio.current_time())
+                    if exchange is not None and report.host != world.state.host:
+                        exchange.confirm(copy, now)
             await trio.sleep(REPORT_PERIOD)
 
     async def send(self, world: World, seconds: float, rate: float) -> list[int]:
@@ -138,6 +151,13 @@
     apply_reported_rejections(state, report)
 
 
+def apply_reported_servers(state: GatewayState, report: PeriodicReport) -> None:
+    """Apply what a report shows of servers and of their versions."""
+    state.compare_releases(report)
+    servers = report.totals.servers
+    state.unknown_servers.record(servers, report.host, trio.current_time())
+
+
 async def open_relay(world: World) -> str:
     """Relay requests of peers at a gateway; return its address for them."""
     state = world.state
@@ -194,7 +214,10 @@
         world.state.is_ready = True
         world.nursery.start_soon(check_silence, world)
         world.state.list_limits = partial(list_limit_updates, world.state)
-        world.state.sharing.on_report = partial(apply_signals, world.state)
+        world.state.sharing.on_report = fan_out(
+            partial(apply_signals, world.state),
+            partial(apply_reported_servers, world.state),
+        )
     fleet = Fleet(worlds, MessageNetwork(worlds[0].nursery))
     for world in worlds:
         list_live = partial(list_others, world.state, fleet.silent)
--- a/dewridge/tests/gateway/resuming_tests.py
+++ b/dewridge/tests/gateway/resuming_tests.py
@@ -291,6 +291,13 @@
     """Stand in for a confirmation that never arrives."""
 
 
+def cut_off(scene: Scene, number: int) -> None:
+    """Cut a gateway off from the store, some time ago."""
+    state = scene.worlds[number].state
+    scene.fleet.without_store.add(state.host)
+    state.versions.view.confirmed_at = read_boot_clock() - MAX_VIEW_AGE - 1
+
+
 async def test_a_host_with_an_old_view_asks_before_it_names_the_only_version() -> None:
     """Guards against a frozen or partitioned host that missed the second version."""
     async with AsyncExitStack() as stack:
@@ -304,6 +311,7 @@
         confirmed_at = read_boot_clock() - MAX_VIEW_AGE - 1
         outdated.configuration.confirmed_at = confirmed_at
         outdated.configuration.confirm = ignore  # type: ignore[method-assign]
+        cut_off(scene, 1)
         await resume_all(scene, streams, lambda number: 1)
     assert all(len(stream.versions) == 1 for stream in streams)
 
@@ -333,6 +341,8 @@
             world.state.configuration.confirm = ignore  # type: ignore[method-assign]
             confirmed_at = read_boot_clock() - MAX_VIEW_AGE - 1
             world.state.configuration.confirmed_at = confirmed_at
+        for number in range(4):
+            cut_off(scene, number)
         await resume_all(scene, streams, lambda number: 1 + number % 3)
     assert all(stream.is_whole for stream in streams)
 
--- a/dewridge/tests/gateway/versionlinks.py
+++ b/dewridge/tests/gateway/versionlinks.py
@@ -7,16 +7,21 @@
 import msgspec
 import trio
 
+from dewridge.gateway.composition import fan_out
 from dewridge.gateway.datagrams import PeerAddress, Urgency
 from dewridge.gateway.hosts import HostEntry
 from dewridge.gateway.reports import StreamVersionMessage
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.versions.link import VersionLink
 from dewridge.gateway.versions.origins import find_only_release
+from dewridge.gateway.versions.releaseexchange import ReleaseExchange
+from dewridge.gateway.versions.serversearch import ServerSearch
 from dewridge.ids import HostId
 
 DELIVERY_TIME = 0.005
 
+Receiver = Callable[[StreamVersionMessage, PeerAddress], None]
+
 
 @dataclass
 class MessageNetwork:
@@ -24,6 +29,8 @@
 
     Attributes:
         links: the link of each gateway, by its address.
+        receivers: what gets the messages for each address.
+        exchanges: the exchange of versions of each gateway.
         silent: addresses that neither send nor receive.
         sent_bytes: bytes of all messages sent.
         sent: number of messages sent.
@@ -31,6 +38,8 @@
 
     nursery: trio.Nursery
     links: dict[str, VersionLink] = field(default_factory=dict)
+    receivers: dict[str, Receiver] = field(default_factory=dict)
+    exchanges: dict[HostId, ReleaseExchange] = field(default_factory=dict)
     silent: set[str] = field(default_factory=set)
     sent_bytes: int = 0
     sent: int = 0
@@ -44,12 +53,12 @@
 
     async def _deliver(self, sender: str, receiver: str, data: bytes) -> None:
         await trio.sleep(DELIVERY_TIME)
-        link = self.links.get(receiver)
-        if link is None or receiver in self.silent:
+        receive = self.receivers.get(receiver)
+        if receive is None or receiver in self.silent:
             return
         host, _, port = sender.rpartition(":")
         message = msgspec.msgpack.decode(data, type=StreamVersionMessage)
-        link.receive(message, (host, int(port)))
+        receive(message, (host, int(port)))
 
 
 @dataclass
@@ -81,7 +90,22 @@
         list_live,
         partial(find_only_release, state),
     )
+    exchange = ReleaseExchange(state.versions, state.host, list_hosts, link.send)
+    search = ServerSearch(
+        state.host,
+        state.servers,
+        state.unknown_servers,
+        list_live,
+        link.send,
+        state.rng,
+    )
     network.links[address] = link
+    network.exchanges[state.host] = exchange
+    network.receivers[address] = fan_out(link.receive, exchange.receive, search.receive)
+    state.compare_releases = exchange.compare
+    state.find_release_servers = search.find_release
+    state.find_service_servers = search.find_service
+    network.nursery.start_soon(search.run)
     network.nursery.start_soon(link.run)
     state.ask_peers_for_origin = link.ask
     state.versions.on_due = link.request_report
