Count a host as just started after any pause in which it may have missed a version

What callers would see: streams joined from two versions at a host that was paused or cut off while a version came and went. Every quarter of a second the host looked whether its configuration was trusted, and only an answer of no made it count as just started. After a pause its tasks run in any order: a report that waited in the socket confirmed the configuration before the first look, so that the pause went unnoticed. Peers also confirm the configuration, not the list of servers.

Change: each confirmation of the list is compared with the one before, on the clock that runs through pauses. The polling is gone, and with it check_view.

The new one of a pause fails without the comparison.

--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -238,9 +238,14 @@
         is_first_start = self.settings.host.is_first_start
         started_at = float("-inf") if is_first_start else self.sharing.started_at
         self.versions = StreamVersions(ReleaseHistory(complete_since=started_at))
+        self.versions.view.on_gap = self._handle_view_gap
         self.servers.on_serving = self._record_serving
         self.unknown_servers = UnknownServers(self.servers.has_known)
 
+    def _handle_view_gap(self) -> None:
+        """Count this host as just started: it may not have seen all versions."""
+        self.versions.history.complete_since = trio.current_time()
+
     def _record_serving(self, record: ServerRecord, now: float) -> None:
         self.versions.record_servers([record], now)
 
--- a/dewridge/gateway/upkeep.py
+++ b/dewridge/gateway/upkeep.py
@@ -31,9 +31,6 @@
         update_readiness(state, registration)
         update_limits(state)
         state.check_silent_services()
-        state.versions.check_view(
-            trio.current_time(), is_current=state.configuration.is_trusted
-        )
         state.versions.check_replicas()
         now = trio.current_time()
         state.unknown_servers.drop_known(now)
--- a/dewridge/gateway/versions/freshness.py
+++ b/dewridge/gateway/versions/freshness.py
@@ -1,10 +1,11 @@
 """When this host last certainly knew all software versions that serve."""
 
+from collections.abc import Callable
 from enum import Enum
 from math import isfinite
 
 from dewridge.gateway.clock import read_boot_clock
-from dewridge.policy.streamversions import MAX_VIEW_AGE
+from dewridge.policy.streamversions import MAX_VIEW_AGE, MAX_VIEW_GAP
 
 
 class ConfirmedBy(Enum):
@@ -24,9 +25,12 @@
     Attributes:
         confirmed_at: time on the boot clock at which this host knew all versions.
         confirmed_by: what showed it.
+        on_gap: called if versions may have come and gone between two confirmations, as
+            while the host was suspended.
     """
 
     def __init__(self) -> None:
+        self.on_gap: Callable[[], None] = lambda: None
         self.confirmed_at = float("-inf")
         self.confirmed_by = ConfirmedBy.NOBODY
 
@@ -34,8 +38,10 @@
         """Record that this host knew all versions at a time on the boot clock."""
         if at <= self.confirmed_at:
             return
-        self.confirmed_at = at
+        previous, self.confirmed_at = self.confirmed_at, at
         self.confirmed_by = by
+        if previous > float("-inf") and at - previous > MAX_VIEW_GAP:
+            self.on_gap()
 
     @property
     def age(self) -> float:
--- a/dewridge/gateway/versions/records.py
+++ b/dewridge/gateway/versions/records.py
@@ -85,7 +85,6 @@
     on_mixed: Callable[[], None] = lambda: None
     on_new: Callable[[], None] = lambda: None
     check_replicas: Callable[[], None] = lambda: None
-    _is_view_outdated: bool = False
     _running: dict[ServiceName, Streams] = field(
         default_factory=lambda: defaultdict(dict)
     )
@@ -117,17 +116,6 @@
         if any(self.history.is_mixed(service, now) for service in services):
             self.on_mixed()
 
-    def check_view(self, now: float, *, is_current: bool) -> None:
-        """Note that versions may have come and gone while the view was outdated.
-
-        Args:
-            now: monotonic time.
-            is_current: whether this host's view of the store is current.
-        """
-        if is_current and self._is_view_outdated:
-            self.history.complete_since = now
-        self._is_view_outdated = not is_current
-
     def begin(
         self, service: ServiceName, stream: StreamKey, release: Release, now: float
     ) -> None:
--- a/dewridge/tests/gateway/outdatedviews_tests.py
+++ b/dewridge/tests/gateway/outdatedviews_tests.py
@@ -8,12 +8,13 @@
 from dewridge.digests import make_release
 from dewridge.gateway.clock import read_boot_clock
 from dewridge.gateway.reports import CellReport, Totals
-from dewridge.gateway.versions.freshness import ConfirmedBy
+from dewridge.gateway.versions.freshness import ConfirmedBy, VersionView
 from dewridge.gateway.versions.origins import find_only_release
 from dewridge.ids import HostId
 from dewridge.policy.cells import CellName
 from dewridge.policy.streamversions import (
     MAX_VIEW_AGE,
+    MAX_VIEW_GAP,
     NEW_VERSION_DELAY,
 )
 from dewridge.tests.gateway.resuming_tests import (
@@ -150,6 +151,25 @@
     assert only == 0
 
 
+def test_a_view_is_outdated_after_a_pause(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a host that wakes up and believes what was true before."""
+    now = 100.0
+    monkeypatch.setattr(
+        "dewridge.gateway.versions.freshness.read_boot_clock", lambda: now
+    )
+    gaps = []
+    view = VersionView()
+    view.on_gap = lambda: gaps.append(now)
+    view.confirm(now, ConfirmedBy.STORE)
+    assert view.is_current
+    now += MAX_VIEW_GAP + 1
+    assert not view.is_current
+    view.confirm(now, ConfirmedBy.PEER)
+    view.confirm(now - 1, ConfirmedBy.STORE)
+    assert view.is_current
+    assert gaps == [now]
+
+
 async def test_versions_pass_between_cells() -> None:
     """Guards against a cell without the store that hears of no new version."""
     async with AsyncExitStack() as stack:
--- a/dewridge/tests/gateway/resuming_tests.py
+++ b/dewridge/tests/gateway/resuming_tests.py
@@ -14,9 +14,14 @@
     StreamCopies,
     make_key,
 )
+from dewridge.gateway.versions.freshness import ConfirmedBy
 from dewridge.gateway.versions.origins import find_only_release
 from dewridge.ids import ClientAccount, HostId
-from dewridge.policy.streamversions import MAX_VIEW_AGE, ReleaseHistory
+from dewridge.policy.streamversions import (
+    MAX_VIEW_AGE,
+    MAX_VIEW_GAP,
+    ReleaseHistory,
+)
 from dewridge.tests.gateway.memorystore import MemoryStore, StoreData
 from dewridge.tests.gateway.pushback import Fleet, open_fleet
 from dewridge.tests.gateway.versionedengines import (
@@ -320,13 +325,14 @@
     """Guards against a version that came and went while a host was frozen."""
     async with AsyncExitStack() as stack:
         scene = await open_scene(stack, ("v1",))
-        versions = scene.worlds[1].state.versions
-        now = trio.current_time()
-        versions.check_view(now, is_current=True)
-        before = find_only_release(scene.worlds[1].state, ENGINE)
-        versions.check_view(now, is_current=False)
-        versions.check_view(now, is_current=True)
-        after = find_only_release(scene.worlds[1].state, ENGINE)
+        state = scene.worlds[1].state
+        view = state.versions.view
+        now = read_boot_clock()
+        view.confirm(now, ConfirmedBy.STORE)
+        view.confirm(now + MAX_VIEW_GAP, ConfirmedBy.STORE)
+        before = find_only_release(state, ENGINE)
+        view.confirm(now + 2 * MAX_VIEW_GAP + 0.1, ConfirmedBy.PEER)
+        after = find_only_release(state, ENGINE)
     assert before == make_release(ENGINE, "v1")
     assert after is None
 
