End a stream whose server sends bytes that complete no event

What callers would see: a stream that stops in the middle until its deadline, and all callers of a host whose process ends for want of memory.

Cause: an incomplete event was buffered without a limit, copied anew with each read, and any byte counted as a sign that the server works. So a server that sends bytes without the end of an event was never silent, and never too large. An event's id of more than 4,300 digits ended the request with an internal error.

Change: an event has at most 262,144 bytes, and only complete events show that a server works. A resumable stream goes on at another server; another one ends visibly incomplete. Ids have at most 18 digits.

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -4,7 +4,7 @@
 
 from dewridge.codes import ResultCode
 from dewridge.gateway.contention.admitting import AdmissionControl, record_answer_end
-from dewridge.gateway.events import EventSplitter
+from dewridge.gateway.events import EventSplitter, EventTooLongError
 from dewridge.gateway.forwarding import (
     CompleteAnswer,
     IncomingAnswer,
@@ -280,33 +280,21 @@
         splitter = EventSplitter()
         stream = self._open_stream(server, is_direct=answer.relay is None)
         try:
-            while True:
-                piece: bytes | None = None
-                silent_at = trio.current_time() + self._compute_silence_timeout(job)
-                with trio.move_on_at(min(silent_at, stream.moves_at)) as scope:
-                    stream.scope = scope
-                    piece = await answer.receive()
-                if scope.cancelled_caught:
-                    lost = await self._handle_silence(job, server, stream)
-                    if lost is not None:
-                        return lost
-                    continue
-                if piece is None:
-                    break
-                self._record_prompt_read(job, server)
-                await self._forward_events(
-                    job, server, splitter, piece, answer, responder
-                )
+            lost = await self._forward_stream(
+                job, server, answer, responder, splitter, stream
+            )
+        except EventTooLongError:
+            lost = LostAttempt(LossReason.MALFORMED, "an event is too long")
         except ConnectionBrokenError as error:
+            lost = LostAttempt(LossReason.CUT_OFF, str(error))
             if job.continuation is not None:
-                return LostAttempt(LossReason.MOVED, job.continuation.server.id)
-            return LostAttempt(LossReason.CUT_OFF, str(error))
+                lost = LostAttempt(LossReason.MOVED, job.continuation.server.id)
         finally:
             self._state.streams.unregister(server.id, stream)
             answer.close()
-        if splitter.remainder:
-            return LostAttempt(LossReason.CUT_OFF, "ended within an event")
-        lost = await self._check_unframed_end(job, server, answer)
+        if lost is None and splitter.remainder:
+            lost = LostAttempt(LossReason.CUT_OFF, "ended within an event")
+        lost = lost or await self._check_unframed_end(job, server, answer)
         if lost is not None:
             return lost
         job.continuation = None
@@ -319,6 +307,43 @@
         await responder.finish()
         return None
 
+    async def _forward_stream(
+        self,
+        job: Job,
+        server: ServerRecord,
+        answer: IncomingAnswer,
+        responder: Responder,
+        splitter: EventSplitter,
+        stream: RunningStream,
+    ) -> LostAttempt | None:
+        """Forward events until the body ends; return why no more are awaited.
+
+        Raises:
+            ConnectionBrokenError: the answer was interrupted.
+            EventTooLongError: an event has no end.
+        """
+        heard_at = trio.current_time()
+        while True:
+            piece: bytes | None = None
+            # Bytes that complete no event do not show that the server works.
+            silent_at = heard_at + self._compute_silence_timeout(job)
+            with trio.move_on_at(min(silent_at, stream.moves_at)) as scope:
+                stream.scope = scope
+                piece = await answer.receive()
+            if scope.cancelled_caught:
+                lost = await self._handle_silence(job, server, stream)
+                if lost is not None:
+                    return lost
+                heard_at = trio.current_time()
+                continue
+            if piece is None:
+                return None
+            self._record_prompt_read(job, server)
+            if await self._forward_events(
+                job, server, splitter, piece, answer, responder
+            ):
+                heard_at = trio.current_time()
+
     async def _check_unframed_end(
         self, job: Job, server: ServerRecord, answer: IncomingAnswer
     ) -> LostAttempt | None:
@@ -366,16 +391,18 @@
         piece: bytes,
         answer: IncomingAnswer,
         responder: Responder,
-    ) -> None:
+    ) -> bool:
+        """Forward the events that a piece completes; return whether there are any."""
         new_events = []
-        for event in splitter.push(piece):
+        events = splitter.push(piece)
+        for event in events:
             if event.id is not None:
                 if job.last_event is not None and event.id <= job.last_event:
                     continue
                 job.last_event = event.id
             new_events.append(event.raw)
         if not new_events:
-            return
+            return bool(events)
         record_first_event(self._state, job, server.release)
         self._count_usage(job)
         job.events += len(new_events)
@@ -395,6 +422,7 @@
         if not responder.has_started:
             await responder.send_head(200, clean_answer_headers(answer.head.headers))
         await responder.send_body_part(b"".join(new_events))
+        return True
 
     def _record_prefill_rate(self, job: Job, now: float) -> None:
         if job.prefill_measured_from is not None:
--- a/dewridge/gateway/events.py
+++ b/dewridge/gateway/events.py
@@ -4,6 +4,14 @@
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+MAX_EVENT_BYTES = 262_144
+"""Bytes of an event. A server in trouble may send bytes that never end one."""
+MAX_ID_DIGITS = 18
+"""Digits of an event's id, which is a 64-bit number."""
+
+
+class EventTooLongError(Exception):
+    """An event has no end within `MAX_EVENT_BYTES`."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,8 +39,15 @@
         self._remainder = b""
 
     def push(self, data: bytes) -> list[StreamEvent]:
-        """Add a piece of the body; return the events that it completes."""
+        """Add a piece of the body; return the events that it completes.
+
+        Raises:
+            EventTooLongError: the incomplete event is too long.
+        """
         *complete, self._remainder = (self._remainder + data).split(EVENT_END)
+        if len(self._remainder) > MAX_EVENT_BYTES:
+            self._remainder = b""
+            raise EventTooLongError
         return [StreamEvent(raw + EVENT_END, parse_event_id(raw)) for raw in complete]
 
     @property
@@ -46,5 +61,6 @@
     for line in raw.split(b"\n"):
         if line.startswith(ID_FIELD):
             value = line[len(ID_FIELD) :].strip()
-            return int(value) if value.isdigit() else None
+            is_number = value.isdigit() and len(value) <= MAX_ID_DIGITS
+            return int(value) if is_number else None
     return None
