Bound what is read of servers' heads, bodies and control answers

What callers would see: a request that waits until its deadline while a server sends interim responses (1xx) without end, a stream that is not moved in time because the engine's answer to the move does not end, and all requests of a host that runs out of memory while several servers send bodies without end.

Cause: interim responses were skipped without a limit. The answer to a control call was read without a limit through a relay, and up to 12 MB directly, where each 4 KB extended its time by the whole timeout. A plain answer was bounded at 8 MB, all of them together were not.

Change: 16 interim responses, 64 KB for the answer to a control call, whose timeout is that of the whole call, and 48 MB for all plain answers above 64 KB together.

Before, on a copy without the first two: the interim responses ended in 504 at the deadline of ten seconds in place of 502 at once, and two of the 16 control calls took over 2 s in place of 0.5 s. The other cases of the new tests (headers, chunk sizes, bodies and garbage, directly, through a relay and elsewhere) passed before too. The limit on all answers is shown by its decision alone. After: all passed.

--- a/dewridge/gateway/forwarding.py
+++ b/dewridge/gateway/forwarding.py
@@ -29,6 +29,12 @@
 concurrently, as a server may answer before it has read all of it."""
 MAX_ANSWER_BYTES = 8_000_000
 """Maximum size of an answer that is buffered completely."""
+MAX_BUFFERED_BYTES = 48_000_000
+"""Maximum size of all large answers that are buffered at the same time: a sixth of the
+memory of a small host."""
+SMALL_ANSWER_BYTES = 65_536
+"""Size up to which an answer does not count as large. Answers of sound servers are
+received also while servers in trouble use up the limit above."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -302,7 +308,41 @@
     return None
 
 
-async def read_complete_answer(answer: IncomingAnswer) -> CompleteAnswer | LostAttempt:
+@dataclass
+class AnswerBuffers:
+    """Limits the bytes of all large answers that are buffered at the same time.
+
+    Attributes:
+        used: bytes of large answers that are buffered now.
+    """
+
+    used: int = 0
+
+    def grow(self, previous: int, size: int) -> bool:
+        """Count a buffer that grows; return whether it may, by its and by all bytes.
+
+        Args:
+            previous: bytes of the answer before.
+            size: bytes of the answer now.
+        """
+        self.used += _count_large(size) - _count_large(previous)
+        is_small = size <= SMALL_ANSWER_BYTES
+        return is_small or (
+            size <= MAX_ANSWER_BYTES and self.used <= MAX_BUFFERED_BYTES
+        )
+
+    def release(self, size: int) -> None:
+        """Record that a buffer of some bytes is not used any more."""
+        self.used -= _count_large(size)
+
+
+def _count_large(size: int) -> int:
+    return size if size > SMALL_ANSWER_BYTES else 0
+
+
+async def read_complete_answer(
+    answer: IncomingAnswer, buffers: AnswerBuffers
+) -> CompleteAnswer | LostAttempt:
     """Read an answer to its end and release its connection."""
     parts: list[bytes] = []
     size = 0
@@ -310,11 +350,12 @@
         while (part := await answer.receive()) is not None:
             parts.append(part)
             size += len(part)
-            if size > MAX_ANSWER_BYTES:
+            if not buffers.grow(size - len(part), size):
                 return LostAttempt(LossReason.MALFORMED, "the answer is too large")
         return CompleteAnswer(answer.head, b"".join(parts))
     except ConnectionBrokenError as error:
         loss = LossReason.MALFORMED if error.is_framing_fault else LossReason.CUT_OFF
         return LostAttempt(loss, str(error))
     finally:
+        buffers.release(size)
         answer.close()
--- a/dewridge/gateway/reach/control.py
+++ b/dewridge/gateway/reach/control.py
@@ -15,6 +15,9 @@
 from dewridge.http1.client import ClientConnection, ConnectionBrokenError
 from dewridge.policy.reachability import ServerPath
 
+MAX_ENGINE_ANSWER_BYTES = 65_536
+"""Bytes of an engine's answer to a control call, which takes some hundred."""
+
 
 async def post_to_engine(
     state: GatewayState, server: ServerRecord, path: str, body: bytes, timeout: float
@@ -29,8 +32,15 @@
         timeout: seconds for the call.
     """
     if state.links.find_path(server.service) is ServerPath.DIRECT:
-        client = ServiceClient(f"engine {server.address}", server.address, timeout)
-        response = await client.call("POST", path, body=body)
+        client = ServiceClient(
+            f"engine {server.address}",
+            server.address,
+            timeout,
+            max_response_bytes=MAX_ENGINE_ANSWER_BYTES,
+        )
+        response: Response | CallFailure = CallFailure.LOST
+        with trio.move_on_after(timeout):
+            response = await client.call("POST", path, body=body)
         client.close_idle()
         return response
     with trio.move_on_after(timeout):
@@ -60,6 +70,8 @@
         if isinstance(head, RelayFailure):
             return CallFailure.NOT_SENT if head.is_not_run else CallFailure.LOST
         content = await _read_body(connection)
+        if content is None:
+            return CallFailure.TOO_LARGE
         return Response(head.status, content, head.headers)
     except ConnectionBrokenError:
         return CallFailure.LOST
@@ -67,8 +79,13 @@
         connection.close()
 
 
-async def _read_body(connection: ClientConnection) -> bytes:
+async def _read_body(connection: ClientConnection) -> bytes | None:
+    """Return an engine's answer; None if it is too large."""
     parts = []
+    size = 0
     while (part := await connection.receive_body()) is not None:
         parts.append(part)
+        size += len(part)
+        if size > MAX_ENGINE_ANSWER_BYTES:
+            return None
     return b"".join(parts)
--- a/dewridge/gateway/reach/sending.py
+++ b/dewridge/gateway/reach/sending.py
@@ -122,7 +122,7 @@
         is_ended_early = may_repeat and answer.relay is None
         waiting = scope if is_ended_early else None
         with state.links.cancel_when_hanging(server.service, waiting):
-            return await read_complete_answer(answer)
+            return await read_complete_answer(answer, state.answer_buffers)
     return LostAttempt(LossReason.CUT_OFF, "the connection hangs", is_silent=True)
 
 
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -14,6 +14,7 @@
 from dewridge.gateway.configuration import ConfigurationState
 from dewridge.gateway.contention.records import ContentionRecords
 from dewridge.gateway.documents.following import StoreRole
+from dewridge.gateway.forwarding import AnswerBuffers
 from dewridge.gateway.hosts import HostEntry, HostTable
 from dewridge.gateway.ingress import IngressState
 from dewridge.gateway.model import Limits, ServerRecord
@@ -148,6 +149,7 @@
     ingress: IngressState
     rng: random.Random
     work_in_flight: WorkInFlight = field(default_factory=WorkInFlight)
+    answer_buffers: AnswerBuffers = field(default_factory=AnswerBuffers)
     streams: RunningStreams = field(default_factory=RunningStreams)
     health: dict[BackendServerId, ServerHealth] = field(default_factory=dict)
     budgets: dict[ServiceName, RetryBudget] = field(default_factory=dict)
--- a/dewridge/http1/calls.py
+++ b/dewridge/http1/calls.py
@@ -70,6 +70,7 @@
         address: str,
         timeout: float,
         on_response: Callable[[str, float], None] | None = None,
+        max_response_bytes: int | None = None,
     ) -> None:
         """Create a client; it connects with the first call.
 
@@ -80,9 +81,12 @@
                 long-poll time, and for each further `MIN_PROGRESS_BYTES`.
             on_response: called with the service's name and the duration in seconds of
                 each answered call that is not a long poll.
+            max_response_bytes: maximum bytes of a response's body;
+                `MAX_RESPONSE_BYTES` if None.
         """
         self.name = name
         self._on_response = on_response
+        self._max_response_bytes = max_response_bytes
         self._address = address
         self._timeout = timeout
         self._idle: deque[ClientConnection] = deque()
@@ -116,7 +120,8 @@
         started_at = trio.current_time()
         allowed = self._timeout + wait + len(body) / MIN_UPLOAD_RATE
         with trio.move_on_after(allowed) as scope:
-            progress = _Progress(scope, self._timeout, on_begin)
+            limit = self._max_response_bytes or MAX_RESPONSE_BYTES
+            progress = _Progress(scope, self._timeout, on_begin, limit)
             result = await self._exchange(method, path, body, headers or [], progress)
         if result is CallFailure.LOST and not progress.is_sent:
             result = CallFailure.NOT_SENT
@@ -223,6 +228,7 @@
         timeout: seconds allowed for each `MIN_PROGRESS_BYTES`.
         on_begin: called with the length of the response's body, None if unknown, when
             its head has arrived.
+        max_bytes: maximum bytes of the body.
         is_sent: whether any of the request was sent.
         received: bytes of the response's body received so far.
         expected: length of that body; None if the response does not state it.
@@ -231,6 +237,7 @@
     scope: trio.CancelScope
     timeout: float
     on_begin: Callable[[int | None], None] | None
+    max_bytes: int
     is_sent: bool = False
     received: int = 0
     expected: int | None = None
@@ -239,7 +246,7 @@
     def begin_body(self, expected: int | None) -> None:
         """Record the response's head."""
         self.expected = expected
-        if expected is not None and expected > MAX_RESPONSE_BYTES:
+        if expected is not None and expected > self.max_bytes:
             raise _TooLargeError
         self.scope.deadline = trio.current_time() + self.timeout
         if self.on_begin is not None:
@@ -248,7 +255,7 @@
     def add(self, size: int) -> None:
         """Record bytes of the response's body."""
         self.received += size
-        if self.received > MAX_RESPONSE_BYTES:
+        if self.received > self.max_bytes:
             raise _TooLargeError
         if self.received - self._extended_at >= MIN_PROGRESS_BYTES:
             self._extended_at = self.received
--- a/dewridge/http1/client.py
+++ b/dewridge/http1/client.py
@@ -19,6 +19,10 @@
 MAX_HEAD_BYTES = 65_536
 """Bytes of a response's head; a larger one is treated as malformed."""
 
+MAX_INTERIM_HEADS = 16
+"""Interim responses (1xx) before a response. Without a limit they could go on without
+end, each of them valid."""
+
 SEND_ACK_TIMEOUT_MS = 2_000
 """Milliseconds until the kernel closes a connection with unacknowledged data. On a
 path that stopped responding without a reset, a write seems to succeed, and the
@@ -95,12 +99,14 @@
         Raises:
             ConnectionBrokenError: no valid head was received.
         """
-        while True:
+        for _ in range(MAX_INTERIM_HEADS + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return self._process_head(event)
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionBrokenError("ended before an answer")
+        reason = "too many interim responses"
+        raise ConnectionBrokenError(reason, is_framing_fault=True)
 
     def _process_head(self, event: h11.Response) -> ResponseHead:
         head = ResponseHead(event.status_code, list(event.headers))
--- a/dewridge/tests/gateway/endless_tests.py
+++ b/dewridge/tests/gateway/endless_tests.py
@@ -6,14 +6,20 @@
 import pytest
 import trio
 
-from dewridge.gateway import events
+from dewridge.gateway import events, forwarding
 from dewridge.gateway.events import EventSplitter, EventTooLongError, parse_event_id
+from dewridge.gateway.forwarding import AnswerBuffers
 from dewridge.gateway.model import RouteKind
+from dewridge.gateway.reach.control import post_to_engine
+from dewridge.http1.calls import CallFailure
+from dewridge.ids import BackendServerId
+from dewridge.tests.gateway.partition_tests import open_linked_fleet, partition
 from dewridge.tests.gateway.world import (
     ENGINE,
     CallerAnswer,
     ServerExchange,
     World,
+    answer_ok,
     make_configuration,
     make_event,
     make_request,
@@ -114,3 +120,167 @@
     """Guards against an id that is too long to be converted."""
     assert parse_event_id(b"id: " + b"9" * 5_000) is None
     assert parse_event_id(b"id: 900") == 900
+
+
+async def flood_head(exchange: ServerExchange) -> None:
+    """Send a header without end."""
+    await exchange.send(b"HTTP/1.1 200 OK\r\nX-Attempt-Id: ")
+    while True:
+        await exchange.send(PIECE)
+
+
+async def flood_fields(exchange: ServerExchange) -> None:
+    """Send headers without end."""
+    await exchange.send(b"HTTP/1.1 200 OK\r\n")
+    while True:
+        await exchange.send(b"X-Field: value\r\n" * 1_000)
+
+
+async def flood_interim(exchange: ServerExchange) -> None:
+    """Send interim responses without end."""
+    while True:
+        await exchange.send(b"HTTP/1.1 100 Continue\r\n\r\n" * 1_000)
+
+
+async def flood_chunks(exchange: ServerExchange) -> None:
+    """Send the chunks of a body without end."""
+    await exchange.begin_stream()
+    await flood(exchange)
+
+
+async def flood_unframed(exchange: ServerExchange) -> None:
+    """Send a body without end that has neither a length nor chunks."""
+    await exchange.send(exchange.make_head(200))
+    while True:
+        await exchange.send(PIECE)
+
+
+async def flood_garbage(exchange: ServerExchange) -> None:
+    """Send bytes without end that are no response."""
+    while True:
+        await exchange.send(PIECE)
+
+
+async def flood_chunk_size(exchange: ServerExchange) -> None:
+    """Send the size of a chunk without end."""
+    await exchange.begin_stream()
+    while True:
+        await exchange.send(b"0" * 16_384)
+
+
+async def trickle_fields(exchange: ServerExchange) -> None:
+    """Send headers without end, one now and then."""
+    await exchange.send(b"HTTP/1.1 200 OK\r\n")
+    while True:
+        await exchange.send(b"X-Field: value\r\n")
+        await trio.sleep(0.02)
+
+
+FLOODS = [
+    flood_head,
+    flood_fields,
+    flood_interim,
+    flood_chunks,
+    flood_unframed,
+    flood_garbage,
+    flood_chunk_size,
+    trickle_fields,
+]
+
+
+@pytest.mark.parametrize("send", FLOODS)
+async def test_bytes_without_end_are_no_answer(send: Send) -> None:
+    """Guards against a caller that waits, and memory that grows, with a server's bytes.
+
+    The request may not be repeated, so that its caller learns of it at once, or at the
+    deadline if the bytes come slowly.
+    """
+    async with open_world() as world:
+        server = await world.add_server("s-1", send)
+        tracemalloc.start()
+        with trio.fail_after(MAX_SECONDS):
+            answer = await world.request("/write/a", method="POST", deadline_ms=1_000)
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        await trio.sleep(0.2)
+        closed, buffered = server.closed_connections, world.state.answer_buffers.used
+    assert answer.status in {502, 504}
+    assert peak < 32 * MEGABYTE
+    assert closed >= 1
+    assert buffered == 0
+
+
+@pytest.mark.parametrize("send", FLOODS)
+async def test_a_request_is_served_elsewhere_if_a_server_sends_without_end(
+    send: Send,
+) -> None:
+    """Guards against one server in trouble whose requests fail although others work."""
+    count = 0
+
+    async def answer(exchange: ServerExchange) -> None:
+        nonlocal count
+        count += 1
+        await (send(exchange) if count == 1 else answer_ok(exchange))
+
+    async with open_world() as world:
+        for number in range(2):
+            await world.add_server(f"s-{number}", answer)
+        with trio.fail_after(MAX_SECONDS):
+            result = await world.request("/read/a")
+    assert result.status == 200
+
+
+def test_large_answers_share_a_limit() -> None:
+    """Guards against memory that grows with the number of endless answers."""
+    buffers = AnswerBuffers()
+    count = forwarding.MAX_BUFFERED_BYTES // forwarding.MAX_ANSWER_BYTES
+    for _ in range(count):
+        assert buffers.grow(0, forwarding.MAX_ANSWER_BYTES)
+    assert not buffers.grow(0, forwarding.MAX_ANSWER_BYTES)
+    assert buffers.grow(0, forwarding.SMALL_ANSWER_BYTES)
+    for _ in range(count + 1):
+        buffers.release(forwarding.MAX_ANSWER_BYTES)
+    buffers.release(forwarding.SMALL_ANSWER_BYTES)
+    assert buffers.used == 0
+    assert not buffers.grow(0, forwarding.MAX_ANSWER_BYTES + 1)
+
+
+@pytest.mark.parametrize("send", FLOODS)
+async def test_a_relay_passes_on_no_bytes_without_end(send: Send) -> None:
+    """Guards against a relay that reads on after the host that asked has ended."""
+    async with open_linked_fleet(2) as linked:
+        server = await linked.add_server("s-1", send)
+        partition(linked, [0])
+        world = linked.fleet.worlds[0]
+        with trio.fail_after(MAX_SECONDS):
+            answer = await world.request("/write/a", method="POST", deadline_ms=1_000)
+        await trio.sleep(0.3)
+        closed, received = server.closed_connections, len(server.received)
+    assert answer.status in {502, 504}
+    assert received == 1
+    assert closed >= 1
+
+
+@pytest.mark.parametrize("send", FLOODS)
+@pytest.mark.parametrize("is_relayed", [False, True])
+async def test_control_calls_end_in_time(send: Send, is_relayed: bool) -> None:
+    """Guards against a move that waits for an engine's bytes without end."""
+    async with open_linked_fleet(2) as linked:
+        await linked.add_server("s-1", send)
+        state = linked.fleet.worlds[0].state
+        if is_relayed:
+            partition(linked, [0])
+            await linked.fleet.worlds[0].request("/read/a", deadline_ms=500)
+        record = state.servers.find(BackendServerId("s-1"))
+        assert record is not None
+        with trio.fail_after(2.0):
+            result = await post_to_engine(state, record, "/-/kv-move", b"{}", 0.5)
+    assert isinstance(result, CallFailure)
+
+
+async def test_interim_responses_without_end_are_an_error_at_once() -> None:
+    """Guards against a request that waits until its deadline for a final response."""
+    async with open_world() as world:
+        await world.add_server("s-1", flood_interim)
+        answer = await world.request("/write/a", method="POST", deadline_ms=10_000)
+    assert answer.status == 502
