Give up a body of the store that arrives slowly and without end

What callers would see: a host whose configuration is never read again, so that it refuses requests with keys.

Cause: a body's time was extended with each 4 KB, so that the store, or a peer that passes on a document, could keep a call open for fifty minutes before it had sent the 12 MB at which the call is given up.

Change: a body may take two minutes.

Before: the new test of a slow body ended with TooSlowError. The tests of eight other ways in which the store sends without end passed before too; all pass now.

--- a/dewridge/http1/calls.py
+++ b/dewridge/http1/calls.py
@@ -29,6 +29,9 @@
 """Bytes of a response's body that have to arrive within each call timeout. The whole of
 a large body may take longer: on a slow link, cut off and started again, it would never
 arrive."""
+MAX_TRANSFER_SECONDS = 120.0
+"""Seconds for a response's body: `MAX_RESPONSE_BYTES` at 0.1 MB/s. A body without end
+that keeps arriving slowly ends then."""
 MIN_UPLOAD_RATE = 100_000.0
 """Bytes per second by which a request's body extends the time until its response."""
 MAX_RESPONSE_BYTES = 12 * 1024 * 1024
@@ -231,6 +234,7 @@
         max_bytes: maximum bytes of the body.
         is_sent: whether any of the request was sent.
         received: bytes of the response's body received so far.
+        begun_at: monotonic time at which the body began.
         expected: length of that body; None if the response does not state it.
     """
 
@@ -240,6 +244,7 @@
     max_bytes: int
     is_sent: bool = False
     received: int = 0
+    begun_at: float = 0.0
     expected: int | None = None
     _extended_at: int = 0
 
@@ -248,6 +253,7 @@
         self.expected = expected
         if expected is not None and expected > self.max_bytes:
             raise _TooLargeError
+        self.begun_at = trio.current_time()
         self.scope.deadline = trio.current_time() + self.timeout
         if self.on_begin is not None:
             self.on_begin(expected)
@@ -259,7 +265,8 @@
             raise _TooLargeError
         if self.received - self._extended_at >= MIN_PROGRESS_BYTES:
             self._extended_at = self.received
-            self.scope.deadline = trio.current_time() + self.timeout
+            ends_at = self.begun_at + MAX_TRANSFER_SECONDS
+            self.scope.deadline = min(ends_at, trio.current_time() + self.timeout)
 
 
 async def _receive(connection: ClientConnection, progress: _Progress) -> Response:
--- a/dewridge/tests/gateway/endless_tests.py
+++ b/dewridge/tests/gateway/endless_tests.py
@@ -11,8 +11,11 @@
 from dewridge.gateway.forwarding import AnswerBuffers
 from dewridge.gateway.model import RouteKind
 from dewridge.gateway.reach.control import post_to_engine
-from dewridge.http1.calls import CallFailure
+from dewridge.http1 import calls
+from dewridge.http1.calls import CallFailure, ServiceClient
 from dewridge.ids import BackendServerId
+from dewridge.platform.store import Store
+from dewridge.sentinels import Failure
 from dewridge.tests.gateway.partition_tests import open_linked_fleet, partition
 from dewridge.tests.gateway.world import (
     ENGINE,
@@ -284,3 +287,50 @@
         await world.add_server("s-1", flood_interim)
         answer = await world.request("/write/a", method="POST", deadline_ms=10_000)
     assert answer.status == 502
+
+
+@pytest.mark.parametrize("send", FLOODS)
+async def test_answers_of_the_store_without_end_are_failures(
+    send: Send, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a poll or a watch that never ends, and against its memory."""
+    monkeypatch.setattr(calls, "MAX_TRANSFER_SECONDS", 0.5)
+    async with open_world() as world:
+        server = await world.add_server("store", send)
+        record = world.state.servers.find(server.id)
+        assert record is not None
+        client = ServiceClient("store", record.address, 0.3)
+        store = Store(client)
+        tracemalloc.start()
+        with trio.fail_after(MAX_SECONDS):
+            listing = await store.list_items("servers/")
+            changes = await store.watch("servers/", 1, 0.1)
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        await trio.sleep(0.1)
+        closed = server.closed_connections
+    assert isinstance(listing, Failure)
+    assert isinstance(changes, Failure)
+    assert peak < 40 * MEGABYTE
+    assert closed >= 2
+
+
+async def test_a_slow_body_of_the_store_without_end_is_given_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a call whose body makes progress for ever."""
+    monkeypatch.setattr(calls, "MAX_TRANSFER_SECONDS", 0.5)
+
+    async def send(exchange: ServerExchange) -> None:
+        await exchange.begin_stream()
+        while True:
+            await exchange.send(b"%x\r\n%s\r\n" % (8_192, b"x" * 8_192))
+            await trio.sleep(0.05)
+
+    async with open_world() as world:
+        server = await world.add_server("store", send)
+        record = world.state.servers.find(server.id)
+        assert record is not None
+        with trio.fail_after(MAX_SECONDS):
+            result = await ServiceClient("store", record.address, 0.3).call("GET", "/a")
+    assert result is CallFailure.LOST
