Bound what the own interface reads of servers and services

What callers would see: an answer that stays open until its deadline while its server sends lines that are no event of it, and a host that runs out of memory because the key- value service, the host list or the cloud answers without end.

Cause: an attempt counted the events that it dropped, and took any number of them. Calls of services read answers as a whole. The client read a line, and then checked its length.

Change: an attempt fails after 1,000 lines in a row without an event of it, an answer of a service may have 32 MB, and bodies are read and split into lines up to a limit, with the same code for servers, services and the client.

--- a/dewridge/client/client.py
+++ b/dewridge/client/client.py
@@ -12,6 +12,7 @@
 import trio
 from uuid6 import uuid7
 
+from dewridge.bodies import read_bounded
 from dewridge.client.addresses import AddressBook
 from dewridge.client.frames import (
     AcceptedEvent,
@@ -29,6 +30,8 @@
 from dewridge.requests.model import AnswerSummary, MovedEvent, TokensEvent
 from dewridge.sentinels import Failure
 
+MAX_DOCUMENT_BYTES = 64_000_000
+"""Bytes of a document, such as the answer of a plain service in a status document."""
 MAX_CONNECTIONS = 1000
 """Connections of one client; each followed answer occupies one."""
 NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
@@ -231,7 +234,7 @@
     async def _read_rejection(
         self, state: _CallState, response: httpx.Response
     ) -> Step:
-        content = await response.aread()
+        content = await read_bounded(response.aiter_bytes(), MAX_DOCUMENT_BYTES) or b""
         header = response.headers.get("Retry-After")
         rejection = decode_problem(content, response.status_code, header)
         state.failures += 1
@@ -239,7 +242,7 @@
         return state.progress.handle_rejection(rejection.failure, rejection.is_not_run)
 
     async def _read_events(self, state: _CallState, response: httpx.Response) -> Step:
-        async with aclosing(read_events(response.aiter_lines())) as items:
+        async with aclosing(read_events(response.aiter_bytes())) as items:
             while True:
                 # Hosts send heartbeats while there are no other events. A network
                 # hop that has lost the connection raises no error; only missing
@@ -347,19 +350,26 @@
     async def _fetch(
         self, method: str, address: str, path: str, response_type: Any
     ) -> Any | Failure:
+        content: bytes | None = None
         try:
-            response = await self._http.request(
+            async with self._http.stream(
                 method, f"http://{address}{path}", timeout=self._limits.list_timeout
-            )
+            ) as response:
+                with trio.move_on_after(self._limits.list_timeout):
+                    chunks = response.aiter_bytes()
+                    content = await read_bounded(chunks, MAX_DOCUMENT_BYTES)
         except httpx.HTTPError as error:
             reason = f"{address}: {type(error).__name__}"
             return Failure(ResultCode.PEER_UNREACHABLE, reason)
+        if content is None:
+            reason = f"{address}: the answer has no end"
+            return Failure(ResultCode.PEER_UNREACHABLE, reason)
         if not response.is_success:
             header = response.headers.get("Retry-After")
-            content, status = response.content, response.status_code
+            status = response.status_code
             return decode_problem(content, status, header).failure
         try:
-            return msgspec.json.decode(response.content, type=response_type)
+            return msgspec.json.decode(content, type=response_type)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             return Failure(ResultCode.INTERNAL, f"{address}: {error}")
 
--- a/dewridge/client/frames.py
+++ b/dewridge/client/frames.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from dewridge.bodies import split_lines
 from dewridge.codes import Outcome, ResultCode
 from dewridge.ids import Generation
 from dewridge.requests.model import (
@@ -19,8 +20,8 @@
 )
 from dewridge.sentinels import Failure
 
-MAX_LINE_CHARS = 16_000_000
-"""Maximum characters of one line; a longer one is a protocol error."""
+MAX_LINE_BYTES = 16_000_000
+"""Maximum bytes of one line; a longer one is a protocol error."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,17 +80,19 @@
     ttl: float
 
 
-async def read_events(lines: AsyncIterator[str]) -> AsyncGenerator[StreamItem, None]:
-    """Decode server-sent events.
+async def read_events(
+    chunks: AsyncIterator[bytes],
+) -> AsyncGenerator[StreamItem, None]:
+    """Decode the server-sent events of a body.
 
     Raises:
         FrameError: a line is malformed or too long.
     """
     name = ""
-    async for line in lines:
-        if len(line) > MAX_LINE_CHARS:
+    async for line in split_lines(chunks, MAX_LINE_BYTES):
+        if line is None:
             raise FrameError("a line exceeds the maximum length")
-        field, _, value = line.partition(":")
+        field, _, value = line.decode("utf-8", "replace").partition(":")
         if field == "event":
             name = value.strip()
         elif field == "data":
--- a/dewridge/fleet/dispatch.py
+++ b/dewridge/fleet/dispatch.py
@@ -9,6 +9,7 @@
 import msgspec
 import trio
 
+from dewridge.bodies import read_bounded
 from dewridge.codes import ResultCode
 from dewridge.fleet.clients import ClientTable, open_clients
 from dewridge.fleet.events import EventReader, LineBuffer
@@ -112,7 +113,10 @@
         try:
             async with self._open(server, order) as response:
                 if response.status_code != STATUS_OK:
-                    content = await read_bounded(response, MAX_REFUSAL_BYTES) or b""
+                    content = (
+                        await read_bounded(response.aiter_raw(), MAX_REFUSAL_BYTES)
+                        or b""
+                    )
                     value = response.headers.get("retry-after", "").encode()
                     rest = parse_retry_after(value, time.time())
                     refusal = read_refusal(response.status_code, content, rest)
@@ -189,7 +193,7 @@
     async def _read_answer(
         self, response: "httpx.Response", order: AttemptOrder
     ) -> AttemptEvent:
-        content = await read_bounded(response, MAX_BODY_BYTES)
+        content = await read_bounded(response.aiter_raw(), MAX_BODY_BYTES)
         if content is None:
             reason = "the answer is too long"
             return self._record_failure(
@@ -244,18 +248,6 @@
     return "/v1/completions", msgspec.json.encode(completion)
 
 
-async def read_bounded(response: "httpx.Response", limit: int) -> bytes | None:
-    """Read a body; None if it is longer than `limit` bytes."""
-    chunks: list[bytes] = []
-    size = 0
-    async for chunk in response.aiter_raw():
-        size += len(chunk)
-        if size > limit:
-            return None
-        chunks.append(chunk)
-    return b"".join(chunks)
-
-
 async def drain(chunks: AsyncIterator[bytes]) -> None:
     """Read the rest of the body after the last event, to reuse the connection.
 
--- a/dewridge/fleet/events.py
+++ b/dewridge/fleet/events.py
@@ -15,6 +15,9 @@
 MAX_OUT_OF_ORDER_EVENTS = 32
 """Events that may wait for an earlier one. More than a few mean that the missing event
 was lost, and the caller gets no tokens meanwhile."""
+MAX_DROPPED_EVENTS = 1_000
+"""Events of an attempt that are dropped until it counts as failed. A server that sends
+nothing else would keep it open until its deadline."""
 DATA_PREFIX = b"data:"
 END_MARKER = b"[DONE]"
 
@@ -79,6 +82,7 @@
         self._attempt = attempt
         self._next_sequence = first_sequence
         self._out_of_order: dict[int, list[str]] = {}
+        self._dropped_in_a_row = 0
         self._end: _Event | None = None
         self._decoder = msgspec.json.Decoder(_Event)
         self.dropped: dict[DropReason, int] = {}
@@ -92,6 +96,7 @@
         tokens: list[str] = []
         for line in lines:
             if not line.startswith(DATA_PREFIX):
+                self._dropped_in_a_row += bool(line)
                 continue
             failure = self._process_event(line[len(DATA_PREFIX) :].strip(), tokens)
             if failure is not None:
@@ -101,6 +106,11 @@
             return [*events, make_end_event(self._end)]
         if len(self._out_of_order) > MAX_OUT_OF_ORDER_EVENTS:
             return [*events, self._make_gap_failure()]
+        if events:
+            self._dropped_in_a_row = 0
+        if self._dropped_in_a_row > MAX_DROPPED_EVENTS:
+            reason = "the server sends no event of the attempt"
+            return [*events, Failure(ResultCode.ANSWER_MISMATCHED, reason)]
         return events
 
     def finish(self) -> Failure:
@@ -144,6 +154,7 @@
 
     def _count_drop(self, reason: DropReason) -> None:
         self.dropped[reason] = self.dropped.get(reason, 0) + 1
+        self._dropped_in_a_row += 1
 
     def _make_gap_failure(self) -> Failure:
         reason = f"tokens are missing from number {self._next_sequence} on"
--- a/dewridge/providers/channel.py
+++ b/dewridge/providers/channel.py
@@ -9,6 +9,7 @@
 import trio
 from loguru import logger as log
 
+from dewridge.bodies import read_bounded
 from dewridge.metrics.registry import Metrics
 
 if TYPE_CHECKING:
@@ -21,6 +22,8 @@
 KEEPALIVE_SECONDS = 4.0
 """Time after which an idle connection is closed. Servers commonly close theirs after
 5 s, and a write sent at that moment has an unknown outcome."""
+MAX_ANSWER_BYTES = 32_000_000
+"""Bytes of an answer, which is held in memory: thousands of hosts or entries."""
 MAX_CONNECTIONS = 32
 """Open connections to one service."""
 
@@ -108,14 +111,16 @@
         limits = httpx.Timeout(timeout, connect=CONNECT_SHARE * self._timeout)
         with trio.move_on_after(timeout):
             try:
-                answer = await self._client.request(
+                async with self._client.stream(
                     method, path, params=params, content=content, timeout=limits
-                )
+                ) as answer:
+                    body = await read_bounded(answer.aiter_bytes(), MAX_ANSWER_BYTES)
             except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout):
                 return CallFailure.NOT_SENT
             except httpx.HTTPError:
                 return CallFailure.LOST
-            return Answer(answer.status_code, answer.content)
+            if body is not None:
+                return Answer(answer.status_code, body)
         return CallFailure.LOST
 
     def _record_result(self, result: Answer | CallFailure, kind: str) -> None:
--- /dev/null
+++ b/dewridge/tests/fleet/endless_tests.py
@@ -0,0 +1,207 @@
+"""Tests of servers and services that send bytes without end to the own interface."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+
+from dewridge import bodies
+from dewridge.client import frames
+from dewridge.client.frames import FrameError, read_events
+from dewridge.codes import ResultCode
+from dewridge.fleet.dispatch import make_dispatch
+from dewridge.fleet.model import AttemptEvent, BackendServer, ServerState
+from dewridge.ids import BackendServerId, FailureDomain, ServiceName
+from dewridge.metrics.registry import Metrics
+from dewridge.providers import channel
+from dewridge.providers.channel import CallFailure, open_channel
+from dewridge.providers.model import HostState, ListedServer, ServerKind
+from dewridge.sentinels import Failure
+from dewridge.tests.fleet.dispatch_tests import ORDER, PLAIN_ORDER
+
+PIECE = b"x" * 16_384
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\n"
+MAX_SECONDS = 8.0
+
+Send = Callable[[trio.SocketStream], Awaitable[None]]
+
+
+def make_chunk(data: bytes) -> bytes:
+    """Return a chunk of a body."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+async def flood_head(stream: trio.SocketStream) -> None:
+    """Send a header without end."""
+    await stream.send_all(b"HTTP/1.1 200 OK\r\nX-Field: ")
+    while True:
+        await stream.send_all(PIECE)
+
+
+async def flood_chunks(stream: trio.SocketStream) -> None:
+    """Send a chunked body without end."""
+    await stream.send_all(CHUNKED)
+    while True:
+        await stream.send_all(make_chunk(PIECE))
+
+
+async def flood_unframed(stream: trio.SocketStream) -> None:
+    """Send a body without end that has neither a length nor chunks."""
+    await stream.send_all(UNFRAMED)
+    while True:
+        await stream.send_all(PIECE)
+
+
+async def flood_events(stream: trio.SocketStream) -> None:
+    """Send events without end that belong to no attempt."""
+    await stream.send_all(CHUNKED)
+    while True:
+        await stream.send_all(make_chunk(b'data: {"attempt":"other"}\n\n' * 100))
+
+
+async def flood_comments(stream: trio.SocketStream) -> None:
+    """Send lines without end that are no events."""
+    await stream.send_all(CHUNKED)
+    while True:
+        await stream.send_all(make_chunk(b": x\n\n" * 100))
+
+
+FLOODS = [flood_head, flood_chunks, flood_unframed, flood_events, flood_comments]
+
+
+class ScriptedPeer:
+    """A server whose answers have no end.
+
+    Attributes:
+        address: `a.b.c.d:port`.
+        open: connections that are open.
+        accepted: connections that were accepted.
+    """
+
+    def __init__(self, send: Send) -> None:
+        self._send = send
+        self.address = ""
+        self.open = 0
+        self.accepted = 0
+
+    async def handle(self, stream: trio.SocketStream) -> None:
+        """Answer a request until the connection is closed."""
+        self.open += 1
+        self.accepted += 1
+        try:
+            await stream.receive_some(65536)
+            await self._send(stream)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+        finally:
+            self.open -= 1
+
+
+@asynccontextmanager
+async def run_peer(send: Send) -> AsyncIterator[ScriptedPeer]:
+    """Run a scripted server."""
+    peer = ScriptedPeer(send)
+    with trio.fail_after(MAX_SECONDS):
+        async with trio.open_nursery() as nursery:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            nursery.start_soon(trio.serve_listeners, peer.handle, listeners)
+            port = listeners[0].socket.getsockname()[1]
+            peer.address = f"127.0.0.1:{port}"
+            yield peer
+            nursery.cancel_scope.cancel()
+
+
+def make_server(address: str, kind: ServerKind) -> BackendServer:
+    """Return a listed server."""
+    listed = ListedServer(
+        backend_server=BackendServerId("server-0"),
+        address=address,
+        failure_domain=FailureDomain("zona-a"),
+        kind=kind,
+        services=(ServiceName("findings"),),
+        machine_class="m",
+        price=1.0,
+        reclaimable=False,
+        state=HostState.LIVE,
+        capacity=8,
+        checks_fencing=True,
+    )
+    return BackendServer(listed=listed, state=ServerState.LIVE)
+
+
+@pytest.mark.parametrize("send", FLOODS)
+@pytest.mark.parametrize("kind", [ServerKind.ENGINE, ServerKind.PLAIN])
+async def test_an_attempt_ends_if_its_server_sends_without_end(
+    send: Send, kind: ServerKind
+) -> None:
+    """Guards against an attempt that stays open, and buffers, while bytes arrive."""
+    order = ORDER if kind is ServerKind.ENGINE else PLAIN_ORDER
+    events: list[AttemptEvent] = []
+    async with (
+        run_peer(send) as peer,
+        make_dispatch(metrics=Metrics(), connect_timeout=1.0) as dispatch,
+    ):
+        async with dispatch(make_server(peer.address, kind), order) as attempt:
+            events += [event async for event in attempt]
+        await trio.sleep(0.2)
+        still_open = peer.open
+    assert len(events) == 1
+    assert isinstance(events[0], Failure)
+    assert events[0].code in {
+        ResultCode.ANSWER_MISMATCHED,
+        ResultCode.BACKEND_SERVER_FAILED,
+        ResultCode.CONNECTION_LOST,
+    }
+    assert still_open == 0
+
+
+@pytest.mark.parametrize("send", FLOODS)
+async def test_a_call_ends_if_the_service_sends_without_end(
+    send: Send, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a process that buffers a service's answer until it ends."""
+    monkeypatch.setattr(channel, "MAX_ANSWER_BYTES", 100_000)
+    async with run_peer(send) as peer:
+        url = f"http://{peer.address}"
+        async with open_channel("service", url, 5.0, Metrics()) as calls:
+            started_at = trio.current_time()
+            answer = await calls.call("read", "GET", "/entries")
+            seconds = trio.current_time() - started_at
+        await trio.sleep(0.2)
+        still_open = peer.open
+    assert answer is CallFailure.LOST
+    assert seconds < 4.0
+    assert still_open == 0
+
+
+async def test_a_line_without_end_is_a_protocol_error(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a client that buffers a line of a host's stream until it ends."""
+    monkeypatch.setattr(frames, "MAX_LINE_BYTES", 100_000)
+    taken = 0
+
+    async def send_pieces() -> AsyncIterator[bytes]:
+        nonlocal taken
+        yield b"event: accepted\ndata: {}\n\n"
+        while True:
+            taken += 1
+            yield PIECE
+
+    items = []
+    with pytest.raises(FrameError):
+        async for item in read_events(send_pieces()):
+            items.append(item)
+    assert len(items) == 1
+    assert taken < 10
+
+
+async def test_lines_are_split_across_chunks() -> None:
+    async def send_pieces() -> AsyncIterator[bytes]:
+        for piece in (b"on", b"e\r\ntw", b"o\n", b"\nrest"):
+            yield piece
+
+    lines = [line async for line in bodies.split_lines(send_pieces(), 10)]
+    assert lines == [b"one", b"two", b""]
