Let versions appear in the soak while hosts are cut off, paused or starting

What the soak could not show: its servers' versions were there from the start, so that no host's list of servers lacked one.

Meanwhile callers begin streams at the other hosts and resume them at these. The check of mixed versions holds as before; of twelve or more streams resumed at hosts that only do not reach the store, half as large a share has to go on as of new ones begins. They draw from a generator of their own.

--- a/dewridge/tests/soak/__main__.py
+++ b/dewridge/tests/soak/__main__.py
@@ -37,6 +37,12 @@
     resuming: Annotated[
         int, typer.Option(help="Callers that resume streams at other hosts.")
     ] = 4,
+    new_versions: Annotated[
+        int,
+        typer.Option(
+            help="Versions that appear while hosts are cut off, paused or starting."
+        ),
+    ] = 2,
     bad_parts: Annotated[
         int, typer.Option(help="Callers with a prompt part that ends servers.")
     ] = 1,
@@ -62,6 +68,7 @@
         crashing=crashing,
         versions=versions,
         resuming=resuming,
+        new_versions=new_versions,
         bad_parts=bad_parts,
         routes=routes,
         store_rate=store_rate,
--- a/dewridge/tests/soak/checks_tests.py
+++ b/dewridge/tests/soak/checks_tests.py
@@ -13,11 +13,13 @@
     History,
     RequestKind,
     SentRequest,
+    ServerPeriod,
     Signal,
     SignalAnswer,
 )
 
 QUOTAS = {"account-a": 500.0}
+CUT = Disturbance("host-9", 40.0, 50.0)
 
 
 def make_history() -> History:
@@ -239,3 +241,39 @@
     violate(history)
     history.disturbances.append(Disturbance("host-1", 11.0, 13.0, is_planned=True))
     assert check_all(history, QUOTAS) == []
+
+
+def resume_without_store(history: History, *, continued: int) -> None:
+    """Resume 12 streams at a host that does not reach the store."""
+    history.disturbances.append(CUT)
+    history.store_cuts.append(CUT)
+    history.last_fault_end = CUT.end
+    for name in ("s-8", "s-9"):
+        history.server_periods[name] = ServerPeriod("v1", 0.0)
+    for number in range(12):
+        first = SentRequest(
+            f"a-{number}", RequestKind.CHAT, "host-1", "key-1", 50, 35.0, 35.2
+        )
+        first.is_abandoned = True
+        first.events, first.versions = [(1, first.id, False)], {"v1"}
+        later = SentRequest(
+            f"b-{number}", RequestKind.CHAT, "host-9", "key-1", 50, 45.0, 45.2
+        )
+        later.first_attempt, later.resumes_after = first.id, 1
+        later.is_abandoned = True
+        if number < continued:
+            later.events, later.versions = [(2, later.id, True)], {"v1"}
+        history.requests |= {first.id: first, later.id: later}
+
+
+def test_streams_refused_at_hosts_without_the_store_are_a_violation() -> None:
+    history = make_history()
+    resume_without_store(history, continued=5)
+    (violation,) = check_all(history, QUOTAS)
+    assert "0.42 of 12 streams resumed at hosts cut went on" in violation
+
+
+def test_streams_that_go_on_without_the_store_are_no_violation() -> None:
+    history = make_history()
+    resume_without_store(history, continued=6)
+    assert check_all(history, QUOTAS) == []
--- a/dewridge/tests/soak/records.py
+++ b/dewridge/tests/soak/records.py
@@ -225,6 +225,9 @@
         partitions: periods in which hosts were partitioned from all servers.
         server_periods: periods of the servers that have versions, by server.
         version_probes: requests on routes that versions have added.
+        store_cuts: disturbances of hosts that did not reach the store while a new
+            version appeared.
+        new_versions: what happened while each new version appeared.
         end: end of the observed period; later interruptions are ignored.
     """
 
@@ -244,6 +247,8 @@
     partitions: list[Partition] = field(default_factory=list)
     server_periods: dict[str, ServerPeriod] = field(default_factory=dict)
     version_probes: list[VersionProbe] = field(default_factory=list)
+    store_cuts: list[Disturbance] = field(default_factory=list)
+    new_versions: list[str] = field(default_factory=list)
     last_fault_end: float = 0.0
     end: float = 0.0
 
--- a/dewridge/tests/soak/resuming.py
+++ b/dewridge/tests/soak/resuming.py
@@ -1,7 +1,7 @@
 """A caller whose connections break in the middle of streams that it then resumes."""
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import h11
 import trio
@@ -27,6 +27,7 @@
         history: records the attempts.
         gateways: the hosts to choose from.
         rng: random generator of its choices.
+        outdated_hosts: hosts at which it only resumes streams, and resumes all.
     """
 
     name: str
@@ -34,6 +35,7 @@
     history: History
     gateways: list[Gateway]
     rng: random.Random
+    outdated_hosts: set[str] = field(default_factory=set)
     _request_count: int = 0
 
     async def run(self) -> None:
@@ -51,7 +53,7 @@
     async def _send(self, first: SentRequest | None) -> SentRequest | None:
         """Send an attempt; return None if there was no connection."""
         await trio.sleep(self.rng.expovariate(1 / MEAN_PAUSE))
-        gateway = self.rng.choice(self.gateways)
+        gateway = self.rng.choice(self._list_gateways(is_resumed=first is not None))
         host, _, port = gateway.caller_address.rpartition(":")
         try:
             stream = await trio.open_tcp_stream(host, int(port))
@@ -67,6 +69,15 @@
             await send_request(stream, state, request, self.history, timeout)
         return request
 
+    def _list_gateways(self, *, is_resumed: bool) -> list[Gateway]:
+        if not self.outdated_hosts:
+            return self.gateways
+        return [
+            gateway
+            for gateway in self.gateways
+            if (gateway.name in self.outdated_hosts) is is_resumed
+        ] or self.gateways
+
     def _make_request(self, host: str, first: SentRequest | None) -> SentRequest:
         self._request_count += 1
         request_id = f"{self.name}-{self._request_count}"
--- a/dewridge/tests/soak/runs.py
+++ b/dewridge/tests/soak/runs.py
@@ -14,6 +14,7 @@
 from dewridge.tests.soak.crashing import CrashingCaller
 from dewridge.tests.soak.documents import LargeDocuments, probe_versions
 from dewridge.tests.soak.faults import Fault, draw_faults, inject_faults
+from dewridge.tests.soak.newversions import add_version
 from dewridge.tests.soak.partitions import partition_hosts
 from dewridge.tests.soak.records import RequestKind
 from dewridge.tests.soak.resuming import ResumingCaller
@@ -48,6 +49,8 @@
     """Number of software versions of the servers of streams."""
     resuming: int = 0
     """Number of callers that resume streams at other hosts."""
+    new_versions: int = 0
+    """Number of versions that appear while hosts are cut off, paused or starting."""
     bad_parts: int = 0
     """Number of callers whose requests partly hold a part that crashes servers."""
     routes: int = 0
@@ -121,7 +124,10 @@
     return SoakResult(
         seed=seed,
         violations=check_all(history, QUOTAS),
-        faults=[f"{fault.at:.1f} {fault.name} {fault.seconds:.1f}" for fault in faults],
+        faults=[
+            *(f"{fault.at:.1f} {fault.name} {fault.seconds:.1f}" for fault in faults),
+            *history.new_versions,
+        ],
         outcomes=count_outcomes(history),
         stalls=environment.stalls,
     )
@@ -151,6 +157,11 @@
             at = partition_rng.uniform(0, size.seconds)
             drawn_rng = random.Random(partition_rng.random())
             nursery.start_soon(partition_hosts, environment, at, drawn_rng)
+        version_rng = random.Random(f"new versions {seed}")
+        for number in range(size.new_versions):
+            at = version_rng.uniform(0, size.seconds)
+            drawn_rng = random.Random(version_rng.random())
+            nursery.start_soon(add_version, environment, at, f"n{number}", drawn_rng)
         for _ in range(size.signals):
             at = rng.uniform(0, size.seconds)
             nursery.start_soon(
@@ -231,5 +242,6 @@
             history=environment.history,
             gateways=environment.gateways,
             rng=random.Random(rng.random()),
+            outdated_hosts=environment.outdated_hosts,
         )
         environment.nursery.start_soon(caller.run)
--- a/dewridge/tests/soak/soak_tests.py
+++ b/dewridge/tests/soak/soak_tests.py
@@ -20,6 +20,7 @@
 SIGNALS_SEED = 4000
 PARTITIONS_SEED = 8000
 VERSIONS_SEED = 9500
+NEW_VERSION_SEED = 15_235
 BAD_PARTS_SEED = 12_000
 DOCUMENTS_SEED = 11_000
 
@@ -90,6 +91,25 @@
     assert result.outcomes["resumed at hosts in touch"] >= MIN_RESUMPTIONS
 
 
+@pytest.mark.timeout(90)
+async def test_streams_of_a_new_version_go_on_at_a_host_without_the_store(
+    tmp_path: Path,
+) -> None:
+    """Guards against hosts that hear nothing of a version until the store is back."""
+    size = SoakSize(
+        hosts=4,
+        servers=12,
+        callers=6,
+        seconds=FAULT_SECONDS,
+        versions=1,
+        resuming=14,
+        new_versions=1,
+    )
+    result = await run_soak(NEW_VERSION_SEED, size, tmp_path)
+    assert result.violations == []
+    assert result.outcomes["resumed without the store"] >= MIN_RESUMPTIONS
+
+
 @pytest.mark.timeout(90)
 async def test_a_crashing_prompt_part_crashes_few_servers(tmp_path: Path) -> None:
     """Requests that share a crashing part are refused, and sound ones are served."""
--- a/dewridge/tests/soak/stage.py
+++ b/dewridge/tests/soak/stage.py
@@ -101,6 +101,8 @@
         versions: software versions of the servers of streams, in turn.
         make_routes: returns further routes, given the versions written so far.
         store_rate: bytes per second of each host's link to the store; 0: no limit.
+        outdated_hosts: hosts that may not know a new version, at which callers then
+            resume streams.
     """
 
     rng: random.Random
@@ -117,6 +119,7 @@
     versions: tuple[str, ...] = ("",)
     make_routes: Callable[[list[int]], list[dict[str, str | int]]] = lambda versions: []
     store_rate: float = 0.0
+    outdated_hosts: set[str] = field(default_factory=set)
     _written_versions: list[int] = field(default_factory=list)
     _server_count: int = 0
 
@@ -242,13 +245,19 @@
             self.write_configuration()
             self.history.key_revoked_at[key] = time.monotonic()
 
-    async def add_server(self, service: str) -> None:
-        """Start a server and write its record."""
+    async def add_server(self, service: str, version: str = "") -> None:
+        """Start a server and write its record.
+
+        Args:
+            service: the service.
+            version: version of its software; the next one in turn if empty.
+        """
         self._server_count += 1
         server = SoakServer(f"{service}-{self._server_count}", service, self.history)
         server.slots = self.slots
         if service == "engine":
-            server.version = self.versions[self._server_count // 2 % len(self.versions)]
+            turn = self._server_count // 2 % len(self.versions)
+            server.version = version or self.versions[turn]
         server.on_crash = self._handle_crash
         await server.start(self.nursery)
         server.write_record(self.store.memory_store)
@@ -273,7 +282,7 @@
             "", CRASH_RESTART_DELAY + CRASH_IMPACT_SECONDS, affects_servers_only=True
         )
         await trio.sleep(CRASH_RESTART_DELAY)
-        await self.add_server(server.service)
+        await self.add_server(server.service, server.version)
         await trio.sleep(RECORD_EXPIRY_SECONDS - CRASH_RESTART_DELAY)
         server.is_registered = False
         server.write_record(self.store.memory_store)
@@ -337,7 +346,7 @@
         is_planned: bool = False,
         affects_servers_only: bool = False,
         affects_store_only: bool = False,
-    ) -> None:
+    ) -> Disturbance:
         """Record that a fault is active from now on, for `seconds`."""
         now = time.monotonic()
         disturbance = Disturbance(
@@ -350,6 +359,7 @@
         )
         self.history.disturbances.append(disturbance)
         self.history.last_fault_end = max(self.history.last_fault_end, disturbance.end)
+        return disturbance
 
     async def close(self) -> None:
         """Kill the gateways by process id; they are not restarted."""
