--- a/dewridge/tests/gateway/outdatedviews_tests.py
+++ b/dewridge/tests/gateway/outdatedviews_tests.py
@@ -1,25 +1,33 @@
 """Tests of streams at hosts whose lists of servers are outdated."""
 
+from collections import Counter
 from contextlib import AsyncExitStack
+from math import sqrt
 
 import pytest
 import trio
 
 from dewridge.digests import make_release
 from dewridge.gateway.clock import read_boot_clock
+from dewridge.gateway.hosts import HostEntry
 from dewridge.gateway.reports import CellReport, Totals
+from dewridge.gateway.sharinglink import plan_round
 from dewridge.gateway.versions.freshness import ConfirmedBy, VersionView
 from dewridge.gateway.versions.origins import find_only_release
-from dewridge.ids import HostId
+from dewridge.ids import FailureDomain, HostId, StreamKey
 from dewridge.policy.cells import CellName
 from dewridge.policy.streamversions import (
     MAX_VIEW_AGE,
     MAX_VIEW_GAP,
     NEW_VERSION_DELAY,
+    Origin,
 )
+from dewridge.sentinels import Failure
+from dewridge.tests.gateway.memorystore import StoreData
 from dewridge.tests.gateway.resuming_tests import (
     Scene,
     begin_streams,
+    connect_store,
     cut_off,
     open_scene,
     resume_all,
@@ -206,3 +214,48 @@
         only = scene.worlds[1].state.versions.view.confirmed_at
     assert min(ages) > MAX_VIEW_AGE + 1
     assert only < read_boot_clock() - MAX_VIEW_AGE
+
+
+async def test_the_store_names_no_only_version_to_a_host_that_missed_one() -> None:
+    """Guards against copies in the store that are judged by an outdated list."""
+    async with AsyncExitStack() as stack:
+        scene = await open_scene(stack, ("v1",), 2)
+        (copies, _) = connect_store(scene, StoreData())
+        view = scene.worlds[0].state.versions.view
+        current = await copies.find(ENGINE, StreamKey(1))
+        scene.fleet.without_store.update(HostId(f"host-{n}") for n in range(2))
+        view.confirmed_at = read_boot_clock() - MAX_VIEW_GAP - 1
+        copies._read_at = float("-inf")
+        outdated = await copies.find(ENGINE, StreamKey(1))
+    assert isinstance(current, Origin)
+    assert isinstance(outdated, Failure)
+
+
+@pytest.mark.parametrize("hosts", [2, 9, 17, 73, 195, 440])
+def test_a_version_spreads_to_all_hosts_in_few_rounds(hosts: int) -> None:
+    """Guards against hosts of a large fleet that hear late of a version.
+
+    One host reads it from the store. A host that gets a report with other versions
+    exchanges them, and sends its next round at once.
+    """
+    entries = {
+        host: HostEntry(host, 1, "", "", FailureDomain(f"d-{number % 7}"), True)
+        for number in range(hosts)
+        if (host := HostId(f"host-{number}"))
+    }
+    informed = {HostId("host-0")}
+    exchanges: Counter[HostId] = Counter()
+    for number in range(4):
+        for sender in sorted(informed):
+            others = {host: one for host, one in entries.items() if host != sender}
+            plan = plan_round(others, sender, entries[sender].failure_domain, number)
+            for receiver in [*plan.cell_peers, *plan.receivers]:
+                if receiver.id not in informed:
+                    exchanges[receiver.id] += 1
+                    exchanges[sender] += 1
+        informed |= set(exchanges)
+        if len(informed) == hosts:
+            break
+    assert len(informed) == hosts
+    assert number <= 2
+    assert max(exchanges.values()) <= 3 * sqrt(hosts) + 16
