Ignore reports that waited while the process did not run

What callers would see: requests sent to, and quotas shared with, hosts that ended while this one was paused. A report shows that its sender is alive as of the time at which it is read. After a pause, the reports that waited in the socket are seconds old. While the machine is suspended the monotonic clock stops as well, so that reports from before the pause seemed recent.

Change: the upkeep and the receiver of datagrams notice that the process did not run for more than a second. Time that the monotonic clock lacks counts as time without reports, the periodic reports in the socket show departures of servers only, and the list of servers is read at once.

Evidence: the new tests fail without the two handlers (the peer counts as alive).

--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -207,6 +207,7 @@
             self._state.list_member_entries,
             self._version_link.send,
         )
+        self._link.check_stall = self._state.stalls.check
         self._state.compare_releases = exchange.compare
         self._state.versions.on_new = self._link.schedule_round
         self._link.on_dated_report = exchange.confirm
@@ -363,6 +364,7 @@
         self._link.on_version = lambda host, version: (
             watcher.configuration.receive_version(version, host)
         )
+        state.stalls.on_stall = partial(self._handle_stall, watcher)
         rollouts = RolloutDuty(state, self._election, self._store)
         self._era.on_restored.append(rollouts.handle_restore)
         state.sharing.on_outcomes = state.rollouts.add_remote_count
@@ -426,6 +428,12 @@
             )
         return tasks
 
+    def _handle_stall(self, watcher: StoreWatcher, suspended: float) -> None:
+        log.bind(suspended=round(suspended, 2)).warning("process has stalled")
+        self._state.sharing.handle_suspension(suspended)
+        self._link.handle_stall()
+        watcher.wake_servers()
+
     def _announce_document(self, parts: DocumentParts) -> None:
         # Hosts of a small fleet read small documents from the store themselves.
         if self._state.sharing.has_cells or parts.size >= LARGE_DOCUMENT_BYTES:
--- a/dewridge/gateway/sharing.py
+++ b/dewridge/gateway/sharing.py
@@ -321,6 +321,18 @@
                 possible[key] = amount
         return possible
 
+    def handle_suspension(self, seconds: float) -> None:
+        """Count the time for which the monotonic clock stopped as time without reports.
+
+        Hosts that ended meanwhile would otherwise seem alive.
+        """
+        for view in self.cell_peers.values():
+            view.received_at -= seconds
+        for cell in self.cells.values():
+            for source in cell.sources.values():
+                source.received_at -= seconds
+        self._summary = None
+
     def record_holder(self, holder: DutyHolder) -> None:
         """Record the holder of the duties unless a later one is known."""
         self.holder = max(self.holder, holder)
--- a/dewridge/gateway/sharinglink.py
+++ b/dewridge/gateway/sharinglink.py
@@ -142,6 +142,7 @@
             the earliest time on the boot clock at which it can have been made.
         on_stream_message: called with each message on the versions of streams.
         on_version: called with each host that has a version, and the version.
+        check_stall: called before messages are received.
         link_mbps: bandwidth of this host's link in Mbit/s; 0 if unknown.
     """
 
@@ -182,6 +183,8 @@
         self._urgent_requested = trio.Event()
         self._urgent_recipients: Recipients | None = None
         self._is_round_due = False
+        self._drops_reports = False
+        self.check_stall: Callable[[], None] = lambda: None
 
     async def receive(self) -> None:
         """Receive and apply messages forever."""
@@ -189,6 +192,7 @@
             HostMessage
         )
         while True:
+            self.check_stall()
             batch = self._socket.receive_batch()
             for data, sender in batch:
                 try:
@@ -196,7 +200,9 @@
                 except msgspec.DecodeError as error:
                     log.bind(reason=str(error)).warning("datagram cannot be decoded")
                     continue
-                self._dispatch(message, sender)
+                self.receive_message(message, sender)
+            if len(batch) < MAX_BATCH:
+                self._drops_reports = False
             if len(batch) == MAX_BATCH:
                 await trio.lowlevel.checkpoint()
             elif batch:
@@ -205,7 +211,20 @@
             else:
                 await self._socket.wait_for_input()
 
-    def _dispatch(self, message: HostMessage, sender: PeerAddress) -> None:
+    def handle_stall(self) -> None:
+        """Ignore the periodic reports that arrived while this process did not run.
+
+        They would show what their senders knew, and that they were alive, as of now.
+        Departures are final, and apply whenever they are read.
+        """
+        self._drops_reports = True
+
+    def receive_message(self, message: HostMessage, sender: PeerAddress) -> None:
+        """Apply a message of a peer."""
+        if self._drops_reports and isinstance(message, Report | CellReport):
+            departing = message.departing_servers
+            self.on_departures(DepartureReport(message.host, departing, True))
+            return
         match message:
             case UsageReport():
                 self._usage_reporter.receive_report(message, sender)
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from dewridge.gateway.clock import StallDetector
 from dewridge.gateway.configuration import ConfigurationState
 from dewridge.gateway.contention.records import ContentionRecords
 from dewridge.gateway.documents.following import StoreRole
@@ -75,6 +76,9 @@
 
 MAX_RELAYED_HEAD_BYTES = 131_072
 """Largest head of a relayed request: a caller's, with the headers that hosts add."""
+MAX_STALL = 1.0
+"""Seconds between two rounds of the upkeep from which the process has stalled: four of
+its periods."""
 MEAN_TOKENS_WEIGHT = 0.02
 """Weight of the newest prompt in the mean size of prompts."""
 CELL_REPORT_WINDOWS = 2
@@ -194,6 +198,7 @@
     """Asks the other hosts at which version a stream of a service began."""
     find_stored_origin: FindStored = find_nothing_stored
     """Reads from the store's copies at which version a stream of a service began."""
+    stalls: StallDetector = field(default_factory=partial(StallDetector, MAX_STALL))
     compare_releases: Callable[[PeriodicReport], None] = lambda report: None
     """Exchanges the recent versions with a peer whose report shows other ones."""
     find_release_servers: Callable[[Release], Awaitable[None]] = find_no_servers
--- a/dewridge/gateway/upkeep.py
+++ b/dewridge/gateway/upkeep.py
@@ -30,6 +30,7 @@
     while True:
         update_readiness(state, registration)
         update_limits(state)
+        state.stalls.check()
         state.check_silent_services()
         state.versions.check_replicas()
         now = trio.current_time()
--- a/dewridge/gateway/watching.py
+++ b/dewridge/gateway/watching.py
@@ -115,12 +115,13 @@
         )
         self._server_list = ListMirror(store, SERVERS_PREFIX)
         self._servers_wake = trio.Event()
-        self.configuration.on_watch_failed = self._wake_servers
+        self.configuration.on_watch_failed = self.wake_servers
         self._logged_reasons: set[str] = set()
         self._is_server_list_outdated = False
         self._requested_servers: set[BackendServerId] = set()
 
-    def _wake_servers(self) -> None:
+    def wake_servers(self) -> None:
+        """Have the list of servers read now."""
         self._servers_wake.set()
 
     def receive_servers(self, servers: Iterable[BackendServerId]) -> None:
--- a/dewridge/tests/gateway/sharing_tests.py
+++ b/dewridge/tests/gateway/sharing_tests.py
@@ -1,9 +1,14 @@
 """Tests of applying reports that are lost, late, repeated, or follow a silence."""
 
 import msgspec
+import pytest
+import trio
 
+from dewridge.gateway import clock
+from dewridge.gateway.clock import StallDetector
 from dewridge.gateway.configuration import ConfigurationState
 from dewridge.gateway.echoes import SentReportTimes
+from dewridge.gateway.hosts import HostTable
 from dewridge.gateway.reports import (
     CellReport,
     HostUsage,
@@ -13,7 +18,14 @@
     UsageReport,
 )
 from dewridge.gateway.sharing import SharedReports
-from dewridge.ids import BackendServerId, ClientAccount, HostId, ServiceName
+from dewridge.gateway.sharinglink import ReportLink
+from dewridge.ids import (
+    BackendServerId,
+    ClientAccount,
+    FailureDomain,
+    HostId,
+    ServiceName,
+)
 from dewridge.policy.cells import CellName
 from dewridge.tests.gateway.world import make_configuration
 
@@ -271,3 +283,63 @@
     local_usage = HostUsage(LOCAL, 10**15, counts)
     usage = UsageReport(LOCAL, 10**15, 1000, 10**9, [local_usage])
     assert len(msgspec.msgpack.encode(usage)) < 3_600
+
+
+def test_a_stall_is_noticed_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a host that takes what was true before a pause for current."""
+    boot, monotonic = 100.0, 50.0
+    monkeypatch.setattr(clock, "read_boot_clock", lambda: boot)
+    monkeypatch.setattr("time.monotonic", lambda: monotonic)
+    stalls: list[float] = []
+    detector = StallDetector(1.0)
+    detector.on_stall = stalls.append
+    for _ in range(4):
+        boot, monotonic = boot + 0.25, monotonic + 0.25
+        detector.check()
+    assert stalls == []
+    boot, monotonic = boot + 6.0, monotonic + 0.5
+    detector.check()
+    detector.check()
+    assert stalls == [5.5]
+
+
+def test_a_peer_that_ended_in_a_suspension_is_silent_after_it() -> None:
+    """Guards against a host that counts an ended peer as alive when it wakes up."""
+    recorder = UsageRecorder()
+    sharing = recorder.sharing
+    sharing.apply_report(make_report(1, 0), 10.0)
+    cell_report = CellReport(
+        HostId("host-3"), 1, 1, CellName("b"), [HostId("host-3")], [], Totals()
+    )
+    sharing.apply_report(cell_report, 10.0)
+    assert not sharing.is_silent(PEER, 10.1)
+    sharing.handle_suspension(5.0)
+    assert sharing.is_silent(PEER, 10.2)
+    assert sharing.is_silent(HostId("host-3"), 10.2)
+    sharing.apply_report(make_report(2, 0), 10.3)
+    assert not sharing.is_silent(PEER, 10.35)
+
+
+async def test_reports_from_before_the_end_of_a_stall_show_departures_only() -> None:
+    """Guards against peers that seem alive by reports that waited in the socket."""
+    recorder = UsageRecorder()
+    link = ReportLink(
+        None,  # type: ignore[arg-type]
+        recorder.sharing,
+        HostTable(LOCAL),
+        FailureDomain("domain-a"),
+        lambda number: make_report(number, 0),
+        SentReportTimes(LOCAL, 1),
+        None,  # type: ignore[arg-type]
+        lambda version, at: None,
+    )
+    departed: list[BackendServerId] = []
+    link.on_departures = lambda report: departed.extend(report.departing_servers)
+    waiting = msgspec.structs.replace(
+        make_report(1, 0), departing_servers={SERVER: 1.0}
+    )
+    link.handle_stall()
+    link.receive_message(waiting, ("127.0.0.1", 1))
+    now = trio.current_time()
+    assert recorder.sharing.is_silent(PEER, now)
+    assert departed == [SERVER]
