--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -322,11 +322,11 @@
             ConnectionBrokenError: the answer was interrupted.
             EventTooLongError: an event has no end.
         """
-        heard_at = trio.current_time()
+        waiting_since = trio.current_time()
         while True:
             piece: bytes | None = None
             # Bytes that complete no event do not show that the server works.
-            silent_at = heard_at + self._compute_silence_timeout(job)
+            silent_at = waiting_since + self._compute_silence_timeout(job)
             with trio.move_on_at(min(silent_at, stream.moves_at)) as scope:
                 stream.scope = scope
                 piece = await answer.receive()
@@ -334,7 +334,7 @@
                 lost = await self._handle_silence(job, server, stream)
                 if lost is not None:
                     return lost
-                heard_at = trio.current_time()
+                waiting_since = trio.current_time()
                 continue
             if piece is None:
                 return None
@@ -342,7 +342,7 @@
             if await self._forward_events(
                 job, server, splitter, piece, answer, responder
             ):
-                heard_at = trio.current_time()
+                waiting_since = trio.current_time()
 
     async def _check_unframed_end(
         self, job: Job, server: ServerRecord, answer: IncomingAnswer
--- a/dewridge/gateway/versions/serversearch.py
+++ b/dewridge/gateway/versions/serversearch.py
@@ -198,7 +198,7 @@
                 self._log(record, answer.host)
             self._servers.update(record, now)
         for server, leaves_in in answer.departed.items():
-            reason = f"{answer.host} told"
+            reason = f"reported by {answer.host}"
             self._servers.drop(server, now, reason, leaves_in, is_reported=True)
         for search in self._searches.values():
             if search.number == answer.number:
