Count no stall while a host starts

Cause: the upkeep did not look for stalls until the host was ready, and the start takes over a second.

Change: it looks for them from its first round on. The new test fails without it.

--- a/dewridge/gateway/upkeep.py
+++ b/dewridge/gateway/upkeep.py
@@ -24,6 +24,7 @@
     """Update readiness and limits, and remove expired data, indefinitely."""
     rounds = 0
     while not state.is_ready:
+        state.stalls.check()
         update_readiness(state, registration)
         update_limits(state)
         await trio.sleep(STARTUP_PERIOD)
--- a/dewridge/tests/gateway/sharing_tests.py
+++ b/dewridge/tests/gateway/sharing_tests.py
@@ -1,5 +1,7 @@
 """Tests of applying reports that are lost, late, repeated, or follow a silence."""
 
+import random
+
 import msgspec
 import pytest
 import trio
@@ -8,7 +10,7 @@
 from dewridge.gateway.clock import StallDetector
 from dewridge.gateway.configuration import ConfigurationState
 from dewridge.gateway.echoes import SentReportTimes
-from dewridge.gateway.hosts import HostTable
+from dewridge.gateway.hosts import HostEntry, HostTable, Registration
 from dewridge.gateway.reports import (
     CellReport,
     HostUsage,
@@ -19,6 +21,8 @@
 )
 from dewridge.gateway.sharing import SharedReports
 from dewridge.gateway.sharinglink import ReportLink
+from dewridge.gateway.state import MAX_STALL
+from dewridge.gateway.upkeep import run_upkeep
 from dewridge.ids import (
     BackendServerId,
     ClientAccount,
@@ -27,7 +31,8 @@
     ServiceName,
 )
 from dewridge.policy.cells import CellName
-from dewridge.tests.gateway.world import make_configuration
+from dewridge.tests.gateway.memorystore import MemoryStore
+from dewridge.tests.gateway.world import make_configuration, make_state
 
 LOCAL = HostId("host-1")
 PEER = HostId("host-2")
@@ -343,3 +348,17 @@
     now = trio.current_time()
     assert recorder.sharing.is_silent(PEER, now)
     assert departed == [SERVER]
+
+
+async def test_a_slow_start_is_no_stall() -> None:
+    """Guards against ignoring the first reports because the start took seconds."""
+    state = make_state(None)
+    stalls: list[float] = []
+    state.stalls.on_stall = stalls.append
+    store = MemoryStore()
+    entry = HostEntry(LOCAL, 1, "", "", FailureDomain("domain-a"), False)
+    registration = Registration(store, entry, random.Random(1))
+    with trio.move_on_after(MAX_STALL + 0.5):
+        await run_upkeep(state, registration)
+    state.stalls.check()
+    assert stalls == []
