--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -20,6 +20,7 @@
 from dewridge.gateway.placement.outcomes import record_complete_run, record_placement
 from dewridge.gateway.reach.sending import read_answer, send_by_path
 from dewridge.gateway.responder import Responder
+from dewridge.gateway.retries import RetryCause
 from dewridge.gateway.rollouts import AttemptResult, classify_attempt
 from dewridge.gateway.state import SERVER_ANSWER_TIME_METRIC, GatewayState
 from dewridge.gateway.streams import RunningStream
@@ -81,7 +82,7 @@
         refusal = self._admission.check(job)
         if refusal is not None:
             return self._refuse(job, refusal)
-        self._state.get_budget(job.service).record_first_attempt(trio.current_time())
+        self._state.retries.record_first_attempt(job.service, trio.current_time())
         while True:
             refusal = check_quarantine(self._state, job)
             if refusal is not None:
@@ -444,20 +445,20 @@
             return None
         if lost.is_not_run and job.fallback is not None:
             job.continuation, job.fallback = job.fallback, None
+            self._state.retries.count(job.service, RetryCause.RETURNED)
             return None
         if lost.loss is LossReason.NO_PATH and not job.may_have_run:
             return self._refuse_with_retry_after(
                 job, ResultCode.NO_BACKEND_SERVER, lost.reason
             )
-        now = trio.current_time()
-        budget = self._state.get_budget(job.service)
-        hosts = self._state.hosts.count()
         if lost.is_not_run and not job.was_moved:
             job.rejections += 1
-            is_retried = job.rejections < MAX_REJECTIONS and budget.acquire(now, hosts)
+            may_retry = job.rejections < MAX_REJECTIONS
         else:
-            is_retried = self._may_retry(job) and budget.acquire(now, hosts)
-        if is_retried:
+            may_retry = self._may_retry(job)
+        cause = RetryCause.REJECTED if lost.is_not_run else RetryCause.LOST
+        now = trio.current_time()
+        if may_retry and self._state.retries.acquire(job.service, cause, now):
             return None
         if job.may_have_run:
             reason = f"{lost.loss.value}: {lost.reason}"
--- a/dewridge/gateway/moves.py
+++ b/dewridge/gateway/moves.py
@@ -9,6 +9,7 @@
 from dewridge.gateway.jobs import Continuation, Job
 from dewridge.gateway.model import ServerRecord
 from dewridge.gateway.reach.control import post_to_engine
+from dewridge.gateway.retries import RetryCause
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.streams import RunningStream
 from dewridge.gateway.weighing import choose_move_target
@@ -29,8 +30,7 @@
     """
     now = trio.current_time()
     target = choose_move_target(state, server, now)
-    budget = state.get_budget(job.service)
-    if target is None or not budget.acquire(now, state.hosts.count()):
+    if target is None or not state.retries.acquire(job.service, RetryCause.MOVED, now):
         stream.moves_at = float("inf")
         return
     moved = await _request_move(state, job, server, target)
--- a/dewridge/gateway/operations.py
+++ b/dewridge/gateway/operations.py
@@ -133,6 +133,7 @@
         "stream_versions": state.versions.describe(now),
         "placement": describe_placement(state),
         "quotas": state.ledger.describe(),
+        "retry_budgets": state.retries.describe(now),
         "admission": describe_plans(state, now),
         "paths": state.links.describe(),
         "connections": {
--- /dev/null
+++ b/dewridge/gateway/retries.py
@@ -0,0 +1,120 @@
+"""Retries of requests at servers: the budget of each service, and what used it."""
+
+from collections.abc import Callable
+from enum import Enum
+from typing import Any
+
+from loguru import logger as log
+
+from dewridge.ids import ServiceName
+from dewridge.metrics.registry import Metrics
+from dewridge.policy.retrybudget import RetryBudget
+from dewridge.settings.gateway import GatewayBounds
+
+RETRIES_METRIC = "retries_total"
+REFUSED_RETRIES_METRIC = "retries_refused_total"
+
+
+class RetryCause(Enum):
+    """Why a request is sent to a server once more; the value is a metric's label."""
+
+    REJECTED = "rejected"
+    """The server did not run it."""
+    LOST = "lost"
+    """The attempt failed, or its answer was interrupted."""
+    MOVED = "moved"
+    """A running stream was stopped to continue at another server."""
+    RETURNED = "returned"
+    """The server that a stream was moved to rejected it."""
+
+
+class RetryBudgets:
+    """The retry budgets of this host, by service."""
+
+    def __init__(
+        self,
+        bounds: GatewayBounds,
+        count_hosts: Callable[[], int],
+        metrics: Metrics,
+        started_at: float,
+    ) -> None:
+        """Create budgets without use.
+
+        Args:
+            bounds: the operators' bounds.
+            count_hosts: returns the number of hosts that share a budget.
+            metrics: counts the retries.
+            started_at: monotonic time at which this process started.
+        """
+        self._bounds = bounds
+        self._count_hosts = count_hosts
+        self._metrics = metrics
+        self._started_at = started_at
+        self._by_service: dict[ServiceName, RetryBudget] = {}
+        self._used_up: set[ServiceName] = set()
+        """Services whose last retry was refused, as the log says."""
+
+    def apply_bounds(self, bounds: GatewayBounds) -> None:
+        """Apply changed bounds."""
+        self._bounds = bounds
+        self._by_service.clear()
+
+    def record_first_attempt(self, service: ServiceName, now: float) -> None:
+        """Count a request that is sent for the first time."""
+        self._get(service).record_first_attempt(now)
+
+    def acquire(self, service: ServiceName, cause: RetryCause, now: float) -> bool:
+        """Use one retry of a service's budget; returns False if none is left."""
+        hosts = self._count_hosts()
+        is_granted = self._get(service).acquire(now, hosts)
+        if is_granted:
+            self.count(service, cause)
+        else:
+            self._metrics.add(REFUSED_RETRIES_METRIC, service=service)
+        self._log_change(service, is_granted, hosts, now)
+        return is_granted
+
+    def count(self, service: ServiceName, cause: RetryCause) -> None:
+        """Count a request that is sent once more."""
+        self._metrics.add(RETRIES_METRIC, service=service, cause=cause.value)
+
+    def describe(self, now: float) -> dict[str, dict[str, Any]]:
+        """Return each service's budget, for a dump of the state."""
+        hosts = self._count_hosts()
+        return {
+            service: self._describe(service, hosts, now) for service in self._by_service
+        }
+
+    def _get(self, service: ServiceName) -> RetryBudget:
+        if service not in self._by_service:
+            bounds = self._bounds
+            self._by_service[service] = RetryBudget(
+                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+            )
+        return self._by_service[service]
+
+    def _describe(
+        self, service: ServiceName, hosts: int, now: float
+    ) -> dict[str, float]:
+        budget = self._get(service)
+        return {
+            "retries": budget.count_retries(now),
+            "allowed": round(budget.compute_allowed(now, hosts), 2),
+            "first_attempts": budget.count_first_attempts(now),
+            "hosts": hosts,
+            "running_seconds": round(now - self._started_at, 2),
+        }
+
+    def _log_change(
+        self, service: ServiceName, is_granted: bool, hosts: int, now: float
+    ) -> None:
+        """Log when a budget is used up, and its first retry after that."""
+        if is_granted is (service not in self._used_up):
+            return
+        if is_granted:
+            self._used_up.discard(service)
+        else:
+            self._used_up.add(service)
+        log.bind(service=service, **self._describe(service, hosts, now)).info(
+            "retries allowed again" if is_granted else "retry budget used up"
+        )
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -36,6 +36,7 @@
     Totals,
     UsageCounts,
 )
+from dewridge.gateway.retries import RetryBudgets
 from dewridge.gateway.rollouts import RolloutTable
 from dewridge.gateway.servers import ServerTable
 from dewridge.gateway.sharing import SharedReports
@@ -66,7 +67,6 @@
 from dewridge.policy.documentsources import is_watcher
 from dewridge.policy.quota import FleetView, QuotaLedger
 from dewridge.policy.reachability import ServerPath
-from dewridge.policy.retrybudget import RetryBudget
 from dewridge.policy.serverhealth import ServerHealth, compute_attempt_rate
 from dewridge.policy.streamversions import ReleaseHistory
 from dewridge.policy.suspects import SuspectLedger
@@ -156,7 +156,6 @@
     answer_buffers: AnswerBuffers = field(default_factory=AnswerBuffers)
     streams: RunningStreams = field(default_factory=RunningStreams)
     health: dict[BackendServerId, ServerHealth] = field(default_factory=dict)
-    budgets: dict[ServiceName, RetryBudget] = field(default_factory=dict)
     usage_counts: dict[int, dict[ClientAccount, int]] = field(
         default_factory=lambda: defaultdict(lambda: defaultdict(int))
     )
@@ -186,6 +185,7 @@
     list_suspects: Callable[[int], list[SuspectUpdate]] = lambda number: []
     """Returns the information on such requests for the report of a given number."""
     metrics: Metrics = field(default_factory=Metrics)
+    retries: RetryBudgets = field(init=False)
     pushback: PushbackTable = field(init=False)
     links: ServerLinks = field(init=False)
     relay_ingress: IngressState = field(init=False)
@@ -217,6 +217,12 @@
 
     def __post_init__(self) -> None:
         """Create the parts that use other parts of the state."""
+        self.retries = RetryBudgets(
+            self.settings.bounds,
+            self.hosts.count,
+            self.metrics,
+            self.sharing.started_at,
+        )
         self.pushback = PushbackTable(
             self.host,
             self.list_sender_hosts,
@@ -259,7 +265,7 @@
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings."""
         self.settings = settings
-        self.budgets.clear()
+        self.retries.apply_bounds(settings.bounds)
 
     def handle_restore(self) -> None:
         """Prepare for a restored store, which may lack recent writes."""
@@ -297,15 +303,6 @@
             self.health[server] = ServerHealth()
         return self.health[server]
 
-    def get_budget(self, service: ServiceName) -> RetryBudget:
-        """Return the retry budget of a service."""
-        if service not in self.budgets:
-            bounds = self.settings.bounds
-            self.budgets[service] = RetryBudget(
-                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
-            )
-        return self.budgets[service]
-
     def record_local_demand(self, service: ServiceName, tokens: float) -> None:
         """Record the prompt tokens of a request that arrived at this host."""
         self.local_demand[service] += tokens
--- a/dewridge/policy/retrybudget.py
+++ b/dewridge/policy/retrybudget.py
@@ -36,14 +36,26 @@
 
     def acquire(self, now: float, host_count: int) -> bool:
         """Use one retry of the budget; returns False if none is left."""
-        self._prune(now)
-        share = self.slack / max(1, host_count)
-        allowed = USABLE_SHARE * (self.ratio * len(self._first_attempts) + share)
-        if len(self._retries) + 1 > allowed:
+        if self.count_retries(now) + 1 > self.compute_allowed(now, host_count):
             return False
         self._retries.append(now)
         return True
 
+    def compute_allowed(self, now: float, host_count: int) -> float:
+        """Return the retries that this host may use in a window."""
+        share = self.slack / max(1, host_count)
+        return USABLE_SHARE * (self.ratio * self.count_first_attempts(now) + share)
+
+    def count_first_attempts(self, now: float) -> int:
+        """Return the first attempts in the latest window."""
+        self._prune(now)
+        return len(self._first_attempts)
+
+    def count_retries(self, now: float) -> int:
+        """Return the retries in the latest window."""
+        self._prune(now)
+        return len(self._retries)
+
     def _prune(self, now: float) -> None:
         oldest = now - self.window
         for times in (self._first_attempts, self._retries):
--- a/dewridge/tests/gateway/answers_tests.py
+++ b/dewridge/tests/gateway/answers_tests.py
@@ -406,8 +406,7 @@
         await exchange.send_events(1, 2)
         exchange.reset()
 
-    async with open_world() as world:
-        world.state.get_budget(ENGINE).slack = 100
+    async with open_world(retry_slack=100) as world:
         for name in ("s-1", "s-2"):
             await world.add_server(name, cut_or_fail, ENGINE)
         answer = await world.request("/chat/a")
--- a/dewridge/tests/gateway/pushback.py
+++ b/dewridge/tests/gateway/pushback.py
@@ -202,10 +202,12 @@
         world.state.hosts.replace(Listing(tuple(items), revision=1))
 
 
-async def open_fleet(stack: AsyncExitStack, count: int) -> Fleet:
+async def open_fleet(stack: AsyncExitStack, count: int, **bounds: float) -> Fleet:
     """Start gateways that exchange reports."""
     worlds = [
-        await stack.enter_async_context(open_world(host=HostId(f"host-{number}")))
+        await stack.enter_async_context(
+            open_world(None, host=HostId(f"host-{number}"), **bounds)
+        )
         for number in range(count)
     ]
     relays = {world.state.host: await open_relay(world) for world in worlds}
--- a/dewridge/tests/gateway/rest_tests.py
+++ b/dewridge/tests/gateway/rest_tests.py
@@ -12,7 +12,6 @@
 )
 from dewridge.tests.gateway.world import (
     ENGINE,
-    PLAIN,
     CallerAnswer,
     Script,
     ServerExchange,
@@ -43,12 +42,11 @@
     """Guards against servers that turn requests away, look idle and get still more."""
     resting: list[list[float]] = [[], [], []]
     async with AsyncExitStack() as stack:
-        fleet = await open_fleet(stack, 1)
+        fleet = await open_fleet(stack, 1, retry_slack=100)
         for number, arrivals in enumerate(resting):
             await fleet.add_server(f"s-{number}", ask_for_rest(b"3", arrivals))
         for number in range(3):
             await fleet.add_server(f"s-free-{number}", answer_ok)
-        fleet.worlds[0].state.get_budget(PLAIN).slack = 100
         statuses = await fleet.send(fleet.worlds[0], seconds=3.0, rate=20.0)
     assert all(arrivals for arrivals in resting)
     assert max(count_during_rest(arrivals, 3.0) for arrivals in resting) <= 2
