--- a/dewridge/tests/gateway/moving_tests.py
+++ b/dewridge/tests/gateway/moving_tests.py
@@ -19,6 +19,8 @@
 LAST_EVENT = 8
 """Number of the last event of a complete stream; the first one has number 1."""
 EVENT_SECONDS = 0.05
+MOVE_TARGET = b"/-/kv-move"
+"""Target of a request that stops a stream and moves its memory."""
 
 
 class ScriptedEngine:
@@ -46,7 +48,7 @@
 
     async def answer(self, exchange: ServerExchange) -> None:
         """Answer a run or a move."""
-        if exchange.target == b"/-/kv-move":
+        if exchange.target == MOVE_TARGET:
             await self._answer_move(exchange)
         elif self.rejects_runs:
             await exchange.answer(b"", 503, b"X-Not-Executed: 1\r\n")
@@ -86,16 +88,16 @@
     def __init__(self, world: World) -> None:
         self.world = world
         self.engines = {name: ScriptedEngine(name) for name in ("s-1", "s-2")}
+        self.servers: list[ScriptedServer] = []
         self._answers, self._answer = trio.open_memory_channel[CallerAnswer](1)
 
     async def start(self, path: str) -> ScriptedEngine:
         """Start a stream and return the engine that runs it."""
-        servers: list[ScriptedServer] = [
+        self.servers = [
             await self.world.add_server(name, engine.answer, ENGINE)
             for name, engine in self.engines.items()
         ]
         self.world.nursery.start_soon(self._send_request, path)
-        assert len(servers) == 2
         async with trio.open_nursery() as nursery:
             for engine in self.engines.values():
                 nursery.start_soon(self._wait_for_run, engine, nursery.cancel_scope)
@@ -107,6 +109,14 @@
         await engine.has_started.wait()
         scope.cancel()
 
+    def count_arrivals(self) -> int:
+        """Return how often the stream reached an engine."""
+        return sum(
+            exchange.target != MOVE_TARGET
+            for server in self.servers
+            for exchange in server.received
+        )
+
     def find_other(self, engine: ScriptedEngine) -> ScriptedEngine:
         """Return the other engine."""
         return next(other for other in self.engines.values() if other is not engine)
@@ -209,6 +219,20 @@
     assert [memory for _, memory in source.runs][1].endswith(b"/h-1")
 
 
+async def test_each_arrival_of_a_moved_stream_uses_a_retry() -> None:
+    """Guards against streams that go back and forth with no budget counting it."""
+    async with open_world() as world:
+        connect_departures(world)
+        scenario = MoveScenario(world)
+        source = await scenario.start("/draft/a")
+        scenario.find_other(source).rejects_runs = True
+        scenario.announce_reclaim(source, notice=streams.MOVE_LEAD_TIME + 0.1)
+        await scenario.wait()
+        budgets = world.state.retries.describe(trio.current_time())
+    assert scenario.count_arrivals() > 2
+    assert budgets[ENGINE]["retries"] == scenario.count_arrivals() - 1
+
+
 async def test_a_source_that_hangs_after_stopping_delays_nothing() -> None:
     """Guards against waiting for a source whose host stops responding.
 
--- a/dewridge/tests/gateway/world.py
+++ b/dewridge/tests/gateway/world.py
@@ -127,7 +127,11 @@
 
 
 def make_state(
-    configuration: Configuration | None, *, host: HostId = HOST, **bounds: float
+    configuration: Configuration | None,
+    *,
+    host: HostId = HOST,
+    started_at: float = 0.0,
+    **bounds: float,
 ) -> GatewayState:
     """Return the state of a gateway that has just confirmed a configuration."""
     ledger = QuotaLedger(host)
@@ -138,7 +142,7 @@
         configuration=ConfigurationState(trust_period=4.0),
         servers=ServerTable(),
         hosts=HostTable(host),
-        sharing=SharedReports(host, ledger.record),
+        sharing=SharedReports(host, ledger.record, started_at=started_at),
         ledger=ledger,
         pool=ConnectionPool(),
         ingress=IngressState(Limits(), connection_limit=100),
@@ -403,10 +407,16 @@
     configuration: Configuration | None = None,
     *,
     host: HostId = HOST,
+    started_at: float = 0.0,
     **bounds: float,
 ) -> AsyncIterator[World]:
     """Run the request path of a gateway on the loopback interface."""
-    state = make_state(configuration or make_configuration(), host=host, **bounds)
+    state = make_state(
+        configuration or make_configuration(),
+        host=host,
+        started_at=started_at,
+        **bounds,
+    )
     processor = RequestProcessor(state)
 
     async def accept(stream: trio.SocketStream) -> None:
