Keep the retries that were used when the settings are reloaded

Callers' requests reached failing servers more often than operators allow after each reload of the settings: all retry budgets were cleared, and began full. The bounds are applied to the budgets that exist.

--- a/dewridge/gateway/retries.py
+++ b/dewridge/gateway/retries.py
@@ -55,9 +55,12 @@
         """Services whose last retry was refused, as the log says."""
 
     def apply_bounds(self, bounds: GatewayBounds) -> None:
-        """Apply changed bounds."""
+        """Apply changed bounds; what was used stays used."""
         self._bounds = bounds
-        self._by_service.clear()
+        for budget in self._by_service.values():
+            budget.ratio = bounds.retry_ratio
+            budget.slack = bounds.retry_slack
+            budget.window = bounds.retry_window
 
     def record_first_attempt(self, service: ServiceName, now: float) -> None:
         """Count a request that is sent for the first time."""
