Divide the slack of retries among the hosts of the latest window

While hosts restarted in turn, those that remained sent more retries than their share: they divided the slack by the hosts that were listed at that moment, although what the leaving ones had used still counts for ten seconds. Limits of servers were already divided among hosts that had been listed within ten seconds; retry budgets now use the same hosts. Without a list there is no slack, only what requests earn. The fixture of single gateways knows now that it is the only host.

--- a/dewridge/gateway/pushback.py
+++ b/dewridge/gateway/pushback.py
@@ -4,7 +4,6 @@
 here for the server's signals.
 """
 
-import math
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -13,6 +12,7 @@
 from loguru import logger as log
 
 from dewridge.gateway.brittleservers import BrittleServers
+from dewridge.gateway.senders import SenderHosts
 from dewridge.gateway.servers import ServerTable
 from dewridge.http1.client import Headers, ResponseHead
 from dewridge.ids import BackendServerId, HostId
@@ -32,15 +32,9 @@
 LOGGED_LIMIT_RATIO = 1.25
 """Ratio between a limit and the last one logged from which it is logged again. Servers
 may name a slightly different limit in each answer."""
-HOST_RETENTION = 10.0
-"""Seconds for which limits are still divided among hosts that are no longer listed. A
-list may lack hosts that still send: after a restore of the store, or while they can't
-renew their leases."""
 NOTICE_RETENTION = 15.0
 """Seconds for which the end of a limit is remembered. Reports of other hosts may still
 repeat the limit for some seconds, and would bring it back."""
-HOSTS_POLL_INTERVAL = 0.25
-"""Seconds between two readings of the list of hosts."""
 
 
 @dataclass
@@ -68,38 +62,6 @@
     rank: tuple[int, int | None] = (-1, None)
 
 
-class _SenderHosts:
-    """The hosts among which limits are divided.
-
-    Attributes:
-        hosts: their ids; empty while the list of hosts is not known.
-        version: number of changes.
-    """
-
-    def __init__(self, list_hosts: Callable[[], Iterable[HostId]]) -> None:
-        self.hosts: frozenset[HostId] = frozenset()
-        self.version = 0
-        self._list_hosts = list_hosts
-        self._listed_at: dict[HostId, float] = {}
-        self._polled_at = -math.inf
-
-    def poll(self, now: float) -> None:
-        """Read the list of hosts if it was not read recently."""
-        if now - self._polled_at < HOSTS_POLL_INTERVAL:
-            return
-        self._polled_at = now
-        self._listed_at |= dict.fromkeys(self._list_hosts(), now)
-        self._listed_at = {
-            host: listed_at
-            for host, listed_at in self._listed_at.items()
-            if now - listed_at < HOST_RETENTION
-        }
-        hosts = frozenset(self._listed_at)
-        if hosts != self.hosts:
-            self.hosts = hosts
-            self.version += 1
-
-
 class PushbackTable:
     """What the servers ask for, by server process.
 
@@ -110,7 +72,7 @@
     def __init__(
         self,
         local_host: HostId,
-        list_hosts: Callable[[], Iterable[HostId]],
+        senders: SenderHosts,
         draw_random: Callable[[], float],
         servers: ServerTable,
         metrics: Metrics,
@@ -119,14 +81,13 @@
 
         Args:
             local_host: this host.
-            list_hosts: returns all entry hosts, including this one; none while they
-                are not known.
+            senders: the hosts among which limits are divided.
             draw_random: returns a random number from 0 up to 1.
             servers: table of the servers; leaving ones are dropped from it.
             metrics: counts the signals.
         """
         self._local_host = local_host
-        self._senders = _SenderHosts(list_hosts)
+        self._senders = senders
         self._draw_random = draw_random
         self._servers = servers
         self._metrics = metrics
--- a/dewridge/gateway/retries.py
+++ b/dewridge/gateway/retries.py
@@ -34,7 +34,7 @@
     def __init__(
         self,
         bounds: GatewayBounds,
-        count_hosts: Callable[[], int],
+        count_hosts: Callable[[float], int | None],
         metrics: Metrics,
         started_at: float,
     ) -> None:
@@ -42,7 +42,8 @@
 
         Args:
             bounds: the operators' bounds.
-            count_hosts: returns the number of hosts that share a budget.
+            count_hosts: returns the number of hosts that share a budget at a monotonic
+                time; None while they are not known.
             metrics: counts the retries.
             started_at: monotonic time at which this process started.
         """
@@ -68,7 +69,7 @@
 
     def acquire(self, service: ServiceName, cause: RetryCause, now: float) -> bool:
         """Use one retry of a service's budget; returns False if none is left."""
-        hosts = self._count_hosts()
+        hosts = self._count_hosts(now)
         is_granted = self._get(service).acquire(now, hosts)
         if is_granted:
             self.count(service, cause)
@@ -83,7 +84,7 @@
 
     def describe(self, now: float) -> dict[str, dict[str, Any]]:
         """Return each service's budget, for a dump of the state."""
-        hosts = self._count_hosts()
+        hosts = self._count_hosts(now)
         return {
             service: self._describe(service, hosts, now) for service in self._by_service
         }
@@ -97,8 +98,8 @@
         return self._by_service[service]
 
     def _describe(
-        self, service: ServiceName, hosts: int, now: float
-    ) -> dict[str, float]:
+        self, service: ServiceName, hosts: int | None, now: float
+    ) -> dict[str, float | None]:
         budget = self._get(service)
         return {
             "retries": budget.count_retries(now),
@@ -109,7 +110,7 @@
         }
 
     def _log_change(
-        self, service: ServiceName, is_granted: bool, hosts: int, now: float
+        self, service: ServiceName, is_granted: bool, hosts: int | None, now: float
     ) -> None:
         """Log when a budget is used up, and its first retry after that."""
         if is_granted is (service not in self._used_up):
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -38,6 +38,7 @@
 )
 from dewridge.gateway.retries import RetryBudgets
 from dewridge.gateway.rollouts import RolloutTable
+from dewridge.gateway.senders import HOST_RETENTION, SenderHosts
 from dewridge.gateway.servers import ServerTable
 from dewridge.gateway.sharing import SharedReports
 from dewridge.gateway.streams import RunningStreams
@@ -185,6 +186,7 @@
     list_suspects: Callable[[int], list[SuspectUpdate]] = lambda number: []
     """Returns the information on such requests for the report of a given number."""
     metrics: Metrics = field(default_factory=Metrics)
+    senders: SenderHosts = field(init=False)
     retries: RetryBudgets = field(init=False)
     pushback: PushbackTable = field(init=False)
     links: ServerLinks = field(init=False)
@@ -217,15 +219,17 @@
 
     def __post_init__(self) -> None:
         """Create the parts that use other parts of the state."""
+        self.senders = SenderHosts(self.list_sender_hosts)
+        self.senders.retention = self._compute_sender_retention()
         self.retries = RetryBudgets(
             self.settings.bounds,
-            self.hosts.count,
+            self.senders.count,
             self.metrics,
             self.sharing.started_at,
         )
         self.pushback = PushbackTable(
             self.host,
-            self.list_sender_hosts,
+            self.senders,
             self.rng.random,
             self.servers,
             self.metrics,
@@ -265,6 +269,7 @@
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings."""
         self.settings = settings
+        self.senders.retention = self._compute_sender_retention()
         self.retries.apply_bounds(settings.bounds)
 
     def handle_restore(self) -> None:
@@ -456,6 +461,9 @@
             return StoreRole.ALL
         return StoreRole.READER if self.sharing.is_reader else StoreRole.LISTENER
 
+    def _compute_sender_retention(self) -> float:
+        return max(HOST_RETENTION, self.settings.bounds.retry_window)
+
     def list_sender_hosts(self) -> list[HostId]:
         """Return the hosts that may send to servers; none while they are not known."""
         if not self.hosts.is_listed:
--- a/dewridge/policy/retrybudget.py
+++ b/dewridge/policy/retrybudget.py
@@ -34,16 +34,22 @@
         self._first_attempts.append(now)
         self._prune(now)
 
-    def acquire(self, now: float, host_count: int) -> bool:
-        """Use one retry of the budget; returns False if none is left."""
+    def acquire(self, now: float, host_count: int | None) -> bool:
+        """Use one retry of the budget; returns False if none is left.
+
+        Args:
+            now: monotonic time.
+            host_count: number of hosts that share the slack, among them those that left
+                within the window; None if it is not known, which leaves no slack.
+        """
         if self.count_retries(now) + 1 > self.compute_allowed(now, host_count):
             return False
         self._retries.append(now)
         return True
 
-    def compute_allowed(self, now: float, host_count: int) -> float:
+    def compute_allowed(self, now: float, host_count: int | None) -> float:
         """Return the retries that this host may use in a window."""
-        share = self.slack / max(1, host_count)
+        share = self.slack / host_count if host_count else 0.0
         return USABLE_SHARE * (self.ratio * self.count_first_attempts(now) + share)
 
     def count_first_attempts(self, now: float) -> int:
--- a/dewridge/tests/gateway/world.py
+++ b/dewridge/tests/gateway/world.py
@@ -40,6 +40,7 @@
     ServerName,
     ServiceName,
 )
+from dewridge.platform.store import Listing
 from dewridge.policy.quota import QuotaLedger
 from dewridge.settings.gateway import (
     GatewayBounds,
@@ -133,7 +134,10 @@
     started_at: float = 0.0,
     **bounds: float,
 ) -> GatewayState:
-    """Return the state of a gateway that has just confirmed a configuration."""
+    """Return the state of a gateway that has just confirmed a configuration.
+
+    It knows that it is the only host. Without a configuration it knows no hosts either.
+    """
     ledger = QuotaLedger(host)
     state = GatewayState(
         settings=make_settings(**bounds),
@@ -149,6 +153,7 @@
         rng=random.Random(1),
     )
     if configuration is not None:
+        state.hosts.replace(Listing((), revision=0))
         state.configuration.apply(configuration)
         state.configuration.confirm(read_boot_clock())
         state.ingress.limits = configuration.limits
