Count both arrivals of a moved stream that returns to its source

Engines got requests that no retry budget counted: a stream whose move target rejects it returns to its source without a retry, and is moved again. In a test with two engines, 8 retries were counted for 16 repeats (test_each_arrival_of_a_moved_stream_uses_a_retry, failing before). A move takes two retries now; the second one is given back once the target accepts the stream, or if an attempt never reached it. With one retry left a stream stays at its source, as it did with none; taking the second one only at the return would lose streams whose memory the source still has (tried: the test of a full target failed).

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -37,7 +37,7 @@
 from dewridge.http1.client import ConnectionBrokenError, Headers
 from dewridge.http1.headers import remove_hop_by_hop_headers
 from dewridge.platform.headers import Dispatch, make_dispatch_headers
-from dewridge.policy.losses import LossReason
+from dewridge.policy.losses import ARRIVED_REASONS, LossReason
 from dewridge.sentinels import Failure
 
 MAX_REJECTIONS = 3
@@ -156,6 +156,8 @@
         answer = await self._send(job, server, continuation)
         if isinstance(answer, LostAttempt):
             return answer
+        # The server has accepted the request; a moved stream stays there.
+        self._release_return(job)
         job.may_have_run = True
         is_stream = job.route.kind is RouteKind.STREAM
         if is_stream and answer.head.status == 200:
@@ -445,7 +447,9 @@
             return None
         if lost.is_not_run and job.fallback is not None:
             job.continuation, job.fallback = job.fallback, None
-            self._state.retries.count(job.service, RetryCause.RETURNED)
+            self._state.metrics.add("streams_returned_total")
+            if lost.loss not in ARRIVED_REASONS:
+                self._state.retries.release(job.service)
             return None
         if lost.loss is LossReason.NO_PATH and not job.may_have_run:
             return self._refuse_with_retry_after(
@@ -467,6 +471,12 @@
             job, ResultCode.QUEUE_FULL, lost.loss.value
         )
 
+    def _release_return(self, job: Job) -> None:
+        """Give back the retry for a return to the source that was not needed."""
+        if job.fallback is not None:
+            job.fallback = None
+            self._state.retries.release(job.service)
+
     def _refuse_with_retry_after(
         self, job: Job, code: ResultCode, reason: str
     ) -> Failure:
--- a/dewridge/gateway/moves.py
+++ b/dewridge/gateway/moves.py
@@ -9,7 +9,7 @@
 from dewridge.gateway.jobs import Continuation, Job
 from dewridge.gateway.model import ServerRecord
 from dewridge.gateway.reach.control import post_to_engine
-from dewridge.gateway.retries import RetryCause
+from dewridge.gateway.retries import MOVE_RETRIES, RetryCause
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.streams import RunningStream
 from dewridge.gateway.weighing import choose_move_target
@@ -44,6 +44,8 @@
     ).info("stream moves")
     if isinstance(moved, Failure):
         state.metrics.add("streams_not_moved_total")
+        for _ in range(MOVE_RETRIES):
+            state.retries.release(job.service)
         stream.postpone_move(trio.current_time())
         return
     state.metrics.add("streams_moved_total")
@@ -54,6 +56,7 @@
     job.continuation = Continuation(target, moved) if moved.is_at_target else None
     if job.continuation is None:
         job.continuation, job.fallback = job.fallback, None
+        state.retries.release(job.service)
 
 
 async def _request_move(
--- a/dewridge/gateway/retries.py
+++ b/dewridge/gateway/retries.py
@@ -12,7 +12,10 @@
 from dewridge.settings.gateway import GatewayBounds
 
 RETRIES_METRIC = "retries_total"
+RELEASED_RETRIES_METRIC = "retries_released_total"
 REFUSED_RETRIES_METRIC = "retries_refused_total"
+MOVE_RETRIES = 2
+"""Arrivals that a move may cause: at the target, and again at the source."""
 
 
 class RetryCause(Enum):
@@ -24,8 +27,6 @@
     """The attempt failed, or its answer was interrupted."""
     MOVED = "moved"
     """A running stream was stopped to continue at another server."""
-    RETURNED = "returned"
-    """The server that a stream was moved to rejected it."""
 
 
 class RetryBudgets:
@@ -68,19 +69,25 @@
         self._get(service).record_first_attempt(now, self._count_hosts(now))
 
     def acquire(self, service: ServiceName, cause: RetryCause, now: float) -> bool:
-        """Use one retry of a service's budget; returns False if none is left."""
+        """Use one retry of a service's budget; returns False if none is left.
+
+        A moved stream needs two: if the target rejects it, it returns to its source.
+        The second one is given back by `release` if it was not needed.
+        """
         hosts = self._count_hosts(now)
-        is_granted = self._get(service).acquire(now, hosts)
+        count = MOVE_RETRIES if cause is RetryCause.MOVED else 1
+        is_granted = self._get(service).acquire(now, hosts, count)
         if is_granted:
-            self.count(service, cause)
+            self._metrics.add(RETRIES_METRIC, count, service=service, cause=cause.value)
         else:
             self._metrics.add(REFUSED_RETRIES_METRIC, service=service)
         self._log_change(service, is_granted, hosts, now)
         return is_granted
 
-    def count(self, service: ServiceName, cause: RetryCause) -> None:
-        """Count a request that is sent once more."""
-        self._metrics.add(RETRIES_METRIC, service=service, cause=cause.value)
+    def release(self, service: ServiceName) -> None:
+        """Give back a retry that was not needed."""
+        self._get(service).release()
+        self._metrics.add(RELEASED_RETRIES_METRIC, service=service)
 
     def describe(self, now: float) -> dict[str, dict[str, Any]]:
         """Return each service's budget, for a dump of the state."""
--- a/dewridge/policy/losses.py
+++ b/dewridge/policy/losses.py
@@ -38,6 +38,8 @@
         LossReason.NO_PATH,
     }
 )
+ARRIVED_REASONS = frozenset({LossReason.REJECTED, LossReason.OTHER_SERVER})
+"""Those of the reasons above with which a server has answered."""
 INTERRUPTED_REASONS = frozenset({LossReason.CUT_OFF, LossReason.MALFORMED})
 """Reasons that don't show whether the server is still running."""
 
