--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -14,7 +14,7 @@
 from dewridge.gateway.jobs import Continuation, Job, compute_engine_priority
 from dewridge.gateway.losses import LossHandler
 from dewridge.gateway.model import RouteKind, ServerRecord
-from dewridge.gateway.moves import move_stream
+from dewridge.gateway.moves import acquire_return, move_stream
 from dewridge.gateway.placement import outcomes
 from dewridge.gateway.placement.expected import estimate_first_event
 from dewridge.gateway.placement.outcomes import record_complete_run, record_placement
@@ -37,7 +37,7 @@
 from dewridge.http1.client import ConnectionBrokenError, Headers
 from dewridge.http1.headers import remove_hop_by_hop_headers
 from dewridge.platform.headers import Dispatch, make_dispatch_headers
-from dewridge.policy.losses import ARRIVED_REASONS, LossReason
+from dewridge.policy.losses import LossReason
 from dewridge.sentinels import Failure
 
 MAX_REJECTIONS = 3
@@ -156,8 +156,6 @@
         answer = await self._send(job, server, continuation)
         if isinstance(answer, LostAttempt):
             return answer
-        # The server has accepted the request; a moved stream stays there.
-        self._release_return(job)
         job.may_have_run = True
         is_stream = job.route.kind is RouteKind.STREAM
         if is_stream and answer.head.status == 200:
@@ -445,11 +443,9 @@
         """Return the failure to report, or None to try another server."""
         if lost.loss is LossReason.MOVED:
             return None
-        if lost.is_not_run and job.fallback is not None:
+        is_rejected_move = lost.is_not_run and job.fallback is not None
+        if is_rejected_move and acquire_return(self._state, job, lost):
             job.continuation, job.fallback = job.fallback, None
-            self._state.metrics.add("streams_returned_total")
-            if lost.loss not in ARRIVED_REASONS:
-                self._state.retries.release(job.service)
             return None
         if lost.loss is LossReason.NO_PATH and not job.may_have_run:
             return self._refuse_with_retry_after(
@@ -471,12 +467,6 @@
             job, ResultCode.QUEUE_FULL, lost.loss.value
         )
 
-    def _release_return(self, job: Job) -> None:
-        """Give back the retry for a return to the source that was not needed."""
-        if job.fallback is not None:
-            job.fallback = None
-            self._state.retries.release(job.service)
-
     def _refuse_with_retry_after(
         self, job: Job, code: ResultCode, reason: str
     ) -> Failure:
--- a/dewridge/gateway/moves.py
+++ b/dewridge/gateway/moves.py
@@ -6,17 +6,22 @@
 from loguru import logger as log
 
 from dewridge.codes import ResultCode
+from dewridge.gateway.forwarding import LostAttempt
 from dewridge.gateway.jobs import Continuation, Job
 from dewridge.gateway.model import ServerRecord
 from dewridge.gateway.reach.control import post_to_engine
-from dewridge.gateway.retries import MOVE_RETRIES, RetryCause
+from dewridge.gateway.retries import RetryCause
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.streams import RunningStream
 from dewridge.gateway.weighing import choose_move_target
 from dewridge.platform.engines import CacheCopy, stop_and_move
+from dewridge.policy.losses import ARRIVED_REASONS
 from dewridge.policy.streamversions import MAX_NAME_LENGTH
 from dewridge.sentinels import Failure
 
+MAX_RETURN_OVERDRAFT = 1.0
+"""Retries by which streams that return to their source may overdraw a budget."""
+
 
 async def move_stream(
     state: GatewayState, job: Job, server: ServerRecord, stream: RunningStream
@@ -30,7 +35,7 @@
     """
     now = trio.current_time()
     target = choose_move_target(state, server, now)
-    if target is None or not state.retries.acquire(job.service, RetryCause.MOVED, now):
+    if target is None or not _acquire_move(state, job, now):
         stream.moves_at = float("inf")
         return
     moved = await _request_move(state, job, server, target)
@@ -44,8 +49,6 @@
     ).info("stream moves")
     if isinstance(moved, Failure):
         state.metrics.add("streams_not_moved_total")
-        for _ in range(MOVE_RETRIES):
-            state.retries.release(job.service)
         stream.postpone_move(trio.current_time())
         return
     state.metrics.add("streams_moved_total")
@@ -56,7 +59,30 @@
     job.continuation = Continuation(target, moved) if moved.is_at_target else None
     if job.continuation is None:
         job.continuation, job.fallback = job.fallback, None
-        state.retries.release(job.service)
+
+
+def _acquire_move(state: GatewayState, job: Job, now: float) -> bool:
+    """Use the retry of a move; returns False if none is left.
+
+    If the target rejects the stream, its return to the source is one more arrival. A
+    stream that was moved before moves again only if that would not overdraw the budget.
+    """
+    remainder = 1.0 if job.was_moved else 0.0
+    return state.retries.acquire(job.service, RetryCause.MOVED, now, remainder)
+
+
+def acquire_return(state: GatewayState, job: Job, lost: LostAttempt) -> bool:
+    """Use the retry with which a rejected stream returns to its source.
+
+    The stream would be lost otherwise, while the source still has its memory.
+    """
+    if lost.loss not in ARRIVED_REASONS:
+        # The retry of the move is left, since the stream never reached the target.
+        return True
+    now = trio.current_time()
+    return state.retries.acquire(
+        job.service, RetryCause.RETURNED, now, -MAX_RETURN_OVERDRAFT
+    )
 
 
 async def _request_move(
--- a/dewridge/gateway/retries.py
+++ b/dewridge/gateway/retries.py
@@ -12,10 +12,7 @@
 from dewridge.settings.gateway import GatewayBounds
 
 RETRIES_METRIC = "retries_total"
-RELEASED_RETRIES_METRIC = "retries_released_total"
 REFUSED_RETRIES_METRIC = "retries_refused_total"
-MOVE_RETRIES = 2
-"""Arrivals that a move may cause: at the target, and again at the source."""
 
 
 class RetryCause(Enum):
@@ -27,6 +24,8 @@
     """The attempt failed, or its answer was interrupted."""
     MOVED = "moved"
     """A running stream was stopped to continue at another server."""
+    RETURNED = "returned"
+    """The server that a stream was moved to rejected it."""
 
 
 class RetryBudgets:
@@ -68,27 +67,26 @@
         """Count a request that is sent for the first time."""
         self._get(service).record_first_attempt(now, self._count_hosts(now))
 
-    def acquire(self, service: ServiceName, cause: RetryCause, now: float) -> bool:
+    def acquire(
+        self,
+        service: ServiceName,
+        cause: RetryCause,
+        now: float,
+        remainder: float = 0.0,
+    ) -> bool:
         """Use one retry of a service's budget; returns False if none is left.
 
-        A moved stream needs two: if the target rejects it, it returns to its source.
-        The second one is given back by `release` if it was not needed.
+        See `RetryBudget.acquire` for `remainder`.
         """
         hosts = self._count_hosts(now)
-        count = MOVE_RETRIES if cause is RetryCause.MOVED else 1
-        is_granted = self._get(service).acquire(now, hosts, count)
+        is_granted = self._get(service).acquire(now, hosts, remainder)
         if is_granted:
-            self._metrics.add(RETRIES_METRIC, count, service=service, cause=cause.value)
+            self._metrics.add(RETRIES_METRIC, service=service, cause=cause.value)
         else:
             self._metrics.add(REFUSED_RETRIES_METRIC, service=service)
         self._log_change(service, is_granted, hosts, now)
         return is_granted
 
-    def release(self, service: ServiceName) -> None:
-        """Give back a retry that was not needed."""
-        self._get(service).release()
-        self._metrics.add(RELEASED_RETRIES_METRIC, service=service)
-
     def describe(self, now: float) -> dict[str, dict[str, Any]]:
         """Return each service's budget, for a dump of the state."""
         hosts = self._count_hosts(now)
--- a/dewridge/policy/retrybudget.py
+++ b/dewridge/policy/retrybudget.py
@@ -50,28 +50,25 @@
         self.level += REFILL_SHARE * self.ratio
         self._refill(now, host_count)
 
-    def acquire(self, now: float, host_count: int | None, count: int = 1) -> bool:
-        """Use retries of the budget; returns False if not enough are left.
+    def acquire(
+        self, now: float, host_count: int | None, remainder: float = 0.0
+    ) -> bool:
+        """Use one retry of the budget; returns False if none is left.
 
         Args:
             now: monotonic time.
             host_count: number of hosts that share the slack, among them those that left
                 within the window; None if it is not known, which leaves no slack.
-            count: retries that are used together.
+            remainder: retries that have to be left afterwards; a negative number lets
+                the request overdraw the budget.
         """
         self._refill(now, host_count)
-        if self.level < count:
+        if self.level - 1 < remainder:
             return False
-        self.level -= count
-        self._retries.extend([now] * count)
+        self.level -= 1
+        self._retries.append(now)
         return True
 
-    def release(self) -> None:
-        """Give back a retry that was not needed."""
-        self.level += 1
-        if self._retries:
-            self._retries.pop()
-
     def count_first_attempts(self, now: float) -> int:
         """Return the first attempts in the latest window."""
         self._prune(now)
