Check all arrivals beyond the first in the soak, while servers reject and hosts restart

The soak counted no retries at all. Its servers record each arrival, rejected or not, and a check applies the operators' rule by its own text.

--- a/dewridge/tests/soak/__main__.py
+++ b/dewridge/tests/soak/__main__.py
@@ -43,6 +43,12 @@
             help="Versions that appear while hosts are cut off, paused or starting."
         ),
     ] = 2,
+    rejecting: Annotated[
+        int,
+        typer.Option(
+            help="Times that a service rejects most requests while hosts start again."
+        ),
+    ] = 1,
     bad_parts: Annotated[
         int, typer.Option(help="Callers with a prompt part that ends servers.")
     ] = 1,
@@ -69,6 +75,7 @@
         versions=versions,
         resuming=resuming,
         new_versions=new_versions,
+        rejecting=rejecting,
         bad_parts=bad_parts,
         routes=routes,
         store_rate=store_rate,
--- a/dewridge/tests/soak/checks.py
+++ b/dewridge/tests/soak/checks.py
@@ -7,6 +7,7 @@
 from dewridge.tests.soak.partchecks import check_bad_parts
 from dewridge.tests.soak.partitionchecks import check_partitions
 from dewridge.tests.soak.records import Execution, History, SentRequest
+from dewridge.tests.soak.retrychecks import check_retries, list_repeats
 from dewridge.tests.soak.signalchecks import check_brittle_servers, check_signals
 from dewridge.tests.soak.versionchecks import check_versions, count_resumptions
 
@@ -58,6 +59,7 @@
         *check_versions(history),
         *check_documents(history),
         *check_bad_parts(history),
+        *check_retries(history),
     ]
 
 
@@ -328,6 +330,7 @@
     extras = {
         "partitions": len(history.partitions),
         "brittle periods": len(history.brittle_periods),
+        "repeats": sum(map(len, list_repeats(history).values())),
         "rejections for room": history.rejections_for_room,
         "falls": len(history.falls),
         **count_resumptions(history),
--- a/dewridge/tests/soak/checks_tests.py
+++ b/dewridge/tests/soak/checks_tests.py
@@ -171,7 +171,24 @@
     add_arrivals(history, [12.1])
 
 
+def add_repeats(history: History, count: int) -> None:
+    """Let requests reach one service twice, during a fault."""
+    history.last_fault_end = 20.0
+    for number in range(count):
+        request_id = f"again-{number}"
+        history.requests[request_id] = SentRequest(
+            request_id, RequestKind.READ, "host-1", "key-1", 0, 20.0, 20.1, 503
+        )
+        for at in (20.01, 20.02):
+            history.all_arrivals.append(Execution(request_id, "s-1", "", at))
+
+
+def repeat_too_many_requests(history: History) -> None:
+    add_repeats(history, 69)
+
+
 VIOLATIONS = (
+    repeat_too_many_requests,
     forge_success,
     return_other_response,
     drop_event,
@@ -222,6 +239,12 @@
     assert check_all(history, QUOTAS) == []
 
 
+def test_as_many_repeats_as_allowed_are_no_violation() -> None:
+    history = make_history()
+    add_repeats(history, 67)
+    assert check_all(history, QUOTAS) == []
+
+
 def test_signals_that_hosts_heed_in_time_are_no_violations() -> None:
     history = make_history()
     for at in (10.0, 30.0):
--- a/dewridge/tests/soak/faults.py
+++ b/dewridge/tests/soak/faults.py
@@ -34,7 +34,12 @@
 async def kill_some(environment: SoakEnvironment, seconds: float) -> None:
     """Kill one, two or all gateways at the same moment."""
     count = environment.rng.choice([1, 1, 2, len(environment.gateways)])
-    for gateway in environment.rng.sample(environment.gateways, count):
+    kill_gateways(environment, environment.rng.sample(environment.gateways, count))
+
+
+def kill_gateways(environment: SoakEnvironment, gateways: list[Gateway]) -> None:
+    """Kill gateways at the same moment."""
+    for gateway in gateways:
         environment.record_disturbance(gateway.name, RESTART_SECONDS)
         if gateway.process is not None:
             gateway.process.kill()
--- a/dewridge/tests/soak/records.py
+++ b/dewridge/tests/soak/records.py
@@ -3,6 +3,12 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+RETRY_SLACK = 54.0
+"""Retries of a service that operators usually allow in a window, beside a share of its
+requests."""
+LOW_RETRY_SLACK = 12.0
+"""The same where servers reject most requests, so that retries soon reach the limit."""
+
 
 class RequestKind(Enum):
     """Kinds of requests that the soak test sends; the value is the path prefix."""
@@ -22,6 +28,11 @@
         """Whether the response is a stream of events."""
         return self in {RequestKind.CHAT, RequestKind.DRAFT}
 
+    @property
+    def service(self) -> str:
+        """The service whose servers answer requests of this kind."""
+        return "engine" if self.is_stream else "plain"
+
 
 @dataclass
 class SentRequest:
@@ -219,6 +230,7 @@
         last_fault_end: end of the last fault.
         signal_answers: answers of servers that asked for fewer requests.
         server_arrivals: requests that reached servers that ever did, executed or not.
+        all_arrivals: requests that reached servers, executed or not.
         falls: brittle servers that fell over.
         brittle_periods: periods in which servers were brittle.
         rejections_for_room: requests that brittle servers rejected for want of room.
@@ -228,6 +240,8 @@
         store_cuts: disturbances of hosts that did not reach the store while a new
             version appeared.
         new_versions: what happened while each new version appeared.
+        retry_slack: retries that operators allow in a window beside a share of the
+            requests.
         end: end of the observed period; later interruptions are ignored.
     """
 
@@ -241,6 +255,7 @@
     server_departing_at: dict[str, float] = field(default_factory=dict)
     signal_answers: list[SignalAnswer] = field(default_factory=list)
     server_arrivals: list[Execution] = field(default_factory=list)
+    all_arrivals: list[Execution] = field(default_factory=list)
     falls: list[Fall] = field(default_factory=list)
     brittle_periods: list[BrittlePeriod] = field(default_factory=list)
     rejections_for_room: int = 0
@@ -249,6 +264,7 @@
     version_probes: list[VersionProbe] = field(default_factory=list)
     store_cuts: list[Disturbance] = field(default_factory=list)
     new_versions: list[str] = field(default_factory=list)
+    retry_slack: float = RETRY_SLACK
     last_fault_end: float = 0.0
     end: float = 0.0
 
--- a/dewridge/tests/soak/retrychecks.py
+++ b/dewridge/tests/soak/retrychecks.py
@@ -1,8 +1,48 @@
 """Check that servers get few arrivals beyond the first of each request."""
 
 from bisect import bisect_left
+from collections import defaultdict
 from collections.abc import Sequence
 
+from dewridge.tests.soak.records import History
+
+RETRY_RATIO = 0.2
+"""Arrivals beyond the first that operators allow for each request."""
+RETRY_WINDOW = 10.0
+"""Seconds of a window."""
+
+
+def check_retries(history: History) -> list[str]:
+    """Check the arrivals of all hosts' requests at each service."""
+    requests: dict[str, list[float]] = defaultdict(list)
+    for request in history.requests.values():
+        requests[request.kind.service].append(request.sent_at)
+    violations = []
+    for service, repeats in list_repeats(history).items():
+        excess = find_excess(
+            sorted(requests[service]),
+            sorted(repeats),
+            ratio=RETRY_RATIO,
+            slack=history.retry_slack,
+            window=RETRY_WINDOW,
+        )
+        if excess is not None:
+            violations.append(f"{service}: {excess}")
+    return violations
+
+
+def list_repeats(history: History) -> dict[str, list[float]]:
+    """Return the times of the arrivals beyond the first of each request, by service."""
+    arrivals: dict[str, list[float]] = defaultdict(list)
+    for arrival in history.all_arrivals:
+        if arrival.id in history.requests:
+            arrivals[arrival.id].append(arrival.at)
+    repeats: dict[str, list[float]] = defaultdict(list)
+    for request_id, times in arrivals.items():
+        service = history.requests[request_id].kind.service
+        repeats[service] += sorted(times)[1:]
+    return repeats
+
 
 def find_excess(
     requests: Sequence[float],
--- a/dewridge/tests/soak/runs.py
+++ b/dewridge/tests/soak/runs.py
@@ -16,7 +16,8 @@
 from dewridge.tests.soak.faults import Fault, draw_faults, inject_faults
 from dewridge.tests.soak.newversions import add_version
 from dewridge.tests.soak.partitions import partition_hosts
-from dewridge.tests.soak.records import RequestKind
+from dewridge.tests.soak.records import LOW_RETRY_SLACK, RequestKind
+from dewridge.tests.soak.rejections import reject_requests
 from dewridge.tests.soak.resuming import ResumingCaller
 from dewridge.tests.soak.signals import BRITTLE_SLOTS, make_brittle, send_signals
 from dewridge.tests.soak.stage import QUOTAS, SoakEnvironment
@@ -51,6 +52,8 @@
     """Number of callers that resume streams at other hosts."""
     new_versions: int = 0
     """Number of versions that appear while hosts are cut off, paused or starting."""
+    rejecting: int = 0
+    """Number of times that a service rejects most requests while hosts start again."""
     bad_parts: int = 0
     """Number of callers whose requests partly hold a part that crashes servers."""
     routes: int = 0
@@ -99,6 +102,8 @@
         environment = SoakEnvironment(rng, folder, nursery)
         if size.brittle:
             environment.slots = BRITTLE_SLOTS
+        if size.rejecting:
+            environment.history.retry_slack = LOW_RETRY_SLACK
         if size.versions:
             environment.versions = tuple(f"v{n}" for n in range(size.versions))
         if size.routes:
@@ -162,6 +167,11 @@
             at = version_rng.uniform(0, size.seconds)
             drawn_rng = random.Random(version_rng.random())
             nursery.start_soon(add_version, environment, at, f"n{number}", drawn_rng)
+        rejecting_rng = random.Random(f"rejecting {seed}")
+        for _ in range(size.rejecting):
+            at = rejecting_rng.uniform(0, size.seconds)
+            drawn_rng = random.Random(rejecting_rng.random())
+            nursery.start_soon(reject_requests, environment, at, drawn_rng)
         for _ in range(size.signals):
             at = rng.uniform(0, size.seconds)
             nursery.start_soon(
--- a/dewridge/tests/soak/servers.py
+++ b/dewridge/tests/soak/servers.py
@@ -1,10 +1,12 @@
 """Backend servers that record the requests they execute and can misbehave."""
 
 import json
+import random
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import partial
 
 import trio
 
@@ -77,6 +79,7 @@
         tolerance: rejections in a second beyond which it falls over; None if it takes
             any number.
         has_room: whether it runs more requests than `slots` at once.
+        read_rejected_share: returns the share of the requests that it rejects now.
     """
 
     id: str
@@ -93,6 +96,8 @@
     slots: int = 16
     tolerance: int | None = None
     has_room: bool = True
+    read_rejected_share: Callable[[], float] = lambda: 0.0
+    rng: random.Random = field(default_factory=partial(random.Random, 1))
     _running: int = 0
     _rejections: list[float] = field(default_factory=list)
 
@@ -122,6 +127,9 @@
         store.write(key, json.dumps(record).encode())
 
     async def _handle_request(self, exchange: ServerExchange) -> None:
+        request_id = exchange.headers.get(b"x-attempt-id", b"").decode()
+        arrival = Execution(request_id, self.id, "", time.monotonic())
+        self.history.all_arrivals.append(arrival)
         expected = exchange.headers.get(b"x-expect-instance", b"").decode()
         if expected != self.id:
             await exchange.answer(b"", 421)
@@ -156,7 +164,7 @@
         if self.has_signalled and self._add_signals(exchange):
             await exchange.answer(b"", 503, b"X-Not-Executed: 1\r\n")
             return
-        if self.mood is Mood.FULL:
+        if self.mood is Mood.FULL or self.rng.random() < self.read_rejected_share():
             await exchange.answer(b"", 503, b"X-Not-Executed: 1\r\n")
             return
         request_id = exchange.headers.get(b"x-attempt-id", b"").decode()
--- a/dewridge/tests/soak/soak_tests.py
+++ b/dewridge/tests/soak/soak_tests.py
@@ -23,6 +23,7 @@
 NEW_VERSION_SEED = 15_235
 BAD_PARTS_SEED = 12_000
 DOCUMENTS_SEED = 11_000
+REJECTIONS_SEED = 18_000
 
 
 @pytest.mark.timeout(90)
@@ -119,6 +120,17 @@
     assert result.outcomes["servers ended"] >= 3
 
 
+@pytest.mark.timeout(90)
+async def test_retries_stay_within_the_limit_while_hosts_start_again(
+    tmp_path: Path,
+) -> None:
+    """Guards against hosts that forget at a start which retries were sent before."""
+    size = SoakSize(hosts=4, servers=12, callers=40, seconds=FAULT_SECONDS, rejecting=1)
+    result = await run_soak(REJECTIONS_SEED, size, tmp_path)
+    assert result.violations == []
+    assert result.outcomes["repeats"] > 0
+
+
 @pytest.mark.timeout(90)
 async def test_large_configurations_are_in_force_in_time(tmp_path: Path) -> None:
     """Versions of 2,000 routes reach hosts with links of 10 Mbit/s within 3 s."""
