Take no duties by a write that was in flight when the host began to leave

A host that has stepped down begins no term now, whatever its writes do; the key ends with its registration. The test failed before.

--- a/dewridge/gateway/duties.py
+++ b/dewridge/gateway/duties.py
@@ -140,6 +140,9 @@
         return rank % RANK_COUNT
 
     def _begin_term(self, revision: int) -> None:
+        if self._has_stepped_down:
+            # The write was in flight. The key ends with the registration.
+            return
         token = self._make_fencing_token(revision)
         self._term = DutyTerm(self._host, token)
         now = read_boot_clock()
--- a/dewridge/tests/gateway/duties_tests.py
+++ b/dewridge/tests/gateway/duties_tests.py
@@ -2,17 +2,19 @@
 
 import random
 import time
+from typing import Any
 
 import pytest
 import trio
 import trio.testing
 
 from dewridge.gateway import duties, hosts
-from dewridge.gateway.duties import HolderElection
+from dewridge.gateway.duties import HOLDER_KEY, HolderElection
 from dewridge.gateway.hosts import HostEntry, HostTable, HostWatcher, Registration
 from dewridge.gateway.usage import UsageDuty
 from dewridge.ids import ClientAccount, FailureDomain, HostId
 from dewridge.platform.cloud import CallOutcome, Cloud, DutyTerm
+from dewridge.sentinels import Failure
 from dewridge.tests.gateway.memorystore import MemoryStore, StoreData
 from dewridge.tests.gateway.world import ACCOUNT, make_configuration, make_state
 
@@ -27,8 +29,10 @@
 class Candidate:
     """A host that takes part in the election of the holder."""
 
-    def __init__(self, name: str, data: StoreData) -> None:
-        self.store = MemoryStore(data)
+    def __init__(
+        self, name: str, data: StoreData, store: MemoryStore | None = None
+    ) -> None:
+        self.store = store or MemoryStore(data)
         entry = HostEntry(
             HostId(name), 1, f"{name}:1", f"{name}:2", FailureDomain("a"), True
         )
@@ -216,6 +220,43 @@
         nursery.cancel_scope.cancel()
 
 
+class SlowStore(MemoryStore):
+    """A store whose answers to changes take a while.
+
+    Attributes:
+        pending: number of changes that are applied and not answered.
+    """
+
+    pending = 0
+
+    async def change(self, **arguments: Any) -> int | Failure:
+        """Apply a change at once, and answer later."""
+        result = await super().change(**arguments)
+        self.pending += 1
+        await trio.sleep(0.3)
+        self.pending -= 1
+        return result
+
+
+async def test_a_leaving_host_does_not_take_the_duties_by_a_write_in_flight(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a leaving host that acts in turn with its successor."""
+    data = StoreData()
+    store = SlowStore(data)
+    candidate = Candidate("host-1", data, store)
+    async with trio.open_nursery() as nursery:
+        candidate.start(nursery)
+        while HOLDER_KEY not in data.items:
+            await data.changed.wait()
+        assert store.pending
+        await candidate.election.step_down()
+        for _ in range(100):
+            await trio.sleep(0.1)
+            assert candidate.election.find_active_term() is None
+        nursery.cancel_scope.cancel()
+
+
 async def test_hosts_that_start_together_discover_each_other_with_few_writes(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
