--- a/dewridge/tests/soak/rejections.py
+++ b/dewridge/tests/soak/rejections.py
@@ -8,7 +8,6 @@
 from dewridge.tests.soak.servers import Mood
 from dewridge.tests.soak.stage import SoakEnvironment
 
-REJECTED_SHARE = 0.8
 REJECTION_SECONDS = 10.0
 """Seconds for which servers reject most requests: a window of the check."""
 MAX_DELAY = 4.0
@@ -22,14 +21,14 @@
     await trio.sleep(at)
     service = rng.choice(["engine", "engine", "plain"])
     environment.record_disturbance("", REJECTION_SECONDS)
-    environment.rejected_shares[service] = REJECTED_SHARE
+    environment.rejecting[service] += 1
     restart = rng.choice([_kill_all, _kill_in_series, _restart_in_turn])
     async with trio.open_nursery() as nursery:
         nursery.start_soon(trio.sleep, REJECTION_SECONDS)
         nursery.start_soon(_fail_and_leave, environment, service, rng)
         await trio.sleep(rng.uniform(0.5, MAX_DELAY))
         nursery.start_soon(restart, environment)
-    del environment.rejected_shares[service]
+    environment.rejecting[service] -= 1
 
 
 async def _fail_and_leave(
--- a/dewridge/tests/soak/servers.py
+++ b/dewridge/tests/soak/servers.py
@@ -35,7 +35,8 @@
 """Seconds before each event of a stream."""
 EVENTS_PER_STREAM = 12
 """Events of a stream, which takes half a second, so that faults hit many streams."""
-
+REJECTED_SHARE = 0.8
+"""Share of the requests that a server rejects while its service rejects most."""
 
 SIGNAL_HEADERS = {
     Signal.LIMIT: b"Server-Limit: %.2f\r\n",
@@ -79,7 +80,7 @@
         tolerance: rejections in a second beyond which it falls over; None if it takes
             any number.
         has_room: whether it runs more requests than `slots` at once.
-        read_rejected_share: returns the share of the requests that it rejects now.
+        is_rejecting: returns whether it rejects most requests now.
     """
 
     id: str
@@ -96,7 +97,7 @@
     slots: int = 16
     tolerance: int | None = None
     has_room: bool = True
-    read_rejected_share: Callable[[], float] = lambda: 0.0
+    is_rejecting: Callable[[], bool] = lambda: False
     rng: random.Random = field(default_factory=partial(random.Random, 1))
     _running: int = 0
     _rejections: list[float] = field(default_factory=list)
@@ -164,7 +165,8 @@
         if self.has_signalled and self._add_signals(exchange):
             await exchange.answer(b"", 503, b"X-Not-Executed: 1\r\n")
             return
-        if self.mood is Mood.FULL or self.rng.random() < self.read_rejected_share():
+        is_rejected = self.is_rejecting() and self.rng.random() < REJECTED_SHARE
+        if self.mood is Mood.FULL or is_rejected:
             await exchange.answer(b"", 503, b"X-Not-Executed: 1\r\n")
             return
         request_id = exchange.headers.get(b"x-attempt-id", b"").decode()
--- a/dewridge/tests/soak/stage.py
+++ b/dewridge/tests/soak/stage.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import time
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -101,7 +102,7 @@
         versions: software versions of the servers of streams, in turn.
         make_routes: returns further routes, given the versions written so far.
         store_rate: bytes per second of each host's link to the store; 0: no limit.
-        rejected_shares: share of the requests that servers of a service reject now.
+        rejecting: number of troubles in which servers of a service reject now.
         outdated_hosts: hosts that may not know a new version, at which callers then
             resume streams.
     """
@@ -121,7 +122,7 @@
     make_routes: Callable[[list[int]], list[dict[str, str | int]]] = lambda versions: []
     store_rate: float = 0.0
     outdated_hosts: set[str] = field(default_factory=set)
-    rejected_shares: dict[str, float] = field(default_factory=dict)
+    rejecting: Counter[str] = field(default_factory=Counter)
     _written_versions: list[int] = field(default_factory=list)
     _server_count: int = 0
 
@@ -257,7 +258,7 @@
         self._server_count += 1
         server = SoakServer(f"{service}-{self._server_count}", service, self.history)
         server.slots = self.slots
-        server.read_rejected_share = lambda: self.rejected_shares.get(service, 0.0)
+        server.is_rejecting = lambda: self.rejecting[service] > 0
         if service == "engine":
             turn = self._server_count // 2 % len(self.versions)
             server.version = version or self.versions[turn]
