--- a/dewridge/gateway/retries.py
+++ b/dewridge/gateway/retries.py
@@ -1,5 +1,6 @@
 """Retries of requests at servers: the budget of each service, and what used it."""
 
+import math
 from collections.abc import Callable
 from enum import Enum
 from typing import Any
@@ -13,6 +14,9 @@
 
 RETRIES_METRIC = "retries_total"
 REFUSED_RETRIES_METRIC = "retries_refused_total"
+LOG_PERIOD = 1.0
+"""Seconds between two lines about a service. While servers reject, a budget is used up
+again with nearly every retry that it earns."""
 
 
 class RetryCause(Enum):
@@ -52,8 +56,7 @@
         self._metrics = metrics
         self._started_at = started_at
         self._by_service: dict[ServiceName, RetryBudget] = {}
-        self._used_up: set[ServiceName] = set()
-        """Services whose last retry was refused, as the log says."""
+        self._logged_at: dict[ServiceName, float] = {}
 
     def apply_bounds(self, bounds: GatewayBounds) -> None:
         """Apply changed bounds; what was used stays used."""
@@ -84,7 +87,7 @@
             self._metrics.add(RETRIES_METRIC, service=service, cause=cause.value)
         else:
             self._metrics.add(REFUSED_RETRIES_METRIC, service=service)
-        self._log_change(service, is_granted, hosts, now)
+            self._log_refusal(service, hosts, now)
         return is_granted
 
     def describe(self, now: float) -> dict[str, dict[str, Any]]:
@@ -117,16 +120,9 @@
             "running_seconds": round(now - self._started_at, 2),
         }
 
-    def _log_change(
-        self, service: ServiceName, is_granted: bool, hosts: int | None, now: float
-    ) -> None:
-        """Log when a budget is used up, and its first retry after that."""
-        if is_granted is (service not in self._used_up):
+    def _log_refusal(self, service: ServiceName, hosts: int | None, now: float) -> None:
+        if now - self._logged_at.get(service, -math.inf) < LOG_PERIOD:
             return
-        if is_granted:
-            self._used_up.discard(service)
-        else:
-            self._used_up.add(service)
-        log.bind(service=service, **self._describe(service, hosts, now)).info(
-            "retries allowed again" if is_granted else "retry budget used up"
-        )
+        self._logged_at[service] = now
+        details = self._describe(service, hosts, now)
+        log.bind(service=service, **details).info("retry budget used up")
