Earn more retries over time and save up fewer

A host that starts, or whose service fails for long, has what it earns, and a bucket that was used up needs a window to fill again. Half of a window's allowance could be saved up and 0.45 was earned; now 0.35 and 0.6, the same sum.

--- a/dewridge/policy/retrybudget.py
+++ b/dewridge/policy/retrybudget.py
@@ -3,10 +3,10 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-BURST_SHARE = 0.5
+BURST_SHARE = 0.35
 """Share of a window's allowance that a host can save up for a burst, such as retries of
 the streams of a server that crashes."""
-REFILL_SHARE = 0.45
+REFILL_SHARE = 0.6
 """Share of a window's allowance that is earned within a window. Together with the burst
 it stays below the whole, since requests arrive a little later than they are counted."""
 
