--- a/dewridge/policy/retrybudget.py
+++ b/dewridge/policy/retrybudget.py
@@ -8,8 +8,8 @@
 the streams of a server that crashes."""
 REFILL_SHARE = 0.6
 """Share of a window's allowance that is earned within a window. Together with the burst
-it stays below the whole, since requests arrive a little later than they are counted."""
-
+it stays below the whole: requests arrive a little later than they are counted, and
+streams that return to their source may overdraw a budget."""
 MAX_REFILL_WINDOWS = 2
 """Windows without a request for which slack is earned; the bucket is full by then."""
 
