Revert "Grant no new lease to a host that has left"

The guard against duties taken by a write in flight stands by itself: a host that has stepped down begins no term, whatever lease it has.

--- a/dewridge/gateway/hosts.py
+++ b/dewridge/gateway/hosts.py
@@ -104,7 +104,6 @@
         self._written_entry: HostEntry | None = None
         self._last_answer_at = read_boot_clock()
         self._changed = trio.Event()
-        self._has_ended = False
 
     @property
     def key(self) -> str:
@@ -127,8 +126,8 @@
             self._changed.set()
 
     async def run(self) -> None:
-        """Register this host and renew its lease until `unregister` is called."""
-        while not self._has_ended:
+        """Register this host and renew its lease indefinitely."""
+        while True:
             self._changed = trio.Event()
             is_registered = await self._ensure_registered()
             period = RENEW_PERIOD if is_registered else RENEW_PERIOD / 4
@@ -192,8 +191,6 @@
 
     async def unregister(self) -> None:
         """End the lease, which removes the entry from the store."""
-        self._has_ended = True
-        self._changed.set()
         if self.lease_state.lease is not None:
             lease, self.lease_state.lease = self.lease_state.lease, None
             self.lease_state.valid_until = float("-inf")
