Save up half of a window's retries again, and earn 0.45

A fleet of two hosts with a slack of ten retries had too few at once: a stream that its host moved and a second stream's retry met in one burst of 1.8, and the second stream was cut at its sixth event. The sum of both shares is the same, so that the limit holds as before.

--- a/dewridge/policy/retrybudget.py
+++ b/dewridge/policy/retrybudget.py
@@ -3,10 +3,10 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-BURST_SHARE = 0.35
+BURST_SHARE = 0.5
 """Share of a window's allowance that a host can save up for a burst, such as retries of
 the streams of a server that crashes."""
-REFILL_SHARE = 0.6
+REFILL_SHARE = 0.45
 """Share of a window's allowance that is earned within a window. Together with the burst
 it stays below the whole: requests arrive a little later than they are counted, and
 streams that return to their source may overdraw a budget."""
