Move the retry budgets and the hosts that share limits into a folder of their own

Their job is one: limits on the sum over all hosts, of which each host keeps its part (docs/design/limits-over-hosts.md).

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -12,6 +12,7 @@
     ServerRequest,
 )
 from dewridge.gateway.jobs import Continuation, Job, compute_engine_priority
+from dewridge.gateway.limits.retries import RetryCause
 from dewridge.gateway.losses import LossHandler
 from dewridge.gateway.model import RouteKind, ServerRecord
 from dewridge.gateway.moves import acquire_return, move_stream
@@ -20,7 +21,6 @@
 from dewridge.gateway.placement.outcomes import record_complete_run, record_placement
 from dewridge.gateway.reach.sending import read_answer, send_by_path
 from dewridge.gateway.responder import Responder
-from dewridge.gateway.retries import RetryCause
 from dewridge.gateway.rollouts import AttemptResult, classify_attempt
 from dewridge.gateway.state import SERVER_ANSWER_TIME_METRIC, GatewayState
 from dewridge.gateway.streams import RunningStream
--- a/dewridge/gateway/moves.py
+++ b/dewridge/gateway/moves.py
@@ -8,9 +8,9 @@
 from dewridge.codes import ResultCode
 from dewridge.gateway.forwarding import LostAttempt
 from dewridge.gateway.jobs import Continuation, Job
+from dewridge.gateway.limits.retries import RetryCause
 from dewridge.gateway.model import ServerRecord
 from dewridge.gateway.reach.control import post_to_engine
-from dewridge.gateway.retries import RetryCause
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.streams import RunningStream
 from dewridge.gateway.weighing import choose_move_target
--- a/dewridge/gateway/pushback.py
+++ b/dewridge/gateway/pushback.py
@@ -12,7 +12,7 @@
 from loguru import logger as log
 
 from dewridge.gateway.brittleservers import BrittleServers
-from dewridge.gateway.senders import SenderHosts
+from dewridge.gateway.limits.senders import SenderHosts
 from dewridge.gateway.servers import ServerTable
 from dewridge.http1.client import Headers, ResponseHead
 from dewridge.ids import BackendServerId, HostId
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -18,6 +18,8 @@
 from dewridge.gateway.forwarding import AnswerBuffers
 from dewridge.gateway.hosts import HostEntry, HostTable
 from dewridge.gateway.ingress import IngressState
+from dewridge.gateway.limits.retries import RetryBudgets
+from dewridge.gateway.limits.senders import HOST_RETENTION, SenderHosts
 from dewridge.gateway.model import Limits, ServerRecord
 from dewridge.gateway.placement.table import PlacementTable
 from dewridge.gateway.pool import ConnectionPool
@@ -36,9 +38,7 @@
     Totals,
     UsageCounts,
 )
-from dewridge.gateway.retries import RetryBudgets
 from dewridge.gateway.rollouts import RolloutTable
-from dewridge.gateway.senders import HOST_RETENTION, SenderHosts
 from dewridge.gateway.servers import ServerTable
 from dewridge.gateway.sharing import SharedReports
 from dewridge.gateway.streams import RunningStreams
--- a/dewridge/tests/gateway/retryreplay.py
+++ b/dewridge/tests/gateway/retryreplay.py
@@ -7,7 +7,7 @@
 import trio
 
 from dewridge.gateway.hosts import HOSTS_PREFIX, HostEntry
-from dewridge.gateway.retries import RetryCause
+from dewridge.gateway.limits.retries import RetryCause
 from dewridge.gateway.state import GatewayState
 from dewridge.ids import HostId
 from dewridge.platform.store import Item, Listing
