Log servers that are kept although their records are missing, and late sends to them

Nothing showed that a host kept a server whose record was gone, since when, or that a moved stream was sent to a server that had left, so that the three hypotheses of docs/incidents/late-departures.md could not be told apart. New lines: 'missing servers are kept' when a failed read begins that time, 'missing server kept' once a server, 'sent to a leaving server'; 'server left' has 'missing_s'. Servers that are missing in a list stay recorded as missing until they are listed again or dropped. No decision is changed.

--- a/dewridge/explaining.py
+++ b/dewridge/explaining.py
@@ -17,6 +17,8 @@
         "duties taken",
         "lease lost",
         "leaving",
+        "missing server kept",
+        "missing servers are kept",
         "peer heard",
         "request cleared",
         "request set aside",
--- a/dewridge/gateway/pushback.py
+++ b/dewridge/gateway/pushback.py
@@ -217,7 +217,7 @@
                 It exceeds a limit, and later ones wait longer for it; a rest has room
                 for few of them.
         """
-        if not is_essential and self._servers.find_departure(server) is not None:
+        if not self._may_use(server, now, is_essential=is_essential):
             return False
         room_at = self.brittle.find_send_time(server, now, is_counted=True)
         if not is_essential and room_at > now:
@@ -242,11 +242,22 @@
         The peer sends it within its own share of the server's limit. A rest is asked
         of the host that sends to the server, which is this one.
         """
-        if not is_essential and self._servers.find_departure(server) is not None:
+        if not self._may_use(server, now, is_essential=is_essential):
             return False
         known = self._by_server.get(server)
         return known is None or known.rest.acquire(now, is_essential=is_essential)
 
+    def _may_use(
+        self, server: BackendServerId, now: float, *, is_essential: bool
+    ) -> bool:
+        departure = self._servers.find_departure(server)
+        if departure is None:
+            return True
+        if is_essential:
+            seconds = round(now - departure.learned_at, 2)
+            log.bind(server=server, left_s=seconds).info("sent to a leaving server")
+        return is_essential
+
     def _find_pacer(self, server: BackendServerId, now: float) -> LimitPacer | None:
         """Return a server's pacer with the share in force; None without a limit."""
         known = self._by_server.get(server)
--- a/dewridge/gateway/servers.py
+++ b/dewridge/gateway/servers.py
@@ -98,6 +98,8 @@
 
     def record_outage(self, now: float) -> None:
         """Record that the store could not be read, so that records may have expired."""
+        if now >= self._uncertain_until:
+            log.bind(seconds=REREGISTRATION_TIME).info("missing servers are kept")
         self._uncertain_until = now + REREGISTRATION_TIME
 
     def apply_full_list(
@@ -121,16 +123,29 @@
         listed = {record.id: record for record in records}
         for record in listed.values():
             self.update(record, now)
-        self._missing_since.clear()
-        if now < self._uncertain_until:
-            return
         missing = [
             known
             for known in self._records
             if known not in listed and self._joined_at[known] < requested_at
         ]
+        self._missing_since = {
+            server: self._missing_since.get(server, now) for server in missing
+        }
+        if now < self._uncertain_until:
+            self._log_kept(now)
+            return
         for server in missing:
             self.drop(server, now, "its record is gone")
+        self._missing_since.clear()
+
+    def _log_kept(self, now: float) -> None:
+        """Log the servers that are missing in the list that was just read."""
+        seconds_left = round(self._uncertain_until - now, 2)
+        for server, since in self._missing_since.items():
+            if since == now:
+                log.bind(server=server, seconds_left=seconds_left).info(
+                    "missing server kept"
+                )
 
     def merge_stale_list(self, records: Iterable[ServerRecord], now: float) -> bool:
         """Update the table from a list that may be seconds old.
@@ -232,9 +247,13 @@
         self._departures[server] = departure
         self._joined_at.pop(server, None)
         if record is not None:
-            log.bind(server=server, reason=reason, leaves_in=round(notice, 2)).info(
-                "server left"
-            )
+            missing = now - self._missing_since.pop(server, now)
+            log.bind(
+                server=server,
+                reason=reason,
+                leaves_in=round(notice, 2),
+                missing_s=round(missing, 2),
+            ).info("server left")
             self.version += 1
             self.on_left(record, departure.stops_at, is_reported)
         if len(self._departures) > 1000:
