Read the servers again when a doubt ends, and doubt only after an outage of the store

Cause: one failed read of the list counted as an outage, in which records of live servers expire. For 2.2 s a missing server was kept; the removal woke the poll, which read the list, kept the server, and slept for a whole period, 3.5 s with nine hosts.

Change: a missing server is kept only if heartbeats of servers can have been missed: no call was answered for as long as two heartbeats, short outages in a row taken together (dewridge/policy/storeoutages.py). The list is read again when that time ends; a list that was requested before its end drops nothing, since servers may register until then. The time between heartbeats comes from the settings.

--- a/dewridge/explaining.py
+++ b/dewridge/explaining.py
@@ -18,7 +18,6 @@
         "lease lost",
         "leaving",
         "missing server kept",
-        "missing servers are kept",
         "peer heard",
         "request cleared",
         "request set aside",
--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -75,6 +75,7 @@
 from dewridge.policy.documentsources import LARGE_DOCUMENT_BYTES
 from dewridge.policy.pacing import DatagramPacer, compute_datagram_rate
 from dewridge.policy.quota import QuotaLedger
+from dewridge.policy.storeoutages import StoreOutages
 from dewridge.settings.gateway import GatewaySettings
 from dewridge.supervision.tree import Supervisor
 
@@ -245,12 +246,13 @@
         )
         descriptors = int(settings.host.descriptors) - RESERVED_DESCRIPTORS
         boot = time.time_ns() // 1000
+        heartbeat = settings.services.server_heartbeat_ms / 1000
         return GatewayState(
             settings=settings,
             host=host,
             boot=boot,
             configuration=ConfigurationState(compute_trust_period(settings)),
-            servers=ServerTable(),
+            servers=ServerTable(StoreOutages(heartbeat)),
             hosts=HostTable(host),
             sharing=SharedReports(
                 host,
--- a/dewridge/gateway/servers.py
+++ b/dewridge/gateway/servers.py
@@ -17,13 +17,11 @@
     ServerName,
     ServiceName,
 )
+from dewridge.policy.storeoutages import StoreOutages
 from dewridge.policy.streamversions import (
     MAX_NAME_LENGTH,
 )
 
-REREGISTRATION_TIME = 2.2
-"""Seconds after a store outage during which missing records may reappear: servers take
-up to 2 s to write them again, and the rest covers one call."""
 DEPARTURE_REPORT_TIME = 4.0
 """Seconds for which a departure is included in reports to other hosts. They have to
 know within 2 s, and single reports get lost."""
@@ -78,9 +76,12 @@
         drained_at: when a reclaimable server last began to drain, by service and
             failure domain.
         version: number of changes to the table.
+        outages: tells whether a missing record shows that its server has left.
+        recheck_at: monotonic time at which the list has to be read again, since a
+            missing server was kept; None if none was.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, outages: StoreOutages | None = None) -> None:
         self.on_left: Callable[[ServerRecord, float, bool], None] = lambda *_: None
         self.on_serving: Callable[[ServerRecord, float], None] = lambda *_: None
         self.drained_at: dict[tuple[ServiceName, FailureDomain], float] = {}
@@ -90,17 +91,16 @@
         self._joined_at: dict[BackendServerId, float] = {}
         self._missing_since: dict[BackendServerId, float] = {}
         self._newest_processes: dict[ServerName, ServerRecord] = {}
-        self._uncertain_until = float("-inf")
+        self.outages = StoreOutages() if outages is None else outages
+        self.recheck_at: float | None = None
         self.version = 0
         self._by_service: dict[ServiceName, list[ServerRecord]] = {}
         self._by_release: dict[Release, list[ServerRecord]] = {}
         self._by_service_version = 0
 
     def record_outage(self, now: float) -> None:
-        """Record that the store could not be read, so that records may have expired."""
-        if now >= self._uncertain_until:
-            log.bind(seconds=REREGISTRATION_TIME).info("missing servers are kept")
-        self._uncertain_until = now + REREGISTRATION_TIME
+        """Record that the store was restored, so that it may lack records."""
+        self.outages.record_restore(now)
 
     def apply_full_list(
         self,
@@ -110,10 +110,11 @@
     ) -> None:
         """Update the table from a complete list that was current when it was requested.
 
-        Servers without a record are dropped, except shortly after a store outage, and
-        those that joined after the request. Records expire during an outage although
-        the servers still run, and dropping them all would leave no server to send
-        requests to.
+        Servers without a record are dropped, except those that joined after the request
+        and, if the list was requested shortly after an outage of the store, those that
+        may not have registered again. The list has to be read again at `recheck_at`
+        then. Records expire during an outage although the servers still run, and
+        dropping them all would leave no server to send requests to.
 
         Args:
             records: the list.
@@ -131,19 +132,23 @@
         self._missing_since = {
             server: self._missing_since.get(server, now) for server in missing
         }
-        if now < self._uncertain_until:
-            self._log_kept(now)
+        self.recheck_at = None
+        if not missing:
+            return
+        doubt_end = self.outages.find_doubt_end(now)
+        if min(requested_at, now) < doubt_end:
+            self.recheck_at = doubt_end
+            self._log_kept(now, doubt_end - now)
             return
         for server in missing:
             self.drop(server, now, "its record is gone")
         self._missing_since.clear()
 
-    def _log_kept(self, now: float) -> None:
+    def _log_kept(self, now: float, seconds_left: float) -> None:
         """Log the servers that are missing in the list that was just read."""
-        seconds_left = round(self._uncertain_until - now, 2)
         for server, since in self._missing_since.items():
             if since == now:
-                log.bind(server=server, seconds_left=seconds_left).info(
+                log.bind(server=server, seconds_left=round(seconds_left, 2)).info(
                     "missing server kept"
                 )
 
--- a/dewridge/gateway/watching.py
+++ b/dewridge/gateway/watching.py
@@ -54,6 +54,8 @@
 """Upper limit on the delay in seconds if many hosts are readers. This is half of the
 time within which all hosts must know of a leaving server, in case only one reader is
 left."""
+MAX_RECHECK_DELAY = 0.1
+"""Seconds over which hosts spread the reads that follow an outage of the store."""
 MAX_REQUESTED_SERVERS = 1_000
 """Servers for which the list was read once since a peer named them. A server that only
 the peer knows, because it left long ago, does not cause further reads."""
@@ -119,6 +121,14 @@
         self._logged_reasons: set[str] = set()
         self._is_server_list_outdated = False
         self._requested_servers: set[BackendServerId] = set()
+        store.on_outcome = watch_store.on_outcome = self._record_outcome
+
+    def _record_outcome(self, is_answered: bool) -> None:
+        outages, now = self._servers.outages, trio.current_time()
+        if is_answered:
+            outages.record_answer(now, now)
+        else:
+            outages.record_failure(now, now)
 
     def wake_servers(self) -> None:
         """Have the list of servers read now."""
@@ -154,7 +164,6 @@
             began_at = trio.current_time()
             read = await self._server_list.read(may_lag=may_lag)
             if isinstance(read, Failure):
-                self._servers.record_outage(trio.current_time())
                 await self._sleep_with_jitter(retry_delay)
                 retry_delay = min(MAX_RETRY_DELAY, retry_delay * 2)
                 continue
@@ -176,7 +185,11 @@
             if role is StoreRole.LISTENER:
                 period = LISTENER_POLL_INTERVAL
             self._servers_wake = await self._wait_for_wake(self._servers_wake, period)
-            may_lag = role is StoreRole.LISTENER and not self._is_server_list_outdated
+            may_lag = (
+                role is StoreRole.LISTENER
+                and not self._is_server_list_outdated
+                and self._servers.recheck_at is None
+            )
             self._is_server_list_outdated = False
 
     def _apply_server_listing(
@@ -275,7 +288,12 @@
         return listing.revision
 
     async def _wait_for_wake(self, wake: trio.Event, period: float) -> trio.Event:
-        with trio.move_on_after(period * self._rng.uniform(0.9, 1.1)):
+        wake_at = trio.current_time() + period * self._rng.uniform(0.9, 1.1)
+        recheck_at = self._servers.recheck_at
+        if recheck_at is not None:
+            delay = self._rng.uniform(0.0, MAX_RECHECK_DELAY)
+            wake_at = min(wake_at, recheck_at + delay)
+        with trio.move_on_at(wake_at):
             await wake.wait()
         return trio.Event()
 
--- a/dewridge/platform/store.py
+++ b/dewridge/platform/store.py
@@ -23,6 +23,8 @@
 STATUS_NOT_FOUND = 404
 STATUS_COMPACTED = 410
 STATUS_CONFLICT = 412
+STATUS_FAILURES = 500
+"""The lowest status with which the store says that it can't serve anybody."""
 
 
 class Item(msgspec.Struct, frozen=True, rename={"created_revision": "created"}):
@@ -112,7 +114,13 @@
 
 
 class Store:
-    """Client of the store; its methods return a `Failure` instead of raising."""
+    """Client of the store; its methods return a `Failure` instead of raising.
+
+    Attributes:
+        era: the era of the store.
+        on_outcome: called after each call with whether the store answered it. An
+            answer that rejects the call because of the caller is one, too.
+    """
 
     def __init__(
         self,
@@ -135,6 +143,7 @@
         self._on_received = on_received
         self._client = client
         self.era = era or StoreEra()
+        self.on_outcome: Callable[[bool], None] = lambda is_answered: None
 
     async def _call(
         self,
@@ -148,6 +157,10 @@
         response = await self._client.call(
             method, path, body=body, wait=wait, on_begin=on_begin
         )
+        self.on_outcome(
+            response is CallFailure.TOO_LARGE
+            or (isinstance(response, Response) and response.status < STATUS_FAILURES)
+        )
         if isinstance(response, Response) and not self.era.accept(
             response.find_header(STORE_ERA)
         ):
--- a/dewridge/settings/gateway.py
+++ b/dewridge/settings/gateway.py
@@ -58,6 +58,12 @@
     store_timeout: float = option(
         "Time for one call of the store.", default=0.8, unit="s", low=0.05, high=60
     )
+    server_heartbeat_ms: float = option(
+        "Time between two heartbeats by which servers keep their records.",
+        default=1200.0,
+        unit="ms",
+        low=50,
+    )
     cloud: str = option(
         "`a.b.c.d:port` of the cloud API; empty: no duties.", default=""
     )
--- a/dewridge/tests/gateway/memorystore.py
+++ b/dewridge/tests/gateway/memorystore.py
@@ -70,6 +70,7 @@
         self.calls = 0
         self.change_calls = 0
         self.era = StoreEra()
+        self.on_outcome = lambda is_answered: None
 
     @property
     def is_down(self) -> bool:
@@ -119,6 +120,7 @@
         if not self.is_down:
             era = self.data.era
             self.era.accept(None if era is None else b"%d" % era)
+        self.on_outcome(not self.is_down)
         return not self.is_down
 
     async def read(
@@ -165,6 +167,7 @@
                     break
                 await self.data.changed.wait()
         if self.is_down or era != self.data.era:
+            self.on_outcome(False)
             return DOWN
         return Listing(changes, self.data.revision)
 
--- a/dewridge/tests/gateway/restores_tests.py
+++ b/dewridge/tests/gateway/restores_tests.py
@@ -13,13 +13,14 @@
 from dewridge.gateway.documents import following
 from dewridge.gateway.documents.following import StoreRole
 from dewridge.gateway.model import RolloutOrder
-from dewridge.gateway.servers import REREGISTRATION_TIME, ServerTable
+from dewridge.gateway.servers import ServerTable
 from dewridge.gateway.usage import SUM_DELAY, UsageDuty
 from dewridge.gateway.watching import StoreWatcher
 from dewridge.ids import ServerName, make_server_id
 from dewridge.platform.eras import StoreEra
 from dewridge.platform.names import CONFIGURATION_KEY
 from dewridge.policy.rollouts import Stage
+from dewridge.policy.storeoutages import REREGISTRATION_TIME
 from dewridge.tests.gateway.duties_tests import (
     AlwaysHolder,
     Candidate,
