Drop servers that are missing in the list from which a watch begins

Callers: requests reach a server for up to 3.9 s after its record was removed, if that happens between a failed watch and the next one, or at a start between the first poll and the watch.

Cause: the list that gives the revision to watch from was applied by what it holds, not by what it lacks, and events of removals before that revision are never sent. The poll that a failed watch wakes comes before the list, not after it.

--- a/dewridge/gateway/watching.py
+++ b/dewridge/gateway/watching.py
@@ -279,11 +279,14 @@
 
     async def _read_start_revision(self) -> int | None:
         requested_at = read_boot_clock()
+        began_at = trio.current_time()
         listing = await self._watch_store.list_items(SERVERS_PREFIX)
         if isinstance(listing, Failure):
             return None
-        for item in listing.items:
-            self._apply_server_item(item)
+        # No watch shows what was removed before this revision.
+        self._apply_server_listing(listing, began_at, may_lag=False)
+        if self._servers.recheck_at is not None:
+            self._servers_wake.set()
         self._confirm_versions(requested_at, requested_at)
         return listing.revision
 
