Judge outages of the store by the calls of all hosts

Cause: each host judged by its own calls alone. Hosts now report the tenths of a second since the store last answered them and since a call failed; a time without answers counts only if no host was answered. Both tests fail without it: test_servers_are_kept_after_an_outage_that_only_peers_saw and test_hosts_report_their_calls_to_the_store. Earlier builds ignore the two fields. Two small integers a report; datagrams of a large fleet were not measured.

--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -18,6 +18,7 @@
 from dewridge.gateway.departures import (
     apply_left_report,
     apply_peer_update,
+    apply_store_calls,
     apply_suspect_report,
     handle_server_left,
 )
@@ -211,7 +212,9 @@
         self._link.check_stall = self._state.stalls.check
         self._state.compare_releases = exchange.compare
         self._state.versions.on_new = self._link.schedule_round
-        self._link.on_dated_report = exchange.confirm
+        self._link.on_dated_report = fan_out(
+            exchange.confirm, partial(apply_store_calls, self._state)
+        )
         self._server_search = ServerSearch(
             self._state.host,
             self._state.servers,
--- a/dewridge/gateway/departures.py
+++ b/dewridge/gateway/departures.py
@@ -2,12 +2,15 @@
 
 import trio
 
+from dewridge.gateway.clock import read_boot_clock
 from dewridge.gateway.limitsharing import apply_reported_limits
 from dewridge.gateway.model import ServerRecord
 from dewridge.gateway.reports import (
+    TENTHS_PER_SECOND,
     CellReport,
     DepartureReport,
     PeriodicReport,
+    Report,
     SuspectReport,
     SuspectUpdate,
 )
@@ -47,6 +50,25 @@
         state.pushback.brittle.record_rejection(server, now - max(0, age_ms) / 1000)
 
 
+def apply_store_calls(state: GatewayState, report: Report, made_at: float) -> None:
+    """Apply when the store answered a peer, which may show that it was not away.
+
+    Args:
+        state: the state of this host.
+        report: the peer's report.
+        made_at: the earliest time on the boot clock at which it can have been made.
+    """
+    now = trio.current_time()
+    elapsed = read_boot_clock() - made_at
+
+    def find_time(age: int | None) -> float | None:
+        return None if age is None else now - elapsed - age / TENTHS_PER_SECOND
+
+    state.servers.outages.record_peer_calls(
+        find_time(report.store_answer_age), find_time(report.store_failure_age), now
+    )
+
+
 def apply_left_report(
     state: GatewayState, link: ReportLink, report: DepartureReport
 ) -> None:
--- a/dewridge/gateway/reports.py
+++ b/dewridge/gateway/reports.py
@@ -39,6 +39,9 @@
 """Number of usage windows that hosts report: the current one and those whose sum is
 still due."""
 
+MAX_STORE_CALL_AGE = 12.0
+"""Seconds for which a host reports its last calls to the store."""
+TENTHS_PER_SECOND = 10
 TENTHS_PER_ATTEMPT = 10
 """Units per attempt in which reports count attempts and failures."""
 
@@ -191,6 +194,10 @@
         releases: digest of the versions that the sender saw recently; None in the
             reports of earlier builds, as the next field.
         versions_age_ms: milliseconds since the sender certainly knew all versions.
+        store_answer_age: tenths of a second since the store answered the sender; None
+            if that is long ago, as in the reports of earlier builds.
+        store_failure_age: tenths of a second since a call of the sender to the store
+            failed; None likewise.
     """
 
     host: HostId
@@ -212,6 +219,8 @@
     rejections: dict[BackendServerId, int] = {}
     releases: int | None = None
     versions_age_ms: int | None = None
+    store_answer_age: int | None = None
+    store_failure_age: int | None = None
 
 
 class CellReport(msgspec.Struct, frozen=True, array_like=True, tag="cell"):
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -27,8 +27,10 @@
 from dewridge.gateway.reach.links import ServerLinks
 from dewridge.gateway.reach.peers import ask_peer
 from dewridge.gateway.reports import (
+    MAX_STORE_CALL_AGE,
     REPORTED_WINDOWS,
     TENTHS_PER_ATTEMPT,
+    TENTHS_PER_SECOND,
     ZERO_SERVER_TOTALS,
     LimitUpdate,
     PeriodicReport,
@@ -367,6 +369,8 @@
             rejections=self.pushback.brittle.list_rejections(now),
             releases=self.versions.history.compute_digest(now),
             versions_age_ms=self.versions.view.age_ms,
+            store_answer_age=_count_tenths(now - self.servers.outages.own_answer_at),
+            store_failure_age=_count_tenths(now - self.servers.outages.own_failure_at),
         )
 
     def list_usage(self, windows: int) -> UsageCounts:
@@ -572,3 +576,8 @@
         if self.configuration.current is not None:
             self.contention.drop_unknown(self.configuration.current)
         self.pool.close_expired()
+
+
+def _count_tenths(age: float) -> int | None:
+    """Return the age of a call to the store for a report; None if it is too old."""
+    return int(age * TENTHS_PER_SECOND) if age <= MAX_STORE_CALL_AGE else None
--- a/dewridge/gateway/watching.py
+++ b/dewridge/gateway/watching.py
@@ -124,11 +124,8 @@
         store.on_outcome = watch_store.on_outcome = self._record_outcome
 
     def _record_outcome(self, is_answered: bool) -> None:
-        outages, now = self._servers.outages, trio.current_time()
-        if is_answered:
-            outages.record_answer(now, now)
-        else:
-            outages.record_failure(now, now)
+        now = trio.current_time()
+        self._servers.outages.record_call(now, is_answered=is_answered)
 
     def wake_servers(self) -> None:
         """Have the list of servers read now."""
--- a/dewridge/policy/storeoutages.py
+++ b/dewridge/policy/storeoutages.py
@@ -14,7 +14,7 @@
 MIN_MISSED_HEARTBEATS = 2
 """Heartbeats within the time of an outage, at least, if a record expired in it: the
 last one may have arrived just before the next was due."""
-MIN_OUTAGE_HEARTBEATS = 0.5
+MIN_OUTAGE_HEARTBEATS = 0.75
 """Time without answers, in heartbeats, from which it counts as an outage. Most servers
 get a heartbeat through between shorter ones."""
 REREGISTRATION_TIME = 2.2
@@ -34,34 +34,50 @@
 
     Attributes:
         heartbeat: seconds between two heartbeats of a server.
+        own_answer_at: when the store last answered this host.
+        own_failure_at: when a call of this host last failed.
     """
 
     heartbeat: float = DEFAULT_HEARTBEAT
+    own_answer_at: float = float("-inf")
+    own_failure_at: float = float("-inf")
     _answered: set[int] = field(default_factory=set)
     _failed: set[int] = field(default_factory=set)
     _begin: int | None = None
     _restored_at: float = float("-inf")
 
-    def record_answer(self, at: float, now: float) -> None:
-        """Record that the store answered a call of some host."""
-        self._record(self._answered, at, now)
-
-    def record_failure(self, at: float, now: float) -> None:
-        """Record that a call of some host to the store failed."""
-        self._record(self._failed, at, now)
+    def record_call(self, now: float, *, is_answered: bool) -> None:
+        """Record whether the store answered a call of this host."""
+        if is_answered:
+            self.own_answer_at = now
+            self._record(self._answered, now, now)
+        else:
+            self.own_failure_at = now
+            self._record(self._failed, now, now)
+
+    def record_peer_calls(
+        self, answer_at: float | None, failure_at: float | None, now: float
+    ) -> None:
+        """Record when the store last answered a peer, and when a call of it failed."""
+        if answer_at is not None:
+            self._record(self._answered, answer_at, now)
+        if failure_at is not None:
+            self._record(self._failed, failure_at, now)
 
     def record_restore(self, now: float) -> None:
         """Record that the store was restored from a copy, which may lack records."""
         self._restored_at = now
 
     def _record(self, slots: set[int], at: float, now: float) -> None:
-        slot = _find_slot(min(at, now))
+        oldest, newest = _find_slot(now - self._history_seconds), _find_slot(now)
+        slot = min(_find_slot(at), newest)
+        if slot < oldest:
+            return
         if self._begin is None:
             self._begin = slot
         slots.add(slot)
-        oldest = _find_slot(now - self._history_seconds)
-        if len(slots) > 2 * (self._history_seconds / SLOT_SECONDS):
-            slots.intersection_update(range(oldest, slot + 1))
+        if len(slots) > 2 * (newest - oldest):
+            slots.intersection_update(range(oldest, newest + 1))
 
     @property
     def _expiry(self) -> float:
--- a/dewridge/tests/gateway/removals_tests.py
+++ b/dewridge/tests/gateway/removals_tests.py
@@ -1,10 +1,16 @@
 """Tests of how soon a host stops using a server whose record was removed."""
 
+from contextlib import AsyncExitStack
+
 import pytest
 import trio
 import trio.testing
 
+from dewridge.gateway.clock import read_boot_clock
+from dewridge.gateway.departures import apply_store_calls
+from dewridge.ids import HostId
 from dewridge.tests.gateway.state_tests import WatchingHost, list_names, write_server
+from dewridge.tests.gateway.world import open_world
 
 LONG_PERIOD_PEERS = 8
 """Live peers with which a host polls the servers every 3.5 s."""
@@ -60,3 +66,49 @@
         await trio.sleep(NOTICE)
         assert list_names(host.servers) == ["s-2"]
         nursery.cancel_scope.cancel()
+
+
+async def test_servers_are_kept_after_an_outage_that_only_peers_saw(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against dropping live servers at a host whose polls missed the outage."""
+    host = WatchingHost(live_peers=LONG_PERIOD_PEERS)
+    write_server(host.store, "s-1")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(host.watcher.poll_servers)
+        await trio.sleep(0.5)
+        for _ in range(30):
+            now = trio.current_time()
+            host.servers.outages.record_peer_calls(None, now, now)
+            await trio.sleep(0.1)
+        host.store.remove("servers/s-1")
+        host.watcher.wake_servers()
+        await trio.sleep(1.5)
+        assert list_names(host.servers) == ["s-1"]
+        write_server(host.store, "s-1")
+        await trio.sleep(5.0)
+        assert list_names(host.servers) == ["s-1"]
+        nursery.cancel_scope.cancel()
+
+
+async def test_hosts_report_their_calls_to_the_store(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against an outage that a host takes for one, although peers are served."""
+    async with AsyncExitStack() as stack:
+        worlds = [
+            await stack.enter_async_context(open_world(None, host=HostId(f"host-{n}")))
+            for n in range(2)
+        ]
+        sender, receiver = (world.state for world in worlds)
+        await trio.sleep(5.0)
+        sender.servers.outages.record_call(trio.current_time(), is_answered=True)
+        await trio.sleep(0.3)
+        for _ in range(8):
+            receiver.servers.outages.record_call(trio.current_time(), is_answered=False)
+            await trio.sleep(0.5)
+            report = sender.make_report(1)
+            apply_store_calls(receiver, report, read_boot_clock())
+            sender.servers.outages.record_call(trio.current_time(), is_answered=True)
+        now = trio.current_time()
+        assert receiver.servers.outages.find_doubt_end(now) < now
