Send no moved stream to a server whose notice is over

A stream that moves away from a leaving server and is rejected returns to its source whenever that happens. With a known notice of more than two seconds it moves 0.5 s before the end of it, so that the return reaches a server later than two seconds after it said that it leaves. The same holds for relays.

Cause: requests without which a stream is lost were exempt from the check of departures. Now they are sent until 0.2 s before two seconds, or before the notice is over; after that the stream goes on at another server. A server that was kept while its record was missing has its notice counted from when it was missing, so that its streams move in time.

Evidence: the three tests failed before (7.3 s in place of 5.5 s plus the notice).

--- a/dewridge/gateway/pushback.py
+++ b/dewridge/gateway/pushback.py
@@ -253,10 +253,15 @@
         departure = self._servers.find_departure(server)
         if departure is None:
             return True
-        if is_essential:
-            seconds = round(now - departure.learned_at, 2)
-            log.bind(server=server, left_s=seconds).info("sent to a leaving server")
-        return is_essential
+        if not is_essential:
+            return False
+        may_use = now < departure.usable_until
+        log.bind(
+            server=server,
+            left_s=round(now - departure.learned_at, 2),
+            is_sent=may_use,
+        ).info("stream for a leaving server")
+        return may_use
 
     def _find_pacer(self, server: BackendServerId, now: float) -> LimitPacer | None:
         """Return a server's pacer with the share in force; None without a limit."""
--- a/dewridge/gateway/servers.py
+++ b/dewridge/gateway/servers.py
@@ -27,6 +27,9 @@
 know within 2 s, and single reports get lost."""
 DEFAULT_NOTICE = 2.0
 """Seconds for which a leaving server is assumed to keep serving if it gives no time."""
+ARRIVAL_MARGIN = 0.2
+"""Seconds by which a request to a leaving server is sent before the end of its notice:
+the departure was learned after it began, and the request takes time to arrive."""
 MIN_NOTICE_CHANGE = 0.2
 """Seconds by which two times of one departure may differ because of the delay of
 reports."""
@@ -64,6 +67,14 @@
     is_notice_assumed: bool
     record: ServerRecord | None
 
+    @property
+    def usable_until(self) -> float:
+        """Time until which a stream that moves may still be sent to the process.
+
+        The process may serve for longer, but no request may reach it by then.
+        """
+        return min(self.stops_at, self.learned_at + DEFAULT_NOTICE) - ARRIVAL_MARGIN
+
 
 class ServerTable:
     """The server processes that may be sent requests.
@@ -243,7 +254,9 @@
             if is_reported and leaves_in is not None:
                 self._refine_notice(server, now, leaves_in, is_known=False)
             return
-        notice = DEFAULT_NOTICE if leaves_in is None else leaves_in
+        missing = now - self._missing_since.pop(server, now)
+        assumed_notice = max(0.0, DEFAULT_NOTICE - missing)
+        notice = assumed_notice if leaves_in is None else leaves_in
         record = self._records.pop(server, None)
         is_notice_known = leaves_in is not None and not is_reported
         departure = Departure(
@@ -252,7 +265,6 @@
         self._departures[server] = departure
         self._joined_at.pop(server, None)
         if record is not None:
-            missing = now - self._missing_since.pop(server, now)
             log.bind(
                 server=server,
                 reason=reason,
--- a/dewridge/tests/gateway/removals_tests.py
+++ b/dewridge/tests/gateway/removals_tests.py
@@ -8,8 +8,14 @@
 
 from dewridge.gateway.clock import read_boot_clock
 from dewridge.gateway.departures import apply_store_calls
+from dewridge.gateway.servers import ServerTable
 from dewridge.ids import HostId
-from dewridge.tests.gateway.state_tests import WatchingHost, list_names, write_server
+from dewridge.tests.gateway.state_tests import (
+    WatchingHost,
+    list_names,
+    make_record,
+    write_server,
+)
 from dewridge.tests.gateway.world import open_world
 
 LONG_PERIOD_PEERS = 8
@@ -112,3 +118,38 @@
             sender.servers.outages.record_call(trio.current_time(), is_answered=True)
         now = trio.current_time()
         assert receiver.servers.outages.find_doubt_end(now) < now
+
+
+@pytest.mark.parametrize("is_relayed", [False, True])
+async def test_no_stream_returns_to_a_server_after_its_notice(
+    autojump_clock: trio.testing.MockClock, is_relayed: bool
+) -> None:
+    """Guards against a moved stream that is rejected and sent back too late."""
+    async with AsyncExitStack() as stack:
+        world = await stack.enter_async_context(open_world(None))
+        servers, pushback = world.state.servers, world.state.pushback
+        acquire = pushback.acquire_relayed if is_relayed else pushback.acquire
+        for name, leaves_in in (("s-1", None), ("s-2", 6.0), ("s-3", 1.0)):
+            servers.update(make_record(name), trio.current_time())
+            server = make_record(name).id
+            servers.drop(server, trio.current_time(), "it drains", leaves_in)
+            last_sent = 0.0
+            for step in range(30):
+                now = trio.current_time()
+                if acquire(server, now, is_essential=True):
+                    last_sent = step * 0.1
+                await trio.sleep(0.1)
+            assert last_sent < min(NOTICE, leaves_in or NOTICE)
+            assert last_sent > 0.5
+
+
+def test_a_server_that_was_kept_stops_its_notice_after_it_was_missing() -> None:
+    """Guards against streams that stay at a server that ends before they are moved."""
+    table = ServerTable()
+    table.apply_full_list([make_record("s-1")], 0.0)
+    table.record_outage(5.0)
+    table.apply_full_list([], 5.5)
+    table.apply_full_list([], 7.3)
+    departure = table.find_departure(make_record("s-1").id)
+    assert departure is not None
+    assert departure.stops_at == 5.5 + NOTICE
