Read the list of servers after a server was taken from a peer

It now reads the current list at once, also if it is a listener of a large fleet. test_the_list_is_read_after_a_server_was_taken_from_a_peer fails without the change.

--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -369,6 +369,7 @@
         self._link.on_version = lambda host, version: (
             watcher.configuration.receive_version(version, host)
         )
+        self._server_search.on_added = watcher.request_current_list
         state.stalls.on_stall = partial(self._handle_stall, watcher)
         rollouts = RolloutDuty(state, self._election, self._store)
         self._era.on_restored.append(rollouts.handle_restore)
--- a/dewridge/gateway/versions/serversearch.py
+++ b/dewridge/gateway/versions/serversearch.py
@@ -57,7 +57,12 @@
 
 
 class ServerSearch:
-    """Asks peers for servers that this host does not know, and answers peers."""
+    """Asks peers for servers that this host does not know, and answers peers.
+
+    Attributes:
+        on_added: called when a server was taken from a peer. The peer may not know that
+            it has left, so that the list of the store has to be read.
+    """
 
     def __init__(
         self,
@@ -84,6 +89,7 @@
         self._rank_peers = rank_peers
         self._send = send
         self._rng = rng
+        self.on_added: Callable[[], None] = lambda: None
         self._number = 0
         self._searches: dict[Release | ServiceName, _Search] = {}
 
@@ -193,10 +199,15 @@
 
     def _apply(self, answer: ServerAnswer) -> None:
         now = trio.current_time()
+        is_any_added = False
         for record in answer.records:
-            if not self._servers.has_known(record.id):
+            is_known = self._servers.has_known(record.id)
+            if not is_known:
                 self._log(record, answer.host)
             self._servers.update(record, now)
+            is_any_added |= not is_known and self._servers.find(record.id) is not None
+        if is_any_added:
+            self.on_added()
         for server, leaves_in in answer.departed.items():
             reason = f"reported by {answer.host}"
             self._servers.drop(server, now, reason, leaves_in, is_reported=True)
--- a/dewridge/gateway/watching.py
+++ b/dewridge/gateway/watching.py
@@ -149,6 +149,10 @@
         if len(self._requested_servers) > MAX_REQUESTED_SERVERS:
             self._requested_servers.clear()
         self._requested_servers.update(unknown)
+        self.request_current_list()
+
+    def request_current_list(self) -> None:
+        """Have the current list of servers read now, also by a listener."""
         self._is_server_list_outdated = True
         self._servers_wake.set()
 
--- a/dewridge/tests/gateway/removals_tests.py
+++ b/dewridge/tests/gateway/removals_tests.py
@@ -1,5 +1,6 @@
 """Tests of how soon a host stops using a server whose record was removed."""
 
+import random
 from contextlib import AsyncExitStack
 
 import pytest
@@ -8,7 +9,10 @@
 
 from dewridge.gateway.clock import read_boot_clock
 from dewridge.gateway.departures import apply_store_calls
+from dewridge.gateway.reports import ServerAnswer
 from dewridge.gateway.servers import ServerTable
+from dewridge.gateway.versions.serversearch import ServerSearch
+from dewridge.gateway.versions.unknownservers import UnknownServers
 from dewridge.ids import HostId
 from dewridge.tests.gateway.state_tests import (
     WatchingHost,
@@ -153,3 +157,27 @@
     departure = table.find_departure(make_record("s-1").id)
     assert departure is not None
     assert departure.stops_at == 5.5 + NOTICE
+
+
+def test_the_list_is_read_after_a_server_was_taken_from_a_peer() -> None:
+    """Guards against a peer that does not know yet that a server has left."""
+    table = ServerTable()
+    requested: list[bool] = []
+    search = ServerSearch(
+        HostId("host-1"),
+        table,
+        UnknownServers(table.has_known),
+        list,
+        lambda address, message: None,
+        random.Random(1),
+    )
+    search.on_added = lambda: requested.append(True)
+    answer = ServerAnswer(HostId("host-2"), 1, [make_record("s-1")], {}, is_last=True)
+    trio.run(receive_answer, search, answer)
+    assert len(requested) == 1
+    trio.run(receive_answer, search, answer)
+    assert len(requested) == 1
+
+
+async def receive_answer(search: ServerSearch, answer: ServerAnswer) -> None:
+    search.receive(answer, ("127.0.0.1", 1))
