Spread the polls of the servers again after an event

Watches can go silent for good without an error. Then the polls of all hosts together have to find what changed, but each event had woken all of them at the same moment, so that they polled together and a whole period apart: 3.2 to 3.9 s with nine hosts, two seconds allowed. After a start or an event each host now draws its next poll from the whole period. With 4, 9 and 16 hosts test_polls_of_all_hosts_find_a_removal_while_watches_are_silent failed before; with two hosts the period is short enough. The cost is half a period's poll per host and event.

--- a/dewridge/gateway/watching.py
+++ b/dewridge/gateway/watching.py
@@ -78,6 +78,9 @@
 class StoreWatcher:
     """Polls and watches the store and applies the results to the tables.
 
+    After a start or an event, all hosts poll the servers at the same moment. Each then
+    draws when its next poll is due, so that the polls spread over the period again.
+
     Attributes:
         configuration: follows the operator's items.
         pacing: computes the times between polls.
@@ -120,6 +123,7 @@
         self.configuration.on_watch_failed = self.wake_servers
         self._logged_reasons: set[str] = set()
         self._is_server_list_outdated = False
+        self._is_poll_in_step = True
         self._requested_servers: set[BackendServerId] = set()
         store.on_outcome = watch_store.on_outcome = self._record_outcome
 
@@ -292,6 +296,9 @@
         return listing.revision
 
     async def _wait_for_wake(self, wake: trio.Event, period: float) -> trio.Event:
+        if self._is_poll_in_step:
+            # While watches are silent, only the polls of all hosts are often enough.
+            period *= self._rng.random()
         wake_at = trio.current_time() + period * self._rng.uniform(0.9, 1.1)
         recheck_at = self._servers.recheck_at
         if recheck_at is not None:
@@ -299,6 +306,7 @@
             wake_at = min(wake_at, recheck_at + delay)
         with trio.move_on_at(wake_at):
             await wake.wait()
+        self._is_poll_in_step = wake.is_set()
         return trio.Event()
 
     async def _sleep_with_jitter(self, seconds: float) -> None:
--- a/dewridge/tests/gateway/removals_tests.py
+++ b/dewridge/tests/gateway/removals_tests.py
@@ -14,6 +14,7 @@
 from dewridge.gateway.versions.serversearch import ServerSearch
 from dewridge.gateway.versions.unknownservers import UnknownServers
 from dewridge.ids import HostId
+from dewridge.tests.gateway.memorystore import MemoryStore
 from dewridge.tests.gateway.state_tests import (
     WatchingHost,
     list_names,
@@ -181,3 +182,30 @@
 
 async def receive_answer(search: ServerSearch, answer: ServerAnswer) -> None:
     search.receive(answer, ("127.0.0.1", 1))
+
+
+@pytest.mark.parametrize("hosts", [2, 4, 9, 16])
+async def test_polls_of_all_hosts_find_a_removal_while_watches_are_silent(
+    autojump_clock: trio.testing.MockClock, hosts: int
+) -> None:
+    """Guards against polls of all hosts at the same moment, a whole period apart."""
+    fleet = [
+        WatchingHost(live_peers=hosts - 1, seed=str(number)) for number in range(hosts)
+    ]
+    for host in fleet:
+        host.store.data = fleet[0].store.data
+        host.watch_store.data = MemoryStore().data
+    for name in ("s-1", "s-2", "s-3", "s-4"):
+        write_server(fleet[0].store, name)
+    async with trio.open_nursery() as nursery:
+        for host in fleet:
+            nursery.start_soon(host.watcher.poll_servers)
+        for name in ("s-1", "s-2", "s-3"):
+            await trio.sleep(5.0)
+            for host in fleet:
+                host.watcher.wake_servers()
+            await trio.sleep(0.1)
+            fleet[0].store.remove(f"servers/{name}")
+            await trio.sleep(NOTICE - 0.05)
+            assert any(name not in list_names(host.servers) for host in fleet)
+        nursery.cancel_scope.cancel()
