--- a/dewridge/gateway/hosts.py
+++ b/dewridge/gateway/hosts.py
@@ -221,6 +221,8 @@
         restored: set and replaced at each restore of the store.
         lost_items: items known before restores, which the store may lack now.
         is_listed: whether a complete listing has been applied.
+        recheck_at: monotonic time at which the hosts have to be listed again, since a
+            missing one was kept; None if none was.
     """
 
     def __init__(self, local_host: HostId) -> None:
@@ -237,6 +239,7 @@
         self.lost_items: dict[str, Item] = {}
         self._restored_at = float("-inf")
         self.is_listed = False
+        self.recheck_at: float | None = None
 
     def handle_restore(self) -> None:
         """Discard the revision and items; the restored store may lack recent keys.
@@ -262,10 +265,13 @@
         self._discard_cached()
         for item in listing.items:
             self._apply_item(item)
+        self.recheck_at = None
+        may_register_until = self._restored_at + REREGISTRATION_TIME
         for key in previous.keys() - self._entries.keys():
-            if trio.current_time() - self._restored_at < REREGISTRATION_TIME:
+            if trio.current_time() < may_register_until:
                 self._entries[key] = previous[key]
                 self._discard_cached()
+                self.recheck_at = may_register_until
             else:
                 self._record_end(previous[key])
         self._notify_changed()
@@ -402,12 +408,20 @@
             read = await mirror.read(may_lag=may_lag)
             if isinstance(read, MirrorRead):
                 self._table.replace(read.listing)
-            is_restored = False
-            with trio.move_on_after(POLL_INTERVAL * self._rng.uniform(0.8, 1.2)):
+            needs_current = False
+            with trio.move_on_at(self._compute_next_poll()):
                 await self._table.restored.wait()
-                is_restored = True
+                needs_current = True
                 await trio.sleep(BATCH_DELAY * self._rng.random())
-            may_lag = not (is_restored or self._is_reader())
+            needs_current |= self._table.recheck_at is not None
+            may_lag = not (needs_current or self._is_reader())
+
+    def _compute_next_poll(self) -> float:
+        poll_at = trio.current_time() + POLL_INTERVAL * self._rng.uniform(0.8, 1.2)
+        recheck_at = self._table.recheck_at
+        if recheck_at is None:
+            return poll_at
+        return min(poll_at, recheck_at + BATCH_DELAY * self._rng.random())
 
     async def watch(self) -> None:
         """Apply changes from watches indefinitely.
--- a/dewridge/tests/gateway/removals_tests.py
+++ b/dewridge/tests/gateway/removals_tests.py
@@ -3,18 +3,26 @@
 import random
 from contextlib import AsyncExitStack
 
+import msgspec
 import pytest
 import trio
 import trio.testing
 
 from dewridge.gateway.clock import read_boot_clock
 from dewridge.gateway.departures import apply_store_calls
+from dewridge.gateway.hosts import (
+    HOSTS_PREFIX,
+    LEASE_TTL,
+    HostEntry,
+    HostTable,
+    HostWatcher,
+)
 from dewridge.gateway.reports import ServerAnswer
 from dewridge.gateway.servers import ServerTable
 from dewridge.gateway.versions.serversearch import ServerSearch
 from dewridge.gateway.versions.unknownservers import UnknownServers
-from dewridge.ids import HostId
-from dewridge.tests.gateway.memorystore import MemoryStore
+from dewridge.ids import FailureDomain, HostId
+from dewridge.tests.gateway.memorystore import MemoryStore, StoreData
 from dewridge.tests.gateway.state_tests import (
     WatchingHost,
     list_names,
@@ -209,3 +217,27 @@
             await trio.sleep(NOTICE - 0.05)
             assert any(name not in list_names(host.servers) for host in fleet)
         nursery.cancel_scope.cancel()
+
+
+async def test_a_host_that_ended_during_a_restore_is_not_kept(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a host that is kept after a restore and not looked at again."""
+    store = MemoryStore(StoreData(era=1))
+    table = HostTable(HostId("host-1"))
+    watcher = HostWatcher(store, MemoryStore(), table, 15.0, random.Random(1))
+    entry = HostEntry(
+        HostId("host-2"), 1, "127.0.0.1:1", "127.0.0.1:2", FailureDomain("a"), True
+    )
+    store.write(f"{HOSTS_PREFIX}host-2/1", msgspec.json.encode(entry))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(watcher.poll)
+        await trio.sleep(1.0)
+        assert len(table.list_hosts()) == 1
+        store.remove(f"{HOSTS_PREFIX}host-2/1")
+        table.handle_restore()
+        await trio.sleep(LEASE_TTL - 0.5)
+        assert len(table.list_hosts()) == 1
+        await trio.sleep(1.0)
+        assert len(table.list_hosts()) == 0
+        nursery.cancel_scope.cancel()
