--- a/dewridge/tests/soak/__main__.py
+++ b/dewridge/tests/soak/__main__.py
@@ -43,6 +43,10 @@
             help="Versions that appear while hosts are cut off, paused or starting."
         ),
     ] = 2,
+    departures: Annotated[
+        int,
+        typer.Option(help="Times that servers leave right after a trouble of hosts."),
+    ] = 3,
     rejecting: Annotated[
         int,
         typer.Option(
@@ -75,6 +79,7 @@
         versions=versions,
         resuming=resuming,
         new_versions=new_versions,
+        departures=departures,
         rejecting=rejecting,
         bad_parts=bad_parts,
         routes=routes,
--- a/dewridge/tests/soak/checks.py
+++ b/dewridge/tests/soak/checks.py
@@ -3,6 +3,7 @@
 from collections import Counter, defaultdict
 
 from dewridge.codes import ResultCode
+from dewridge.tests.soak.departurechecks import check_late_arrivals
 from dewridge.tests.soak.documentchecks import check_documents, list_checked
 from dewridge.tests.soak.partchecks import check_bad_parts
 from dewridge.tests.soak.partitionchecks import check_partitions
@@ -48,6 +49,7 @@
         *check_executions(history),
         *check_keys(history),
         *check_departing_servers(history),
+        *check_late_arrivals(history),
         *check_interruptions(history),
         *check_duties(history),
         *check_quotas(history, quotas),
--- a/dewridge/tests/soak/checks_tests.py
+++ b/dewridge/tests/soak/checks_tests.py
@@ -187,7 +187,15 @@
     add_repeats(history, 69)
 
 
+def send_late_after_a_trouble(history: History) -> None:
+    history.server_departing_at["s-1"] = 10.0
+    history.disturbances.append(Disturbance("host-1", 8.0, 8.4))
+    add_arrivals(history, [12.5])
+    history.all_arrivals += history.server_arrivals
+
+
 VIOLATIONS = (
+    send_late_after_a_trouble,
     repeat_too_many_requests,
     forge_success,
     return_other_response,
--- a/dewridge/tests/soak/runs.py
+++ b/dewridge/tests/soak/runs.py
@@ -12,6 +12,7 @@
 from dewridge.tests.soak.callers import Caller
 from dewridge.tests.soak.checks import RECOVERY_SECONDS, check_all, count_outcomes
 from dewridge.tests.soak.crashing import CrashingCaller
+from dewridge.tests.soak.departures import make_servers_leave
 from dewridge.tests.soak.documents import LargeDocuments, probe_versions
 from dewridge.tests.soak.faults import Fault, draw_faults, inject_faults
 from dewridge.tests.soak.newversions import add_version
@@ -52,6 +53,8 @@
     """Number of callers that resume streams at other hosts."""
     new_versions: int = 0
     """Number of versions that appear while hosts are cut off, paused or starting."""
+    departures: int = 0
+    """Number of times that servers leave right after a trouble of all hosts."""
     rejecting: int = 0
     """Number of times that a service rejects most requests while hosts start again."""
     bad_parts: int = 0
@@ -172,6 +175,11 @@
             at = rejecting_rng.uniform(0, size.seconds)
             drawn_rng = random.Random(rejecting_rng.random())
             nursery.start_soon(reject_requests, environment, at, drawn_rng)
+        departure_rng = random.Random(f"departures {seed}")
+        for _ in range(size.departures):
+            at = departure_rng.uniform(0, size.seconds)
+            drawn_rng = random.Random(departure_rng.random())
+            nursery.start_soon(make_servers_leave, environment, at, drawn_rng)
         for _ in range(size.signals):
             at = rng.uniform(0, size.seconds)
             nursery.start_soon(
--- a/dewridge/tests/soak/stage.py
+++ b/dewridge/tests/soak/stage.py
@@ -291,11 +291,21 @@
         server.is_registered = False
         server.write_record(self.store.memory_store)
 
-    async def replace_server(self, server: SoakServer) -> None:
-        """Start a replacement of a server, then drain and deregister the server."""
+    async def replace_server(self, server: SoakServer, *, says_so: bool = True) -> None:
+        """Start a replacement of a server, then drain and deregister the server.
+
+        Args:
+            server: the server that leaves.
+            says_so: whether its record says that it drains; it is removed otherwise.
+        """
         await self.add_server(server.service)
         await trio.sleep(0.5)
+        if server not in self.servers:
+            return
         server.is_draining = True
+        if not says_so:
+            self.servers.remove(server)
+            server.is_registered = False
         server.write_record(self.store.memory_store)
         self._end_period(server)
         self.history.server_departing_at[server.id] = time.monotonic()
