--- a/dewridge/tests/soak/checks.py
+++ b/dewridge/tests/soak/checks.py
@@ -332,6 +332,7 @@
     extras = {
         "partitions": len(history.partitions),
         "brittle periods": len(history.brittle_periods),
+        "servers left": len(history.server_departing_at),
         "repeats": sum(map(len, list_repeats(history).values())),
         "rejections for room": history.rejections_for_room,
         "falls": len(history.falls),
--- a/dewridge/tests/soak/departures.py
+++ b/dewridge/tests/soak/departures.py
@@ -10,9 +10,10 @@
 
 FAILURE_SECONDS = 0.4
 """Seconds for which the hosts' calls to the store fail while it works."""
-MIN_LEAVING_DELAY = 0.6
-MAX_LEAVING_DELAY = 2.6
-"""Seconds after the trouble within which a server of each service leaves."""
+MIN_LEAVING_DELAY = 0.1
+MAX_LEAVING_DELAY = 1.7
+"""Seconds after the trouble until the replacement of a leaving server starts, half a
+second before the server leaves."""
 
 
 async def make_servers_leave(
--- a/dewridge/tests/soak/soak_tests.py
+++ b/dewridge/tests/soak/soak_tests.py
@@ -23,6 +23,7 @@
 NEW_VERSION_SEED = 15_235
 BAD_PARTS_SEED = 12_000
 DOCUMENTS_SEED = 11_000
+DEPARTURES_SEED = 20_202
 REJECTIONS_SEED = 18_000
 
 
@@ -131,6 +132,19 @@
     assert result.outcomes["repeats"] > 0
 
 
+@pytest.mark.timeout(90)
+async def test_no_request_reaches_a_server_late_after_it_has_left(
+    tmp_path: Path,
+) -> None:
+    """Guards against departures that are missed right after a trouble of all hosts."""
+    size = SoakSize(
+        hosts=6, servers=14, callers=20, seconds=FAULT_SECONDS, departures=4
+    )
+    result = await run_soak(DEPARTURES_SEED, size, tmp_path)
+    assert result.violations == []
+    assert result.outcomes["servers left"] >= 4
+
+
 @pytest.mark.timeout(90)
 async def test_large_configurations_are_in_force_in_time(tmp_path: Path) -> None:
     """Versions of 2,000 routes reach hosts with links of 10 Mbit/s within 3 s."""
