Date a peer's answers of the store by when its report arrives

An answer of the store to a peer was dated by the earliest time at which the report can have been made, up to 0.2 s too early, so that the time in which servers register again ended 2.0 s after an outage in place of 2.2 s. It is dated by its arrival now; reports that may have taken more than two seconds show nothing. The test of reports has the second case. ServerTable.record_outage is called record_restore, since only a restore calls it.

--- a/dewridge/gateway/departures.py
+++ b/dewridge/gateway/departures.py
@@ -20,6 +20,10 @@
 from dewridge.gateway.watching import StoreWatcher
 from dewridge.ids import BackendServerId, HostId
 
+MAX_REPORT_DELAY = 2.0
+"""Seconds that a report may have taken if it shows when the store answered its sender:
+two rounds of reports in a large fleet."""
+
 
 def apply_peer_update(
     state: GatewayState, watcher: StoreWatcher, link: ReportLink, update: PeriodicReport
@@ -58,11 +62,12 @@
         report: the peer's report.
         made_at: the earliest time on the boot clock at which it can have been made.
     """
+    if read_boot_clock() - made_at > MAX_REPORT_DELAY:
+        return
     now = trio.current_time()
-    elapsed = read_boot_clock() - made_at
 
     def find_time(age: int | None) -> float | None:
-        return None if age is None else now - elapsed - age / TENTHS_PER_SECOND
+        return None if age is None else now - age / TENTHS_PER_SECOND
 
     state.servers.outages.record_peer_calls(
         find_time(report.store_answer_age), find_time(report.store_failure_age), now
--- a/dewridge/gateway/servers.py
+++ b/dewridge/gateway/servers.py
@@ -109,7 +109,7 @@
         self._by_release: dict[Release, list[ServerRecord]] = {}
         self._by_service_version = 0
 
-    def record_outage(self, now: float) -> None:
+    def record_restore(self, now: float) -> None:
         """Record that the store was restored, so that it may lack records."""
         self.outages.record_restore(now)
 
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -278,7 +278,7 @@
         """Prepare for a restored store, which may lack recent writes."""
         self.metrics.add("store_restores")
         self.configuration.handle_restore()
-        self.servers.record_outage(trio.current_time())
+        self.servers.record_restore(trio.current_time())
         self.hosts.handle_restore()
         self.rollouts.handle_restore()
 
--- a/dewridge/tests/gateway/removals_tests.py
+++ b/dewridge/tests/gateway/removals_tests.py
@@ -9,7 +9,7 @@
 import trio.testing
 
 from dewridge.gateway.clock import read_boot_clock
-from dewridge.gateway.departures import apply_store_calls
+from dewridge.gateway.departures import MAX_REPORT_DELAY, apply_store_calls
 from dewridge.gateway.hosts import (
     HOSTS_PREFIX,
     LEASE_TTL,
@@ -131,6 +131,14 @@
             sender.servers.outages.record_call(trio.current_time(), is_answered=True)
         now = trio.current_time()
         assert receiver.servers.outages.find_doubt_end(now) < now
+        late = read_boot_clock() - MAX_REPORT_DELAY - 0.1
+        for _ in range(6):
+            receiver.servers.outages.record_call(trio.current_time(), is_answered=False)
+            await trio.sleep(0.5)
+            apply_store_calls(receiver, sender.make_report(2), late)
+        receiver.servers.outages.record_call(trio.current_time(), is_answered=True)
+        now = trio.current_time()
+        assert receiver.servers.outages.find_doubt_end(now) >= now + 2.0
 
 
 @pytest.mark.parametrize("is_relayed", [False, True])
@@ -160,7 +168,7 @@
     """Guards against streams that stay at a server that ends before they are moved."""
     table = ServerTable()
     table.apply_full_list([make_record("s-1")], 0.0)
-    table.record_outage(5.0)
+    table.record_restore(5.0)
     table.apply_full_list([], 5.5)
     table.apply_full_list([], 7.3)
     departure = table.find_departure(make_record("s-1").id)
--- a/dewridge/tests/gateway/restores_tests.py
+++ b/dewridge/tests/gateway/restores_tests.py
@@ -251,7 +251,7 @@
     data = StoreData(era=1)
     store = MemoryStore(data)
     servers = ServerTable()
-    store.era.on_restored.append(lambda: servers.record_outage(trio.current_time()))
+    store.era.on_restored.append(lambda: servers.record_restore(trio.current_time()))
     watcher = StoreWatcher(
         store,
         store,
--- a/dewridge/tests/gateway/state_tests.py
+++ b/dewridge/tests/gateway/state_tests.py
@@ -93,7 +93,7 @@
     """
     table = ServerTable()
     table.apply_full_list([make_record("s-1"), make_record("s-2")], 0.0)
-    table.record_outage(5.0)
+    table.record_restore(5.0)
     table.apply_full_list([], 5.1)
     assert list_names(table) == ["s-1", "s-2"]
     table.apply_full_list([make_record("s-2")], 7.5)
@@ -134,7 +134,7 @@
 def test_a_server_that_leaves_during_an_outage_is_dropped() -> None:
     table = ServerTable()
     table.apply_full_list([make_record("s-1")], 0.0)
-    table.record_outage(5.0)
+    table.record_restore(5.0)
     table.apply_full_list([make_record("s-1", is_draining=True)], 5.1)
     assert list_names(table) == []
 
