List the hosts again soon after a failed call

Cause: a failed list of the hosts was retried after a whole period of 3.2 to 4.8 s, and a failed watch of them likewise.

--- a/dewridge/gateway/hosts.py
+++ b/dewridge/gateway/hosts.py
@@ -10,7 +10,7 @@
 
 from dewridge.codes import ResultCode
 from dewridge.gateway.clock import read_boot_clock
-from dewridge.gateway.mirrors import ListMirror, MirrorRead
+from dewridge.gateway.mirrors import ListMirror
 from dewridge.ids import FailureDomain, HostId
 from dewridge.platform.store import Item, Lease, Listing, Store, Write
 from dewridge.sentinels import Failure
@@ -38,6 +38,10 @@
 """Upper limit on the delay in seconds if many hosts read the store. Only hosts that may
 take over the duties need changes quickly, and a third of a lease is enough for that."""
 
+MIN_RETRY_DELAY = 0.1
+MAX_RETRY_DELAY = 0.5
+"""Seconds until a failed listing is retried: the first delay, and the limit up to which
+it doubles. A host that starts sends no reports until it knows the others."""
 MAX_LOST_ITEMS = 2_000
 """Limit on the items retained from before restores of the store."""
 REREGISTRATION_TIME = LEASE_TTL
@@ -218,7 +222,7 @@
         on_item: called with each item that is listed or changed.
         revision: revision of the store up to which the table is current; 0 if unknown.
         changed: set and replaced at each change of the table.
-        restored: set and replaced at each restore of the store.
+        listing_due: set and replaced when all registrations have to be listed.
         lost_items: items known before restores, which the store may lack now.
         is_listed: whether a complete listing has been applied.
         recheck_at: monotonic time at which the hosts have to be listed again, since a
@@ -235,7 +239,7 @@
         self.on_item: Callable[[Item], None] = lambda item: None
         self.revision = 0
         self.changed = trio.Event()
-        self.restored = trio.Event()
+        self.listing_due = trio.Event()
         self.lost_items: dict[str, Item] = {}
         self._restored_at = float("-inf")
         self.is_listed = False
@@ -251,8 +255,12 @@
         self.lost_items = dict(retained[-MAX_LOST_ITEMS:])
         self.items = {}
         self._restored_at = trio.current_time()
-        restored, self.restored = self.restored, trio.Event()
-        restored.set()
+        self.request_listing()
+
+    def request_listing(self) -> None:
+        """Have all registrations listed soon."""
+        due, self.listing_due = self.listing_due, trio.Event()
+        due.set()
 
     def replace(self, listing: Listing) -> None:
         """Replace the table with a complete listing, unless the listing is outdated."""
@@ -404,13 +412,19 @@
         """Poll all registrations indefinitely."""
         mirror = ListMirror(self._store, SYSTEM_PREFIX)
         may_lag = False
+        retry_delay = MIN_RETRY_DELAY
         while True:
+            listing_due = self._table.listing_due
             read = await mirror.read(may_lag=may_lag)
-            if isinstance(read, MirrorRead):
-                self._table.replace(read.listing)
+            if isinstance(read, Failure):
+                await trio.sleep(retry_delay * self._rng.uniform(0.5, 1.5))
+                retry_delay = min(MAX_RETRY_DELAY, retry_delay * 2)
+                continue
+            retry_delay = MIN_RETRY_DELAY
+            self._table.replace(read.listing)
             needs_current = False
             with trio.move_on_at(self._compute_next_poll()):
-                await self._table.restored.wait()
+                await listing_due.wait()
                 needs_current = True
                 await trio.sleep(BATCH_DELAY * self._rng.random())
             needs_current |= self._table.recheck_at is not None
@@ -444,6 +458,9 @@
                         self._table.revision = max(revision, changes.revision)
                     await trio.sleep(self._draw_batch_delay())
                     continue
+                # A change may be missed until the next watch.
+                self._table.request_listing()
+                await trio.sleep(MAX_RETRY_DELAY * self._rng.uniform(0.5, 1.5))
             with trio.move_on_after(POLL_INTERVAL):
                 await self._table.changed.wait()
 
--- a/dewridge/tests/gateway/removals_tests.py
+++ b/dewridge/tests/gateway/removals_tests.py
@@ -249,3 +249,31 @@
         await trio.sleep(1.0)
         assert len(table.list_hosts()) == 0
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("failing", ["first read", "watch"])
+async def test_hosts_are_listed_again_soon_after_a_failed_call(
+    autojump_clock: trio.testing.MockClock, failing: str
+) -> None:
+    """Guards against a host that knows no peers for seconds, and sends no reports."""
+    store, watch_store = MemoryStore(), MemoryStore()
+    watch_store.data = store.data
+    table = HostTable(HostId("host-1"))
+    watcher = HostWatcher(store, watch_store, table, 15.0, random.Random(1))
+    entry = HostEntry(
+        HostId("host-2"), 1, "127.0.0.1:1", "127.0.0.1:2", FailureDomain("a"), True
+    )
+    async with trio.open_nursery() as nursery:
+        store.is_down = failing == "first read"
+        nursery.start_soon(watcher.poll)
+        nursery.start_soon(watcher.watch)
+        await trio.sleep(0.3)
+        store.is_down = False
+        if failing == "watch":
+            watch_store.is_down = True
+            await trio.sleep(0.02)
+            watch_store.is_down = False
+        store.write(f"{HOSTS_PREFIX}host-2/1", msgspec.json.encode(entry))
+        await trio.sleep(1.0)
+        assert len(table.list_hosts()) == 1
+        nursery.cancel_scope.cancel()
