--- a/dewridge/gateway/hosts.py
+++ b/dewridge/gateway/hosts.py
@@ -447,6 +447,7 @@
                 await self._table.changed.wait()
                 continue
             revision = self._table.revision
+            changed = self._table.changed
             if self._is_reader():
                 changes = await self._watch_store.watch(
                     SYSTEM_PREFIX, revision, self._watch_wait
@@ -462,7 +463,7 @@
                 self._table.request_listing()
                 await trio.sleep(MAX_RETRY_DELAY * self._rng.uniform(0.5, 1.5))
             with trio.move_on_after(POLL_INTERVAL):
-                await self._table.changed.wait()
+                await changed.wait()
 
     def _draw_batch_delay(self) -> float:
         """Return a random delay in seconds before the next watch after a change.
