--- a/dewridge/gateway/servers.py
+++ b/dewridge/gateway/servers.py
@@ -146,10 +146,10 @@
         self.recheck_at = None
         if not missing:
             return
-        doubt_end = self.outages.find_doubt_end(now)
-        if min(requested_at, now) < doubt_end:
-            self.recheck_at = doubt_end
-            self._log_kept(now, doubt_end - now)
+        grace_end = self.outages.find_grace_end(now)
+        if min(requested_at, now) < grace_end:
+            self.recheck_at = grace_end
+            self._log_kept(now, grace_end - now)
             return
         for server in missing:
             self.drop(server, now, "its record is gone")
--- a/dewridge/policy/storeoutages.py
+++ b/dewridge/policy/storeoutages.py
@@ -91,13 +91,13 @@
     def __len__(self) -> int:
         return len(self._answered) + len(self._failed)
 
-    def find_doubt_end(self, now: float) -> float:
-        """Return until when a missing record does not show that its server has left.
+    def find_grace_end(self, now: float) -> float:
+        """Return the end of the grace period in which a missing record is no departure.
 
         Several outages in a row count together: a server that misses a heartbeat in
         each of them loses its record as in a single one.
         """
-        doubt_end = self._restored_at + REREGISTRATION_TIME
+        grace_end = self._restored_at + REREGISTRATION_TIME
         outages = self._list_outages(now)
         for end, _ in outages:
             missed = sum(
@@ -106,8 +106,8 @@
                 if end - self._expiry < other_end <= end
             )
             if missed >= MIN_MISSED_HEARTBEATS * self.heartbeat - SLOT_SECONDS:
-                doubt_end = max(doubt_end, end + REREGISTRATION_TIME)
-        return doubt_end
+                grace_end = max(grace_end, end + REREGISTRATION_TIME)
+        return grace_end
 
     def _list_outages(self, now: float) -> list[tuple[float, float]]:
         """Return end and length in seconds of each time without answers that failed."""
--- a/dewridge/tests/gateway/removals_tests.py
+++ b/dewridge/tests/gateway/removals_tests.py
@@ -52,7 +52,7 @@
 async def test_a_removal_after_failed_reads_is_acted_on_in_time(
     autojump_clock: trio.testing.MockClock, delay: float
 ) -> None:
-    """Guards against a removal that is seen in doubt and not looked at again."""
+    """Guards against a removal that is seen in a grace period and not read again after it."""
     host = WatchingHost(live_peers=LONG_PERIOD_PEERS)
     write_server(host.store, "s-1")
     write_server(host.store, "s-2")
@@ -130,7 +130,7 @@
             apply_store_calls(receiver, report, read_boot_clock())
             sender.servers.outages.record_call(trio.current_time(), is_answered=True)
         now = trio.current_time()
-        assert receiver.servers.outages.find_doubt_end(now) < now
+        assert receiver.servers.outages.find_grace_end(now) < now
         late = read_boot_clock() - MAX_REPORT_DELAY - 0.1
         for _ in range(6):
             receiver.servers.outages.record_call(trio.current_time(), is_answered=False)
@@ -138,7 +138,7 @@
             apply_store_calls(receiver, sender.make_report(2), late)
         receiver.servers.outages.record_call(trio.current_time(), is_answered=True)
         now = trio.current_time()
-        assert receiver.servers.outages.find_doubt_end(now) >= now + 2.0
+        assert receiver.servers.outages.find_grace_end(now) >= now + 2.0
 
 
 @pytest.mark.parametrize("is_relayed", [False, True])
