--- a/dewridge/tests/gateway/removals_tests.py
+++ b/dewridge/tests/gateway/removals_tests.py
@@ -52,7 +52,7 @@
 async def test_a_removal_after_failed_reads_is_acted_on_in_time(
     autojump_clock: trio.testing.MockClock, delay: float
 ) -> None:
-    """Guards against a removal that is seen in a grace period and not read again after it."""
+    """Guards against a removal seen in a grace period that ends without a read."""
     host = WatchingHost(live_peers=LONG_PERIOD_PEERS)
     write_server(host.store, "s-1")
     write_server(host.store, "s-2")
