Move streams early enough to return within the notice

Suspected cause: servers that are reclaimed give 2.5 s; their streams moved at 2.0 s, and lets none return after 1.8 s, so that a stream that its new server rejects is lost. They move at 1.5 s now, with whatever longer notice. test_streams_move_early_enough_to_return_within_ the_notice failed before (2.0 s against 1.8 s). Its effect on the served share is not measured.

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -381,7 +381,7 @@
         stream.is_direct = is_direct
         departure = self._state.servers.find_departure(server.id)
         if departure is not None:
-            stream.schedule_move(departure.stops_at)
+            stream.schedule_move(departure.notice_ends_at)
         return stream
 
     async def _forward_events(
--- a/dewridge/gateway/departures.py
+++ b/dewridge/gateway/departures.py
@@ -131,6 +131,10 @@
     of it from a cell peer sends nothing. With 85 hosts this takes a hundred messages; a
     report from every host to all its targets took fifteen times as many.
     """
+    departure = state.servers.find_departure(record.id)
+    if departure is not None:
+        # A stream that its new server rejects has to return within the notice.
+        stops_at = departure.notice_ends_at
     state.streams.schedule_moves(record.id, stops_at)
     if not is_reported_by_peer:
         link.schedule_urgent_send(Recipients.ALL)
--- a/dewridge/gateway/servers.py
+++ b/dewridge/gateway/servers.py
@@ -68,12 +68,14 @@
     record: ServerRecord | None
 
     @property
-    def usable_until(self) -> float:
-        """Time until which a stream that moves may still be sent to the process.
+    def notice_ends_at(self) -> float:
+        """Time by which no request may reach the process, though it may still serve."""
+        return min(self.stops_at, self.learned_at + DEFAULT_NOTICE)
 
-        The process may serve for longer, but no request may reach it by then.
-        """
-        return min(self.stops_at, self.learned_at + DEFAULT_NOTICE) - ARRIVAL_MARGIN
+    @property
+    def usable_until(self) -> float:
+        """Time until which a stream that moves may still be sent to the process."""
+        return self.notice_ends_at - ARRIVAL_MARGIN
 
 
 class ServerTable:
--- a/dewridge/tests/gateway/removals_tests.py
+++ b/dewridge/tests/gateway/removals_tests.py
@@ -19,6 +19,7 @@
 )
 from dewridge.gateway.reports import ServerAnswer
 from dewridge.gateway.servers import ServerTable
+from dewridge.gateway.streams import MOVE_LEAD_TIME
 from dewridge.gateway.versions.serversearch import ServerSearch
 from dewridge.gateway.versions.unknownservers import UnknownServers
 from dewridge.ids import FailureDomain, HostId
@@ -164,6 +165,16 @@
             assert last_sent > 0.5
 
 
+def test_streams_move_early_enough_to_return_within_the_notice() -> None:
+    """Guards against streams that are lost since they move after the last return."""
+    table = ServerTable()
+    table.update(make_record("s-1"), 0.0)
+    table.drop(make_record("s-1").id, 0.0, "it drains", 2.5)
+    departure = table.find_departure(make_record("s-1").id)
+    assert departure is not None
+    assert departure.notice_ends_at - MOVE_LEAD_TIME < departure.usable_until
+
+
 def test_a_server_that_was_kept_stops_its_notice_after_it_was_missing() -> None:
     """Guards against streams that stay at a server that ends before they are moved."""
     table = ServerTable()
