--- a/dewridge/tests/soak/callers.py
+++ b/dewridge/tests/soak/callers.py
@@ -138,6 +138,11 @@
     )
 
 
+def find_timeout(request: SentRequest) -> float:
+    """Return the seconds after which a caller abandons a request."""
+    return request.timeout or REQUEST_TIMEOUTS[request.kind]
+
+
 def _encode_request(state: h11.Connection, request: SentRequest) -> bytes:
     head = h11.Request(
         method="POST",
@@ -145,7 +150,7 @@
         headers=[
             ("Host", "example.test"),
             ("X-Attempt-Id", request.id),
-            ("X-Deadline-Ms", str(round(REQUEST_TIMEOUTS[request.kind] * 1000))),
+            ("X-Deadline-Ms", str(round(find_timeout(request) * 1000))),
             ("X-Api-Key", request.key),
             ("X-Token-Count", f"{request.tokens - 5},5"),
             ("Content-Length", str(len(request.content))),
--- a/dewridge/tests/soak/records.py
+++ b/dewridge/tests/soak/records.py
@@ -10,6 +10,10 @@
 """The same where servers reject most requests, so that retries soon reach the limit."""
 
 
+STREAM_SECONDS = 0.48
+"""Usual length of a stream."""
+
+
 class RequestKind(Enum):
     """Kinds of requests that the soak test sends; the value is the path prefix."""
 
@@ -60,6 +64,9 @@
         resumes_after: number of the last event that the caller has of that stream.
         versions: versions of the servers that wrote the events, if they have any.
         parts: parts of its prompt; the last one is its own.
+        stream_seconds: how long its server takes for the whole stream.
+        first_event_seconds: how long its server takes before that.
+        timeout: seconds after which the caller abandons it; 0 for the usual time.
     """
 
     id: str
@@ -82,6 +89,9 @@
     resumes_after: int = 0
     versions: set[str] = field(default_factory=set)
     parts: tuple[str, ...] = ()
+    stream_seconds: float = STREAM_SECONDS
+    first_event_seconds: float = 0.0
+    timeout: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/dewridge/tests/soak/servers.py
+++ b/dewridge/tests/soak/servers.py
@@ -31,10 +31,8 @@
 """Seconds from the start of such a request to the crash of the server."""
 PLAIN_RESPONSE_SECONDS = 0.015
 """Seconds until a server responds to a request without a stream."""
-EVENT_INTERVAL = 0.04
-"""Seconds before each event of a stream."""
 EVENTS_PER_STREAM = 12
-"""Events of a stream, which takes half a second, so that faults hit many streams."""
+"""Events of a stream, which usually takes half a second, so that faults hit many."""
 REJECTED_SHARE = 0.8
 """Share of the requests that a server rejects while its service rejects most."""
 
@@ -222,9 +220,11 @@
 
     async def _send_stream(self, exchange: ServerExchange, request_id: str) -> None:
         last_received = int(exchange.headers.get(b"last-event-id", b"0"))
+        request = self.history.requests[request_id]
+        await trio.sleep(request.first_event_seconds)
         await exchange.begin_stream()
         for number in range(last_received + 1, EVENTS_PER_STREAM + 1):
-            await trio.sleep(EVENT_INTERVAL)
+            await trio.sleep(request.stream_seconds / EVENTS_PER_STREAM)
             last_marker = " last" if number == EVENTS_PER_STREAM else ""
             owner = f"{request_id}#{self.version}" if self.version else request_id
             event = f"id: {number}\ndata: {owner}{last_marker}\n\n".encode()
--- a/dewridge/tests/soak/stage.py
+++ b/dewridge/tests/soak/stage.py
@@ -396,7 +396,7 @@
         "path_prefix": f"/{name}/",
         "route_type": kind,
         "service": service,
-        "timeout_ms": 6000,
+        "timeout_ms": 15_000 if kind == "streaming" else 6000,
         "target_latency_ms": 300,
         "gap_target_ms": 500,
         "max_attempts": attempts,
