Log why a leaving host exits and which requests its exit cuts

A request that the exit of its host cut was logged as "caller left", as if its caller had disconnected, and nothing said when the exit was decided and by what. So the logs of a shutdown could not tell apart streams that outlast the process, requests that wait for a server, and an exit that comes too early.

Requests are tracked by stage (waiting, sent, answering). "leaving" and "left" name their numbers, "left" also the reason (quiet or deadline) and the time since the signal, and a request cut by the exit says "host exits" with its stage. The module of the shutdown moves to a folder of its own; its decisions are unchanged.

--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -31,7 +31,6 @@
 from dewridge.gateway.echoes import SentReportTimes
 from dewridge.gateway.hosts import HostEntry, HostTable, HostWatcher, Registration
 from dewridge.gateway.ingress import IngressState, RequestHandler, serve_connection
-from dewridge.gateway.leaving import leave_fleet
 from dewridge.gateway.limitsharing import list_limit_updates
 from dewridge.gateway.measures import (
     count_received_bytes,
@@ -54,6 +53,7 @@
 from dewridge.gateway.serving import RequestProcessor
 from dewridge.gateway.sharing import SharedReports
 from dewridge.gateway.sharinglink import Recipients, ReportLink
+from dewridge.gateway.shutdown.leaving import leave_fleet
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.suspectkeeping import SuspectPersistence
 from dewridge.gateway.suspects import make_update_lister, make_urgent_lister
@@ -341,6 +341,7 @@
                         break
                     self._settings_reloader.poll_now()
                 await leave_fleet(self._state, self._registration, self._election)
+            self._state.served.is_exiting = True
             nursery.cancel_scope.cancel()
         log.info("stopped")
 
--- a/dewridge/gateway/serving.py
+++ b/dewridge/gateway/serving.py
@@ -21,6 +21,7 @@
 )
 from dewridge.gateway.placement.outcomes import describe_choice
 from dewridge.gateway.responder import CallerDisconnectedError, Responder
+from dewridge.gateway.shutdown.progress import ServedRequest
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.suspects import check_quarantine, describe_suspect
 from dewridge.gateway.versions.origins import (
@@ -65,6 +66,12 @@
 
     async def serve(self, request: CallerRequest, responder: Responder) -> None:
         """Answer a request; any failure is answered, or interrupts the stream."""
+        with self._state.served.track(responder) as served:
+            await self._serve(request, responder, served)
+
+    async def _serve(
+        self, request: CallerRequest, responder: Responder, served: ServedRequest
+    ) -> None:
         started_at = trio.current_time()
         job: Job | None = None
         failure: Failure | None = None
@@ -73,16 +80,17 @@
             if isinstance(resolved, Failure):
                 failure = resolved
             else:
-                job = self._make_job(request, resolved)
+                job = served.job = self._make_job(request, resolved)
                 failure = (
                     await find_origin(self._state, job)
                     or self._admit(job)
                     or await self._run(job, responder)
                 )
         except (CallerDisconnectedError, trio.Cancelled):
-            self._record_completion(
-                request, job, responder, None, started_at, "caller left"
-            )
+            reason = f"host exits: {served.stage.value}"
+            if not self._state.served.is_exiting:
+                reason = "caller left"
+            self._record_completion(request, job, responder, None, started_at, reason)
             raise
         except Exception as error:
             log.bind(id=request.id).opt(exception=error).error("request failed")
--- a/dewridge/gateway/leaving.py
+++ b/dewridge/gateway/shutdown/leaving.py
@@ -1,5 +1,7 @@
 """Graceful shutdown: leave the lists of hosts first, exit once no caller is left."""
 
+from enum import Enum
+
 import trio
 from loguru import logger as log
 
@@ -21,6 +23,15 @@
 """Seconds between two checks whether the host is still needed."""
 
 
+class ExitReason(Enum):
+    """Why a leaving host ends."""
+
+    QUIET = "quiet"
+    """No caller is left."""
+    DEADLINE = "deadline"
+    """It would be killed soon."""
+
+
 async def leave_fleet(
     state: GatewayState, registration: Registration, election: HolderElection
 ) -> None:
@@ -32,16 +43,31 @@
     """
     started_at = trio.current_time()
     exit_deadline = started_at + state.settings.bounds.grace - EXIT_MARGIN
-    log.bind(requests=state.ingress.requests).info("leaving")
+    log.bind(**describe_requests(state), exit_in=exit_deadline - started_at).info(
+        "leaving"
+    )
     state.ingress.is_leaving = True
     state.leaves_at = exit_deadline
     update_readiness(state, registration)
     await election.step_down()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_unregister, registration)
-        await _wait_until_unneeded(state, started_at, exit_deadline)
+        reason = await _wait_until_unneeded(state, started_at, exit_deadline)
         nursery.cancel_scope.cancel()
-    log.bind(requests=state.ingress.requests).info("left")
+    log.bind(
+        **describe_requests(state),
+        reason=reason.value,
+        after=round(trio.current_time() - started_at, 3),
+    ).info("left")
+
+
+def describe_requests(state: GatewayState) -> dict[str, int]:
+    """Return the requests that are read or served, as log fields."""
+    return {
+        "requests": state.ingress.requests,
+        "relayed": state.relay_ingress.requests,
+        **state.served.count_stages(),
+    }
 
 
 async def _unregister(registration: Registration) -> None:
@@ -54,7 +80,7 @@
 
 async def _wait_until_unneeded(
     state: GatewayState, started_at: float, exit_deadline: float
-) -> None:
+) -> ExitReason:
     serves_until = min(
         exit_deadline,
         started_at + ANSWER_TTL_MULTIPLE * compute_address_ttl(state) + QUIET_PERIOD,
@@ -67,5 +93,6 @@
         if now >= serves_until:
             state.ingress.close_idle_connections()
             if now - quiet_since > QUIET_PERIOD:
-                return
+                return ExitReason.QUIET
         await trio.sleep(POLL_INTERVAL)
+    return ExitReason.DEADLINE
--- /dev/null
+++ b/dewridge/gateway/shutdown/progress.py
@@ -0,0 +1,71 @@
+"""The requests of callers that this host is serving, and how far each of them is."""
+
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from enum import Enum
+
+from dewridge.gateway.jobs import Job
+from dewridge.gateway.responder import Responder
+
+
+class Stage(Enum):
+    """How far a request is."""
+
+    WAITING = "waiting"
+    """No server may have run it."""
+    SENT = "sent"
+    """A server may have run it, and the caller has no byte of an answer."""
+    ANSWERING = "answering"
+    """The caller has a part of the answer."""
+
+
+@dataclass(eq=False)
+class ServedRequest:
+    """A request while it is served.
+
+    Attributes:
+        responder: writes its answer.
+        job: the request with its attempts; None before it is routed.
+    """
+
+    responder: Responder
+    job: Job | None = None
+
+    @property
+    def stage(self) -> Stage:
+        """How far it is."""
+        if self.responder.has_started:
+            return Stage.ANSWERING
+        if self.job is None or self.job.possible_runs == 0:
+            return Stage.WAITING
+        return Stage.SENT
+
+
+@dataclass
+class ServedRequests:
+    """All requests that are served now.
+
+    Attributes:
+        is_exiting: whether the process ends now; requests that are cancelled from then
+            on are cut by it and not by their callers.
+    """
+
+    is_exiting: bool = False
+    _requests: set[ServedRequest] = field(default_factory=set)
+
+    @contextmanager
+    def track(self, responder: Responder) -> Iterator[ServedRequest]:
+        """Count a request during the `with` body."""
+        served = ServedRequest(responder)
+        self._requests.add(served)
+        try:
+            yield served
+        finally:
+            self._requests.discard(served)
+
+    def count_stages(self) -> dict[str, int]:
+        """Return the number of requests by stage."""
+        counts = Counter(served.stage for served in self._requests)
+        return {stage.value: counts[stage] for stage in Stage}
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -43,6 +43,7 @@
 from dewridge.gateway.rollouts import RolloutTable
 from dewridge.gateway.servers import ServerTable
 from dewridge.gateway.sharing import SharedReports
+from dewridge.gateway.shutdown.progress import ServedRequests
 from dewridge.gateway.streams import RunningStreams
 from dewridge.gateway.versions.records import (
     AskPeers,
@@ -214,6 +215,7 @@
     is_ready: bool = False
     leaves_at: float = float("inf")
     """Time on the monotonic clock at which this process ends."""
+    served: ServedRequests = field(default_factory=ServedRequests)
     _silent_live_hosts: frozenset[HostId] = frozenset()
     _silent_peers: list[HostEntry] = field(default_factory=list)
     _silent_count: int = 0
