Accept requests at a leaving host by the time that they may take at most

Callers saw streams cut that a leaving host had accepted 3 to 3.4 s after SIGTERM: the host took streams until 4 s before its exit, because 99% were assumed to take less. A relay refused by the same assumption. Operators excuse a request that was sent by 3 s after SIGTERM and that runs into the last sixth of the grace period; later ones have to end.

The times of a shutdown are a schedule now, made from the grace period alone. Streams that may outlast the process are accepted for 2.7 s (3 s, less the time for which the signal may wait); from then on any request is accepted only if its deadline, or its route's timeout, passes before the exit. All others are refused at once, to be sent to another host. The exit lies in the last sixth for any grace period; before, it came too early with periods below 3.6 s.

Callers with budgets of 15 s are refused from 2.7 s on in place of 3.4 s.

test_a_leaving_host_rejects_long_requests expected that a stream with 2 s left is refused 3 s before the exit, for the assumed 4 s. The test that replaces it has the budget decide, for streams and plain requests alike. In partition_tests.py the leaving relay's exit moves from 3 s to 0.6 s ahead, so that requests of 2 s still don't fit.

--- a/dewridge/gateway/reach/relay.py
+++ b/dewridge/gateway/reach/relay.py
@@ -53,9 +53,6 @@
 """Requests of peers in flight, so that they do not crowd out this host's callers."""
 PROBE_LIFETIME = 0.25
 """Seconds for which the result of a probe is used for all peers that ask."""
-MIN_TIME_TO_EXIT = 4.0
-"""Seconds before the exit of this process from which it relays nothing more. Most
-streams take less."""
 MAX_PROBED = 4
 """Servers that one peer may have probed in one call."""
 
@@ -100,7 +97,8 @@
 
         async def probe(index: int, server: BackendServerId) -> None:
             record = self._state.servers.find(server)
-            if record is not None and not self._find_obstacle(record):
+            now = trio.current_time()
+            if record is not None and not self._find_obstacle(record, ends_by=now):
                 results[index] = await self._probe(record)
 
         async with trio.open_nursery() as nursery:
@@ -130,7 +128,7 @@
         self, order: RelayOrder, request: CallerRequest, responder: Responder
     ) -> None:
         server = self._state.servers.find(order.servers[0])
-        unusable = self._find_obstacle(server)
+        unusable = self._find_obstacle(server, ends_by=request.deadline)
         if server is None or unusable:
             await self._send_loss(responder, LossReason.NO_PATH, unusable)
             return
@@ -145,11 +143,16 @@
                 id=request.id, server=server.id, sender=order.sender, outcome=outcome
             ).info("request relayed")
 
-    def _find_obstacle(self, server: ServerRecord | None) -> str:
-        """Return why this host can't relay a call; empty if it can."""
+    def _find_obstacle(self, server: ServerRecord | None, ends_by: float) -> str:
+        """Return why this host can't relay a call; empty if it can.
+
+        Peers ask a leaving host only if no other can relay.
+        """
         if server is None:
             return "unknown server"
-        if self._state.leaves_at - trio.current_time() < MIN_TIME_TO_EXIT:
+        schedule = self._state.shutdown
+        now = trio.current_time()
+        if schedule is not None and not schedule.accepts(now, ends_by, is_stream=True):
             return "leaving"
         if self.in_flight >= MAX_RELAYED:
             return "full"
--- a/dewridge/gateway/serving.py
+++ b/dewridge/gateway/serving.py
@@ -40,8 +40,6 @@
 STALE_RETRY_AFTER = 0.3
 """Mean seconds after which a caller is asked to retry, here or at another host, if the
 configuration of this host is outdated or missing: half a poll interval."""
-STREAM_TIME_P99 = 4.0
-"""Seconds within which 99% of the streams complete under load."""
 MAX_LOGGED_SERVERS = 8
 """Servers that withheld requests, in the line of a request that was refused."""
 DEADLINE_SLACK = 0.1
@@ -134,12 +132,12 @@
         interrupted by the exit has run and may not be retried, while a caller that is
         rejected at once sends it to another host.
         """
-        time_left = self._state.leaves_at - trio.current_time()
-        if route.kind is RouteKind.STREAM:
-            needed = STREAM_TIME_P99
-        else:
-            needed = min(request.deadline - request.arrived_at, route.timeout)
-        if time_left >= needed:
+        schedule = self._state.shutdown
+        if schedule is None:
+            return None
+        ends_by = compute_deadline(request, route) + DEADLINE_SLACK
+        is_stream = route.kind is RouteKind.STREAM
+        if schedule.accepts(trio.current_time(), ends_by, is_stream=is_stream):
             return None
         return Failure(ResultCode.HOST_LEAVING, "this host is leaving", 0.0)
 
@@ -190,13 +188,12 @@
 
     def _make_job(self, request: CallerRequest, resolved: ResolvedRequest) -> Job:
         route = resolved.route
-        deadline = min(request.deadline, request.arrived_at + route.timeout)
         return Job(
             request=request,
             route=route,
             account=resolved.account,
             service=self._choose_service(route),
-            deadline=deadline,
+            deadline=compute_deadline(request, route),
             is_engine=self._has_engine(resolved, route),
         )
 
@@ -257,6 +254,11 @@
         ).info("request")
 
 
+def compute_deadline(request: CallerRequest, route: Route) -> float:
+    """Return the time at which a request is abandoned."""
+    return min(request.deadline, request.arrived_at + route.timeout)
+
+
 def compute_quota_units(request: CallerRequest, account: Account) -> float:
     """Return the units that a request uses of its account's quota."""
     if not account.counts_tokens:
--- a/dewridge/gateway/shutdown/leaving.py
+++ b/dewridge/gateway/shutdown/leaving.py
@@ -10,11 +10,10 @@
 from dewridge.gateway.hosts import Registration
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.upkeep import update_readiness
+from dewridge.policy.shutdown import ShutdownSchedule, schedule_shutdown
 
 ANSWER_TTL_MULTIPLE = 3.0
 """Multiple of its time to live for which some callers keep a list of addresses."""
-EXIT_MARGIN = 0.6
-"""Seconds before the process is killed at which it exits by itself."""
 QUIET_PERIOD = 0.6
 """Seconds without a request after which no caller is assumed to be left."""
 UNREGISTER_TIME = 1.0
@@ -42,17 +41,16 @@
     only stopped accepting, requests on open connections would get no answer.
     """
     started_at = trio.current_time()
-    exit_deadline = started_at + state.settings.bounds.grace - EXIT_MARGIN
-    log.bind(**describe_requests(state), exit_in=exit_deadline - started_at).info(
-        "leaving"
-    )
+    schedule = schedule_shutdown(started_at, state.settings.bounds.grace)
+    exit_in = round(schedule.exits_at - started_at, 3)
+    log.bind(**describe_requests(state), exit_in=exit_in).info("leaving")
     state.ingress.is_leaving = True
-    state.leaves_at = exit_deadline
+    state.shutdown = schedule
     update_readiness(state, registration)
     await election.step_down()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_unregister, registration)
-        reason = await _wait_until_unneeded(state, started_at, exit_deadline)
+        reason = await _wait_until_unneeded(state, schedule)
         nursery.cancel_scope.cancel()
     log.bind(
         **describe_requests(state),
@@ -79,14 +77,16 @@
 
 
 async def _wait_until_unneeded(
-    state: GatewayState, started_at: float, exit_deadline: float
+    state: GatewayState, schedule: ShutdownSchedule
 ) -> ExitReason:
     serves_until = min(
-        exit_deadline,
-        started_at + ANSWER_TTL_MULTIPLE * compute_address_ttl(state) + QUIET_PERIOD,
+        schedule.exits_at,
+        schedule.started_at
+        + ANSWER_TTL_MULTIPLE * compute_address_ttl(state)
+        + QUIET_PERIOD,
     )
     quiet_since = trio.current_time()
-    while trio.current_time() < exit_deadline:
+    while trio.current_time() < schedule.exits_at:
         now = trio.current_time()
         if state.ingress.requests + state.relay_ingress.requests > 0:
             quiet_since = now
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -72,6 +72,7 @@
 from dewridge.policy.quota import FleetView, QuotaLedger
 from dewridge.policy.reachability import ServerPath
 from dewridge.policy.serverhealth import ServerHealth, compute_attempt_rate
+from dewridge.policy.shutdown import ShutdownSchedule
 from dewridge.policy.streamversions import ReleaseHistory
 from dewridge.policy.suspects import SuspectLedger
 from dewridge.settings.gateway import GatewaySettings
@@ -213,8 +214,8 @@
     dependencies: list[ServiceClient] = field(default_factory=list)
     describe_duties: Callable[[], dict[str, object]] = dict
     is_ready: bool = False
-    leaves_at: float = float("inf")
-    """Time on the monotonic clock at which this process ends."""
+    shutdown: ShutdownSchedule | None = None
+    """Times of the graceful shutdown; None until it begins."""
     served: ServedRequests = field(default_factory=ServedRequests)
     _silent_live_hosts: frozenset[HostId] = frozenset()
     _silent_peers: list[HostEntry] = field(default_factory=list)
--- /dev/null
+++ b/dewridge/policy/shutdown.py
@@ -0,0 +1,68 @@
+"""What a leaving host still accepts, and when it ends.
+
+Made for rolling restarts and reclaims: callers use addresses that are seconds old, and
+open connections until the process is gone, while streams last for seconds. A request
+that the exit cuts is lost to its caller; one that is refused at once is sent to another
+host. So whether a request is accepted follows from the time that it may take at most,
+not from how long such requests usually take.
+"""
+
+from dataclasses import dataclass, replace
+
+OPEN_PERIOD = 3.0
+"""Seconds from the signal in which streams are accepted that may outlast the process.
+Callers with old addresses send few requests later, and operators allow only streams
+sent by then to be cut."""
+SIGNAL_DELAY = 0.3
+"""Seconds for which the signal may wait for a busy process. Operators count from when
+they sent it."""
+EXIT_SHARE = 1 / 12
+"""Share of the grace period that is left at the exit: half of the last sixth, before
+which no running stream may be cut."""
+MAX_EXIT_MARGIN = 0.6
+"""Maximum seconds that are left at the exit, enough to end the process before it is
+killed."""
+STATUS_TIME = 0.3
+"""Seconds before the exit in which requests without an answer get a status."""
+
+
+@dataclass(frozen=True, slots=True)
+class ShutdownSchedule:
+    """Times of a graceful shutdown on the monotonic clock.
+
+    Attributes:
+        started_at: when the signal was received.
+        open_until: until when streams are accepted that may outlast the process.
+        answers_by: by when all other requests have to end.
+        exits_at: when the process ends, whatever still runs.
+    """
+
+    started_at: float
+    open_until: float
+    answers_by: float
+    exits_at: float
+
+    def accepts(self, now: float, ends_by: float, *, is_stream: bool) -> bool:
+        """Return whether a request is accepted now that ends by a certain time."""
+        if is_stream and now < self.open_until:
+            return True
+        return ends_by <= self.answers_by
+
+    def close(self, now: float) -> "ShutdownSchedule":
+        """Return the schedule of a host that accepts nothing more."""
+        return replace(self, open_until=now, answers_by=now)
+
+
+def schedule_shutdown(started_at: float, grace: float) -> ShutdownSchedule:
+    """Return the times of a shutdown.
+
+    Args:
+        started_at: when the signal was received.
+        grace: seconds from the signal until the process is killed.
+    """
+    exits_at = started_at + grace - min(MAX_EXIT_MARGIN, EXIT_SHARE * grace)
+    answers_by = exits_at - STATUS_TIME
+    open_until = started_at + OPEN_PERIOD - SIGNAL_DELAY
+    return ShutdownSchedule(
+        started_at, min(open_until, answers_by), answers_by, exits_at
+    )
--- a/dewridge/tests/gateway/ingress_tests.py
+++ b/dewridge/tests/gateway/ingress_tests.py
@@ -11,6 +11,7 @@
 from dewridge.gateway.model import Limits
 from dewridge.http1.headers import find_framing_fault, remove_hop_by_hop_headers
 from dewridge.platform.headers import parse_request_headers
+from dewridge.policy.shutdown import ShutdownSchedule
 from dewridge.tests.gateway.world import (
     KEY,
     answer_ok,
@@ -166,19 +167,20 @@
     assert float(answers[-1].headers[b"retry-after"]) > 0
 
 
-async def test_a_leaving_host_rejects_long_requests() -> None:
-    """A host is stopped while callers still use its address.
-
-    A stream started now would be interrupted by the exit, so it is rejected; a short
-    request still completes in time.
-    """
+async def test_a_leaving_host_rejects_requests_that_may_outlast_it() -> None:
+    """Guards against streams that are accepted by how long they usually take."""
     async with open_world() as world:
         await world.add_server("s-1", answer_ok)
         world.state.ingress.is_leaving = True
-        world.state.leaves_at = trio.current_time() + 3.0
-        stream_answer = await world.request("/draft/a", method="POST", body=b"x")
-        short_answer = await world.request("/read/a")
-    assert stream_answer.status == 503
+        now = trio.current_time()
+        world.state.shutdown = ShutdownSchedule(
+            now - 4.0, now - 1.0, now + 1.5, now + 2
+        )
+        long_stream = await world.request("/draft/a", deadline_ms=2000)
+        long_answer = await world.request("/read/a", deadline_ms=2000)
+        short_answer = await world.request("/read/a", deadline_ms=1000)
+    assert (long_stream.status, long_answer.status) == (503, 503)
+    assert long_stream.headers[b"retry-after"] == b"0.000"
     assert short_answer.status == 200
     assert short_answer.headers[b"connection"] == b"close"
 
--- a/dewridge/tests/gateway/partition_tests.py
+++ b/dewridge/tests/gateway/partition_tests.py
@@ -8,6 +8,7 @@
 
 from dewridge.gateway.directory import Directory
 from dewridge.policy.reachability import ServerPath
+from dewridge.policy.shutdown import schedule_shutdown
 from dewridge.tests.gateway.moving_tests import (
     LAST_EVENT,
     ScriptedEngine,
@@ -225,7 +226,8 @@
         assert (await world.request("/read/a")).status == 200
         asked = partitioned.state.metrics.read("requests_relayed_for_peers_total")
         partition(linked, [2])
-        leaving.state.leaves_at = trio.current_time() + 3.0
+        begin = trio.current_time() - 4.0
+        leaving.state.shutdown = schedule_shutdown(begin, grace=5.0)
         gone.state.relay_key = "another"
         for number in range(12):
             answer = await write(world, number)
@@ -413,7 +415,7 @@
         assert (await world.request("/read/a")).status == 200
         leaving.state.is_ready = False
         leaving.state.ingress.is_leaving = True
-        leaving.state.leaves_at = trio.current_time() + 7.0
+        leaving.state.shutdown = schedule_shutdown(trio.current_time(), grace=8.0)
         register_hosts([world])
         await trio.sleep(0.7)
         assert (await world.request("/read/a")).status == 200
