Answer the first request on each connection of a leaving host

From 3.6 s after SIGTERM on, a leaving host closed idle connections, and each new one whose first request had not arrived when it was accepted. A caller that connects and then sends got no answer, and did not learn that its request was not run.

Only connections that have had a request are closed when they are idle. Answers ask to close the connection already.

The test of requests that arrive just before idle connections are closed now has a kept connection too, since new ones are not closed any more.

--- a/dewridge/gateway/ingress.py
+++ b/dewridge/gateway/ingress.py
@@ -40,7 +40,8 @@
             the last two configuration versions, as a caller may still rely on the
             previous one.
         is_leaving: whether answers ask callers to close their connections.
-        closes_idle: whether idle connections are closed at once.
+        closes_idle: whether connections are closed as soon as they are idle. New ones
+            still get an answer to their first request.
         connections: number of open connections.
         requests: number of requests being read or answered.
     """
@@ -55,16 +56,21 @@
     _idle_scopes: set[trio.CancelScope] = field(default_factory=set)
 
     def close_idle_connections(self) -> None:
-        """Close all idle connections, including those that become idle later."""
+        """Close all idle connections, including those that become idle later.
+
+        Connections without a request yet stay open: their callers may be sending it,
+        and would not learn that it was not run.
+        """
         self.closes_idle = True
         for scope in self._idle_scopes:
             scope.cancel()
 
     @contextmanager
-    def limit_idle_wait(self, seconds: float) -> Iterator[None]:
+    def limit_idle_wait(self, seconds: float, *, is_new: bool) -> Iterator[None]:
         """Limit the wait of the `with` body by time and by `close_idle_connections`."""
         with trio.move_on_after(seconds) as scope:
-            self._idle_scopes.add(scope)
+            if not is_new:
+                self._idle_scopes.add(scope)
             try:
                 yield
             finally:
@@ -85,6 +91,7 @@
         self._ingress = ingress
         self._handler = handler
         self._state = self._make_protocol_state()
+        self._is_new = True
 
     def _make_protocol_state(self) -> h11.Connection:
         return h11.Connection(
@@ -101,6 +108,7 @@
 
     async def _serve_next_request(self) -> bool:
         await self._wait_for_first_byte()
+        self._is_new = False
         self._ingress.requests += 1
         try:
             return await self._read_and_answer()
@@ -139,20 +147,23 @@
 
     async def _wait_for_input(self) -> bool:
         """Wait for input up to the idle timeout; return whether any arrived."""
-        if self._ingress.closes_idle:
+        if self._closes_idle():
             return False
         # A new configuration version may raise the timeout during the wait.
         started_at = trio.current_time()
         while (
             time_left := started_at + self._ingress.idle_timeout - trio.current_time()
         ) > 0:
-            with self._ingress.limit_idle_wait(time_left):
+            with self._ingress.limit_idle_wait(time_left, is_new=self._is_new):
                 await self._receive()
                 return True
-            if self._ingress.closes_idle:
+            if self._closes_idle():
                 break
         return False
 
+    def _closes_idle(self) -> bool:
+        return self._ingress.closes_idle and not self._is_new
+
     async def _receive(self) -> None:
         try:
             data = await receive_some(self._stream, RECEIVE_SIZE_BYTES)
--- a/dewridge/tests/gateway/ingress_tests.py
+++ b/dewridge/tests/gateway/ingress_tests.py
@@ -2,6 +2,7 @@
 
 import os
 
+import pytest
 import trio
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -61,9 +62,10 @@
             assert await stream.receive_some(1) == b""
 
 
-async def test_a_request_that_came_before_idle_connections_are_closed_is_served() -> (
-    None
-):
+@pytest.mark.parametrize("earlier_requests", [0, 1])
+async def test_a_request_that_came_before_idle_connections_are_closed_is_served(
+    earlier_requests: int,
+) -> None:
     """A leaving host closes idle connections just after a request has arrived.
 
     If the process was suspended or busy, the request is still unread in the kernel's
@@ -73,6 +75,9 @@
     async with open_world(make_configuration()) as world:
         await world.add_server("s-1", answer_ok)
         stream = await world.connect()
+        for number in range(earlier_requests):
+            await stream.send_all(make_request("/read/a", request_id=f"e-{number}"))
+            assert (await read_answer(stream)).status == 200
         await trio.sleep(0.1)
         # No checkpoint follows, so that the gateway has not read the request yet.
         os.write(stream.socket.fileno(), make_request("/read/a"))
@@ -82,6 +87,25 @@
     assert answer.status == 200
 
 
+async def test_only_connections_without_a_request_outlast_idle_ones() -> None:
+    """Guards against requests on new connections that a leaving host never answers."""
+    async with open_world(make_configuration()) as world:
+        await world.add_server("s-1", answer_ok)
+        kept, new = await world.connect(), await world.connect()
+        await kept.send_all(make_request("/read/a"))
+        assert (await read_answer(kept)).status == 200
+        world.state.ingress.close_idle_connections()
+        with trio.fail_after(2.0):
+            assert await kept.receive_some(1) == b""
+        late = await world.connect()
+        await trio.sleep(0.1)
+        for stream in (new, late):
+            await stream.send_all(make_request("/read/a"))
+            with trio.fail_after(2.0):
+                assert (await read_answer(stream)).status == 200
+                assert await stream.receive_some(1) == b""
+
+
 async def test_a_smuggled_request_never_reaches_a_server() -> None:
     """Guards against request smuggling by a body with two lengths.
 
