Give requests without an answer a status before a host exits

A connection that ends promises nothing, so a caller could not tell that its request had not run.

From 0.3 s before the exit on, each request without a byte of an answer ends with a status: 503 with a time to return if no server can have run it, 502 otherwise. Whether one can is known by the attempts that were begun, also in the middle of sending one.

--- a/dewridge/gateway/serving.py
+++ b/dewridge/gateway/serving.py
@@ -21,7 +21,7 @@
 )
 from dewridge.gateway.placement.outcomes import describe_choice
 from dewridge.gateway.responder import CallerDisconnectedError, Responder
-from dewridge.gateway.shutdown.progress import ServedRequest
+from dewridge.gateway.shutdown.progress import ServedRequest, Stage
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.suspects import check_quarantine, describe_suspect
 from dewridge.gateway.versions.origins import (
@@ -79,11 +79,14 @@
                 failure = resolved
             else:
                 job = served.job = self._make_job(request, resolved)
-                failure = (
-                    await find_origin(self._state, job)
-                    or self._admit(job)
-                    or await self._run(job, responder)
-                )
+                with served.scope:
+                    failure = (
+                        await find_origin(self._state, job)
+                        or self._admit(job)
+                        or await self._run(job, responder)
+                    )
+                if served.scope.cancelled_caught:
+                    failure = make_exit_failure(served)
         except (CallerDisconnectedError, trio.Cancelled):
             reason = f"host exits: {served.stage.value}"
             if not self._state.served.is_exiting:
@@ -254,6 +257,13 @@
         ).info("request")
 
 
+def make_exit_failure(served: ServedRequest) -> Failure:
+    """Return the failure of a request that has no answer when this host exits."""
+    if served.stage is Stage.WAITING:
+        return Failure(ResultCode.HOST_LEAVING, "this host exits", 0.0)
+    return Failure(ResultCode.OUTCOME_UNKNOWN, "this host exits")
+
+
 def compute_deadline(request: CallerRequest, route: Route) -> float:
     """Return the time at which a request is abandoned."""
     return min(request.deadline, request.arrived_at + route.timeout)
--- a/dewridge/gateway/shutdown/leaving.py
+++ b/dewridge/gateway/shutdown/leaving.py
@@ -90,6 +90,8 @@
         now = trio.current_time()
         if state.ingress.requests + state.relay_ingress.requests > 0:
             quiet_since = now
+        if now >= schedule.answers_by:
+            state.served.fail_unanswered()
         if now >= serves_until:
             state.ingress.close_idle_connections()
             if now - quiet_since > QUIET_PERIOD:
--- a/dewridge/gateway/shutdown/progress.py
+++ b/dewridge/gateway/shutdown/progress.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+import trio
+
 from dewridge.gateway.jobs import Job
 from dewridge.gateway.responder import Responder
 
@@ -28,19 +30,22 @@
     Attributes:
         responder: writes its answer.
         job: the request with its attempts; None before it is routed.
+        scope: is cancelled if the caller has to get a status instead of an answer.
     """
 
     responder: Responder
     job: Job | None = None
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     @property
     def stage(self) -> Stage:
         """How far it is."""
         if self.responder.has_started:
             return Stage.ANSWERING
-        if self.job is None or self.job.possible_runs == 0:
+        if self.job is None:
             return Stage.WAITING
-        return Stage.SENT
+        has_run = self.job.may_have_run or self.job.possible_runs > 0
+        return Stage.SENT if has_run else Stage.WAITING
 
 
 @dataclass
@@ -65,6 +70,12 @@
         finally:
             self._requests.discard(served)
 
+    def fail_unanswered(self) -> None:
+        """Have the callers that have no byte of an answer get a status at once."""
+        for served in self._requests:
+            if served.stage is not Stage.ANSWERING:
+                served.scope.cancel()
+
     def count_stages(self) -> dict[str, int]:
         """Return the number of requests by stage."""
         counts = Counter(served.stage for served in self._requests)
--- a/dewridge/tests/gateway/ingress_tests.py
+++ b/dewridge/tests/gateway/ingress_tests.py
@@ -11,10 +11,12 @@
 from dewridge.gateway.events import EventSplitter
 from dewridge.gateway.model import Limits
 from dewridge.http1.headers import find_framing_fault, remove_hop_by_hop_headers
+from dewridge.ids import ServiceName
 from dewridge.platform.headers import parse_request_headers
 from dewridge.policy.shutdown import ShutdownSchedule
 from dewridge.tests.gateway.world import (
     KEY,
+    ServerExchange,
     answer_ok,
     make_configuration,
     make_event,
@@ -247,3 +249,35 @@
     assert b"".join(event.raw for event in events) == body
     assert [event.id for event in events] == list(range(count))
     assert splitter.remainder == b""
+
+
+async def test_the_status_at_the_exit_says_whether_a_server_may_have_run_it() -> None:
+    """Guards against a promise that a request was not run while a server has it."""
+
+    async def stay_silent(exchange: ServerExchange) -> None:
+        await trio.sleep_forever()
+
+    async def find_forever(service: ServiceName) -> None:
+        await trio.sleep_forever()
+
+    answers: dict[str, int] = {}
+    async with open_world() as world:
+        server = await world.add_server("s-1", stay_silent)
+        world.state.find_service_servers = find_forever
+
+        async def send(path: str) -> None:
+            answer = await world.request(path, request_id=path[1:], deadline_ms=5000)
+            answers[path] = answer.status
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send, "/write/a")
+            nursery.start_soon(send, "/draft/a")
+            await trio.sleep(0.3)
+            assert world.state.served.count_stages() == {
+                "waiting": 1,
+                "sent": 1,
+                "answering": 0,
+            }
+            world.state.served.fail_unanswered()
+    assert [exchange.target for exchange in server.received] == [b"/write/a"]
+    assert answers == {"/write/a": 502, "/draft/a": 503}
