Keep the signal handlers of a host until its process has ended

A SIGHUP or a second SIGTERM that reached a leaving host stayed in trio's signal receiver. A SIGHUP to a process that was still starting ended it as well.

SIGTERM and SIGHUP now have handlers that are never removed; a reload works while the host leaves, and further SIGTERMs are logged. SIGHUP is ignored before the settings are read.

--- a/dewridge/gateway/__main__.py
+++ b/dewridge/gateway/__main__.py
@@ -6,6 +6,7 @@
 import ctypes.util
 import gc
 import os
+import signal
 import sys
 from pathlib import Path
 
@@ -37,6 +38,9 @@
 
 def run() -> int:
     """Run a gateway and return the exit status of the process."""
+    # The settings are read below, so a change that is signalled until then is not lost.
+    # The default effect of the signal would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     loaded = load_gateway_settings(path)
     for problem in (*loaded.errors, *loaded.warnings):
--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -1,7 +1,6 @@
 """Composition root of a gateway: creates its components and runs their tasks."""
 
 import random
-import signal
 import time
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
@@ -54,6 +53,7 @@
 from dewridge.gateway.sharing import SharedReports
 from dewridge.gateway.sharinglink import Recipients, ReportLink
 from dewridge.gateway.shutdown.leaving import leave_fleet
+from dewridge.gateway.shutdown.signals import handle_signals
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.suspectkeeping import SuspectPersistence
 from dewridge.gateway.suspects import make_update_lister, make_urgent_lister
@@ -334,13 +334,10 @@
             supervisor.add(name, task)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(supervisor.run)
-            with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
-                log.bind(host=self._state.host, boot=self._state.boot).info("started")
-                async for number in signals:
-                    if number == signal.SIGTERM:
-                        break
-                    self._settings_reloader.poll_now()
-                await leave_fleet(self._state, self._registration, self._election)
+            leaving = handle_signals(self._settings_reloader.poll_now)
+            log.bind(host=self._state.host, boot=self._state.boot).info("started")
+            await leaving.wait()
+            await leave_fleet(self._state, self._registration, self._election)
             self._state.served.is_exiting = True
             nursery.cancel_scope.cancel()
         log.info("stopped")
--- a/dewridge/tests/gateway/start_tests.py
+++ b/dewridge/tests/gateway/start_tests.py
@@ -45,3 +45,20 @@
     )
     assert result.returncode == 0, result.stderr
     assert NOT_IMPORTED.isdisjoint(result.stdout.split())
+
+
+def test_a_reload_does_not_end_a_process_that_starts() -> None:
+    """Guards against SIGHUP before the process has read its settings."""
+    script = """
+import os, signal
+from dewridge.gateway import __main__ as gateway
+
+def send_signal(*arguments):
+    os.kill(os.getpid(), signal.SIGHUP)
+    raise SystemExit(0)
+
+gateway.load_gateway_settings = send_signal
+gateway.run()
+"""
+    result = subprocess.run([sys.executable, "-c", script], check=False)
+    assert result.returncode == 0
