Apply a change of the settings that is made while the process starts

The file was read once for the settings and, after the imports, once more to know its content. A change between the two was taken for the content in force, and was never applied unless the file changed again.

The first poll now compares the settings themselves, and applies them if they differ. test_a_change_while_the_process_starts_is_applied fails on the code before (no settings applied) and passes now.

--- a/dewridge/gateway/reloading.py
+++ b/dewridge/gateway/reloading.py
@@ -49,7 +49,8 @@
         self._configuration = configuration
         self._apply = apply
         self._current = current
-        self._raw = self._read()
+        # The file may have changed since the settings were read, and is compared once.
+        self._raw: bytes | None = None
         self._poll_requested = trio.Event()
 
     def poll_now(self) -> None:
@@ -83,6 +84,8 @@
             reasons = "; ".join(str(problem) for problem in loaded.errors)
             log.bind(reason=reasons).error("changed settings rejected")
             return
+        if loaded.settings == self._current:
+            return
         if loaded.settings.listen != self._current.listen:
             log.warning("changed addresses take effect after a restart")
         self._current = loaded.settings
--- a/dewridge/tests/gateway/reloading_tests.py
+++ b/dewridge/tests/gateway/reloading_tests.py
@@ -47,6 +47,30 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_a_change_while_the_process_starts_is_applied(
+    tmp_path: Path, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against a change between the first read and the first poll."""
+    path = tmp_path / "settings.json"
+    path.write_text(TEXT % 5000)
+    first = load_gateway_settings(path).settings
+    assert first is not None
+    path.write_text(TEXT % 3000)
+    applied_settings: list[GatewaySettings] = []
+    reloader = SettingsReloader(
+        path,
+        load_gateway_settings,
+        ConfigurationState(compute_trust_period(first)),
+        applied_settings.append,
+        first,
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(reloader.run)
+        await trio.sleep(3.5)
+        nursery.cancel_scope.cancel()
+    assert [applied.bounds.revocation_ms for applied in applied_settings] == [3000]
+
+
 def test_all_errors_are_reported_at_once(tmp_path: Path) -> None:
     path = tmp_path / "settings.json"
     path.write_text('{"host": {"id": 5}, "listne": {}}')
