Refuse the requests that arrive while a host decides to exit

Between the last check for requests and the end of the tasks, a host ended its call to the store, logged and left two scopes, each a pass of the event loop.

No other task runs between that last check and the end of all tasks.

--- a/dewridge/gateway/shutdown/leaving.py
+++ b/dewridge/gateway/shutdown/leaving.py
@@ -8,6 +8,7 @@
 from dewridge.gateway.directory import compute_address_ttl
 from dewridge.gateway.duties import HolderElection
 from dewridge.gateway.hosts import Registration
+from dewridge.gateway.shutdown.progress import Stage
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.upkeep import update_readiness
 from dewridge.policy.shutdown import ShutdownSchedule, schedule_shutdown
@@ -20,6 +21,10 @@
 """Seconds until the registration is removed, and time limit for the removal."""
 POLL_INTERVAL = 0.1
 """Seconds between two checks whether the host is still needed."""
+CLOSING_TIME = 0.1
+"""Seconds at the end in which requests are refused that callers have just sent."""
+CLOSING_POLL_INTERVAL = 0.01
+"""Seconds between two checks whether all of them have been refused."""
 
 
 class ExitReason(Enum):
@@ -39,6 +44,9 @@
     Callers use lists of addresses that are seconds old. If the host closed its
     listeners at once, the requests of all callers with such a list would fail. If it
     only stopped accepting, requests on open connections would get no answer.
+
+    No other task runs between the last check for requests and the return. The caller
+    has to end all tasks before it waits for anything.
     """
     started_at = trio.current_time()
     schedule = schedule_shutdown(started_at, state.settings.bounds.grace)
@@ -52,6 +60,7 @@
         nursery.start_soon(_unregister, registration)
         reason = await _wait_until_unneeded(state, schedule)
         nursery.cancel_scope.cancel()
+    await _refuse_last_requests(state, schedule)
     log.bind(
         **describe_requests(state),
         reason=reason.value,
@@ -86,8 +95,7 @@
         + QUIET_PERIOD,
     )
     quiet_since = trio.current_time()
-    while trio.current_time() < schedule.exits_at:
-        now = trio.current_time()
+    while (now := trio.current_time()) < schedule.exits_at - CLOSING_TIME:
         if state.ingress.requests + state.relay_ingress.requests > 0:
             quiet_since = now
         if now >= schedule.answers_by:
@@ -98,3 +106,29 @@
                 return ExitReason.QUIET
         await trio.sleep(POLL_INTERVAL)
     return ExitReason.DEADLINE
+
+
+async def _refuse_last_requests(
+    state: GatewayState, schedule: ShutdownSchedule
+) -> None:
+    """Refuse the requests that still arrive, and wait until all are answered.
+
+    Streams that run beyond the end of the schedule are not waited for.
+    """
+    now = trio.current_time()
+    state.shutdown = schedule.close(now)
+    state.ingress.close_idle_connections()
+    closes_at = now + CLOSING_TIME
+    while True:
+        is_closing = trio.current_time() < closes_at
+        if not is_closing and not _has_requests_to_answer(state, schedule):
+            return
+        await trio.sleep(CLOSING_POLL_INTERVAL)
+
+
+def _has_requests_to_answer(state: GatewayState, schedule: ShutdownSchedule) -> bool:
+    now = trio.current_time()
+    if now < schedule.exits_at:
+        return state.ingress.requests + state.relay_ingress.requests > 0
+    running = state.served.count_stages()[Stage.ANSWERING.value]
+    return now < schedule.exits_at + CLOSING_TIME and state.ingress.requests > running
--- /dev/null
+++ b/dewridge/tests/gateway/leaving_tests.py
@@ -0,0 +1,112 @@
+"""Tests of how a leaving host ends, on the loopback interface."""
+
+import os
+from collections.abc import Callable
+from contextlib import suppress
+
+import pytest
+import trio
+
+from dewridge.gateway.shutdown.leaving import leave_fleet
+from dewridge.tests.gateway.world import (
+    ServerExchange,
+    World,
+    make_request,
+    open_world,
+    read_answer,
+)
+
+ANSWER_SECONDS = 0.03
+
+
+class LeavingRegistration:
+    """A registration that is removed at once."""
+
+    def set_ready(self, is_ready: bool) -> None:
+        """Ignore whether callers may be sent to the host."""
+
+    seconds_since_answer = 0.0
+
+    def __init__(self, on_exit: Callable[[], None] = lambda: None) -> None:
+        self._on_exit = on_exit
+
+    async def unregister(self) -> None:
+        """Remove the registration; takes until the host ends."""
+        try:
+            await trio.sleep_forever()
+        finally:
+            self._on_exit()
+
+    async def step_down(self) -> None:
+        """End no term."""
+
+
+async def leave(world: World, on_exit: Callable[[], None] = lambda: None) -> None:
+    """Have a gateway leave, and call a function when it has decided to end."""
+    registration = LeavingRegistration(on_exit)
+    await leave_fleet(world.state, registration, registration)  # type: ignore[arg-type]
+
+
+async def answer_soon(exchange: ServerExchange) -> None:
+    """Answer after a short time of work."""
+    await trio.sleep(ANSWER_SECONDS)
+    await exchange.answer()
+
+
+async def test_a_request_that_arrives_as_a_host_decides_to_end_is_answered() -> None:
+    """Guards against an exit that is decided before the last requests are read."""
+    async with open_world(answer_ttl=0.2) as world:
+        server = await world.add_server("s-1", answer_soon)
+        stream = await world.connect()
+        await trio.sleep(0.05)
+
+        def send() -> None:
+            os.write(stream.socket.fileno(), make_request("/write/a"))
+
+        await leave(world, send)
+        world.nursery.cancel_scope.cancel()
+        with trio.CancelScope(shield=True):
+            answer = await read_answer(stream)
+        assert answer.is_complete
+        assert answer.status == (200 if server.received else 503)
+
+
+@pytest.mark.parametrize("grace", [1.0, 8.0])
+async def test_no_request_is_passed_on_and_cut_when_a_leaving_host_ends(
+    grace: float,
+) -> None:
+    """Guards against requests that are read between the last check and the exit."""
+    answered: set[str] = set()
+    async with (
+        trio.open_nursery() as callers,
+        open_world(answer_ttl=0.05, grace=grace) as world,
+    ):
+        server = await world.add_server("s-1", answer_soon)
+
+        async def send(name: int) -> None:
+            for number in range(10_000):
+                request_id = f"{name}-{number}"
+                try:
+                    stream = await world.connect()
+                except OSError:
+                    return
+                async with stream:
+                    request = make_request(
+                        "/write/a", request_id=request_id, deadline_ms=100
+                    )
+                    with suppress(trio.BrokenResourceError):
+                        await stream.send_all(request)
+                    if (await read_answer(stream)).is_complete:
+                        answered.add(request_id)
+                await trio.sleep(0.003 * name)
+
+        for name in range(12):
+            callers.start_soon(send, name)
+        await trio.sleep(0.2)
+        await leave(world)
+        world.nursery.cancel_scope.cancel()
+    passed_on = {
+        exchange.headers[b"x-attempt-id"].decode() for exchange in server.received
+    }
+    assert len(passed_on) > 100
+    assert passed_on <= answered
