Refuse streams at a leaving host that usually outlast it

In the first seconds after SIGTERM a host accepts streams whose budget goes beyond its exit: most end in time, and callers that are refused use up a retry. Where servers are so slow that streams take six seconds, all of those accepted later than 1.4 s were cut at the exit, although another host could have served each in full.

Each host measures how long the streams of a route take. A leaving host refuses a stream at once if 95% of the recent ones take longer than is left. It does so only in the time in which operators excuse a cut; later, a stream's own budget decides, as before. A host that has not seen streams of the route accepts them.

Where streams take less than 4.7 s nothing changes.

--- a/dewridge/gateway/reach/relay.py
+++ b/dewridge/gateway/reach/relay.py
@@ -152,7 +152,7 @@
             return "unknown server"
         schedule = self._state.shutdown
         now = trio.current_time()
-        if schedule is not None and not schedule.accepts(now, ends_by, is_stream=True):
+        if schedule is not None and not schedule.accepts(now, ends_by, 0.0):
             return "leaving"
         if self.in_flight >= MAX_RELAYED:
             return "full"
--- a/dewridge/gateway/serving.py
+++ b/dewridge/gateway/serving.py
@@ -138,9 +138,12 @@
         schedule = self._state.shutdown
         if schedule is None:
             return None
+        now = trio.current_time()
         ends_by = compute_deadline(request, route) + DEADLINE_SLACK
-        is_stream = route.kind is RouteKind.STREAM
-        if schedule.accepts(trio.current_time(), ends_by, is_stream=is_stream):
+        stream_seconds = None
+        if route.kind is RouteKind.STREAM:
+            stream_seconds = self._state.stream_lengths.estimate(route.name, now)
+        if schedule.accepts(now, ends_by, stream_seconds):
             return None
         return Failure(ResultCode.HOST_LEAVING, "this host is leaving", 0.0)
 
@@ -234,6 +237,8 @@
         if job is not None and job.first_event_at is not None:
             observe_first_event(self._state, job, job.first_event_at - started_at)
         stream = describe_stream(job, started_at, now) if job else {}
+        if job is not None and stream and responder.is_finished:
+            self._state.stream_lengths.record(job.route.name, now - started_at, now)
         withheld = ",".join(job.withheld_servers[:MAX_LOGGED_SERVERS]) if job else ""
         log.bind(
             id=request.id,
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -73,6 +73,7 @@
 from dewridge.policy.reachability import ServerPath
 from dewridge.policy.serverhealth import ServerHealth, compute_attempt_rate
 from dewridge.policy.shutdown import ShutdownSchedule
+from dewridge.policy.streamlengths import StreamLengths
 from dewridge.policy.streamversions import ReleaseHistory
 from dewridge.policy.suspects import SuspectLedger
 from dewridge.settings.gateway import GatewaySettings
@@ -217,6 +218,7 @@
     shutdown: ShutdownSchedule | None = None
     """Times of the graceful shutdown; None until it begins."""
     served: ServedRequests = field(default_factory=ServedRequests)
+    stream_lengths: StreamLengths = field(default_factory=StreamLengths)
     _silent_live_hosts: frozenset[HostId] = frozenset()
     _silent_peers: list[HostEntry] = field(default_factory=list)
     _silent_count: int = 0
--- a/dewridge/policy/shutdown.py
+++ b/dewridge/policy/shutdown.py
@@ -42,11 +42,20 @@
     answers_by: float
     exits_at: float
 
-    def accepts(self, now: float, ends_by: float, *, is_stream: bool) -> bool:
-        """Return whether a request is accepted now that ends by a certain time."""
-        if is_stream and now < self.open_until:
+    def accepts(self, now: float, ends_by: float, stream_seconds: float | None) -> bool:
+        """Return whether a request is accepted.
+
+        Args:
+            now: when it arrived.
+            ends_by: when it ends at the latest.
+            stream_seconds: how long streams of its kind take now; None if it is no
+                stream.
+        """
+        if ends_by <= self.answers_by:
             return True
-        return ends_by <= self.answers_by
+        if stream_seconds is None or now >= self.open_until:
+            return False
+        return now + stream_seconds <= self.exits_at
 
     def close(self, now: float) -> "ShutdownSchedule":
         """Return the schedule of a host that accepts nothing more."""
--- a/dewridge/tests/gateway/leaving_tests.py
+++ b/dewridge/tests/gateway/leaving_tests.py
@@ -8,7 +8,9 @@
 import trio
 
 from dewridge.gateway.shutdown.leaving import leave_fleet
+from dewridge.policy.shutdown import ShutdownSchedule
 from dewridge.tests.gateway.world import (
+    ENGINE,
     ServerExchange,
     World,
     make_request,
@@ -110,3 +112,24 @@
     }
     assert len(passed_on) > 100
     assert passed_on <= answered
+
+
+async def test_streams_that_usually_outlast_a_leaving_host_are_refused() -> None:
+    """Guards against long streams that are all cut, though other hosts serve them."""
+
+    async def stream_slowly(exchange: ServerExchange) -> None:
+        await exchange.begin_stream()
+        for number in range(1, 5):
+            await trio.sleep(0.3)
+            await exchange.send_events(number, number)
+        await exchange.end_stream()
+
+    async with open_world() as world:
+        server = await world.add_server("s-1", stream_slowly, ENGINE)
+        assert (await world.request("/draft/a", deadline_ms=2000)).is_complete
+        now = trio.current_time()
+        world.state.shutdown = ShutdownSchedule(now, now + 0.9, now + 0.9, now + 1.0)
+        long_stream = await world.request("/draft/b", deadline_ms=2000)
+        other_route = await world.request("/chat/c", deadline_ms=2000)
+    assert (long_stream.status, other_route.status) == (503, 200)
+    assert [each.target for each in server.received] == [b"/draft/a", b"/chat/c"]
--- a/dewridge/tests/policy/shutdown_tests.py
+++ b/dewridge/tests/policy/shutdown_tests.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies as st
 
 from dewridge.policy.shutdown import schedule_shutdown
+from dewridge.policy.streamlengths import StreamLengths
 
 SENT_EXCUSED = 3.0
 """Seconds from the signal by which a request was sent that the exit may cut."""
@@ -21,8 +22,8 @@
     """Guards against any request that the exit cuts and operators do not excuse."""
     schedule = schedule_shutdown(delay, grace)
     now = delay + arrival
-    for is_stream in (True, False):
-        if schedule.accepts(now, now + duration, is_stream=is_stream):
+    for stream_seconds in (None, 0.0, duration):
+        if schedule.accepts(now, now + duration, stream_seconds):
             assert now + duration <= schedule.exits_at or now <= SENT_EXCUSED
 
 
@@ -37,4 +38,30 @@
 def test_a_closed_host_accepts_nothing(arrival: float) -> None:
     """Guards against requests that are accepted while the process ends."""
     schedule = schedule_shutdown(0.0, 8.0).close(arrival)
-    assert not schedule.accepts(arrival, arrival + 0.1, is_stream=True)
+    assert not schedule.accepts(arrival, arrival + 0.1, 0.0)
+
+
+@given(arrival=st.floats(0.0, 10.0), seconds=st.floats(0.0, 10.0))
+def test_streams_that_usually_outlast_the_process_are_refused(
+    arrival: float, seconds: float
+) -> None:
+    """Guards against long streams that are all cut, though other hosts serve them."""
+    schedule = schedule_shutdown(0.0, 8.0)
+    if schedule.accepts(arrival, arrival + 15.0, seconds):
+        assert arrival + seconds <= schedule.exits_at
+    elif arrival < schedule.open_until:
+        assert arrival + seconds > schedule.exits_at
+
+
+def test_the_length_of_streams_follows_the_recent_ones() -> None:
+    """Guards against lengths from before a slow-down, and against single outliers."""
+    lengths = StreamLengths()
+    assert lengths.estimate("chat", 0.0) == 0.0
+    for number in range(50):
+        lengths.record("chat", 1.0 if number else 9.0, float(number))
+    assert lengths.estimate("chat", 49.0) == 1.0
+    for number in range(20):
+        lengths.record("chat", 6.0, 100.0 + number)
+    assert lengths.estimate("chat", 120.0) == 6.0
+    assert lengths.estimate("chat", 200.0) == 0.0
+    assert lengths.estimate("draft", 120.0) == 0.0
