Keep serving callers after an accept that fails

An error of one accept ended the task of the listener, and with it every connection that it had accepted: all answers of all callers were cut at once. The listener was closed too, so each restart of the task failed, until the limit on restarts ended the process.

On Linux, accept also reports errors of the connection that could not be accepted and of the firewall (ECONNABORTED, EPROTO, EPERM and others). They say nothing about connections that are served. Only a lack of descriptors or buffers did not end the listener.

The listener now logs the error, waits 0.1 s and accepts again.

test_a_failed_accept_ends_no_connection failed before with three of four errors (the task ended with the error) and passes with all four now.

--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -84,6 +84,8 @@
 """File descriptors for files, listeners, the store, the cloud API and peers."""
 ACCEPT_BACKLOG = 256
 """Connections that may wait to be accepted: allows bursts while the process is busy."""
+ACCEPT_RETRY_DELAY = 0.1
+"""Seconds after a failed accept; a lack of file descriptors lasts at least as long."""
 
 Task = Callable[[], Awaitable[None]]
 Arguments = ParamSpec("Arguments")
@@ -486,5 +488,17 @@
     listener: trio.SocketListener,
     handler: Callable[[trio.SocketStream], Awaitable[None]],
 ) -> None:
-    """Accept connections forever."""
-    await trio.serve_listeners(handler, [listener])
+    """Accept connections forever.
+
+    An error of one accept concerns the connection that could not be accepted, or passes
+    by like a lack of file descriptors. It must not end the connections that are served.
+    """
+    async with trio.open_nursery() as connections:
+        while True:
+            try:
+                stream = await listener.accept()
+            except OSError as error:
+                log.bind(reason=error.strerror).warning("connection not accepted")
+                await trio.sleep(ACCEPT_RETRY_DELAY)
+            else:
+                connections.start_soon(handler, stream)
