Let a gateway leave the fleet when one of its tasks keeps failing

A task that failed more often than its limit (six times within a minute) ended the process at once: all answers of all callers were cut, whatever the task was for, and also while the host was leaving and had accepted requests until its exit.

The supervisor can now report the limit instead of failing. A gateway then leaves as after SIGTERM: it asks callers to go elsewhere, answers what it has accepted and refuses what can not end in time; the process still ends with the error. The failing task is restarted meanwhile. In a host that leaves already, the schedule is kept. The product's hosts fail as before.

--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -329,20 +329,28 @@
         await Operations(self._state).serve(request, responder)
 
     async def run(self) -> None:
-        """Run all tasks until the host has left the fleet."""
+        """Run all tasks until the host has left the fleet.
+
+        Raises:
+            RestartLimitError: a task failed too often, for which the host has left.
+        """
         bounds = self._settings.supervision
-        supervisor = Supervisor("gateway", bounds.restarts, bounds.window)
+        leaving = handle_signals(self._settings_reloader.poll_now)
+        supervisor = Supervisor(
+            "gateway", bounds.restarts, bounds.window, on_limit=leaving.set
+        )
         for name, task in self._list_tasks():
             supervisor.add(name, task)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(supervisor.run)
-            leaving = handle_signals(self._settings_reloader.poll_now)
             log.bind(host=self._state.host, boot=self._state.boot).info("started")
             await leaving.wait()
             await leave_fleet(self._state, self._registration, self._election)
             self._state.served.is_exiting = True
             nursery.cancel_scope.cancel()
         log.info("stopped")
+        if supervisor.limit_error is not None:
+            raise supervisor.limit_error
 
     def _list_tasks(self) -> list[tuple[str, Task]]:
         state = self._state
--- a/dewridge/supervision/tree.py
+++ b/dewridge/supervision/tree.py
@@ -41,12 +41,32 @@
     If it fails more often than the limit, the supervisor fails too, so that a fault
     that restarts do not cure propagates upwards and finally ends the process, which
     the platform then starts again.
+
+    Attributes:
+        limit_error: the first failure beyond the limit; None without one.
     """
 
-    def __init__(self, name: str, restarts: int = 5, window: float = 60.0) -> None:
+    def __init__(
+        self,
+        name: str,
+        restarts: int = 5,
+        window: float = 60.0,
+        on_limit: Callable[[], None] | None = None,
+    ) -> None:
+        """Create a supervisor without tasks.
+
+        Args:
+            name: name for logs.
+            restarts: restarts of one task that are allowed within the window.
+            window: seconds for which a restart counts.
+            on_limit: called when a task exceeds the limit, in place of failing; its
+                owner ends the process once the other tasks are not needed any more.
+        """
         self.name = name
+        self.limit_error: RestartLimitError | None = None
         self._limit = restarts
         self._window = window
+        self._on_limit = on_limit
         self._children: list[Child] = []
 
     def add(self, name: str, run: TaskFunction) -> None:
@@ -57,7 +77,7 @@
         """Run all tasks until they are complete.
 
         Raises:
-            RestartLimitError: a task failed too often.
+            RestartLimitError: a task failed too often, and there is no `on_limit`.
         """
         async with trio.open_nursery() as nursery:
             for child in self._children:
@@ -86,8 +106,15 @@
         log.opt(exception=error).error(
             "task {}/{} failed: {}", self.name, child.name, child.last_error
         )
-        if len(child.restarts) > self._limit:
-            raise RestartLimitError(f"{self.name}/{child.name}") from error
+        if len(child.restarts) <= self._limit:
+            return
+        limit_error = RestartLimitError(f"{self.name}/{child.name}")
+        limit_error.__cause__ = error
+        if self._on_limit is None:
+            raise limit_error
+        if self.limit_error is None:
+            self.limit_error = limit_error
+            self._on_limit()
 
     def _compute_backoff(self, child: Child) -> float:
         doublings = max(0, len(child.restarts) - 1)
--- a/dewridge/tests/supervision/tree_tests.py
+++ b/dewridge/tests/supervision/tree_tests.py
@@ -2,6 +2,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from dewridge.supervision.dumps import DumpCollector
 from dewridge.supervision.mailbox import Mailbox
@@ -44,6 +45,36 @@
     assert exception_info.group_contains(RestartLimitError)
 
 
+async def test_a_failure_beyond_the_limit_can_leave_the_other_tasks_running(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against one failing task that ends the answers of all others at once."""
+    limits = 0
+
+    def count_limit() -> None:
+        nonlocal limits
+        limits += 1
+
+    async def fail() -> None:
+        raise ValueError("for good")
+
+    finished = trio.Event()
+
+    async def answer() -> None:
+        await trio.sleep(60)
+        finished.set()
+
+    supervisor = Supervisor("test", restarts=2, on_limit=count_limit)
+    supervisor.add("broken", fail)
+    supervisor.add("answer", answer)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(supervisor.run)
+        await finished.wait()
+        nursery.cancel_scope.cancel()
+    assert limits == 1
+    assert str(supervisor.limit_error) == "test/broken"
+
+
 async def test_a_dump_completes_while_a_part_hangs() -> None:
     # A task hangs in an endless wait, and an operator requests a dump to find out
     # which one. The dump must complete nevertheless.
