Check LOST in the soak by the rule's text

The soak only checked that no request was cut in calm or planned work. It knew neither when a server stopped working on a request nor when a host got a signal or exited, so it could not tell a cut that operators count from one that they allow, and streams of half a second left nothing to cut at an exit.

Servers now record when each execution ended on their side, by answering or by seeing the host close the connection. Signals to hosts, whether the process handled them, and its exit with status are recorded with times.

Three checks stand beside the existing one: requests that were read and lost around a SIGTERM or SIGHUP of their host or a configuration change, with the exceptions of the rule; requests on kept connections that reached a sound server and got no answer, more than three times, at hosts in touch; and hosts that were asked to shut down and exit by a signal other than SIGKILL or with a status other than 0. A request counts as read if it reached a server, got a status, or its connection ended without a reset: the kernel resets a connection whose process ends with unread input.

--- a/dewridge/tests/soak/callers.py
+++ b/dewridge/tests/soak/callers.py
@@ -30,6 +30,10 @@
 """Quota tokens that a request without a stream uses."""
 
 
+SLOW_READ_BYTES = 2_048
+"""Maximum bytes that a caller that pauses reads at once."""
+
+
 @dataclass
 class Caller:
     """Sends one request after the other until it is cancelled.
@@ -89,9 +93,10 @@
     async def _send_requests(self, stream: trio.SocketStream, host: str) -> None:
         state = h11.Connection(h11.CLIENT)
         async with stream:
-            for _ in range(self.rng.randint(1, MAX_REQUESTS_PER_CONNECTION)):
+            for number in range(self.rng.randint(1, MAX_REQUESTS_PER_CONNECTION)):
                 await trio.sleep(self.rng.expovariate(1 / self.mean_pause))
                 request = self._make_request(host)
+                request.is_kept = number > 0
                 timeout = REQUEST_TIMEOUTS[request.kind]
                 if self.rng.random() < ABANDON_PROBABILITY:
                     timeout = 0.1
@@ -125,9 +130,10 @@
     with trio.move_on_after(timeout):
         try:
             await stream.send_all(data)
+            request.sent_by = time.monotonic()
             await receive_response(stream, state, request)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            pass
+            request.is_reset = True
         has_ended = True
     request.is_abandoned = not has_ended
     request.ended_at = time.monotonic()
@@ -139,7 +145,7 @@
 
 
 def find_timeout(request: SentRequest) -> float:
-    """Return the seconds after which a caller abandons a request."""
+    """Return the seconds from a request to its deadline."""
     return request.timeout or REQUEST_TIMEOUTS[request.kind]
 
 
@@ -187,7 +193,7 @@
         try:
             event = state.next_event()
             if event is h11.NEED_DATA:
-                state.receive_data(bytes(await stream.receive_some(65_536)))
+                state.receive_data(await _receive_some(stream, request))
                 continue
         except h11.RemoteProtocolError:
             return
@@ -207,6 +213,13 @@
             return
 
 
+async def _receive_some(stream: trio.SocketStream, request: SentRequest) -> bytes:
+    if not request.read_pause:
+        return bytes(await stream.receive_some(65_536))
+    await trio.sleep(request.read_pause)
+    return bytes(await stream.receive_some(SLOW_READ_BYTES))
+
+
 def parse_event(raw: bytes) -> tuple[int, str, bool]:
     """Return an event's number, its request id and whether it is the last event."""
     lines = raw.decode().split("\n")
@@ -217,7 +230,8 @@
 
 def find_version(raw: bytes) -> str:
     """Return the version of the server that wrote an event; empty without one."""
-    return raw.decode().partition("#")[2].partition(" ")[0].strip()
+    data = raw.decode().split("\n")[1]
+    return data.partition("#")[2].partition(" ")[0]
 
 
 async def resolve_addresses(address: str) -> list[str]:
--- a/dewridge/tests/soak/checks.py
+++ b/dewridge/tests/soak/checks.py
@@ -5,6 +5,12 @@
 from dewridge.codes import ResultCode
 from dewridge.tests.soak.departurechecks import check_late_arrivals
 from dewridge.tests.soak.documentchecks import check_documents, list_checked
+from dewridge.tests.soak.lostchecks import (
+    check_exits,
+    check_lost,
+    check_unanswered,
+    count_leaving,
+)
 from dewridge.tests.soak.partchecks import check_bad_parts
 from dewridge.tests.soak.partitionchecks import check_partitions
 from dewridge.tests.soak.records import Execution, History, SentRequest
@@ -51,6 +57,9 @@
         *check_departing_servers(history),
         *check_late_arrivals(history),
         *check_interruptions(history),
+        *check_lost(history),
+        *check_unanswered(history),
+        *check_exits(history),
         *check_duties(history),
         *check_quotas(history, quotas),
         *check_recovery(history),
@@ -337,6 +346,7 @@
         "rejections for room": history.rejections_for_room,
         "falls": len(history.falls),
         **count_resumptions(history),
+        **count_leaving(history),
         "versions probed in touch": len(list_checked(history)),
     }
     counts.update({name: count for name, count in extras.items() if count})
--- a/dewridge/tests/soak/faults.py
+++ b/dewridge/tests/soak/faults.py
@@ -1,6 +1,7 @@
 """Faults and planned operations, drawn from a seed; several may overlap."""
 
 import random
+import signal
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -8,7 +9,7 @@
 
 from dewridge.tests.soak.links import Link, Mode
 from dewridge.tests.soak.servers import Mood
-from dewridge.tests.soak.stage import Gateway, SoakEnvironment, reload_settings
+from dewridge.tests.soak.stage import Gateway, SoakEnvironment
 
 SHUTDOWN_GRACE = 8.0
 """Seconds between asking a gateway to shut down and killing it."""
@@ -68,14 +69,14 @@
     if process is None:
         return
     environment.record_disturbance(gateway.name, SHUTDOWN_GRACE, is_planned=True)
-    process.terminate()
+    environment.send_signal(gateway, signal.SIGTERM)
     await process.wait_for_exit(SHUTDOWN_GRACE)
 
 
 async def reload_all(environment: SoakEnvironment, seconds: float) -> None:
     """Make all gateways reload their settings."""
     for gateway in environment.gateways:
-        reload_settings(gateway)
+        environment.send_signal(gateway, signal.SIGHUP)
 
 
 async def disturb_store(environment: SoakEnvironment, seconds: float) -> None:
--- a/dewridge/tests/soak/records.py
+++ b/dewridge/tests/soak/records.py
@@ -1,5 +1,7 @@
 """Records of what callers, servers and the cloud API stand-in saw."""
 
+import signal
+import time
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -12,6 +14,10 @@
 
 STREAM_SECONDS = 0.48
 """Usual length of a stream."""
+STREAM_ROUTE_TIMEOUT = 15.0
+"""Seconds after which hosts abandon a stream."""
+PLAIN_ROUTE_TIMEOUT = 6.0
+"""Seconds after which hosts abandon a request without a stream."""
 
 
 class RequestKind(Enum):
@@ -37,6 +43,11 @@
         """The service whose servers answer requests of this kind."""
         return "engine" if self.is_stream else "plain"
 
+    @property
+    def route_timeout(self) -> float:
+        """Seconds after which hosts abandon a request of this kind."""
+        return STREAM_ROUTE_TIMEOUT if self.is_stream else PLAIN_ROUTE_TIMEOUT
+
 
 @dataclass
 class SentRequest:
@@ -65,8 +76,16 @@
         versions: versions of the servers that wrote the events, if they have any.
         parts: parts of its prompt; the last one is its own.
         stream_seconds: how long its server takes for the whole stream.
-        first_event_seconds: how long its server takes before that.
-        timeout: seconds after which the caller abandons it; 0 for the usual time.
+        first_event_seconds: how long its server takes before that, or before it answers
+            a request without a stream.
+        timeout: seconds until its deadline; 0 for the usual time.
+        event_bytes: bytes that are added to each event.
+        read_pause: seconds that its caller pauses before each small read of the
+            response; 0 if it reads at once.
+        sent_by: when the caller had sent its last byte.
+        is_kept: whether its connection had carried another request before.
+        is_reset: whether the connection was reset, which also happens if the process at
+            its other end had not read all that was sent.
     """
 
     id: str
@@ -92,6 +111,76 @@
     stream_seconds: float = STREAM_SECONDS
     first_event_seconds: float = 0.0
     timeout: float = 0.0
+    event_bytes: int = 0
+    read_pause: float = 0.0
+    sent_by: float = 0.0
+    is_kept: bool = False
+    is_reset: bool = False
+
+
+@dataclass
+class ServerRun:
+    """An execution of a request on a server, until it ended there.
+
+    Attributes:
+        id: id of the request.
+        server: the server.
+        began_at: monotonic time in seconds.
+        ended_at: when the server had answered or saw that the connection was closed;
+            None if it still runs.
+        has_broken_off: whether the server itself broke the answer off.
+    """
+
+    id: str
+    server: str
+    began_at: float
+    ended_at: float | None = None
+    has_broken_off: bool = False
+
+    def end(self) -> None:
+        """Record the end, unless it was recorded before."""
+        if self.ended_at is None:
+            self.ended_at = time.monotonic()
+
+
+@dataclass(frozen=True)
+class HostSignal:
+    """A signal that was sent to the process of a host.
+
+    Attributes:
+        number: number of the signal.
+        at: monotonic time in seconds.
+        is_handled: whether the process had a handler for it.
+    """
+
+    number: int
+    at: float
+    is_handled: bool = True
+
+
+@dataclass
+class HostBoot:
+    """One process of a host, from its start to its end.
+
+    Attributes:
+        host: name of the host.
+        started_at: monotonic time in seconds.
+        signals: signals that were sent to it, except SIGKILL, SIGSTOP and SIGCONT.
+        exited_at: when it was gone; None if it still runs.
+        status: exit status, or the negated number of the signal that ended it.
+    """
+
+    host: str
+    started_at: float
+    signals: list[HostSignal] = field(default_factory=list)
+    exited_at: float | None = None
+    status: int | None = None
+
+    @property
+    def leaves_at(self) -> float | None:
+        """When it was first asked to shut down; None if it was not."""
+        times = [sent.at for sent in self.signals if sent.number == signal.SIGTERM]
+        return min(times, default=None)
 
 
 @dataclass(frozen=True)
@@ -250,6 +339,10 @@
         store_cuts: disturbances of hosts that did not reach the store while a new
             version appeared.
         new_versions: what happened while each new version appeared.
+        runs: executions with the times at which they ended.
+        boots: processes of the hosts.
+        configurations_written_at: when the store acknowledged each configuration.
+        leavings: times that hosts left while callers went on to use them.
         retry_slack: retries that operators allow in a window beside a share of the
             requests.
         end: end of the observed period; later interruptions are ignored.
@@ -274,6 +367,10 @@
     version_probes: list[VersionProbe] = field(default_factory=list)
     store_cuts: list[Disturbance] = field(default_factory=list)
     new_versions: list[str] = field(default_factory=list)
+    runs: list[ServerRun] = field(default_factory=list)
+    boots: list[HostBoot] = field(default_factory=list)
+    configurations_written_at: list[float] = field(default_factory=list)
+    leavings: int = 0
     retry_slack: float = RETRY_SLACK
     last_fault_end: float = 0.0
     end: float = 0.0
--- a/dewridge/tests/soak/servers.py
+++ b/dewridge/tests/soak/servers.py
@@ -19,6 +19,7 @@
     Execution,
     Fall,
     History,
+    ServerRun,
     Signal,
     SignalAnswer,
 )
@@ -97,11 +98,13 @@
     has_room: bool = True
     is_rejecting: Callable[[], bool] = lambda: False
     rng: random.Random = field(default_factory=partial(random.Random, 1))
+    _nursery: trio.Nursery | None = None
     _running: int = 0
     _rejections: list[float] = field(default_factory=list)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start the server and its link."""
+        self._nursery = nursery
         server = ScriptedServer(BackendServerId(self.id), self._handle_request)
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         port = listeners[0].socket.getsockname()[1]
@@ -171,9 +174,25 @@
         account = exchange.headers.get(b"x-tenant", b"").decode()
         execution = Execution(request_id, self.id, account, time.monotonic())
         self.history.executions.append(execution)
+        run = ServerRun(request_id, self.id, execution.at)
+        self.history.runs.append(run)
+        watch = trio.CancelScope()
+        assert self._nursery is not None
+        self._nursery.start_soon(_record_close, exchange.stream, run, watch)
+        try:
+            await self._execute(exchange, execution, run)
+        finally:
+            run.end()
+            watch.cancel()
+
+    async def _execute(
+        self, exchange: ServerExchange, execution: Execution, run: ServerRun
+    ) -> None:
+        request_id = execution.id
         prompt = exchange.headers.get(b"x-prefix-hash", b"")
         if exchange.body.startswith(CRASH_BODY_PREFIX) or BAD_PART_PREFIX in prompt:
             self.history.arrivals.append(execution)
+            run.has_broken_off = True
             await self._crash(request_id)
             return
         if self.mood is Mood.HANGING:
@@ -181,9 +200,9 @@
         if self.mood is Mood.FAILING:
             await exchange.answer(b"failed", 500)
         elif exchange.target.startswith((b"/chat/", b"/draft/")):
-            await self._send_stream(exchange, request_id)
+            await self._send_stream(exchange, run)
         else:
-            await self._send_plain_response(exchange, request_id.encode())
+            await self._send_plain_response(exchange, run)
 
     def _add_signals(self, exchange: ServerExchange) -> bool:
         """Add the signals to the answer; return whether the request is rejected."""
@@ -206,11 +225,16 @@
         self.history.crashes.append(Crash(content, self.id, time.monotonic()))
         self._end()
 
-    async def _send_plain_response(self, exchange: ServerExchange, body: bytes) -> None:
-        await trio.sleep(PLAIN_RESPONSE_SECONDS)
+    async def _send_plain_response(
+        self, exchange: ServerExchange, run: ServerRun
+    ) -> None:
+        body = run.id.encode()
+        wait = self.history.requests[run.id].first_event_seconds
+        await trio.sleep(wait + PLAIN_RESPONSE_SECONDS)
         if self.mood is Mood.CUTTING:
             length = b"Content-Length: %d\r\n" % (len(body) + 5)
             await exchange.send(exchange.make_head(200, length) + body)
+            run.has_broken_off = True
             exchange.reset()
             return
         await exchange.answer(body)
@@ -218,7 +242,8 @@
             await trio.sleep(0.02)
             await exchange.answer(body)
 
-    async def _send_stream(self, exchange: ServerExchange, request_id: str) -> None:
+    async def _send_stream(self, exchange: ServerExchange, run: ServerRun) -> None:
+        request_id = run.id
         last_received = int(exchange.headers.get(b"last-event-id", b"0"))
         request = self.history.requests[request_id]
         await trio.sleep(request.first_event_seconds)
@@ -227,11 +252,26 @@
             await trio.sleep(request.stream_seconds / EVENTS_PER_STREAM)
             last_marker = " last" if number == EVENTS_PER_STREAM else ""
             owner = f"{request_id}#{self.version}" if self.version else request_id
-            event = f"id: {number}\ndata: {owner}{last_marker}\n\n".encode()
+            padding = f"\n:{'.' * request.event_bytes}" if request.event_bytes else ""
+            event = f"id: {number}\ndata: {owner}{last_marker}{padding}\n\n".encode()
             if self.mood is Mood.CUTTING and number == EVENTS_PER_STREAM // 2:
                 event = event[: len(event) // 2]
                 await exchange.send(b"%x\r\n%s\r\n" % (len(event), event))
+                run.has_broken_off = True
                 exchange.reset()
                 return
             await exchange.send(b"%x\r\n%s\r\n" % (len(event), event))
         await exchange.end_stream()
+
+
+async def _record_close(
+    stream: trio.SocketStream, run: ServerRun, scope: trio.CancelScope
+) -> None:
+    """Record the end of a run once the host has closed the connection."""
+    with scope:
+        try:
+            if await stream.socket.recv(1, trio.socket.MSG_PEEK):
+                return
+        except (OSError, trio.ClosedResourceError):
+            pass
+        run.end()
--- a/dewridge/tests/soak/stage.py
+++ b/dewridge/tests/soak/stage.py
@@ -17,7 +17,15 @@
 from dewridge.testbed.processes import Process, choose_ports
 from dewridge.tests.soak.links import Link
 from dewridge.tests.soak.partitions import ServerPaths
-from dewridge.tests.soak.records import Disturbance, History, ServerPeriod
+from dewridge.tests.soak.records import (
+    PLAIN_ROUTE_TIMEOUT,
+    STREAM_ROUTE_TIMEOUT,
+    Disturbance,
+    History,
+    HostBoot,
+    HostSignal,
+    ServerPeriod,
+)
 from dewridge.tests.soak.servers import Mood, SoakServer
 from dewridge.tests.soak.standins import (
     StoreStandIn,
@@ -71,6 +79,7 @@
     process: Process | None = None
     should_restart: bool = True
     paths: "ServerPaths | None" = None
+    boot: HostBoot | None = None
 
     @property
     def caller_address(self) -> str:
@@ -183,8 +192,11 @@
         while True:
             if gateway.should_restart:
                 gateway.process = await start_gateway(gateway, self.folder)
+                boot = gateway.boot = HostBoot(gateway.name, time.monotonic())
+                self.history.boots.append(boot)
                 self._clear_first_start(gateway)
-                await gateway.process.handle.wait()
+                boot.status = await gateway.process.handle.wait()
+                boot.exited_at = time.monotonic()
             await trio.sleep(RESTART_DELAY)
 
     def _clear_first_start(self, gateway: Gateway) -> None:
@@ -193,9 +205,13 @@
         settings["host"]["is_first_start"] = False
         gateway.settings_path.write_text(json.dumps(settings))
 
-    def write_configuration(self) -> None:
-        """Write the next configuration version to the store, as the operator does."""
-        self.written_version += self.rng.randint(1, 3)
+    def write_configuration(self, rng: random.Random | None = None) -> None:
+        """Write the next configuration version to the store, as the operator does.
+
+        Args:
+            rng: generator from which the version is drawn; `self.rng` if None.
+        """
+        self.written_version += (rng or self.rng).randint(1, 3)
         self._written_versions.append(self.written_version)
         routes = [
             make_route("read", "idempotent", "plain", 2),
@@ -236,6 +252,7 @@
             "limits": {},
         }
         self.store.memory_store.write("op/config", json.dumps(document).encode())
+        self.history.configurations_written_at.append(time.monotonic())
 
     def revoke_key(self) -> None:
         """Revoke a key of a random account if the account has more than two.
@@ -375,6 +392,16 @@
         self.history.last_fault_end = max(self.history.last_fault_end, disturbance.end)
         return disturbance
 
+    def send_signal(self, gateway: Gateway, number: signal.Signals) -> None:
+        """Send a signal to a gateway's process, if it runs, and record it."""
+        process, boot = gateway.process, gateway.boot
+        if process is None or boot is None or not process.is_running:
+            return
+        pid = process.handle.pid
+        is_handled = has_handler(pid, number)
+        boot.signals.append(HostSignal(number, time.monotonic(), is_handled))
+        os.kill(pid, number)
+
     async def close(self) -> None:
         """Kill the gateways by process id; they are not restarted."""
         with trio.CancelScope(shield=True):
@@ -390,13 +417,14 @@
     name: str, kind: str, service: str, attempts: int
 ) -> dict[str, str | int]:
     """Return a route in the format that the operator writes."""
+    timeout = STREAM_ROUTE_TIMEOUT if kind == "streaming" else PLAIN_ROUTE_TIMEOUT
     return {
         "name": name,
         "hostname": "example.test",
         "path_prefix": f"/{name}/",
         "route_type": kind,
         "service": service,
-        "timeout_ms": 15_000 if kind == "streaming" else 6000,
+        "timeout_ms": round(timeout * 1000),
         "target_latency_ms": 300,
         "gap_target_ms": 500,
         "max_attempts": attempts,
@@ -417,7 +445,11 @@
     return Process(gateway.name, handle, log_path, {})
 
 
-def reload_settings(gateway: Gateway) -> None:
-    """Send a gateway the signal to reload its settings."""
-    if gateway.process is not None and gateway.process.is_running:
-        os.kill(gateway.process.handle.pid, signal.SIGHUP)
+def has_handler(pid: int, number: signal.Signals) -> bool:
+    """Return whether a process has a handler for a signal."""
+    try:
+        lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    except OSError:
+        return False
+    caught = next(line for line in lines if line.startswith("SigCgt:"))
+    return bool(int(caught.split()[1], 16) >> (number - 1) & 1)
