Give up a silent server only if another attempt can follow

Callers of repeatable requests got 502, and resumable streams were cut, while their server was sound and silent for a while: the attempt was given up after three times the latency target (streams: 2 s without an event), and only then the host looked for a retry in the service's budget, and for a server that takes requests. Without either, the answer ended, although the server had gone on soon after. A host that has just started has no retries at all, and budgets run out just when servers are slow. Hanging connections had the same fault.

A silence is now a reason to try another server, never to end an answer: the retry is reserved before the attempt is given up, and only if a server may get one more request. Otherwise the host goes on waiting, and checks each 0.25 s whether that has changed. The number of retries does not grow: a reserved retry is the one that was taken afterwards before.

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -1,15 +1,19 @@
 """Attempts to run a request on servers, and the rules for retries."""
 
+from functools import partial
+
 import trio
 
 from dewridge.codes import ResultCode
 from dewridge.gateway.contention.admitting import AdmissionControl, record_answer_end
 from dewridge.gateway.events import EventSplitter, EventTooLongError
 from dewridge.gateway.forwarding import (
+    SILENCE_CHECK_PERIOD,
     CompleteAnswer,
     IncomingAnswer,
     LostAttempt,
     ServerRequest,
+    SilenceLimit,
 )
 from dewridge.gateway.jobs import Continuation, Job, compute_engine_priority
 from dewridge.gateway.limits.retries import RetryCause
@@ -33,7 +37,7 @@
 from dewridge.gateway.versions.origins import record_first_event
 from dewridge.gateway.versions.processes import is_same_process
 from dewridge.gateway.waiting import ServerChooser
-from dewridge.gateway.weighing import ServerChoice
+from dewridge.gateway.weighing import ServerChoice, has_open_server
 from dewridge.http1.client import ConnectionBrokenError, Headers
 from dewridge.http1.headers import remove_hop_by_hop_headers
 from dewridge.platform.headers import Dispatch, make_dispatch_headers
@@ -160,8 +164,12 @@
         is_stream = job.route.kind is RouteKind.STREAM
         if is_stream and answer.head.status == 200:
             return await self._relay_stream(job, server, answer, responder)
+        can_follow = partial(self._reserve_retry, job)
         complete = await read_answer(
-            self._state, server, answer, may_repeat=self._may_retry(job)
+            self._state,
+            server,
+            answer,
+            can_follow=can_follow if self._may_retry(job) else None,
         )
         if isinstance(complete, LostAttempt):
             return complete
@@ -217,7 +225,9 @@
                 server,
                 is_non_retryable=not job.route.is_repeatable,
                 is_essential=dispatch.cache_copy is not None,
-                scope=scope if self._may_retry(job) else None,
+                limit=SilenceLimit(scope, partial(self._reserve_retry, job))
+                if self._may_retry(job)
+                else None,
             )
         if answer.relay is not None:
             job.relays.append(answer.relay)
@@ -231,6 +241,21 @@
             job.may_have_run = True
         return answer
 
+    def _reserve_retry(self, job: Job) -> bool:
+        """Return whether a job may be sent to another server, and reserve the retry.
+
+        A silent server may still answer, so its attempt is given up for another one
+        only. Without a retry, or a server that takes the request, the answer would end
+        for its caller.
+        """
+        now = trio.current_time()
+        if not self._may_retry(job) or not has_open_server(self._state, job, now):
+            return False
+        job.has_retry = job.has_retry or self._state.retries.acquire(
+            job.service, RetryCause.LOST, now
+        )
+        return job.has_retry
+
     def _compute_silence_timeout(self, job: Job) -> float:
         if not job.route.is_repeatable or not self._has_attempts_left(job):
             return float("inf")
@@ -332,10 +357,14 @@
                 stream.scope = scope
                 piece = await answer.receive()
             if scope.cancelled_caught:
+                is_due = stream.is_due(trio.current_time())
                 lost = await self._handle_silence(job, server, stream)
                 if lost is not None:
                     return lost
-                waiting_since = trio.current_time()
+                if is_due:
+                    waiting_since = trio.current_time()
+                else:
+                    waiting_since += SILENCE_CHECK_PERIOD
                 continue
             if piece is None:
                 return None
@@ -369,10 +398,12 @@
         if job.continuation is not None:
             return LostAttempt(LossReason.MOVED, job.continuation.server.id)
         if not stream.is_due(trio.current_time()):
+            if not self._reserve_retry(job):
+                return None
             return LostAttempt(LossReason.CUT_OFF, "silent", is_silent=True)
         await move_stream(self._state, job, server, stream)
         is_moved = job.continuation is not None
-        if stream.is_hanging and not is_moved and self._may_retry(job):
+        if stream.is_hanging and not is_moved and self._reserve_retry(job):
             return LostAttempt(LossReason.CUT_OFF, "the connection hangs")
         return None
 
@@ -458,7 +489,10 @@
             may_retry = self._may_retry(job)
         cause = RetryCause.REJECTED if lost.is_not_run else RetryCause.LOST
         now = trio.current_time()
-        if may_retry and self._state.retries.acquire(job.service, cause, now):
+        has_retry, job.has_retry = job.has_retry, False
+        if may_retry and (
+            has_retry or self._state.retries.acquire(job.service, cause, now)
+        ):
             return None
         if job.may_have_run:
             reason = f"{lost.loss.value}: {lost.reason}"
--- a/dewridge/gateway/forwarding.py
+++ b/dewridge/gateway/forwarding.py
@@ -1,5 +1,6 @@
 """Attempts: sends a request to a backend server and checks the answer."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -32,6 +33,9 @@
 MAX_BUFFERED_BYTES = 48_000_000
 """Maximum size of all large answers that are buffered at the same time: a sixth of the
 memory of a small host."""
+SILENCE_CHECK_PERIOD = 0.25
+"""Seconds between two checks whether another attempt can follow that of a silent
+server."""
 SMALL_ANSWER_BYTES = 65_536
 """Size up to which an answer does not count as large. Answers of sound servers are
 received also while servers in trouble use up the limit above."""
@@ -161,6 +165,25 @@
 request that was just sent."""
 
 
+@dataclass(frozen=True, slots=True)
+class SilenceLimit:
+    """Gives an attempt up for another one; without another one, the server may go on.
+
+    Attributes:
+        scope: is cancelled to give the attempt up; the server counts as silent from its
+            deadline on.
+        can_follow: returns whether another attempt can follow, and reserves it.
+    """
+
+    scope: trio.CancelScope
+    can_follow: Callable[[], bool]
+
+    def give_up(self) -> None:
+        """Give the attempt up unless no other one can follow."""
+        if self.can_follow():
+            self.scope.cancel()
+
+
 @dataclass(frozen=True, slots=True)
 class SendingHooks:
     """Callbacks used while a request is sent.
@@ -185,6 +208,7 @@
     is_non_retryable: bool,
     may_open: bool = True,
     is_relayed: bool = False,
+    limit: SilenceLimit | None = None,
 ) -> IncomingAnswer | LostAttempt:
     """Send a request to a server and wait for the head of its answer.
 
@@ -197,6 +221,7 @@
         may_open: whether a connection may be opened if none is idle.
         is_relayed: whether a peer asked for it and judges the answer; only an answer to
             another request is held back then.
+        limit: ends the wait for a silent server; None if no other attempt may follow.
     """
     connection = pool.acquire_idle(server, is_non_retryable=is_non_retryable)
     is_reused = connection is not None
@@ -214,7 +239,7 @@
     try:
         if not hooks.may_send():
             return LostAttempt(LossReason.WITHHELD)
-        head = await _exchange(connection, request)
+        head = await _exchange(connection, request, limit)
         hooks.record_received()
         lost = check_head(head, request.id, is_reused=connection.exchange_count > 1)
         is_current = lost is None or lost.loss is not LossReason.MISMATCHED
@@ -243,18 +268,18 @@
 
 
 async def _exchange(
-    connection: ClientConnection, request: ServerRequest
+    connection: ClientConnection, request: ServerRequest, limit: SilenceLimit | None
 ) -> ResponseHead:
     if len(request.body) <= MAX_INLINE_BODY_BYTES:
         await connection.send(
             request.method, request.target, request.headers, request.body
         )
-        return await connection.receive_head()
+        return await wait_for_head(connection, limit)
     result: ResponseHead | ConnectionBrokenError
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_send_ignoring_errors, connection, request)
         try:
-            result = await connection.receive_head()
+            result = await wait_for_head(connection, limit)
         except ConnectionBrokenError as error:
             result = error
         nursery.cancel_scope.cancel()
@@ -263,6 +288,28 @@
     return result
 
 
+async def wait_for_head(
+    connection: ClientConnection, limit: SilenceLimit | None
+) -> ResponseHead:
+    """Wait for the head of an answer; give a silent server up if another may follow.
+
+    Raises:
+        ConnectionBrokenError: no valid head was received.
+    """
+    if limit is None:
+        return await connection.receive_head()
+    silent_at, limit.scope.deadline = limit.scope.deadline, math.inf
+    try:
+        while True:
+            with trio.move_on_at(silent_at):
+                return await connection.receive_head()
+            limit.give_up()
+            await trio.lowlevel.checkpoint_if_cancelled()
+            silent_at = trio.current_time() + SILENCE_CHECK_PERIOD
+    finally:
+        limit.scope.deadline = silent_at
+
+
 async def _send_ignoring_errors(
     connection: ClientConnection, request: ServerRequest
 ) -> None:
--- a/dewridge/gateway/jobs.py
+++ b/dewridge/gateway/jobs.py
@@ -69,6 +69,8 @@
         attempt_first_event_at: time of that attempt's first event; None without one.
         rejections: attempts that servers rejected.
         may_have_run: whether some server may have run it.
+        has_retry: whether a retry of its service's budget is reserved for the next
+            attempt.
         is_usage_counted: whether it is counted in its account's usage.
         unprocessed_tokens: prompt tokens that the server probably has yet to process.
         prefill_measured_from: time at which the attempt was sent to an idle engine, to
@@ -112,6 +114,7 @@
     possible_runs: int = 0
     last_event: int | None = None
     may_have_run: bool = False
+    has_retry: bool = False
     is_usage_counted: bool = False
     unprocessed_tokens: int = 0
     prefill_measured_from: float | None = None
--- a/dewridge/gateway/reach/links.py
+++ b/dewridge/gateway/reach/links.py
@@ -74,7 +74,8 @@
         relays: peers that reach the servers, as they said when they were asked.
         dropped_at: when peers that could not relay were dropped; asked again last.
         evidence: what the last check found, for logs.
-        waiting: scopes of attempts that may be cancelled once connections hang.
+        waiting: called to give attempts up, if others can follow, while connections
+            hang.
         checked: set when the check in progress ends; None without one.
     """
 
@@ -87,7 +88,7 @@
     relays: dict[HostId, HostEntry] = field(default_factory=dict)
     dropped_at: dict[HostId, float] = field(default_factory=dict)
     evidence: str = ""
-    waiting: set[trio.CancelScope] = field(default_factory=set)
+    waiting: set[Callable[[], None]] = field(default_factory=set)
     checked: trio.Event | None = None
 
     def is_silent(self, now: float) -> bool:
@@ -164,19 +165,19 @@
         return link.received_at > link.since
 
     @contextmanager
-    def cancel_when_hanging(
-        self, service: ServiceName, scope: trio.CancelScope | None
+    def give_up_when_hanging(
+        self, service: ServiceName, give_up: Callable[[], None] | None
     ) -> Iterator[None]:
-        """Cancel the scope, if any, if connections hang while it waits on one."""
-        if scope is None:
+        """Give an attempt up, if it may be, while connections hang."""
+        if give_up is None:
             yield
             return
         waiting = self._links[service].waiting
-        waiting.add(scope)
+        waiting.add(give_up)
         try:
             yield
         finally:
-            waiting.discard(scope)
+            waiting.discard(give_up)
 
     async def run(self) -> None:
         """Check the paths that are not direct, and those that are silent, forever."""
@@ -198,8 +199,8 @@
                 self._cancel_hanging(service, link)
 
     def _cancel_hanging(self, service: ServiceName, link: ServiceLink) -> None:
-        for scope in link.waiting:
-            scope.cancel()
+        for give_up in list(link.waiting):
+            give_up()
         self.on_hanging(service)
 
     def check_silent(self, busy: Collection[ServiceName]) -> None:
--- a/dewridge/gateway/reach/peers.py
+++ b/dewridge/gateway/reach/peers.py
@@ -6,6 +6,7 @@
 import msgspec
 import trio
 
+from dewridge.gateway.forwarding import SilenceLimit, wait_for_head
 from dewridge.gateway.hosts import HostEntry
 from dewridge.gateway.model import ServerRecord
 from dewridge.gateway.reach.protocol import (
@@ -88,12 +89,23 @@
 
 
 async def call_by_relay(
-    connection: ClientConnection, sender: HostId, peer: HostEntry, call: RelayedCall
+    connection: ClientConnection,
+    sender: HostId,
+    peer: HostEntry,
+    call: RelayedCall,
+    limit: SilenceLimit | None = None,
 ) -> ResponseHead | RelayFailure:
     """Send a call to a relay and wait for the head of the answer.
 
     The caller closes the connection.
 
+    Args:
+        connection: connection to the relay.
+        sender: this host.
+        peer: the relay.
+        call: the call.
+        limit: ends the wait for a silent server; None if no other attempt may follow.
+
     Raises:
         ConnectionBrokenError: the connection to the relay ended, or the relay's to the
             server after the head of the answer.
@@ -101,7 +113,7 @@
     order = RelayOrder(peer.relay_key, sender, call.call, (call.server.id,))
     headers = [*call.headers, *encode_order(order)]
     await connection.send(call.method, call.target, headers, call.body)
-    head = await connection.receive_head()
+    head = await wait_for_head(connection, limit)
     lost = decode_loss(head.status, head.headers)
     if lost is not None:
         reach = decode_reach(head.headers)
--- a/dewridge/gateway/reach/sending.py
+++ b/dewridge/gateway/reach/sending.py
@@ -12,6 +12,7 @@
     LostAttempt,
     SendingHooks,
     ServerRequest,
+    SilenceLimit,
     check_head,
     read_complete_answer,
     send_request,
@@ -44,7 +45,7 @@
     *,
     is_non_retryable: bool,
     is_essential: bool,
-    scope: trio.CancelScope | None,
+    limit: SilenceLimit | None,
 ) -> IncomingAnswer | LostAttempt:
     """Send a request to a server and wait for the head of its answer.
 
@@ -57,15 +58,22 @@
         server: the server to send it to.
         is_non_retryable: whether the request can't be retried if it is lost.
         is_essential: whether a running stream would be lost without the request.
-        scope: is cancelled if the request waits on a connection that hangs; None if it
-            may not be sent again.
+        limit: gives the attempt up if the server is silent or the connection hangs;
+            None if it may not be sent again.
     """
     path = state.links.find_path(server.service)
     if path is ServerPath.DIRECT:
         started_at = trio.current_time()
-        with state.links.cancel_when_hanging(server.service, scope):
+        give_up = None if limit is None else limit.give_up
+        with state.links.give_up_when_hanging(server.service, give_up):
             answer = await _send_directly(
-                state, request, server, is_non_retryable, is_essential, may_open=True
+                state,
+                request,
+                server,
+                is_non_retryable,
+                is_essential,
+                limit,
+                may_open=True,
             )
         if not _is_not_connected(answer):
             return answer
@@ -83,10 +91,16 @@
             request.headers,
             request.body,
         )
-        return await _send_by_peer(state, request, call, is_essential)
+        return await _send_by_peer(state, request, call, is_essential, limit)
     if state.links.has_live_connections(server.service):
         return await _send_directly(
-            state, request, server, is_non_retryable, is_essential, may_open=False
+            state,
+            request,
+            server,
+            is_non_retryable,
+            is_essential,
+            limit,
+            may_open=False,
         )
     return LostAttempt(LossReason.NO_PATH, "no peer reaches the servers either")
 
@@ -115,13 +129,22 @@
     server: ServerRecord,
     answer: IncomingAnswer,
     *,
-    may_repeat: bool,
+    can_follow: Callable[[], bool] | None,
 ) -> CompleteAnswer | LostAttempt:
-    """Read an answer to its end, or, if it may be repeated, until it hangs."""
+    """Read an answer to its end, or until it hangs and another attempt can follow.
+
+    Args:
+        state: the state of this host.
+        server: the server.
+        answer: the answer.
+        can_follow: returns whether another attempt can follow, and reserves it; None if
+            the request may not be sent again.
+    """
     with trio.CancelScope() as scope:
-        is_ended_early = may_repeat and answer.relay is None
-        waiting = scope if is_ended_early else None
-        with state.links.cancel_when_hanging(server.service, waiting):
+        give_up = None
+        if can_follow is not None and answer.relay is None:
+            give_up = SilenceLimit(scope, can_follow).give_up
+        with state.links.give_up_when_hanging(server.service, give_up):
             return await read_complete_answer(answer, state.answer_buffers)
     return LostAttempt(LossReason.CUT_OFF, "the connection hangs", is_silent=True)
 
@@ -136,6 +159,7 @@
     server: ServerRecord,
     is_non_retryable: bool,
     is_essential: bool,
+    limit: SilenceLimit | None,
     *,
     may_open: bool,
 ) -> IncomingAnswer | LostAttempt:
@@ -148,11 +172,16 @@
         hooks,
         is_non_retryable=is_non_retryable,
         may_open=may_open,
+        limit=limit,
     )
 
 
 async def _send_by_peer(
-    state: GatewayState, request: ServerRequest, call: RelayedCall, is_essential: bool
+    state: GatewayState,
+    request: ServerRequest,
+    call: RelayedCall,
+    is_essential: bool,
+    limit: SilenceLimit | None,
 ) -> IncomingAnswer | LostAttempt:
     service = call.server.service
     excluded: set[HostId] = set()
@@ -161,7 +190,7 @@
         peer = await _find_relay(state, service, excluded)
         if peer is None:
             return lost
-        answer = await _try_relay(state, request, call, peer, is_essential)
+        answer = await _try_relay(state, request, call, peer, is_essential, limit)
         is_unusable = (
             isinstance(answer, LostAttempt) and answer.loss is LossReason.NO_PATH
         )
@@ -199,6 +228,7 @@
     call: RelayedCall,
     peer: HostEntry,
     is_essential: bool,
+    limit: SilenceLimit | None,
 ) -> IncomingAnswer | LostAttempt:
     opened = await open_relay(peer)
     if isinstance(opened, RelayFailure):
@@ -214,7 +244,7 @@
         now = trio.current_time()
         if not state.pushback.acquire(call.server.id, now, is_essential=is_essential):
             return LostAttempt(LossReason.WITHHELD)
-        head = await call_by_relay(opened, state.host, peer, call)
+        head = await call_by_relay(opened, state.host, peer, call, limit)
         if isinstance(head, RelayFailure):
             return _convert_failure(state, call.server, head, peer)
         lost = check_head(head, request.id, is_reused=False)
--- a/dewridge/gateway/weighing.py
+++ b/dewridge/gateway/weighing.py
@@ -241,6 +241,12 @@
     ]
 
 
+def has_open_server(state: GatewayState, job: Job, now: float) -> bool:
+    """Return whether some server of a job's service may get one more request now."""
+    chosen, serving = list_allowed_servers(state, job, now)
+    return bool(list_open(state, chosen, now) or list_open(state, serving, now))
+
+
 def can_copy_from(state: GatewayState, server: BackendServerId, now: float) -> bool:
     """Return whether another server may copy a cached prefix from a server."""
     is_cooling_down = now < state.get_health(server).cooldown_until
