Check the server after a plain answer without a length

Callers got a part of a body as a success, with a length of the host's own, if a server crashed while it sent an answer with neither a length nor chunks. The kernel closes the connections of a process that ends like those of whole answers. For streams the host asked whether the server still accepts connections; for plain answers it did not.

It now asks for all of them. If the server has ended, the request is repeated where the route allows that, and fails with 502 otherwise. The result goes with the loss, so that the server is not asked again. Answers to HEAD and those with status 204 or 304 end with their head and are not checked.

test_a_part_of_a_plain_answer_is_no_success_if_its_server_ends failed before (200 with 0 and 2 of the pieces), and so did test_a_plain_request_is_repeated_if_its_server_ends_in_its_answer (the part in place of the other server's answer).

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -56,8 +56,6 @@
 """Lower bound in seconds for the time without an event after which a resumable stream
 is continued on another server. Callers disconnect after longer pauses, and engines
 hardly ever pause that long by themselves."""
-
-
 SURVIVAL_SECONDS = 1.0
 """Seconds from an attempt's first event after which further events show that its
 request does not crash servers: twice the time in which a crash is put down to it."""
@@ -164,13 +162,7 @@
         is_stream = job.route.kind is RouteKind.STREAM
         if is_stream and answer.head.status == 200:
             return await self._relay_stream(job, server, answer, responder)
-        can_follow = partial(self._reserve_retry, job)
-        complete = await read_answer(
-            self._state,
-            server,
-            answer,
-            can_follow=can_follow if self._may_retry(job) else None,
-        )
+        complete = await self._read_plain_answer(job, server, answer)
         if isinstance(complete, LostAttempt):
             return complete
         if responder.has_started:
@@ -192,6 +184,20 @@
         await self._forward_answer(job, server, complete, responder)
         return None
 
+    async def _read_plain_answer(
+        self, job: Job, server: ServerRecord, answer: IncomingAnswer
+    ) -> CompleteAnswer | LostAttempt:
+        can_follow = partial(self._reserve_retry, job)
+        complete = await read_answer(
+            self._state,
+            server,
+            answer,
+            can_follow=can_follow if self._may_retry(job) else None,
+        )
+        if isinstance(complete, LostAttempt) or not answer.is_unframed:
+            return complete
+        return await self._losses.check_end(server) or complete
+
     async def _send(
         self, job: Job, server: ServerRecord, continuation: Continuation | None
     ) -> IncomingAnswer | LostAttempt:
@@ -387,9 +393,7 @@
             return LostAttempt(LossReason.MOVED, job.continuation.server.id)
         if job.attempt_first_event_at is None:
             return LostAttempt(LossReason.CUT_OFF, "ended before an event")
-        if await self._losses.has_ended(server):
-            return LostAttempt(LossReason.CUT_OFF, "the server ended")
-        return None
+        return await self._losses.check_end(server)
 
     async def _handle_silence(
         self, job: Job, server: ServerRecord, stream: RunningStream
--- a/dewridge/gateway/losses.py
+++ b/dewridge/gateway/losses.py
@@ -76,14 +76,19 @@
             # attempt does not count against it if the request is not a suspect.
             job.possible_runs -= 1
 
-    async def has_ended(self, server: ServerRecord) -> bool:
-        """Return whether a server ended together with its last answer.
+    async def check_end(self, server: ServerRecord) -> LostAttempt | None:
+        """Return why an answer that ended with its connection is not whole, if so.
 
+        The connections of a process that ends are closed like that of a whole answer.
         A server that had announced that it leaves completes its answers first.
         """
         if self._state.servers.find_departure(server.id) is not None:
-            return False
-        return await self._probe_server(server) is ConnectResult.REFUSED
+            return None
+        if await self._probe_server(server) is not ConnectResult.REFUSED:
+            return None
+        return LostAttempt(
+            LossReason.CUT_OFF, "the server ended", reach=ConnectResult.REFUSED
+        )
 
     async def _probe_server(self, server: ServerRecord) -> ConnectResult | None:
         """Return whether a server accepts connections; jobs share one probe."""
--- a/dewridge/http1/client.py
+++ b/dewridge/http1/client.py
@@ -23,6 +23,9 @@
 """Interim responses (1xx) before a response. Without a limit they could go on without
 end, each of them valid."""
 
+BODYLESS_STATUSES = frozenset({204, 304})
+"""Statuses of responses that have no body, whatever their headers say."""
+
 SEND_ACK_TIMEOUT_MS = 2_000
 """Milliseconds until the kernel closes a connection with unacknowledged data. On a
 path that stopped responding without a reset, a write seems to succeed, and the
@@ -57,7 +60,15 @@
 
 
 class ClientConnection:
-    """A connection for one exchange at a time; its owner decides when to reuse it."""
+    """A connection for one exchange at a time; its owner decides when to reuse it.
+
+    Attributes:
+        exchange_count: exchanges begun so far.
+        idle_since: monotonic time of the end of the last exchange.
+        keep_alive_timeout: seconds for which the server keeps an idle connection open;
+            None if it does not say.
+        is_close_delimited: whether the body of the response ends with the connection.
+    """
 
     def __init__(self, stream: trio.SocketStream, name: str) -> None:
         self._stream = stream
@@ -69,6 +80,7 @@
         self.idle_since = 0.0
         self.keep_alive_timeout: float | None = None
         self._is_body_sent = True
+        self._method = b""
         self.is_close_delimited = False
 
     async def send(
@@ -82,6 +94,7 @@
         """
         self.exchange_count += 1
         self._is_body_sent = False
+        self._method = method
         head = h11.Request(method=method, target=target, headers=headers)
         data = self._state.send(head) or b""
         if body:
@@ -115,7 +128,8 @@
         )
         length = head.find_header(b"content-length")
         coding = head.find_header(b"transfer-encoding")
-        self.is_close_delimited = length is None and coding is None
+        has_body = self._method != b"HEAD" and head.status not in BODYLESS_STATUSES
+        self.is_close_delimited = has_body and length is None and coding is None
         return head
 
     async def receive_body(self) -> bytes | None:
--- a/dewridge/tests/gateway/unframed_tests.py
+++ b/dewridge/tests/gateway/unframed_tests.py
@@ -1,7 +1,9 @@
 """Tests of answers without a length or chunks, which end with their connection."""
 
+import pytest
 import trio
 
+from dewridge.ids import ServiceName
 from dewridge.tests.gateway.world import (
     ENGINE,
     PLAIN,
@@ -9,6 +11,7 @@
     ServerExchange,
     World,
     make_event,
+    make_request,
     open_world,
 )
 
@@ -23,7 +26,9 @@
     await exchange.stream.aclose()
 
 
-async def add_crashing(world: World, events: int) -> ScriptedServer:
+async def add_crashing(
+    world: World, events: int, service: ServiceName = ENGINE
+) -> ScriptedServer:
     """Add a server that ends between two events, or before the first one."""
     servers: list[ScriptedServer] = []
 
@@ -32,14 +37,19 @@
         for number in range(1, events + 1):
             await exchange.send(make_event(number))
         await trio.sleep(0.05)
-        servers[0]._scope.cancel()
-        servers[0].has_crashed = True
-        await close(exchange)
+        await end_in_order(servers[0], exchange)
 
-    servers.append(await world.add_server("crashing", crash, ENGINE))
+    servers.append(await world.add_server("crashing", crash, service))
     return servers[0]
 
 
+async def end_in_order(server: ScriptedServer, exchange: ServerExchange) -> None:
+    """End a server; its connection is closed without a reset."""
+    server._scope.cancel()
+    server.has_crashed = True
+    await close(exchange)
+
+
 async def test_a_whole_unframed_stream_is_complete() -> None:
     async def answer(exchange: ServerExchange) -> None:
         await begin_unframed(exchange)
@@ -142,3 +152,58 @@
         await world.add_server("s-1", reset, PLAIN)
         broken = await world.request("/write/a", method="POST")
     assert broken.status != 200
+
+
+async def test_a_part_of_a_plain_answer_is_no_success_if_its_server_ends() -> None:
+    """Guards against a part of a body that its caller takes for the whole."""
+    for pieces in (0, 2):
+        async with open_world() as world:
+            server = await add_crashing(world, pieces, PLAIN)
+            result = await world.request("/write/a", method="POST")
+            suspects = world.state.suspects.list_all()
+        assert result.status == 502
+        assert len(server.received) == 1
+        assert len(suspects) == 1
+
+
+async def test_a_plain_request_is_repeated_if_its_server_ends_in_its_answer() -> None:
+    """Guards against a failure although another server can answer."""
+
+    async def answer(exchange: ServerExchange) -> None:
+        await begin_unframed(exchange)
+        await exchange.send(b"whole")
+        await close(exchange)
+
+    async with open_world(retry_slack=100) as world:
+        crashing = await add_crashing(world, 2, PLAIN)
+        results = []
+
+        async def ask() -> None:
+            results.append(await world.request("/read/a"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            while not crashing.received:  # noqa: ASYNC110
+                await trio.sleep(0.001)
+            await world.add_server("sound", answer, PLAIN)
+    assert (results[0].status, results[0].body) == (200, b"whole")
+
+
+@pytest.mark.parametrize(("method", "status"), [("POST", 204), ("HEAD", 200)])
+async def test_an_answer_without_a_body_is_whole_though_its_server_ends(
+    method: str, status: int
+) -> None:
+    """Guards against the loss of an answer whose end is that of its head."""
+    servers: list[ScriptedServer] = []
+
+    async def answer(exchange: ServerExchange) -> None:
+        await exchange.send(exchange.make_head(status))
+        await end_in_order(servers[0], exchange)
+
+    async with open_world() as world:
+        servers.append(await world.add_server("s-1", answer, PLAIN))
+        stream = await world.connect()
+        async with stream:
+            await stream.send_all(make_request("/write/a", method=method))
+            head = await stream.receive_some(1000)
+    assert head.startswith(b"HTTP/1.1 %d " % status)
