Excuse cuts at a budget or in the last sixth of the grace period in the soak

The check that nothing is cut in calm or planned work could not meet a stream that outlasts its budget or its host: all streams took half a second. With streams of 0.5 to 12 s it named cuts that the rule LOST allows.

The check now leaves out exactly these: a request whose budget or route's timeout was reached, and one sent by 3 s after the first SIGTERM whose server still worked and that was cut in the last sixth of the grace period. A request that is sent or cut outside these bounds is named as before, which a test shows for each bound.

--- a/dewridge/tests/soak/lostchecks_tests.py
+++ b/dewridge/tests/soak/lostchecks_tests.py
@@ -5,9 +5,11 @@
 
 import pytest
 
+from dewridge.tests.soak.checks import check_interruptions
 from dewridge.tests.soak.lostchecks import check_exits, check_lost, check_unanswered
 from dewridge.tests.soak.records import (
     Disturbance,
+    Execution,
     History,
     HostBoot,
     HostSignal,
@@ -137,6 +139,26 @@
     assert len(check_lost(history)) == expected
 
 
+@pytest.mark.parametrize(
+    ("sent_after", "cut_after", "timeout", "expected"),
+    [
+        (2.9, 7.4, 12.0, 0),
+        (3.1, 7.4, 12.0, 1),
+        (2.9, 6.5, 12.0, 1),
+        (2.0, 6.1, 4.0, 0),
+        (2.0, 5.9, 4.0, 1),
+    ],
+    ids=["exit", "sent late", "cut early", "time over", "time left"],
+)
+def test_only_exits_and_budgets_may_interrupt_requests_in_planned_work(
+    sent_after: float, cut_after: float, timeout: float, expected: int
+) -> None:
+    history = make_history()
+    request = add_request(history, sent_after, cut_after, timeout=timeout)
+    history.executions.append(Execution(request.id, "s-1", "", request.sent_at))
+    assert len(check_interruptions(history)) == expected
+
+
 def test_second_sigterm_does_not_extend_the_excuse() -> None:
     history = make_history()
     history.boots[0].signals.append(HostSignal(signal.SIGTERM, TERMINATED_AT + 2))
