Let hosts leave in the soak while callers hold on to them

Callers of the soak followed the lists of addresses and sent streams of half a second, so nothing was under way when a process ended, and the soak could not show streams cut at an exit.

A new trouble lets one, some or all hosts leave, at once or one after the other, while callers use their open connections and new ones until the processes are gone. Streams take 0.5 to 12 s with budgets of 3 to 15 s; some first events and plain answers come late; some callers read slowly through small buffers. SIGHUP and SIGTERM come before, while and right until after a host leaves, single and in quick series. Other hosts may be partitioned from all servers at that time and use leaving ones as relays, and the configuration changes beside it.

--- a/dewridge/tests/soak/__main__.py
+++ b/dewridge/tests/soak/__main__.py
@@ -53,6 +53,12 @@
             help="Times that a service rejects most requests while hosts start again."
         ),
     ] = 1,
+    leaving: Annotated[
+        int,
+        typer.Option(
+            help="Times that hosts leave while callers use them until they are gone."
+        ),
+    ] = 2,
     bad_parts: Annotated[
         int, typer.Option(help="Callers with a prompt part that ends servers.")
     ] = 1,
@@ -81,6 +87,7 @@
         new_versions=new_versions,
         departures=departures,
         rejecting=rejecting,
+        leaving=leaving,
         bad_parts=bad_parts,
         routes=routes,
         store_rate=store_rate,
--- a/dewridge/tests/soak/partitions.py
+++ b/dewridge/tests/soak/partitions.py
@@ -81,7 +81,13 @@
     """Partition some hosts from all servers for a time, some seconds from now."""
     await trio.sleep(at)
     count = rng.randint(1, len(environment.gateways) - 1)
-    hosts = rng.sample(environment.gateways, count)
+    await partition_some(environment, rng.sample(environment.gateways, count), rng)
+
+
+async def partition_some(
+    environment: "SoakEnvironment", hosts: list["Gateway"], rng: random.Random
+) -> None:
+    """Partition certain hosts from all servers for a time, from now on."""
     new, opened = rng.choice(list(NewConnections)), rng.choice(list(OpenConnections))
     begin = time.monotonic()
     for gateway in hosts:
--- a/dewridge/tests/soak/runs.py
+++ b/dewridge/tests/soak/runs.py
@@ -15,6 +15,7 @@
 from dewridge.tests.soak.departures import make_servers_leave
 from dewridge.tests.soak.documents import LargeDocuments, probe_versions
 from dewridge.tests.soak.faults import Fault, draw_faults, inject_faults
+from dewridge.tests.soak.leaving import make_hosts_leave
 from dewridge.tests.soak.newversions import add_version
 from dewridge.tests.soak.partitions import partition_hosts
 from dewridge.tests.soak.records import LOW_RETRY_SLACK, RequestKind
@@ -57,6 +58,8 @@
     """Number of times that servers leave right after a trouble of all hosts."""
     rejecting: int = 0
     """Number of times that a service rejects most requests while hosts start again."""
+    leaving: int = 0
+    """Number of times that hosts leave while callers use them until they are gone."""
     bad_parts: int = 0
     """Number of callers whose requests partly hold a part that crashes servers."""
     routes: int = 0
@@ -180,6 +183,12 @@
             at = departure_rng.uniform(0, size.seconds)
             drawn_rng = random.Random(departure_rng.random())
             nursery.start_soon(make_servers_leave, environment, at, drawn_rng)
+        leaving_rng = random.Random(f"leaving {seed}")
+        for number in range(size.leaving):
+            at = leaving_rng.uniform(0, size.seconds)
+            drawn_rng = random.Random(leaving_rng.random())
+            name = f"l{number}"
+            nursery.start_soon(make_hosts_leave, environment, at, name, drawn_rng)
         for _ in range(size.signals):
             at = rng.uniform(0, size.seconds)
             nursery.start_soon(
