Ignore signals while the interpreter of a host ends

A host that leaves and gets SIGHUP or SIGTERM in its last moments ended by that signal in place of status 0. The interpreter sets its own signal handlers back to their defaults before it removes modules, so the handlers that are kept after the event loop do not cover this time. It leaves ignored signals alone.

Both signals are now ignored once the event loop has ended. The test sends them from an object that is removed with the modules; before, the process ended with status -15 and -1.

--- a/dewridge/gateway/__main__.py
+++ b/dewridge/gateway/__main__.py
@@ -61,6 +61,9 @@
     gc.enable()
     set_up_logs(loaded.settings.log.level, loaded.settings.host.id)
     trio.run(run_gateway, loaded.settings, path, load_gateway_settings)
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        # The interpreter removes handlers before it ends, but keeps ignored signals.
+        signal.signal(number, signal.SIG_IGN)
     return 0
 
 
--- a/dewridge/tests/gateway/start_tests.py
+++ b/dewridge/tests/gateway/start_tests.py
@@ -6,6 +6,8 @@
 import subprocess
 import sys
 
+import pytest
+
 NOT_IMPORTED = {
     "cryptography",
     "dewridge.frontend",
@@ -62,3 +64,36 @@
 """
     result = subprocess.run([sys.executable, "-c", script], check=False)
     assert result.returncode == 0
+
+
+@pytest.mark.parametrize("name", ["SIGTERM", "SIGHUP"])
+def test_signals_do_not_end_a_process_that_exits(name: str) -> None:
+    """Guards against signals after the interpreter has reset their handlers."""
+    script = f"""
+import os, signal, sys
+from types import SimpleNamespace as Namespace
+from dewridge.gateway import __main__ as gateway
+from dewridge.settings.loading import LoadedSettings
+gateway._import_trio()
+import trio
+
+class LastObject:
+    def __del__(self, write=os.write, kill=os.kill, pid=os.getpid()):
+        write(1, b"sent")
+        kill(pid, signal.{name})
+
+def handle_signals(*arguments):
+    signal.signal(signal.{name}, lambda number, frame: None)
+
+trio.run = handle_signals
+settings = Namespace(log=Namespace(level="info"), host=Namespace(id="a"))
+gateway.load_gateway_settings = lambda path: LoadedSettings(settings)
+module = type(sys)("module_that_is_removed_last")
+module.last = LastObject()
+sys.modules[module.__name__] = module
+sys.exit(gateway.run())
+"""
+    result = subprocess.run(
+        [sys.executable, "-c", script], capture_output=True, text=True, check=False
+    )
+    assert (result.returncode, result.stdout) == (0, "sent"), result.stderr
