Send signals to leaving hosts of the soak until they are gone

Half of the hosts that leave now get SIGHUP or SIGTERM every 5 to 30 ms from 3 to 7 s after SIGTERM until their process is gone.

The stand-in servers answer the load report of a server with 404.

--- a/dewridge/tests/soak/leaving.py
+++ b/dewridge/tests/soak/leaving.py
@@ -37,6 +37,11 @@
 """Maximum requests that a caller sends on one connection."""
 MAX_RATE = 10.0
 """Maximum connections per second, summed over the hosts that leave together."""
+QUIET_SECONDS = 3.0
+"""Seconds after SIGTERM from which signals may come until the process is gone. It ends
+soon after that if nobody uses it."""
+MIN_SIGNAL_GAP, MAX_SIGNAL_GAP = 0.005, 0.03
+"""Range of the seconds between these signals: less than a process takes to end."""
 LOAD_SHARE = 0.4
 """Share of the servers' capacity that the requests on them use."""
 PARTITION_PROBABILITY = 0.4
@@ -227,6 +232,9 @@
             nursery.start_soon(
                 _send_series, environment, callers, number, at, count, gap
             )
+        if rng.random() < 0.5:
+            at = delay + rng.uniform(QUIET_SECONDS, SHUTDOWN_GRACE - 1.0)
+            nursery.start_soon(_send_until_gone, environment, callers, at, fork(rng))
         await trio.sleep(delay)
         await stop_gateway(environment, gateway)
 
@@ -246,3 +254,19 @@
         if number == signal.SIGHUP or gateway.process is callers.process:
             environment.send_signal(gateway, number)
         await trio.sleep(gap)
+
+
+async def _send_until_gone(
+    environment: SoakEnvironment,
+    callers: PersistentCallers,
+    at: float,
+    rng: random.Random,
+) -> None:
+    """Send signals to the process that callers use until it is gone."""
+    number = rng.choice([signal.SIGHUP, signal.SIGTERM])
+    gap = rng.uniform(MIN_SIGNAL_GAP, MAX_SIGNAL_GAP)
+    await trio.sleep(at)
+    gateway = callers.gateway
+    while gateway.process is callers.process and callers.process.is_running:
+        environment.send_signal(gateway, number)
+        await trio.sleep(gap)
--- a/dewridge/tests/soak/servers.py
+++ b/dewridge/tests/soak/servers.py
@@ -11,6 +11,7 @@
 import trio
 
 from dewridge.ids import BackendServerId
+from dewridge.platform.engines import REPORT_PATH
 from dewridge.tests.gateway.memorystore import MemoryStore
 from dewridge.tests.gateway.world import ScriptedServer, ServerExchange
 from dewridge.tests.soak.links import Link
@@ -129,6 +130,9 @@
         store.write(key, json.dumps(record).encode())
 
     async def _handle_request(self, exchange: ServerExchange) -> None:
+        if exchange.target == REPORT_PATH:
+            await exchange.answer(b"", 404)
+            return
         request_id = exchange.headers.get(b"x-attempt-id", b"").decode()
         arrival = Execution(request_id, self.id, "", time.monotonic())
         self.history.all_arrivals.append(arrival)
