Judge the end of an answer by a probe that begins after it

Callers got a part of a stream as complete, and of a plain answer as a success, if a server crashed within half a second after the host had probed it: the result of a probe from before the crash was used for all answers that ended in that time.

An answer that ends with its connection is now judged only by a probe that begins after its end. Answers that end at the same moment share one, and those that end while a probe runs share the next. Requests that were lost still use results of the last 0.5 s, for these choose the next server and say nothing about an answer. Sharing is in a module of its own, gateway/reach/probes.py.

test_a_server_is_asked_after_the_end_of_each_answer failed before for a stream and for a plain answer (200 and complete with one event of a server that had ended), and passes now. 20 answers that end together take at most 3 probes (test_answers_that_end_together_share_probes).

--- a/dewridge/gateway/losses.py
+++ b/dewridge/gateway/losses.py
@@ -1,6 +1,6 @@
 """Handling of lost attempts: consequences for the server and for the request."""
 
-from dataclasses import dataclass, field
+from functools import partial
 
 import trio
 from loguru import logger as log
@@ -8,9 +8,9 @@
 from dewridge.gateway.forwarding import LostAttempt
 from dewridge.gateway.jobs import Job
 from dewridge.gateway.model import ServerRecord
+from dewridge.gateway.reach.probes import SharedProbes
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.suspects import record_crash
-from dewridge.ids import BackendServerId
 from dewridge.policy.losses import (
     INTERRUPTED_REASONS,
     ConnectResult,
@@ -25,16 +25,9 @@
 """Seconds for which a server counts as full after it rejected a request: the time of a
 few answers."""
 PROBE_LIFETIME = 0.5
-"""Seconds for which the result of probing a server is used. A crash fails all requests
-on the server at the same moment, so one probe serves all of them."""
-
-
-@dataclass
-class _Probe:
-    started_at: float
-    path: ServerPath
-    connect_result: ConnectResult | None = None
-    done: trio.Event = field(default_factory=trio.Event)
+"""Seconds for which the result of probing a server is used for requests that it lost.
+A crash fails all requests on the server at the same moment, so one probe serves all of
+them."""
 
 
 class LossHandler:
@@ -42,7 +35,7 @@
 
     def __init__(self, state: GatewayState) -> None:
         self._state = state
-        self._probes: dict[BackendServerId, _Probe] = {}
+        self._probes = SharedProbes()
 
     async def handle(self, job: Job, server: ServerRecord, lost: LostAttempt) -> None:
         """Apply what a lost attempt shows about its server and about its request."""
@@ -50,7 +43,7 @@
         now = trio.current_time()
         connect_result = lost.reach
         if connect_result is None and lost.loss in INTERRUPTED_REASONS:
-            connect_result = await self._probe_server(server)
+            connect_result = await self._probe_server(server, PROBE_LIFETIME)
         path = state.links.find_path(server.service)
         is_broken = lost.loss in {*INTERRUPTED_REASONS, LossReason.NOT_CONNECTED}
         if is_broken and path is not ServerPath.DIRECT and lost.relay is None:
@@ -80,6 +73,7 @@
         """Return why an answer that ended with its connection is not whole, if so.
 
         The connections of a process that ends are closed like that of a whole answer.
+        Only a connection that is opened afterwards shows the difference.
         A server that had announced that it leaves completes its answers first.
         """
         if self._state.servers.find_departure(server.id) is not None:
@@ -90,34 +84,29 @@
             LossReason.CUT_OFF, "the server ended", reach=ConnectResult.REFUSED
         )
 
-    async def _probe_server(self, server: ServerRecord) -> ConnectResult | None:
+    async def _probe_server(
+        self, server: ServerRecord, max_age: float = 0.0
+    ) -> ConnectResult:
         """Return whether a server accepts connections; jobs share one probe."""
-        recent = self._probes.get(server.id)
         path = self._state.links.find_path(server.service)
-        if (
-            recent is not None
-            and recent.path is path
-            and trio.current_time() - recent.started_at < PROBE_LIFETIME
-        ):
-            await recent.done.wait()
-            # There is no result if the probing job was cancelled because its caller
-            # disconnected.
-            if recent.connect_result is not None:
-                return recent.connect_result
-        now = trio.current_time()
-        self._drop_expired_probes(now)
-        probe = self._probes[server.id] = _Probe(now, path)
-        # The server counts as full meanwhile. A crashed server has no requests left, so
-        # it would look like the best choice for the requests that it lost; if several
-        # crash together, a request would be sent to one after the other.
+        connect = partial(self._connect_withheld, server, path)
+        return await self._probes.probe((server.id, path), connect, max_age)
+
+    async def _connect_withheld(
+        self, server: ServerRecord, path: ServerPath
+    ) -> ConnectResult:
+        """Probe a server, which gets no requests meanwhile.
+
+        A crashed server has no requests left, so it would look like the best choice for
+        the requests that it lost; if several crash together, a request would be sent to
+        one after the other.
+        """
         health = self._state.get_health(server.id)
-        health.full_until = now + PROBE_LIFETIME
+        health.full_until = trio.current_time() + PROBE_LIFETIME
         try:
-            probe.connect_result = await self._connect(server, path)
+            return await self._connect(server, path)
         finally:
             health.full_until = float("-inf")
-            probe.done.set()
-        return probe.connect_result
 
     async def _connect(self, server: ServerRecord, path: ServerPath) -> ConnectResult:
         """Return whether a server accepts connections of this host, or of a relay."""
@@ -139,13 +128,6 @@
         results = await state.links.ask_peer(peer, [server])
         return results[0] if results else ConnectResult.SILENT
 
-    def _drop_expired_probes(self, now: float) -> None:
-        self._probes = {
-            server: probe
-            for server, probe in self._probes.items()
-            if now - probe.started_at < PROBE_LIFETIME
-        }
-
     def _apply_verdict(
         self, job: Job, server: ServerRecord, lost: LostAttempt, verdict: ServerVerdict
     ) -> None:
--- /dev/null
+++ b/dewridge/gateway/reach/probes.py
@@ -0,0 +1,70 @@
+"""Probes of servers whose results are shared by all who ask for them."""
+
+import math
+from collections.abc import Awaitable, Callable, Hashable
+from dataclasses import dataclass, field
+
+import trio
+
+from dewridge.policy.losses import ConnectResult
+
+MAX_AGE = 1.0
+"""Seconds for which results are kept."""
+
+Connect = Callable[[], Awaitable[ConnectResult]]
+
+
+@dataclass
+class _Probe:
+    began_at: float = math.inf
+    result: ConnectResult | None = None
+    """None also if the task that probed was cancelled."""
+    done: trio.Event = field(default_factory=trio.Event)
+
+
+class SharedProbes:
+    """Probes that are in progress, and the results of recent ones."""
+
+    def __init__(self) -> None:
+        self._probes: dict[Hashable, _Probe] = {}
+
+    async def probe(
+        self, key: Hashable, connect: Connect, max_age: float = 0.0
+    ) -> ConnectResult:
+        """Return the result of a probe; one probe at a time runs for each key.
+
+        Args:
+            key: what is probed.
+            connect: probes it.
+            max_age: seconds for which the probe may have begun before this call. With
+                0, the result shows what is true after the call.
+        """
+        oldest = trio.current_time() - max_age
+        while True:
+            probe = self._probes.get(key)
+            if probe is None:
+                return await self._run(key, connect)
+            await probe.done.wait()
+            if probe.result is not None and probe.began_at >= oldest:
+                return probe.result
+            if self._probes.get(key) is probe:
+                del self._probes[key]
+
+    async def _run(self, key: Hashable, connect: Connect) -> ConnectResult:
+        self._drop_expired(trio.current_time())
+        probe = self._probes[key] = _Probe()
+        try:
+            # Tasks whose connections ended at the same moment ask before it begins.
+            await trio.lowlevel.checkpoint()
+            probe.began_at = trio.current_time()
+            probe.result = await connect()
+            return probe.result
+        finally:
+            probe.done.set()
+
+    def _drop_expired(self, now: float) -> None:
+        self._probes = {
+            key: probe
+            for key, probe in self._probes.items()
+            if not probe.done.is_set() or now - probe.began_at < MAX_AGE
+        }
--- a/dewridge/tests/gateway/unframed_tests.py
+++ b/dewridge/tests/gateway/unframed_tests.py
@@ -207,3 +207,58 @@
             await stream.send_all(make_request("/write/a", method=method))
             head = await stream.receive_some(1000)
     assert head.startswith(b"HTTP/1.1 %d " % status)
+
+
+@pytest.mark.parametrize(
+    ("path", "service"), [("/draft/a", ENGINE), ("/write/a", PLAIN)]
+)
+async def test_a_server_is_asked_after_the_end_of_each_answer(
+    path: str, service: ServiceName
+) -> None:
+    """Guards against an end that is judged by an answer of the server from before."""
+    servers: list[ScriptedServer] = []
+
+    async def answer(exchange: ServerExchange) -> None:
+        await begin_unframed(exchange)
+        await exchange.send(make_event(1))
+        if len(servers[0].received) > 1:
+            await end_in_order(servers[0], exchange)
+        else:
+            await close(exchange)
+
+    async with open_world() as world:
+        servers.append(await world.add_server("s-1", answer, service))
+        whole = await world.request(path, method="POST", request_id="r-1")
+        part = await world.request(path, method="POST", request_id="r-2")
+    assert (whole.status, whole.is_complete) == (200, True)
+    assert not (part.status == 200 and part.is_complete)
+
+
+async def test_answers_that_end_together_share_probes() -> None:
+    """Guards against a connection to the server for each answer without a length."""
+    count = 20
+    go = trio.Event()
+
+    async def answer(exchange: ServerExchange) -> None:
+        await begin_unframed(exchange)
+        await exchange.send(b"whole")
+        await go.wait()
+        await close(exchange)
+
+    async with open_world() as world:
+        servers = [await world.add_server("s-1", answer, PLAIN)]
+        results: list[int] = []
+
+        async def ask(number: int) -> None:
+            result = await world.request("/read/a", request_id=f"r-{number}")
+            results.append(result.status)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(count):
+                nursery.start_soon(ask, number)
+            while len(servers[0].received) < count:  # noqa: ASYNC110
+                await trio.sleep(0.001)
+            go.set()
+        probes = world.state.pool.opened - count
+    assert results == [200] * count
+    assert 1 <= probes <= 3
