Check the end of answers of leaving servers too

Callers got a part of an answer with neither a length nor chunks as complete if its server, which had said that it leaves, exited while it sent. Such servers were not probed, on the assumption that they complete their answers first; but they exit at a time of their own, whatever still runs.

They are probed like all others. An answer whose server goes on for some milliseconds is whole as before; one that ends together with its server counts as cut off.

test_an_answer_of_a_leaving_server_is_whole_unless_the_server_ends failed before for a stream and a plain answer (200 and complete), in both cases in which the server ends.

--- a/dewridge/gateway/losses.py
+++ b/dewridge/gateway/losses.py
@@ -73,11 +73,9 @@
         """Return why an answer that ended with its connection is not whole, if so.
 
         The connections of a process that ends are closed like that of a whole answer.
-        Only a connection that is opened afterwards shows the difference.
-        A server that had announced that it leaves completes its answers first.
+        Only a connection that is opened afterwards shows the difference. That holds for
+        servers that leave as well: they exit at a time of their own, whatever runs.
         """
-        if self._state.servers.find_departure(server.id) is not None:
-            return None
         if await self._probe_server(server) is not ConnectResult.REFUSED:
             return None
         return LostAttempt(
--- a/dewridge/tests/gateway/unframed_tests.py
+++ b/dewridge/tests/gateway/unframed_tests.py
@@ -262,3 +262,29 @@
         probes = world.state.pool.opened - count
     assert results == [200] * count
     assert 1 <= probes <= 3
+
+
+@pytest.mark.parametrize(
+    ("path", "service"), [("/draft/a", ENGINE), ("/write/a", PLAIN)]
+)
+@pytest.mark.parametrize("ends", [False, True])
+async def test_an_answer_of_a_leaving_server_is_whole_unless_the_server_ends(
+    path: str, service: ServiceName, ends: bool
+) -> None:
+    """Guards against a part that looks whole as its server exits when it had said."""
+    servers: list[ScriptedServer] = []
+
+    async def answer(exchange: ServerExchange) -> None:
+        await exchange.send(exchange.make_head(200, b"Server-Leaving: 1\r\n"))
+        await exchange.send(make_event(1))
+        await trio.sleep(0.05)
+        if ends:
+            await end_in_order(servers[0], exchange)
+        else:
+            await close(exchange)
+
+    async with open_world() as world:
+        servers.append(await world.add_server("s-1", answer, service))
+        result = await world.request(path, method="POST")
+        assert world.state.servers.find_departure(servers[0].id) is not None
+    assert (result.status == 200 and result.is_complete) is not ends
