Have a relay probe anew to judge the end of an answer

A host that is partitioned from the servers asks a relay whether a server still accepts connections.

The host now marks such a call, and the relay uses no result from before it. Calls by which hosts look for a path still share results for 0.25 s, for they come from many hosts four times a second.

--- a/dewridge/gateway/losses.py
+++ b/dewridge/gateway/losses.py
@@ -8,6 +8,7 @@
 from dewridge.gateway.forwarding import LostAttempt
 from dewridge.gateway.jobs import Job
 from dewridge.gateway.model import ServerRecord
+from dewridge.gateway.reach.peers import ask_peer
 from dewridge.gateway.reach.probes import SharedProbes
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.suspects import record_crash
@@ -123,7 +124,7 @@
         )
         if peer is None:
             return ConnectResult.SILENT
-        results = await state.links.ask_peer(peer, [server])
+        results = await ask_peer(state.host, peer, [server], is_fresh=True)
         return results[0] if results else ConnectResult.SILENT
 
     def _apply_verdict(
--- a/dewridge/gateway/reach/peers.py
+++ b/dewridge/gateway/reach/peers.py
@@ -123,16 +123,29 @@
 
 
 async def ask_peer(
-    sender: HostId, peer: HostEntry, servers: Sequence[ServerRecord]
+    sender: HostId,
+    peer: HostEntry,
+    servers: Sequence[ServerRecord],
+    *,
+    is_fresh: bool = False,
 ) -> Sequence[ConnectResult]:
-    """Return whether servers accept a peer's connections; empty without an answer."""
+    """Return whether servers accept a peer's connections; empty without an answer.
+
+    Args:
+        sender: this host.
+        peer: the peer.
+        servers: the servers.
+        is_fresh: whether the peer may use no results from before this call.
+    """
     results: Sequence[ConnectResult] = ()
     with trio.move_on_after(PROBE_TIMEOUT):
         connection = await open_relay(peer)
         if isinstance(connection, RelayFailure):
             return ()
         try:
-            results = await _exchange_probe(connection, sender, peer, servers)
+            names = tuple(server.id for server in servers)
+            order = RelayOrder(peer.relay_key, sender, RelayCall.PROBE, names, is_fresh)
+            results = await _exchange_probe(connection, peer, order)
         except (ConnectionBrokenError, msgspec.DecodeError):
             return ()
         finally:
@@ -141,13 +154,8 @@
 
 
 async def _exchange_probe(
-    connection: ClientConnection,
-    sender: HostId,
-    peer: HostEntry,
-    servers: Sequence[ServerRecord],
+    connection: ClientConnection, peer: HostEntry, order: RelayOrder
 ) -> Sequence[ConnectResult]:
-    names = tuple(server.id for server in servers)
-    order = RelayOrder(peer.relay_key, sender, RelayCall.PROBE, names)
     headers = [(b"host", peer.peers.encode()), *encode_order(order)]
     await connection.send(b"GET", PROBE_PATH, headers, b"")
     head = await connection.receive_head()
--- a/dewridge/gateway/reach/protocol.py
+++ b/dewridge/gateway/reach/protocol.py
@@ -18,6 +18,8 @@
 SENDER = PREFIX + b"sender"
 SERVER = PREFIX + b"server"
 CALL = PREFIX + b"call"
+FRESH = PREFIX + b"fresh"
+"""Marks a call whose probes begin after it, as the peer judges an answer by them."""
 LOSS = PREFIX + b"loss"
 ANSWERED = PREFIX + b"answered"
 """Marks the answer of a server; without it, the relay itself answered."""
@@ -53,22 +55,25 @@
         sender: the peer.
         call: what it asks for.
         servers: the server, or the servers to probe.
+        is_fresh: whether no results of earlier probes may be used.
     """
 
     key: str
     sender: HostId
     call: RelayCall
     servers: tuple[BackendServerId, ...]
+    is_fresh: bool = False
 
 
 def encode_order(order: RelayOrder) -> Headers:
     """Return the headers of an order."""
-    return [
+    headers = [
         (KEY, order.key.encode()),
         (SENDER, order.sender.encode()),
         (CALL, order.call.value.encode()),
         (SERVER, ",".join(order.servers).encode()),
     ]
+    return [*headers, (FRESH, b"1")] if order.is_fresh else headers
 
 
 def decode_order(headers: Iterable[tuple[bytes, bytes]]) -> RelayOrder | None:
@@ -80,7 +85,9 @@
     except (KeyError, ValueError):
         return None
     names = tuple(BackendServerId(name) for name in servers.split(",") if name)
-    return RelayOrder(key, HostId(sender), call, names) if names else None
+    if not names:
+        return None
+    return RelayOrder(key, HostId(sender), call, names, is_fresh=FRESH in values)
 
 
 def remove_relay_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
--- a/dewridge/gateway/reach/relay.py
+++ b/dewridge/gateway/reach/relay.py
@@ -6,7 +6,6 @@
 """
 
 import hmac
-from dataclasses import dataclass, field
 from functools import partial
 
 import msgspec
@@ -22,6 +21,7 @@
 )
 from dewridge.gateway.ingress import send_failure
 from dewridge.gateway.model import CallerRequest, ServerRecord
+from dewridge.gateway.reach.probes import SharedProbes
 from dewridge.gateway.reach.protocol import (
     ANSWERED,
     LOST_STATUS,
@@ -52,18 +52,11 @@
 MAX_RELAYED = 128
 """Requests of peers in flight, so that they do not crowd out this host's callers."""
 PROBE_LIFETIME = 0.25
-"""Seconds for which the result of a probe is used for all peers that ask."""
+"""Seconds for which the result of a probe is used for peers that look for a path."""
 MAX_PROBED = 4
 """Servers that one peer may have probed in one call."""
 
 
-@dataclass
-class _SharedProbe:
-    started_at: float
-    done: trio.Event = field(default_factory=trio.Event)
-    result: ConnectResult = ConnectResult.SILENT
-
-
 class Relay:
     """Serves the calls of peers.
 
@@ -73,7 +66,7 @@
 
     def __init__(self, state: GatewayState) -> None:
         self._state = state
-        self._probes: dict[BackendServerId, _SharedProbe] = {}
+        self._probes = SharedProbes()
         self.in_flight = 0
 
     async def serve(self, request: CallerRequest, responder: Responder) -> None:
@@ -94,36 +87,20 @@
         self, order: RelayOrder, responder: Responder
     ) -> None:
         results = [ConnectResult.SILENT] * len(order.servers[:MAX_PROBED])
+        max_age = 0.0 if order.is_fresh else PROBE_LIFETIME
 
         async def probe(index: int, server: BackendServerId) -> None:
             record = self._state.servers.find(server)
             now = trio.current_time()
             if record is not None and not self._find_obstacle(record, ends_by=now):
-                results[index] = await self._probe(record)
+                connect = partial(self._state.pool.probe, record)
+                results[index] = await self._probes.probe(server, connect, max_age)
 
         async with trio.open_nursery() as nursery:
             for index, server in enumerate(order.servers[:MAX_PROBED]):
                 nursery.start_soon(probe, index, server)
         await responder.send_complete(200, [], msgspec.json.encode(results))
 
-    async def _probe(self, server: ServerRecord) -> ConnectResult:
-        now = trio.current_time()
-        self._probes = {
-            known: probe
-            for known, probe in self._probes.items()
-            if now - probe.started_at < PROBE_LIFETIME
-        }
-        shared = self._probes.get(server.id)
-        if shared is not None:
-            await shared.done.wait()
-            return shared.result
-        shared = self._probes[server.id] = _SharedProbe(now)
-        try:
-            shared.result = await self._state.pool.probe(server)
-        finally:
-            shared.done.set()
-        return shared.result
-
     async def _serve_call(
         self, order: RelayOrder, request: CallerRequest, responder: Responder
     ) -> None:
--- a/dewridge/tests/gateway/unframed_tests.py
+++ b/dewridge/tests/gateway/unframed_tests.py
@@ -4,6 +4,8 @@
 import trio
 
 from dewridge.ids import ServiceName
+from dewridge.tests.gateway.partition_tests import open_linked_fleet, partition
+from dewridge.tests.gateway.partitions import NewConnections, OpenConnections
 from dewridge.tests.gateway.world import (
     ENGINE,
     PLAIN,
@@ -288,3 +290,35 @@
         result = await world.request(path, method="POST")
         assert world.state.servers.find_departure(servers[0].id) is not None
     assert (result.status == 200 and result.is_complete) is not ends
+
+
+@pytest.mark.parametrize(
+    ("path", "service"), [("/draft/a", ENGINE), ("/write/a", PLAIN)]
+)
+async def test_a_relay_asks_a_server_after_the_end_of_an_answer(
+    path: str, service: ServiceName
+) -> None:
+    """Guards against a part that looks whole as the relay had probed its server."""
+    servers: list[ScriptedServer] = []
+
+    async def answer(exchange: ServerExchange) -> None:
+        await begin_unframed(exchange)
+        await exchange.send(make_event(1))
+        if exchange.headers[b"x-attempt-id"] == b"part":
+            linked.cut([1], NewConnections.REFUSED, OpenConnections.LIVE)
+            await end_in_order(servers[0], exchange)
+        else:
+            await close(exchange)
+
+    async with open_linked_fleet(2) as linked:
+        servers.append(await linked.add_server("s-1", answer, service))
+        partition(linked, [0])
+        world = linked.fleet.worlds[0]
+        results = {
+            name: await world.request(path, method="POST", request_id=name)
+            for name in ("first", "whole", "part")
+        }
+    assert (results["whole"].status, results["whole"].is_complete) == (200, True)
+    part = results["part"]
+    assert part.status in {200, 502}
+    assert not (part.status == 200 and part.is_complete)
