Probe servers for peers after they have left

Callers of a partitioned host got a part of an answer with neither a length nor chunks as a success if its server said that it leaves and exited while it sent. The relay does not know a server any more that has left, and reported it as silent, which does not show that it has ended.

The relay now probes such a server by its last record.

--- a/dewridge/gateway/reach/relay.py
+++ b/dewridge/gateway/reach/relay.py
@@ -90,7 +90,7 @@
         max_age = 0.0 if order.is_fresh else PROBE_LIFETIME
 
         async def probe(index: int, server: BackendServerId) -> None:
-            record = self._state.servers.find(server)
+            record = self._find_record(server)
             now = trio.current_time()
             if record is not None and not self._find_obstacle(record, ends_by=now):
                 connect = partial(self._state.pool.probe, record)
@@ -101,6 +101,12 @@
                 nursery.start_soon(probe, index, server)
         await responder.send_complete(200, [], msgspec.json.encode(results))
 
+    def _find_record(self, server: BackendServerId) -> ServerRecord | None:
+        """Return a server's record, also if it has left: it may still be answering."""
+        departure = self._state.servers.find_departure(server)
+        last = None if departure is None else departure.record
+        return self._state.servers.find(server) or last
+
     async def _serve_call(
         self, order: RelayOrder, request: CallerRequest, responder: Responder
     ) -> None:
--- a/dewridge/tests/gateway/unframed_tests.py
+++ b/dewridge/tests/gateway/unframed_tests.py
@@ -322,3 +322,26 @@
     part = results["part"]
     assert part.status in {200, 502}
     assert not (part.status == 200 and part.is_complete)
+
+
+@pytest.mark.parametrize("ends", [False, True])
+async def test_a_relay_probes_a_server_that_left_its_table(ends: bool) -> None:
+    """Guards against a part that looks whole as the relay does not know its server."""
+    servers: list[ScriptedServer] = []
+
+    async def answer(exchange: ServerExchange) -> None:
+        await exchange.send(exchange.make_head(200, b"Server-Leaving: 1\r\n"))
+        await exchange.send(make_event(1))
+        await trio.sleep(0.05)
+        if ends:
+            linked.cut([1], NewConnections.REFUSED, OpenConnections.LIVE)
+            await end_in_order(servers[0], exchange)
+        else:
+            await close(exchange)
+
+    async with open_linked_fleet(2) as linked:
+        servers.append(await linked.add_server("s-1", answer))
+        partition(linked, [0])
+        result = await linked.fleet.worlds[0].request("/write/a", method="POST")
+        assert len(servers[0].received) == 1
+    assert result.status == (502 if ends else 200)
