Reset the connection of a caller without chunks when its stream is cut

A stream to an HTTP/1.0 caller has neither a length nor chunks: it ends with its connection. When such a stream was cut, because its server crashed, at the time limit or at the exit of the host, the connection was closed as after a whole answer, and the caller could not tell the two apart.

While such a stream is sent, its socket is set to be reset when it is closed, and back to a normal close once the stream is whole. The kernel does this for every way in which the connection can end, also when the process is killed.

test_a_cut_stream_does_not_look_complete_to_a_caller_without_chunks failed before (a normal end after two of more events) and passes now, for a cut and for a whole stream.

--- a/dewridge/gateway/responder.py
+++ b/dewridge/gateway/responder.py
@@ -1,5 +1,8 @@
 """Writing of an answer to a caller's connection."""
 
+import struct
+from contextlib import suppress
+
 import h11
 import trio
 
@@ -46,6 +49,8 @@
     async def send_head(self, status: int, headers: Headers) -> None:
         """Send the head of an answer together with the first part or the end."""
         self._unsent_head = self._make_head(status, headers)
+        if self._is_delimited_by_close:
+            self._reset_on_close(is_on=True)
 
     async def send_body_part(self, part: bytes) -> None:
         """Send a part of the body."""
@@ -55,6 +60,25 @@
         """Send the end of the body."""
         await self._write(self._state.send(h11.EndOfMessage()) or b"")
         self.is_finished = True
+        if self._is_delimited_by_close:
+            self._reset_on_close(is_on=False)
+
+    @property
+    def _is_delimited_by_close(self) -> bool:
+        """Whether the end of the connection is the end of the answer."""
+        return (self._state.their_http_version or b"1.0") < b"1.1"
+
+    def _reset_on_close(self, *, is_on: bool) -> None:
+        """Have the kernel reset the connection when it is closed, or close it normally.
+
+        Without a length or chunks, only a reset shows that an answer is cut, whatever
+        ends it: an error, the time limit or the exit of the process.
+        """
+        linger = struct.pack("ii", is_on, 0)
+        with suppress(OSError):
+            self._stream.socket.setsockopt(
+                trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, linger
+            )
 
     def _make_head(self, status: int, headers: Headers) -> bytes:
         if self._asks_close:
--- a/dewridge/tests/gateway/answers_tests.py
+++ b/dewridge/tests/gateway/answers_tests.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+import pytest
 import trio
 
 from dewridge.tests.gateway.world import (
@@ -361,6 +362,37 @@
     assert sum(len(server.received) for server in servers) == 1
 
 
+@pytest.mark.parametrize("is_cut", [True, False])
+async def test_a_cut_stream_does_not_look_complete_to_a_caller_without_chunks(
+    is_cut: bool,
+) -> None:
+    """Guards against HTTP/1.0 callers that take the cut of a stream for its end."""
+
+    async def stream(exchange: ServerExchange) -> None:
+        await exchange.begin_stream()
+        await exchange.send_events(1, 2)
+        if is_cut:
+            exchange.reset()
+        else:
+            await exchange.end_stream()
+
+    async with open_world() as world:
+        await world.add_server("s-1", stream, ENGINE)
+        caller = await world.connect()
+        request = make_request("/draft/a", extra="Connection: close\r\n")
+        await caller.send_all(request.replace(b"HTTP/1.1", b"HTTP/1.0"))
+        received = b""
+        has_ended = False
+        try:
+            while data := await caller.receive_some(65536):
+                received += data
+            has_ended = True
+        except trio.BrokenResourceError:
+            pass
+    assert has_ended is not is_cut
+    assert is_cut or received.endswith(make_event(1) + make_event(2))
+
+
 async def test_an_answer_without_length_that_is_reset_is_not_complete() -> None:
     """Guards against a partial answer that the caller takes for a complete one.
 
