Let the kernel take an answer that its caller has not read

At the exit of a host, an answer that waits for a slow caller is cut although its server has made all of it: what is not in the kernel's buffer is lost with the process. trio limits what the kernel holds unsent to 16 KiB on each connection (TCP_NOTSENT_LOWAT), so that a caller that does not read holds back nearly all of a larger answer.

Responder.leave_to_kernel raises both limits of the socket while a write waits. The kernel then takes the rest at once, wakes the write, and sends it after the process has ended. The memory is what the process held before; net.core.wmem_max limits it. The call belongs into the last steps of the exit and is not placed by this commit.

--- a/dewridge/gateway/responder.py
+++ b/dewridge/gateway/responder.py
@@ -7,7 +7,7 @@
 import trio
 
 from dewridge.http1.client import Headers
-from dewridge.http1.sockets import send_all
+from dewridge.http1.sockets import enlarge_send_buffer, send_all
 
 REASON_PHRASES = {421: b"Misdirected Request", 431: b"Request Header Fields Too Large"}
 
@@ -35,6 +35,7 @@
         self.has_started = False
         self.is_finished = False
         self._unsent_head = b""
+        self._bytes_in_write = 0
 
     async def send_complete(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer."""
@@ -63,6 +64,15 @@
         if self._is_delimited_by_close:
             self._reset_on_close(is_on=False)
 
+    def leave_to_kernel(self) -> None:
+        """Have the kernel take what the caller has not read, if the process ends soon.
+
+        A write that waits for a slow caller would be cut, although its server has made
+        the answer. Must be called again after each write of a stream.
+        """
+        if self._bytes_in_write:
+            enlarge_send_buffer(self._stream.socket, self._bytes_in_write)
+
     @property
     def _is_delimited_by_close(self) -> bool:
         """Whether the end of the connection is the end of the answer."""
@@ -91,7 +101,10 @@
 
     async def _write(self, data: bytes) -> None:
         data, self._unsent_head = self._unsent_head + data, b""
+        self._bytes_in_write = len(data)
         try:
             await send_all(self._stream, data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise CallerDisconnectedError from error
+        finally:
+            self._bytes_in_write = 0
--- a/dewridge/http1/sockets.py
+++ b/dewridge/http1/sockets.py
@@ -11,6 +11,9 @@
 
 import trio
 
+MAX_NOT_SENT_BYTES = 1 << 30
+"""Bytes that the kernel may hold and not have sent: as many as its buffer takes."""
+
 
 async def send_all(stream: trio.SocketStream, data: bytes) -> None:
     """Send data; not a checkpoint if the kernel accepts all of it at once.
@@ -34,6 +37,29 @@
         await stream.send_all(memoryview(data)[sent:])
 
 
+def enlarge_send_buffer(connection: trio.socket.SocketType, size: int) -> None:
+    """Let the kernel take more bytes of a write that waits for its peer to read.
+
+    What the kernel holds reaches the peer also after this process has ended, unless
+    input is left unread. The system limits the size.
+
+    Args:
+        connection: the socket.
+        size: bytes that the kernel has not taken yet.
+    """
+    try:
+        # The kernel doubles what it is told, for its own overhead.
+        held = connection.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) // 2
+        # trio has the kernel hold little that is not sent, however large the buffer is.
+        connection.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_NOT_SENT_BYTES
+        )
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, held + size)
+    except OSError:
+        # The connection has ended, or the system does not allow it.
+        return
+
+
 async def receive_some(stream: trio.SocketStream, size: int) -> bytes:
     """Wait for data and return up to `size` bytes; empty at the end of the connection.
 
