Leave answers that slow callers have not read to the kernel at the exit

A stream whose server had finished was cut at the exit if its caller had not read all of it: what waited in the process was lost with it. The responder could hand such a rest to the kernel; nothing called it.

From 0.3 s before the exit on, each answer that has begun is left to the kernel at every check, so that what is made until the end still reaches its caller afterwards. What exceeds the system's largest send buffer, and callers with unread input, are still cut.

--- a/dewridge/gateway/shutdown/leaving.py
+++ b/dewridge/gateway/shutdown/leaving.py
@@ -99,7 +99,7 @@
         if state.ingress.requests + state.relay_ingress.requests > 0:
             quiet_since = now
         if now >= schedule.answers_by:
-            state.served.fail_unanswered()
+            state.served.prepare_exit()
         if now >= serves_until:
             state.ingress.close_idle_connections()
             if now - quiet_since > QUIET_PERIOD:
@@ -123,6 +123,8 @@
         is_closing = trio.current_time() < closes_at
         if not is_closing and not _has_requests_to_answer(state, schedule):
             return
+        if trio.current_time() >= schedule.answers_by:
+            state.served.prepare_exit()
         await trio.sleep(CLOSING_POLL_INTERVAL)
 
 
--- a/dewridge/gateway/shutdown/progress.py
+++ b/dewridge/gateway/shutdown/progress.py
@@ -70,10 +70,16 @@
         finally:
             self._requests.discard(served)
 
-    def fail_unanswered(self) -> None:
-        """Have the callers that have no byte of an answer get a status at once."""
+    def prepare_exit(self) -> None:
+        """Have the callers that have no byte of an answer get a status at once.
+
+        Answers that wait for slow callers are left to the kernel. Must be called again
+        until the process ends, as streams go on.
+        """
         for served in self._requests:
-            if served.stage is not Stage.ANSWERING:
+            if served.stage is Stage.ANSWERING:
+                served.responder.leave_to_kernel()
+            else:
                 served.scope.cancel()
 
     def count_stages(self) -> dict[str, int]:
