Ask a relay about a server that a partitioned host can't reach

Callers lost whole answers with neither a length nor chunks that came on a connection that lived on while new ones were refused, as in a partition of their host: the stream ended as incomplete, and the plain answer became a 502. The host took the refusal of its probe for the end of the server, although the same probe showed that its own links are at fault.

If the path to the servers changes with the probe, the server is probed again by the new path, which is a relay.

--- a/dewridge/gateway/losses.py
+++ b/dewridge/gateway/losses.py
@@ -77,7 +77,13 @@
         Only a connection that is opened afterwards shows the difference. That holds for
         servers that leave as well: they exit at a time of their own, whatever runs.
         """
-        if await self._probe_server(server) is not ConnectResult.REFUSED:
+        path = self._state.links.find_path(server.service)
+        result = await self._probe_server(server)
+        is_refused = result is ConnectResult.REFUSED
+        if is_refused and self._state.links.find_path(server.service) is not path:
+            # The probe showed that the links of this host are at fault.
+            result = await self._probe_server(server)
+        if result is not ConnectResult.REFUSED:
             return None
         return LostAttempt(
             LossReason.CUT_OFF, "the server ended", reach=ConnectResult.REFUSED
--- a/dewridge/tests/gateway/unframed_tests.py
+++ b/dewridge/tests/gateway/unframed_tests.py
@@ -9,6 +9,7 @@
 from dewridge.tests.gateway.world import (
     ENGINE,
     PLAIN,
+    CallerAnswer,
     ScriptedServer,
     ServerExchange,
     World,
@@ -345,3 +346,34 @@
         result = await linked.fleet.worlds[0].request("/write/a", method="POST")
         assert len(servers[0].received) == 1
     assert result.status == (502 if ends else 200)
+
+
+@pytest.mark.parametrize("path", ["/draft/a", "/write/a"])
+async def test_a_whole_answer_on_a_live_connection_survives_a_partition(
+    path: str,
+) -> None:
+    """Guards against a server that counts as ended as its host can't reach it."""
+    has_begun = trio.Event()
+
+    async def answer(exchange: ServerExchange) -> None:
+        await begin_unframed(exchange)
+        await exchange.send(make_event(1))
+        has_begun.set()
+        await trio.sleep(0.1)
+        await exchange.send(make_event(2))
+        await close(exchange)
+
+    results: list[CallerAnswer] = []
+    async with open_linked_fleet(2) as linked:
+        await linked.add_server("s-1", answer, ENGINE if "draft" in path else PLAIN)
+        world = linked.fleet.worlds[0]
+
+        async def ask() -> None:
+            results.append(await world.request(path, method="POST"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await has_begun.wait()
+            partition(linked, [0], opened=OpenConnections.LIVE)
+    assert (results[0].status, results[0].is_complete) == (200, True)
+    assert results[0].body == make_event(1) + make_event(2)
