Put a crash down to its request although the server was probed before

A request that crashes servers was not counted against if its server had accepted a probe within half a second before the crash, so that it could crash more servers than the three that set it aside: the result of the earlier probe was used for the later loss.

A probe that was accepted is now used only for losses from before it. Failed ones are still used for half a second: a process that has ended stays so, and a server that resets connections or is silent is not asked more often. Requests that are lost together share a probe.

--- a/dewridge/gateway/losses.py
+++ b/dewridge/gateway/losses.py
@@ -9,7 +9,7 @@
 from dewridge.gateway.jobs import Job
 from dewridge.gateway.model import ServerRecord
 from dewridge.gateway.reach.peers import ask_peer
-from dewridge.gateway.reach.probes import SharedProbes
+from dewridge.gateway.reach.probes import ALL_RESULTS, SharedProbes
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.suspects import record_crash
 from dewridge.policy.losses import (
@@ -26,9 +26,12 @@
 """Seconds for which a server counts as full after it rejected a request: the time of a
 few answers."""
 PROBE_LIFETIME = 0.5
-"""Seconds for which the result of probing a server is used for requests that it lost.
-A crash fails all requests on the server at the same moment, so one probe serves all of
+"""Seconds for which a failed probe of a server is used for requests that it lost. A
+crash fails all requests on the server at the same moment, so one probe serves all of
 them."""
+FAILED_PROBES = frozenset(ConnectResult) - {ConnectResult.ACCEPTED}
+"""Results that later losses may use: a server that accepted a connection may have
+crashed since."""
 
 
 class LossHandler:
@@ -44,7 +47,9 @@
         now = trio.current_time()
         connect_result = lost.reach
         if connect_result is None and lost.loss in INTERRUPTED_REASONS:
-            connect_result = await self._probe_server(server, PROBE_LIFETIME)
+            connect_result = await self._probe_server(
+                server, PROBE_LIFETIME, FAILED_PROBES
+            )
         path = state.links.find_path(server.service)
         is_broken = lost.loss in {*INTERRUPTED_REASONS, LossReason.NOT_CONNECTED}
         if is_broken and path is not ServerPath.DIRECT and lost.relay is None:
@@ -90,12 +95,16 @@
         )
 
     async def _probe_server(
-        self, server: ServerRecord, max_age: float = 0.0
+        self,
+        server: ServerRecord,
+        max_age: float = 0.0,
+        reusable: frozenset[ConnectResult] = ALL_RESULTS,
     ) -> ConnectResult:
         """Return whether a server accepts connections; jobs share one probe."""
         path = self._state.links.find_path(server.service)
         connect = partial(self._connect_withheld, server, path)
-        return await self._probes.probe((server.id, path), connect, max_age)
+        key = (server.id, path)
+        return await self._probes.probe(key, connect, max_age, reusable)
 
     async def _connect_withheld(
         self, server: ServerRecord, path: ServerPath
--- a/dewridge/gateway/reach/probes.py
+++ b/dewridge/gateway/reach/probes.py
@@ -10,6 +10,7 @@
 
 MAX_AGE = 1.0
 """Seconds for which results are kept."""
+ALL_RESULTS = frozenset(ConnectResult)
 
 Connect = Callable[[], Awaitable[ConnectResult]]
 
@@ -29,7 +30,11 @@
         self._probes: dict[Hashable, _Probe] = {}
 
     async def probe(
-        self, key: Hashable, connect: Connect, max_age: float = 0.0
+        self,
+        key: Hashable,
+        connect: Connect,
+        max_age: float = 0.0,
+        reusable: frozenset[ConnectResult] = ALL_RESULTS,
     ) -> ConnectResult:
         """Return the result of a probe; one probe at a time runs for each key.
 
@@ -38,14 +43,16 @@
             connect: probes it.
             max_age: seconds for which the probe may have begun before this call. With
                 0, the result shows what is true after the call.
+            reusable: results that may be so old; others are from after the call.
         """
-        oldest = trio.current_time() - max_age
+        called_at = trio.current_time()
         while True:
             probe = self._probes.get(key)
             if probe is None:
                 return await self._run(key, connect)
             await probe.done.wait()
-            if probe.result is not None and probe.began_at >= oldest:
+            age = max_age if probe.result in reusable else 0.0
+            if probe.result is not None and probe.began_at >= called_at - age:
                 return probe.result
             if self._probes.get(key) is probe:
                 del self._probes[key]
--- a/dewridge/tests/gateway/crashing_tests.py
+++ b/dewridge/tests/gateway/crashing_tests.py
@@ -36,6 +36,7 @@
     ACCOUNT,
     ENGINE,
     KEY,
+    PLAIN,
     CallerAnswer,
     ScriptedServer,
     ServerExchange,
@@ -446,6 +447,47 @@
     assert [suspect.crashes.keys() for suspect in suspects] == [{record.id}]
 
 
+async def test_a_crash_is_counted_although_the_server_was_probed_before() -> None:
+    """Guards against a crash that is hidden by a probe from half a second before."""
+    async with open_world(retry_slack=100) as world:
+        servers = await add_crashing_servers(world)
+        handler = LossHandler(world.state)
+        record = world.state.servers.list_all()[0]
+        lost = LostAttempt(LossReason.CUT_OFF)
+        await handler.handle(make_job(world, b"sound"), record, lost)
+        assert world.state.suspects.is_empty
+        next(server for server in servers if server.id == record.id).crash()
+        await trio.sleep(0.01)
+        await handler.handle(make_job(world, b"crash"), record, lost)
+        suspects = world.state.suspects.list_all()
+    assert [suspect.crashes.keys() for suspect in suspects] == [{record.id}]
+
+
+async def test_requests_that_are_lost_together_share_probes() -> None:
+    """Guards against a connection to a server in trouble for each lost request."""
+    count = 20
+    go = trio.Event()
+
+    async def reset(exchange: ServerExchange) -> None:
+        await go.wait()
+        exchange.reset()
+
+    async with open_world() as world:
+        server = await world.add_server("s-1", reset, PLAIN)
+
+        async def ask(number: int) -> None:
+            await world.request("/write/a", method="POST", request_id=f"r-{number}")
+
+        async with trio.open_nursery() as nursery:
+            for number in range(count):
+                nursery.start_soon(ask, number)
+            while len(server.received) < count:  # noqa: ASYNC110
+                await trio.sleep(0.001)
+            go.set()
+        probes = world.state.pool.opened - count
+    assert 1 <= probes <= 3
+
+
 async def test_an_answer_clears_earlier_crashes() -> None:
     """Guards against requests that accumulate crashes during an outage of servers.
 
