Relay through a leaving host only what ends before it exits, if others can

For 2.7 s from SIGTERM a leaving host relayed any call of a partitioned peer, also one that may take longer than the host lives: it can't know that a call is a stream, and took each as one. At its exit such an answer is cut at the partitioned host, which does not leave, so that no rule excuses it. Peers prefer other relays only once a report has told them, some 0.3 s later.

A leaving host now relays what ends in time by the caller's deadline, and anything else only if the peer says that no other relay is known; it refuses at once, and the peer tries the next relay. A peer that knows only relays that are not ready says so with the first call, so that nothing is refused in vain. Control calls, which have no deadline, count with 1 s.

--- a/dewridge/gateway/reach/peers.py
+++ b/dewridge/gateway/reach/peers.py
@@ -49,6 +49,7 @@
         target: path and query.
         headers: headers for the server.
         body: the body.
+        is_last_resort: whether no other relay is known.
     """
 
     call: RelayCall
@@ -57,6 +58,7 @@
     target: bytes
     headers: Headers
     body: bytes = b""
+    is_last_resort: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,7 +112,14 @@
         ConnectionBrokenError: the connection to the relay ended, or the relay's to the
             server after the head of the answer.
     """
-    order = RelayOrder(peer.relay_key, sender, call.call, (call.server.id,))
+    servers = (call.server.id,)
+    order = RelayOrder(
+        peer.relay_key,
+        sender,
+        call.call,
+        servers,
+        is_last_resort=call.is_last_resort,
+    )
     headers = [*call.headers, *encode_order(order)]
     await connection.send(call.method, call.target, headers, call.body)
     head = await wait_for_head(connection, limit)
--- a/dewridge/gateway/reach/protocol.py
+++ b/dewridge/gateway/reach/protocol.py
@@ -21,6 +21,8 @@
 FRESH = PREFIX + b"fresh"
 """Marks a call whose probes begin after it, as the peer judges an answer by them."""
 LOSS = PREFIX + b"loss"
+LAST_RESORT = PREFIX + b"last-resort"
+"""Marks a call that no other relay can pass on."""
 ANSWERED = PREFIX + b"answered"
 """Marks the answer of a server; without it, the relay itself answered."""
 UNFRAMED = PREFIX + b"unframed"
@@ -28,6 +30,8 @@
 DETAIL = PREFIX + b"detail"
 REACH = PREFIX + b"reach"
 """Result of a new connection of the relay to a server that lost a request."""
+LEAVING = "leaving"
+"""Detail of a relay that leaves: it passes a call on only as a last resort."""
 LOST_STATUS = 502
 UNUSABLE_STATUS = 503
 PROBE_PATH = b"/probe"
@@ -56,6 +60,7 @@
         call: what it asks for.
         servers: the server, or the servers to probe.
         is_fresh: whether no results of earlier probes may be used.
+        is_last_resort: whether no other relay is known.
     """
 
     key: str
@@ -63,6 +68,7 @@
     call: RelayCall
     servers: tuple[BackendServerId, ...]
     is_fresh: bool = False
+    is_last_resort: bool = False
 
 
 def encode_order(order: RelayOrder) -> Headers:
@@ -73,7 +79,11 @@
         (CALL, order.call.value.encode()),
         (SERVER, ",".join(order.servers).encode()),
     ]
-    return [*headers, (FRESH, b"1")] if order.is_fresh else headers
+    if order.is_fresh:
+        headers.append((FRESH, b"1"))
+    if order.is_last_resort:
+        headers.append((LAST_RESORT, b"1"))
+    return headers
 
 
 def decode_order(headers: Iterable[tuple[bytes, bytes]]) -> RelayOrder | None:
@@ -87,7 +97,14 @@
     names = tuple(BackendServerId(name) for name in servers.split(",") if name)
     if not names:
         return None
-    return RelayOrder(key, HostId(sender), call, names, is_fresh=FRESH in values)
+    return RelayOrder(
+        key,
+        HostId(sender),
+        call,
+        names,
+        is_fresh=FRESH in values,
+        is_last_resort=LAST_RESORT in values,
+    )
 
 
 def remove_relay_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
--- a/dewridge/gateway/reach/relay.py
+++ b/dewridge/gateway/reach/relay.py
@@ -24,6 +24,7 @@
 from dewridge.gateway.reach.probes import SharedProbes
 from dewridge.gateway.reach.protocol import (
     ANSWERED,
+    LEAVING,
     LOST_STATUS,
     UNFRAMED,
     UNUSABLE_STATUS,
@@ -51,6 +52,8 @@
 
 MAX_RELAYED = 128
 """Requests of peers in flight, so that they do not crowd out this host's callers."""
+MAX_CONTROL_TIME = 1.0
+"""Seconds that a control call takes at most; peers wait for 0.6 s."""
 PROBE_LIFETIME = 0.25
 """Seconds for which the result of a probe is used for peers that look for a path."""
 MAX_PROBED = 4
@@ -111,7 +114,12 @@
         self, order: RelayOrder, request: CallerRequest, responder: Responder
     ) -> None:
         server = self._state.servers.find(order.servers[0])
-        unusable = self._find_obstacle(server, ends_by=request.deadline)
+        ends_by = request.deadline
+        if order.call is RelayCall.CONTROL:
+            ends_by = trio.current_time() + MAX_CONTROL_TIME
+        unusable = self._find_obstacle(
+            server, ends_by, is_last_resort=order.is_last_resort
+        )
         if server is None or unusable:
             await self._send_loss(responder, LossReason.NO_PATH, unusable)
             return
@@ -126,17 +134,25 @@
                 id=request.id, server=server.id, sender=order.sender, outcome=outcome
             ).info("request relayed")
 
-    def _find_obstacle(self, server: ServerRecord | None, ends_by: float) -> str:
+    def _find_obstacle(
+        self,
+        server: ServerRecord | None,
+        ends_by: float,
+        *,
+        is_last_resort: bool = False,
+    ) -> str:
         """Return why this host can't relay a call; empty if it can.
 
-        Peers ask a leaving host only if no other can relay.
+        A leaving host relays what may outlast it as long as it would accept a stream of
+        its own callers, and only if no other host can.
         """
         if server is None:
             return "unknown server"
         schedule = self._state.shutdown
         now = trio.current_time()
-        if schedule is not None and not schedule.accepts(now, ends_by, 0.0):
-            return "leaving"
+        stream_seconds = 0.0 if is_last_resort else None
+        if schedule is not None and not schedule.accepts(now, ends_by, stream_seconds):
+            return LEAVING
         if self.in_flight >= MAX_RELAYED:
             return "full"
         path = self._state.links.find_path(server.service)
--- a/dewridge/gateway/reach/sending.py
+++ b/dewridge/gateway/reach/sending.py
@@ -25,7 +25,7 @@
     call_by_relay,
     open_relay,
 )
-from dewridge.gateway.reach.protocol import RelayCall
+from dewridge.gateway.reach.protocol import LEAVING, RelayCall
 from dewridge.gateway.state import GatewayState
 from dewridge.http1.client import ClientConnection, ConnectionBrokenError
 from dewridge.http1.headers import parse_decimal
@@ -185,11 +185,17 @@
 ) -> IncomingAnswer | LostAttempt:
     service = call.server.service
     excluded: set[HostId] = set()
+    leaving: HostEntry | None = None
     lost = LostAttempt(LossReason.NO_PATH, "no peer relays")
     for _ in range(MAX_RELAYS_TRIED):
         peer = await _find_relay(state, service, excluded)
+        if peer is None:
+            peer, leaving = leaving, None
         if peer is None:
             return lost
+        # Hosts that may leave are chosen only if no other reaches the servers.
+        is_last_resort = peer.id in excluded | state.links.list_fallback_relays()
+        call = replace(call, is_last_resort=is_last_resort)
         answer = await _try_relay(state, request, call, peer, is_essential, limit)
         is_unusable = (
             isinstance(answer, LostAttempt) and answer.loss is LossReason.NO_PATH
@@ -200,6 +206,8 @@
         if not isinstance(answer, LostAttempt) or not is_unusable:
             return answer
         lost = answer
+        if lost.reason.endswith(f": {LEAVING}") and not call.is_last_resort:
+            leaving = peer
         excluded.add(peer.id)
         state.links.drop_relay(service, peer.id)
     return lost
--- a/dewridge/tests/gateway/partition_tests.py
+++ b/dewridge/tests/gateway/partition_tests.py
@@ -421,6 +421,42 @@
         assert (await world.request("/read/a")).status == 200
 
 
+def start_leaving(world: World) -> None:
+    """Have a host leave that exits before most requests have to end."""
+    world.state.is_ready = False
+    world.state.ingress.is_leaving = True
+    world.state.shutdown = schedule_shutdown(trio.current_time(), grace=2.0)
+
+
+async def test_leaving_host_relays_nothing_that_may_outlast_it() -> None:
+    """Guards against streams that are cut when a host exits that only relays them."""
+    async with open_linked_fleet(3) as linked:
+        await linked.add_server("s-1", answer_ok)
+        world, leaving, _ = linked.fleet.worlds
+        partition(linked, [0])
+        for number in range(8):
+            assert (await write(world, number)).status == 200
+        before = leaving.state.metrics.read("requests_relayed_for_peers_total")
+        assert before
+        start_leaving(leaving)
+        for number in range(8, 16):
+            assert (await write(world, number)).status == 200
+        after = leaving.state.metrics.read("requests_relayed_for_peers_total")
+    assert after == before
+
+
+async def test_leaving_host_relays_at_once_while_no_other_can() -> None:
+    """Guards against refusals until peers learn that their only relay leaves."""
+    async with open_linked_fleet(2) as linked:
+        await linked.add_server("s-1", answer_ok)
+        world, leaving = linked.fleet.worlds
+        partition(linked, [0])
+        assert (await write(world, 0)).status == 200
+        start_leaving(leaving)
+        for number in range(1, 5):
+            assert (await write(world, number)).status == 200
+
+
 async def test_connections_from_before_a_partition_are_not_used_after_it() -> None:
     """Guards against requests that hang although the partition has ended."""
 
