Let an entry host leave on SIGHUP instead of ending at once

SIGHUP had its default effect in `dewridge serve`: a closed terminal, or an operator who expects a reload, ended the process at once, and cut the answers of all callers.

The host now leaves as on SIGTERM: it hands off its requests and ends when the answers in flight are complete. Further signals change nothing while it leaves.

test_a_signal_makes_a_host_leave_and_ends_no_answer_at_once failed before for SIGHUP (ended by the signal) and passes for SIGTERM, SIGINT and SIGHUP, each sent three times.

--- a/dewridge/composition.py
+++ b/dewridge/composition.py
@@ -78,7 +78,9 @@
 
 
 async def _handle_signals(lifecycle: Lifecycle) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    # A closed terminal sends SIGHUP, whose default effect would cut all answers.
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with trio.open_signal_receiver(*numbers) as signals:
         async for _ in signals:
             lifecycle.start_leaving()
 
