Test that a host which has left is not listed again

After its registration was ended, a leaving host asks the store for a new lease. The test shows that callers are not sent to it again, with the store in reach and away meanwhile: its entry is not ready and is not written with the new lease, or is written as not ready.

--- a/dewridge/tests/gateway/duties_tests.py
+++ b/dewridge/tests/gateway/duties_tests.py
@@ -220,6 +220,38 @@
         nursery.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize("is_down", [False, True])
+async def test_a_host_that_has_left_is_not_listed_again(
+    is_down: bool, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against callers that are sent to a host which leaves.
+
+    If the store does not answer while it leaves, its last entry says that it is ready,
+    and its registration ends only with the lease.
+    """
+    data = StoreData()
+    leaving, other = Candidate("host-1", data), Candidate("host-2", data)
+    async with trio.open_nursery() as nursery:
+        leaving.start(nursery)
+        other.start(nursery)
+        await trio.sleep(3.0)
+        leaving.store.is_down = is_down
+        leaving.registration.set_ready(False)
+        await leaving.election.step_down()
+        await trio.sleep(1.0)
+        with trio.move_on_after(1.0):
+            await leaving.registration.unregister()
+        await trio.sleep(1.0)
+        leaving.store.is_down = False
+        # The entry may still be that of before until its lease has ended.
+        await trio.sleep(hosts.LEASE_TTL)
+        for _ in range(50):
+            await trio.sleep(0.1)
+            ready = [entry.id for entry in other.table.list_hosts() if entry.is_ready]
+            assert ready == ["host-2"]
+        nursery.cancel_scope.cancel()
+
+
 class SlowStore(MemoryStore):
     """A store whose answers to changes take a while.
 
