Send requests to a server while the end of its answer is checked

A server counted as full while it was probed, also when nothing was lost. Now that each answer with neither a length nor chunks is checked by a probe of its own, a sound server with such answers would have lost requests, and with them its cached prompts, to others.

Only a server that lost a request counts as full while it is probed.

test_a_server_gets_requests_while_the_end_of_its_answer_is_checked failed before and passes now.

--- a/dewridge/gateway/losses.py
+++ b/dewridge/gateway/losses.py
@@ -47,9 +47,7 @@
         now = trio.current_time()
         connect_result = lost.reach
         if connect_result is None and lost.loss in INTERRUPTED_REASONS:
-            connect_result = await self._probe_server(
-                server, PROBE_LIFETIME, FAILED_PROBES
-            )
+            connect_result = await self._probe_losing_server(server)
         path = state.links.find_path(server.service)
         is_broken = lost.loss in {*INTERRUPTED_REASONS, LossReason.NOT_CONNECTED}
         if is_broken and path is not ServerPath.DIRECT and lost.relay is None:
@@ -94,22 +92,8 @@
             LossReason.CUT_OFF, "the server ended", reach=ConnectResult.REFUSED
         )
 
-    async def _probe_server(
-        self,
-        server: ServerRecord,
-        max_age: float = 0.0,
-        reusable: frozenset[ConnectResult] = ALL_RESULTS,
-    ) -> ConnectResult:
-        """Return whether a server accepts connections; jobs share one probe."""
-        path = self._state.links.find_path(server.service)
-        connect = partial(self._connect_withheld, server, path)
-        key = (server.id, path)
-        return await self._probes.probe(key, connect, max_age, reusable)
-
-    async def _connect_withheld(
-        self, server: ServerRecord, path: ServerPath
-    ) -> ConnectResult:
-        """Probe a server, which gets no requests meanwhile.
+    async def _probe_losing_server(self, server: ServerRecord) -> ConnectResult:
+        """Probe a server that lost a request; it counts as full meanwhile.
 
         A crashed server has no requests left, so it would look like the best choice for
         the requests that it lost; if several crash together, a request would be sent to
@@ -118,10 +102,22 @@
         health = self._state.get_health(server.id)
         health.full_until = trio.current_time() + PROBE_LIFETIME
         try:
-            return await self._connect(server, path)
+            return await self._probe_server(server, PROBE_LIFETIME, FAILED_PROBES)
         finally:
             health.full_until = float("-inf")
 
+    async def _probe_server(
+        self,
+        server: ServerRecord,
+        max_age: float = 0.0,
+        reusable: frozenset[ConnectResult] = ALL_RESULTS,
+    ) -> ConnectResult:
+        """Return whether a server accepts connections; jobs share one probe."""
+        path = self._state.links.find_path(server.service)
+        connect = partial(self._connect, server, path)
+        key = (server.id, path)
+        return await self._probes.probe(key, connect, max_age, reusable)
+
     async def _connect(self, server: ServerRecord, path: ServerPath) -> ConnectResult:
         """Return whether a server accepts connections of this host, or of a relay."""
         if path is ServerPath.BY_PEER:
--- a/dewridge/tests/gateway/unframed_tests.py
+++ b/dewridge/tests/gateway/unframed_tests.py
@@ -3,7 +3,9 @@
 import pytest
 import trio
 
+from dewridge.gateway.model import ServerRecord
 from dewridge.ids import ServiceName
+from dewridge.policy.losses import ConnectResult
 from dewridge.tests.gateway.partition_tests import open_linked_fleet, partition
 from dewridge.tests.gateway.partitions import NewConnections, OpenConnections
 from dewridge.tests.gateway.world import (
@@ -377,3 +379,52 @@
             partition(linked, [0], opened=OpenConnections.LIVE)
     assert (results[0].status, results[0].is_complete) == (200, True)
     assert results[0].body == make_event(1) + make_event(2)
+
+
+@pytest.mark.parametrize("path", ["/draft/a", "/write/a"])
+async def test_an_unframed_answer_by_a_relay_is_whole_unless_it_is_reset(
+    path: str,
+) -> None:
+    """Guards against a relay that hides how an answer ended."""
+
+    async def answer(exchange: ServerExchange) -> None:
+        await begin_unframed(exchange)
+        await exchange.send(make_event(1))
+        if exchange.headers[b"x-attempt-id"] == b"whole":
+            await close(exchange)
+        await trio.sleep(0.05)
+        exchange.reset()
+
+    async with open_linked_fleet(2) as linked:
+        await linked.add_server("s-1", answer, ENGINE if "draft" in path else PLAIN)
+        partition(linked, [0])
+        results = [
+            await linked.fleet.worlds[0].request(path, method="POST", request_id=name)
+            for name in ("whole", "part")
+        ]
+    assert [each.status == 200 and each.is_complete for each in results] == [
+        True,
+        False,
+    ]
+
+
+async def test_a_server_gets_requests_while_the_end_of_its_answer_is_checked() -> None:
+    """Guards against sound servers that count as full after each such answer."""
+
+    async def answer(exchange: ServerExchange) -> None:
+        await begin_unframed(exchange)
+        await close(exchange)
+
+    async with open_world() as world:
+        await world.add_server("s-1", answer, PLAIN)
+        probe = world.state.pool.probe
+        usable: list[bool] = []
+
+        async def observe(server: ServerRecord) -> ConnectResult:
+            health = world.state.get_health(server.id)
+            usable.append(health.is_usable(trio.current_time(), None, 0.0))
+            return await probe(server)
+
+        world.state.pool.probe = observe  # type: ignore[method-assign]
+        result = await world.request("/write/a", method="POST")
+    assert (result.status, usable) == (200, [True])
