Take requests on connections that had been closed before as not read

The end of the connection had arrived before the request was sent, so the caller read it as an ordinary end and not as a reset, and the soak's own process took longer than 200 ms to do so. The rule does not count a request that crosses the close.

The kernel resets a connection on which data arrives after its close, and the socket keeps the error. A request whose connection has that error was not read.

--- a/dewridge/tests/soak/callers.py
+++ b/dewridge/tests/soak/callers.py
@@ -132,6 +132,7 @@
             await stream.send_all(data)
             request.sent_by = time.monotonic()
             await receive_response(stream, state, request)
+            request.is_reset = not request.is_complete and _is_reset(stream)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             request.is_reset = True
         has_ended = True
@@ -144,6 +145,15 @@
     )
 
 
+def _is_reset(stream: trio.SocketStream) -> bool:
+    """Return whether a connection that has ended was reset after its end.
+
+    The kernel does this for what is sent to a connection that is closed already.
+    """
+    error = stream.socket.getsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_ERROR)
+    return error != 0
+
+
 def find_timeout(request: SentRequest) -> float:
     """Return the seconds from a request to its deadline."""
     return request.timeout or REQUEST_TIMEOUTS[request.kind]
