Stay as long as callers come, and answer pipelined requests while leaving

A review of the shutdown found three requests that a leaving host still loses or drops.

- It counted requests at samples 0.1 s apart, and took callers whose requests take some milliseconds for none: it ended as quiet while one came every 0.1 s.
The time of the last request decides now.
- A request that is pipelined behind another one had been read when the answer to the first asked to close the connection, and was dropped.
The answer asks to close only if no further request has been read.
- A request that comes as the host decides to end and whose server is silent gets its status before the scheduled exit, as all others; the test guards it.

--- a/dewridge/gateway/ingress.py
+++ b/dewridge/gateway/ingress.py
@@ -118,8 +118,10 @@
     async def _read_and_answer(self) -> bool:
         arrived_at = trio.current_time()
         request = await self._read_request(arrived_at)
-        asks_close = self._ingress.is_leaving or isinstance(request, Failure)
-        responder = Responder(self._stream, self._state, asks_close=asks_close)
+        is_invalid = isinstance(request, Failure)
+        responder = Responder(
+            self._stream, self._state, lambda: is_invalid or self._asks_close()
+        )
         if isinstance(request, Failure):
             log.bind(code=request.code.name, reason=request.reason).info(
                 "invalid request rejected"
@@ -134,6 +136,13 @@
             and self._state.their_state is h11.DONE
         )
 
+    def _asks_close(self) -> bool:
+        """Return whether the next answer is the last one on the connection.
+
+        A pipelined request that was read already is answered first.
+        """
+        return self._ingress.is_leaving and not self._state.trailing_data[0]
+
     async def _wait_for_first_byte(self) -> None:
         if self._state.trailing_data[0]:
             return
--- a/dewridge/gateway/responder.py
+++ b/dewridge/gateway/responder.py
@@ -1,6 +1,7 @@
 """Writing of an answer to a caller's connection."""
 
 import struct
+from collections.abc import Callable
 from contextlib import suppress
 
 import h11
@@ -26,8 +27,19 @@
     """
 
     def __init__(
-        self, stream: trio.SocketStream, state: h11.Connection, *, asks_close: bool
+        self,
+        stream: trio.SocketStream,
+        state: h11.Connection,
+        asks_close: Callable[[], bool],
     ) -> None:
+        """Write to a caller's connection.
+
+        Args:
+            stream: the connection.
+            state: its protocol state, after the request was read.
+            asks_close: returns whether the connection ends with this answer; called
+                when the head is made.
+        """
         self._stream = stream
         self._state = state
         self._asks_close = asks_close
@@ -91,7 +103,7 @@
             )
 
     def _make_head(self, status: int, headers: Headers) -> bytes:
-        if self._asks_close:
+        if self._asks_close():
             headers = [*headers, (b"connection", b"close")]
         self.has_started = True
         self.status = status
--- a/dewridge/gateway/shutdown/leaving.py
+++ b/dewridge/gateway/shutdown/leaving.py
@@ -98,6 +98,8 @@
     while (now := trio.current_time()) < schedule.exits_at - CLOSING_TIME:
         if state.ingress.requests + state.relay_ingress.requests > 0:
             quiet_since = now
+        # Requests that are refused take less time than is between two checks.
+        quiet_since = max(quiet_since, state.served.last_at)
         if now >= schedule.answers_by:
             state.served.prepare_exit()
         if now >= serves_until:
--- a/dewridge/gateway/shutdown/progress.py
+++ b/dewridge/gateway/shutdown/progress.py
@@ -55,9 +55,11 @@
     Attributes:
         is_exiting: whether the process ends now; requests that are cancelled from then
             on are cut by it and not by their callers.
+        last_at: when a request last began or ended.
     """
 
     is_exiting: bool = False
+    last_at: float = float("-inf")
     _requests: set[ServedRequest] = field(default_factory=set)
 
     @contextmanager
@@ -65,10 +67,12 @@
         """Count a request during the `with` body."""
         served = ServedRequest(responder)
         self._requests.add(served)
+        self.last_at = trio.current_time()
         try:
             yield served
         finally:
             self._requests.discard(served)
+            self.last_at = trio.current_time()
 
     def prepare_exit(self) -> None:
         """Have the callers that have no byte of an answer get a status at once.
--- a/dewridge/tests/gateway/leaving_tests.py
+++ b/dewridge/tests/gateway/leaving_tests.py
@@ -13,12 +13,15 @@
     ENGINE,
     ServerExchange,
     World,
+    answer_ok,
     make_request,
     open_world,
     read_answer,
 )
 
 ANSWER_SECONDS = 0.03
+SEND_PERIOD = 0.1
+"""Seconds between two requests, a sixth of the quiet period."""
 
 
 class LeavingRegistration:
@@ -114,6 +117,70 @@
     assert passed_on <= answered
 
 
+async def test_a_leaving_host_stays_while_short_requests_arrive() -> None:
+    """Guards against an exit because checks miss requests of a few milliseconds."""
+    has_left = False
+    outcomes: list[bool] = []
+
+    async with open_world(answer_ttl=0.05, grace=4.0) as world:
+        await world.add_server("s-1", answer_ok)
+
+        async def send_often() -> None:
+            while not has_left:
+                async with await world.connect() as stream:
+                    await stream.send_all(make_request("/write/a", deadline_ms=100))
+                    answer = await read_answer(stream)
+                outcomes.append(answer.is_complete)
+                await trio.sleep(SEND_PERIOD)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send_often)
+            begin = trio.current_time()
+            await leave(world)
+            seconds = trio.current_time() - begin
+            has_left = True
+    assert all(outcomes)
+    assert seconds > 4.0 * 5 / 6
+
+
+async def test_a_silent_request_that_arrives_last_gets_a_status() -> None:
+    """Guards against a request that comes as a host decides to end, and is cut."""
+
+    async def stay_silent(exchange: ServerExchange) -> None:
+        await trio.sleep_forever()
+
+    async with open_world(answer_ttl=0.2, grace=3.0) as world:
+        await world.add_server("s-1", stay_silent, ENGINE)
+        stream = await world.connect()
+        await trio.sleep(0.05)
+        request = make_request("/draft/a", deadline_ms=20_000)
+        await leave(world, lambda: _write(stream, request))
+        world.nursery.cancel_scope.cancel()
+        with trio.CancelScope(shield=True):
+            answer = await read_answer(stream)
+    assert answer.status in {502, 503}
+
+
+async def test_a_pipelined_request_that_a_leaving_host_has_read_is_answered() -> None:
+    """Guards against a request that is read during another answer and dropped."""
+    async with open_world() as world:
+        await world.add_server("s-1", answer_soon)
+        async with await world.connect() as stream:
+            world.state.ingress.is_leaving = True
+            await stream.send_all(make_request("/write/a", request_id="a"))
+            await trio.sleep(ANSWER_SECONDS / 3)
+            await stream.send_all(make_request("/write/b", request_id="b"))
+            answers = [await read_answer(stream), await read_answer(stream)]
+            assert await stream.receive_some(1) == b""
+    assert [answer.is_complete for answer in answers] == [True, True]
+    closing = [answer.headers.get(b"connection") for answer in answers]
+    assert closing == [None, b"close"]
+
+
+def _write(stream: trio.SocketStream, data: bytes) -> None:
+    os.write(stream.socket.fileno(), data)
+
+
 async def test_streams_that_usually_outlast_a_leaving_host_are_refused() -> None:
     """Guards against long streams that are all cut, though other hosts serve them."""
 
