Excuse cuts by an exit that slow callers see later in the soak

The check took only ends by 9 s for cuts by the exit, which the rule does not say, and put the loss down to a SIGHUP of the next process.

The excuse now depends on what the rule names: the request was sent by 3 s after SIGTERM, the server still worked in the last sixth of the grace period, and the answer did not end before that. In return it holds only for requests that were sent after the start of the process that exits.

--- a/dewridge/tests/soak/lostchecks_tests.py
+++ b/dewridge/tests/soak/lostchecks_tests.py
@@ -139,6 +139,25 @@
     assert len(check_lost(history)) == expected
 
 
+@pytest.mark.parametrize(("ran_until", "expected"), [(7.5, 0), (6.5, 1)])
+def test_exit_may_cut_what_slow_callers_read_until_later(
+    ran_until: float, expected: int
+) -> None:
+    history = make_history()
+    reload = HostSignal(signal.SIGHUP, TERMINATED_AT + 10.5)
+    history.boots[1].signals.append(reload)
+    add_request(history, 2.5, 12.2, ran_until=ran_until)
+    assert len(check_lost(history)) == expected
+
+
+def test_exit_of_an_earlier_process_excuses_nothing() -> None:
+    history = make_history()
+    history.boots[1].signals.append(HostSignal(signal.SIGTERM, TERMINATED_AT + 20))
+    history.boots[0].started_at = TERMINATED_AT - 1.5
+    add_request(history, -2.0, 7.4)
+    assert len(check_lost(history)) == 1
+
+
 @pytest.mark.parametrize(
     ("sent_after", "cut_after", "timeout", "expected"),
     [
