--- a/dewridge/tests/gateway/shutdown_tests.py
+++ b/dewridge/tests/gateway/shutdown_tests.py
@@ -1,10 +1,8 @@
 """Tests of a graceful shutdown with a real process and callers that never let go."""
 
-import os
 import random
 import signal
 import time
-from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -157,7 +155,7 @@
         await trio.sleep_until(begin)
         shutdown.terminated_at = time.monotonic()
         process.terminate()
-        nursery.start_soon(_repeat_signals, process.handle.pid, begin)
+        nursery.start_soon(_repeat_signals, process.handle, begin)
         shutdown.status = await process.handle.wait()
         shutdown.exited_at = time.monotonic()
 
@@ -177,11 +175,10 @@
     await player.send(name, at, RequestKind.READ, pause=0.1)
 
 
-async def _repeat_signals(pid: int, begin: float) -> None:
+async def _repeat_signals(process: trio.Process, begin: float) -> None:
     for at, number in REPEATED_SIGNALS:
         await trio.sleep_until(begin + at)
-        with suppress(ProcessLookupError):
-            os.kill(pid, number)
+        process.send_signal(number)
 
 
 pytestmark = pytest.mark.timeout(120)
@@ -239,4 +236,16 @@
 
 def test_a_leaving_host_exits_before_it_is_killed(shutdown: Shutdown) -> None:
     """Guards against a host that waits for streams until SIGKILL ends it."""
-    assert shutdown.exited_at < shutdown.terminated_at + GRACE
+    assert 0 < shutdown.get_age(shutdown.exited_at) < GRACE
+
+
+def test_short_streams_are_served_in_the_first_seconds(shutdown: Shutdown) -> None:
+    """Guards against a leaving host that refuses all streams at once."""
+    early = [
+        request
+        for request in shutdown.list_sent("long-")
+        if shutdown.get_age(request.sent_at) < 2.6 and request.stream_seconds == 2.0
+    ]
+    assert early
+    assert {request.status for request in early} == {200}
+    assert list_cut(early) == []
--- a/dewridge/tests/policy/shutdown_tests.py
+++ b/dewridge/tests/policy/shutdown_tests.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from dewridge.policy.shutdown import schedule_shutdown
-from dewridge.policy.streamlengths import StreamLengths
+from dewridge.policy.streamlengths import MAX_ROUTES, StreamLengths
 
 SENT_EXCUSED = 3.0
 """Seconds from the signal by which a request was sent that the exit may cut."""
@@ -34,6 +34,16 @@
     assert grace * 5 / 6 <= schedule.exits_at < grace
 
 
+@given(arrival=st.floats(0.0, 2.69), grace=st.floats(8.0, 60.0))
+def test_streams_are_accepted_in_the_first_seconds(
+    arrival: float, grace: float
+) -> None:
+    """Guards against callers that are refused by all hosts of a rolling restart."""
+    schedule = schedule_shutdown(0.0, grace)
+    assert schedule.accepts(arrival, arrival + 15.0, 2.0)
+    assert schedule.accepts(arrival, arrival + 15.0, 0.0)
+
+
 @given(arrival=st.floats(0.0, 10.0))
 def test_a_closed_host_accepts_nothing(arrival: float) -> None:
     """Guards against requests that are accepted while the process ends."""
@@ -65,3 +75,13 @@
     assert lengths.estimate("chat", 120.0) == 6.0
     assert lengths.estimate("chat", 200.0) == 0.0
     assert lengths.estimate("draft", 120.0) == 0.0
+
+
+def test_the_lengths_of_many_routes_stay_small() -> None:
+    """Guards against memory that grows with each route that ever had a stream."""
+    lengths = StreamLengths()
+    for number in range(10 * MAX_ROUTES):
+        lengths.record(f"route-{number}", 1.0, 0.0)
+        lengths.record("busy", 2.0, 0.0)
+    assert len(lengths._samples) == MAX_ROUTES
+    assert lengths.estimate("busy", 1.0) == 2.0
