Keep the schedule of a leaving host after an error

An error in what a leaving host does last, such as the call that removes its registration, ended the process at once, with all answers that it had accepted until its exit. None is known to occur; the calls report failures as values.

The error is now logged, and the host serves until the exit that was scheduled: requests without an answer get their status before it, as without the error.

test_an_error_while_leaving_cuts_no_answer failed before (an answer of three seconds is cut one second after SIGTERM, when the registration is removed) and passes now.

--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -345,13 +345,26 @@
             nursery.start_soon(supervisor.run)
             log.bind(host=self._state.host, boot=self._state.boot).info("started")
             await leaving.wait()
-            await leave_fleet(self._state, self._registration, self._election)
+            try:
+                await leave_fleet(self._state, self._registration, self._election)
+            except Exception as error:
+                log.opt(exception=error).error("error while leaving")
+                await self._serve_until_exit()
             self._state.served.is_exiting = True
             nursery.cancel_scope.cancel()
         log.info("stopped")
         if supervisor.limit_error is not None:
             raise supervisor.limit_error
 
+    async def _serve_until_exit(self) -> None:
+        """Serve until the scheduled exit, for callers whose requests were accepted."""
+        schedule = self._state.shutdown
+        if schedule is None:
+            return
+        await trio.sleep_until(schedule.answers_by)
+        self._state.served.prepare_exit()
+        await trio.sleep_until(schedule.exits_at)
+
     def _list_tasks(self) -> list[tuple[str, Task]]:
         state = self._state
         watcher = StoreWatcher(
--- a/dewridge/tests/gateway/failing_tests.py
+++ b/dewridge/tests/gateway/failing_tests.py
@@ -1,7 +1,9 @@
 """Tests of a gateway one of whose tasks fails again and again."""
 
+import os
 import signal
 from collections.abc import Iterator
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -33,24 +35,29 @@
         signal.signal(number, handler)
 
 
+def make_gateway(tmp_path: Path) -> composition._Gateway:
+    """Return a gateway whose tasks are replaced by the test."""
+    path = tmp_path / "settings.json"
+    path.write_text(SETTINGS)
+    settings = load_gateway_settings(path).settings
+    assert settings is not None
+    return composition._Gateway(settings, path, load_gateway_settings)
+
+
 async def test_a_task_that_keeps_failing_cuts_no_answer(
     tmp_path: Path,
     monkeypatch: pytest.MonkeyPatch,
     autojump_clock: trio.testing.MockClock,
 ) -> None:
     """Guards against one failing task that ends the answers of all callers at once."""
-    path = tmp_path / "settings.json"
-    path.write_text(SETTINGS)
-    settings = load_gateway_settings(path).settings
-    assert settings is not None
-    gateway = composition._Gateway(settings, path, load_gateway_settings)
+    gateway = make_gateway(tmp_path)
     has_failed, is_answered = trio.Event(), trio.Event()
     failures = 0
 
     async def fail() -> None:
         nonlocal failures
         failures += 1
-        if failures > settings.supervision.restarts:
+        if failures > gateway._settings.supervision.restarts:
             has_failed.set()
         raise ValueError("for good")
 
@@ -66,3 +73,29 @@
     with trio.fail_after(60.0), pytest.raises((RestartLimitError, BaseExceptionGroup)):
         await gateway.run()
     assert is_answered.is_set()
+
+
+async def test_an_error_while_leaving_cuts_no_answer(
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against an error of the last calls that ends all answers at once."""
+    gateway = make_gateway(tmp_path)
+    is_answered = trio.Event()
+
+    async def answer() -> None:
+        gateway._state.ingress.requests += 1
+        os.kill(os.getpid(), signal.SIGTERM)
+        await trio.sleep(ANSWER_SECONDS)
+        gateway._state.ingress.requests -= 1
+        is_answered.set()
+
+    async def fail() -> None:
+        raise ValueError("unregister")
+
+    monkeypatch.setattr(gateway, "_list_tasks", lambda: [("answer", answer)])
+    monkeypatch.setattr(gateway._registration, "unregister", fail)
+    with trio.fail_after(60.0), suppress(ExceptionGroup):
+        await gateway.run()
+    assert is_answered.is_set()
