Use kept connections in the test of cut answers however slowly it runs

At a load of 33 two of 512 cases by a relay were not played as meant in one of three runs: the connection that the case should use was idle for longer than the host trusts it. The limit is set for the test.

--- a/dewridge/tests/gateway/headcuts_tests.py
+++ b/dewridge/tests/gateway/headcuts_tests.py
@@ -220,6 +220,9 @@
         for server in self.servers:
             server.script = playing.answer
             self.sender.state.pool.close_idle(server.id)
+        for service in (PLAIN, ENGINE):
+            # Kept connections are used however slowly the test runs.
+            self.sender.state.pool._idle_times[service].limit = 10.0
         self.world.state.health.clear()
         self.world.state.configuration.confirm(read_boot_clock())
         if case.is_kept:
