--- a/dewridge/tests/soak/soak_tests.py
+++ b/dewridge/tests/soak/soak_tests.py
@@ -25,6 +25,9 @@
 DOCUMENTS_SEED = 11_000
 DEPARTURES_SEED = 20_202
 REJECTIONS_SEED = 18_000
+LEAVING_SEED = 70_102
+LEAVING_SECONDS = 2.0
+"""Duration of the fault injection before hosts leave, which takes longer."""
 
 
 @pytest.mark.timeout(90)
@@ -145,6 +148,18 @@
     assert result.outcomes["servers left"] >= 4
 
 
+@pytest.mark.timeout(120)
+async def test_hosts_that_leave_lose_no_request_of_callers_that_hold_on(
+    tmp_path: Path,
+) -> None:
+    """Guards against long streams that are cut at the exit of their host."""
+    size = SoakSize(hosts=4, servers=12, callers=6, seconds=LEAVING_SECONDS, leaving=1)
+    result = await run_soak(LEAVING_SEED, size, tmp_path)
+    assert result.violations == []
+    assert result.outcomes["hosts that left"] >= 2
+    assert result.outcomes["sent to leaving hosts"] > 0
+
+
 @pytest.mark.timeout(90)
 async def test_large_configurations_are_in_force_in_time(tmp_path: Path) -> None:
     """Versions of 2,000 routes reach hosts with links of 10 Mbit/s within 3 s."""
