--- a/dewridge/tests/soak/leaving.py
+++ b/dewridge/tests/soak/leaving.py
@@ -161,6 +161,8 @@
         rng: generator from which everything is drawn.
     """
     await trio.sleep(at)
+    for gateway in environment.gateways:
+        await gateway.has_process.wait()
     total = len(environment.gateways)
     count = rng.choice([1, 1, min(2, total), (total + 1) // 2, total])
     gateways = rng.sample(environment.gateways, count)
--- a/dewridge/tests/soak/stage.py
+++ b/dewridge/tests/soak/stage.py
@@ -80,6 +80,7 @@
     should_restart: bool = True
     paths: "ServerPaths | None" = None
     boot: HostBoot | None = None
+    has_process: trio.Event = field(default_factory=trio.Event)
 
     @property
     def caller_address(self) -> str:
@@ -194,6 +195,7 @@
                 gateway.process = await start_gateway(gateway, self.folder)
                 boot = gateway.boot = HostBoot(gateway.name, time.monotonic())
                 self.history.boots.append(boot)
+                gateway.has_process.set()
                 self._clear_first_start(gateway)
                 boot.status = await gateway.process.handle.wait()
                 boot.exited_at = time.monotonic()
