--- a/dewridge/http1/sockets.py
+++ b/dewridge/http1/sockets.py
@@ -48,7 +48,7 @@
         size: bytes that the kernel has not taken yet.
     """
     try:
-        # The kernel doubles what it is told, for its own overhead.
+        # The kernel doubles the requested size, for its own overhead.
         held = connection.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) // 2
         # trio has the kernel hold little that is not sent, however large the buffer is.
         connection.setsockopt(
--- a/dewridge/policy/shutdown.py
+++ b/dewridge/policy/shutdown.py
@@ -1,7 +1,7 @@
 """What a leaving host still accepts, and when it ends.
 
 Made for rolling restarts and reclaims: callers use addresses that are seconds old, and
-open connections until the process is gone, while streams last for seconds. A request
+open connections until the process has ended, while streams last seconds. A request
 that the exit cuts is lost to its caller; one that is refused at once is sent to another
 host. So whether a request is accepted follows from the time that it may take at most,
 not from how long such requests usually take.
--- a/dewridge/tests/gateway/shutdown_tests.py
+++ b/dewridge/tests/gateway/shutdown_tests.py
@@ -40,7 +40,7 @@
 
     Attributes:
         terminated_at: monotonic time of SIGTERM.
-        exited_at: monotonic time at which the process was gone.
+        exited_at: monotonic time at which the process had ended.
         status: exit status of the process.
     """
 
@@ -103,7 +103,7 @@
 
 
 async def play_shutdown(folder: Path) -> Shutdown:
-    """Stop one of two hosts while callers send to it until it is gone."""
+    """Stop one of two hosts while callers send to it until it has ended."""
     async with trio.open_nursery() as nursery:
         environment = SoakEnvironment(random.Random(1), folder, nursery)
         try:
--- a/dewridge/tests/soak/__main__.py
+++ b/dewridge/tests/soak/__main__.py
@@ -56,7 +56,7 @@
     leaving: Annotated[
         int,
         typer.Option(
-            help="Times that hosts leave while callers use them until they are gone."
+            help="Times that hosts leave while callers use them until they have ended."
         ),
     ] = 2,
     bad_parts: Annotated[
--- a/dewridge/tests/soak/leaving.py
+++ b/dewridge/tests/soak/leaving.py
@@ -1,4 +1,4 @@
-"""Hosts that leave while callers use them until their processes are gone."""
+"""Hosts that leave while callers use them until their processes have ended."""
 
 import random
 import signal
@@ -38,8 +38,8 @@
 MAX_RATE = 10.0
 """Maximum connections per second, summed over the hosts that leave together."""
 QUIET_SECONDS = 3.0
-"""Seconds after SIGTERM from which signals may come until the process is gone. It ends
-soon after that if nobody uses it."""
+"""Seconds after SIGTERM from which signals may come until the process has ended. That
+is soon after them if nobody uses it."""
 MIN_SIGNAL_GAP, MAX_SIGNAL_GAP = 0.005, 0.03
 """Range of the seconds between these signals: less than a process takes to end."""
 LOAD_SHARE = 0.4
@@ -49,7 +49,7 @@
 
 @dataclass
 class PersistentCallers:
-    """Callers that use one process of a host until it is gone.
+    """Callers that use one process of a host until it has ended.
 
     Attributes:
         environment: the run.
@@ -241,7 +241,7 @@
             )
         if rng.random() < 0.5:
             at = delay + rng.uniform(QUIET_SECONDS, SHUTDOWN_GRACE - 1.0)
-            nursery.start_soon(_send_until_gone, environment, callers, at, fork(rng))
+            nursery.start_soon(_send_until_exit, environment, callers, at, fork(rng))
         await trio.sleep(delay)
         await stop_gateway(environment, gateway)
 
@@ -263,13 +263,13 @@
         await trio.sleep(gap)
 
 
-async def _send_until_gone(
+async def _send_until_exit(
     environment: SoakEnvironment,
     callers: PersistentCallers,
     at: float,
     rng: random.Random,
 ) -> None:
-    """Send signals to the process that callers use until it is gone."""
+    """Send signals to the process that callers use until it has ended."""
     number = rng.choice([signal.SIGHUP, signal.SIGTERM])
     gap = rng.uniform(MIN_SIGNAL_GAP, MAX_SIGNAL_GAP)
     await trio.sleep(at)
--- a/dewridge/tests/soak/records.py
+++ b/dewridge/tests/soak/records.py
@@ -166,7 +166,7 @@
         host: name of the host.
         started_at: monotonic time in seconds.
         signals: signals that were sent to it, except SIGKILL, SIGSTOP and SIGCONT.
-        exited_at: when it was gone; None if it still runs.
+        exited_at: when it had ended; None if it still runs.
         status: exit status, or the negated number of the signal that ended it.
     """
 
--- a/dewridge/tests/soak/runs.py
+++ b/dewridge/tests/soak/runs.py
@@ -59,7 +59,7 @@
     rejecting: int = 0
     """Number of times that a service rejects most requests while hosts start again."""
     leaving: int = 0
-    """Number of times that hosts leave while callers use them until they are gone."""
+    """Number of times that hosts leave while callers use them until they have ended."""
     bad_parts: int = 0
     """Number of callers whose requests partly hold a part that crashes servers."""
     routes: int = 0
