Bound what all clients together can make a gateway hold

What callers saw: a crowd whose bodies stopped just short of their end, were far over the limit, or whose requests waited, ended the process; a crowd without requests had ordinary callers closed unread; one that sent chunks of two bytes kept all others, and the calls of the store, waiting.

Cause: heads, bodies and answers were bounded for each connection, and not for all; an announced length was not looked at; listeners shared their connections; all of one read was parsed without a pause. A waiting body was held up to three times (joined with its head, and kept beside that).

Change: one budget a process, a share of host.memory_mb, counts connections with their buffers in the kernel, headers and prompt parts as objects, and bodies before they are read; answers count until they are read. At its end connections that hold most and move least are closed, then requests refused with 503 and a time to return; small requests and answers keep parts of it. A length over the limit is refused from the head, strangers at the port of peers too; lookups, checks and operators have places of their own, and their bodies are not kept. New connections wait for those without a request, which are closed for them. Much to parse takes turns.

--- a/dewridge/codes.py
+++ b/dewridge/codes.py
@@ -59,6 +59,7 @@
     REQUEST_SET_ASIDE = 212
     STREAM_ORIGIN_UNKNOWN = 213
     STREAM_VERSION_GONE = 214
+    HOST_OVERLOADED = 215
 
     OUTCOME_UNKNOWN = 300
     HOLDER_LOST = 301
@@ -245,6 +246,12 @@
         "No backend server has the software version that began the stream",
         "Come back after the time given, if any; otherwise start the stream again.",
     ),
+    ResultCode.HOST_OVERLOADED: CodeEntry(
+        503,
+        _NOT_RUN,
+        "This entry host has no memory left for the request",
+        "Come back after the time given, or use another entry host.",
+    ),
     ResultCode.OUTCOME_UNKNOWN: CodeEntry(
         502,
         _UNKNOWN,
--- a/dewridge/gateway/__main__.py
+++ b/dewridge/gateway/__main__.py
@@ -16,6 +16,8 @@
 
 SETTINGS_VARIABLE = "DEWRIDGE_NODE_FILE"
 INVALID_SETTINGS_STATUS = 2
+MIN_INTAKE_MB = 32
+"""Megabytes in which a request of some megabytes still fits beside small ones."""
 COLLECTION_THRESHOLD = 5_000
 """Net allocations between two runs of the garbage collector, in place of 700: most
 objects of a request are freed without the collector."""
@@ -28,7 +30,12 @@
     errors = []
     if not settings.listen.peer_ports:
         errors.append(Problem("listen.peer_ports", "names no port"))
-    return errors, []
+    warnings = []
+    memory = settings.host.memory_mb * settings.intake.memory_share
+    if memory < MIN_INTAKE_MB:
+        text = f"leaves {memory:.0f} MB for requests, less than {MIN_INTAKE_MB}"
+        warnings.append(Problem("intake.memory_share", text))
+    return errors, warnings
 
 
 def load_gateway_settings(path: Path) -> LoadedSettings[GatewaySettings]:
--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -300,7 +300,8 @@
             health.record_success(trio.current_time())
             record_answer(self._state, job)
         headers = clean_answer_headers(answer.head.headers)
-        await responder.send_complete(answer.head.status, headers, answer.body)
+        with self._state.answer_buffers.hold(responder.use, len(answer.body)):
+            await responder.send_complete(answer.head.status, headers, answer.body)
 
     async def _relay_stream(
         self,
--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -30,6 +30,15 @@
 from dewridge.gateway.echoes import SentReportTimes
 from dewridge.gateway.hosts import HostEntry, HostTable, HostWatcher, Registration
 from dewridge.gateway.ingress import IngressState, RequestHandler, serve_connection
+from dewridge.gateway.intake import (
+    RECEIVE_BUFFER_BYTES,
+    Endpoint,
+    ListenerName,
+    accept_any_head,
+    compute_intake_bytes,
+    list_connection_limits,
+    wait_for_room,
+)
 from dewridge.gateway.limitsharing import list_limit_updates
 from dewridge.gateway.measures import (
     count_received_bytes,
@@ -38,6 +47,7 @@
 )
 from dewridge.gateway.model import CallerRequest, Limits
 from dewridge.gateway.pool import ConnectionPool
+from dewridge.gateway.reach.protocol import make_key_check
 from dewridge.gateway.reach.relay import Relay
 from dewridge.gateway.reloading import (
     SettingsLoader,
@@ -74,14 +84,13 @@
 from dewridge.platform.eras import StoreEra
 from dewridge.platform.store import Store
 from dewridge.policy.documentsources import LARGE_DOCUMENT_BYTES
+from dewridge.policy.memorybudget import ConnectionPlaces, MemoryBudget
 from dewridge.policy.pacing import DatagramPacer, compute_datagram_rate
 from dewridge.policy.quota import QuotaLedger
 from dewridge.policy.storeoutages import StoreOutages
 from dewridge.settings.gateway import GatewaySettings
 from dewridge.supervision.tree import Supervisor
 
-RESERVED_DESCRIPTORS = 300
-"""File descriptors for files, listeners, the store, the cloud API and peers."""
 ACCEPT_BACKLOG = 256
 """Connections that may wait to be accepted: allows bursts while the process is busy."""
 ACCEPT_RETRY_DELAY = 0.1
@@ -238,7 +247,7 @@
             self._stream_copies.handle_restore,
         ]
         self._listeners: list[
-            tuple[trio.SocketListener, IngressState, RequestHandler]
+            tuple[trio.SocketListener, IngressState, Endpoint, RequestHandler]
         ] = []
 
     def _make_state(self, metrics: Metrics) -> GatewayState:
@@ -249,7 +258,7 @@
             starts_full=settings.host.is_first_start,
             started_at=trio.current_time(),
         )
-        descriptors = int(settings.host.descriptors) - RESERVED_DESCRIPTORS
+        self._connection_limits = list_connection_limits(settings)
         boot = time.time_ns() // 1000
         heartbeat = settings.services.server_heartbeat_ms / 1000
         return GatewayState(
@@ -268,7 +277,11 @@
             ),
             ledger=ledger,
             pool=ConnectionPool(),
-            ingress=IngressState(Limits(), connection_limit=max(64, descriptors // 2)),
+            ingress=IngressState(
+                Limits(),
+                connection_limit=self._connection_limits[ListenerName.CALLERS],
+                memory=MemoryBudget(compute_intake_bytes(settings)),
+            ),
             rng=random.Random(),
             metrics=metrics,
         )
@@ -293,32 +306,42 @@
         listen = self._settings.listen
         await self._socket.bind()
         stack.callback(self._socket.close)
-        endpoints: list[tuple[str, RequestHandler]] = [
-            (listen.callers, processor.serve),
-            (listen.readiness, directory.serve),
-        ]
-        if listen.operations:
-            endpoints.append((listen.operations, self._serve_operations))
-        if listen.directory:
-            endpoints.append((listen.directory, directory.serve))
-        for address, handler in endpoints:
-            await self._listen(stack, address, self._state.ingress, handler)
         # Requests of peers use the port number of the datagrams.
-        relay_address = self._registration.entry.peers
+        peers = self._registration.entry.peers
         relay = Relay(self._state)
-        serve = serve_peers(self._documents, self._state.relay_key, relay.serve)
-        await self._listen(stack, relay_address, self._state.relay_ingress, serve)
+        key = self._state.relay_key
+        serve = serve_peers(self._documents, key, relay.serve)
+        served: list[tuple[ListenerName, str, RequestHandler]] = [
+            (ListenerName.CALLERS, listen.callers, processor.serve),
+            (ListenerName.READINESS, listen.readiness, directory.serve),
+            (ListenerName.OPERATIONS, listen.operations, self._serve_operations),
+            (ListenerName.DIRECTORY, listen.directory, directory.serve),
+            (ListenerName.PEERS, peers, serve),
+        ]
+        for name, address, handler in served:
+            if address:
+                await self._listen(stack, name, address, handler)
 
     async def _listen(
         self,
         stack: AsyncExitStack,
+        name: ListenerName,
         address: str,
-        ingress: IngressState,
         handler: RequestHandler,
     ) -> None:
         listener = await open_listener(address)
         stack.push_async_callback(listener.aclose)
-        self._listeners.append((listener, ingress, handler))
+        is_peers = name is ListenerName.PEERS
+        endpoint = Endpoint(
+            ConnectionPlaces(name.value, self._connection_limits[name]),
+            keeps_bodies=name in {ListenerName.CALLERS, ListenerName.PEERS},
+            check_head=make_key_check(self._state.relay_key)
+            if is_peers
+            else accept_any_head,
+        )
+        self._state.endpoints.append(endpoint)
+        ingress = self._state.relay_ingress if is_peers else self._state.ingress
+        self._listeners.append((listener, ingress, endpoint, handler))
 
     async def _serve_operations(
         self, request: CallerRequest, responder: Responder
@@ -445,14 +468,14 @@
             ("upkeep", partial(run_upkeep, state, self._registration)),
             *self._list_duty_tasks(rollouts),
         ]
-        for number, (listener, ingress, handler) in enumerate(self._listeners):
-            serve_stream = partial(serve_connection, ingress=ingress, handler=handler)
-            tasks.append(
-                (
-                    f"listener-{number}",
-                    partial(accept_connections, listener, serve_stream),
-                )
+        for listener, ingress, endpoint, handler in self._listeners:
+            serve_stream = partial(
+                serve_connection, ingress=ingress, handler=handler, endpoint=endpoint
             )
+            accept = partial(
+                accept_connections, listener, serve_stream, endpoint.places
+            )
+            tasks.append((f"listener-{endpoint.name}", accept))
         return tasks
 
     def _handle_stall(self, watcher: StoreWatcher, suspended: float) -> None:
@@ -502,20 +525,33 @@
     listeners = await trio.open_tcp_listeners(
         int(port), host=host, backlog=ACCEPT_BACKLOG
     )
+    # Accepted connections take it over.
+    listeners[0].socket.setsockopt(
+        trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+    )
     return listeners[0]
 
 
 async def accept_connections(
     listener: trio.SocketListener,
     handler: Callable[[trio.SocketStream], Awaitable[None]],
+    places: ConnectionPlaces | None = None,
 ) -> None:
     """Accept connections forever.
 
     An error of one accept concerns the connection that could not be accepted, or passes
     by like a lack of file descriptors. It must not end the connections that are served.
+
+    Args:
+        listener: the listener.
+        handler: serves a connection.
+        places: the connections that may be open; without a free one, new connections
+            wait until one is closed for them, or are accepted to be refused.
     """
     async with trio.open_nursery() as connections:
         while True:
+            if places is not None:
+                await wait_for_room(places)
             try:
                 stream = await listener.accept()
             except OSError as error:
--- a/dewridge/gateway/forwarding.py
+++ b/dewridge/gateway/forwarding.py
@@ -1,8 +1,9 @@
 """Attempts: sends a request to a backend server and checks the answer."""
 
 import math
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
 from functools import partial
 
 import trio
@@ -24,6 +25,7 @@
     read_request_id,
 )
 from dewridge.policy.losses import NOT_RUN_REASONS, ConnectResult, LossReason
+from dewridge.policy.memorybudget import ConnectionUse
 
 MAX_INLINE_BODY_BYTES = 4_096
 """Size of a body up to which it is sent before the answer is read. A longer one is sent
@@ -359,29 +361,62 @@
 class AnswerBuffers:
     """Limits the bytes of all large answers that are buffered at the same time.
 
+    An answer counts until its caller has read it.
+
     Attributes:
         used: bytes of large answers that are buffered now.
+        limit: the bytes that they may take.
+        unread: the callers that have yet to read such an answer, and its bytes.
+        cut: number of answers that were cut for others.
     """
 
     used: int = 0
+    limit: int = MAX_BUFFERED_BYTES
+    unread: dict[ConnectionUse, int] = field(default_factory=dict)
+    cut: int = 0
 
     def grow(self, previous: int, size: int) -> bool:
         """Count a buffer that grows; return whether it may, by its and by all bytes.
 
+        If there is no room, the answers are cut whose callers have stopped reading.
+
         Args:
             previous: bytes of the answer before.
             size: bytes of the answer now.
         """
         self.used += _count_large(size) - _count_large(previous)
-        is_small = size <= SMALL_ANSWER_BYTES
-        return is_small or (
-            size <= MAX_ANSWER_BYTES and self.used <= MAX_BUFFERED_BYTES
-        )
+        if size <= SMALL_ANSWER_BYTES:
+            return True
+        if size > MAX_ANSWER_BYTES:
+            return False
+        if self.used > self.limit and self.unread:
+            self._cut_unread(trio.current_time())
+        return self.used <= self.limit
 
     def release(self, size: int) -> None:
         """Record that a buffer of some bytes is not used any more."""
         self.used -= _count_large(size)
 
+    @contextmanager
+    def hold(self, use: ConnectionUse, size: int) -> Iterator[None]:
+        """Count an answer while its caller reads it."""
+        counted = _count_large(size)
+        self.used += counted
+        self.unread[use] = counted
+        try:
+            yield
+        finally:
+            self.used -= self.unread.pop(use, 0)
+
+    def _cut_unread(self, now: float) -> None:
+        stalled = [use for use in self.unread if use.is_stalled(now)]
+        stalled.sort(key=lambda use: self.unread[use] * (now - use.advanced_at))
+        while stalled and self.used > self.limit:
+            use = stalled.pop()
+            if use.close():
+                self.used -= self.unread.pop(use)
+                self.cut += 1
+
 
 def _count_large(size: int) -> int:
     return size if size > SMALL_ANSWER_BYTES else 0
--- /dev/null
+++ b/dewridge/gateway/intake.py
@@ -0,0 +1,117 @@
+"""What clients make this process hold: listeners and sizes in memory."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+import trio
+
+from dewridge.gateway.model import Sizes
+from dewridge.http1.client import Headers
+from dewridge.policy.memorybudget import ConnectionPlaces, Room
+from dewridge.sentinels import Failure
+from dewridge.settings.gateway import GatewaySettings
+
+RECEIVE_SIZE_BYTES = 32_768
+RECEIVE_BUFFER_BYTES = 65_536
+"""Bytes that the kernel holds of a connection's input before it is read. Its own limit
+is some megabytes, which a crowd could fill while the process is busy."""
+HEADER_BYTES = 192
+"""Memory of a header beside its text: two strings, and their places in two lists."""
+PART_BYTES = 768
+"""Memory of a part of a prompt: its name, its digests, and their places."""
+ROOM_CHECK_PERIOD = 0.02
+"""Seconds between two checks whether a connection can be closed for a new one."""
+
+MEGABYTE = 1_000_000
+RESERVED_DESCRIPTORS = 300
+"""File descriptors for files, listeners, the store, the cloud API, connections that are
+about to be closed, and clients of the directory, the platform and operators."""
+DIRECTORY_CONNECTIONS = 96
+"""Connections of callers that look addresses up, which takes a few milliseconds."""
+OPERATOR_CONNECTIONS = 24
+"""Connections of the platform's check, and of operators."""
+MIN_CALLERS = 64
+MIN_PEERS = 32
+
+
+class ListenerName(Enum):
+    """The listeners of a gateway."""
+
+    CALLERS = "callers"
+    READINESS = "readiness"
+    DIRECTORY = "directory"
+    OPERATIONS = "operations"
+    PEERS = "peers"
+
+
+CheckHead = Callable[[tuple[tuple[bytes, bytes], ...]], Failure | None]
+"""Returns why a request is refused before its body is read; None if it is not."""
+
+
+def compute_intake_bytes(settings: GatewaySettings) -> int:
+    """Return the bytes that all clients together may make the process hold."""
+    return round(settings.host.memory_mb * MEGABYTE * settings.intake.memory_share)
+
+
+def list_connection_limits(settings: GatewaySettings) -> dict[ListenerName, int]:
+    """Return how many connections each listener may have open at once.
+
+    Together with a connection to a server for each request they stay below the number
+    of descriptors.
+    """
+    shared = int(settings.host.descriptors) - RESERVED_DESCRIPTORS
+    callers = max(MIN_CALLERS, round(shared * settings.intake.connection_share))
+    peers = max(MIN_PEERS, shared // 8)
+    return {
+        ListenerName.CALLERS: callers,
+        ListenerName.PEERS: peers,
+        ListenerName.DIRECTORY: DIRECTORY_CONNECTIONS,
+        ListenerName.READINESS: OPERATOR_CONNECTIONS,
+        ListenerName.OPERATIONS: OPERATOR_CONNECTIONS,
+    }
+
+
+def accept_any_head(headers: tuple[tuple[bytes, bytes], ...]) -> Failure | None:
+    """Return that a request's body may be read."""
+    return None
+
+
+@dataclass(frozen=True)
+class Endpoint:
+    """A listener.
+
+    Attributes:
+        places: the connections that it may have open.
+        keeps_bodies: whether its handler uses the bodies of requests.
+        check_head: decides whether the body of a request is read.
+    """
+
+    places: ConnectionPlaces
+    keeps_bodies: bool = True
+    check_head: CheckHead = accept_any_head
+
+    @property
+    def name(self) -> str:
+        """Name of the listener, for logs and metrics."""
+        return self.places.name
+
+
+async def wait_for_room(places: ConnectionPlaces) -> Room:
+    """Wait until there is a place for a connection, or none will come free soon."""
+    room = places.make_room(trio.current_time())
+    while room is Room.SOON:
+        await trio.sleep(ROOM_CHECK_PERIOD)
+        room = places.make_room(trio.current_time())
+    return room
+
+
+def compute_head_bytes(headers: "tuple[tuple[bytes, bytes], ...] | Headers") -> int:
+    """Return the memory that the headers of a request take."""
+    text = sum(len(name) + len(value) for name, value in headers)
+    return text + HEADER_BYTES * len(headers)
+
+
+def compute_parts_bytes(sizes: Sizes) -> int:
+    """Return the memory that the parts of a prompt take."""
+    return PART_BYTES * len(sizes.parts)
--- a/dewridge/gateway/measures.py
+++ b/dewridge/gateway/measures.py
@@ -84,6 +84,7 @@
     metrics.set_gauge("requests_set_aside", quarantined)
     metrics.set_gauge("caller_connections", state.ingress.connections)
     metrics.set_gauge("requests_in_flight", state.ingress.requests)
+    update_intake_gauges(state)
     metrics.set_gauge("server_connections_opened", state.pool.opened)
     metrics.set_gauge("server_connections_reused", state.pool.reused)
     for service, path in state.links.list_paths().items():
@@ -116,6 +117,24 @@
         metrics.set_gauge("server_failure_share", share, server=server.id)
 
 
+def update_intake_gauges(state: GatewayState) -> None:
+    """Set the gauges of what clients make this process hold, and of its limits."""
+    metrics = state.metrics
+    memory, answers = state.ingress.memory, state.answer_buffers
+    metrics.set_gauge("intake_bytes", memory.used, kind="input")
+    metrics.set_gauge("intake_bytes", answers.used, kind="answers")
+    metrics.set_gauge("intake_limit_bytes", memory.limit)
+    metrics.set_gauge("intake_refused", memory.refused)
+    metrics.set_gauge("intake_closed", memory.closed, kind="input")
+    metrics.set_gauge("intake_closed", answers.cut, kind="answers")
+    for endpoint in state.endpoints:
+        name, places = endpoint.name, endpoint.places
+        metrics.set_gauge("listener_connections", len(places), listener=name)
+        metrics.set_gauge("listener_connection_limit", places.limit, listener=name)
+        metrics.set_gauge("listener_closed", places.closed, listener=name)
+        metrics.set_gauge("listener_refused", places.refused, listener=name)
+
+
 def set_rollout_gauges(
     metrics: Metrics,
     progress: RolloutProgress,
--- a/dewridge/gateway/operations.py
+++ b/dewridge/gateway/operations.py
@@ -142,6 +142,7 @@
             "opened_to_servers": state.pool.opened,
             "reused_to_servers": state.pool.reused,
         },
+        "intake": describe_intake(state),
         "duties": state.describe_duties(),
         "dependencies": {
             caller.name: {"is_up": caller.is_up, "calls": caller.calls}
@@ -150,6 +151,22 @@
     }
 
 
+def describe_intake(state: GatewayState) -> dict[str, Any]:
+    """Return what clients make this process hold, and its limits."""
+    memory = state.ingress.memory
+    return {
+        "bytes": memory.used,
+        "answer_bytes": state.answer_buffers.used,
+        "limit_bytes": memory.limit,
+        "refused": memory.refused,
+        "closed": memory.closed,
+        "connections": {
+            endpoint.name: [len(endpoint.places), endpoint.places.limit]
+            for endpoint in state.endpoints
+        },
+    }
+
+
 def _list_sorted_servers(state: GatewayState) -> list[Any]:
     return sorted(
         state.servers.list_all(), key=lambda server: (server.service, server.id)
--- a/dewridge/gateway/reach/protocol.py
+++ b/dewridge/gateway/reach/protocol.py
@@ -5,13 +5,16 @@
 answer of the server, or a status of its own with the reason for which there is none.
 """
 
-from collections.abc import Iterable
+import hmac
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum
 
+from dewridge.codes import ResultCode
 from dewridge.http1.client import Headers
 from dewridge.ids import BackendServerId, HostId
 from dewridge.policy.losses import ConnectResult, LossReason
+from dewridge.sentinels import Failure
 
 PREFIX = b"dewridge-"
 KEY = PREFIX + b"key"
@@ -86,6 +89,24 @@
     return headers
 
 
+def make_key_check(
+    key: str,
+) -> Callable[[Iterable[tuple[bytes, bytes]]], Failure | None]:
+    """Return a check that refuses calls without a host's key.
+
+    Anybody can connect to the port, and what a stranger sends must not be read.
+    """
+    expected = key.encode()
+
+    def check_key(headers: Iterable[tuple[bytes, bytes]]) -> Failure | None:
+        given = next((value for name, value in headers if name == KEY), b"")
+        if hmac.compare_digest(given, expected):
+            return None
+        return Failure(ResultCode.UNAUTHENTICATED, "not a host of this fleet")
+
+    return check_key
+
+
 def decode_order(headers: Iterable[tuple[bytes, bytes]]) -> RelayOrder | None:
     """Return the order in the headers of a request; None without a valid one."""
     values = {name: value.decode("latin-1") for name, value in headers}
--- a/dewridge/gateway/responder.py
+++ b/dewridge/gateway/responder.py
@@ -1,7 +1,7 @@
 """Writing of an answer to a caller's connection."""
 
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from contextlib import suppress
 
 import h11
@@ -9,7 +9,11 @@
 
 from dewridge.http1.client import Headers
 from dewridge.http1.sockets import enlarge_send_buffer, send_all
+from dewridge.policy.memorybudget import ConnectionStage, ConnectionUse
 
+SLICE_BYTES = 16_384
+"""Bytes of a large answer that are written at once. After each of them it is known that
+the caller still reads."""
 REASON_PHRASES = {421: b"Misdirected Request", 431: b"Request Header Fields Too Large"}
 
 
@@ -31,6 +35,7 @@
         stream: trio.SocketStream,
         state: h11.Connection,
         asks_close: Callable[[], bool],
+        use: ConnectionUse | None = None,
     ) -> None:
         """Write to a caller's connection.
 
@@ -39,7 +44,9 @@
             state: its protocol state, after the request was read.
             asks_close: returns whether the connection ends with this answer; called
                 when the head is made.
+            use: what the connection makes the process hold.
         """
+        self.use = use or ConnectionUse()
         self._stream = stream
         self._state = state
         self._asks_close = asks_close
@@ -53,10 +60,16 @@
         """Send a complete answer."""
         headers = [*headers, (b"content-length", str(len(body)).encode())]
         data = self._make_head(status, headers)
-        if body and self._state.our_state is h11.SEND_BODY:
-            data += self._state.send(h11.Data(data=body)) or b""
-        data += self._state.send(h11.EndOfMessage()) or b""
-        await self._write(data)
+        if not body or self._state.our_state is not h11.SEND_BODY:
+            body = b""
+        else:
+            self._state.send_with_data_passthrough(h11.Data(data=body))
+        self._state.send(h11.EndOfMessage())
+        if len(body) <= SLICE_BYTES:
+            await self._write(data + body)
+        else:
+            # Not joined: a copy would be held until the caller has read it all.
+            await self._write(data, body)
         self.is_finished = True
 
     async def send_head(self, status: int, headers: Headers) -> None:
@@ -111,12 +124,25 @@
         head = h11.Response(status_code=status, headers=headers, reason=reason)
         return self._state.send(head) or b""
 
-    async def _write(self, data: bytes) -> None:
+    async def _write(self, data: bytes, body: bytes = b"") -> None:
         data, self._unsent_head = self._unsent_head + data, b""
-        self._bytes_in_write = len(data)
+        self._bytes_in_write = len(data) + len(body)
+        self.use.enter(ConnectionStage.WRITING, trio.current_time())
         try:
-            await send_all(self._stream, data)
+            parts: list[bytes | memoryview] = [data, *split_slices(body)]
+            for part in parts:
+                await send_all(self._stream, part)
+                self._bytes_in_write -= len(part)
+                self.use.advance(len(part), trio.current_time())
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise CallerDisconnectedError from error
         finally:
             self._bytes_in_write = 0
+            self.use.enter(ConnectionStage.SERVING, trio.current_time())
+
+
+def split_slices(body: bytes) -> Iterator[memoryview]:
+    """Yield a body in slices, without copying it."""
+    view = memoryview(body)
+    for begin in range(0, len(body), SLICE_BYTES):
+        yield view[begin : begin + SLICE_BYTES]
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -18,6 +18,7 @@
 from dewridge.gateway.forwarding import AnswerBuffers
 from dewridge.gateway.hosts import HostEntry, HostTable
 from dewridge.gateway.ingress import IngressState
+from dewridge.gateway.intake import Endpoint, compute_intake_bytes
 from dewridge.gateway.limits.retries import RetryBudgets
 from dewridge.gateway.limits.senders import HOST_RETENTION, SenderHosts
 from dewridge.gateway.model import Limits, ServerRecord
@@ -219,6 +220,8 @@
     """Times of the graceful shutdown; None until it begins."""
     served: ServedRequests = field(default_factory=ServedRequests)
     stream_lengths: StreamLengths = field(default_factory=StreamLengths)
+    endpoints: list[Endpoint] = field(default_factory=list)
+    """The listeners of this host."""
     _silent_live_hosts: frozenset[HostId] = frozenset()
     _silent_peers: list[HostEntry] = field(default_factory=list)
     _silent_count: int = 0
@@ -254,7 +257,11 @@
         self.relay_ingress = IngressState(
             Limits(head_bytes=MAX_RELAYED_HEAD_BYTES),
             self.ingress.connection_limit,
+            memory=self.ingress.memory,
+            parsing=self.ingress.parsing,
+            log=self.ingress.log,
         )
+        self.answer_buffers.limit = self.ingress.memory.answer_limit
         self.sharing.on_ignored_paces = partial(
             self.metrics.add, "pace_reports_ignored_total"
         )
@@ -278,6 +285,8 @@
         self.settings = settings
         self.senders.retention = self._compute_sender_retention()
         self.retries.apply_bounds(settings.bounds)
+        self.ingress.memory.limit = compute_intake_bytes(settings)
+        self.answer_buffers.limit = self.ingress.memory.answer_limit
 
     def handle_restore(self) -> None:
         """Prepare for a restored store, which may lack recent writes."""
--- a/dewridge/http1/client.py
+++ b/dewridge/http1/client.py
@@ -23,6 +23,10 @@
 """Interim responses (1xx) before a response. Without a limit they could go on without
 end, each of them valid."""
 
+MAX_JOINED_BYTES = 16_384
+"""Size of a body up to which it is sent together with its head. A copy of a larger one
+would be held until the server has read it."""
+
 BODYLESS_STATUSES = frozenset({204, 304})
 """Statuses of responses that have no body, whatever their headers say."""
 
@@ -98,10 +102,14 @@
         head = h11.Request(method=method, target=target, headers=headers)
         data = self._state.send(head) or b""
         if body:
-            data += self._state.send(h11.Data(data=body)) or b""
-        data += self._state.send(h11.EndOfMessage()) or b""
+            self._state.send_with_data_passthrough(h11.Data(data=body))
+        self._state.send(h11.EndOfMessage())
         try:
-            await send_all(self._stream, data)
+            if len(body) <= MAX_JOINED_BYTES:
+                await send_all(self._stream, data + body)
+            else:
+                await send_all(self._stream, data)
+                await send_all(self._stream, body)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ConnectionBrokenError("ended while sending") from error
         self._is_body_sent = True
--- a/dewridge/http1/sockets.py
+++ b/dewridge/http1/sockets.py
@@ -15,7 +15,7 @@
 """Bytes that the kernel may hold and not have sent: as many as its buffer takes."""
 
 
-async def send_all(stream: trio.SocketStream, data: bytes) -> None:
+async def send_all(stream: trio.SocketStream, data: bytes | memoryview) -> None:
     """Send data; not a checkpoint if the kernel accepts all of it at once.
 
     Raises:
--- a/dewridge/settings/gateway.py
+++ b/dewridge/settings/gateway.py
@@ -19,6 +19,9 @@
     descriptors: float = option(
         "Open files and sockets that the process may have.", default=1024, low=256
     )
+    memory_mb: float = option(
+        "Memory that the process may take.", default=300.0, unit="MB", low=64
+    )
     link_mbps: float = option(
         "Bandwidth of this host's link; 0: not known.",
         default=0.0,
@@ -131,6 +134,26 @@
     )
 
 
+@dataclass(frozen=True)
+class GatewayIntake:
+    """What all clients together may make this host hold."""
+
+    memory_share: float = option(
+        "Part of the memory for connections, requests and answers. At its end, "
+        "requests are refused with 503, and connections closed that make no progress.",
+        default=0.55,
+        low=0.1,
+        high=0.8,
+    )
+    connection_share: float = option(
+        "Part of the descriptors for callers; at its end, connections without a "
+        "request are closed, and new ones refused with 503.",
+        default=0.375,
+        low=0.05,
+        high=0.4,
+    )
+
+
 @dataclass(frozen=True)
 class GatewayDecisions:
     """How requests are placed and admitted."""
@@ -161,6 +184,9 @@
     listen: GatewayListen = option("Addresses to listen on.", required=True)
     services: GatewayServices = option("Services that are called.", required=True)
     bounds: GatewayBounds = option("What operators count on.", default=GatewayBounds)
+    intake: GatewayIntake = option(
+        "What all clients together may make this host hold.", default=GatewayIntake
+    )
     decisions: GatewayDecisions = option(
         "How requests are placed and admitted.", default=GatewayDecisions
     )
