Bound the numbers, names and logged values that callers send

Callers could state numbers of thousands of digits, or with digits beyond ASCII: their conversion raised an error that ended the connection without a status and logged the whole value. Names of prompt parts as large as a head (16 KB) were keys of tables with 2,000 entries, and request ids of that size stood in every log line of a request.

Numbers are parsed strictly, with at most 15 digits; long names are replaced by a digest in the tables; values in log lines end after 1,000 characters.

--- a/dewridge/gateway/jobs.py
+++ b/dewridge/gateway/jobs.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from functools import cached_property
+from hashlib import blake2b
 
 from dewridge.digests import (
     make_account_part_digest,
@@ -26,6 +27,8 @@
     Origin,
 )
 
+MAX_PREFIX_NAME = 200
+"""Characters of the name of a prefix; tables keep thousands of them."""
 PRIORITY_STEP = 3
 """Route priorities within one account priority on the engines' scale from 0 to 9."""
 
@@ -194,4 +197,7 @@
     """
     sizes = job.request.sizes
     shared = sizes.parts[:-1]
-    return f"{sizes.model}/{shared[-1].id if shared else job.request.id}"
+    name = f"{sizes.model}/{shared[-1].id if shared else job.request.id}"
+    if len(name) <= MAX_PREFIX_NAME:
+        return name
+    return blake2b(name.encode(), digest_size=16).hexdigest()
--- a/dewridge/gateway/logs.py
+++ b/dewridge/gateway/logs.py
@@ -22,6 +22,8 @@
 requests can't use up."""
 BURST_SECONDS = 2.0
 """Size of a burst, in seconds of the long-term rate."""
+MAX_VALUE_CHARS = 1_000
+"""Characters of a value. Callers may send ids as large as a request's head."""
 WARNING_LEVEL = 30
 """Number of the logging library's level for warnings."""
 SERVER_ERROR = 500
@@ -72,8 +74,8 @@
             "time": round(at, 6),
             "level": record["level"].name.lower(),
             "part": record["name"],
-            "event": record["message"],
-            **extra,
+            "event": record["message"][:MAX_VALUE_CHARS],
+            **{name: shorten(value) for name, value in extra.items()},
         }
         if record["exception"] is not None:
             line["traceback"] = str(message).partition("\n")[2].strip()
@@ -103,6 +105,11 @@
             del self._backlog[:written]
 
 
+def shorten(value: Any) -> Any:
+    """Return a value without the end of a long text."""
+    return value[:MAX_VALUE_CHARS] if isinstance(value, str) else value
+
+
 def is_failure(fields: dict[str, Any]) -> bool:
     """Return whether a line reports a refusal, a failure or a lost attempt."""
     status = fields.get("status", 0)
--- a/dewridge/platform/headers.py
+++ b/dewridge/platform/headers.py
@@ -10,6 +10,8 @@
 from dewridge.platform.engines import CacheCopy
 
 STATUS_MISDIRECTED = 421
+MAX_DIGITS = 15
+"""Digits of a number that a caller states."""
 SINGLE_VALUE_HEADERS = (names.REQUEST_ID, names.ACCOUNT_KEY, names.DEADLINE, b"host")
 """Headers that a request may carry only once. Given two values, two processes could
 use different ones and disagree on whose request it is."""
@@ -71,19 +73,32 @@
 def _parse_number(value: bytes | None) -> float | None:
     if value is None:
         return None
-    try:
-        return float(int(value))
-    except ValueError:
+    text = value.strip()
+    is_negative = text.startswith(b"-")
+    number = parse_whole_number(text.removeprefix(b"-"))
+    if number is None:
         return None
+    return float(-number if is_negative else number)
+
+
+def parse_whole_number(text: bytes) -> int | None:
+    """Return a whole number of a caller; None if the text is none, or too long.
+
+    The conversion of thousands of digits fails, and so does that of digits beyond
+    ASCII, which some checks of strings take for digits.
+    """
+    is_number = text.isdigit() and len(text) <= MAX_DIGITS
+    return int(text) if is_number else None
 
 
 def _parse_sizes(values: dict[bytes, bytes]) -> Sizes | str:
     prompt = output = 0
     if names.TOKENS in values:
         first, _, second = values[names.TOKENS].partition(b",")
-        if not (first.strip().isdigit() and second.strip().isdigit()):
+        stated = parse_whole_number(first.strip()), parse_whole_number(second.strip())
+        if stated[0] is None or stated[1] is None:
             return "the token count is not two whole numbers"
-        prompt, output = int(first), int(second)
+        prompt, output = stated[0], stated[1]
     parts = _parse_parts(values.get(names.PREFIX, b""))
     model = values.get(names.MODEL, b"").decode("latin-1")
     return Sizes(prompt, output, parts, model)
@@ -91,10 +106,11 @@
 
 def _parse_parts(value: bytes) -> tuple[PromptPart, ...]:
     parts = []
-    for entry in value.decode("latin-1").split(","):
-        name, _, tokens = entry.strip().partition(":")
-        if name and tokens.isdigit():
-            parts.append(PromptPart(name, int(tokens)))
+    for entry in value.split(b","):
+        name, _, tokens = entry.strip().partition(b":")
+        number = parse_whole_number(tokens)
+        if name and number is not None:
+            parts.append(PromptPart(name.decode("latin-1"), number))
     return tuple(parts)
 
 
