Bound the memory of requests and frames at the own interface

What callers saw: as at gateways, 120 bodies that stop short took 583 to 590 MB of 300, 120 whole submissions that wait 1,093 MB, and 60 frames of strangers who greet as peers 560 MB.

Cause: each connection had its limit, all together had none; inputs of requests that have not ended were not counted at all.

Change: the same budget, from host.memory_mb and host.intake_share. Input counts with the copies that the HTTP libraries and the decoding make, before it is read; frames count with theirs. At the end stalled connections are closed with 503, and new input is refused. Submissions and replicas with large inputs are refused beyond requests.input_limit.

In the same place, a request that was answered before its body had arrived kept its connection forever: the library closes it from the request's task, which is cancelled just then, and its queue for the rest of the body had no reader. The close is shielded now, and the queue bounded by the budget.

--- a/dewridge/composition.py
+++ b/dewridge/composition.py
@@ -26,6 +26,7 @@
 from dewridge.metrics.registry import Metrics
 from dewridge.peers.model import PeerIdentity
 from dewridge.peers.transport import PeerTransport
+from dewridge.policy.memorybudget import MemoryBudget
 from dewridge.providers.cloud import make_cloud
 from dewridge.providers.hostlist import make_host_list
 from dewridge.providers.keyvalue import make_key_value
@@ -132,6 +133,7 @@
     configuration: ConfigurationService
     watcher: FleetWatcher
     requests: RequestService
+    memory: MemoryBudget
     supervisor: Supervisor
     dumps: DumpCollector
     close_frontend: trio.Event = field(default_factory=trio.Event)
@@ -180,6 +182,7 @@
             self.close_frontend,
             lambda address: log.info("host {} serves at {}", name, address),
             self.external.metrics,
+            self.memory,
         )
         self.frontend_closed.set()
 
@@ -203,6 +206,9 @@
     local_member = make_member(settings, Incarnation(time.time_ns() // 1000))
     seed = Random(f"{local_member.host}/{local_member.incarnation}").randrange(2**32)
     metrics, platform = external.metrics, settings.platform
+    memory = MemoryBudget(
+        round(settings.host.memory_mb * 1_000_000 * settings.host.intake_share)
+    )
     peers = PeerTransport(
         settings=settings.peers,
         deployment=settings.host.deployment,
@@ -210,6 +216,7 @@
             local_member.host, local_member.incarnation, local_member.failure_domain
         ),
         metrics=metrics,
+        memory=memory,
     )
     registration = Registration(
         external.key_value, platform.prefix, settings.peers.seeds, local_member
@@ -271,6 +278,7 @@
         configuration,
         watcher,
         requests,
+        memory,
         Supervisor("host", supervision.restarts, supervision.window),
         DumpCollector(supervision.dump_timeout),
     )
--- a/dewridge/frontend/callers.py
+++ b/dewridge/frontend/callers.py
@@ -15,10 +15,11 @@
     make_submission,
     parse_position,
 )
+from dewridge.frontend.connections import TimedStream
 from dewridge.frontend.entry import make_entry_list
 from dewridge.frontend.events import make_end_frame
 from dewridge.frontend.keys import parse_key
-from dewridge.frontend.model import FrontendComponents
+from dewridge.frontend.model import CONNECTION_KEY, FrontendComponents
 from dewridge.frontend.problems import answer_failure, answer_json
 from dewridge.frontend.streams import (
     EVENT_STREAM,
@@ -115,6 +116,10 @@
 async def read_body() -> bytes:
     """Return the complete body, within the limits on size and time."""
     body: Any = await request.get_data()
+    connection = request.scope.get("state", {}).get(CONNECTION_KEY)
+    if isinstance(connection, TimedStream):
+        connection.begin_request()
+    request.body.clear()
     return bytes(body)
 
 
--- a/dewridge/frontend/model.py
+++ b/dewridge/frontend/model.py
@@ -15,6 +15,9 @@
 from dewridge.settings.schema import Settings
 from dewridge.supervision.dumps import DumpCollector
 
+CONNECTION_KEY = "connection"
+"""Key of the state of a request under which its connection is found."""
+
 ReadUsage = Callable[[ProfileName], Awaitable[dict[str, float]]]
 """Returns the cost and loss counters of a profile, summed over the entry hosts."""
 
--- a/dewridge/frontend/server.py
+++ b/dewridge/frontend/server.py
@@ -1,12 +1,13 @@
 """The HTTP server, with connection limits and a graceful shutdown."""
 
 import socket
+import sys
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 
 import trio
 from hypercorn.config import Config
-from hypercorn.events import Event, Updated
+from hypercorn.events import Closed, Event, Updated
 from hypercorn.trio.lifespan import Lifespan
 from hypercorn.trio.tcp_server import TCPServer
 from hypercorn.trio.worker_context import WorkerContext
@@ -16,7 +17,9 @@
 from quart_trio import QuartTrio
 
 from dewridge.frontend.connections import ConnectionLimiter, TimedStream
+from dewridge.frontend.model import CONNECTION_KEY
 from dewridge.metrics.registry import Metrics
+from dewridge.policy.memorybudget import MemoryBudget
 from dewridge.settings.schema import FrontendSettings
 
 ACCEPT_BACKLOG = 512
@@ -40,6 +43,7 @@
     shutdown: trio.Event,
     on_listening: Callable[[str], None],
     metrics: Metrics | None = None,
+    memory: MemoryBudget | None = None,
 ) -> None:
     """Serve until `shutdown` is set and all answers in flight are complete.
 
@@ -49,6 +53,7 @@
         shutdown: when set, new connections are refused and running answers complete.
         on_listening: called with the address once connections are accepted.
         metrics: counts open, refused and closed connections.
+        memory: what connections may make the process hold.
     """
     metrics = metrics or Metrics()
     config = make_config(settings)
@@ -61,7 +66,7 @@
         await lifespan.wait_for_startup()
         on_listening(_format_address(listener))
         context = WorkerContext(None)
-        limiter = ConnectionLimiter(settings.connection_limit, metrics)
+        limiter = ConnectionLimiter(settings.connection_limit, metrics, memory)
         nursery.start_soon(limiter.close_stalled, settings.write_timeout)
         handle = _make_handler(wrapped, settings, context, limiter)
         await _serve_connections(handle, listener, shutdown, context, settings, limiter)
@@ -82,6 +87,9 @@
     # reconnect; connections should end only at a shutdown.
     config.keep_alive_max_requests = 1_000_000
     config.include_server_header = False
+    # A handler that has answered reads no more. With a limit, the rest of its request's
+    # body would fill the queue, and the connection would wait for room forever.
+    config.max_app_queue_size = sys.maxsize
     return config
 
 
@@ -96,23 +104,26 @@
         stream: TimedStream,
         limiter: ConnectionLimiter,
     ) -> None:
-        state = ConnectionState({})
+        # A handler finds its connection here.
+        state = ConnectionState({CONNECTION_KEY: stream})
         super().__init__(app, config, context, state, stream)  # type: ignore[arg-type]
         self._limiter = limiter
         self._timed_stream = stream
 
     async def protocol_send(self, event: Event) -> None:
-        """Send an event; idle updates are shielded from cancellation.
+        """Send an event; idle updates and closes are shielded from cancellation.
 
-        The library sends the idle update from the request's task, which is
-        cancelled as soon as the answer is complete. Without the shield, updates
-        were lost: idle connections had no timeout, and a shutdown waited for each
-        of them until its own time limit.
+        The library sends them from the request's task, which is cancelled as soon as
+        the answer is complete. Without the shield, updates were lost: idle connections
+        had no timeout, and a shutdown waited for each of them until its own time limit.
+        Closes were lost too: a connection stayed open without a timeout if its request
+        was answered before its body had arrived.
         """
-        if not isinstance(event, Updated):
+        if not isinstance(event, Updated | Closed):
             await super().protocol_send(event)
             return
-        self._limiter.record_idle(self._timed_stream, event.idle)
+        if isinstance(event, Updated):
+            self._limiter.record_idle(self._timed_stream, event.idle)
         with trio.CancelScope(shield=True):
             await super().protocol_send(event)
 
@@ -173,7 +184,7 @@
     config = make_config(settings)
 
     async def handle(stream: trio.SocketStream) -> None:
-        timed_stream = TimedStream(stream)
+        timed_stream = TimedStream(stream, limiter.memory, limiter.log)
         if not limiter.register(timed_stream):
             await limiter.reject(stream)
             return
--- a/dewridge/peers/connection.py
+++ b/dewridge/peers/connection.py
@@ -30,6 +30,7 @@
     mask_fenced_code,
     read_reply,
 )
+from dewridge.policy.memorybudget import ConnectionStage, ConnectionUse
 from dewridge.sentinels import Failure
 from dewridge.supervision.mailbox import Mailbox, Promise
 
@@ -43,6 +44,9 @@
 every other one once in a few minutes; if connections stayed open between those
 probes, their heartbeats would cost more than all probes (see `_is_unused`)."""
 
+HELD_COPIES = 2
+"""Memory of a frame for each byte: the buffer, and the frame that is cut out of it."""
+
 StreamOpener = Callable[[], Awaitable[trio.SocketStream]]
 MessageCallback = Callable[["Connection", FrameContent], None]
 """Called with each message that is not a reply; must not block."""
@@ -95,6 +99,7 @@
         self._cancel_scope = trio.CancelScope()
         self._end_failure: Failure | None = None
         now = trio.current_time()
+        self._use = ConnectionUse(self._give_up, advanced_at=now)
         self._opened_at = now
         self._used_at = now
         self._received_at = now
@@ -206,6 +211,7 @@
                 stack.enter_context(self._cancel_scope)
                 await self._open_and_serve(stack, open_stream)
         finally:
+            self._options.memory.remove(self._use)
             self._fail_pending_calls()
 
     def close(self, failure: Failure, reason: str) -> None:
@@ -260,15 +266,36 @@
             if not self._handle_frames():
                 return None
             try:
+                await trio.lowlevel.wait_readable(stream.socket)
+                if not self._reserve_input():
+                    return self.close(make_unreachable("no memory left"), "no_memory")
                 data = await stream.receive_some(MAX_RECEIVE_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 return self.close(make_unreachable("connection broke"), "broken")
             if not data:
                 return self.close(make_unreachable("closed by the peer"), "closed")
             self._received_at = trio.current_time()
+            self._use.advance(len(data), self._received_at)
             metrics.add("peer_bytes_received", len(data))
             self._reader.feed(data)
 
+    def _reserve_input(self) -> bool:
+        """Count an incomplete frame, and the next read; return whether it may be."""
+        memory, now = self._options.memory, trio.current_time()
+        buffered = self._reader.buffered
+        stage = ConnectionStage.READING if buffered else ConnectionStage.IDLE
+        if stage is not self._use.stage:
+            self._use.enter(stage, now)
+        memory.release(self._use, self._use.size)
+        return memory.reserve(
+            self._use, buffered * HELD_COPIES + MAX_RECEIVE_BYTES, now
+        )
+
+    def _give_up(self) -> bool:
+        """Close the connection for others, whose frame makes no progress."""
+        self.close(make_unreachable("closed for others"), "no_memory")
+        return True
+
     def _handle_frames(self) -> bool:
         count = 0
         while (content := self._reader.next_frame()) is not None:
--- a/dewridge/peers/frames.py
+++ b/dewridge/peers/frames.py
@@ -131,6 +131,11 @@
             self._offset = 0
         self._buffer += data
 
+    @property
+    def buffered(self) -> int:
+        """Bytes of the incomplete frame at the end."""
+        return len(self._buffer) - self._offset
+
     def next_frame(self) -> FrameContent | Failure | None:
         """Return the content of the next complete frame; None if more bytes are needed.
 
--- a/dewridge/peers/greetings.py
+++ b/dewridge/peers/greetings.py
@@ -1,6 +1,6 @@
 """Handshake of a connection: both sides exchange hellos before any other message."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import trio
 
@@ -21,11 +21,14 @@
     read_refusal,
 )
 from dewridge.peers.wire import ttypes
+from dewridge.policy.memorybudget import MemoryBudget
 from dewridge.sentinels import Failure
 
 HEARTBEATS_PER_IDLE_TIMEOUT = 3
 """Heartbeats sent per idle timeout, so that two may be late or lost."""
 MAX_RECEIVE_BYTES = 65_536
+DEFAULT_MEMORY_BYTES = 160_000_000
+"""Bytes that connections may make the process hold if no settings say so."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +41,9 @@
     idle_timeout: float
     metrics: Metrics
     check_peer: PeerCheck
+    memory: MemoryBudget = field(
+        default_factory=lambda: MemoryBudget(DEFAULT_MEMORY_BYTES)
+    )
 
     @property
     def heartbeat_interval(self) -> float:
--- a/dewridge/peers/transport.py
+++ b/dewridge/peers/transport.py
@@ -11,9 +11,10 @@
 from dewridge.metrics.registry import Metrics
 from dewridge.peers.connection import Connection
 from dewridge.peers.frames import FrameContent
-from dewridge.peers.greetings import ConnectionOptions
+from dewridge.peers.greetings import DEFAULT_MEMORY_BYTES, ConnectionOptions
 from dewridge.peers.hello import HelloInfo, PeerCheck
 from dewridge.peers.model import Handler, Message, PeerIdentity
+from dewridge.policy.memorybudget import MemoryBudget
 from dewridge.sentinels import Failure
 from dewridge.settings.schema import PeerSettings
 
@@ -80,6 +81,7 @@
         deployment: str,
         local_identity: PeerIdentity,
         metrics: Metrics,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self.check_peer: PeerCheck = lambda peer: None
         self._settings = settings
@@ -91,6 +93,7 @@
             idle_timeout=settings.idle_timeout,
             metrics=metrics,
             check_peer=self._run_peer_check,
+            memory=memory or MemoryBudget(DEFAULT_MEMORY_BYTES),
         )
         self._handlers: dict[type, Handler] = {}
         self._dialled_connections: dict[str, Connection] = {}
--- a/dewridge/requests/acceptance.py
+++ b/dewridge/requests/acceptance.py
@@ -242,6 +242,10 @@
             return Failure(ResultCode.HOST_LEAVING, "this entry host is leaving", 0.0)
         if submission.deadline <= self._shared.clock():
             return Failure(ResultCode.DEADLINE_PASSED, "the deadline has passed")
+        if not self._shared.has_room_for(submission.input):
+            self._shared.metrics.add("requests_over_input_limit")
+            reason = "the inputs of other requests take the memory for inputs"
+            return Failure(ResultCode.HOST_OVERLOADED, reason, RETRY_AFTER)
         return self._admission_gate() or self._suspects.check(
             submission.account,
             submission.service,
--- a/dewridge/requests/handlers.py
+++ b/dewridge/requests/handlers.py
@@ -71,6 +71,9 @@
             self._shared.metrics.add("replicas_foreign_records")
             return wire.ReplicateReply(stored=False)
         before = self._shared.table.find(offered.request)
+        if before is None and not self._shared.has_room_for(offered.input):
+            self._shared.metrics.add("replicas_over_input_limit")
+            return wire.ReplicateReply(stored=False)
         now = self._shared.clock()
         reply = self._shared.table.store(offered, now, message.supersedes or 0)
         if reply.stored and before is not None and is_late_answer(before, offered):
--- a/dewridge/requests/replicas.py
+++ b/dewridge/requests/replicas.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from enum import Enum
+from sys import getsizeof
 
 from dewridge.codes import Outcome, ResultCode
 from dewridge.ids import Generation, HostId, RequestId
@@ -125,6 +126,13 @@
                 del self._live[request]
         return list(self._live.values())
 
+    def count_input_bytes(self) -> int:
+        """Return the memory of the inputs of live records, with a copy of each.
+
+        An input is encoded once more while it is sent.
+        """
+        return 2 * sum(getsizeof(record.input) for record in self.list_live())
+
     def list_own(self) -> Iterator[Record]:
         """Return the records that this host owns and that have not ended."""
         return (r for r in self.list_live() if r.ballot.host == self._local_host)
--- a/dewridge/requests/shared.py
+++ b/dewridge/requests/shared.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from sys import getsizeof
 from typing import Any
 
 import trio
@@ -19,6 +20,8 @@
 
 Job = Callable[..., Awaitable[Any]]
 
+SMALL_INPUT_CHARS = 65_536
+"""Characters up to which an input counts as small."""
 UNREACHABLE = Failure(ResultCode.PEER_UNREACHABLE, "the host is gone")
 
 
@@ -75,6 +78,16 @@
     jobs: Jobs
     leaving: bool = False
 
+    def has_room_for(self, text: str) -> bool:
+        """Whether the input of another request fits into the memory for inputs.
+
+        Small inputs are always taken, and are not counted one by one.
+        """
+        if len(text) <= SMALL_INPUT_CHARS:
+            return True
+        held = self.table.count_input_bytes() + 2 * getsizeof(text)
+        return held <= self.settings.input_limit
+
     @property
     def local_member(self) -> Member:
         """Return the membership entry of this host."""
--- a/dewridge/settings/checks.py
+++ b/dewridge/settings/checks.py
@@ -6,6 +6,7 @@
 from ipaddress import ip_address
 from urllib.parse import urlsplit
 
+from dewridge.policy.memorybudget import LARGE_INPUT_SHARE
 from dewridge.settings.problems import Problem
 from dewridge.settings.schema import AccountSettings, OperatorSettings, Settings
 
@@ -14,6 +15,11 @@
 EMPTY_TOKEN_DIGEST = hashlib.sha256(b"").hexdigest()
 WILDCARD_ADDRESSES = ("0.0.0.0", "::")
 
+BODY_COPIES = 4
+"""Memory of a body for each byte, as the frontend counts it."""
+FRAME_COPIES = 2
+"""Memory of a frame for each byte, as connections to peers count it."""
+
 Identity = AccountSettings | OperatorSettings
 
 
@@ -145,6 +151,16 @@
         yield Problem("requests.claim_batch", "is longer than `claim_timeout`")
 
 
+def _find_memory_warnings(settings: Settings) -> Iterable[Problem]:
+    memory = settings.host.memory_mb * 1_000_000 * settings.host.intake_share
+    if settings.frontend.body_limit * BODY_COPIES > memory * LARGE_INPUT_SHARE:
+        text = "does not fit into the part of `host.memory_mb` for large requests"
+        yield Problem("frontend.body_limit", text)
+    if settings.peers.frame_limit * FRAME_COPIES > memory * LARGE_INPUT_SHARE:
+        text = "does not fit into the part of `host.memory_mb` for large requests"
+        yield Problem("peers.frame_limit", text)
+
+
 def _find_warnings(settings: Settings) -> Iterable[Problem]:
     if not settings.accounts:
         yield Problem("accounts", "is empty: no caller can send a request")
@@ -153,6 +169,7 @@
     if not settings.peers.seeds:
         text = "is empty: with the key-value service down, this host finds no peers"
         yield Problem("peers.seeds", text)
+    yield from _find_memory_warnings(settings)
     if settings.requests.replicas < 2:
         text = "one copy: a reclaim of two failure domains at once loses requests"
         yield Problem("requests.replicas", text)
--- a/dewridge/settings/schema.py
+++ b/dewridge/settings/schema.py
@@ -20,6 +20,20 @@
     )
     region: str = option("Region that this host is in.", required=True)
     failure_domain: str = option("Failure domain that this host is in.", required=True)
+    memory_mb: float = option(
+        "Memory that the process may take.",
+        default=300.0,
+        unit="MB",
+        low=64,
+        high=1_000_000,
+    )
+    intake_share: float = option(
+        "Part of the memory for connections and what is received on them. At its end, "
+        "requests are refused with 503, and connections closed that make no progress.",
+        default=0.55,
+        low=0.1,
+        high=0.8,
+    )
 
 
 @dataclass(frozen=True)
@@ -218,6 +232,14 @@
         low=0.1,
         high=600,
     )
+    input_limit: int = option(
+        "Memory for the inputs of all requests that have not ended, with copies for "
+        "other hosts. At its end, submissions with large inputs are refused with 503.",
+        default=32_000_000,
+        unit="bytes",
+        low=1_000_000,
+        high=4_000_000_000,
+    )
     claim_buckets: int = option(
         "Buckets for claims in each window; 1,000 claims/s fit in one of 10 s.",
         default=2,
--- a/dewridge/tests/frontend/fakes.py
+++ b/dewridge/tests/frontend/fakes.py
@@ -35,6 +35,7 @@
 )
 from dewridge.membership.model import Member, MemberState
 from dewridge.metrics.registry import Metrics
+from dewridge.policy.memorybudget import MemoryBudget
 from dewridge.requests.model import (
     Accepted,
     AnswerEvent,
@@ -304,7 +305,7 @@
 
 @asynccontextmanager
 async def run_frontend(
-    requests: FakeRequests, **frontend: Any
+    requests: FakeRequests, memory: MemoryBudget | None = None, **frontend: Any
 ) -> AsyncIterator[RunningFrontend]:
     settings = make_settings(**frontend)
     membership = FakeMembership([make_member("host-1", "zona-a")])
@@ -313,7 +314,7 @@
     shutdown, ended = trio.Event(), trio.Event()
 
     async def run() -> None:
-        await serve(app, settings.frontend, shutdown, send.send_nowait)
+        await serve(app, settings.frontend, shutdown, send.send_nowait, memory=memory)
         ended.set()
 
     async with trio.open_nursery() as nursery:
--- a/dewridge/tests/frontend/server_tests.py
+++ b/dewridge/tests/frontend/server_tests.py
@@ -4,6 +4,7 @@
 import time
 from collections import Counter
 from contextlib import AsyncExitStack
+from typing import Any
 
 import httpx
 import pytest
@@ -64,7 +65,9 @@
     # A long answer streams for longer than the timeouts of the server and its
     # libraries, none of which may interrupt it. Here the limits are a fraction of
     # the stream's duration.
-    limits = {"keep_alive": 0.1, "body_timeout": 0.1, "write_timeout": 0.1}
+    limits: dict[str, Any] = dict.fromkeys(
+        ("keep_alive", "body_timeout", "write_timeout"), 0.1
+    )
     requests = FakeRequests([0.7, *make_script(3, 0.4)])
     async with run_frontend(requests, heartbeat=0.1, **limits) as frontend:
         names = await read_stream(frontend.address)
--- a/dewridge/tests/frontend/wire_tests.py
+++ b/dewridge/tests/frontend/wire_tests.py
@@ -1,6 +1,7 @@
 """Tests with malformed or unexpected bytes over real connections."""
 
 import re
+from typing import Any
 
 import httpx
 import pytest
@@ -43,7 +44,7 @@
     # A scanner, a faulty client or another protocol connects to the port. It must
     # get an error or a closed connection, and other callers must not be affected.
     requests = FakeRequests([])
-    limits = {"keep_alive": 0.3, "body_timeout": 0.3}
+    limits: dict[str, Any] = {"keep_alive": 0.3, "body_timeout": 0.3}
     async with run_frontend(requests, **limits) as frontend:
         host, port = frontend.address.split(":")
         received = b""
