Give checks, lookups and operators memory of their own, and test all crowds at once

A crowd of small requests that fills the callers' budget would have had the platform's check refused with 503, and the host taken out. The readiness, directory and operations listeners have budgets of their own now. The kernel's buffers of the own interface and of its peers are limited too, and an answer that is followed there is not closed for others: before, a stalled memory check could have put a refusal into the middle of a stream.

--- a/dewridge/frontend/app.py
+++ b/dewridge/frontend/app.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 from loguru import logger as log
-from quart import Response
+from quart import Response, request
 from quart_trio import QuartTrio
 from werkzeug.exceptions import (
     HTTPException,
@@ -13,7 +13,7 @@
 )
 
 from dewridge.codes import Outcome, ResultCode
-from dewridge.frontend.callers import add_caller_routes
+from dewridge.frontend.callers import add_caller_routes, record_received
 from dewridge.frontend.limits import StreamLimiter
 from dewridge.frontend.model import ConfigurationStore, FrontendComponents, ReadUsage
 from dewridge.frontend.operators import add_operator_routes
@@ -26,6 +26,8 @@
 from dewridge.settings.schema import Settings
 from dewridge.supervision.dumps import DumpCollector
 
+BODYLESS_METHODS = frozenset({"GET", "HEAD", "DELETE"})
+
 
 def build_app(
     *,
@@ -57,6 +59,7 @@
     # The wait for a complete answer is bounded by the request's deadline, so the
     # library's fixed timeout is disabled.
     app.config["RESPONSE_TIMEOUT"] = None
+    app.before_request(record_bodyless_request)
     add_caller_routes(app, components)
     add_operator_routes(app, components)
     _add_error_handlers(app, metrics)
@@ -64,6 +67,12 @@
     return app
 
 
+async def record_bodyless_request() -> None:
+    """Record that a request has been received as a whole if it has no body."""
+    if request.method in BODYLESS_METHODS:
+        record_received()
+
+
 def _add_error_handlers(app: QuartTrio, metrics: Metrics) -> None:
     @app.errorhandler(HTTPException)
     async def answer_http_error(error: HTTPException) -> Response:
--- a/dewridge/frontend/callers.py
+++ b/dewridge/frontend/callers.py
@@ -116,11 +116,16 @@
 async def read_body() -> bytes:
     """Return the complete body, within the limits on size and time."""
     body: Any = await request.get_data()
+    record_received()
+    request.body.clear()
+    return bytes(body)
+
+
+def record_received() -> None:
+    """Record that the request has been received, and is not closed for others."""
     connection = request.scope.get("state", {}).get(CONNECTION_KEY)
     if isinstance(connection, TimedStream):
         connection.begin_request()
-    request.body.clear()
-    return bytes(body)
 
 
 async def _receive_submission(
--- a/dewridge/frontend/connections.py
+++ b/dewridge/frontend/connections.py
@@ -88,6 +88,9 @@
         # Every token of every stream is written here, so stalled writes are found
         # by a periodic check of all connections instead of a timeout per write.
         self.write_started = trio.current_time()
+        if self.use.stage is ConnectionStage.READING:
+            # An answer has begun, also if the rest of the request was not needed.
+            self.begin_request()
         try:
             await self._stream.send_all(data)
         finally:
@@ -146,7 +149,7 @@
         """Record that a request was answered, and nothing of it is held."""
         self._received = 0
         self.use.enter(ConnectionStage.IDLE, trio.current_time())
-        self._memory.release(self.use, self.use.size - CONNECTION_BYTES)
+        self._memory.release(self.use, max(0, self.use.size - CONNECTION_BYTES))
 
     def _give_up(self) -> bool:
         """Close the connection for others, while its request has not been received."""
--- a/dewridge/frontend/server.py
+++ b/dewridge/frontend/server.py
@@ -18,6 +18,7 @@
 
 from dewridge.frontend.connections import ConnectionLimiter, TimedStream
 from dewridge.frontend.model import CONNECTION_KEY
+from dewridge.http1.sockets import limit_receive_buffers
 from dewridge.metrics.registry import Metrics
 from dewridge.policy.memorybudget import MemoryBudget
 from dewridge.settings.schema import FrontendSettings
@@ -161,6 +162,7 @@
     except OSError as error:
         address = f"{settings.address}:{settings.port}"
         raise OSError(error.errno, f"{address}: {error.strerror}") from error
+    limit_receive_buffers(listeners[0])
     return listeners[0]
 
 
--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -31,12 +31,12 @@
 from dewridge.gateway.hosts import HostEntry, HostTable, HostWatcher, Registration
 from dewridge.gateway.ingress import IngressState, RequestHandler, serve_connection
 from dewridge.gateway.intake import (
-    RECEIVE_BUFFER_BYTES,
     Endpoint,
     ListenerName,
     accept_any_head,
     compute_intake_bytes,
     list_connection_limits,
+    make_endpoint,
     wait_for_room,
 )
 from dewridge.gateway.limitsharing import list_limit_updates
@@ -78,6 +78,7 @@
 from dewridge.gateway.versions.serversearch import ServerSearch
 from dewridge.gateway.watching import StoreWatcher
 from dewridge.http1.calls import ServiceClient
+from dewridge.http1.sockets import limit_receive_buffers
 from dewridge.ids import FailureDomain, HostId
 from dewridge.metrics.registry import Metrics
 from dewridge.platform.cloud import Cloud
@@ -332,12 +333,11 @@
         listener = await open_listener(address)
         stack.push_async_callback(listener.aclose)
         is_peers = name is ListenerName.PEERS
-        endpoint = Endpoint(
-            ConnectionPlaces(name.value, self._connection_limits[name]),
-            keeps_bodies=name in {ListenerName.CALLERS, ListenerName.PEERS},
-            check_head=make_key_check(self._state.relay_key)
-            if is_peers
-            else accept_any_head,
+        check_head = make_key_check(self._state.relay_key)
+        endpoint = make_endpoint(
+            name,
+            self._connection_limits[name],
+            check_head if is_peers else accept_any_head,
         )
         self._state.endpoints.append(endpoint)
         ingress = self._state.relay_ingress if is_peers else self._state.ingress
@@ -525,10 +525,7 @@
     listeners = await trio.open_tcp_listeners(
         int(port), host=host, backlog=ACCEPT_BACKLOG
     )
-    # Accepted connections take it over.
-    listeners[0].socket.setsockopt(
-        trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-    )
+    limit_receive_buffers(listeners[0])
     return listeners[0]
 
 
--- a/dewridge/gateway/ingress.py
+++ b/dewridge/gateway/ingress.py
@@ -12,7 +12,6 @@
 
 from dewridge.codes import CODE_TABLE, ResultCode
 from dewridge.gateway.intake import (
-    RECEIVE_BUFFER_BYTES,
     RECEIVE_SIZE_BYTES,
     Endpoint,
     compute_head_bytes,
@@ -22,7 +21,12 @@
 from dewridge.gateway.model import AccountKey, AttemptKey, CallerRequest, Limits
 from dewridge.gateway.responder import CallerDisconnectedError, Responder
 from dewridge.http1.headers import find_framing_fault
-from dewridge.http1.sockets import has_input, receive_some, send_all
+from dewridge.http1.sockets import (
+    RECEIVE_BUFFER_BYTES,
+    has_input,
+    receive_some,
+    send_all,
+)
 from dewridge.intakelog import IntakeLog
 from dewridge.platform.headers import parse_request_headers
 from dewridge.policy.memorybudget import (
@@ -162,6 +166,7 @@
         self._ingress = ingress
         self._handler = handler
         self._endpoint = endpoint
+        self._memory = endpoint.memory or ingress.memory
         self._state = self._make_protocol_state()
         self._body = bytearray()
         self._body_reserved = 0
@@ -202,7 +207,7 @@
     def _settle(self, stage: ConnectionStage, size: int) -> None:
         """Enter a stage in which the connection holds no more than some bytes."""
         self.use.enter(stage, trio.current_time())
-        self._ingress.memory.release(self.use, max(0, self.use.size - size))
+        self._memory.release(self.use, max(0, self.use.size - size))
 
     async def _serve_next_request(self) -> bool:
         with trio.CancelScope() as self._input_scope:
@@ -313,7 +318,7 @@
         Raises:
             _NoRoomError: the process holds as much as it may.
         """
-        if not self._ingress.memory.reserve(self.use, size, trio.current_time()):
+        if not self._memory.reserve(self.use, size, trio.current_time()):
             raise _NoRoomError
 
     async def _take_turn(self) -> None:
@@ -381,7 +386,7 @@
         length = find_body_length(head.headers)
         if length > limits.body_bytes:
             return Failure(ResultCode.BODY_TOO_LARGE, "the body is too large")
-        has_room = self._ingress.memory.has_room
+        has_room = self._memory.has_room
         if self._endpoint.keeps_bodies and not has_room(
             self.use, length, trio.current_time()
         ):
@@ -424,7 +429,7 @@
         if size > self._body_reserved:
             self._reserve(size - self._body_reserved)
         else:
-            self._ingress.memory.release(self.use, self._body_reserved - size)
+            self._memory.release(self.use, self._body_reserved - size)
         self._body_reserved = size
 
     def _take_body(self) -> bytes:
@@ -582,10 +587,11 @@
         endpoint: the listener that accepted it; that of `ingress` if None.
     """
     endpoint = endpoint or ingress.endpoint
+    memory = endpoint.memory or ingress.memory
     connection = CallerConnection(stream, ingress, handler, endpoint)
     ingress.connections += 1
     try:
-        if await _admit(connection.use, ingress, endpoint):
+        if await _admit(connection.use, memory, endpoint):
             await connection.run()
         else:
             await _refuse_connection(stream, ingress, endpoint)
@@ -595,17 +601,17 @@
     finally:
         ingress.connections -= 1
         endpoint.places.remove(connection.use)
-        ingress.memory.remove(connection.use)
+        memory.remove(connection.use)
         stream.socket.close()
 
 
-async def _admit(use: ConnectionUse, ingress: IngressState, endpoint: Endpoint) -> bool:
+async def _admit(use: ConnectionUse, memory: MemoryBudget, endpoint: Endpoint) -> bool:
     """Return whether there is room for a new connection, and count it."""
     if await wait_for_room(endpoint.places) is not Room.FREE:
         return False
     now = trio.current_time()
     use.enter(ConnectionStage.NEW, now)
-    if not ingress.memory.reserve(use, CONNECTION_BYTES, now):
+    if not memory.reserve(use, CONNECTION_BYTES, now):
         return False
     endpoint.places.add(use)
     return True
--- a/dewridge/gateway/intake.py
+++ b/dewridge/gateway/intake.py
@@ -8,14 +8,22 @@
 
 from dewridge.gateway.model import Sizes
 from dewridge.http1.client import Headers
-from dewridge.policy.memorybudget import ConnectionPlaces, Room
+from dewridge.policy.memorybudget import ConnectionPlaces, MemoryBudget, Room
 from dewridge.sentinels import Failure
 from dewridge.settings.gateway import GatewaySettings
 
+
+class ListenerName(Enum):
+    """The listeners of a gateway."""
+
+    CALLERS = "callers"
+    READINESS = "readiness"
+    DIRECTORY = "directory"
+    OPERATIONS = "operations"
+    PEERS = "peers"
+
+
 RECEIVE_SIZE_BYTES = 32_768
-RECEIVE_BUFFER_BYTES = 65_536
-"""Bytes that the kernel holds of a connection's input before it is read. Its own limit
-is some megabytes, which a crowd could fill while the process is busy."""
 HEADER_BYTES = 192
 """Memory of a header beside its text: two strings, and their places in two lists."""
 PART_BYTES = 768
@@ -31,20 +39,16 @@
 """Connections of callers that look addresses up, which takes a few milliseconds."""
 OPERATOR_CONNECTIONS = 24
 """Connections of the platform's check, and of operators."""
+CONTROL_CONNECTION_BYTES = 196_608
+"""Memory of each connection of the directory, the platform and operators. They have
+budgets of their own, so that a crowd of callers can't make a host look unready."""
+CONTROL_LISTENERS = frozenset(
+    {ListenerName.READINESS, ListenerName.DIRECTORY, ListenerName.OPERATIONS}
+)
 MIN_CALLERS = 64
 MIN_PEERS = 32
 
 
-class ListenerName(Enum):
-    """The listeners of a gateway."""
-
-    CALLERS = "callers"
-    READINESS = "readiness"
-    DIRECTORY = "directory"
-    OPERATIONS = "operations"
-    PEERS = "peers"
-
-
 CheckHead = Callable[[tuple[tuple[bytes, bytes], ...]], Failure | None]
 """Returns why a request is refused before its body is read; None if it is not."""
 
@@ -85,11 +89,14 @@
         places: the connections that it may have open.
         keeps_bodies: whether its handler uses the bodies of requests.
         check_head: decides whether the body of a request is read.
+        memory: what its connections may make the process hold; None if they share the
+            budget of the callers.
     """
 
     places: ConnectionPlaces
     keeps_bodies: bool = True
     check_head: CheckHead = accept_any_head
+    memory: MemoryBudget | None = None
 
     @property
     def name(self) -> str:
@@ -97,6 +104,26 @@
         return self.places.name
 
 
+def make_endpoint(
+    name: ListenerName, connections: int, check_head: CheckHead
+) -> Endpoint:
+    """Return a listener of a gateway.
+
+    Args:
+        name: the listener.
+        connections: connections that it may have open.
+        check_head: decides whether the body of a request is read.
+    """
+    is_control = name in CONTROL_LISTENERS
+    memory = MemoryBudget(connections * CONTROL_CONNECTION_BYTES)
+    return Endpoint(
+        ConnectionPlaces(name.value, connections),
+        keeps_bodies=not is_control,
+        check_head=check_head,
+        memory=memory if is_control else None,
+    )
+
+
 async def wait_for_room(places: ConnectionPlaces) -> Room:
     """Wait until there is a place for a connection, or none will come free soon."""
     room = places.make_room(trio.current_time())
--- a/dewridge/gateway/measures.py
+++ b/dewridge/gateway/measures.py
@@ -131,6 +131,8 @@
         name, places = endpoint.name, endpoint.places
         metrics.set_gauge("listener_connections", len(places), listener=name)
         metrics.set_gauge("listener_connection_limit", places.limit, listener=name)
+        if endpoint.memory is not None:
+            metrics.set_gauge("listener_bytes", endpoint.memory.used, listener=name)
         metrics.set_gauge("listener_closed", places.closed, listener=name)
         metrics.set_gauge("listener_refused", places.refused, listener=name)
 
--- a/dewridge/http1/sockets.py
+++ b/dewridge/http1/sockets.py
@@ -11,6 +11,9 @@
 
 import trio
 
+RECEIVE_BUFFER_BYTES = 65_536
+"""Bytes that the kernel holds of a connection's input before it is read. Its own limit
+is some megabytes, which a crowd could fill while the process is busy."""
 MAX_NOT_SENT_BYTES = 1 << 30
 """Bytes that the kernel may hold and not have sent: as many as its buffer takes."""
 
@@ -60,6 +63,14 @@
         return
 
 
+def limit_receive_buffers(listener: trio.SocketListener) -> None:
+    """Limit what the kernel holds unread of each connection that is accepted."""
+    # Accepted connections take it over.
+    listener.socket.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+    )
+
+
 async def receive_some(stream: trio.SocketStream, size: int) -> bytes:
     """Wait for data and return up to `size` bytes; empty at the end of the connection.
 
--- a/dewridge/peers/transport.py
+++ b/dewridge/peers/transport.py
@@ -8,6 +8,7 @@
 from loguru import logger as log
 
 from dewridge.codes import ResultCode
+from dewridge.http1.sockets import limit_receive_buffers
 from dewridge.metrics.registry import Metrics
 from dewridge.peers.connection import Connection
 from dewridge.peers.frames import FrameContent
@@ -113,6 +114,8 @@
         listeners = await trio.open_tcp_listeners(
             self._settings.port, host=self._settings.address
         )
+        for listener in listeners:
+            limit_receive_buffers(listener)
         port = listeners[0].socket.getsockname()[1]
         self._address = self._settings.advertised or f"{self._settings.address}:{port}"
         try:
--- a/dewridge/tests/crowds/gateway_tests.py
+++ b/dewridge/tests/crowds/gateway_tests.py
@@ -175,6 +175,49 @@
         await face_crowd(stage, Crowd(address, ignore_answer, 120, pause=0.04))
 
 
+async def test_bodies_of_peers_with_the_key_end_no_process(tmp_path: Path) -> None:
+    """Guards against memory for the bodies of many relayed requests."""
+    async with open_stage(tmp_path) as stage:
+        key = stage.find_relay_key()
+
+        def send(number: int) -> Iterator[bytes]:
+            fields = (
+                f"dewridge-key: {key}",
+                "dewridge-sender: host-9",
+                "dewridge-server: s-1",
+                "dewridge-call: request",
+                f"Content-Length: {BODY_LIMIT}",
+            )
+            yield make_head(HOLDING_PATH, number, *fields)
+            yield from make_pieces(BODY_LIMIT - number % 2)
+
+        await face_crowd(stage, Crowd(stage.get_address("peers"), send, 120))
+
+
+async def test_crowds_of_all_kinds_together_end_no_process(tmp_path: Path) -> None:
+    """Guards against bounds that each hold and together exceed the machine."""
+    async with open_stage(tmp_path) as stage, trio.open_nursery() as nursery:
+        callers = stage.get_address("callers")
+        crowds = [
+            Crowd(callers, ignore_answer, 40, pause=0.04),
+            Crowd(callers, send_whole, 40),
+            Crowd(callers, stop_short_in_chunks, 60),
+            Crowd(callers, send_tiny_headers, 200),
+            Crowd(callers, pipeline, 100),
+            Crowd(callers, send_half_head, 400, comes_back=True),
+            Crowd(callers, send_tiny_chunks, 10, comes_back=True),
+            *(Crowd(stage.get_address(name), stop_short, 60) for name in LISTENERS[1:]),
+        ]
+        for crowd in crowds:
+            nursery.start_soon(crowd.run)
+        for crowd in crowds:
+            await crowd.wait_settled()
+        await stage.check_service()
+        await stage.check_other_listeners()
+        stage.check()
+        nursery.cancel_scope.cancel()
+
+
 async def test_pipelined_input_ends_no_process(tmp_path: Path) -> None:
     """Guards against memory for requests that are sent before their turn."""
     async with open_stage(tmp_path) as stage:
--- a/dewridge/tests/crowds/stage.py
+++ b/dewridge/tests/crowds/stage.py
@@ -2,10 +2,12 @@
 
 import json
 import random
+import re
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 
 import h11
@@ -43,11 +45,13 @@
         gateway: its process and addresses.
         footprint: the most that it has held.
         descriptors: the most that its settings allow.
+        find_relay_key: returns the key by which peers have requests relayed.
     """
 
     gateway: Gateway
     footprint: Footprint
     descriptors: int
+    find_relay_key: Callable[[], str]
 
     @property
     def pid(self) -> int:
@@ -102,7 +106,8 @@
             await add_server(environment, nursery)
             await gateway.has_process.wait()
             gateway.should_restart = False
-            stage = CrowdStage(gateway, Footprint(), descriptors)
+            find_key = partial(find_relay_key, environment)
+            stage = CrowdStage(gateway, Footprint(), descriptors, find_key)
             await stage.check_service()
             await stage.check_other_listeners()
             nursery.start_soon(
@@ -114,6 +119,15 @@
             nursery.cancel_scope.cancel()
 
 
+def find_relay_key(environment: SoakEnvironment) -> str:
+    """Return the relay key that the only host has written to the store."""
+    for item in environment.store.memory_store.data.items.values():
+        found = re.search(rb'"relay_key":"([^"]+)"', item.value)
+        if found is not None:
+            return found[1].decode()
+    raise LookupError("no host is registered")
+
+
 async def add_server(environment: SoakEnvironment, nursery: trio.Nursery) -> None:
     """Start a server that takes any number of requests, and write its record."""
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1", backlog=1_024)
--- a/dewridge/tests/frontend/memory_tests.py
+++ b/dewridge/tests/frontend/memory_tests.py
@@ -1,5 +1,7 @@
 """Tests of the memory that callers of the own interface can make a host hold."""
 
+from contextlib import suppress
+
 import httpx
 import trio
 
@@ -10,9 +12,11 @@
     FakeRequests,
     authorize,
     make_body,
+    make_key,
     run_frontend,
     wait_until,
 )
+from dewridge.tests.frontend.server_tests import make_script
 
 LIMIT = 4_000_000
 LENGTH = 300_000
@@ -95,3 +99,31 @@
                     pass
             await stream.aclose()
         await wait_until(lambda: memory.used == 0)
+
+
+async def test_a_followed_answer_is_not_closed_for_others() -> None:
+    """Guards against streams that are cut, or get a refusal in their middle."""
+    memory = MemoryBudget(LIMIT)
+    requests = FakeRequests([1.0, *make_script(2, 0.2)])
+    async with run_frontend(requests, memory=memory, heartbeat=0.1) as frontend:
+        received = bytearray()
+
+        async def follow() -> None:
+            async with await connect(frontend.address) as stream:
+                key = make_key()
+                head = f"GET /v1/requests/{key}?stream=1 HTTP/1.1\r\nHost: a\r\n"
+                token = f"Authorization: Bearer {AUDITOR}\r\nConnection: close\r\n\r\n"
+                await stream.send_all((head + token).encode())
+                while data := await stream.receive_some(65_536):
+                    received.extend(data)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(follow)
+            await trio.sleep(0.7)
+            for _ in range(3):
+                stalled = await connect(frontend.address)
+                with suppress(trio.BrokenResourceError):
+                    await stalled.send_all(HEAD + bytes(LENGTH - 1))
+        assert memory.refused + memory.closed > 0
+    assert b" 503 " not in received
+    assert received.count(b"HTTP/1.1 ") == 1
--- a/dewridge/tests/gateway/intake_tests.py
+++ b/dewridge/tests/gateway/intake_tests.py
@@ -19,13 +19,15 @@
 from dewridge.gateway.intake import (
     Endpoint,
     ListenerName,
+    accept_any_head,
     list_connection_limits,
+    make_endpoint,
 )
 from dewridge.gateway.model import CallerRequest, Limits, RouteKind
 from dewridge.gateway.reach.protocol import KEY as RELAY_KEY
 from dewridge.gateway.reach.protocol import make_key_check
 from dewridge.gateway.responder import Responder
-from dewridge.policy.memorybudget import ConnectionPlaces
+from dewridge.policy.memorybudget import ConnectionPlaces, MemoryBudget
 from dewridge.tests.gateway.world import (
     PLAIN,
     ServerExchange,
@@ -225,6 +227,24 @@
     assert served[0].body == b""
 
 
+async def test_a_crowd_of_callers_does_not_make_a_host_look_unready() -> None:
+    """Guards against checks and lookups that are refused for want of memory."""
+    endpoint = make_endpoint(ListenerName.READINESS, 4, accept_any_head)
+    ingress = IngressState(Limits(), connection_limit=10, memory=MemoryBudget(0))
+
+    async def answer(received: CallerRequest, responder: Responder) -> None:
+        await responder.send_complete(200, [], b"")
+
+    async with (
+        open_listener(ingress, endpoint, answer) as address,
+        await trio.open_tcp_stream(*address) as stream,
+    ):
+        await stream.send_all(make_request("/-/readyz"))
+        assert (await read_answer(stream)).status == 200
+    assert endpoint.memory is not None
+    assert endpoint.memory.used == 0
+
+
 async def test_a_full_listener_refuses_with_a_promise() -> None:
     """Guards against connections that are closed without a word."""
     async with open_world() as world:
