Let operators and checks through a crowd that sends nothing to them

Traced: 700 clients that connect again whenever they are closed had 24 places, each for 0.5 s, so that new connections waited behind them in the kernel's queue, whose overflow is dropped and tried again after 1, 3, 7 and 15 s. Four requests in a row took 25.4, 5.1, 5.1 and 5.1 s (directory 2.1, 1.1, 1.0, 1.0 s).

The operations and readiness listeners have 48 places, and connections of these and of the directory count as stalled after 0.1 s without progress: their requests come with their connections. Fewer connections linger (64), so that all stay within the reserved descriptors.

--- a/dewridge/gateway/ingress.py
+++ b/dewridge/gateway/ingress.py
@@ -54,7 +54,7 @@
 """Seconds until the deadline of a request that does not state one."""
 LINGER_SECONDS = 0.5
 """Seconds for a caller to read an early answer while it may still be sending."""
-MAX_LINGERING = 128
+MAX_LINGERING = 64
 """Connections that linger at once. More would use up the descriptors of others."""
 OVERLOAD_RETRY_AFTER = 1.0
 """Mean seconds after which a refused caller may return: connections that make no
--- a/dewridge/gateway/intake.py
+++ b/dewridge/gateway/intake.py
@@ -37,8 +37,11 @@
 about to be closed, and clients of the directory, the platform and operators."""
 DIRECTORY_CONNECTIONS = 96
 """Connections of callers that look addresses up, which takes a few milliseconds."""
-OPERATOR_CONNECTIONS = 24
+OPERATOR_CONNECTIONS = 48
 """Connections of the platform's check, and of operators."""
+CONTROL_PATIENCE = 0.2
+"""Multiple of the usual time after which connections of these three have stalled: they
+are few, and their requests come with their connections."""
 CONTROL_CONNECTION_BYTES = 196_608
 """Memory of each connection of the directory, the platform and operators. They have
 budgets of their own, so that a crowd of callers can't make a host look unready."""
@@ -117,7 +120,9 @@
     is_control = name in CONTROL_LISTENERS
     memory = MemoryBudget(connections * CONTROL_CONNECTION_BYTES)
     return Endpoint(
-        ConnectionPlaces(name.value, connections),
+        ConnectionPlaces(
+            name.value, connections, CONTROL_PATIENCE if is_control else 1.0
+        ),
         keeps_bodies=not is_control,
         check_head=check_head,
         memory=memory if is_control else None,
--- a/dewridge/policy/memorybudget.py
+++ b/dewridge/policy/memorybudget.py
@@ -95,7 +95,11 @@
     @property
     def stalls_at(self) -> float:
         """When it counts as stalled unless it makes progress."""
-        return self.advanced_at + STALL_SECONDS.get(self.stage, math.inf)
+        return self.find_stall_time(1.0)
+
+    def find_stall_time(self, patience: float) -> float:
+        """Return when it counts as stalled, with a multiple of the usual time."""
+        return self.advanced_at + patience * STALL_SECONDS.get(self.stage, math.inf)
 
     def is_stalled(self, now: float) -> bool:
         """Whether it has made no progress for long."""
@@ -108,7 +112,8 @@
     A full process would otherwise look through all connections at each read.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, patience: float = 1.0) -> None:
+        self._patience = patience
         self._pauses_until = -math.inf
 
     def list_stalled(
@@ -121,10 +126,11 @@
         if now < self._pauses_until:
             return []
         candidates = [use for use in uses if use.stage in stages]
-        stalled = [use for use in candidates if use.is_stalled(now)]
+        times = [use.find_stall_time(self._patience) for use in candidates]
+        stalled = [use for use, at in zip(candidates, times, strict=True) if now >= at]
         if not stalled:
-            first = min((use.stalls_at for use in candidates), default=math.inf)
-            self._pauses_until = min(first, now + min(STALL_SECONDS.values()))
+            shortest = self._patience * min(STALL_SECONDS.values())
+            self._pauses_until = min((now + shortest, *times))
         return stalled
 
 
@@ -221,13 +227,20 @@
         refused: number of connections that were refused.
     """
 
-    def __init__(self, name: str, limit: int) -> None:
+    def __init__(self, name: str, limit: int, patience: float = 1.0) -> None:
+        """Create a listener's places.
+
+        Args:
+            name: of the listener.
+            limit: number of connections.
+            patience: multiple of the usual time after which connections have stalled.
+        """
         self.name = name
         self.limit = limit
         self.closed = 0
         self.refused = 0
         self._uses: set[ConnectionUse] = set()
-        self._search = StallSearch()
+        self._search = StallSearch(patience)
 
     def __len__(self) -> int:
         """Return the number of open connections."""
--- a/dewridge/tests/policy/memorybudget_tests.py
+++ b/dewridge/tests/policy/memorybudget_tests.py
@@ -148,3 +148,13 @@
     places.add(make_use(closed, "served", ConnectionStage.SERVING))
     assert places.make_room(10.0) is Room.SOON
     assert len(places) == 2
+
+
+def test_a_small_listener_gives_up_stalled_connections_sooner() -> None:
+    """Guards against operators who wait behind a crowd that sends nothing."""
+    closed: list[str] = []
+    places = ConnectionPlaces("operations", 1, patience=0.2)
+    places.add(make_use(closed, "new", ConnectionStage.NEW, at=10.0))
+    assert places.make_room(10.05) is Room.SOON
+    assert places.make_room(10.11) is Room.FREE
+    assert closed == ["new"]
