Move the listeners of a gateway to a folder for what clients make it hold

Readers looked for it among more than fifty modules. intake.py is now intake/listeners.py; only imports change, so callers see nothing.

--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -30,7 +30,7 @@
 from dewridge.gateway.echoes import SentReportTimes
 from dewridge.gateway.hosts import HostEntry, HostTable, HostWatcher, Registration
 from dewridge.gateway.ingress import IngressState, RequestHandler, serve_connection
-from dewridge.gateway.intake import (
+from dewridge.gateway.intake.listeners import (
     Endpoint,
     ListenerName,
     accept_any_head,
--- a/dewridge/gateway/ingress.py
+++ b/dewridge/gateway/ingress.py
@@ -11,7 +11,7 @@
 from loguru import logger as log
 
 from dewridge.codes import CODE_TABLE, ResultCode
-from dewridge.gateway.intake import (
+from dewridge.gateway.intake.listeners import (
     RECEIVE_SIZE_BYTES,
     Endpoint,
     compute_head_bytes,
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -18,7 +18,7 @@
 from dewridge.gateway.forwarding import AnswerBuffers
 from dewridge.gateway.hosts import HostEntry, HostTable
 from dewridge.gateway.ingress import IngressState
-from dewridge.gateway.intake import Endpoint, compute_intake_bytes
+from dewridge.gateway.intake.listeners import Endpoint, compute_intake_bytes
 from dewridge.gateway.limits.retries import RetryBudgets
 from dewridge.gateway.limits.senders import HOST_RETENTION, SenderHosts
 from dewridge.gateway.model import Limits, ServerRecord
--- a/dewridge/tests/gateway/intake_tests.py
+++ b/dewridge/tests/gateway/intake_tests.py
@@ -16,7 +16,7 @@
     find_body_length,
     serve_connection,
 )
-from dewridge.gateway.intake import (
+from dewridge.gateway.intake.listeners import (
     Endpoint,
     ListenerName,
     accept_any_head,
