Test that a reset and an exit give memory back

Memory that is lost with a caller's reset, or while a host leaves, would make it refuse more and more. The test of all ways out covered neither; both end at zero. The product is not changed, and the two cases pass on it at once.

--- a/dewridge/tests/gateway/intake_tests.py
+++ b/dewridge/tests/gateway/intake_tests.py
@@ -39,6 +39,7 @@
     make_settings,
     open_world,
     read_answer,
+    reset,
 )
 
 BODY = bytes(200_000)
@@ -309,3 +310,20 @@
     """Guards against an error for a length that the parser refuses anyway."""
     assert find_body_length([(b"content-length", b"x")]) == 0
     assert find_body_length([(b"content-length", b"12")]) == 12
+
+
+@pytest.mark.parametrize("is_leaving", [False, True])
+async def test_a_reset_and_an_exit_give_memory_back(is_leaving: bool) -> None:
+    """Guards against memory that is lost with a reset, or while a host leaves."""
+    async with open_world() as world:
+        await world.add_server("s-1", hold)
+        stream = await world.connect()
+        await stream.send_all(make_request("/write/a", method="POST", body=BODY))
+        await wait_until(lambda: world.state.served.count_stages()["sent"])
+        if is_leaving:
+            world.state.ingress.is_leaving = True
+            world.state.served.prepare_exit()
+            assert (await read_answer(stream)).status == 502
+        else:
+            reset(stream)
+        await wait_until_released(world)
