--- /dev/null
+++ b/dewridge/tests/gateway/stoppableengines.py
@@ -0,0 +1,298 @@
+"""Scripted engines whose runs can be stopped and moved, and whose replies may fail."""
+
+import json
+from dataclasses import dataclass, field
+from enum import Enum
+
+import trio
+
+from dewridge.gateway import streams
+from dewridge.ids import BackendServerId
+from dewridge.tests.gateway.world import (
+    ENGINE,
+    CallerAnswer,
+    ScriptedServer,
+    ServerExchange,
+    World,
+    make_event,
+)
+
+LAST_EVENT = 12
+"""Number of the last event of a complete stream; the first one has number 1."""
+EVENT_SECONDS = 0.05
+LATE_SECONDS = 0.9
+"""Seconds until a late reply, for which no gateway waits."""
+MOVE_TARGET = b"/-/kv-move"
+HANDLE_TARGET = b"/-/kv-handle/"
+
+
+class Framing(Enum):
+    """How the body of a stream is delimited."""
+
+    UNFRAMED = "unframed"
+    CHUNKED = "chunked"
+
+
+class Reply(Enum):
+    """How an engine replies to an order to stop a run and move its memory."""
+
+    MOVED = "moved"
+    LOST = "lost"
+    """The run is stopped, and the connection of the order ends without a reply."""
+    LATE = "late"
+    FAILURE = "failure"
+    """The run is stopped, and the reply has the status 500."""
+    UNREADABLE = "unreadable"
+    """The run is stopped, and the reply is no JSON."""
+    WITHOUT_HANDLE = "without handle"
+    TARGET_FULL = "target full"
+    """The run is stopped, and the reply names the memory that the source keeps."""
+    NOT_REACHED = "not reached"
+    """The connection of the order is reset before the engine has read it."""
+    FINISHES = "finishes"
+    """The run ends by itself as the order comes; the reply to the order is lost."""
+    IN_PROGRESS = "in progress"
+    """The run is stopped and the reply is lost; the next order comes during the copy."""
+
+
+STOPPING_FAULTS = (
+    Reply.LOST,
+    Reply.LATE,
+    Reply.FAILURE,
+    Reply.UNREADABLE,
+    Reply.WITHOUT_HANDLE,
+)
+"""Replies after which a run has stopped although no handle was received."""
+
+
+@dataclass
+class EngineRun:
+    """A run of a stream, or what is left of it.
+
+    Attributes:
+        first: number of its first event.
+        memory: the copied memory that it goes on from; empty if it was begun anew.
+        created: events made so far.
+        stop: set to stop it.
+        is_stopped: whether an order has stopped it.
+        is_finished: whether it has ended by itself.
+    """
+
+    first: int
+    memory: bytes
+    created: int = 0
+    stop: trio.Event = field(default_factory=trio.Event)
+    finish: trio.Event = field(default_factory=trio.Event)
+    is_stopped: bool = False
+    is_finished: bool = False
+
+
+class StoppableEngine:
+    """An engine that stops runs and continues them from copied memory.
+
+    Attributes:
+        id: the server's id.
+        framing: how its streams are delimited.
+        replies: how it replies to orders, in turn; the last one repeats.
+        stops_within_event: whether a stopped stream ends in the middle of an event.
+        ends_when_stopped: the server itself, if it ends together with the stream.
+        rejects_runs: whether runs are rejected as not executed.
+        runs: the runs, by order of their start.
+        orders: bodies of the orders to stop.
+        released: handles whose memory was freed.
+        used: handles from which runs have gone on here.
+    """
+
+    def __init__(self, name: str, framing: Framing, replies: list[Reply]) -> None:
+        self.id = BackendServerId(name)
+        self.framing = framing
+        self.replies = list(replies)
+        self.stops_within_event = False
+        self.ends_when_stopped: ScriptedServer | None = None
+        self.rejects_runs = False
+        self.runs: list[EngineRun] = []
+        self.orders: list[dict[str, object]] = []
+        self.released: list[bytes] = []
+        self.used: list[bytes] = []
+        self.has_started = trio.Event()
+
+    async def answer(self, exchange: ServerExchange) -> None:
+        """Answer a run, an order, or a call that frees memory."""
+        if exchange.target == MOVE_TARGET:
+            await self._answer_order(exchange)
+        elif exchange.target.startswith(HANDLE_TARGET):
+            self.released.append(exchange.target.removeprefix(HANDLE_TARGET))
+            await exchange.answer(b"{}")
+        elif self.rejects_runs:
+            await exchange.answer(b"", 503, b"X-Not-Executed: 1\r\n")
+        else:
+            await self._run(exchange)
+
+    async def _answer_order(self, exchange: ServerExchange) -> None:
+        self.orders.append(json.loads(exchange.body))
+        reply = self.replies.pop(0) if len(self.replies) > 1 else self.replies[0]
+        run = self.runs[-1]
+        if reply is Reply.NOT_REACHED:
+            exchange.reset()
+            return
+        if reply is Reply.FINISHES:
+            run.finish.set()
+            exchange.reset()
+            return
+        if run.is_finished:
+            await exchange.answer(b"{}", 404)
+            return
+        run.stop.set()
+        while not run.is_stopped:  # noqa: ASYNC110
+            await trio.sleep(0.001)
+        await self._reply(exchange, reply, run)
+
+    async def _reply(
+        self, exchange: ServerExchange, reply: Reply, run: EngineRun
+    ) -> None:
+        handle = b'{"handle":"h-1","created":%d}' % run.created
+        match reply:
+            case Reply.LOST:
+                exchange.reset()
+            case Reply.LATE:
+                await trio.sleep(LATE_SECONDS)
+                await exchange.answer(handle)
+            case Reply.FAILURE:
+                await exchange.answer(b"failed", 500)
+            case Reply.UNREADABLE:
+                await exchange.answer(b"{")
+            case Reply.WITHOUT_HANDLE:
+                await exchange.answer(b"{}")
+            case Reply.IN_PROGRESS:
+                await exchange.answer(b"{}", 409)
+            case Reply.TARGET_FULL:
+                await exchange.answer(handle, 503)
+            case _:
+                await exchange.answer(handle)
+
+    async def _run(self, exchange: ServerExchange) -> None:
+        first = int(exchange.headers.get(b"last-event-id", b"0")) + 1
+        memory = exchange.headers.get(b"kv-from", b"")
+        run = EngineRun(first, memory, created=first - 1)
+        self.runs.append(run)
+        if memory:
+            self.used.append(memory)
+        self.has_started.set()
+        await self._begin(exchange)
+        for number in range(first, LAST_EVENT + 1):
+            with trio.move_on_after(0.0 if run.finish.is_set() else EVENT_SECONDS):
+                await run.stop.wait()
+                await self._stop(exchange, run, number)
+                return
+            await self._send(exchange, make_event(number))
+            run.created = number
+        run.is_finished = True
+        if self.framing is Framing.CHUNKED:
+            await exchange.end_stream()
+        else:
+            await exchange.stream.aclose()
+
+    async def _stop(
+        self, exchange: ServerExchange, run: EngineRun, number: int
+    ) -> None:
+        if self.stops_within_event:
+            await self._send(exchange, make_event(number)[:-4])
+        run.is_stopped = True
+        if self.ends_when_stopped is not None:
+            self.ends_when_stopped.end()
+        await exchange.stream.aclose()
+
+    async def _begin(self, exchange: ServerExchange) -> None:
+        if self.framing is Framing.CHUNKED:
+            await exchange.begin_stream()
+        else:
+            await exchange.send(exchange.make_head(200))
+
+    async def _send(self, exchange: ServerExchange, data: bytes) -> None:
+        if self.framing is Framing.CHUNKED:
+            data = b"%x\r\n%s\r\n" % (len(data), data)
+        await exchange.send(data)
+
+
+class StopScenario:
+    """A gateway with two engines, one of which runs a stream that has to move."""
+
+    def __init__(
+        self, world: World, framing: Framing, replies: list[Reply], **faults: object
+    ) -> None:
+        """Prepare two engines that fail alike; see the attributes of an engine."""
+        self.world = world
+        self.engines = [
+            StoppableEngine(name, framing, replies) for name in ("s-1", "s-2")
+        ]
+        for engine in self.engines:
+            for name, value in faults.items():
+                setattr(engine, name, value)
+        self.servers: list[ScriptedServer] = []
+
+    async def run(
+        self, path: str, *, deadline_ms: int = 4000, notice: float = 0.2
+    ) -> CallerAnswer:
+        """Send a request, announce the end of its server, and return the answer.
+
+        Args:
+            path: path of the request.
+            deadline_ms: how long the caller waits, in milliseconds.
+            notice: seconds until the stream is to be moved.
+        """
+        for engine in self.engines:
+            self.servers.append(
+                await self.world.add_server(engine.id, engine.answer, ENGINE)
+            )
+        answers: list[CallerAnswer] = []
+
+        async def ask() -> None:
+            answers.append(
+                await self.world.request(path, method="POST", deadline_ms=deadline_ms)
+            )
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await self.wait_for_run()
+            self.announce_reclaim(notice)
+        return answers[0]
+
+    async def wait_for_run(self) -> None:
+        """Wait until an engine runs the stream."""
+        async with trio.open_nursery() as nursery:
+
+            async def wait(engine: StoppableEngine) -> None:
+                await engine.has_started.wait()
+                nursery.cancel_scope.cancel()
+
+            for engine in self.engines:
+                nursery.start_soon(wait, engine)
+
+    @property
+    def source(self) -> StoppableEngine:
+        """The engine that began the stream."""
+        return next(
+            engine for engine in self.engines if engine.runs and engine.runs[0].first == 1
+        )
+
+    @property
+    def target(self) -> StoppableEngine:
+        """The other engine."""
+        return next(engine for engine in self.engines if engine is not self.source)
+
+    def announce_reclaim(self, notice: float) -> None:
+        """Tell the gateway that the source stops soon."""
+        now = trio.current_time()
+        state = self.world.state
+        stops_at = now + streams.MOVE_LEAD_TIME + notice
+        state.servers.drop(self.source.id, now, "it drains", stops_at - now)
+        state.streams.schedule_moves(self.source.id, stops_at)
+
+    def count_arrivals(self) -> int:
+        """Return how often the stream reached an engine."""
+        return sum(len(engine.runs) for engine in self.engines)
+
+
+def join_events(first: int = 1, last: int = LAST_EVENT) -> bytes:
+    """Return the bytes of events as engines send them."""
+    return b"".join(make_event(number) for number in range(first, last + 1))
--- a/dewridge/tests/gateway/world.py
+++ b/dewridge/tests/gateway/world.py
@@ -251,6 +251,11 @@
         with self._scope:
             await trio.serve_listeners(self.handle, listeners)
 
+    def end(self) -> None:
+        """End in order: refuse new connections and leave the open ones alone."""
+        self.has_crashed = True
+        self._scope.cancel()
+
     def crash(self) -> None:
         """Simulate a process crash: reset all connections and refuse new ones."""
         self.has_crashed = True
