Log whether an order to stop a stream may have been carried out

Operators saw stopped streams end as complete. The log could not tell the hypotheses apart: "stream moves" had the text of a failure only, and nothing said that an answer ended with its connection.

"stream moves" now has `effect` (done, refused, unknown) and the duration, the metric stop_orders_total counts by effect, and "answer ended with its connection" has the result of the probe.

No decision changes: an order without a handle is still taken for one that failed.

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -196,7 +196,7 @@
         )
         if isinstance(complete, LostAttempt) or not answer.is_unframed:
             return complete
-        return await self._losses.check_end(server) or complete
+        return await self._losses.check_end(job, server) or complete
 
     async def _send(
         self, job: Job, server: ServerRecord, continuation: Continuation | None
@@ -394,7 +394,7 @@
             return LostAttempt(LossReason.MOVED, job.continuation.server.id)
         if job.attempt_first_event_at is None:
             return LostAttempt(LossReason.CUT_OFF, "ended before an event")
-        return await self._losses.check_end(server)
+        return await self._losses.check_end(job, server)
 
     async def _handle_silence(
         self, job: Job, server: ServerRecord, stream: RunningStream
--- a/dewridge/gateway/losses.py
+++ b/dewridge/gateway/losses.py
@@ -73,7 +73,7 @@
             # attempt does not count against it if the request is not a suspect.
             job.possible_runs -= 1
 
-    async def check_end(self, server: ServerRecord) -> LostAttempt | None:
+    async def check_end(self, job: Job, server: ServerRecord) -> LostAttempt | None:
         """Return why an answer that ended with its connection is not whole, if so.
 
         The connections of a process that ends are closed like that of a whole answer.
@@ -86,6 +86,9 @@
         if is_refused and self._state.links.find_path(server.service) is not path:
             # The probe showed that the links of this host are at fault.
             result = await self._probe_server(server)
+        log.bind(id=job.request.id, server=server.id, probe=result.value).info(
+            "answer ended with its connection"
+        )
         if result is not ConnectResult.REFUSED:
             return None
         return LostAttempt(
--- a/dewridge/gateway/moves.py
+++ b/dewridge/gateway/moves.py
@@ -5,7 +5,7 @@
 import trio
 from loguru import logger as log
 
-from dewridge.codes import ResultCode
+from dewridge.effects import Effect
 from dewridge.gateway.forwarding import LostAttempt
 from dewridge.gateway.jobs import Continuation, Job
 from dewridge.gateway.limits.retries import RetryCause
@@ -14,10 +14,9 @@
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.streams import RunningStream
 from dewridge.gateway.weighing import choose_move_target
-from dewridge.platform.engines import CacheCopy, stop_and_move
+from dewridge.platform.engines import StopReply, stop_and_move
 from dewridge.policy.losses import ARRIVED_REASONS
 from dewridge.policy.streamversions import MAX_NAME_LENGTH
-from dewridge.sentinels import Failure
 
 MAX_RETURN_OVERDRAFT = 1.0
 """Retries by which streams that return to their source may overdraw a budget."""
@@ -38,16 +37,9 @@
     if target is None or not _acquire_move(state, job, now):
         stream.moves_at = float("inf")
         return
-    moved = await _request_move(state, job, server, target)
-    outcome = moved.reason if isinstance(moved, Failure) else "moved"
-    log.bind(
-        id=job.request.id,
-        server=server.id,
-        target=target.id,
-        server_version=server.version[:MAX_NAME_LENGTH],
-        outcome=outcome,
-    ).info("stream moves")
-    if isinstance(moved, Failure):
+    reply = await _order_stop(state, job, server, target)
+    moved = reply.memory
+    if moved is None:
         state.metrics.add("streams_not_moved_total")
         stream.postpone_move(trio.current_time())
         return
@@ -85,18 +77,31 @@
     )
 
 
-async def _request_move(
+async def _order_stop(
     state: GatewayState, job: Job, server: ServerRecord, target: ServerRecord
-) -> CacheCopy | Failure:
+) -> StopReply:
     now = trio.current_time()
-    if not state.pushback.acquire(server.id, now, is_essential=True):
-        return Failure(ResultCode.MOVE_FAILED, state.pushback.describe(server.id, now))
-    return await stop_and_move(
-        server.address,
-        job.request.id,
-        target.address,
-        partial(post_to_engine, state, server),
-        lambda status, headers: state.pushback.record_answer(
-            server.id, status, headers, is_current=False
-        ),
-    )
+    if state.pushback.acquire(server.id, now, is_essential=True):
+        reply = await stop_and_move(
+            server.address,
+            job.request.id,
+            target.address,
+            partial(post_to_engine, state, server),
+            lambda status, headers: state.pushback.record_answer(
+                server.id, status, headers, is_current=False
+            ),
+        )
+    else:
+        detail = state.pushback.describe(server.id, now)
+        reply = StopReply(Effect.REFUSED, detail)
+    state.metrics.add("stop_orders_total", effect=reply.effect.value)
+    log.bind(
+        id=job.request.id,
+        server=server.id,
+        target=target.id,
+        server_version=server.version[:MAX_NAME_LENGTH],
+        outcome=reply.detail,
+        effect=reply.effect.value,
+        ms=round((trio.current_time() - now) * 1000, 1),
+    ).info("stream moves")
+    return reply
--- a/dewridge/platform/engines.py
+++ b/dewridge/platform/engines.py
@@ -6,11 +6,11 @@
 
 import msgspec
 
-from dewridge.codes import ResultCode
+from dewridge.effects import Effect
 from dewridge.gateway.model import AttemptKey
 from dewridge.http1.calls import CallFailure, Response
 from dewridge.http1.client import Headers
-from dewridge.sentinels import Failure
+from dewridge.platform import names
 
 MOVE_TIMEOUT = 0.6
 """Seconds for a move: a leaving server is removed before a longer one completes."""
@@ -20,6 +20,8 @@
 """Requests above which a load report is not credible: hundreds of times the slots of
 any engine."""
 STATUS_MOVED = 200
+STATUS_NO_RUN = 404
+STATUS_MISDIRECTED = 421
 STATUS_TARGET_FULL = 503
 
 
@@ -103,15 +105,34 @@
     is_at_target: bool
 
 
+@dataclass(frozen=True, slots=True)
+class StopReply:
+    """What is known of an order to stop a run and move its memory.
+
+    Attributes:
+        effect: whether the run was stopped.
+        detail: why, for the log.
+        memory: memory of the stopped run; None unless the effect is known to be done.
+        has_no_run: whether the engine says that it has no such run, running or stopped.
+    """
+
+    effect: Effect
+    detail: str
+    memory: CacheCopy | None = None
+    has_no_run: bool = False
+
+
 async def stop_and_move(
     source: str,
     attempt: AttemptKey,
     target: str,
     post: PostToEngine,
     on_answer: Callable[[int, Headers], None] = lambda status, headers: None,
-) -> CacheCopy | Failure:
+) -> StopReply:
     """Stop a run and copy its KV cache to another engine.
 
+    A repeated order returns the memory of a run that an earlier one has stopped.
+
     Args:
         source: `a.b.c.d:port` of the engine that runs it.
         attempt: the caller's id of the attempt that is running.
@@ -121,16 +142,28 @@
     """
     body = msgspec.json.encode({"id": attempt, "target": target, "last": True})
     response = await post(MOVE_PATH, body, MOVE_TIMEOUT)
-    if not isinstance(response, Response):
-        return Failure(ResultCode.MOVE_FAILED, response.value)
+    if isinstance(response, CallFailure):
+        is_sent = response is not CallFailure.NOT_SENT
+        return StopReply(Effect.UNKNOWN if is_sent else Effect.REFUSED, response.value)
     on_answer(response.status, response.headers)
+    return _decode_stop_reply(source, response)
+
+
+def _decode_stop_reply(source: str, response: Response) -> StopReply:
+    detail = f"status {response.status}"
+    if response.status == STATUS_NO_RUN:
+        return StopReply(Effect.REFUSED, detail, has_no_run=True)
+    is_not_executed = response.find_header(names.NOT_EXECUTED) is not None
+    if is_not_executed or response.status == STATUS_MISDIRECTED:
+        return StopReply(Effect.REFUSED, detail)
+    if response.status not in {STATUS_MOVED, STATUS_TARGET_FULL}:
+        return StopReply(Effect.UNKNOWN, detail)
     try:
-        moved = msgspec.json.decode(response.body or b"{}", type=_MoveReply)
-    except msgspec.DecodeError as error:
-        return Failure(ResultCode.MOVE_FAILED, f"malformed answer: {error}")
-    is_stopped = (
-        response.status in {STATUS_MOVED, STATUS_TARGET_FULL} and moved.handle != ""
-    )
-    if not is_stopped:
-        return Failure(ResultCode.MOVE_FAILED, f"status {response.status}")
-    return CacheCopy(source, str(moved.handle), response.status == STATUS_MOVED)
+        moved = msgspec.json.decode(response.body, type=_MoveReply)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return StopReply(Effect.UNKNOWN, f"{detail}, malformed: {error}")
+    if moved.handle == "":
+        return StopReply(Effect.UNKNOWN, f"{detail} without a handle")
+    is_at_target = response.status == STATUS_MOVED
+    memory = CacheCopy(source, str(moved.handle), is_at_target)
+    return StopReply(Effect.DONE, "moved" if is_at_target else "target full", memory)
