Test streams that end after an order to stop them

Scripted engines stop a run, reply in one of eleven ways or not at all, finish by themselves as the order comes, or never get it; with and without chunks, on a route that may be resumed and one that may not, directly and by a relay.

--- a/dewridge/tests/gateway/stoporders_tests.py
+++ b/dewridge/tests/gateway/stoporders_tests.py
@@ -1,7 +1,9 @@
 """Tests of streams that end after an order to stop them, whatever its reply."""
 
 import pytest
+import trio
 
+from dewridge.tests.gateway.partition_tests import open_linked_fleet, partition
 from dewridge.tests.gateway.stoppableengines import (
     STOPPING_FAULTS,
     Framing,
@@ -9,15 +11,31 @@
     StopScenario,
     join_events,
 )
-from dewridge.tests.gateway.world import open_world
+from dewridge.tests.gateway.world import CallerAnswer, make_request, open_world
 
 ROUTES = ["/draft/a", "/chat/a"]
 """A route whose streams may run once, and one whose streams may be resumed."""
 
+any_route = pytest.mark.parametrize("path", ROUTES)
+any_framing = pytest.mark.parametrize("framing", list(Framing))
 
-@pytest.mark.parametrize("framing", list(Framing))
+
+def is_whole(answer: CallerAnswer) -> bool:
+    """Return whether a caller got all events, each once, and the end."""
+    return answer.is_complete and answer.body == join_events()
+
+
+def check_continued_once(scenario: StopScenario) -> None:
+    """Check that a stream went on from the memory of its run, and nowhere anew."""
+    runs = [run for engine in scenario.engines for run in engine.runs]
+    assert len(runs) == 2
+    assert [run for run in runs if run.memory.endswith(b"/h-1")]
+    assert [run.first for run in runs if not run.memory] == [1]
+
+
+@any_framing
 @pytest.mark.parametrize("reply", STOPPING_FAULTS)
-@pytest.mark.parametrize("path", ROUTES)
+@any_route
 async def test_a_stopped_stream_is_not_complete_if_the_reply_failed(
     path: str, reply: Reply, framing: Framing
 ) -> None:
@@ -25,4 +43,169 @@
     async with open_world(retry_slack=100) as world:
         scenario = StopScenario(world, framing, [reply])
         answer = await scenario.run(path)
-    assert (answer.body == join_events()) or not answer.is_complete
+    assert is_whole(answer) or not answer.is_complete
+    assert join_events().startswith(answer.body)
+
+
+@any_framing
+@pytest.mark.parametrize("reply", STOPPING_FAULTS)
+@any_route
+async def test_a_stopped_stream_goes_on_from_its_memory_if_the_reply_failed(
+    path: str, reply: Reply, framing: Framing
+) -> None:
+    """Guards against a stream that is lost although its engine keeps its memory."""
+    async with open_world(retry_slack=100) as world:
+        scenario = StopScenario(world, framing, [reply, Reply.MOVED])
+        answer = await scenario.run(path)
+    assert is_whole(answer)
+    check_continued_once(scenario)
+
+
+@any_route
+async def test_a_relayed_order_without_a_reply_makes_no_part_whole(path: str) -> None:
+    """Guards against a lost reply to an order that a peer relays."""
+    async with open_linked_fleet(2) as linked:
+        world = linked.fleet.worlds[0]
+        scenario = StopScenario(
+            world, Framing.UNFRAMED, [Reply.LOST, Reply.MOVED], linked.add_server
+        )
+        partition(linked, [0])
+        answer = await scenario.run(path)
+    assert is_whole(answer)
+    check_continued_once(scenario)
+
+
+@any_framing
+@any_route
+async def test_a_stream_that_is_stopped_within_an_event_goes_on(
+    path: str, framing: Framing
+) -> None:
+    """Guards against a moved stream that is cut as its source stopped in an event."""
+    async with open_world(retry_slack=100) as world:
+        scenario = StopScenario(world, framing, [Reply.MOVED], stops_within_event=True)
+        answer = await scenario.run(path)
+    assert is_whole(answer)
+    check_continued_once(scenario)
+
+
+@any_framing
+@any_route
+@pytest.mark.parametrize("reply", [Reply.FINISHES, Reply.NOT_REACHED])
+async def test_a_run_that_ended_by_itself_is_whole(
+    reply: Reply, path: str, framing: Framing
+) -> None:
+    """Guards against a whole answer that is lost as an order had no reply."""
+    async with open_world(retry_slack=100) as world:
+        scenario = StopScenario(world, framing, [reply])
+        answer = await scenario.run(path)
+    assert scenario.source.orders
+    assert is_whole(answer)
+    assert scenario.count_arrivals() == 1
+
+
+@any_framing
+async def test_a_source_that_copies_is_asked_again(framing: Framing) -> None:
+    """Guards against a stream that is lost as its memory is still being copied."""
+    async with open_world(retry_slack=100) as world:
+        replies = [Reply.LOST, Reply.IN_PROGRESS, Reply.IN_PROGRESS, Reply.MOVED]
+        scenario = StopScenario(world, framing, replies)
+        answer = await scenario.run("/draft/a")
+    assert is_whole(answer)
+    check_continued_once(scenario)
+
+
+@any_framing
+async def test_a_stream_returns_if_the_target_is_full(framing: Framing) -> None:
+    """Guards against a stream that is lost although its source keeps its memory."""
+    async with open_world(retry_slack=100) as world:
+        scenario = StopScenario(world, framing, [Reply.LOST, Reply.TARGET_FULL])
+        answer = await scenario.run("/draft/a")
+    assert is_whole(answer)
+    check_continued_once(scenario)
+    assert len(scenario.source.runs) == 2
+
+
+@any_framing
+@any_route
+async def test_a_stopped_stream_is_not_complete_if_its_server_ends(
+    path: str, framing: Framing
+) -> None:
+    """Guards against a part that looks whole as nobody can say who ended it."""
+    async with open_world(retry_slack=100) as world:
+        scenario = StopScenario(world, framing, [Reply.LOST], ends_when_stopped=True)
+        with trio.fail_after(3.0):
+            answer = await scenario.run(path)
+    is_resumable = path == "/chat/a"
+    assert answer.is_complete is is_resumable
+    assert is_resumable is is_whole(answer)
+
+
+@pytest.mark.parametrize("replies", [[Reply.LOST, Reply.MOVED], [Reply.MOVED]])
+async def test_a_moved_stream_uses_the_retry_of_its_order(replies: list[Reply]) -> None:
+    """Guards against an order that is asked for twice and counted twice."""
+    async with open_world(retry_slack=100) as world:
+        scenario = StopScenario(world, Framing.UNFRAMED, replies)
+        await scenario.run("/draft/a")
+        budgets = world.state.retries.describe(trio.current_time())
+    assert budgets["engine"]["retries"] == scenario.count_arrivals() - 1
+
+
+@any_framing
+async def test_no_stream_is_stopped_without_a_retry(framing: Framing) -> None:
+    """Guards against a stopped stream that may not go on anywhere."""
+    async with open_world(retry_slack=0) as world:
+        scenario = StopScenario(world, framing, [Reply.LOST, Reply.MOVED])
+        answer = await scenario.run("/draft/a")
+    assert is_whole(answer)
+    assert not scenario.source.orders
+
+
+async def wait_for_release(scenario: StopScenario) -> None:
+    """Wait until the source was asked to free the memory of its run."""
+    with trio.fail_after(2.0):
+        while not scenario.source.released:  # noqa: ASYNC110
+            await trio.sleep(0.005)
+    assert scenario.source.released == [b"h-1"]
+
+
+@pytest.mark.parametrize("reply", [Reply.MOVED, Reply.LOST])
+async def test_memory_is_freed_if_the_caller_leaves(reply: Reply) -> None:
+    """Guards against engine memory that is held for a stream without a caller."""
+    async with open_world(retry_slack=100) as world:
+        scenario = StopScenario(
+            world, Framing.UNFRAMED, [reply, Reply.MOVED], hangs_when_stopped=True
+        )
+        await scenario.start_engines()
+        stream = await world.connect()
+        async with stream:
+            await stream.send_all(make_request("/draft/a", method="POST"))
+            await scenario.wait_for_run()
+            scenario.announce_reclaim(0.1)
+            while not scenario.source.orders:  # noqa: ASYNC110
+                await trio.sleep(0.005)
+            await trio.sleep(0.02)
+        await wait_for_release(scenario)
+
+
+@pytest.mark.parametrize("replies", [[Reply.MOVED], [Reply.LOST, Reply.MOVED]])
+async def test_memory_is_freed_if_no_engine_continues_the_stream(
+    replies: list[Reply],
+) -> None:
+    """Guards against engine memory that is held for a stream that was given up."""
+    async with open_world(retry_slack=100) as world:
+        scenario = StopScenario(
+            world, Framing.UNFRAMED, replies, rejects_continuations=True
+        )
+        answer = await scenario.run("/draft/a")
+        assert not answer.is_complete
+        await wait_for_release(scenario)
+
+
+async def test_used_memory_is_not_freed() -> None:
+    """Guards against a call that may end the run that uses the memory."""
+    async with open_world(retry_slack=100) as world:
+        scenario = StopScenario(world, Framing.UNFRAMED, [Reply.LOST, Reply.MOVED])
+        answer = await scenario.run("/draft/a")
+        await trio.sleep(0.1)
+    assert is_whole(answer)
+    assert not [engine.released for engine in scenario.engines if engine.released]
--- a/dewridge/tests/gateway/stoppableengines.py
+++ b/dewridge/tests/gateway/stoppableengines.py
@@ -1,22 +1,26 @@
 """Scripted engines whose runs can be stopped and moved, and whose replies may fail."""
 
 import json
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
 import trio
 
 from dewridge.gateway import streams
-from dewridge.ids import BackendServerId
+from dewridge.ids import BackendServerId, ServiceName
 from dewridge.tests.gateway.world import (
     ENGINE,
     CallerAnswer,
+    Script,
     ScriptedServer,
     ServerExchange,
     World,
     make_event,
 )
 
+AddServer = Callable[[str, Script, ServiceName], Awaitable[ScriptedServer]]
+
 LAST_EVENT = 12
 """Number of the last event of a complete stream; the first one has number 1."""
 EVENT_SECONDS = 0.05
@@ -52,7 +56,7 @@
     FINISHES = "finishes"
     """The run ends by itself as the order comes; the reply to the order is lost."""
     IN_PROGRESS = "in progress"
-    """The run is stopped and the reply is lost; the next order comes during the copy."""
+    """The reply says that an earlier order is being carried out."""
 
 
 STOPPING_FAULTS = (
@@ -92,11 +96,13 @@
 
     Attributes:
         id: the server's id.
+        server: the server; None until it has started.
         framing: how its streams are delimited.
         replies: how it replies to orders, in turn; the last one repeats.
         stops_within_event: whether a stopped stream ends in the middle of an event.
-        ends_when_stopped: the server itself, if it ends together with the stream.
-        rejects_runs: whether runs are rejected as not executed.
+        ends_when_stopped: whether the server ends together with a stopped stream.
+        hangs_when_stopped: whether the connection of a stopped stream stays open.
+        rejects_continuations: whether runs from copied memory are not executed.
         runs: the runs, by order of their start.
         orders: bodies of the orders to stop.
         released: handles whose memory was freed.
@@ -108,8 +114,10 @@
         self.framing = framing
         self.replies = list(replies)
         self.stops_within_event = False
-        self.ends_when_stopped: ScriptedServer | None = None
-        self.rejects_runs = False
+        self.ends_when_stopped = False
+        self.server: ScriptedServer | None = None
+        self.hangs_when_stopped = False
+        self.rejects_continuations = False
         self.runs: list[EngineRun] = []
         self.orders: list[dict[str, object]] = []
         self.released: list[bytes] = []
@@ -123,7 +131,7 @@
         elif exchange.target.startswith(HANDLE_TARGET):
             self.released.append(exchange.target.removeprefix(HANDLE_TARGET))
             await exchange.answer(b"{}")
-        elif self.rejects_runs:
+        elif self.rejects_continuations and b"kv-from" in exchange.headers:
             await exchange.answer(b"", 503, b"X-Not-Executed: 1\r\n")
         else:
             await self._run(exchange)
@@ -132,16 +140,14 @@
         self.orders.append(json.loads(exchange.body))
         reply = self.replies.pop(0) if len(self.replies) > 1 else self.replies[0]
         run = self.runs[-1]
-        if reply is Reply.NOT_REACHED:
-            exchange.reset()
+        if run.is_finished:
+            await exchange.answer(b"{}", 404)
             return
         if reply is Reply.FINISHES:
             run.finish.set()
+        if reply in {Reply.NOT_REACHED, Reply.FINISHES}:
             exchange.reset()
             return
-        if run.is_finished:
-            await exchange.answer(b"{}", 404)
-            return
         run.stop.set()
         while not run.is_stopped:  # noqa: ASYNC110
             await trio.sleep(0.001)
@@ -198,8 +204,10 @@
         if self.stops_within_event:
             await self._send(exchange, make_event(number)[:-4])
         run.is_stopped = True
-        if self.ends_when_stopped is not None:
-            self.ends_when_stopped.end()
+        if self.ends_when_stopped and self.server is not None:
+            self.server.end()
+        if self.hangs_when_stopped:
+            await trio.sleep(30)
         await exchange.stream.aclose()
 
     async def _begin(self, exchange: ServerExchange) -> None:
@@ -218,17 +226,30 @@
     """A gateway with two engines, one of which runs a stream that has to move."""
 
     def __init__(
-        self, world: World, framing: Framing, replies: list[Reply], **faults: object
+        self,
+        world: World,
+        framing: Framing,
+        replies: list[Reply],
+        add_server: AddServer | None = None,
+        **faults: object,
     ) -> None:
-        """Prepare two engines that fail alike; see the attributes of an engine."""
+        """Prepare two engines that fail alike.
+
+        Args:
+            world: the gateway.
+            framing: how streams are delimited.
+            replies: how the engines reply to orders, in turn.
+            add_server: makes a server known to the gateway; by itself if None.
+            faults: attributes of both engines.
+        """
         self.world = world
+        self._add_server = add_server or world.add_server
         self.engines = [
             StoppableEngine(name, framing, replies) for name in ("s-1", "s-2")
         ]
         for engine in self.engines:
             for name, value in faults.items():
                 setattr(engine, name, value)
-        self.servers: list[ScriptedServer] = []
 
     async def run(
         self, path: str, *, deadline_ms: int = 4000, notice: float = 0.2
@@ -240,10 +261,7 @@
             deadline_ms: how long the caller waits, in milliseconds.
             notice: seconds until the stream is to be moved.
         """
-        for engine in self.engines:
-            self.servers.append(
-                await self.world.add_server(engine.id, engine.answer, ENGINE)
-            )
+        await self.start_engines()
         answers: list[CallerAnswer] = []
 
         async def ask() -> None:
@@ -257,6 +275,11 @@
             self.announce_reclaim(notice)
         return answers[0]
 
+    async def start_engines(self) -> None:
+        """Start the engines and make them known to the gateway."""
+        for engine in self.engines:
+            engine.server = await self._add_server(engine.id, engine.answer, ENGINE)
+
     async def wait_for_run(self) -> None:
         """Wait until an engine runs the stream."""
         async with trio.open_nursery() as nursery:
@@ -272,7 +295,9 @@
     def source(self) -> StoppableEngine:
         """The engine that began the stream."""
         return next(
-            engine for engine in self.engines if engine.runs and engine.runs[0].first == 1
+            engine
+            for engine in self.engines
+            if engine.runs and engine.runs[0].first == 1
         )
 
     @property
