Judge the end of each answer by all that could have ended it

Callers got parts of streams as complete answers: the host had ordered the last move, the engine stopped the run and closed its stream, which came with neither a length nor chunks, and the reply to the order was lost, late, a failure or unreadable (ORDER).

An order without a usable reply counted as not carried out, and the end of a connection as the end of the answer, unless something spoke against it. Now an order is done, refused or of unknown effect, and one function (policy/answerends.py) judges the end of an answer by the attempt's record: framing, faults, orders, the server's life. The stream goes on from that memory with the retry that the order used, or is whole; if nobody tells within 1.2 s, it is cut. A server that does not respond to three probes no longer counts as running.

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -6,6 +6,7 @@
 
 from dewridge.codes import ResultCode
 from dewridge.gateway.contention.admitting import AdmissionControl, record_answer_end
+from dewridge.gateway.endings.judging import EndJudge
 from dewridge.gateway.events import EventSplitter, EventTooLongError
 from dewridge.gateway.forwarding import (
     SILENCE_CHECK_PERIOD,
@@ -41,6 +42,7 @@
 from dewridge.http1.client import ConnectionBrokenError, Headers
 from dewridge.http1.headers import remove_hop_by_hop_headers
 from dewridge.platform.headers import Dispatch, make_dispatch_headers
+from dewridge.policy.answerends import AnswerRecord
 from dewridge.policy.losses import LossReason
 from dewridge.sentinels import Failure
 
@@ -67,6 +69,7 @@
     def __init__(self, state: GatewayState) -> None:
         self._state = state
         self._losses = LossHandler(state)
+        self._ends = EndJudge(state, self._losses)
         self._chooser = ServerChooser(state)
         self._admission = AdmissionControl(state, estimate_first_event)
 
@@ -77,6 +80,12 @@
             The failure that the caller of this method has to send; None if the answer
             was sent to the client.
         """
+        try:
+            return await self._run(job, responder)
+        finally:
+            self._state.left_memories.add(job)
+
+    async def _run(self, job: Job, responder: Responder) -> Failure | None:
         if job.is_engine:
             self._state.record_local_demand(
                 job.service, job.request.sizes.prompt_tokens
@@ -159,6 +168,8 @@
         if isinstance(answer, LostAttempt):
             return answer
         job.may_have_run = True
+        if continuation is not None and answer.head.status == 200:
+            job.record_memory_used(continuation.memory)
         is_stream = job.route.kind is RouteKind.STREAM
         if is_stream and answer.head.status == 200:
             return await self._relay_stream(job, server, answer, responder)
@@ -194,9 +205,10 @@
             answer,
             can_follow=can_follow if self._may_retry(job) else None,
         )
-        if isinstance(complete, LostAttempt) or not answer.is_unframed:
+        if isinstance(complete, LostAttempt):
             return complete
-        return await self._losses.check_end(job, server) or complete
+        record = AnswerRecord(is_close_delimited=answer.is_unframed)
+        return await self._ends.judge(job, server, record) or complete
 
     async def _send(
         self, job: Job, server: ServerRecord, continuation: Continuation | None
@@ -311,7 +323,10 @@
         responder: Responder,
     ) -> LostAttempt | None:
         splitter = EventSplitter()
-        stream = self._open_stream(server, is_direct=answer.relay is None)
+        stream = self._open_stream(job, server, is_direct=answer.relay is None)
+        record = stream.record
+        record.is_close_delimited = answer.is_unframed
+        lost: LostAttempt | None = None
         try:
             lost = await self._forward_stream(
                 job, server, answer, responder, splitter, stream
@@ -319,15 +334,13 @@
         except EventTooLongError:
             lost = LostAttempt(LossReason.MALFORMED, "an event is too long")
         except ConnectionBrokenError as error:
-            lost = LostAttempt(LossReason.CUT_OFF, str(error))
-            if job.continuation is not None:
-                lost = LostAttempt(LossReason.MOVED, job.continuation.server.id)
+            record.fault = str(error)
         finally:
             self._state.streams.unregister(server.id, stream)
             answer.close()
-        if lost is None and splitter.remainder:
-            lost = LostAttempt(LossReason.CUT_OFF, "ended within an event")
-        lost = lost or await self._check_unframed_end(job, server, answer)
+        if lost is None:
+            record.fault = record.fault or find_fault(job, splitter, answer)
+            lost = await self._ends.judge(job, server, record)
         if lost is not None:
             return lost
         job.continuation = None
@@ -381,21 +394,6 @@
             ):
                 waiting_since = trio.current_time()
 
-    async def _check_unframed_end(
-        self, job: Job, server: ServerRecord, answer: IncomingAnswer
-    ) -> LostAttempt | None:
-        """Return why a stream that ended with its connection is not complete, if so.
-
-        The connection also ends when the server crashes, or stops a stream that moves.
-        """
-        if not answer.is_unframed:
-            return None
-        if job.continuation is not None:
-            return LostAttempt(LossReason.MOVED, job.continuation.server.id)
-        if job.attempt_first_event_at is None:
-            return LostAttempt(LossReason.CUT_OFF, "ended before an event")
-        return await self._losses.check_end(job, server)
-
     async def _handle_silence(
         self, job: Job, server: ServerRecord, stream: RunningStream
     ) -> LostAttempt | None:
@@ -412,11 +410,16 @@
             return LostAttempt(LossReason.CUT_OFF, "the connection hangs")
         return None
 
-    def _open_stream(self, server: ServerRecord, *, is_direct: bool) -> RunningStream:
+    def _open_stream(
+        self, job: Job, server: ServerRecord, *, is_direct: bool
+    ) -> RunningStream:
         stream = self._state.streams.register(server.id)
         stream.is_direct = is_direct
         departure = self._state.servers.find_departure(server.id)
-        if departure is not None:
+        if departure is not None and job.was_moved:
+            now = trio.current_time()
+            stream.schedule_return(departure.notice_ends_at, now)
+        elif departure is not None:
             stream.schedule_move(departure.notice_ends_at)
         return stream
 
@@ -526,6 +529,15 @@
         return failure
 
 
+def find_fault(job: Job, splitter: EventSplitter, answer: IncomingAnswer) -> str:
+    """Return why a stream that has ended is incomplete; empty if nothing shows it."""
+    if splitter.remainder:
+        return "ended within an event"
+    if answer.is_unframed and job.attempt_first_event_at is None:
+        return "ended before an event"
+    return ""
+
+
 def clean_answer_headers(headers: Headers) -> Headers:
     """Return a server's headers without those of the connection and the framing."""
     return [
--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -28,6 +28,7 @@
 from dewridge.gateway.documents.passing import DocumentLibrary, serve_peers
 from dewridge.gateway.duties import HolderElection
 from dewridge.gateway.echoes import SentReportTimes
+from dewridge.gateway.endings.releasing import release_memory
 from dewridge.gateway.hosts import HostEntry, HostTable, HostWatcher, Registration
 from dewridge.gateway.ingress import IngressState, RequestHandler, serve_connection
 from dewridge.gateway.intake.listeners import (
@@ -465,6 +466,7 @@
             ("datagrams-out", self._socket.run),
             ("settings", self._settings_reloader.run),
             ("links", state.links.run),
+            ("memory-releases", partial(release_memory, state)),
             ("upkeep", partial(run_upkeep, state, self._registration)),
             *self._list_duty_tasks(rollouts),
         ]
--- /dev/null
+++ b/dewridge/gateway/endings/judging.py
@@ -0,0 +1,102 @@
+"""Finds out whether an answer that has ended is whole."""
+
+import trio
+from loguru import logger as log
+
+from dewridge.effects import Effect
+from dewridge.gateway.forwarding import LostAttempt
+from dewridge.gateway.jobs import Job
+from dewridge.gateway.losses import LossHandler
+from dewridge.gateway.model import ServerRecord
+from dewridge.gateway.moves import send_order
+from dewridge.gateway.state import GatewayState
+from dewridge.policy.answerends import (
+    AnswerRecord,
+    EndVerdict,
+    describe_cut,
+    judge_end,
+)
+from dewridge.policy.losses import ConnectResult, LossReason
+
+ASK_SECONDS = 1.2
+"""Seconds for which a source is asked whether it stopped a run. Callers disconnect two
+seconds after the last event."""
+ASK_DELAY = 0.02
+"""Seconds until the source is asked again, doubled each time."""
+
+
+class EndJudge:
+    """Judges how answers ended, by evidence that it collects as far as needed."""
+
+    def __init__(self, state: GatewayState, losses: LossHandler) -> None:
+        self._state = state
+        self._losses = losses
+
+    async def judge(
+        self, job: Job, server: ServerRecord, record: AnswerRecord
+    ) -> LostAttempt | None:
+        """Return why an answer that has ended is not whole; None if it is."""
+        while True:
+            verdict = judge_end(record)
+            if verdict is EndVerdict.ASK_SOURCE:
+                await self._ask_source(job, server, record)
+            elif verdict is EndVerdict.PROBE_SERVER:
+                record.server = await self._losses.probe_after_end(server)
+            else:
+                break
+        if record.is_close_delimited or record.stop is not Effect.REFUSED:
+            self._record(job, server, record, verdict)
+        match verdict:
+            case EndVerdict.WHOLE:
+                job.drop_orders(server.id)
+                return None
+            case EndVerdict.STOPPED:
+                target = job.continuation.server.id if job.continuation else ""
+                return LostAttempt(LossReason.MOVED, target)
+        return LostAttempt(
+            LossReason.CUT_OFF, describe_cut(record), reach=record.server
+        )
+
+    async def _ask_source(
+        self, job: Job, server: ServerRecord, record: AnswerRecord
+    ) -> None:
+        """Ask the server of an ended stream whether it stopped the run."""
+        order = job.find_order(server.id)
+        ends_at = min(trio.current_time() + ASK_SECONDS, job.deadline)
+        delay = ASK_DELAY
+        while order is not None and trio.current_time() < ends_at:
+            reply = await send_order(self._state, job, order, record, has_ended=True)
+            if reply.has_no_run:
+                record.record_run_ended()
+            if record.stop is not Effect.UNKNOWN:
+                return
+            # The server's own life is asked for where the order can't even be sent.
+            if reply.effect is Effect.REFUSED and await self._has_ended(server, record):
+                break
+            await trio.sleep(delay)
+            delay *= 2
+        record.is_source_asked = True
+
+    async def _has_ended(self, server: ServerRecord, record: AnswerRecord) -> bool:
+        result = await self._losses.probe_after_end(server)
+        if result is ConnectResult.REFUSED:
+            record.server = result
+        return result is ConnectResult.REFUSED
+
+    def _record(
+        self,
+        job: Job,
+        server: ServerRecord,
+        record: AnswerRecord,
+        verdict: EndVerdict,
+    ) -> None:
+        self._state.metrics.add("answer_ends_total", verdict=verdict.name)
+        log.bind(
+            id=job.request.id,
+            server=server.id,
+            verdict=verdict.value,
+            framed=not record.is_close_delimited,
+            fault=record.fault,
+            stop=record.stop.value,
+            probe=record.server.value if record.server else "",
+        ).info("answer ended")
--- /dev/null
+++ b/dewridge/gateway/endings/releasing.py
@@ -0,0 +1,10 @@
+"""Frees the engine memory that ended jobs left behind."""
+
+from dewridge.gateway.moves import free_left_memory
+from dewridge.gateway.state import GatewayState
+
+
+async def release_memory(state: GatewayState) -> None:
+    """Free memory forever, one call at a time."""
+    while True:
+        await free_left_memory(state, await state.left_memories.wait())
--- a/dewridge/gateway/jobs.py
+++ b/dewridge/gateway/jobs.py
@@ -41,6 +41,32 @@
     memory: CacheCopy
 
 
+@dataclass(frozen=True, slots=True)
+class StopOrder:
+    """An order to stop a run whose outcome is unknown.
+
+    Attributes:
+        source: the server that runs it.
+        target: the server to which its memory is copied.
+    """
+
+    source: ServerRecord
+    target: ServerRecord
+
+
+@dataclass(frozen=True, slots=True)
+class HeldMemory:
+    """Memory of a stopped run that no run has used yet.
+
+    Attributes:
+        source: the server that ran it.
+        memory: the memory.
+    """
+
+    source: ServerRecord
+    memory: CacheCopy
+
+
 @dataclass(frozen=True, slots=True)
 class SharedPart:
     """A part of a prompt, by digests.
@@ -89,6 +115,8 @@
         last_event_at: time of the last event forwarded.
         continuation: where and from which memory a stopped run continues.
         fallback: where it continues if the server of `continuation` rejects it.
+        unknown_orders: orders to stop its runs whose outcome is unknown.
+        held_memory: memory of stopped runs that no run has used yet.
         withheld_servers: servers that asked for fewer requests when it was refused.
         was_moved: whether it was stopped and moved; it is never started anew then.
         relays: peers by which it was sent.
@@ -129,6 +157,8 @@
     last_event_at: float | None = None
     continuation: "Continuation | None" = None
     fallback: "Continuation | None" = None
+    unknown_orders: list[StopOrder] = field(default_factory=list)
+    held_memory: list[HeldMemory] = field(default_factory=list)
     withheld_servers: list[BackendServerId] = field(default_factory=list)
     was_moved: bool = False
     relays: list[HostId] = field(default_factory=list)
@@ -143,6 +173,21 @@
         if self.route.is_resumable:
             self.last_event = self.request.last_event
 
+    def find_order(self, server: BackendServerId) -> StopOrder | None:
+        """Return an order to a server whose outcome is unknown."""
+        orders = (each for each in self.unknown_orders if each.source.id == server)
+        return next(orders, None)
+
+    def record_memory_used(self, memory: CacheCopy) -> None:
+        """Record that a run goes on from the memory of a stopped one."""
+        self.held_memory = [each for each in self.held_memory if each.memory != memory]
+
+    def drop_orders(self, server: BackendServerId) -> None:
+        """Forget the orders to a server, whose outcomes do not matter any more."""
+        self.unknown_orders = [
+            order for order in self.unknown_orders if order.source.id != server
+        ]
+
     @property
     def release(self) -> Release | None:
         """The version whose servers alone may continue the stream; None for any."""
--- a/dewridge/gateway/losses.py
+++ b/dewridge/gateway/losses.py
@@ -29,6 +29,8 @@
 """Seconds for which a failed probe of a server is used for requests that it lost. A
 crash fails all requests on the server at the same moment, so one probe serves all of
 them."""
+MAX_END_PROBES = 3
+"""Probes of a server that does not respond, or to which another path is found."""
 FAILED_PROBES = frozenset(ConnectResult) - {ConnectResult.ACCEPTED}
 """Results that later losses may use: a server that accepted a connection may have
 crashed since."""
@@ -73,27 +75,24 @@
             # attempt does not count against it if the request is not a suspect.
             job.possible_runs -= 1
 
-    async def check_end(self, job: Job, server: ServerRecord) -> LostAttempt | None:
-        """Return why an answer that ended with its connection is not whole, if so.
+    async def probe_after_end(self, server: ServerRecord) -> ConnectResult:
+        """Return whether a server still runs after an answer ended with its connection.
 
         The connections of a process that ends are closed like that of a whole answer.
         Only a connection that is opened afterwards shows the difference. That holds for
         servers that leave as well: they exit at a time of their own, whatever runs.
         """
-        path = self._state.links.find_path(server.service)
-        result = await self._probe_server(server)
-        is_refused = result is ConnectResult.REFUSED
-        if is_refused and self._state.links.find_path(server.service) is not path:
-            # The probe showed that the links of this host are at fault.
+        result = ConnectResult.SILENT
+        for _ in range(MAX_END_PROBES):
+            path = self._state.links.find_path(server.service)
             result = await self._probe_server(server)
-        log.bind(id=job.request.id, server=server.id, probe=result.value).info(
-            "answer ended with its connection"
-        )
-        if result is not ConnectResult.REFUSED:
-            return None
-        return LostAttempt(
-            LossReason.CUT_OFF, "the server ended", reach=ConnectResult.REFUSED
-        )
+            if result not in {ConnectResult.REFUSED, ConnectResult.SILENT}:
+                break
+            is_same_path = self._state.links.find_path(server.service) is path
+            if result is ConnectResult.REFUSED and is_same_path:
+                break
+            # No response, or the probe showed that the links of this host are at fault.
+        return result
 
     async def _probe_losing_server(self, server: ServerRecord) -> ConnectResult:
         """Probe a server that lost a request; it counts as full meanwhile.
--- a/dewridge/gateway/moves.py
+++ b/dewridge/gateway/moves.py
@@ -1,23 +1,35 @@
 """Moves of running streams, with their engine memory, away from leaving servers."""
 
+from collections.abc import Callable
 from functools import partial
 
 import trio
 from loguru import logger as log
 
 from dewridge.effects import Effect
+from dewridge.gateway.endings.left import LeftMemory
 from dewridge.gateway.forwarding import LostAttempt
-from dewridge.gateway.jobs import Continuation, Job
+from dewridge.gateway.jobs import Continuation, HeldMemory, Job, StopOrder
 from dewridge.gateway.limits.retries import RetryCause
-from dewridge.gateway.model import ServerRecord
-from dewridge.gateway.reach.control import post_to_engine
+from dewridge.gateway.model import AttemptKey, ServerRecord
+from dewridge.gateway.reach.control import call_engine
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.streams import RunningStream
 from dewridge.gateway.weighing import choose_move_target
-from dewridge.platform.engines import StopReply, stop_and_move
+from dewridge.ids import BackendServerId
+from dewridge.platform.engines import (
+    CacheCopy,
+    StopReply,
+    free_memory,
+    stop_and_move,
+)
+from dewridge.policy.answerends import AnswerRecord
 from dewridge.policy.losses import ARRIVED_REASONS
 from dewridge.policy.streamversions import MAX_NAME_LENGTH
 
+Acquire = Callable[[BackendServerId, float], bool]
+"""Returns whether a server may get a call now, and counts it."""
+
 MAX_RETURN_OVERDRAFT = 1.0
 """Retries by which streams that return to their source may overdraw a budget."""
 
@@ -32,25 +44,74 @@
     processed again. The connection of the stopped stream closes without an end marker;
     events still in transit are forwarded first.
     """
-    now = trio.current_time()
-    target = choose_move_target(state, server, now)
-    if target is None or not _acquire_move(state, job, now):
+    order = job.find_order(server.id) or _make_order(state, job, server)
+    if order is None:
         stream.moves_at = float("inf")
         return
-    reply = await _order_stop(state, job, server, target)
-    moved = reply.memory
-    if moved is None:
+    await send_order(state, job, order, stream.record)
+    if job.continuation is None:
         state.metrics.add("streams_not_moved_total")
         stream.postpone_move(trio.current_time())
         return
-    state.metrics.add("streams_moved_total")
     stream.await_remaining_events(trio.current_time())
+
+
+def _make_order(
+    state: GatewayState, job: Job, server: ServerRecord
+) -> StopOrder | None:
+    """Return an order whose retry is used; None without a target or a retry."""
+    now = trio.current_time()
+    target = choose_move_target(state, server, now)
+    if target is None or not _acquire_move(state, job, now):
+        return None
+    return StopOrder(server, target)
+
+
+async def send_order(
+    state: GatewayState,
+    job: Job,
+    order: StopOrder,
+    record: AnswerRecord,
+    *,
+    has_ended: bool = False,
+) -> StopReply:
+    """Order a source to stop a run, or ask it for the outcome of an earlier order.
+
+    The source returns the memory of a run that it has stopped already. The retry of the
+    move was used by the first order.
+
+    Args:
+        state: the state of this host.
+        job: the request.
+        order: the order.
+        record: what is known of the answer.
+        has_ended: whether the answer has ended, so that the order stops nothing.
+    """
+    # The order has been sent if this task is cancelled while it waits for the reply.
+    job.drop_orders(order.source.id)
+    job.unknown_orders.append(order)
+    acquire = state.pushback.acquire_control if has_ended else _acquire_order(state)
+    reply = await _order_stop(state, job.request.id, order, acquire)
+    record.record_order(reply.effect)
+    if record.stop is not Effect.UNKNOWN:
+        job.drop_orders(order.source.id)
+    if reply.memory is not None:
+        _continue_elsewhere(job, order, reply.memory)
+        state.metrics.add("streams_moved_total")
+    return reply
+
+
+def _continue_elsewhere(job: Job, order: StopOrder, memory: CacheCopy) -> None:
+    """Have a stopped stream go on from its memory."""
     job.was_moved = True
-    # If the target has no room, the source keeps the memory and continues itself.
-    job.fallback = Continuation(server, moved)
-    job.continuation = Continuation(target, moved) if moved.is_at_target else None
-    if job.continuation is None:
-        job.continuation, job.fallback = job.fallback, None
+    job.held_memory.append(HeldMemory(order.source, memory))
+    at_source = Continuation(order.source, memory)
+    if memory.is_at_target:
+        # If the target has no room, the source keeps the memory and continues itself.
+        job.continuation = Continuation(order.target, memory)
+        job.fallback = at_source
+    else:
+        job.continuation, job.fallback = at_source, None
 
 
 def _acquire_move(state: GatewayState, job: Job, now: float) -> bool:
@@ -77,16 +138,38 @@
     )
 
 
+async def free_left_memory(state: GatewayState, left: LeftMemory) -> None:
+    """Have an engine free the memory of a run that will not go on."""
+    memory = left.memory
+    if memory is None and left.order is not None:
+        acquire = state.pushback.acquire_control
+        reply = await _order_stop(state, left.attempt, left.order, acquire)
+        memory = reply.memory
+    now = trio.current_time()
+    if memory is None or not state.pushback.acquire_control(left.source.id, now):
+        return
+    effect = await free_memory(memory, partial(call_engine, state, left.source))
+    state.metrics.add("memory_releases_total", effect=effect.value)
+    log.bind(id=left.attempt, server=left.source.id, effect=effect.value).info(
+        "memory freed"
+    )
+
+
+def _acquire_order(state: GatewayState) -> Acquire:
+    return partial(state.pushback.acquire, is_essential=True)
+
+
 async def _order_stop(
-    state: GatewayState, job: Job, server: ServerRecord, target: ServerRecord
+    state: GatewayState, attempt: AttemptKey, order: StopOrder, acquire: Acquire
 ) -> StopReply:
+    server, target = order.source, order.target
     now = trio.current_time()
-    if state.pushback.acquire(server.id, now, is_essential=True):
+    if acquire(server.id, now):
         reply = await stop_and_move(
             server.address,
-            job.request.id,
+            attempt,
             target.address,
-            partial(post_to_engine, state, server),
+            partial(call_engine, state, server),
             lambda status, headers: state.pushback.record_answer(
                 server.id, status, headers, is_current=False
             ),
@@ -96,7 +179,7 @@
         reply = StopReply(Effect.REFUSED, detail)
     state.metrics.add("stop_orders_total", effect=reply.effect.value)
     log.bind(
-        id=job.request.id,
+        id=attempt,
         server=server.id,
         target=target.id,
         server_version=server.version[:MAX_NAME_LENGTH],
--- a/dewridge/gateway/pushback.py
+++ b/dewridge/gateway/pushback.py
@@ -234,6 +234,15 @@
             pacer.record_sent(now)
         return True
 
+    def acquire_control(self, server: BackendServerId, now: float) -> bool:
+        """Return whether a call about a run that has ended may be made, and count it.
+
+        It is no request, so a leaving server may get it as long as it runs. A rest has
+        room for few of them.
+        """
+        known = self._by_server.get(server)
+        return known is None or known.rest.acquire(now, is_essential=True)
+
     def acquire_relayed(
         self, server: BackendServerId, now: float, *, is_essential: bool = False
     ) -> bool:
--- a/dewridge/gateway/reach/control.py
+++ b/dewridge/gateway/reach/control.py
@@ -19,16 +19,22 @@
 """Bytes of an engine's answer to a control call, which takes some hundred."""
 
 
-async def post_to_engine(
-    state: GatewayState, server: ServerRecord, path: str, body: bytes, timeout: float
+async def call_engine(
+    state: GatewayState,
+    server: ServerRecord,
+    method: str,
+    path: str,
+    body: bytes,
+    timeout: float,
 ) -> Response | CallFailure:
-    """Make one control call with a JSON body.
+    """Make one control call.
 
     Args:
         state: the state of this host.
         server: the engine.
+        method: HTTP method.
         path: path of the call.
-        body: JSON body.
+        body: JSON body; empty for none.
         timeout: seconds for the call.
     """
     if state.links.find_path(server.service) is ServerPath.DIRECT:
@@ -40,16 +46,16 @@
         )
         response: Response | CallFailure = CallFailure.LOST
         with trio.move_on_after(timeout):
-            response = await client.call("POST", path, body=body)
+            response = await client.call(method, path, body=body)
         client.close_idle()
         return response
     with trio.move_on_after(timeout):
-        return await _post_by_relay(state, server, path, body)
+        return await _call_by_relay(state, server, method, path, body)
     return CallFailure.LOST
 
 
-async def _post_by_relay(
-    state: GatewayState, server: ServerRecord, path: str, body: bytes
+async def _call_by_relay(
+    state: GatewayState, server: ServerRecord, method: str, path: str, body: bytes
 ) -> Response | CallFailure:
     peer = state.links.choose_relay(
         server.service, set(), state.failure_domain, state.count_domain_hosts()
@@ -64,7 +70,9 @@
         (b"content-type", b"application/json"),
         (b"content-length", str(len(body)).encode()),
     ]
-    call = RelayedCall(RelayCall.CONTROL, server, b"POST", path.encode(), headers, body)
+    call = RelayedCall(
+        RelayCall.CONTROL, server, method.encode(), path.encode(), headers, body
+    )
     try:
         head = await call_by_relay(connection, state.host, peer, call)
         if isinstance(head, RelayFailure):
--- a/dewridge/gateway/reach/relay.py
+++ b/dewridge/gateway/reach/relay.py
@@ -116,6 +116,7 @@
         server = self._state.servers.find(order.servers[0])
         ends_by = request.deadline
         if order.call is RelayCall.CONTROL:
+            server = self._find_record(order.servers[0])
             ends_by = trio.current_time() + MAX_CONTROL_TIME
         unusable = self._find_obstacle(
             server, ends_by, is_last_resort=order.is_last_resort
@@ -205,7 +206,7 @@
         self, request: ServerRequest, server: ServerRecord
     ) -> IncomingAnswer | LostAttempt:
         now = trio.current_time()
-        if not self._state.pushback.acquire_relayed(server.id, now, is_essential=True):
+        if not self._state.pushback.acquire_control(server.id, now):
             return LostAttempt(LossReason.WITHHELD)
         opened = await self._state.pool.open(server)
         if isinstance(opened, ConnectFailure):
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -15,6 +15,7 @@
 from dewridge.gateway.configuration import ConfigurationState
 from dewridge.gateway.contention.records import ContentionRecords
 from dewridge.gateway.documents.following import StoreRole
+from dewridge.gateway.endings.left import LeftMemories
 from dewridge.gateway.forwarding import AnswerBuffers
 from dewridge.gateway.hosts import HostEntry, HostTable
 from dewridge.gateway.ingress import IngressState
@@ -162,6 +163,7 @@
     work_in_flight: WorkInFlight = field(default_factory=WorkInFlight)
     answer_buffers: AnswerBuffers = field(default_factory=AnswerBuffers)
     streams: RunningStreams = field(default_factory=RunningStreams)
+    left_memories: LeftMemories = field(default_factory=LeftMemories)
     health: dict[BackendServerId, ServerHealth] = field(default_factory=dict)
     usage_counts: dict[int, dict[ClientAccount, int]] = field(
         default_factory=lambda: defaultdict(lambda: defaultdict(int))
--- a/dewridge/gateway/streams.py
+++ b/dewridge/gateway/streams.py
@@ -6,6 +6,7 @@
 import trio
 
 from dewridge.ids import BackendServerId
+from dewridge.policy.answerends import AnswerRecord
 
 MOVE_LEAD_TIME = 0.5
 """Seconds before a server stops at which its streams are moved. This covers two calls
@@ -28,6 +29,7 @@
         scope: scope in which its task waits for the next event.
         is_direct: whether its events arrive on a connection of this host.
         is_hanging: whether it moves because that connection brings no bytes any more.
+        record: what is known of all that could end its answer.
     """
 
     moves_at: float = float("inf")
@@ -35,6 +37,7 @@
     scope: trio.CancelScope | None = None
     is_direct: bool = True
     is_hanging: bool = False
+    record: AnswerRecord = field(default_factory=AnswerRecord)
 
     def schedule_move(self, stops_at: float) -> None:
         """Schedule the move, and have the waiting task wake up for it."""
@@ -43,6 +46,14 @@
         if self.scope is not None:
             self.scope.deadline = min(self.scope.deadline, self.moves_at)
 
+    def schedule_return(self, stops_at: float, now: float) -> None:
+        """Schedule the move of a stream that has been moved before.
+
+        It is back as no other server had room for it, which takes a moment to change.
+        """
+        self.schedule_move(stops_at)
+        self.moves_at = max(self.moves_at, now + MOVE_RETRY_DELAY)
+
     def move_hanging(self, now: float) -> None:
         """Move the stream now unless that was tried already."""
         if not self.is_direct or self.is_hanging:
--- a/dewridge/platform/engines.py
+++ b/dewridge/platform/engines.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Annotated
+from urllib.parse import quote
 
 import msgspec
 
@@ -15,6 +16,9 @@
 MOVE_TIMEOUT = 0.6
 """Seconds for a move: a leaving server is removed before a longer one completes."""
 MOVE_PATH = "/-/kv-move"
+FREE_PATH = "/-/kv-handle/"
+FREE_TIMEOUT = 0.6
+"""Seconds for a call that frees memory."""
 REPORT_PATH = b"/-/report"
 MAX_REPORTED_REQUESTS = 10_000
 """Requests above which a load report is not credible: hundreds of times the slots of
@@ -81,8 +85,8 @@
     )
 
 
-PostToEngine = Callable[[str, bytes, float], Awaitable[Response | CallFailure]]
-"""Makes a control call with a path, a JSON body and a timeout in seconds."""
+CallEngine = Callable[[str, str, bytes, float], Awaitable[Response | CallFailure]]
+"""Makes a control call with a method, a path, a JSON body and a timeout in seconds."""
 
 
 class _MoveReply(msgspec.Struct, frozen=True):
@@ -126,7 +130,7 @@
     source: str,
     attempt: AttemptKey,
     target: str,
-    post: PostToEngine,
+    call: CallEngine,
     on_answer: Callable[[int, Headers], None] = lambda status, headers: None,
 ) -> StopReply:
     """Stop a run and copy its KV cache to another engine.
@@ -137,11 +141,11 @@
         source: `a.b.c.d:port` of the engine that runs it.
         attempt: the caller's id of the attempt that is running.
         target: `a.b.c.d:port` of the engine that is to continue the run.
-        post: makes the call to the engine that runs it.
+        call: makes the call to the engine that runs it.
         on_answer: called with the status and headers of the source's answer.
     """
     body = msgspec.json.encode({"id": attempt, "target": target, "last": True})
-    response = await post(MOVE_PATH, body, MOVE_TIMEOUT)
+    response = await call("POST", MOVE_PATH, body, MOVE_TIMEOUT)
     if isinstance(response, CallFailure):
         is_sent = response is not CallFailure.NOT_SENT
         return StopReply(Effect.UNKNOWN if is_sent else Effect.REFUSED, response.value)
@@ -149,6 +153,20 @@
     return _decode_stop_reply(source, response)
 
 
+async def free_memory(memory: CacheCopy, call: CallEngine) -> Effect:
+    """Free the memory of a stopped run, at its engine and at the target.
+
+    Without the call, an engine keeps it for some time, in place of running requests.
+    """
+    path = FREE_PATH + quote(memory.handle, safe="")
+    response = await call("DELETE", path, b"", FREE_TIMEOUT)
+    if isinstance(response, CallFailure):
+        is_sent = response is not CallFailure.NOT_SENT
+        return Effect.UNKNOWN if is_sent else Effect.REFUSED
+    is_free = response.status < 300 or response.status == STATUS_NO_RUN
+    return Effect.DONE if is_free else Effect.UNKNOWN
+
+
 def _decode_stop_reply(source: str, response: Response) -> StopReply:
     detail = f"status {response.status}"
     if response.status == STATUS_NO_RUN:
--- a/dewridge/tests/gateway/world.py
+++ b/dewridge/tests/gateway/world.py
@@ -10,6 +10,7 @@
 
 from dewridge.gateway.clock import read_boot_clock
 from dewridge.gateway.configuration import ConfigurationState
+from dewridge.gateway.endings.releasing import release_memory
 from dewridge.gateway.hosts import HostTable
 from dewridge.gateway.ingress import IngressState, serve_connection
 from dewridge.gateway.model import (
@@ -435,6 +436,7 @@
     async with trio.open_nursery() as nursery:
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         nursery.start_soon(trio.serve_listeners, accept, listeners)
+        nursery.start_soon(release_memory, state)
         port = listeners[0].socket.getsockname()[1]
         yield World(state, nursery, f"127.0.0.1:{port}")
         nursery.cancel_scope.cancel()
