--- a/dewridge/gateway/endings/left.py
+++ b/dewridge/gateway/endings/left.py
@@ -5,7 +5,7 @@
 import trio
 
 from dewridge.gateway.jobs import Job, StopOrder
-from dewridge.gateway.model import AttemptKey, ServerRecord
+from dewridge.gateway.model import AttemptKey
 from dewridge.platform.engines import CacheCopy
 
 MAX_LEFT = 256
@@ -18,15 +18,13 @@
 
     Attributes:
         attempt: the caller's id of the attempt that ran.
-        source: the server that ran it.
+        order: the order to stop it.
         memory: the memory; None if it is unknown whether the run was stopped.
-        order: the order whose outcome is unknown; None if the memory is known.
     """
 
     attempt: AttemptKey
-    source: ServerRecord
+    order: StopOrder
     memory: CacheCopy | None = None
-    order: StopOrder | None = None
 
 
 class LeftMemories:
@@ -44,12 +42,9 @@
         """Add what an ended job left behind."""
         attempt = job.request.id
         held = [
-            LeftMemory(attempt, each.source, each.memory) for each in job.held_memory
-        ]
-        unknown = [
-            LeftMemory(attempt, order.source, order=order)
-            for order in job.unknown_orders
+            LeftMemory(attempt, each.order, each.memory) for each in job.held_memory
         ]
+        unknown = [LeftMemory(attempt, order) for order in job.unknown_orders]
         for left in [*held, *unknown]:
             try:
                 self._send.send_nowait(left)
--- a/dewridge/gateway/jobs.py
+++ b/dewridge/gateway/jobs.py
@@ -43,7 +43,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StopOrder:
-    """An order to stop a run whose outcome is unknown.
+    """An order to stop a run and to copy its memory.
 
     Attributes:
         source: the server that runs it.
@@ -59,11 +59,11 @@
     """Memory of a stopped run that no run has used yet.
 
     Attributes:
-        source: the server that ran it.
+        order: the order that stopped the run.
         memory: the memory.
     """
 
-    source: ServerRecord
+    order: StopOrder
     memory: CacheCopy
 
 
--- a/dewridge/gateway/moves.py
+++ b/dewridge/gateway/moves.py
@@ -44,7 +44,7 @@
     processed again. The connection of the stopped stream closes without an end marker;
     events still in transit are forwarded first.
     """
-    order = job.find_order(server.id) or _make_order(state, job, server)
+    order = _find_order(state, job, server) or _make_order(state, job, server)
     if order is None:
         stream.moves_at = float("inf")
         return
@@ -56,6 +56,17 @@
     stream.await_remaining_events(trio.current_time())
 
 
+def _find_order(
+    state: GatewayState, job: Job, server: ServerRecord
+) -> StopOrder | None:
+    """Return an earlier order without a reply, to a target that still serves."""
+    order = job.find_order(server.id)
+    if order is None or state.servers.find(order.target.id) is not None:
+        return order
+    target = choose_move_target(state, server, trio.current_time())
+    return order if target is None else StopOrder(server, target)
+
+
 def _make_order(
     state: GatewayState, job: Job, server: ServerRecord
 ) -> StopOrder | None:
@@ -104,7 +115,7 @@
 def _continue_elsewhere(job: Job, order: StopOrder, memory: CacheCopy) -> None:
     """Have a stopped stream go on from its memory."""
     job.was_moved = True
-    job.held_memory.append(HeldMemory(order.source, memory))
+    job.held_memory.append(HeldMemory(order, memory))
     at_source = Continuation(order.source, memory)
     if memory.is_at_target:
         # If the target has no room, the source keeps the memory and continues itself.
@@ -139,22 +150,31 @@
 
 
 async def free_left_memory(state: GatewayState, left: LeftMemory) -> None:
-    """Have an engine free the memory of a run that will not go on."""
+    """Have engines free the memory of a run that will not go on."""
     memory = left.memory
-    if memory is None and left.order is not None:
+    if memory is None:
         acquire = state.pushback.acquire_control
-        reply = await _order_stop(state, left.attempt, left.order, acquire)
-        memory = reply.memory
-    now = trio.current_time()
-    if memory is None or not state.pushback.acquire_control(left.source.id, now):
+        memory = (await _order_stop(state, left.attempt, left.order, acquire)).memory
+    if memory is None:
         return
-    effect = await free_memory(memory, partial(call_engine, state, left.source))
+    effect = await _free_memory(state, left.order.source, memory)
+    if effect is not Effect.DONE and memory.is_at_target:
+        # The source frees both copies; without it, the target can free its own.
+        effect = await _free_memory(state, left.order.target, memory)
     state.metrics.add("memory_releases_total", effect=effect.value)
-    log.bind(id=left.attempt, server=left.source.id, effect=effect.value).info(
+    log.bind(id=left.attempt, server=left.order.source.id, effect=effect.value).info(
         "memory freed"
     )
 
 
+async def _free_memory(
+    state: GatewayState, server: ServerRecord, memory: CacheCopy
+) -> Effect:
+    if not state.pushback.acquire_control(server.id, trio.current_time()):
+        return Effect.REFUSED
+    return await free_memory(memory, partial(call_engine, state, server))
+
+
 def _acquire_order(state: GatewayState) -> Acquire:
     return partial(state.pushback.acquire, is_essential=True)
 
--- a/dewridge/gateway/reach/relay.py
+++ b/dewridge/gateway/reach/relay.py
@@ -95,7 +95,11 @@
         async def probe(index: int, server: BackendServerId) -> None:
             record = self._find_record(server)
             now = trio.current_time()
-            if record is not None and not self._find_obstacle(record, ends_by=now):
+            # A probe by which a peer judges an answer is no request to be relayed.
+            obstacle = self._find_obstacle(
+                record, ends_by=now, ignores_load=order.is_fresh
+            )
+            if record is not None and not obstacle:
                 connect = partial(self._state.pool.probe, record)
                 results[index] = await self._probes.probe(server, connect, max_age)
 
@@ -141,6 +145,7 @@
         ends_by: float,
         *,
         is_last_resort: bool = False,
+        ignores_load: bool = False,
     ) -> str:
         """Return why this host can't relay a call; empty if it can.
 
@@ -154,7 +159,7 @@
         stream_seconds = 0.0 if is_last_resort else None
         if schedule is not None and not schedule.accepts(now, ends_by, stream_seconds):
             return LEAVING
-        if self.in_flight >= MAX_RELAYED:
+        if self.in_flight >= MAX_RELAYED and not ignores_load:
             return "full"
         path = self._state.links.find_path(server.service)
         return "" if path is ServerPath.DIRECT else "partitioned too"
--- a/dewridge/tests/gateway/rest_tests.py
+++ b/dewridge/tests/gateway/rest_tests.py
@@ -97,6 +97,9 @@
             is_stopped.set()
             await exchange.answer(b'{"handle":"h-1"}')
             return
+        if exchange.target == b"/-/kv-handle/h-1":
+            await exchange.answer(b"{}")
+            return
         memory = exchange.headers.get(b"kv-from", b"")
         runs.append(memory)
         if memory:
--- a/dewridge/tests/platform/engines_tests.py
+++ b/dewridge/tests/platform/engines_tests.py
@@ -1,4 +1,4 @@
-"""Tests of decoding the load reports of engines."""
+"""Tests of the control calls to engines: load reports, orders to stop and move runs."""
 
 import json
 from typing import Any
@@ -7,7 +7,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from dewridge.platform.engines import decode_report
+from dewridge.effects import Effect
+from dewridge.gateway.model import AttemptKey
+from dewridge.http1.calls import CallFailure, Response
+from dewridge.platform.engines import (
+    CacheCopy,
+    StopReply,
+    decode_report,
+    free_memory,
+    stop_and_move,
+)
 
 
 def make_report(**changes: Any) -> bytes:
@@ -86,3 +95,102 @@
 @given(st.binary(max_size=60) | st.text(max_size=60).map(str.encode))
 def test_no_input_raises(body: bytes) -> None:
     decode_report(body)
+
+
+async def order_stop(result: Response | CallFailure) -> StopReply:
+    """Return what is known of an order after a response or a failed call."""
+
+    async def call(
+        method: str, path: str, body: bytes, timeout: float
+    ) -> Response | CallFailure:
+        assert (method, path) == ("POST", "/-/kv-move")
+        assert json.loads(body) == {"id": "r-1", "target": "t:1", "last": True}
+        return result
+
+    return await stop_and_move("s:1", AttemptKey("r-1"), "t:1", call)
+
+
+@pytest.mark.parametrize(
+    "result",
+    [
+        CallFailure.LOST,
+        CallFailure.TOO_LARGE,
+        Response(200, b""),
+        Response(200, b"{"),
+        Response(200, b"\xff"),
+        Response(200, b"[]"),
+        Response(200, b'{"handle":{}}'),
+        Response(200, b'{"handle":""}'),
+        Response(202, b'{"handle":"h"}'),
+        Response(400, b""),
+        Response(409, b"{}"),
+        Response(429, b""),
+        Response(500, b'{"handle":"h"}'),
+        Response(502, b""),
+        Response(503, b""),
+        Response(503, b"{}"),
+        Response(504, b""),
+    ],
+)
+async def test_an_order_without_a_usable_reply_may_have_been_carried_out(
+    result: Response | CallFailure,
+) -> None:
+    """Guards against a run that counts as running although it was stopped."""
+    reply = await order_stop(result)
+    assert reply.effect is Effect.UNKNOWN
+    assert reply.memory is None
+    assert not reply.has_no_run
+
+
+@pytest.mark.parametrize(
+    ("result", "has_no_run"),
+    [
+        (CallFailure.NOT_SENT, False),
+        (Response(404, b"{}"), True),
+        (Response(421, b""), False),
+        (Response(503, b"", [(b"x-not-executed", b"1")]), False),
+        (Response(429, b"", [(b"x-not-executed", b"1")]), False),
+    ],
+)
+async def test_a_refused_order_has_stopped_nothing(
+    result: Response | CallFailure, has_no_run: bool
+) -> None:
+    """Guards against a whole answer that is lost as its server refused an order."""
+    reply = await order_stop(result)
+    assert (reply.effect, reply.has_no_run) == (Effect.REFUSED, has_no_run)
+
+
+@pytest.mark.parametrize(("status", "is_at_target"), [(200, True), (503, False)])
+async def test_a_stopped_run_has_its_memory_at_the_target_or_the_source(
+    status: int, is_at_target: bool
+) -> None:
+    reply = await order_stop(Response(status, b'{"handle":7,"created":3}'))
+    assert reply.effect is Effect.DONE
+    assert reply.memory == CacheCopy("s:1", "7", is_at_target)
+
+
+@pytest.mark.parametrize(
+    ("result", "effect"),
+    [
+        (Response(200, b""), Effect.DONE),
+        (Response(404, b""), Effect.DONE),
+        (Response(500, b""), Effect.UNKNOWN),
+        (CallFailure.LOST, Effect.UNKNOWN),
+        (CallFailure.NOT_SENT, Effect.REFUSED),
+    ],
+)
+async def test_memory_is_freed_by_its_handle(
+    result: Response | CallFailure, effect: Effect
+) -> None:
+    """Guards against a handle that leads to another path of the engine."""
+    paths = []
+
+    async def call(
+        method: str, path: str, body: bytes, timeout: float
+    ) -> Response | CallFailure:
+        paths.append((method, path, body))
+        return result
+
+    memory = CacheCopy("s:1", "a/../b ?", is_at_target=True)
+    assert await free_memory(memory, call) is effect
+    assert paths == [("DELETE", "/-/kv-handle/a%2F..%2Fb%20%3F", b"")]
