Test ends of answers whose server does not respond

Two cases of test_an_answer_is_not_whole_while_its_server_does_not_respond fail on: a part of a stream and of a plain answer looked whole although no probe of the server was answered. A server that responds to the second probe, and one that is probed by a relay under load, still answer in whole.

--- a/dewridge/tests/gateway/unframed_tests.py
+++ b/dewridge/tests/gateway/unframed_tests.py
@@ -4,6 +4,7 @@
 import trio
 
 from dewridge.gateway.model import ServerRecord
+from dewridge.gateway.reach import relay
 from dewridge.ids import ServiceName
 from dewridge.policy.losses import ConnectResult
 from dewridge.tests.gateway.partition_tests import open_linked_fleet, partition
@@ -428,3 +429,61 @@
         world.state.pool.probe = observe  # type: ignore[method-assign]
         result = await world.request("/write/a", method="POST")
     assert (result.status, usable) == (200, [True])
+
+
+@pytest.mark.parametrize(
+    ("path", "service"), [("/draft/a", ENGINE), ("/write/a", PLAIN)]
+)
+@pytest.mark.parametrize("silent_probes", [1, 1000])
+async def test_an_answer_is_not_whole_while_its_server_does_not_respond(
+    path: str, service: ServiceName, silent_probes: int
+) -> None:
+    """Guards against a part that looks whole as its server may have ended."""
+    probes: list[ConnectResult] = []
+
+    async def answer(exchange: ServerExchange) -> None:
+        await begin_unframed(exchange)
+        await exchange.send(make_event(1))
+        await close(exchange)
+
+    async with open_world() as world:
+        await world.add_server("s-1", answer, service)
+
+        async def probe(server: ServerRecord) -> ConnectResult:
+            is_silent = len(probes) < silent_probes
+            probes.append(ConnectResult.SILENT if is_silent else ConnectResult.ACCEPTED)
+            return probes[-1]
+
+        world.state.pool.probe = probe  # type: ignore[method-assign]
+        result = await world.request(path, method="POST")
+    is_whole = result.status == 200 and result.is_complete
+    assert is_whole is (silent_probes == 1)
+
+
+async def test_a_relay_under_load_probes_the_server_of_an_ended_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against whole answers that count as cut as their relay is busy."""
+    has_begun = trio.Event()
+
+    async def answer(exchange: ServerExchange) -> None:
+        await begin_unframed(exchange)
+        await exchange.send(make_event(1))
+        has_begun.set()
+        await trio.sleep(0.1)
+        await close(exchange)
+
+    async with open_linked_fleet(2) as linked:
+        await linked.add_server("s-1", answer)
+        partition(linked, [0])
+        results: list[CallerAnswer] = []
+
+        async def ask() -> None:
+            world = linked.fleet.worlds[0]
+            results.append(await world.request("/write/a", method="POST"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await has_begun.wait()
+            monkeypatch.setattr(relay, "MAX_RELAYED", 0)
+    assert (results[0].status, results[0].body) == (200, make_event(1))
