Expect an order without a reply to be carried out late

A caller could get a part of a stream as complete, or a stream that breaks off: an order to stop a run had no reply, its repetition was carried out, the target was full and the stream went on at its source; then the first order arrived there and stopped the new run, whose end had nothing to do with any order that this host knew to be open.

A later run at a server that left an order without a reply begins with an order of unknown effect, so that its end is asked for like that of the first.

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -5,6 +5,7 @@
 import trio
 
 from dewridge.codes import ResultCode
+from dewridge.effects import Effect
 from dewridge.gateway.contention.admitting import AdmissionControl, record_answer_end
 from dewridge.gateway.endings.judging import EndJudge
 from dewridge.gateway.events import EventSplitter, EventTooLongError
@@ -326,6 +327,8 @@
         stream = self._open_stream(job, server, is_direct=answer.relay is None)
         record = stream.record
         record.is_close_delimited = answer.is_unframed
+        if job.expect_late_order(server.id):
+            record.stop = Effect.UNKNOWN
         lost: LostAttempt | None = None
         try:
             lost = await self._forward_stream(
--- a/dewridge/gateway/jobs.py
+++ b/dewridge/gateway/jobs.py
@@ -116,6 +116,8 @@
         continuation: where and from which memory a stopped run continues.
         fallback: where it continues if the server of `continuation` rejects it.
         unknown_orders: orders to stop its runs whose outcome is unknown.
+        unanswered_orders: all orders that had no usable reply, by the server that got
+            them. They may be carried out late, on a later run at that server.
         held_memory: memory of stopped runs that no run has used yet.
         withheld_servers: servers that asked for fewer requests when it was refused.
         was_moved: whether it was stopped and moved; it is never started anew then.
@@ -158,6 +160,7 @@
     continuation: "Continuation | None" = None
     fallback: "Continuation | None" = None
     unknown_orders: list[StopOrder] = field(default_factory=list)
+    unanswered_orders: dict[BackendServerId, StopOrder] = field(default_factory=dict)
     held_memory: list[HeldMemory] = field(default_factory=list)
     withheld_servers: list[BackendServerId] = field(default_factory=list)
     was_moved: bool = False
@@ -178,6 +181,15 @@
         orders = (each for each in self.unknown_orders if each.source.id == server)
         return next(orders, None)
 
+    def expect_late_order(self, server: BackendServerId) -> bool:
+        """Return whether an earlier order may stop a run that begins at a server."""
+        order = self.unanswered_orders.get(server)
+        if order is None:
+            return False
+        if self.find_order(server) is None:
+            self.unknown_orders.append(order)
+        return True
+
     def record_memory_used(self, memory: CacheCopy) -> None:
         """Record that a run goes on from the memory of a stopped one."""
         self.held_memory = [each for each in self.held_memory if each.memory != memory]
--- a/dewridge/gateway/moves.py
+++ b/dewridge/gateway/moves.py
@@ -104,6 +104,8 @@
     acquire = state.pushback.acquire_control if has_ended else _acquire_order(state)
     reply = await _order_stop(state, job.request.id, order, acquire)
     record.record_order(reply.effect)
+    if reply.effect is Effect.UNKNOWN:
+        job.unanswered_orders[order.source.id] = order
     if record.stop is not Effect.UNKNOWN:
         job.drop_orders(order.source.id)
     if reply.memory is not None:
--- a/dewridge/tests/gateway/stoporders_tests.py
+++ b/dewridge/tests/gateway/stoporders_tests.py
@@ -126,6 +126,20 @@
     assert [run.first for run in scenario.source.runs if not run.memory] == [1]
 
 
+@any_framing
+async def test_an_order_that_is_carried_out_late_makes_no_part_whole(
+    framing: Framing,
+) -> None:
+    """Guards against an order that stops the run which goes on after it."""
+    async with open_world(retry_slack=100) as world:
+        replies = [Reply.DELAYED, Reply.TARGET_FULL, Reply.REJECTED, Reply.MOVED]
+        scenario = StopScenario(world, framing, replies)
+        answer = await scenario.run("/draft/a")
+    assert is_whole(answer)
+    assert len(scenario.source.runs) == 2
+    assert len(scenario.target.runs) == 1
+
+
 async def test_a_stream_that_returned_is_not_moved_again_at_once() -> None:
     """Guards against a stream that is stopped for each event it makes."""
     async with open_world(retry_slack=100) as world:
--- a/dewridge/tests/gateway/stoppableengines.py
+++ b/dewridge/tests/gateway/stoppableengines.py
@@ -26,6 +26,9 @@
 EVENT_SECONDS = 0.05
 LATE_SECONDS = 0.9
 """Seconds until a late reply, for which no gateway waits."""
+DELAYED_SECONDS = 0.3
+"""Seconds until a delayed order is carried out: after its repetition, which has a
+reply."""
 MOVE_TARGET = b"/-/kv-move"
 HANDLE_TARGET = b"/-/kv-handle/"
 
@@ -55,6 +58,10 @@
     """The connection of the order is reset before the engine has read it."""
     FINISHES = "finishes"
     """The run ends by itself as the order comes; the reply to the order is lost."""
+    DELAYED = "delayed"
+    """The reply is lost; the run that the engine has later is stopped then."""
+    REJECTED = "rejected"
+    """The engine says that it has not carried the order out."""
     IN_PROGRESS = "in progress"
     """The reply says that an earlier order is being carried out."""
 
@@ -145,8 +152,14 @@
             return
         if reply is Reply.FINISHES:
             run.finish.set()
-        if reply in {Reply.NOT_REACHED, Reply.FINISHES}:
+        if reply in {Reply.NOT_REACHED, Reply.FINISHES, Reply.DELAYED}:
             exchange.reset()
+            if reply is Reply.DELAYED:
+                await trio.sleep(DELAYED_SECONDS)
+                self.runs[-1].stop.set()
+            return
+        if reply is Reply.REJECTED:
+            await exchange.answer(b"", 503, b"X-Not-Executed: 1\r\n")
             return
         run.stop.set()
         while not run.is_stopped:  # noqa: ASYNC110
