Count the run that goes on after a late order against the retry budget

An order that was carried out late made a stream go on once more than retries were used for it: 1 retry for 2 further runs in test_an_order_that_is_carried_out_late_makes_no_part_whole, whose new check failed before. The second run now uses a retry of its own, which may overdraw the budget like that of a stream that returns. Without one the stream is cut and its memory is freed; test_a_stream_is_not_complete_if_a_late_order_leaves_it_no_retry covers it.

--- a/dewridge/gateway/jobs.py
+++ b/dewridge/gateway/jobs.py
@@ -1,6 +1,6 @@
 """State of one request over its attempts at servers."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import cached_property
 from hashlib import blake2b
 
@@ -48,10 +48,12 @@
     Attributes:
         source: the server that runs it.
         target: the server to which its memory is copied.
+        has_retry: whether a retry was used for the run that goes on from the memory.
     """
 
     source: ServerRecord
     target: ServerRecord
+    has_retry: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -187,7 +189,7 @@
         if order is None:
             return False
         if self.find_order(server) is None:
-            self.unknown_orders.append(order)
+            self.unknown_orders.append(replace(order, has_retry=False))
         return True
 
     def record_memory_used(self, memory: CacheCopy) -> None:
--- a/dewridge/gateway/moves.py
+++ b/dewridge/gateway/moves.py
@@ -109,15 +109,18 @@
     if record.stop is not Effect.UNKNOWN:
         job.drop_orders(order.source.id)
     if reply.memory is not None:
-        _continue_elsewhere(job, order, reply.memory)
-        state.metrics.add("streams_moved_total")
+        job.was_moved = True
+        job.held_memory.append(HeldMemory(order, reply.memory))
+        if order.has_retry or _acquire_last_retry(state, job):
+            _continue_elsewhere(job, order, reply.memory)
+            state.metrics.add("streams_moved_total")
+        else:
+            record.record_stopped_for_good()
     return reply
 
 
 def _continue_elsewhere(job: Job, order: StopOrder, memory: CacheCopy) -> None:
     """Have a stopped stream go on from its memory."""
-    job.was_moved = True
-    job.held_memory.append(HeldMemory(order, memory))
     at_source = Continuation(order.source, memory)
     if memory.is_at_target:
         # If the target has no room, the source keeps the memory and continues itself.
@@ -145,6 +148,11 @@
     if lost.loss not in ARRIVED_REASONS:
         # The retry of the move is left, since the stream never reached the target.
         return True
+    return _acquire_last_retry(state, job)
+
+
+def _acquire_last_retry(state: GatewayState, job: Job) -> bool:
+    """Use a retry without which a stream would be lost; it may overdraw the budget."""
     now = trio.current_time()
     return state.retries.acquire(
         job.service, RetryCause.RETURNED, now, -MAX_RETURN_OVERDRAFT
--- a/dewridge/policy/answerends.py
+++ b/dewridge/policy/answerends.py
@@ -52,6 +52,11 @@
         if effect is not Effect.REFUSED:
             self.stop = effect
 
+    def record_stopped_for_good(self) -> None:
+        """Record that the run was stopped and may not go on anywhere."""
+        self.stop = Effect.REFUSED
+        self.fault = self.fault or "stopped without a retry"
+
     def record_run_ended(self) -> None:
         """Record that the source has no such run after the end of the answer."""
         self.stop = Effect.REFUSED
--- a/dewridge/tests/gateway/stoporders_tests.py
+++ b/dewridge/tests/gateway/stoporders_tests.py
@@ -4,6 +4,8 @@
 import trio
 
 from dewridge.gateway import streams
+from dewridge.gateway.limits.retries import RetryCause
+from dewridge.gateway.moves import MAX_RETURN_OVERDRAFT
 from dewridge.tests.gateway.partition_tests import open_linked_fleet, partition
 from dewridge.tests.gateway.stoppableengines import (
     STOPPING_FAULTS,
@@ -12,7 +14,7 @@
     StopScenario,
     join_events,
 )
-from dewridge.tests.gateway.world import CallerAnswer, make_request, open_world
+from dewridge.tests.gateway.world import ENGINE, CallerAnswer, make_request, open_world
 
 ROUTES = ["/draft/a", "/chat/a"]
 """A route whose streams may run once, and one whose streams may be resumed."""
@@ -135,9 +137,39 @@
         replies = [Reply.DELAYED, Reply.TARGET_FULL, Reply.REJECTED, Reply.MOVED]
         scenario = StopScenario(world, framing, replies)
         answer = await scenario.run("/draft/a")
+        budgets = world.state.retries.describe(trio.current_time())
     assert is_whole(answer)
     assert len(scenario.source.runs) == 2
     assert len(scenario.target.runs) == 1
+    assert budgets["engine"]["retries"] == 2
+
+
+@any_framing
+async def test_a_stream_is_not_complete_if_a_late_order_leaves_it_no_retry(
+    framing: Framing,
+) -> None:
+    """Guards against a stopped stream that runs anew, or looks whole."""
+    async with open_world(retry_slack=10) as world:
+        replies = [Reply.DELAYED, Reply.TARGET_FULL, Reply.REJECTED, Reply.MOVED]
+        scenario = StopScenario(world, framing, replies)
+
+        async def use_up_retries() -> None:
+            await scenario.wait_for_run()
+            while not scenario.source.orders:  # noqa: ASYNC110
+                await trio.sleep(0.005)
+            now = trio.current_time()
+            cause, overdraft = RetryCause.RETURNED, -MAX_RETURN_OVERDRAFT
+            while world.state.retries.acquire(ENGINE, cause, now, overdraft):
+                pass
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(use_up_retries)
+            answer = await scenario.run("/draft/a")
+        assert not answer.is_complete
+        await wait_for_release(scenario)
+    runs = [run for engine in scenario.engines for run in engine.runs]
+    assert [run.first for run in runs if not run.memory] == [1]
+    assert len(runs) == 2
 
 
 async def test_a_stream_that_returned_is_not_moved_again_at_once() -> None:
