Take a handle that no header can carry for an unreadable reply

A faulty engine could name a handle with line breaks, other characters than ASCII, or of any length. It went into a header of the next request, whose connection then ended with an error of the HTTP library, and its caller got a cut answer.

--- a/dewridge/platform/engines.py
+++ b/dewridge/platform/engines.py
@@ -1,5 +1,6 @@
 """Control calls to model engines: load reports, and moving a running stream."""
 
+import re
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Annotated
@@ -23,6 +24,8 @@
 MAX_REPORTED_REQUESTS = 10_000
 """Requests above which a load report is not credible: hundreds of times the slots of
 any engine."""
+HANDLE_PATTERN = re.compile(r"[!-~]{1,200}")
+"""Handles that a header can carry: visible ASCII characters."""
 STATUS_MOVED = 200
 STATUS_NO_RUN = 404
 STATUS_MISDIRECTED = 421
@@ -180,8 +183,9 @@
         moved = msgspec.json.decode(response.body, type=_MoveReply)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return StopReply(Effect.UNKNOWN, f"{detail}, malformed: {error}")
-    if moved.handle == "":
-        return StopReply(Effect.UNKNOWN, f"{detail} without a handle")
+    handle = str(moved.handle)
+    if not HANDLE_PATTERN.fullmatch(handle):
+        return StopReply(Effect.UNKNOWN, f"{detail} without a usable handle")
     is_at_target = response.status == STATUS_MOVED
-    memory = CacheCopy(source, str(moved.handle), is_at_target)
+    memory = CacheCopy(source, handle, is_at_target)
     return StopReply(Effect.DONE, "moved" if is_at_target else "target full", memory)
