Free the memory of ended streams before a leaving host ends

An engine kept the memory of a stopped stream, in place of running requests, until its own time limit if the gateway that was to free it left meanwhile.

Memory is freed by one call at a time, beside the requests. A leaving host ended once it had no requests for 0.6 s, whatever waited to be freed, and did not wait for a call that was under way.

test_a_leaving_host_frees_the_memory_of_ended_streams failed on: with three entries and an engine that takes 0.5 s for a call, two were sent.

A host that would end early stays until the memory is freed, at most until its planned exit. What streams leave behind that the exit itself cuts is still freed by the engines alone.

--- a/dewridge/gateway/endings/releasing.py
+++ b/dewridge/gateway/endings/releasing.py
@@ -18,4 +18,8 @@
 
 async def _release_in_turn(state: GatewayState) -> None:
     while True:
-        await free_left_memory(state, await state.left_memories.wait())
+        left = await state.left_memories.wait()
+        try:
+            await free_left_memory(state, left)
+        finally:
+            state.left_memories.finish()
