Test a leaving host that frees more memory than one round of calls

The test predates the concurrent calls that free memory, and named the memory by its server in place of its order, which the type checker refused. It now holds three rounds of calls, so that a host that ends after 0.6 s without requests still fails it.

--- a/dewridge/tests/gateway/leaving_tests.py
+++ b/dewridge/tests/gateway/leaving_tests.py
@@ -8,7 +8,8 @@
 import pytest
 import trio
 
-from dewridge.gateway.jobs import HeldMemory
+from dewridge.gateway.endings.releasing import CONCURRENT_RELEASES
+from dewridge.gateway.jobs import HeldMemory, StopOrder
 from dewridge.gateway.model import RouteKind
 from dewridge.gateway.shutdown.leaving import leave_fleet
 from dewridge.platform.engines import CacheCopy
@@ -314,8 +315,11 @@
         record = world.state.servers.find(server.id)
         assert record is not None
         held = [
-            HeldMemory(record, CacheCopy(record.address, f"m-{number}", False))
-            for number in range(3)
+            HeldMemory(
+                StopOrder(record, record),
+                CacheCopy(record.address, f"m-{number}", False),
+            )
+            for number in range(3 * CONCURRENT_RELEASES)
         ]
         job = SimpleNamespace(
             request=SimpleNamespace(id="r-1"), held_memory=held, unknown_orders=[]
@@ -325,6 +329,6 @@
         await leave(world)
         seconds = trio.current_time() - begin
         freed = world.state.metrics.read("memory_releases_total", effect="done")
-    assert [each.method for each in server.received] == [b"DELETE"] * 3
-    assert freed == 3
+    assert [each.method for each in server.received] == [b"DELETE"] * len(held)
+    assert freed == len(held)
     assert seconds < 4.0
