Record a signal only while the event loop runs

A SIGTERM after the end of the event loop would have raised an error in its handler and ended the process with a traceback, as the clock is the loop's. Read, not seen in a run. The call into the loop, which tells that it has ended, now comes first.

--- a/dewridge/gateway/shutdown/signals.py
+++ b/dewridge/gateway/shutdown/signals.py
@@ -33,9 +33,9 @@
 
     def handle(number: int, frame: FrameType | None) -> None:
         try:
+            token.run_sync_soon(apply, number)
             if number == signal.SIGTERM:
                 on_terminate()
-            token.run_sync_soon(apply, number)
         except trio.RunFinishedError:
             return
 
