Use the usual terms for announced memory and answered orders

Names and comments of this change only: told_at is announced_at, _ask_until_told is _ask_until_answered. No behaviour changes; endchecks_tests.py and engineruns_tests.py pass.

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -132,8 +132,8 @@
     def _check_time_to_exit(self, job: Job) -> Failure | None:
         """Refuse a job that no server has and that has waited while this host leaves.
 
-        A job that may have run gets another chance: its caller can't be told to send it
-        to another host.
+        A job that may have run gets another chance: its caller can't be asked to send
+        it to another host.
         """
         if job.may_have_run:
             return None
--- a/dewridge/gateway/endings/judging.py
+++ b/dewridge/gateway/endings/judging.py
@@ -67,13 +67,13 @@
         is_resumable = job.route.is_resumable
         seconds = RESUMABLE_ASK_SECONDS if is_resumable else ASK_SECONDS
         with trio.move_on_at(min(trio.current_time() + seconds, job.deadline)):
-            await self._ask_until_told(job, server, record)
+            await self._ask_until_answered(job, server, record)
         record.is_source_asked = record.stop is Effect.UNKNOWN
 
-    async def _ask_until_told(
+    async def _ask_until_answered(
         self, job: Job, server: ServerRecord, record: AnswerRecord
     ) -> None:
-        """Ask until the source tells, or its server has ended."""
+        """Ask until the source answers whether it did, or its server has ended."""
         order = job.find_order(server.id)
         delay = ASK_DELAY
         while order is not None:
--- a/dewridge/tests/gateway/leaving_tests.py
+++ b/dewridge/tests/gateway/leaving_tests.py
@@ -304,7 +304,7 @@
 
 
 async def test_a_leaving_host_frees_the_memory_of_ended_streams() -> None:
-    """Guards against engines that hold memory for a host that is gone."""
+    """Guards against engines that hold memory for a host that has left."""
 
     async def free_slowly(exchange: ServerExchange) -> None:
         await trio.sleep(0.5)
--- a/dewridge/tests/soak/endchecks.py
+++ b/dewridge/tests/soak/endchecks.py
@@ -106,7 +106,7 @@
         for handle, memory in history.memories.items()
         if handle not in used
         and memory.freed_at is None
-        and memory.told_at is not None
+        and memory.announced_at is not None
         and memory.source not in history.server_ended_at
         and _must_be_free(history, memory)
     ]
@@ -116,7 +116,7 @@
     request = history.requests.get(memory.id)
     if request is None or request.ended_at is None:
         return False
-    due_at = max(request.ended_at, memory.told_at or 0.0) + FREE_SECONDS
+    due_at = max(request.ended_at, memory.announced_at or 0.0) + FREE_SECONDS
     if due_at > history.end or _is_disturbed(history, request, due_at):
         return False
     has_signalled = any(
--- a/dewridge/tests/soak/endchecks_tests.py
+++ b/dewridge/tests/soak/endchecks_tests.py
@@ -59,7 +59,7 @@
         StopRecord(STREAM, "s-1", 11.1, "moved", is_usable=True),
     ]
     history.memories[HANDLE] = EngineMemory(
-        HANDLE, STREAM, "s-1", "s-2", 11.0, told_at=11.1
+        HANDLE, STREAM, "s-1", "s-2", 11.0, announced_at=11.1
     )
     history.continuations = [Continuation(HANDLE, STREAM, "s-2", 11.2, has_run=True)]
     history.runs.append(ServerRun(STREAM, "s-2", 11.2, 13.9, has_finished=True))
@@ -187,7 +187,7 @@
 
 
 def never_tell_handle(history: History) -> None:
-    history.memories[HANDLE].told_at = None
+    history.memories[HANDLE].announced_at = None
 
 
 def end_source(history: History) -> None:
--- a/dewridge/tests/soak/engineruns.py
+++ b/dewridge/tests/soak/engineruns.py
@@ -253,7 +253,7 @@
                 await exchange.answer(
                     handle, 503 if reply is Reply.TARGET_FULL else 200
                 )
-                memory.told_at = time.monotonic()
+                memory.announced_at = time.monotonic()
 
     def _record(self, request_id: str, reply: str, *, is_usable: bool) -> None:
         self.history.stop_records.append(
--- a/dewridge/tests/soak/records.py
+++ b/dewridge/tests/soak/records.py
@@ -180,7 +180,8 @@
         source: the engine that ran it.
         target: the engine that has a copy; empty if there is none.
         created_at: monotonic time in seconds.
-        told_at: when the source replied with the handle in time; None if it did not.
+        announced_at: when the source replied with the handle in time; None if it
+            did not.
         freed_at: when it was freed; None if it was not.
     """
 
@@ -189,7 +190,7 @@
     source: str
     target: str
     created_at: float
-    told_at: float | None = None
+    announced_at: float | None = None
     freed_at: float | None = None
 
 
