Let leaving relays probe servers for the end of an answer

An answer counts as cut while its server does not respond.

A relay now probes for a peer that judges an answer whether or not it leaves or is full, and a second relay is asked if one says nothing. Two of the four cases of test_a_whole_answer_outlasts_a_relay_that_can_not_probe failed before, those of leaving relays; the two of a relay that lost its own path passed.

The short soak run with stopped streams draws uploads as well, now that parts of their answers are not taken for whole.

--- a/dewridge/gateway/losses.py
+++ b/dewridge/gateway/losses.py
@@ -12,6 +12,7 @@
 from dewridge.gateway.reach.probes import ALL_RESULTS, SharedProbes
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.suspects import record_crash
+from dewridge.ids import HostId
 from dewridge.policy.losses import (
     INTERRUPTED_REASONS,
     ConnectResult,
@@ -31,6 +32,8 @@
 them."""
 MAX_END_PROBES = 3
 """Probes of a server that does not respond, or to which another path is found."""
+MAX_RELAYS_ASKED = 2
+"""Relays that are asked about one server. One may be leaving, or partitioned too."""
 FAILED_PROBES = frozenset(ConnectResult) - {ConnectResult.ACCEPTED}
 """Results that later losses may use: a server that accepted a connection may have
 crashed since."""
@@ -131,14 +134,23 @@
         return result
 
     async def _ask_relay(self, server: ServerRecord) -> ConnectResult:
+        """Return what a relay says of a server; ask another if it says nothing."""
         state = self._state
-        peer = state.links.choose_relay(
-            server.service, set(), state.failure_domain, state.count_domain_hosts()
-        )
-        if peer is None:
-            return ConnectResult.SILENT
-        results = await ask_peer(state.host, peer, [server], is_fresh=True)
-        return results[0] if results else ConnectResult.SILENT
+        excluded: set[HostId] = set()
+        for _ in range(MAX_RELAYS_ASKED):
+            peer = state.links.choose_relay(
+                server.service,
+                excluded,
+                state.failure_domain,
+                state.count_domain_hosts(),
+            )
+            if peer is None:
+                break
+            results = await ask_peer(state.host, peer, [server], is_fresh=True)
+            if results and results[0] is not ConnectResult.SILENT:
+                return results[0]
+            excluded.add(peer.id)
+        return ConnectResult.SILENT
 
     def _apply_verdict(
         self, job: Job, server: ServerRecord, lost: LostAttempt, verdict: ServerVerdict
--- a/dewridge/gateway/reach/relay.py
+++ b/dewridge/gateway/reach/relay.py
@@ -96,8 +96,10 @@
             record = self._find_record(server)
             now = trio.current_time()
             # A probe by which a peer judges an answer is no request to be relayed.
-            obstacle = self._find_obstacle(
-                record, ends_by=now, ignores_load=order.is_fresh
+            obstacle = (
+                self._find_path_obstacle(record)
+                if order.is_fresh
+                else self._find_obstacle(record, ends_by=now)
             )
             if record is not None and not obstacle:
                 connect = partial(self._state.pool.probe, record)
@@ -145,7 +147,6 @@
         ends_by: float,
         *,
         is_last_resort: bool = False,
-        ignores_load: bool = False,
     ) -> str:
         """Return why this host can't relay a call; empty if it can.
 
@@ -159,8 +160,14 @@
         stream_seconds = 0.0 if is_last_resort else None
         if schedule is not None and not schedule.accepts(now, ends_by, stream_seconds):
             return LEAVING
-        if self.in_flight >= MAX_RELAYED and not ignores_load:
+        if self.in_flight >= MAX_RELAYED:
             return "full"
+        return self._find_path_obstacle(server)
+
+    def _find_path_obstacle(self, server: ServerRecord | None) -> str:
+        """Return why this host does not reach a server itself; empty if it may."""
+        if server is None:
+            return "unknown server"
         path = self._state.links.find_path(server.service)
         return "" if path is ServerPath.DIRECT else "partitioned too"
 
--- a/dewridge/tests/gateway/unframed_tests.py
+++ b/dewridge/tests/gateway/unframed_tests.py
@@ -7,6 +7,7 @@
 from dewridge.gateway.reach import relay
 from dewridge.ids import ServiceName
 from dewridge.policy.losses import ConnectResult
+from dewridge.policy.shutdown import schedule_shutdown
 from dewridge.tests.gateway.partition_tests import open_linked_fleet, partition
 from dewridge.tests.gateway.partitions import NewConnections, OpenConnections
 from dewridge.tests.gateway.world import (
@@ -487,3 +488,39 @@
             await has_begun.wait()
             monkeypatch.setattr(relay, "MAX_RELAYED", 0)
     assert (results[0].status, results[0].body) == (200, make_event(1))
+
+
+@pytest.mark.parametrize("is_leaving", [False, True])
+@pytest.mark.parametrize("unusable", [1, 2])
+async def test_a_whole_answer_outlasts_a_relay_that_can_not_probe(
+    unusable: int, is_leaving: bool
+) -> None:
+    """Guards against whole answers that count as cut as their relay can't say more."""
+    has_begun = trio.Event()
+
+    async def answer(exchange: ServerExchange) -> None:
+        await begin_unframed(exchange)
+        await exchange.send(make_event(1))
+        has_begun.set()
+        await trio.sleep(0.2)
+        await close(exchange)
+
+    async with open_linked_fleet(3) as linked:
+        await linked.add_server("s-1", answer)
+        partition(linked, [0])
+        results: list[CallerAnswer] = []
+
+        async def ask() -> None:
+            world = linked.fleet.worlds[0]
+            results.append(await world.request("/write/a", method="POST"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await has_begun.wait()
+            if is_leaving:
+                now = trio.current_time()
+                for world in linked.fleet.worlds[1:]:
+                    world.state.shutdown = schedule_shutdown(now - 7.2, 8.0)
+            else:
+                linked.cut([unusable], NewConnections.SILENT, OpenConnections.LIVE)
+    assert (results[0].status, results[0].body) == (200, make_event(1))
--- a/dewridge/tests/soak/soak_tests.py
+++ b/dewridge/tests/soak/soak_tests.py
@@ -176,6 +176,7 @@
         seconds=MOVES_SECONDS,
         unframed=50,
         moves=2,
+        uploads=1,
         calm_seconds=MOVES_CALM_SECONDS,
     )
     result = await run_soak(MOVES_SEED, size, tmp_path)
