Keep the proxies of the tests from turning resets into ends

The cause is the one that was mended in the gateway: trio's send lets other tasks run between the system call that takes the reset and its exception, and the task that copies the other way reads an end. The proxies now use the product's send_all.

--- a/dewridge/tests/gateway/partitions.py
+++ b/dewridge/tests/gateway/partitions.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from dewridge.http1.sockets import send_all
 from dewridge.ids import BackendServerId, ServiceName
 from dewridge.tests.gateway.pushback import Fleet
 from dewridge.tests.gateway.world import PLAIN, Script, ScriptedServer, reset
@@ -132,7 +133,8 @@
             while data := await source.receive_some(CHUNK_BYTES):
                 if source in self._hung:
                     await trio.sleep_forever()
-                await sink.send_all(data)
+                # With trio's, the other task could pass on an end before its error.
+                await send_all(sink, data)
             if source in self._hung:
                 await trio.sleep_forever()
             await sink.send_eof()
--- a/dewridge/tests/soak/links.py
+++ b/dewridge/tests/soak/links.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from dewridge.http1.sockets import send_all
 from dewridge.tests.gateway.world import reset
 
 CHUNK_BYTES = 65_536
@@ -138,7 +139,8 @@
                 if not data:
                     await sink.send_eof()
                     return
-                await sink.send_all(data)
+                # With trio's, the other task could pass on an end before its error.
+                await send_all(sink, data)
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             reset(sink)
             reset(source)
