Take no reset that an upload met for the end of an answer

A server answered an upload of 0.9 or 3.9 MB at once with a 200 that has neither a length nor chunks, sent part of its body and reset the connection. Callers got the part as a whole answer.

Cause: the kernel reports a reset to one system call alone. Uploads are written by one task while another reads the answer. If the write meets the reset, its error is dropped, as a server may answer early, and the next read gets a plain end of input. That ends an answer without length and chunks. The server still accepts connections, so that the probe after the end shows nothing either.

The connection now remembers that a write failed, and an end of input after it is a broken connection. A broken pipe is excepted: the kernel reports it for a reset that arrives after the server's end, and then all of the answer has arrived before. A server that answers early, ends in order and reads no more of the upload is still answered for.

trio's `send` may let other tasks run between the system call and its exception, so that a read could still come first. `send_all` therefore writes the rest itself, and raises at once.

Answers with a length or chunks were not taken for whole before; with a reset that a write met, they counted as malformed in place of cut off.

--- a/dewridge/http1/client.py
+++ b/dewridge/http1/client.py
@@ -84,6 +84,7 @@
         self.idle_since = 0.0
         self.keep_alive_timeout: float | None = None
         self._is_body_sent = True
+        self._has_write_met_reset = False
         self._method = b""
         self.is_close_delimited = False
 
@@ -111,6 +112,7 @@
                 await send_all(self._stream, data)
                 await send_all(self._stream, body)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            self._has_write_met_reset = not _is_end_in_order(error.__cause__)
             raise ConnectionBrokenError("ended while sending") from error
         self._is_body_sent = True
 
@@ -166,6 +168,8 @@
                 data = await receive_some(self._stream, RECEIVE_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 raise ConnectionBrokenError("reset") from error
+            if not data and self._has_write_met_reset:
+                raise ConnectionBrokenError("reset while sending")
             try:
                 self._state.receive_data(data)
             except h11.RemoteProtocolError as error:
@@ -198,6 +202,17 @@
         self._stream.socket.close()
 
 
+def _is_end_in_order(error: BaseException | None) -> bool:
+    """Whether all that the server sent has arrived although a write failed.
+
+    The kernel reports a reset, or a time limit, to one system call alone. If that is a
+    write, the next read gets an end of input, like that of a connection which ended in
+    order. The error of the write tells the two apart: after the server's end was
+    received, a reset is reported as a broken pipe.
+    """
+    return isinstance(error, OSError) and error.errno == errno.EPIPE
+
+
 def parse_keep_alive_timeout(value: bytes | None) -> float | None:
     """Return the timeout of a `Keep-Alive` header in seconds; None without one."""
     if value is None:
--- a/dewridge/http1/sockets.py
+++ b/dewridge/http1/sockets.py
@@ -21,23 +21,28 @@
 async def send_all(stream: trio.SocketStream, data: bytes | memoryview) -> None:
     """Send data; not a checkpoint if the kernel accepts all of it at once.
 
+    No other task runs between a system call that reports the end of the connection and
+    the exception here. The kernel reports a reset only once: a task that read in
+    between would get an end of input, and not know of the reset. The `send` of trio's
+    own sockets lets other tasks run there.
+
     Raises:
-        trio.BrokenResourceError: the connection has ended.
+        trio.BrokenResourceError: the connection has ended; its cause is the `OSError`.
         trio.ClosedResourceError: the stream was closed on this side.
     """
-    if not data:
-        return
-    descriptor = stream.socket.fileno()
-    if descriptor < 0:
-        raise trio.ClosedResourceError("this socket was already closed")
-    try:
-        sent = os.write(descriptor, data)
-    except BlockingIOError:
-        sent = 0
-    except OSError as error:
-        raise trio.BrokenResourceError(f"socket connection broken: {error}") from error
-    if sent < len(data):
-        await stream.send_all(memoryview(data)[sent:])
+    rest = memoryview(data)
+    while rest:
+        descriptor = stream.socket.fileno()
+        if descriptor < 0:
+            raise trio.ClosedResourceError("this socket was already closed")
+        try:
+            rest = rest[os.write(descriptor, rest) :]
+        except BlockingIOError:
+            await trio.lowlevel.wait_writable(stream.socket)
+        except OSError as error:
+            raise trio.BrokenResourceError(
+                f"socket connection broken: {error}"
+            ) from error
 
 
 def enlarge_send_buffer(connection: trio.socket.SocketType, size: int) -> None:
