Take an answer with a status above 599 for malformed

A server answered with the status 600 or 999, and callers got it as it came; HTTP has 100 to 599 (RFC 9110, 15). 000 and 099 led to 502 before, as the parser refuses statuses below 100, but it takes any three digits from there on. Control calls took such an answer for a response too.

The client connection now reports them as a malformed answer. Callers get 502 or another server's answer, also by a relay, and a control call counts as lost. 200, 299 and 599 are passed on as before.

The own interface answers with codes of its own and took no status but 200 for a success; its eight new cases pass without a change.

--- a/dewridge/http1/client.py
+++ b/dewridge/http1/client.py
@@ -27,6 +27,10 @@
 """Size of a body up to which it is sent together with its head. A copy of a larger one
 would be held until the server has read it."""
 
+MAX_STATUS = 599
+"""Statuses from 600 on are invalid (RFC 9110, 15), and a caller's own client may refuse
+them. The parser takes any three digits from 100 on."""
+
 BODYLESS_STATUSES = frozenset({204, 304})
 """Statuses of responses that have no body, whatever their headers say."""
 
@@ -125,6 +129,9 @@
         for _ in range(MAX_INTERIM_HEADS + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    reason = f"malformed: status {event.status_code}"
+                    raise ConnectionBrokenError(reason, is_framing_fault=True)
                 return self._process_head(event)
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionBrokenError("ended before an answer")
