Limit the interim responses before an answer in the own interface

A server that sent interim responses (1xx) without end kept an attempt of the own interface open: 8 s in the test, at most until the request's deadline, and the attempt went to no other server. The HTTP library limits the bytes of each head, and the timeout counts from the last byte.

The connection now takes 262,144 bytes at most from the end of a request to the end of the response's head, and reports a protocol error then, which counts as a lost connection.

A call to the platform's services ended by its own time before; the case with interim responses has a shorter one in the test.

--- a/dewridge/fleet/transport.py
+++ b/dewridge/fleet/transport.py
@@ -8,6 +8,10 @@
 import httpx
 import trio
 
+MAX_HEAD_BYTES = 262_144
+"""Bytes up to the end of a response's head, interim responses included. The HTTP
+library limits each head, and not their number: they could go on without end."""
+
 
 class BatchingStream(httpcore.AsyncNetworkStream):
     """A connection with a minimum time between two reads.
@@ -18,24 +22,36 @@
 
     Attributes:
         batch_delay: seconds between two reads; a write resets it to 0.
+        awaits_head: whether a response's head has yet to arrive; a write sets it.
     """
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self._stream = stream
         self._read_at = 0.0
+        self._head_bytes = 0
         self.batch_delay = 0.0
+        self.awaits_head = False
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        """Read available data, once the batch delay since the last read has passed."""
+        """Read available data, once the batch delay since the last read has passed.
+
+        Raises:
+            httpcore.RemoteProtocolError: the head of a response has no end.
+        """
+        if self.awaits_head and self._head_bytes > MAX_HEAD_BYTES:
+            raise httpcore.RemoteProtocolError("the head has no end")
         if self.batch_delay:
             await trio.sleep_until(self._read_at + self.batch_delay)
         content = await self._stream.read(max_bytes, timeout)
         self._read_at = trio.current_time()
+        self._head_bytes += len(content)
         return content
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Write, and reset the batch delay so that the response is read at once."""
         self.batch_delay = 0.0
+        self.awaits_head = True
+        self._head_bytes = 0
         await self._stream.write(buffer, timeout)
 
     async def aclose(self) -> None:
@@ -103,6 +119,9 @@
                     extensions=request.extensions,
                 )
             )
+        stream = response.extensions.get("network_stream")
+        if isinstance(stream, BatchingStream):
+            stream.awaits_head = False
         return httpx.Response(
             status_code=response.status,
             headers=response.headers,
--- a/dewridge/tests/fleet/endless_tests.py
+++ b/dewridge/tests/fleet/endless_tests.py
@@ -68,7 +68,52 @@
         await stream.send_all(make_chunk(b": x\n\n" * 100))
 
 
-FLOODS = [flood_head, flood_chunks, flood_unframed, flood_events, flood_comments]
+async def flood_interim(stream: trio.SocketStream) -> None:
+    """Send interim responses without end."""
+    while True:
+        await stream.send_all(b"HTTP/1.1 103 Early Hints\r\n\r\n" * 1_000)
+
+
+async def flood_extension(stream: trio.SocketStream) -> None:
+    """Send the extension of a chunk without end."""
+    await stream.send_all(CHUNKED + b"5;")
+    while True:
+        await stream.send_all(PIECE)
+
+
+async def flood_trailers(stream: trio.SocketStream) -> None:
+    """Send trailer fields without end."""
+    await stream.send_all(CHUNKED + b"0\r\n")
+    while True:
+        await stream.send_all(b"X-Field: value\r\n" * 1_000)
+
+
+async def flood_length(stream: trio.SocketStream) -> None:
+    """Send a body with a length beyond all limits."""
+    await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % 10**15)
+    while True:
+        await stream.send_all(PIECE)
+
+
+async def flood_refusal(stream: trio.SocketStream) -> None:
+    """Send the body of a refusal without end."""
+    await stream.send_all(b"HTTP/1.1 503 x\r\nTransfer-Encoding: chunked\r\n\r\n")
+    while True:
+        await stream.send_all(make_chunk(PIECE))
+
+
+FLOODS = [
+    flood_head,
+    flood_interim,
+    flood_chunks,
+    flood_extension,
+    flood_trailers,
+    flood_length,
+    flood_unframed,
+    flood_events,
+    flood_comments,
+    flood_refusal,
+]
 
 
 class ScriptedPeer:
@@ -165,7 +210,9 @@
     monkeypatch.setattr(channel, "MAX_ANSWER_BYTES", 100_000)
     async with run_peer(send) as peer:
         url = f"http://{peer.address}"
-        async with open_channel("service", url, 5.0, Metrics()) as calls:
+        # Interim responses take no memory, and end with the call's time.
+        timeout = 2.0 if send is flood_interim else 5.0
+        async with open_channel("service", url, timeout, Metrics()) as calls:
             started_at = trio.current_time()
             answer = await calls.call("read", "GET", "/entries")
             seconds = trio.current_time() - started_at
