Limit the answers to control calls of the own interface

An engine that answered a control call (load, state, cancel, export, order) with bytes without end was read until the process had no memory left: the answer was kept whole, and the timeout counts from the last byte. The memory of one call had grown to 620 MB when the test was ended after 8 s.

An answer now has 1,000,000 bytes at most, and a call takes twice its timeout, for connecting and for the answer. The first counts as a failure of the server, the second as its silence, as without an answer.

--- a/dewridge/fleet/orders.py
+++ b/dewridge/fleet/orders.py
@@ -8,7 +8,9 @@
 from urllib.parse import quote
 
 import msgspec
+import trio
 
+from dewridge.bodies import read_bounded
 from dewridge.codes import ResultCode
 from dewridge.fleet.model import BackendServer
 from dewridge.fleet.refusals import STATUS_OK, read_error_type
@@ -23,6 +25,8 @@
 FENCE_KEY = "fence"
 MAX_FENCE_ATTEMPTS = 20
 """Attempts to allocate a fencing number while other hosts write the same key."""
+MAX_ANSWER_BYTES = 1_000_000
+"""Bytes of an answer, which is held in memory. An engine's state takes hundreds."""
 STALE_FENCE_TYPE = "stale_fence"
 
 T = TypeVar("T")
@@ -97,9 +101,12 @@
 class ControlClient:
     """Sends all calls to backend servers that are not attempts."""
 
-    def __init__(self, client: "httpx.AsyncClient", metrics: Metrics) -> None:
+    def __init__(
+        self, client: "httpx.AsyncClient", metrics: Metrics, max_seconds: float
+    ) -> None:
         self._client = client
         self._metrics = metrics
+        self._max_seconds = max_seconds
 
     async def cancel(
         self, server: BackendServer, attempt: AttemptId
@@ -168,25 +175,40 @@
         reply: type[T],
         content: bytes | None = None,
     ) -> T | Failure:
-        import httpx  # noqa: PLC0415 - heavy
-
         self._metrics.add("backend_server_calls_total", kind=kind)
         url = f"http://{server.listed.address}{path}"
+        body = await self._send(method, url, content)
+        if isinstance(body, Failure):
+            return body
+        try:
+            return msgspec.json.decode(body, type=reply)
+        except msgspec.DecodeError:
+            reason = "the answer is malformed"
+            return Failure(ResultCode.BACKEND_SERVER_FAILED, reason)
+
+    async def _send(
+        self, method: str, url: str, content: bytes | None
+    ) -> bytes | Failure:
+        """Return the body of a successful answer."""
+        import httpx  # noqa: PLC0415 - heavy
+
+        body: bytes | None = None
         try:
-            answer = await self._client.request(method, url, content=content)
+            with trio.fail_after(self._max_seconds):
+                async with self._client.stream(method, url, content=content) as answer:
+                    body = await read_bounded(answer.aiter_bytes(), MAX_ANSWER_BYTES)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout):
             return Failure(ResultCode.NOT_STARTED, "no connection")
-        except httpx.TimeoutException:
+        except (httpx.TimeoutException, trio.TooSlowError):
             return Failure(ResultCode.BACKEND_SERVER_SILENT, "no answer")
         except httpx.HTTPError as error:
             return Failure(ResultCode.CONNECTION_LOST, type(error).__name__)
-        if answer.status_code != STATUS_OK:
-            return read_order_refusal(answer.status_code, answer.content)
-        try:
-            return msgspec.json.decode(answer.content, type=reply)
-        except msgspec.DecodeError:
-            reason = "the answer is malformed"
+        if body is None:
+            reason = "the answer is too long"
             return Failure(ResultCode.BACKEND_SERVER_FAILED, reason)
+        if answer.status_code != STATUS_OK:
+            return read_order_refusal(answer.status_code, body)
+        return body
 
 
 def read_order_refusal(status: int, content: bytes) -> Failure:
@@ -237,10 +259,16 @@
 async def make_control_client(
     *, metrics: Metrics, timeout: float
 ) -> AsyncIterator[ControlClient]:
-    """Open a client for control calls to backend servers."""
+    """Open a client for control calls to backend servers.
+
+    Args:
+        metrics: counts the calls.
+        timeout: seconds for connecting, and without a byte of the answer; a call takes
+            twice as long at most.
+    """
     import httpx  # noqa: PLC0415 - heavy
 
     async with httpx.AsyncClient(
         timeout=timeout, trust_env=False, verify=False
     ) as client:
-        yield ControlClient(client, metrics)
+        yield ControlClient(client, metrics, 2 * timeout)
--- a/dewridge/tests/fleet/endless_tests.py
+++ b/dewridge/tests/fleet/endless_tests.py
@@ -1,5 +1,6 @@
 """Tests of servers and services that send bytes without end to the own interface."""
 
+import tracemalloc
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
@@ -12,7 +13,8 @@
 from dewridge.codes import ResultCode
 from dewridge.fleet.dispatch import make_dispatch
 from dewridge.fleet.model import AttemptEvent, BackendServer, ServerState
-from dewridge.ids import BackendServerId, FailureDomain, ServiceName
+from dewridge.fleet.orders import make_control_client
+from dewridge.ids import AttemptId, BackendServerId, FailureDomain, ServiceName
 from dewridge.metrics.registry import Metrics
 from dewridge.providers import channel
 from dewridge.providers.channel import CallFailure, open_channel
@@ -223,6 +225,34 @@
     assert still_open == 0
 
 
+@pytest.mark.parametrize("send", FLOODS)
+async def test_a_control_call_ends_if_its_server_sends_without_end(send: Send) -> None:
+    """Guards against a control call that buffers an answer until memory is used up."""
+    async with run_peer(send) as peer:
+        server = make_server(peer.address, ServerKind.ENGINE)
+        async with make_control_client(metrics=Metrics(), timeout=0.5) as control:
+            tracemalloc.start()
+            started_at = trio.current_time()
+            results = [
+                await control.read_load(server),
+                await control.cancel(server, AttemptId("attempt-1")),
+            ]
+            seconds = trio.current_time() - started_at
+            peak = tracemalloc.get_traced_memory()[1]
+            tracemalloc.stop()
+        await trio.sleep(0.2)
+        still_open = peer.open
+    assert {result.code for result in results if isinstance(result, Failure)} <= {
+        ResultCode.BACKEND_SERVER_FAILED,
+        ResultCode.BACKEND_SERVER_SILENT,
+        ResultCode.CONNECTION_LOST,
+    }
+    assert all(isinstance(result, Failure) for result in results)
+    assert seconds < 3.0
+    assert peak < 10_000_000
+    assert still_open == 0
+
+
 async def test_a_line_without_end_is_a_protocol_error(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
