Limit the answers that operators' commands read

A command for operators read the answer of a host without a limit of bytes or time: a host in trouble that sends bytes without end would have used up the memory of the operators' machine.

An answer now has 32,000,000 bytes at most, as those of the platform's services, and a call takes a minute at most. A read then goes on at the next host; the outcome of a change is unknown.

--- a/dewridge/client/operators.py
+++ b/dewridge/client/operators.py
@@ -2,12 +2,15 @@
 
 from collections.abc import Sequence
 from contextlib import AsyncExitStack
+from dataclasses import dataclass
 from types import TracebackType
 from typing import Any, Self
 
 import httpx
 import msgspec
+import trio
 
+from dewridge.bodies import read_bounded
 from dewridge.client.frames import decode_problem
 from dewridge.codes import ResultCode
 from dewridge.sentinels import Failure
@@ -16,6 +19,11 @@
 CALL_TIMEOUT = 15.0
 """Seconds for one call. A change waits for the key-value service, which can take
 seconds to respond."""
+MAX_CALL_SECONDS = 60.0
+"""Seconds after which a call is given up although bytes arrive. The timeout above
+counts from the last byte, and a host in trouble may send bytes without end."""
+MAX_ANSWER_BYTES = 32_000_000
+"""Bytes of an answer, which is held in memory: thousands of objects."""
 MUST_BE_NEW = 0
 """Expected revision of an object that must not exist yet."""
 
@@ -57,10 +65,9 @@
     async def read_at(self, address: str, path: str) -> Any | Failure:
         """Read a document from one host."""
         try:
-            response = await self._http.get(f"http://{address}{path}")
-        except httpx.HTTPError as error:
+            return _decode(await self._send("GET", f"http://{address}{path}"))
+        except (httpx.HTTPError, _EndlessAnswerError) as error:
             return _describe_unreachable(address, error)
-        return _decode(response)
 
     async def change(
         self, method: str, path: str, expected: int, body: Any = None
@@ -74,7 +81,7 @@
         failure = Failure(ResultCode.PEER_UNREACHABLE, "no address was given")
         for address in self._addresses:
             try:
-                response = await self._http.request(
+                answer = await self._send(
                     method,
                     f"http://{address}{path}",
                     content=msgspec.json.encode(body) if body is not None else None,
@@ -82,13 +89,48 @@
                 )
             except (httpx.ConnectError, httpx.ConnectTimeout) as error:
                 failure = _describe_unreachable(address, error)
-            except httpx.HTTPError as error:
+            except (httpx.HTTPError, _EndlessAnswerError) as error:
                 reason = f"{address} did not answer ({type(error).__name__})"
                 return Failure(ResultCode.CHANGE_UNKNOWN, reason)
             else:
-                return _decode(response)
+                return _decode(answer)
         return failure
 
+    async def _send(
+        self,
+        method: str,
+        url: str,
+        *,
+        content: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> "_Answer":
+        """Make one call.
+
+        Raises:
+            httpx.HTTPError: there was no answer.
+            _EndlessAnswerError: the answer did not end.
+        """
+        with trio.move_on_after(MAX_CALL_SECONDS):
+            async with self._http.stream(
+                method, url, content=content, headers=headers
+            ) as response:
+                body = await read_bounded(response.aiter_bytes(), MAX_ANSWER_BYTES)
+            if body is not None:
+                return _Answer(response, body)
+        raise _EndlessAnswerError
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """An answer that was read to its end."""
+
+    head: httpx.Response
+    body: bytes
+
+
+class _EndlessAnswerError(Exception):
+    """An answer is too long, or took too much time."""
+
 
 def _make_precondition(expected: int) -> dict[str, str]:
     if expected == MUST_BE_NEW:
@@ -96,12 +138,12 @@
     return {"If-Match": f'"{expected}"'}
 
 
-def _decode(response: httpx.Response) -> Any | Failure:
-    if not response.is_success:
-        header = response.headers.get("Retry-After")
-        return decode_problem(response.content, response.status_code, header).failure
+def _decode(answer: _Answer) -> Any | Failure:
+    if not answer.head.is_success:
+        header = answer.head.headers.get("Retry-After")
+        return decode_problem(answer.body, answer.head.status_code, header).failure
     try:
-        return msgspec.json.decode(response.content)
+        return msgspec.json.decode(answer.body)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return Failure(ResultCode.INTERNAL, f"the answer is malformed: {error}")
 
--- a/dewridge/tests/fleet/endless_tests.py
+++ b/dewridge/tests/fleet/endless_tests.py
@@ -8,8 +8,9 @@
 import trio
 
 from dewridge import bodies
-from dewridge.client import frames
+from dewridge.client import frames, operators
 from dewridge.client.frames import FrameError, read_events
+from dewridge.client.operators import OperatorClient
 from dewridge.codes import ResultCode
 from dewridge.fleet.dispatch import make_dispatch
 from dewridge.fleet.model import AttemptEvent, BackendServer, ServerState
@@ -253,6 +254,29 @@
     assert still_open == 0
 
 
+@pytest.mark.parametrize("send", FLOODS)
+async def test_an_operators_call_ends_if_the_host_sends_without_end(
+    send: Send, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a command that buffers an answer until memory is used up."""
+    monkeypatch.setattr(operators, "MAX_CALL_SECONDS", 1.0, raising=False)
+    monkeypatch.setattr(operators, "MAX_ANSWER_BYTES", 100_000, raising=False)
+    async with (
+        run_peer(send) as peer,
+        OperatorClient([peer.address], "token") as client,
+    ):
+        started_at = trio.current_time()
+        read = await client.read("/v1/x")
+        changed = await client.change("PUT", "/v1/x", 1, {})
+        seconds = trio.current_time() - started_at
+        await trio.sleep(0.2)
+        still_open = peer.open
+    assert isinstance(read, Failure)
+    assert isinstance(changed, Failure)
+    assert seconds < 4.0
+    assert still_open == 0
+
+
 async def test_a_line_without_end_is_a_protocol_error(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
