Test more readers with bytes without end

Chunk extensions, trailers, a length beyond all limits, and the bodies of failures and refusals, for plain routes, streams, relays, control calls and the store; all kinds for streams, load probes, documents of peers and a peer that is asked for probes. A refusal is whole with its head: its body is not read, and the request goes on as after any refusal.

--- a/dewridge/tests/gateway/endless_tests.py
+++ b/dewridge/tests/gateway/endless_tests.py
@@ -7,18 +7,28 @@
 import trio
 
 from dewridge.gateway import events, forwarding
+from dewridge.gateway.attempts import MAX_REJECTIONS
+from dewridge.gateway.documents import passing
+from dewridge.gateway.documents.passing import FetchFailure
 from dewridge.gateway.events import EventSplitter, EventTooLongError, parse_event_id
-from dewridge.gateway.forwarding import AnswerBuffers
+from dewridge.gateway.forwarding import (
+    AnswerBuffers,
+)
+from dewridge.gateway.hosts import HostEntry
 from dewridge.gateway.model import RouteKind
+from dewridge.gateway.placement.probing import probe_server_load
 from dewridge.gateway.reach.control import call_engine
+from dewridge.gateway.reach.peers import ask_peer
 from dewridge.http1 import calls
 from dewridge.http1.calls import CallFailure, ServiceClient
-from dewridge.ids import BackendServerId
+from dewridge.ids import BackendServerId, HostId
 from dewridge.platform.store import Store
 from dewridge.sentinels import Failure
 from dewridge.tests.gateway.partition_tests import open_linked_fleet, partition
 from dewridge.tests.gateway.world import (
+    DOMAIN,
     ENGINE,
+    HOST,
     CallerAnswer,
     ServerExchange,
     World,
@@ -179,6 +189,43 @@
         await trio.sleep(0.02)
 
 
+async def flood_chunk_extension(exchange: ServerExchange) -> None:
+    """Send the extension of a chunk without end."""
+    await exchange.begin_stream()
+    await exchange.send(b"5;")
+    while True:
+        await exchange.send(PIECE)
+
+
+async def flood_trailers(exchange: ServerExchange) -> None:
+    """Send trailer fields without end."""
+    await exchange.begin_stream()
+    await exchange.send(b"0\r\n")
+    while True:
+        await exchange.send(b"X-Field: value\r\n" * 1_000)
+
+
+async def flood_length(exchange: ServerExchange) -> None:
+    """Send a body with a length beyond all limits."""
+    await exchange.send(exchange.make_head(200, b"Content-Length: %d\r\n" % 10**15))
+    while True:
+        await exchange.send(PIECE)
+
+
+async def flood_failure(exchange: ServerExchange) -> None:
+    """Send the body of a failure without end."""
+    await exchange.send(exchange.make_head(500))
+    while True:
+        await exchange.send(PIECE)
+
+
+async def flood_refusal(exchange: ServerExchange) -> None:
+    """Send the body of a refusal without end."""
+    await exchange.send(exchange.make_head(503, b"X-Not-Executed: 1\r\n"))
+    while True:
+        await exchange.send(PIECE)
+
+
 FLOODS = [
     flood_head,
     flood_fields,
@@ -187,6 +234,11 @@
     flood_unframed,
     flood_garbage,
     flood_chunk_size,
+    flood_chunk_extension,
+    flood_trailers,
+    flood_length,
+    flood_failure,
+    flood_refusal,
     trickle_fields,
 ]
 
@@ -207,12 +259,99 @@
         tracemalloc.stop()
         await trio.sleep(0.2)
         closed, buffered = server.closed_connections, world.state.answer_buffers.used
-    assert answer.status in {502, 504}
+    # A refusal is whole with its head: the request did not run.
+    assert answer.status in ({503} if send is flood_refusal else {502, 504})
     assert peak < 32 * MEGABYTE
     assert closed >= 1
     assert buffered == 0
 
 
+@pytest.mark.parametrize("path", ["/draft/a", "/chat/a"])
+@pytest.mark.parametrize("send", FLOODS)
+async def test_bytes_without_end_are_no_stream(send: Send, path: str) -> None:
+    """Guards against memory that grows with bytes that a server sends for events."""
+    async with open_world() as world:
+        server = await world.add_server("s-1", send, ENGINE)
+        tracemalloc.start()
+        with trio.fail_after(MAX_SECONDS):
+            answer = await world.request(path, method="POST", deadline_ms=1_000)
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        await trio.sleep(0.2)
+        closed, buffered = server.closed_connections, world.state.answer_buffers.used
+    assert not (answer.status == 200 and answer.is_complete)
+    assert peak < 32 * MEGABYTE
+    assert closed >= 1
+    assert buffered == 0
+
+
+@pytest.mark.parametrize("send", FLOODS)
+async def test_a_load_probe_ends_in_time(send: Send) -> None:
+    """Guards against a placement that waits for an engine's bytes without end."""
+    async with open_world() as world:
+        server = await world.add_server("s-1", send, ENGINE)
+        record = world.state.servers.find(server.id)
+        assert record is not None
+        tracemalloc.start()
+        with trio.fail_after(MAX_SECONDS):
+            answer = await probe_server_load(world.state, record, 0.3)
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        await trio.sleep(0.2)
+        closed = server.closed_connections
+    assert answer is None
+    assert peak < 8 * MEGABYTE
+    assert closed >= 1
+
+
+@pytest.mark.parametrize("send", FLOODS)
+async def test_a_document_of_a_peer_has_an_end(
+    send: Send, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a host that keeps what a peer sends for a document."""
+    monkeypatch.setattr(passing, "CALL_TIMEOUT", 0.3)
+    monkeypatch.setattr(calls, "MAX_TRANSFER_SECONDS", 0.5)
+    async with open_world() as world:
+        server = await world.add_server("peer", send)
+        record = world.state.servers.find(server.id)
+        assert record is not None
+        peer = make_peer(record.address)
+        tracemalloc.start()
+        with trio.fail_after(MAX_SECONDS):
+            passed = await passing.fetch_document(peer, None)
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        await trio.sleep(0.2)
+        closed = server.closed_connections
+    assert isinstance(passed, FetchFailure)
+    assert peak < 40 * MEGABYTE
+    assert closed >= 1
+
+
+@pytest.mark.parametrize("send", FLOODS)
+async def test_a_peer_that_is_asked_for_probes_is_given_up(send: Send) -> None:
+    """Guards against a search for a relay that waits for bytes without end."""
+    async with open_world() as world:
+        server = await world.add_server("peer", send)
+        record = world.state.servers.find(server.id)
+        assert record is not None
+        tracemalloc.start()
+        with trio.fail_after(MAX_SECONDS):
+            results = await ask_peer(HOST, make_peer(record.address), [record])
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        await trio.sleep(0.2)
+        closed = server.closed_connections
+    assert not results
+    assert peak < 8 * MEGABYTE
+    assert closed >= 1
+
+
+def make_peer(address: str) -> HostEntry:
+    """Return the entry of a host that listens for its peers on an address."""
+    return HostEntry(HostId("host-2"), 1, "127.0.0.1:1", address, DOMAIN, True, "key")
+
+
 @pytest.mark.parametrize("send", FLOODS)
 async def test_a_request_is_served_elsewhere_if_a_server_sends_without_end(
     send: Send,
@@ -259,8 +398,12 @@
             answer = await world.request("/write/a", method="POST", deadline_ms=1_000)
         await trio.sleep(0.3)
         closed, received = server.closed_connections, len(server.received)
-    assert answer.status in {502, 504}
-    assert received == 1
+    if send is flood_refusal:
+        # The request did not run, so that it is sent again up to the limit.
+        assert (answer.status, received) == (503, MAX_REJECTIONS)
+    else:
+        assert answer.status in {502, 504}
+        assert received == 1
     assert closed >= 1
 
 
