Hold answers as bytes and not as lists of their parts

A server that sends its answer in pieces of a few bytes made the process hold many times the bytes that it counts: an answer of 200,000 bytes in pieces of two took 12.5 MB, 62 times its size.

Bodies of answers, control calls, calls to services and of the own interface are now collected in a buffer. Load probes and probes by peers are too: they copied all of the body for each piece.

--- a/dewridge/bodies.py
+++ b/dewridge/bodies.py
@@ -5,14 +5,13 @@
 
 async def read_bounded(chunks: AsyncIterator[bytes], limit: int) -> bytes | None:
     """Read a body; None if it is longer than `limit` bytes."""
-    parts: list[bytes] = []
-    size = 0
+    # A list of chunks would take many times their bytes, if each has a few bytes.
+    body = bytearray()
     async for chunk in chunks:
-        size += len(chunk)
-        if size > limit:
+        body += chunk
+        if len(body) > limit:
             return None
-        parts.append(chunk)
-    return b"".join(parts)
+    return bytes(body)
 
 
 async def split_lines(
--- a/dewridge/gateway/forwarding.py
+++ b/dewridge/gateway/forwarding.py
@@ -426,18 +426,18 @@
     answer: IncomingAnswer, buffers: AnswerBuffers
 ) -> CompleteAnswer | LostAttempt:
     """Read an answer to its end and release its connection."""
-    parts: list[bytes] = []
-    size = 0
+    # Objects for the parts would take many times the bytes that are counted, if each
+    # part has a few bytes.
+    body = bytearray()
     try:
         while (part := await answer.receive()) is not None:
-            parts.append(part)
-            size += len(part)
-            if not buffers.grow(size - len(part), size):
+            body += part
+            if not buffers.grow(len(body) - len(part), len(body)):
                 return LostAttempt(LossReason.MALFORMED, "the answer is too large")
-        return CompleteAnswer(answer.head, b"".join(parts))
+        return CompleteAnswer(answer.head, bytes(body))
     except ConnectionBrokenError as error:
         loss = LossReason.MALFORMED if error.is_framing_fault else LossReason.CUT_OFF
         return LostAttempt(loss, str(error))
     finally:
-        buffers.release(size)
+        buffers.release(len(body))
         answer.close()
--- a/dewridge/gateway/placement/probing.py
+++ b/dewridge/gateway/placement/probing.py
@@ -218,9 +218,9 @@
     # An answer that names a request is a second answer to an earlier one.
     if head.status != STATUS_OK or read_request_id(head):
         return None
-    body = b""
+    body = bytearray()
     while (part := await connection.receive_body()) is not None:
         body += part
         if len(body) > MAX_REPORT_BYTES:
             return None
-    return decode_report(body)
+    return decode_report(bytes(body))
--- a/dewridge/gateway/reach/control.py
+++ b/dewridge/gateway/reach/control.py
@@ -89,11 +89,9 @@
 
 async def _read_body(connection: ClientConnection) -> bytes | None:
     """Return an engine's answer; None if it is too large."""
-    parts = []
-    size = 0
+    body = bytearray()
     while (part := await connection.receive_body()) is not None:
-        parts.append(part)
-        size += len(part)
-        if size > MAX_ENGINE_ANSWER_BYTES:
+        body += part
+        if len(body) > MAX_ENGINE_ANSWER_BYTES:
             return None
-    return b"".join(parts)
+    return bytes(body)
--- a/dewridge/gateway/reach/peers.py
+++ b/dewridge/gateway/reach/peers.py
@@ -170,7 +170,7 @@
     head = await connection.receive_head()
     if head.status != STATUS_OK:
         return ()
-    body = b""
+    body = bytearray()
     while (part := await connection.receive_body()) is not None:
         body += part
         if len(body) > MAX_PROBE_BYTES:
--- a/dewridge/http1/calls.py
+++ b/dewridge/http1/calls.py
@@ -273,8 +273,15 @@
     head = await connection.receive_head()
     length = head.find_header(b"content-length")
     progress.begin_body(int(length) if length and length.isdigit() else None)
-    chunks = []
-    while (chunk := await connection.receive_body()) is not None:
-        chunks.append(chunk)
-        progress.add(len(chunk))
-    return Response(head.status, b"".join(chunks), head.headers)
+    body = await _receive_body(connection, progress)
+    return Response(head.status, body, head.headers)
+
+
+async def _receive_body(connection: ClientConnection, progress: _Progress) -> bytes:
+    # Objects for the parts would take many times the bytes that are counted, if each
+    # part has a few bytes.
+    body = bytearray()
+    while (part := await connection.receive_body()) is not None:
+        body += part
+        progress.add(len(part))
+    return bytes(body)
--- a/dewridge/tests/gateway/endless_tests.py
+++ b/dewridge/tests/gateway/endless_tests.py
@@ -1,11 +1,13 @@
 """Tests of servers that send bytes without end in place of an answer."""
 
 import tracemalloc
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import cast
 
 import pytest
 import trio
 
+from dewridge.bodies import read_bounded
 from dewridge.gateway import events, forwarding
 from dewridge.gateway.attempts import MAX_REJECTIONS
 from dewridge.gateway.documents import passing
@@ -13,14 +15,19 @@
 from dewridge.gateway.events import EventSplitter, EventTooLongError, parse_event_id
 from dewridge.gateway.forwarding import (
     AnswerBuffers,
+    CompleteAnswer,
+    IncomingAnswer,
+    read_complete_answer,
 )
 from dewridge.gateway.hosts import HostEntry
 from dewridge.gateway.model import RouteKind
 from dewridge.gateway.placement.probing import probe_server_load
+from dewridge.gateway.reach import control
 from dewridge.gateway.reach.control import call_engine
 from dewridge.gateway.reach.peers import ask_peer
 from dewridge.http1 import calls
 from dewridge.http1.calls import CallFailure, ServiceClient
+from dewridge.http1.client import ClientConnection, ResponseHead
 from dewridge.ids import BackendServerId, HostId
 from dewridge.platform.store import Store
 from dewridge.sentinels import Failure
@@ -352,6 +359,60 @@
     return HostEntry(HostId("host-2"), 1, "127.0.0.1:1", address, DOMAIN, True, "key")
 
 
+async def test_an_answer_in_small_pieces_takes_no_more_memory_than_its_bytes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against memory for each piece: 40 bytes and more, for one or two."""
+    count = 100_000
+    monkeypatch.setattr(control, "MAX_ENGINE_ANSWER_BYTES", 10 * count)
+
+    class PieceConnection:
+        """Stands for a connection whose body arrives in pieces of two bytes."""
+
+        def __init__(self) -> None:
+            self.left = count
+
+        async def receive_body(self) -> bytes | None:
+            self.left -= 1
+            return bytes(bytearray(2)) if self.left >= 0 else None
+
+    def open_pieces() -> ClientConnection:
+        return cast("ClientConnection", PieceConnection())
+
+    async def iterate() -> AsyncIterator[bytes]:
+        connection = PieceConnection()
+        while (part := await connection.receive_body()) is not None:
+            yield part
+
+    head = ResponseHead(200, [])
+
+    async def read_buffered() -> None:
+        answer = IncomingAnswer(head, open_pieces(), lambda connection: None)
+        complete = await read_complete_answer(answer, AnswerBuffers())
+        assert isinstance(complete, CompleteAnswer)
+        assert len(complete.body) == 2 * count
+
+    async def read_control() -> None:
+        assert len(await control._read_body(open_pieces()) or b"") == 2 * count
+
+    async def read_call() -> None:
+        with trio.CancelScope() as scope:
+            progress = calls._Progress(scope, 5.0, None, 10 * count)
+            connection = open_pieces()
+            body = await calls._receive_body(connection, progress)
+            assert len(body) == 2 * count
+
+    async def read_own() -> None:
+        assert len(await read_bounded(iterate(), 10 * count) or b"") == 2 * count
+
+    for read in (read_buffered, read_control, read_call, read_own):
+        tracemalloc.start()
+        await read()
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        assert peak < 8 * count, read
+
+
 @pytest.mark.parametrize("send", FLOODS)
 async def test_a_request_is_served_elsewhere_if_a_server_sends_without_end(
     send: Send,
