Ask for answers without encoding in the own interface

Calls to the platform's services, control calls, operators' commands and the client decoded answers that came with a content encoding, and counted the bytes afterwards. A few hundred bytes with two layers of gzip, which stand for 60 MB, took 141 to 180 MB; the limits of bytes held.

These calls now ask for answers without encoding, as attempts do, and read the bytes as they come. An answer that is encoded anyway can't be read, and counts as malformed.

On the commit before, the four new cases fail; all pass now.

--- a/dewridge/bodies.py
+++ b/dewridge/bodies.py
@@ -2,6 +2,10 @@
 
 from collections.abc import AsyncIterator
 
+IDENTITY_HEADERS = {"accept-encoding": "identity"}
+"""Headers of requests whose answers must not be encoded. A few bytes of an encoding can
+stand for more than the process may hold, and are decoded before they can be counted."""
+
 
 async def read_bounded(chunks: AsyncIterator[bytes], limit: int) -> bytes | None:
     """Read a body; None if it is longer than `limit` bytes."""
--- a/dewridge/client/client.py
+++ b/dewridge/client/client.py
@@ -12,7 +12,7 @@
 import trio
 from uuid6 import uuid7
 
-from dewridge.bodies import read_bounded
+from dewridge.bodies import IDENTITY_HEADERS, read_bounded
 from dewridge.client.addresses import AddressBook
 from dewridge.client.frames import (
     AcceptedEvent,
@@ -78,7 +78,7 @@
         self._random = random.Random(seed)
         self._stack = AsyncExitStack()
         self._http = httpx.AsyncClient(
-            headers={"Authorization": f"Bearer {token}"},
+            headers={"Authorization": f"Bearer {token}", **IDENTITY_HEADERS},
             # Reads are bounded by separate timeouts.
             timeout=httpx.Timeout(None, connect=self._limits.connect_timeout),
             limits=httpx.Limits(max_connections=MAX_CONNECTIONS),
@@ -234,7 +234,7 @@
     async def _read_rejection(
         self, state: _CallState, response: httpx.Response
     ) -> Step:
-        content = await read_bounded(response.aiter_bytes(), MAX_DOCUMENT_BYTES) or b""
+        content = await read_bounded(response.aiter_raw(), MAX_DOCUMENT_BYTES) or b""
         header = response.headers.get("Retry-After")
         rejection = decode_problem(content, response.status_code, header)
         state.failures += 1
@@ -242,7 +242,7 @@
         return state.progress.handle_rejection(rejection.failure, rejection.is_not_run)
 
     async def _read_events(self, state: _CallState, response: httpx.Response) -> Step:
-        async with aclosing(read_events(response.aiter_bytes())) as items:
+        async with aclosing(read_events(response.aiter_raw())) as items:
             while True:
                 # Hosts send heartbeats while there are no other events. A network
                 # hop that has lost the connection raises no error; only missing
@@ -356,7 +356,7 @@
                 method, f"http://{address}{path}", timeout=self._limits.list_timeout
             ) as response:
                 with trio.move_on_after(self._limits.list_timeout):
-                    chunks = response.aiter_bytes()
+                    chunks = response.aiter_raw()
                     content = await read_bounded(chunks, MAX_DOCUMENT_BYTES)
         except httpx.HTTPError as error:
             reason = f"{address}: {type(error).__name__}"
--- a/dewridge/client/operators.py
+++ b/dewridge/client/operators.py
@@ -10,7 +10,7 @@
 import msgspec
 import trio
 
-from dewridge.bodies import read_bounded
+from dewridge.bodies import IDENTITY_HEADERS, read_bounded
 from dewridge.client.frames import decode_problem
 from dewridge.codes import ResultCode
 from dewridge.sentinels import Failure
@@ -35,7 +35,7 @@
         self._addresses = list(addresses)
         self._stack = AsyncExitStack()
         self._http = httpx.AsyncClient(
-            headers={"Authorization": f"Bearer {token}"},
+            headers={"Authorization": f"Bearer {token}", **IDENTITY_HEADERS},
             timeout=httpx.Timeout(CALL_TIMEOUT, connect=CONNECT_TIMEOUT),
             trust_env=False,
             verify=False,  # hosts are reached by IP number, without TLS
@@ -114,7 +114,7 @@
             async with self._http.stream(
                 method, url, content=content, headers=headers
             ) as response:
-                body = await read_bounded(response.aiter_bytes(), MAX_ANSWER_BYTES)
+                body = await read_bounded(response.aiter_raw(), MAX_ANSWER_BYTES)
             if body is not None:
                 return _Answer(response, body)
         raise _EndlessAnswerError
--- a/dewridge/fleet/orders.py
+++ b/dewridge/fleet/orders.py
@@ -10,7 +10,7 @@
 import msgspec
 import trio
 
-from dewridge.bodies import read_bounded
+from dewridge.bodies import IDENTITY_HEADERS, read_bounded
 from dewridge.codes import ResultCode
 from dewridge.fleet.model import BackendServer
 from dewridge.fleet.refusals import STATUS_OK, read_error_type
@@ -196,7 +196,7 @@
         try:
             with trio.fail_after(self._max_seconds):
                 async with self._client.stream(method, url, content=content) as answer:
-                    body = await read_bounded(answer.aiter_bytes(), MAX_ANSWER_BYTES)
+                    body = await read_bounded(answer.aiter_raw(), MAX_ANSWER_BYTES)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout):
             return Failure(ResultCode.NOT_STARTED, "no connection")
         except (httpx.TimeoutException, trio.TooSlowError):
@@ -269,6 +269,6 @@
     import httpx  # noqa: PLC0415 - heavy
 
     async with httpx.AsyncClient(
-        timeout=timeout, trust_env=False, verify=False
+        headers=IDENTITY_HEADERS, timeout=timeout, trust_env=False, verify=False
     ) as client:
         yield ControlClient(client, metrics, 2 * timeout)
--- a/dewridge/providers/channel.py
+++ b/dewridge/providers/channel.py
@@ -9,7 +9,7 @@
 import trio
 from loguru import logger as log
 
-from dewridge.bodies import read_bounded
+from dewridge.bodies import IDENTITY_HEADERS, read_bounded
 from dewridge.metrics.registry import Metrics
 
 if TYPE_CHECKING:
@@ -114,7 +114,7 @@
                 async with self._client.stream(
                     method, path, params=params, content=content, timeout=limits
                 ) as answer:
-                    body = await read_bounded(answer.aiter_bytes(), MAX_ANSWER_BYTES)
+                    body = await read_bounded(answer.aiter_raw(), MAX_ANSWER_BYTES)
             except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout):
                 return CallFailure.NOT_SENT
             except httpx.HTTPError:
@@ -163,6 +163,7 @@
     client = httpx.AsyncClient(
         base_url=url,
         limits=limits,
+        headers=IDENTITY_HEADERS,
         trust_env=False,
         verify=url.startswith("https:"),
     )
--- a/dewridge/tests/fleet/endless_tests.py
+++ b/dewridge/tests/fleet/endless_tests.py
@@ -1,5 +1,6 @@
 """Tests of servers and services that send bytes without end to the own interface."""
 
+import gzip
 import tracemalloc
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -9,7 +10,9 @@
 
 from dewridge import bodies
 from dewridge.client import frames, operators
+from dewridge.client.client import Client
 from dewridge.client.frames import FrameError, read_events
+from dewridge.client.model import Call
 from dewridge.client.operators import OperatorClient
 from dewridge.codes import ResultCode
 from dewridge.fleet.dispatch import make_dispatch
@@ -18,7 +21,8 @@
 from dewridge.ids import AttemptId, BackendServerId, FailureDomain, ServiceName
 from dewridge.metrics.registry import Metrics
 from dewridge.providers import channel
-from dewridge.providers.channel import CallFailure, open_channel
+from dewridge.providers.channel import Answer, CallFailure, open_channel
+from dewridge.providers.keyvalue import decode_entry
 from dewridge.providers.model import HostState, ListedServer, ServerKind
 from dewridge.sentinels import Failure
 from dewridge.tests.fleet.dispatch_tests import ORDER, PLAIN_ORDER
@@ -27,6 +31,7 @@
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\n"
 MAX_SECONDS = 8.0
+ENCODED = gzip.compress(gzip.compress(bytes(60_000_000)))
 
 Send = Callable[[trio.SocketStream], Awaitable[None]]
 
@@ -277,6 +282,58 @@
     assert still_open == 0
 
 
+async def send_encoded(stream: trio.SocketStream) -> None:
+    """Send some hundred bytes that an encoding makes 60 MB of."""
+    await stream.send_all(
+        b"HTTP/1.1 200 OK\r\nContent-Encoding: gzip, gzip\r\n"
+        b"Content-Length: %d\r\n\r\n%s" % (len(ENCODED), ENCODED)
+    )
+
+
+async def call_service(address: str) -> bool:
+    """Call a service of the platform; return whether the answer was usable."""
+    url = f"http://{address}"
+    async with open_channel("service", url, 2.0, Metrics()) as calls:
+        answer = await calls.call("read", "GET", "/v1/keys")
+    return isinstance(answer, Answer) and decode_entry(answer) is not None
+
+
+async def call_control(address: str) -> bool:
+    """Make a control call; return whether the answer was usable."""
+    server = make_server(address, ServerKind.ENGINE)
+    async with make_control_client(metrics=Metrics(), timeout=2.0) as control:
+        return not isinstance(await control.read_load(server), Failure)
+
+
+async def call_operator(address: str) -> bool:
+    """Read as an operator; return whether the answer was usable."""
+    async with OperatorClient([address], "token") as client:
+        return not isinstance(await client.read("/v1/x"), Failure)
+
+
+async def call_host(address: str) -> bool:
+    """Send a call to a host; return whether it was answered."""
+    call = Call("findings", "draft_finding", "Dossier", 1.0)
+    async with Client([address], "token", seed=1) as client:
+        answer = await client.request(call)
+    return answer.code is ResultCode.OK
+
+
+@pytest.mark.parametrize("call", [call_service, call_control, call_operator, call_host])
+async def test_an_encoded_answer_is_not_decoded(
+    call: Callable[[str], Awaitable[bool]],
+) -> None:
+    """Guards against memory for what a few bytes of an encoding stand for."""
+    async with run_peer(send_encoded) as peer:
+        tracemalloc.start()
+        is_usable = await call(peer.address)
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+    assert peer.accepted
+    assert not is_usable
+    assert peak < 10_000_000
+
+
 async def test_a_line_without_end_is_a_protocol_error(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
