Test that events without end take no memory

An engine that sends valid events without end, directly and by a relay, to a caller that reads them and to one that does not: the process holds less than 8 MB, and the stream ends visibly incomplete at the deadline.

--- a/dewridge/tests/gateway/endless_tests.py
+++ b/dewridge/tests/gateway/endless_tests.py
@@ -292,6 +292,50 @@
     assert buffered == 0
 
 
+@pytest.mark.parametrize("is_relayed", [False, True])
+@pytest.mark.parametrize("reads", [True, False])
+@pytest.mark.parametrize("path", ["/draft/a", "/chat/a"])
+async def test_events_without_end_are_not_kept(
+    path: str, reads: bool, is_relayed: bool
+) -> None:
+    """Guards against memory that grows with the events of a stream."""
+
+    async def send_events(exchange: ServerExchange) -> None:
+        await exchange.begin_stream()
+        number = 0
+        while True:
+            number += 1
+            event = b"id: %d\ndata: %s\n\n" % (number, b"x" * 4_000)
+            await exchange.send(b"%x\r\n%s\r\n" % (len(event), event))
+
+    received = b""
+    count = 0
+    async with open_linked_fleet(2) as linked:
+        await linked.add_server("s-1", send_events, ENGINE)
+        world = linked.fleet.worlds[0]
+        if is_relayed:
+            partition(linked, [0])
+        tracemalloc.start()
+        stream = await world.connect()
+        async with stream:
+            request = make_request(path, method="POST", deadline_ms=1_500)
+            await stream.send_all(request)
+            if not reads:
+                await trio.sleep(1.6)
+            try:
+                with trio.fail_after(MAX_SECONDS):
+                    while data := await stream.receive_some(65_536):
+                        received = received[-10:] + bytes(data)
+                        count += len(data)
+            except trio.BrokenResourceError:
+                pass
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+    assert count > 100_000
+    assert not received.endswith(b"\r\n0\r\n\r\n")
+    assert peak < 8 * MEGABYTE
+
+
 @pytest.mark.parametrize("send", FLOODS)
 async def test_a_load_probe_ends_in_time(send: Send) -> None:
     """Guards against a placement that waits for an engine's bytes without end."""
