Test listeners of a gateway with requests without end

Heads, fields, chunks, chunk sizes and extensions, trailers, a length beyond the limit and pipelined requests without end, at the port for callers and at the port for peers: the process holds less than 24 MB, and all but the pipelined requests, which are answered, end. The 24 cases pass without a change of the product.

--- a/dewridge/tests/gateway/endless_tests.py
+++ b/dewridge/tests/gateway/endless_tests.py
@@ -2,6 +2,7 @@
 
 import tracemalloc
 from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import suppress
 from typing import cast
 
 import pytest
@@ -20,7 +21,7 @@
     read_complete_answer,
 )
 from dewridge.gateway.hosts import HostEntry
-from dewridge.gateway.model import RouteKind
+from dewridge.gateway.model import Limits, RouteKind
 from dewridge.gateway.placement.probing import probe_server_load
 from dewridge.gateway.reach import control
 from dewridge.gateway.reach.control import call_engine
@@ -582,3 +583,65 @@
         with trio.fail_after(MAX_SECONDS):
             result = await ServiceClient("store", record.address, 0.3).call("GET", "/a")
     assert result is CallFailure.LOST
+
+
+REQUEST = b"POST /write/a HTTP/1.1\r\nHost: example.test\r\nX-Api-Key: key-1\r\n"
+CHUNKED_REQUEST = REQUEST + b"Transfer-Encoding: chunked\r\n\r\n"
+REQUEST_FLOODS = {
+    "garbage": (b"", PIECE),
+    "line": (b"POST /", PIECE),
+    "field": (REQUEST + b"X-Field: ", PIECE),
+    "fields": (REQUEST, b"X-Field: value\r\n" * 1_000),
+    "empty-lines": (b"", b"\r\n" * 8_000),
+    "chunks": (CHUNKED_REQUEST, b"%x\r\n%s\r\n" % (len(PIECE), PIECE)),
+    "small-chunks": (CHUNKED_REQUEST, b"1\r\nx\r\n" * 3_000),
+    "chunk-size": (CHUNKED_REQUEST, b"0" * 16_384),
+    "extension": (CHUNKED_REQUEST + b"5;", PIECE),
+    "trailers": (CHUNKED_REQUEST + b"0\r\n", b"X-Field: value\r\n" * 1_000),
+    "length": (REQUEST + b"Content-Length: 999999999999\r\n\r\n", PIECE),
+    "pipelined": (b"", REQUEST + b"Content-Length: 1\r\n\r\nx"),
+}
+"""Beginning and repeated rest of requests that have no end."""
+
+
+@pytest.mark.parametrize("to_relay", [False, True])
+@pytest.mark.parametrize("name", REQUEST_FLOODS)
+async def test_a_listener_keeps_no_bytes_without_end(name: str, to_relay: bool) -> None:
+    """Guards against a caller, or a stranger at the port for peers, that fills memory.
+
+    Pipelined requests are answered one by one, so that they need not end; the bytes
+    that are held at a time have a limit.
+    """
+    begin, rest = REQUEST_FLOODS[name]
+    has_ended = False
+    async with open_linked_fleet(2) as linked:
+        await linked.add_server("s-1", answer_ok)
+        for world in linked.fleet.worlds:
+            world.state.ingress.limits = Limits(idle_timeout=1.0)
+            world.state.relay_ingress.limits = Limits(idle_timeout=1.0)
+        address = linked.fleet.worlds[0].address
+        if to_relay:
+            address = linked.fleet.worlds[0].state.hosts.list_peers()[0].peers
+        host, _, port = address.rpartition(":")
+        stream = await trio.open_tcp_stream(host, int(port))
+
+        async def discard() -> None:
+            with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+                while await stream.receive_some(65_536):
+                    pass
+
+        tracemalloc.start()
+        async with stream, trio.open_nursery() as nursery:
+            nursery.start_soon(discard)
+            with trio.move_on_after(1.0 if name == "pipelined" else MAX_SECONDS):
+                try:
+                    await stream.send_all(begin)
+                    while True:
+                        await stream.send_all(rest)
+                except trio.BrokenResourceError:
+                    has_ended = True
+            nursery.cancel_scope.cancel()
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+    assert has_ended or name == "pipelined"
+    assert peak < 24 * MEGABYTE
