Test connections between hosts with bytes without end

Garbage, a hello, a frame and empty frames without end, and replies that nobody waits for, from a stranger that connects and from a host that is called: less than 8 MB are held, and the connection is closed. Valid replies are dropped one by one, and the connection stays open.

--- a/dewridge/tests/peers/transport_tests.py
+++ b/dewridge/tests/peers/transport_tests.py
@@ -1,10 +1,12 @@
 """Messages between peers, over connections that break, go silent or carry garbage."""
 
 import threading
+import tracemalloc
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from functools import partial
 
+import pytest
 import trio
 import trio.testing
 
@@ -241,6 +243,58 @@
         assert metrics.read("peer_connections_opened", direction="dialled") == 1
 
 
+@pytest.mark.parametrize("accepts", [False, True])
+@pytest.mark.parametrize("name", ["garbage", "hello", "frame", "unanswered", "empty"])
+async def test_a_connection_with_bytes_without_end_keeps_none(
+    name: str, accepts: bool
+) -> None:
+    """Guards against a peer, or a stranger, whose bytes fill the memory of a host."""
+    hello = encode_frame(
+        FrameContent(0, 0, make_hello(HelloInfo("test", make_identity("three")))),
+        5_000,
+    )
+    reply = encode_frame(FrameContent(0, 7, ttypes.FindReply(found=True)), 5_000)
+    assert isinstance(hello, bytes)
+    assert isinstance(reply, bytes)
+    begin, rest = {
+        "garbage": (b"", b"x" * 16_384),
+        "hello": (b"\0\0\x03\xe8", b"x" * 16_384),
+        "frame": (hello + SETTINGS.frame_limit.to_bytes(4, "big"), b"x" * 16_384),
+        "unanswered": (hello, reply * 1_000),
+        "empty": (hello, bytes(16_384)),
+    }[name]
+    has_ended = False
+
+    async def flood(stream: trio.SocketStream) -> None:
+        nonlocal has_ended
+        try:
+            await stream.send_all(begin)
+            while True:
+                await stream.send_all(rest)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            has_ended = True
+        await stream.aclose()
+
+    async with run_pair() as (caller, callee, _, _), trio.open_nursery() as nursery:
+        tracemalloc.start()
+        with trio.move_on_after(2.0):
+            if accepts:
+                listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                nursery.start_soon(trio.serve_listeners, flood, listeners)
+                port = listeners[0].socket.getsockname()[1]
+                for _ in range(2):
+                    await caller.call(f"127.0.0.1:{port}", FIND, 0.5)
+            else:
+                host, _, port = callee.address.rpartition(":")
+                await flood(await trio.open_tcp_stream(host, int(port)))
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        nursery.cancel_scope.cancel()
+    # Valid replies that nobody waits for are dropped one by one.
+    assert has_ended or name == "unanswered"
+    assert peak < 8_000_000
+
+
 async def test_a_fenced_peer_is_rejected_on_an_open_connection() -> None:
     # A host is paused, others take over its work, and it resumes on its open
     # connections. It must be told that it is fenced, and its calls must not be run.
