Pass no request on that is read after its deadline

Callers with slow uploads got 504 for requests that a server had begun to run after their deadline, also on a host that had closed for its exit and took nothing more.

The time limit of a request acts at the next wait of its task. Sending on an open connection to a server does not wait if the kernel takes all bytes at once, so a request whose body ended after its deadline was sent first and given up right after. A leaving host accepts what ends by a time limit, and such a request had ended by it.

test_a_request_that_is_read_after_its_deadline_is_not_passed_on failed on: the server had received the request.

The deadline is checked before the first attempt, and the caller learns that its request has not run.

--- a/dewridge/gateway/serving.py
+++ b/dewridge/gateway/serving.py
@@ -214,6 +214,10 @@
         return service is not None and service.engine is not None
 
     async def _run(self, job: Job, responder: Responder) -> Failure | None:
+        # On an open connection the request would be sent before the time limit, which
+        # acts at the next wait, ends it.
+        if trio.current_time() >= job.deadline:
+            return Failure(ResultCode.DEADLINE_PASSED, "deadline")
         failure: Failure | None = None
         with trio.move_on_at(job.deadline + DEADLINE_SLACK) as scope:
             failure = await self._runner.run(job, responder)
--- a/dewridge/tests/gateway/leaving_tests.py
+++ b/dewridge/tests/gateway/leaving_tests.py
@@ -228,3 +228,21 @@
                 answer = await read_answer(caller)
     assert answer.is_complete
     assert answer.body == b"".join(event % number for number in range(30))
+
+
+async def test_a_request_that_is_read_after_its_deadline_is_not_passed_on() -> None:
+    """Guards against servers that run what its caller does not wait for any more."""
+    async with open_world() as world:
+        server = await world.add_server("s-1", answer_soon)
+        # The connection to the server is open, so that nothing delays the request.
+        assert (await world.request("/write/a")).status == 200
+        head, _, _ = make_request(
+            "/write/b", method="POST", body=b"xy", deadline_ms=200
+        ).partition(b"xy")
+        async with await world.connect() as stream:
+            await stream.send_all(head + b"x")
+            await trio.sleep(0.4)
+            await stream.send_all(b"y")
+            answer = await read_answer(stream)
+    assert answer.status == 504
+    assert [each.target for each in server.received] == [b"/write/a"]
