End a leaving host at its planned exit, also while it reads requests

With a grace period of 1 s a host whose caller was still sending a request ended 1.02 s after SIGTERM, so SIGKILL ended it; with 2 s it ended after 1.94 s, 0.11 s later than planned.

The check for the planned end ran every 0.1 s and could miss it by as much, and 0.1 s more were added while a request had no answer, a slow upload among them. Both are small beside the 0.6 s that are left of long grace periods, and larger than the 0.08 s that are left of 1 s.

The last check falls on the moment at which the host closes, and nothing is waited for after the planned exit. Requests without an answer have had their status since 0.3 s before it. A process that stood still across its exit still takes 0.1 s to refuse what has come meanwhile.

--- a/dewridge/gateway/shutdown/leaving.py
+++ b/dewridge/gateway/shutdown/leaving.py
@@ -8,7 +8,6 @@
 from dewridge.gateway.directory import compute_address_ttl
 from dewridge.gateway.duties import HolderElection
 from dewridge.gateway.hosts import Registration
-from dewridge.gateway.shutdown.progress import Stage
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.upkeep import update_readiness
 from dewridge.policy.shutdown import ShutdownSchedule, schedule_shutdown
@@ -94,8 +93,9 @@
         + ANSWER_TTL_MULTIPLE * compute_address_ttl(state)
         + QUIET_PERIOD,
     )
+    closes_at = schedule.exits_at - CLOSING_TIME
     quiet_since = trio.current_time()
-    while (now := trio.current_time()) < schedule.exits_at - CLOSING_TIME:
+    while (now := trio.current_time()) < closes_at:
         if state.ingress.requests + state.relay_ingress.requests > 0:
             quiet_since = now
         # Requests that are refused take less time than is between two checks.
@@ -106,7 +106,7 @@
             state.ingress.close_idle_connections()
             if now - quiet_since > QUIET_PERIOD:
                 return ExitReason.QUIET
-        await trio.sleep(POLL_INTERVAL)
+        await trio.sleep_until(min(now + POLL_INTERVAL, closes_at))
     return ExitReason.DEADLINE
 
 
@@ -131,8 +131,7 @@
 
 
 def _has_requests_to_answer(state: GatewayState, schedule: ShutdownSchedule) -> bool:
-    now = trio.current_time()
-    if now < schedule.exits_at:
-        return state.ingress.requests + state.relay_ingress.requests > 0
-    running = state.served.count_stages()[Stage.ANSWERING.value]
-    return now < schedule.exits_at + CLOSING_TIME and state.ingress.requests > running
+    # With a short grace period, the process is killed soon after its planned exit.
+    if trio.current_time() >= schedule.exits_at:
+        return False
+    return state.ingress.requests + state.relay_ingress.requests > 0
--- a/dewridge/tests/gateway/leaving_tests.py
+++ b/dewridge/tests/gateway/leaving_tests.py
@@ -246,3 +246,19 @@
             answer = await read_answer(stream)
     assert answer.status == 504
     assert [each.target for each in server.received] == [b"/write/a"]
+
+
+@pytest.mark.parametrize("grace", [1.0, 2.0])
+async def test_a_host_that_reads_a_request_ends_before_it_is_killed(
+    grace: float,
+) -> None:
+    """Guards against an exit that waits for uploads beyond a short grace period."""
+    async with open_world(answer_ttl=0.05, grace=grace) as world:
+        head = make_request("/write/a", method="POST", body=b"xy")[:-1]
+        async with await world.connect() as stream:
+            await stream.send_all(head)
+            await trio.sleep(0.05)
+            begin = trio.current_time()
+            await leave(world)
+            seconds = trio.current_time() - begin
+    assert grace * 5 / 6 < seconds < grace * 0.96
