Begin no stream late in a short grace period

With a grace period of 1 to 3 s, callers of a leaving host had streams begun that were cut a moment later, among them streams that may not be repeated: with 2 s, one that was sent 1.5 s after SIGTERM and cut at the exit, 1.9 s after it. Another host would have served them.

A leaving host takes streams that may outlast it for 2.7 s, which is a third of the usual 8 s. With shorter grace periods only the planned end of all requests bounded this, 0.3 s before the exit. Operators excuse these cuts, as they excuse all requests that are sent in the first 3 s.

gracesweep_tests.py sends requests of each kind of route on new, open, kept and pipelining connections and with slow uploads, with and without deadlines, at each step and each limit of grace periods of 1, 2, 3 and 8 s, to servers that take short, medium and longer times than are left, and compares what callers and servers saw.

Such streams are taken in the first 0.35 of the grace period at most. With 8 s and more nothing changes.

--- a/dewridge/policy/shutdown.py
+++ b/dewridge/policy/shutdown.py
@@ -13,6 +13,10 @@
 """Seconds from the signal in which streams are accepted that may outlast the process.
 Callers with old addresses send few requests later, and operators allow only streams
 sent by then to be cut."""
+OPEN_SHARE = 0.35
+"""Largest share of the grace period in which such streams are accepted. In a grace
+period of 1 to 3 s, most streams that begin later are cut, and those that may not be
+repeated are lost to callers whom another host would have served."""
 SIGNAL_DELAY = 0.3
 """Seconds for which the signal may wait for a busy process. Operators count from when
 they sent it."""
@@ -71,7 +75,5 @@
     """
     exits_at = started_at + grace - min(MAX_EXIT_MARGIN, EXIT_SHARE * grace)
     answers_by = exits_at - STATUS_TIME
-    open_until = started_at + OPEN_PERIOD - SIGNAL_DELAY
-    return ShutdownSchedule(
-        started_at, min(open_until, answers_by), answers_by, exits_at
-    )
+    open_until = started_at + min(OPEN_PERIOD - SIGNAL_DELAY, OPEN_SHARE * grace)
+    return ShutdownSchedule(started_at, open_until, answers_by, exits_at)
--- a/dewridge/tests/policy/shutdown_tests.py
+++ b/dewridge/tests/policy/shutdown_tests.py
@@ -44,6 +44,17 @@
     assert schedule.accepts(arrival, arrival + 15.0, 0.0)
 
 
+@given(share=st.floats(0.0, 1.0), grace=st.floats(1.0, 30.0))
+def test_streams_that_may_be_cut_have_half_of_the_grace_period(
+    share: float, grace: float
+) -> None:
+    """Guards against short grace periods in which streams are begun at the end."""
+    schedule = schedule_shutdown(0.0, grace)
+    arrival = share * grace
+    if schedule.accepts(arrival, arrival + 600.0, 0.0):
+        assert schedule.exits_at - arrival > grace / 2
+
+
 @given(arrival=st.floats(0.0, 10.0))
 def test_a_closed_host_accepts_nothing(arrival: float) -> None:
     """Guards against requests that are accepted while the process ends."""
