Read the settings again before the times of a shutdown are set

A host whose grace period was shortened less than a second before SIGTERM planned its exit by the old one: with 3 s in the file it would have served until 7.4 s, and SIGKILL would have cut all requests that it took meanwhile without a status. With a longer one it left too early.

The settings file is polled each second. A SIGHUP starts a poll at once, but a SIGTERM right after it is handled in the same pass of the event loop, and in which order is up to chance.

The file is read once more when SIGTERM arrives, before the schedule is made. A file that is not valid changes nothing, as before.

--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -369,6 +369,8 @@
             nursery.start_soon(supervisor.run)
             log.bind(host=self._state.host, boot=self._state.boot).info("started")
             await leaving.wait()
+            # The grace period may have changed since the file was last polled.
+            self._settings_reloader.reload_if_changed()
             try:
                 await leave_fleet(self._state, self._registration, self._election)
             except Exception as error:
--- a/dewridge/gateway/reloading.py
+++ b/dewridge/gateway/reloading.py
@@ -64,13 +64,18 @@
                 await self._poll_requested.wait()
             is_requested = self._poll_requested.is_set()
             self._poll_requested = trio.Event()
-            raw = self._read()
-            if raw is not None and raw != self._raw:
-                self._raw = raw
-                self._reload()
-            elif is_requested:
+            if not self.reload_if_changed() and is_requested:
                 log.info("settings reloaded without a change")
 
+    def reload_if_changed(self) -> bool:
+        """Reload the file if it has changed; return whether it has."""
+        raw = self._read()
+        if raw is None or raw == self._raw:
+            return False
+        self._raw = raw
+        self._reload()
+        return True
+
     def _read(self) -> bytes | None:
         try:
             return self._path.read_bytes()
--- a/dewridge/tests/conftest.py
+++ b/dewridge/tests/conftest.py
@@ -4,6 +4,8 @@
 """
 
 import inspect
+import signal
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -79,3 +81,13 @@
     waits for the CPU. Timeouts of the test itself don't elapse either.
     """
     return trio.testing.MockClock()
+
+
+@pytest.fixture
+def signal_handlers() -> Iterator[None]:
+    """Restore the signal handlers, which a gateway keeps until its process ends."""
+    numbers = (signal.SIGTERM, signal.SIGHUP)
+    handlers = [signal.getsignal(number) for number in numbers]
+    yield
+    for number, handler in zip(numbers, handlers, strict=True):
+        signal.signal(number, handler)
--- a/dewridge/tests/gateway/failing_tests.py
+++ b/dewridge/tests/gateway/failing_tests.py
@@ -2,7 +2,6 @@
 
 import os
 import signal
-from collections.abc import Iterator
 from contextlib import suppress
 from pathlib import Path
 
@@ -25,14 +24,7 @@
 """Seconds of an answer that is running when the task fails for the last time."""
 
 
-@pytest.fixture(autouse=True)
-def signal_handlers() -> Iterator[None]:
-    """Restore the signal handlers, which a gateway keeps until its process ends."""
-    numbers = (signal.SIGTERM, signal.SIGHUP)
-    handlers = [signal.getsignal(number) for number in numbers]
-    yield
-    for number, handler in zip(numbers, handlers, strict=True):
-        signal.signal(number, handler)
+pytestmark = pytest.mark.usefixtures("signal_handlers")
 
 
 def make_gateway(tmp_path: Path) -> composition._Gateway:
--- a/dewridge/tests/gateway/reloading_tests.py
+++ b/dewridge/tests/gateway/reloading_tests.py
@@ -1,7 +1,10 @@
 """Tests of reloading the settings of a running gateway."""
 
+import os
+import signal
 from pathlib import Path
 
+import pytest
 import trio
 import trio.testing
 
@@ -9,6 +12,8 @@
 from dewridge.gateway.configuration import ConfigurationState
 from dewridge.gateway.reloading import SettingsReloader, compute_trust_period
 from dewridge.settings.gateway import GatewaySettings
+from dewridge.tests.gateway.failing_tests import SETTINGS as GATEWAY_SETTINGS
+from dewridge.tests.gateway.failing_tests import make_gateway
 
 TEXT = """// a comment
 {
@@ -78,3 +83,36 @@
     assert any("listne" in error and "listen" in error for error in errors)
     assert any("host.id" in error for error in errors)
     assert len(errors) >= 4
+
+
+@pytest.mark.parametrize("grace", [3.0, 30.0])
+@pytest.mark.parametrize(
+    "signals", [(signal.SIGTERM,), (signal.SIGHUP, signal.SIGTERM)]
+)
+async def test_a_grace_period_that_has_just_changed_counts(
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    autojump_clock: trio.testing.MockClock,
+    signal_handlers: None,
+    signals: tuple[signal.Signals, ...],
+    grace: float,
+) -> None:
+    """Guards against a host that is killed while it counts on old settings."""
+    gateway = make_gateway(tmp_path)
+
+    async def change_and_stop() -> None:
+        await trio.sleep(1.5)
+        bounds = f'"bounds": {{"grace": {grace}}}'
+        changed = GATEWAY_SETTINGS.replace("\n}", f"\n  {bounds}\n}}")
+        (tmp_path / "settings.json").write_text(changed)
+        for number in signals:
+            os.kill(os.getpid(), number)
+        await trio.sleep_forever()
+
+    tasks = [("settings", gateway._settings_reloader.run), ("stop", change_and_stop)]
+    monkeypatch.setattr(gateway, "_list_tasks", lambda: tasks)
+    with trio.fail_after(60.0):
+        await gateway.run()
+    schedule = gateway._state.shutdown
+    assert schedule is not None
+    assert grace * 5 / 6 < schedule.exits_at - schedule.started_at < grace
