Check again whether a leaving host may pass on a request that has waited

Callers whose requests waited for a server when their host got SIGTERM had them passed on late in the grace period: a stream that may not be repeated was begun 1 s after SIGTERM of 2 s and cut at the exit; others got 502, which promises nothing, although no server had had them before the host left.

Whether a request may outlast its host is checked when it has been read. It may wait after that, for a quarter of its route's latency target if all servers rest.

The check is made again before each attempt of a request that no server may have run. Its caller gets 503, which promises that it has not run. A request that may have run is tried again as before.

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -27,6 +27,7 @@
 from dewridge.gateway.reach.sending import read_answer, send_by_path
 from dewridge.gateway.responder import Responder
 from dewridge.gateway.rollouts import AttemptResult, classify_attempt
+from dewridge.gateway.shutdown.accepting import check_time_to_exit
 from dewridge.gateway.state import SERVER_ANSWER_TIME_METRIC, GatewayState
 from dewridge.gateway.streams import RunningStream
 from dewridge.gateway.suspects import (
@@ -110,6 +111,9 @@
             is_moved = continuation is not None
             if not is_moved and not await is_same_process(self._state, job, server):
                 continue
+            refusal = self._check_time_to_exit(job)
+            if refusal is not None:
+                return refusal
             lost = await self._attempt(job, choice, continuation, responder)
             if lost is None:
                 return None
@@ -121,6 +125,16 @@
             if failure is not None:
                 return failure
 
+    def _check_time_to_exit(self, job: Job) -> Failure | None:
+        """Refuse a job that no server has and that has waited while this host leaves.
+
+        A job that may have run gets another chance: its caller can't be told to send it
+        to another host.
+        """
+        if job.may_have_run:
+            return None
+        return check_time_to_exit(self._state, job.route, job.deadline)
+
     async def _attempt(
         self,
         job: Job,
--- a/dewridge/gateway/serving.py
+++ b/dewridge/gateway/serving.py
@@ -17,10 +17,10 @@
     CallerRequest,
     Configuration,
     Route,
-    RouteKind,
 )
 from dewridge.gateway.placement.outcomes import describe_choice
 from dewridge.gateway.responder import CallerDisconnectedError, Responder
+from dewridge.gateway.shutdown.accepting import DEADLINE_SLACK, check_time_to_exit
 from dewridge.gateway.shutdown.progress import ServedRequest, Stage
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.suspects import check_quarantine, describe_suspect
@@ -42,8 +42,6 @@
 configuration of this host is outdated or missing: half a poll interval."""
 MAX_LOGGED_SERVERS = 8
 """Servers that withheld requests, in the line of a request that was refused."""
-DEADLINE_SLACK = 0.1
-"""Seconds past the deadline during which an answer may still be completed."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,34 +117,14 @@
             account = configuration.accounts.get(request.key)
             if account is None:
                 return self._deny(ResultCode.UNAUTHENTICATED, "unknown key")
-        refusal = self._check_time_to_exit(request, route)
+        deadline = compute_deadline(request, route)
+        refusal = check_time_to_exit(self._state, route, deadline)
         return refusal or ResolvedRequest(configuration, route, account)
 
     def _admit(self, job: Job) -> Failure | None:
         refusal = check_quarantine(self._state, job)
         return refusal or self._check_quota(job.request, job.account)
 
-    def _check_time_to_exit(
-        self, request: CallerRequest, route: Route
-    ) -> Failure | None:
-        """Reject a request that may not complete before this process exits.
-
-        During a rolling restart, callers still use addresses of leaving hosts. A stream
-        interrupted by the exit has run and may not be retried, while a caller that is
-        rejected at once sends it to another host.
-        """
-        schedule = self._state.shutdown
-        if schedule is None:
-            return None
-        now = trio.current_time()
-        ends_by = compute_deadline(request, route) + DEADLINE_SLACK
-        stream_seconds = None
-        if route.kind is RouteKind.STREAM:
-            stream_seconds = self._state.stream_lengths.estimate(route.name, now)
-        if schedule.accepts(now, ends_by, stream_seconds):
-            return None
-        return Failure(ResultCode.HOST_LEAVING, "this host is leaving", 0.0)
-
     def _deny(self, code: ResultCode, reason: str) -> Failure:
         if self._state.configuration.age > MAX_DENIAL_CONFIGURATION_AGE:
             return self._ask_to_retry(f"{reason}, but the configuration may be old")
--- a/dewridge/tests/gateway/leaving_tests.py
+++ b/dewridge/tests/gateway/leaving_tests.py
@@ -7,14 +7,18 @@
 import pytest
 import trio
 
+from dewridge.gateway.model import RouteKind
 from dewridge.gateway.shutdown.leaving import leave_fleet
 from dewridge.policy.shutdown import ShutdownSchedule
 from dewridge.tests.gateway.world import (
     ENGINE,
+    PLAIN,
     ServerExchange,
     World,
     answer_ok,
+    make_configuration,
     make_request,
+    make_route,
     open_world,
     read_answer,
 )
@@ -262,3 +266,34 @@
             await leave(world)
             seconds = trio.current_time() - begin
     assert grace * 5 / 6 < seconds < grace * 0.96
+
+
+@pytest.mark.parametrize("route", ["write", "read", "draft", "chat"])
+async def test_a_request_that_has_waited_for_a_server_is_not_passed_on_late(
+    route: str,
+) -> None:
+    """Guards against requests that wait while their host begins to leave."""
+
+    async def answer_late(exchange: ServerExchange) -> None:
+        if exchange.target.startswith(b"/draft"):
+            await exchange.begin_stream()
+            await exchange.send_events(1, 1)
+        await trio.sleep(5.0)
+
+    is_stream = route in {"draft", "chat"}
+    kind = RouteKind.STREAM if is_stream else RouteKind.NON_IDEMPOTENT
+    service = ENGINE if is_stream else PLAIN
+    waiting = make_route(route, kind, service, timeout=60.0, latency_target=8.0)
+    configuration = make_configuration(routes=(waiting,))
+    async with open_world(configuration, grace=2.0) as world:
+        server = await world.add_server("s-1", answer_late, service)
+        world.state.pushback.apply_rest(server.id, 1.1, trio.current_time())
+        async with await world.connect() as stream:
+            await stream.send_all(make_request(f"/{route}/a", deadline_ms=60_000))
+            await trio.sleep(0.1)
+            await leave(world)
+            world.nursery.cancel_scope.cancel()
+            with trio.CancelScope(shield=True):
+                answer = await read_answer(stream)
+    assert (answer.status, answer.is_complete) == (503, True)
+    assert server.received == []
