Free the memory of ended streams before a leaving host ends

An engine kept the memory of a stopped stream, in place of running requests, until its own time limit if the gateway that was to free it left meanwhile.

Memory is freed by one call at a time, beside the requests. A leaving host ended once it had no requests for 0.6 s, whatever waited to be freed, and did not wait for a call that was under way.

test_a_leaving_host_frees_the_memory_of_ended_streams failed on: with three entries and an engine that takes 0.5 s for a call, two were sent.

A host that would end early stays until the memory is freed, at most until its planned exit. What streams leave behind that the exit itself cuts is still freed by the engines alone.

--- a/dewridge/gateway/endings/left.py
+++ b/dewridge/gateway/endings/left.py
@@ -34,11 +34,13 @@
 
     Attributes:
         dropped: number of entries for which there was no room.
+        unfinished: number of entries that wait or are being freed.
     """
 
     def __init__(self) -> None:
         self._send, self._receive = trio.open_memory_channel[LeftMemory](MAX_LEFT)
         self.dropped = 0
+        self.unfinished = 0
 
     def add(self, job: Job) -> None:
         """Add what an ended job left behind."""
@@ -55,7 +57,13 @@
                 self._send.send_nowait(left)
             except trio.WouldBlock:
                 self.dropped += 1
+            else:
+                self.unfinished += 1
 
     async def wait(self) -> LeftMemory:
-        """Wait for memory to free."""
+        """Wait for memory to free; `finish` has to be called after it was tried."""
         return await self._receive.receive()
+
+    def finish(self) -> None:
+        """Record that the freeing of one entry was tried."""
+        self.unfinished -= 1
--- a/dewridge/gateway/endings/releasing.py
+++ b/dewridge/gateway/endings/releasing.py
@@ -7,4 +7,8 @@
 async def release_memory(state: GatewayState) -> None:
     """Free memory forever, one call at a time."""
     while True:
-        await free_left_memory(state, await state.left_memories.wait())
+        left = await state.left_memories.wait()
+        try:
+            await free_left_memory(state, left)
+        finally:
+            state.left_memories.finish()
--- a/dewridge/gateway/shutdown/leaving.py
+++ b/dewridge/gateway/shutdown/leaving.py
@@ -104,7 +104,8 @@
             state.served.prepare_exit()
         if now >= serves_until:
             state.ingress.close_idle_connections()
-            if now - quiet_since > QUIET_PERIOD:
+            is_quiet = now - quiet_since > QUIET_PERIOD
+            if is_quiet and not state.left_memories.unfinished:
                 return ExitReason.QUIET
         await trio.sleep_until(min(now + POLL_INTERVAL, closes_at))
     return ExitReason.DEADLINE
@@ -115,7 +116,8 @@
 ) -> None:
     """Refuse the requests that still arrive, and wait until all are answered.
 
-    Streams that run beyond the end of the schedule are not waited for.
+    Engine memory of ended streams is freed as well. Streams that run beyond the end of
+    the schedule are not waited for.
     """
     now = trio.current_time()
     state.shutdown = schedule.close(now)
@@ -123,15 +125,16 @@
     closes_at = now + CLOSING_TIME
     while True:
         is_closing = trio.current_time() < closes_at
-        if not is_closing and not _has_requests_to_answer(state, schedule):
+        if not is_closing and not _has_work_left(state, schedule):
             return
         if trio.current_time() >= schedule.answers_by:
             state.served.prepare_exit()
         await trio.sleep(CLOSING_POLL_INTERVAL)
 
 
-def _has_requests_to_answer(state: GatewayState, schedule: ShutdownSchedule) -> bool:
+def _has_work_left(state: GatewayState, schedule: ShutdownSchedule) -> bool:
     # With a short grace period, the process is killed soon after its planned exit.
     if trio.current_time() >= schedule.exits_at:
         return False
-    return state.ingress.requests + state.relay_ingress.requests > 0
+    requests = state.ingress.requests + state.relay_ingress.requests
+    return requests + state.left_memories.unfinished > 0
--- a/dewridge/tests/gateway/leaving_tests.py
+++ b/dewridge/tests/gateway/leaving_tests.py
@@ -3,12 +3,15 @@
 import os
 from collections.abc import Callable
 from contextlib import suppress
+from types import SimpleNamespace
 
 import pytest
 import trio
 
+from dewridge.gateway.jobs import HeldMemory
 from dewridge.gateway.model import RouteKind
 from dewridge.gateway.shutdown.leaving import leave_fleet
+from dewridge.platform.engines import CacheCopy
 from dewridge.policy.shutdown import ShutdownSchedule
 from dewridge.tests.gateway.world import (
     ENGINE,
@@ -297,3 +300,31 @@
                 answer = await read_answer(stream)
     assert (answer.status, answer.is_complete) == (503, True)
     assert server.received == []
+
+
+async def test_a_leaving_host_frees_the_memory_of_ended_streams() -> None:
+    """Guards against engines that hold memory for a host that is gone."""
+
+    async def free_slowly(exchange: ServerExchange) -> None:
+        await trio.sleep(0.5)
+        await exchange.answer()
+
+    async with open_world(answer_ttl=0.05, grace=8.0) as world:
+        server = await world.add_server("s-1", free_slowly, ENGINE)
+        record = world.state.servers.find(server.id)
+        assert record is not None
+        held = [
+            HeldMemory(record, CacheCopy(record.address, f"m-{number}", False))
+            for number in range(3)
+        ]
+        job = SimpleNamespace(
+            request=SimpleNamespace(id="r-1"), held_memory=held, unknown_orders=[]
+        )
+        world.state.left_memories.add(job)  # type: ignore[arg-type]
+        begin = trio.current_time()
+        await leave(world)
+        seconds = trio.current_time() - begin
+        freed = world.state.metrics.read("memory_releases_total", effect="done")
+    assert [each.method for each in server.received] == [b"DELETE"] * 3
+    assert freed == 3
+    assert seconds < 4.0
