Test submissions at each moment of a drain

Operators of other systems report requests that were taken late in a planned stop and ended without an answer. A host of the product refuses each submission that comes after it has begun to drain, and runs none that it refuses; those that it has accepted end elsewhere or with a status.

No test swept the moment of the submission, or acceptances that are undecided when the drain begins.

--- a/dewridge/tests/requests/leaving_tests.py
+++ b/dewridge/tests/requests/leaving_tests.py
@@ -250,3 +250,61 @@
         assert cluster.workers.count(key) == 1
 
     run_cluster(scenario)
+
+
+# Callers who do not know that a host leaves submit to it at each moment of its drain.
+# If it accepted one that it neither ran nor handed off, the caller would wait for an
+# answer that never comes; if it ran one that it refused, a retry elsewhere would run
+# it twice. Servers answer calls within the drain or after it, and acceptances take a
+# moment or a part of the drain.
+@pytest.mark.parametrize("delay", [0.001, 0.1])
+@pytest.mark.parametrize("plain_time", [0.05, 0.8, 5.0])
+def test_submissions_at_each_moment_of_a_drain_are_kept_or_refused(
+    plain_time: float, delay: float
+) -> None:
+    async def scenario(cluster: Cluster) -> None:
+        cluster.workers.plain_time = plain_time
+        cluster.delay = delay
+        service = cluster.nodes["host-0"].service
+        results: dict[RequestKey, Accepted | Failure] = {}
+        sent_late: set[RequestKey] = set()
+        drained_from = trio.current_time() + 0.5
+
+        async def send(operation: str, at: float) -> None:
+            await trio.sleep_until(at)
+            submission = cluster.make(operation)
+            if at > drained_from:
+                sent_late.add(submission.key)
+            results[submission.key] = await service.submit(submission)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(40):
+                at = drained_from - 0.4 + 0.06 * number
+                for operation in ("issue_letter", "draft_finding"):
+                    nursery.start_soon(send, operation, at)
+            await trio.sleep_until(drained_from)
+            cluster.announce_leaving("host-0")
+            await service.drain(1.3, answer_timeout=0.5)
+            cluster.kill("host-0")
+            nursery.cancel_scope.cancel()
+        refused = {
+            key: result
+            for key, result in results.items()
+            if isinstance(result, Failure)
+        }
+        accepted = results.keys() - refused.keys()
+        assert len(accepted) >= 10
+        assert len(refused) >= 5
+        assert refused.keys() >= sent_late & results.keys()
+        assert {each.code for each in refused.values()} == {ResultCode.HOST_LEAVING}
+        assert [key for key in refused if cluster.workers.count(key)] == []
+        lost = 0
+        for key in accepted:
+            ended = await read_end(cluster, "host-1", key)
+            assert ended.code in {ResultCode.OK, ResultCode.HOLDER_LOST}
+            assert cluster.workers.count(key) == 1
+            lost += ended.code is ResultCode.HOLDER_LOST
+        # Only calls whose servers need longer than their host has get no answer.
+        assert (lost > 0) == (plain_time == 5.0)
+
+    run_cluster(scenario)
