Count the grace period of a process that stood still from its last run

A process that stood still as SIGTERM was sent to it ended by SIGKILL, and took streams that were sent up to 3.6 s after SIGTERM, all of which were cut.

The schedule counted from the moment at which the signal was noticed. Nothing tells a process when a signal was sent, but a periodic task shows when it last ran.

If that task is late by more than 0.3 s as the signal is noticed, the schedule counts from its last run, and from no more than half of the grace period ago.

--- a/dewridge/gateway/clock.py
+++ b/dewridge/gateway/clock.py
@@ -30,6 +30,11 @@
         self._monotonic_at = time.monotonic()
         self.on_stall: Callable[[float], None] = lambda suspended: None
 
+    @property
+    def seconds_since_check(self) -> float:
+        """Seconds since the last check, during which the process may have stalled."""
+        return read_boot_clock() - self._checked_at
+
     def check(self) -> None:
         """Call `on_stall` if the process has stalled since the last check.
 
--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -359,7 +359,9 @@
             RestartLimitError: a task failed too often, for which the host has left.
         """
         bounds = self._settings.supervision
-        leaving = handle_signals(self._settings_reloader.poll_now)
+        leaving = handle_signals(
+            self._settings_reloader.poll_now, self._record_termination
+        )
         supervisor = Supervisor(
             "gateway", bounds.restarts, bounds.window, on_limit=leaving.set
         )
@@ -382,6 +384,12 @@
         if supervisor.limit_error is not None:
             raise supervisor.limit_error
 
+    def _record_termination(self) -> None:
+        """Record since when the process may not have noticed SIGTERM."""
+        if self._state.checked_before_signal is None:
+            seconds = self._state.stalls.seconds_since_check
+            self._state.checked_before_signal = trio.current_time() - seconds
+
     async def _serve_until_exit(self) -> None:
         """Serve until the scheduled exit, for callers whose requests were accepted."""
         schedule = self._state.shutdown
--- a/dewridge/gateway/shutdown/leaving.py
+++ b/dewridge/gateway/shutdown/leaving.py
@@ -9,8 +9,12 @@
 from dewridge.gateway.duties import HolderElection
 from dewridge.gateway.hosts import Registration
 from dewridge.gateway.state import GatewayState
-from dewridge.gateway.upkeep import update_readiness
-from dewridge.policy.shutdown import ShutdownSchedule, schedule_shutdown
+from dewridge.gateway.upkeep import UPKEEP_PERIOD, update_readiness
+from dewridge.policy.shutdown import (
+    ShutdownSchedule,
+    estimate_signal_time,
+    schedule_shutdown,
+)
 
 ANSWER_TTL_MULTIPLE = 3.0
 """Multiple of its time to live for which some callers keep a list of addresses."""
@@ -48,7 +52,13 @@
     has to end all tasks before it waits for anything.
     """
     started_at = trio.current_time()
-    schedule = schedule_shutdown(started_at, state.settings.bounds.grace)
+    grace = state.settings.bounds.grace
+    signal_at = started_at
+    if state.checked_before_signal is not None:
+        signal_at = estimate_signal_time(
+            started_at, state.checked_before_signal, UPKEEP_PERIOD, grace
+        )
+    schedule = schedule_shutdown(signal_at, grace)
     exit_in = round(schedule.exits_at - started_at, 3)
     log.bind(**describe_requests(state), exit_in=exit_in).info("leaving")
     state.ingress.is_leaving = True
--- a/dewridge/gateway/shutdown/signals.py
+++ b/dewridge/gateway/shutdown/signals.py
@@ -8,7 +8,9 @@
 from loguru import logger as log
 
 
-def handle_signals(on_reload: Callable[[], None]) -> trio.Event:
+def handle_signals(
+    on_reload: Callable[[], None], on_terminate: Callable[[], None]
+) -> trio.Event:
     """Handle signals until the process has ended; return the event that SIGTERM sets.
 
     The handlers are never removed: a signal that arrives while the host leaves, or at
@@ -16,6 +18,7 @@
 
     Args:
         on_reload: called after each SIGHUP, also while the host leaves.
+        on_terminate: called at once at each SIGTERM, between any two instructions.
     """
     token = trio.lowlevel.current_trio_token()
     leaving = trio.Event()
@@ -30,6 +33,8 @@
 
     def handle(number: int, frame: FrameType | None) -> None:
         try:
+            if number == signal.SIGTERM:
+                on_terminate()
             token.run_sync_soon(apply, number)
         except trio.RunFinishedError:
             return
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -220,6 +220,8 @@
     is_ready: bool = False
     shutdown: ShutdownSchedule | None = None
     """Times of the graceful shutdown; None until it begins."""
+    checked_before_signal: float | None = None
+    """When `stalls` was last checked before SIGTERM was noticed; None without one."""
     served: ServedRequests = field(default_factory=ServedRequests)
     stream_lengths: StreamLengths = field(default_factory=StreamLengths)
     endpoints: list[Endpoint] = field(default_factory=list)
--- a/dewridge/policy/shutdown.py
+++ b/dewridge/policy/shutdown.py
@@ -20,6 +20,9 @@
 SIGNAL_DELAY = 0.3
 """Seconds for which the signal may wait for a busy process. Operators count from when
 they sent it."""
+MAX_STALL_SHARE = 0.5
+"""Largest share of the grace period by which a signal may have waited for a process
+that stood still. It would have been killed after a whole one."""
 EXIT_SHARE = 1 / 12
 """Share of the grace period that is left at the exit: half of the last sixth, before
 which no running stream may be cut."""
@@ -35,7 +38,7 @@
     """Times of a graceful shutdown on the monotonic clock.
 
     Attributes:
-        started_at: when the signal was received.
+        started_at: when the signal was sent.
         open_until: until when streams are accepted that may outlast the process.
         answers_by: by when all other requests have to end.
         exits_at: when the process ends, whatever still runs.
@@ -66,11 +69,29 @@
         return replace(self, open_until=now, answers_by=now)
 
 
+def estimate_signal_time(
+    now: float, checked_at: float, check_period: float, grace: float
+) -> float:
+    """Return when a signal was sent at the earliest that a process notices now.
+
+    A process that stands still does not notice signals, while its grace period runs.
+
+    Args:
+        now: the time now.
+        checked_at: when a periodic task last ran before the signal was noticed.
+        check_period: seconds between two runs of that task.
+        grace: seconds from the signal until the process is killed.
+    """
+    if now - checked_at <= check_period + SIGNAL_DELAY:
+        return now
+    return max(checked_at, now - MAX_STALL_SHARE * grace)
+
+
 def schedule_shutdown(started_at: float, grace: float) -> ShutdownSchedule:
     """Return the times of a shutdown.
 
     Args:
-        started_at: when the signal was received.
+        started_at: when the signal was sent.
         grace: seconds from the signal until the process is killed.
     """
     exits_at = started_at + grace - min(MAX_EXIT_MARGIN, EXIT_SHARE * grace)
--- a/dewridge/tests/policy/shutdown_tests.py
+++ b/dewridge/tests/policy/shutdown_tests.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from dewridge.policy.shutdown import schedule_shutdown
+from dewridge.policy.shutdown import estimate_signal_time, schedule_shutdown
 from dewridge.policy.streamlengths import MAX_ROUTES, StreamLengths
 
 SENT_EXCUSED = 3.0
@@ -55,6 +55,23 @@
         assert schedule.exits_at - arrival > grace / 2
 
 
+@given(
+    grace=st.floats(1.0, 30.0), stall=st.floats(0.0, 60.0), share=st.floats(0.0, 1.0)
+)
+def test_a_signal_to_a_process_that_stands_still_counts_from_when_it_was_sent(
+    grace: float, stall: float, share: float
+) -> None:
+    """Guards against a host that plans to end after it is killed."""
+    sent_at = share * stall
+    started_at = estimate_signal_time(stall, 0.0, 0.25, grace)
+    schedule = schedule_shutdown(started_at, grace)
+    assert schedule.started_at >= stall - grace / 2
+    if stall > 0.55 and stall - sent_at <= grace / 2:
+        assert schedule.open_until <= sent_at + SENT_EXCUSED
+    if 0.55 < stall <= grace / 2:
+        assert schedule.exits_at < sent_at + grace
+
+
 @given(arrival=st.floats(0.0, 10.0))
 def test_a_closed_host_accepts_nothing(arrival: float) -> None:
     """Guards against requests that are accepted while the process ends."""
