Learn versions that came and went while a host was cut off

Callers whose stream began at a new version read events of the old one after they resumed it at a host that had been cut off from the store for 1.5 or 2 s, while the server of the new version joined, took streams and drained, left, or came back as the old version.

Cause: after the cut the host read the list of servers as it is then, and took itself to have seen all versions unless 4 s had passed since the last confirmation. A version that is without streams for 1 s can come, begin streams and leave within less. The history that the store returns had the records, but the mirror of the list dropped those that were removed again, the watch began anew with a list after each failure, and the record of a server that drains already was not counted as a version.

Change: the watch goes on from its last revision after a failure other than a lost history, and the mirror hands over records that were replaced. Both, and records of draining servers, count as versions seen. A whole list without history more than 1 s after the last confirmation makes the host count as just started, as a gap of 4 s did.

It works because every record that a version ever had is an event of the store: a host either sees the event or knows that it lacks the history. No call or message is added.

--- a/dewridge/gateway/mirrors.py
+++ b/dewridge/gateway/mirrors.py
@@ -18,10 +18,16 @@
     Attributes:
         listing: the items.
         may_lag: whether the list may be outdated.
+        replaced: items that were written since the last read and are not in the list,
+            since they were removed or written again.
+        has_history: whether all items that were written since the last read are in the
+            list or among the replaced ones.
     """
 
     listing: Listing
     may_lag: bool
+    replaced: tuple[Item, ...] = ()
+    has_history: bool = False
 
 
 class ListMirror:
@@ -61,7 +67,13 @@
             else:
                 self._items[item.key] = item
         self._revision = max(self._revision, changes.revision)
-        return MirrorRead(Listing(tuple(self._items.values()), self._revision), False)
+        replaced = tuple(
+            item
+            for item in changes.items
+            if not item.removed and self._items.get(item.key) is not item
+        )
+        listing = Listing(tuple(self._items.values()), self._revision)
+        return MirrorRead(listing, False, replaced, has_history=True)
 
     async def _list(self, *, may_lag: bool) -> MirrorRead | Failure:
         listing = await self._store.list_items(self._prefix, allow_stale=may_lag)
--- a/dewridge/gateway/servers.py
+++ b/dewridge/gateway/servers.py
@@ -85,7 +85,8 @@
         on_left: called for each process that leaves, with its record, the time at which
             it stops, and whether the other hosts know it already; called again if that
             time turns out to be another.
-        on_serving: called with each record that is new or has changed, and the time.
+        on_serving: called with each record that is new or has changed, and the time;
+            also with those of servers that leave.
         drained_at: when a reclaimable server last began to drain, by service and
             failure domain.
         version: number of changes to the table.
@@ -202,6 +203,9 @@
             # Applies also if another host reported the departure: such a report does
             # not say whether the server drains.
             self._record_draining(record, now)
+        if record.is_draining or record.id in self._departures:
+            # This host may have missed the time in which the server got new requests.
+            self.on_serving(record, now)
         if record.id in self._departures or not self._is_newest_process(record, now):
             return
         if record.is_draining:
@@ -219,6 +223,12 @@
             self.version += 1
             self.on_serving(record, now)
 
+    def record_replaced(self, record: ServerRecord, now: float) -> None:
+        """Record that a server had a record that was removed or written again."""
+        known = self._records.get(record.id)
+        if known is None or known.version != record.version:
+            self.on_serving(record, now)
+
     def _record_draining(self, record: ServerRecord, now: float) -> None:
         self._departing_records[record.id] = record
         if record.is_reclaimable:
--- a/dewridge/gateway/versions/freshness.py
+++ b/dewridge/gateway/versions/freshness.py
@@ -34,13 +34,22 @@
         self.confirmed_at = float("-inf")
         self.confirmed_by = ConfirmedBy.NOBODY
 
-    def confirm(self, at: float, by: ConfirmedBy) -> None:
-        """Record that this host knew all versions at a time on the boot clock."""
+    def confirm(self, at: float, by: ConfirmedBy, *, has_history: bool = True) -> None:
+        """Record that this host knew all versions at a time on the boot clock.
+
+        Args:
+            at: the time.
+            by: what showed it.
+            has_history: whether versions that came and went since the last confirmation
+                are known as well. Without that, the gap may be no longer than new
+                versions are without streams.
+        """
         if at <= self.confirmed_at:
             return
         previous, self.confirmed_at = self.confirmed_at, at
         self.confirmed_by = by
-        if previous > float("-inf") and at - previous > MAX_VIEW_GAP:
+        max_gap = MAX_VIEW_GAP if has_history else MAX_VIEW_AGE
+        if previous > float("-inf") and at - previous > max_gap:
             self.on_gap()
 
     @property
--- a/dewridge/gateway/watching.py
+++ b/dewridge/gateway/watching.py
@@ -15,6 +15,7 @@
 import trio
 from loguru import logger as log
 
+from dewridge.codes import ResultCode
 from dewridge.gateway.clock import read_boot_clock
 from dewridge.gateway.configuration import ConfigurationState
 from dewridge.gateway.documents.fetching import DocumentPeers
@@ -173,6 +174,7 @@
                 retry_delay = min(MAX_RETRY_DELAY, retry_delay * 2)
                 continue
             retry_delay = MIN_RETRY_DELAY
+            self._record_replaced(read.replaced)
             needs_current_list = self._apply_server_listing(
                 read.listing, began_at, may_lag=read.may_lag
             )
@@ -180,7 +182,9 @@
                 may_lag = False
                 continue
             if not read.may_lag:
-                self._confirm_versions(requested_at, requested_at)
+                self._version_view.confirm(
+                    requested_at, ConfirmedBy.STORE, has_history=read.has_history
+                )
             role = self._find_role()
             period = (
                 self.pacing.compute_interval()
@@ -209,6 +213,14 @@
         self._servers.apply_full_list(records, now, requested_at)
         return False
 
+    def _record_replaced(self, items: Iterable[Item]) -> None:
+        """Record servers that the list does not show, though they had a record."""
+        now = trio.current_time()
+        for item in items:
+            record = self._decode_server(item)
+            if record is not None:
+                self._servers.record_replaced(record, now)
+
     def _decode_server(self, item: Item) -> ServerRecord | None:
         """Decode a record; log an invalid one once instead of at each poll."""
         record = decode_server(item)
@@ -254,8 +266,9 @@
                     await trio.sleep(draw_batch_delay(self._count_readers(), self._rng))
                 revision = max(revision or 0, changes.revision)
                 continue
-            # The history may be compacted, or the connection went silent: start again.
-            revision = None
+            if changes is not None and changes.code is ResultCode.KEY_VALUE_COMPACTED:
+                # After any other failure the next watch shows what came and went.
+                revision = None
             self._servers_wake.set()
             is_small_fleet = self._find_role() is StoreRole.ALL
             await self._sleep_with_jitter(
@@ -292,7 +305,7 @@
         self._apply_server_listing(listing, began_at, may_lag=False)
         if self._servers.recheck_at is not None:
             self._servers_wake.set()
-        self._confirm_versions(requested_at, requested_at)
+        self._version_view.confirm(requested_at, ConfirmedBy.STORE, has_history=False)
         return listing.revision
 
     async def _wait_for_wake(self, wake: trio.Event, period: float) -> trio.Event:
--- /dev/null
+++ b/dewridge/tests/gateway/outofstep_tests.py
@@ -0,0 +1,283 @@
+"""Tests of hosts that were out of step while servers of a new version came."""
+
+import random
+from collections.abc import Callable, Iterator
+from contextlib import AsyncExitStack, contextmanager
+from dataclasses import dataclass, field
+from enum import Enum
+
+import msgspec
+import pytest
+import trio
+import trio.testing
+
+from dewridge.digests import make_release
+from dewridge.gateway.state import GatewayState
+from dewridge.gateway.versions.origins import find_only_release
+from dewridge.gateway.watching import StoreWatcher
+from dewridge.platform.names import SERVERS_PREFIX
+from dewridge.platform.store import Listing
+from dewridge.policy.streamversions import NEW_VERSION_DELAY
+from dewridge.sentinels import Failure
+from dewridge.tests.gateway.memorystore import COMPACTED, MemoryStore, StoreData
+from dewridge.tests.gateway.resuming_tests import (
+    begin_streams,
+    open_scene,
+    resume_all,
+)
+from dewridge.tests.gateway.world import ENGINE, make_configuration, make_state
+
+OLD, NEW = "v1", "v2"
+JOINED_AFTER = 0.1
+"""Seconds after the host lost touch at which the first server of the new version
+registers."""
+STREAMS = 12
+SAMPLE_PERIOD = 0.002
+OBSERVED = 6.0
+"""Seconds after the return of the host for which it is observed."""
+
+
+class Fate(Enum):
+    """What becomes of the servers of the new version before the host is back."""
+
+    STAYS = "stays"
+    DRAINS = "drains"
+    LEAVES = "leaves"
+    RETURNS_OLD = "comes back under its name with the old version"
+
+
+class Absence(Enum):
+    """How the host is out of step."""
+
+    CUT = "cut off from the store"
+    STILL = "stands still"
+    SUSPENDED = "stands still, and the monotonic clock with it"
+
+
+class HistoryStore(MemoryStore):
+    """A client whose store may have lost its history.
+
+    Attributes:
+        is_compacted: whether watches are answered that the history is gone.
+    """
+
+    is_compacted = False
+
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait: float,
+        on_begin: Callable[[int | None], None] | None = None,
+    ) -> Listing | Failure:
+        """Wait for changes."""
+        if self.is_compacted:
+            return COMPACTED
+        return await super().watch(prefix, after, wait, on_begin)
+
+
+@dataclass
+class BootClock:
+    """The boot clock of a host whose monotonic clock may have stopped.
+
+    Attributes:
+        suspended: seconds for which the monotonic clock stopped.
+    """
+
+    suspended: float = 0.0
+
+    def read(self) -> float:
+        """Return the seconds since the boot."""
+        return trio.current_time() + self.suspended
+
+
+@contextmanager
+def replace_boot_clock() -> Iterator[BootClock]:
+    """Have the boot clock follow the test's clock."""
+    clock = BootClock()
+    with pytest.MonkeyPatch.context() as patch:
+        for module in ("watching", "versions.freshness"):
+            patch.setattr(f"dewridge.gateway.{module}.read_boot_clock", clock.read)
+        yield clock
+
+
+@dataclass
+class FollowingHost:
+    """A host that follows the servers of the store.
+
+    Attributes:
+        data: the store.
+        state: the state of the host, which has seen all versions since the first start.
+        clients: the clients of the store for reads and for watches.
+        named: samples in which the host named the old version as the only one.
+    """
+
+    data: StoreData = field(default_factory=StoreData)
+    state: GatewayState = field(init=False)
+    clients: list[HistoryStore] = field(init=False)
+    named: int = 0
+
+    def __post_init__(self) -> None:
+        """Create the state of the host."""
+        self.clients = [HistoryStore(self.data), HistoryStore(self.data)]
+        state = make_state(make_configuration(), started_at=trio.current_time())
+        state.versions.history.complete_since = float("-inf")
+        self.follow(state)
+
+    def follow(self, state: GatewayState) -> None:
+        """Create the watcher of a state as the composition root does."""
+        self.state = state
+        self.watcher = StoreWatcher(
+            self.clients[0],
+            self.clients[1],
+            state.configuration,
+            state.servers,
+            lambda: 4,
+            400.0,
+            random.Random(1),
+            version_view=state.versions.view,
+        )
+
+    def write(
+        self,
+        name: str,
+        version: str,
+        state: str = "ready",
+        born: int | None = None,
+        address: str = "127.0.0.1:9",
+    ) -> None:
+        """Write a server's record."""
+        record = {
+            "service": ENGINE,
+            "address": address,
+            "slots": 8,
+            "state": state,
+            "version": version,
+            "born": born,
+        }
+        self.clients[0].write(f"{SERVERS_PREFIX}{name}", msgspec.json.encode(record))
+
+    def end_new_version(self, fate: Fate) -> None:
+        """Have the server of the new version end as a release that is taken back."""
+        match fate:
+            case Fate.DRAINS:
+                self.write("s-2", NEW, "draining", born=2)
+            case Fate.LEAVES:
+                self.clients[0].remove(f"{SERVERS_PREFIX}s-2")
+            case Fate.RETURNS_OLD:
+                self.clients[0].remove(f"{SERVERS_PREFIX}s-2")
+                self.write("s-2", OLD, born=3)
+
+    def set_down(self, *, is_down: bool) -> None:
+        """Cut the host off from the store, or have it reach the store again."""
+        for client in self.clients:
+            client.is_down = is_down
+
+    def names_old(self) -> bool:
+        """Return whether an unknown stream would be sent to the old version."""
+        if not self.state.versions.view.is_current:
+            return False
+        return find_only_release(self.state, ENGINE) == make_release(ENGINE, OLD)
+
+    async def wait_until_current(self) -> None:
+        """Wait until the host has read the list of servers, 3 s at most."""
+        for _ in range(300):
+            if self.state.versions.view.is_current:
+                return
+            await trio.sleep(0.01)
+
+    async def observe(self, seconds: float) -> None:
+        """Count the samples in which the host names the old version."""
+        end = trio.current_time() + seconds
+        while trio.current_time() < end:
+            await trio.sleep(SAMPLE_PERIOD)
+            self.named += self.names_old()
+
+
+@pytest.mark.parametrize("fate", Fate)
+@pytest.mark.parametrize("is_compacted", [False, True])
+@pytest.mark.parametrize("absence", Absence)
+@pytest.mark.parametrize("seconds", [1.5, 2.0, 3.5, 5.0, 8.0])
+async def test_a_host_names_no_only_version_after_it_missed_one(
+    autojump_clock: trio.testing.MockClock,
+    fate: Fate,
+    absence: Absence,
+    seconds: float,
+    is_compacted: bool,
+) -> None:
+    """Guards against a current list of servers that does not show a recent version.
+
+    Streams of the new version began at other hosts 1 s after it came. All servers of
+    the old version are there all the time.
+    """
+    with replace_boot_clock() as boot_clock:
+        host = FollowingHost()
+        host.write("s-0", OLD)
+        host.write("s-1", OLD)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(host.watcher.poll_servers)
+            nursery.start_soon(host.watcher.watch_servers)
+            await host.observe(10.0)
+            named_before = host.named
+            if absence is Absence.CUT:
+                host.set_down(is_down=True)
+                await trio.sleep(JOINED_AFTER)
+                host.write("s-2", NEW, born=2)
+                await host.observe(0.8 * (seconds - JOINED_AFTER))
+                host.named = 0
+                host.end_new_version(fate)
+                await host.observe(0.2 * (seconds - JOINED_AFTER))
+                host.set_down(is_down=False)
+            else:
+                host.write("s-2", NEW, born=2)
+                host.end_new_version(fate)
+                if absence is Absence.STILL:
+                    autojump_clock.jump(seconds)
+                else:
+                    boot_clock.suspended += seconds
+                host.named = int(host.names_old())
+            for client in host.clients:
+                client.is_compacted = is_compacted
+            await host.observe(OBSERVED)
+            nursery.cancel_scope.cancel()
+    assert named_before > 0
+    assert seconds > NEW_VERSION_DELAY
+    assert host.named == 0
+
+
+async def test_streams_of_a_version_that_left_again_are_not_joined() -> None:
+    """Guards against a host that missed a version and takes its streams for old ones.
+
+    The host is cut off from the store for more than 1 s, and from its peer for longer.
+    """
+    async with AsyncExitStack() as stack:
+        scene = await open_scene(stack, (OLD,), 2)
+        scene.fleet.without_store.add(scene.worlds[1].state.host)
+        host = FollowingHost()
+        host.follow(scene.worlds[1].state)
+        for record in scene.worlds[0].state.servers.list_service(ENGINE):
+            host.write(record.name, OLD, address=record.address)
+        scene.worlds[1].nursery.start_soon(host.watcher.poll_servers)
+        scene.worlds[1].nursery.start_soon(host.watcher.watch_servers)
+        await trio.sleep(0.2)
+        scene.fleet.network.silent.add(scene.find_address(1))
+        host.set_down(is_down=True)
+        joined = await scene.engines.add("n-0", NEW)
+        host.write(joined.id, NEW)
+        await trio.sleep(NEW_VERSION_DELAY + 0.1)
+        streams = await begin_streams(scene, STREAMS)
+        begun = {version for stream in streams for version in stream.versions}
+        now = trio.current_time()
+        scene.worlds[0].state.servers.drop(joined.id, now, "it left", 0.0)
+        host.clients[0].remove(f"{SERVERS_PREFIX}{joined.id}")
+        host.set_down(is_down=False)
+        await host.wait_until_current()
+        await resume_all(scene, streams, lambda number: 1)
+        joined_streams = [one for one in streams if len(one.versions) > 1]
+        scene.fleet.network.silent.clear()
+        rest = [stream for stream in streams if not stream.is_whole]
+        await resume_all(scene, rest, lambda number: 1)
+    assert begun == {OLD, NEW}
+    assert joined_streams == []
+    assert {stream.is_whole for stream in streams if OLD in stream.versions} == {True}
+    assert [stream for stream in streams if len(stream.versions) > 1] == []
