Date the copies of streams by their request on the boot clock

A host that was suspended for 1 to 3.5 s while a new version came could send a resumed stream of it to the old version, if it had asked for the copies in the store shortly before the suspension.

Cause: what was read is used for 0.5 s, counted from the arrival of the answer by the monotonic clock. That clock stops while the host is suspended, and an answer that waited in the socket counted as new.

Change: the age counts from the request, on the boot clock.

It works because a stream that is resumed after the host woke up is judged by copies that were asked for 0.5 s before at most. Calls in calm stay the same: one read for the streams of half a second, shown by a test.

--- a/dewridge/gateway/versions/copies.py
+++ b/dewridge/gateway/versions/copies.py
@@ -12,6 +12,7 @@
 from loguru import logger as log
 
 from dewridge.codes import ResultCode
+from dewridge.gateway.clock import read_boot_clock
 from dewridge.gateway.versions.link import group_by_release
 from dewridge.gateway.versions.records import StreamVersions
 from dewridge.ids import (
@@ -204,12 +205,13 @@
     async def _read(self) -> bool:
         """Read the copies unless they were read just now; return whether it worked."""
         async with self._reading:
-            now = trio.current_time()
-            if now - self._read_at < READ_LIFETIME:
+            requested_at = read_boot_clock()
+            if requested_at - self._read_at < READ_LIFETIME:
                 return self._stored_mixed is not None
             self._stored_mixed = None
             listing = await self._store.list_items(STREAMS_PREFIX)
-            self._read_at = trio.current_time()
+            # The answer may have waited while this host was suspended.
+            self._read_at = requested_at
             if isinstance(listing, Failure):
                 return False
             mixed: set[ServiceName] = set()
--- a/dewridge/tests/gateway/outofstep_tests.py
+++ b/dewridge/tests/gateway/outofstep_tests.py
@@ -13,11 +13,15 @@
 
 from dewridge.digests import make_release
 from dewridge.gateway.state import GatewayState
+from dewridge.gateway.versions.copies import StoredStreams, StreamCopies
+from dewridge.gateway.versions.freshness import ConfirmedBy
 from dewridge.gateway.versions.origins import find_only_release
+from dewridge.gateway.versions.records import StreamVersions
 from dewridge.gateway.watching import StoreWatcher
+from dewridge.ids import StreamKey
 from dewridge.platform.names import SERVERS_PREFIX
 from dewridge.platform.store import Listing
-from dewridge.policy.streamversions import NEW_VERSION_DELAY
+from dewridge.policy.streamversions import NEW_VERSION_DELAY, Origin, ReleaseHistory
 from dewridge.sentinels import Failure
 from dewridge.tests.gateway.memorystore import COMPACTED, MemoryStore, StoreData
 from dewridge.tests.gateway.resuming_tests import (
@@ -32,6 +36,8 @@
 """Seconds after the host lost touch at which the first server of the new version
 registers."""
 STREAMS = 12
+ANSWER_TIME = 0.01
+"""Half of the seconds that the answer of the store takes to arrive."""
 SAMPLE_PERIOD = 0.002
 OBSERVED = 6.0
 """Seconds after the return of the host for which it is observed."""
@@ -96,8 +102,9 @@
     """Have the boot clock follow the test's clock."""
     clock = BootClock()
     with pytest.MonkeyPatch.context() as patch:
-        for module in ("watching", "versions.freshness"):
-            patch.setattr(f"dewridge.gateway.{module}.read_boot_clock", clock.read)
+        for module in ("watching", "versions.freshness", "versions.copies"):
+            name = f"dewridge.gateway.{module}.read_boot_clock"
+            patch.setattr(name, clock.read, raising=False)
         yield clock
 
 
@@ -281,3 +288,98 @@
     assert joined_streams == []
     assert {stream.is_whole for stream in streams if OLD in stream.versions} == {True}
     assert [stream for stream in streams if len(stream.versions) > 1] == []
+
+
+class SlowStore(MemoryStore):
+    """A client whose answers to lists take some time to arrive."""
+
+    async def list_items(
+        self,
+        prefix: str,
+        *,
+        allow_stale: bool = False,
+        on_begin: Callable[[int | None], None] | None = None,
+    ) -> Listing | Failure:
+        """Read all keys under a prefix."""
+        listing = await super().list_items(prefix, allow_stale=allow_stale)
+        await trio.sleep(2 * ANSWER_TIME)
+        return listing
+
+
+@dataclass
+class Copies:
+    """The copies in the store as one host reads them.
+
+    Attributes:
+        store: the store, without a copy that names several versions.
+        versions: what the host knows: one version, confirmed just now.
+        copies: the copies.
+    """
+
+    store: SlowStore = field(default_factory=SlowStore)
+    versions: StreamVersions = field(init=False)
+    copies: StreamCopies = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create a host that has just started."""
+        now = trio.current_time()
+        self.versions = StreamVersions(ReleaseHistory(complete_since=now))
+        self.versions.history.record(ENGINE, OLD, now)
+        self.versions.view.confirm(now, ConfirmedBy.STORE)
+        self.copies = StreamCopies(
+            self.versions, self.store, "streams/host-1/1", lambda: 4, 400.0
+        )
+
+    def write_mixed(self) -> None:
+        """Write the copy of a host that knows both versions."""
+        releases = [make_release(ENGINE, version) for version in (OLD, NEW)]
+        value = msgspec.json.encode(StoredStreams({}, {ENGINE: releases}))
+        self.store.write("streams/host-2/1", value)
+
+
+@pytest.mark.parametrize("seconds", [1.0, 2.0, 3.5])
+@pytest.mark.parametrize("is_read_pending", [False, True])
+@pytest.mark.parametrize("absence", [Absence.STILL, Absence.SUSPENDED])
+async def test_copies_read_before_a_pause_name_no_only_version(
+    autojump_clock: trio.testing.MockClock,
+    absence: Absence,
+    seconds: float,
+    *,
+    is_read_pending: bool,
+) -> None:
+    """Guards against copies that are dated by when the host woke up.
+
+    The second version comes while the host stands still, and a resumed stream of it
+    waits when the host wakes.
+    """
+    with replace_boot_clock() as boot_clock:
+        host = Copies()
+        answers = []
+
+        async def find() -> None:
+            answers.append(await host.copies.find(ENGINE, StreamKey(1)))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(find)
+            await trio.sleep(ANSWER_TIME if is_read_pending else 0.1)
+            if absence is Absence.STILL:
+                autojump_clock.jump(seconds)
+            else:
+                boot_clock.suspended += seconds
+            host.write_mixed()
+            if is_read_pending:
+                await trio.sleep(2 * ANSWER_TIME)
+            found = await host.copies.find(ENGINE, StreamKey(2))
+    assert isinstance(answers[0], Origin) or is_read_pending
+    assert not isinstance(found, Origin)
+
+
+async def test_the_only_version_by_copies_of_the_store_without_a_pause(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against refusing streams, or a read for each, after a start in calm."""
+    with replace_boot_clock():
+        host = Copies()
+        found = [await host.copies.find(ENGINE, StreamKey(number)) for number in (1, 2)]
+    assert all(isinstance(origin, Origin) for origin in found)
+    assert host.store.calls == 1
