Refuse the only version by copies if a peer has seen several

A host that had just started could send a resumed stream of a new version to the old one although its peers had answered that the service had several versions lately.

Cause: only the peers' answer to which version is the only one was used. If there is none, the copies in the store were asked, and if no copy named the service as one with several versions, as after a restore of the store, the versions that this host had seen itself decided.

Change: the only version by the copies does not count once a peer has seen several. A copy that names the stream itself counts as before.

It works because a peer that has seen several versions proves that the stream may have begun at another one.

--- a/dewridge/gateway/versions/link.py
+++ b/dewridge/gateway/versions/link.py
@@ -81,6 +81,11 @@
         """Whether more answers may tell more."""
         return bool(self.asked) and not self.has_timed_out
 
+    @property
+    def has_several(self) -> bool:
+        """Whether a host has seen several versions of the service."""
+        return Release(0) in self.only_releases
+
     def find(self, stream: StreamKey) -> Release | None:
         """Return the version of a stream by the answers so far."""
         return self.found.get(stream) or self._find_only()
@@ -93,7 +98,7 @@
         """
         named = {release for release in self.only_releases if release is not None}
         has_majority = len(self.only_releases) > len(self.asked)
-        if len(named) != 1 or 0 in named or not has_majority:
+        if len(named) != 1 or self.has_several or not has_majority:
             return None
         return named.pop()
 
@@ -206,9 +211,8 @@
             while query.find(stream) is None and query.is_open:
                 await query.changed.wait()
         release = query.find(stream)
-        if release is None:
-            return PeerKnowledge(None, len(query.asked))
-        return PeerKnowledge(Origin(release, OriginSource.PEER), len(query.asked))
+        origin = None if release is None else Origin(release, OriginSource.PEER)
+        return PeerKnowledge(origin, len(query.asked), query.has_several)
 
     def _join_query(self, service: ServiceName, stream: StreamKey) -> _Query:
         """Return the query that asks for a stream, together with others."""
--- a/dewridge/gateway/versions/origins.py
+++ b/dewridge/gateway/versions/origins.py
@@ -65,7 +65,8 @@
     if origin is not None and is_plausible(state, job, origin):
         return origin, ""
     stored = await state.find_stored_origin(job.service, job.stream_key)
-    if isinstance(stored, Origin):
+    is_known = state.versions.find(job.stream_key, trio.current_time()) is not None
+    if isinstance(stored, Origin) and (is_known or not knowledge.has_several):
         return stored, ""
     if isinstance(stored, Failure):
         return None, "the store is out of reach"
--- a/dewridge/gateway/versions/records.py
+++ b/dewridge/gateway/versions/records.py
@@ -33,10 +33,12 @@
     Attributes:
         origin: where it began; None if none of them knows.
         silent: number of hosts that did not answer.
+        has_several: whether one of them has seen several versions of the service.
     """
 
     origin: Origin | None
     silent: int = 0
+    has_several: bool = False
 
 
 AskPeers = Callable[[ServiceName, StreamKey], Awaitable[PeerKnowledge]]
--- a/dewridge/tests/gateway/outofstep_tests.py
+++ b/dewridge/tests/gateway/outofstep_tests.py
@@ -12,24 +12,43 @@
 import trio.testing
 
 from dewridge.digests import make_release
+from dewridge.gateway.clock import read_boot_clock
+from dewridge.gateway.hosts import HostEntry
+from dewridge.gateway.reports import (
+    StreamVersionAnswer,
+    StreamVersionMessage,
+    StreamVersionQuery,
+)
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.versions.copies import StoredStreams, StreamCopies
 from dewridge.gateway.versions.freshness import ConfirmedBy
-from dewridge.gateway.versions.origins import find_only_release
+from dewridge.gateway.versions.link import VersionLink
+from dewridge.gateway.versions.origins import find_only_release, search_origin
 from dewridge.gateway.versions.records import StreamVersions
 from dewridge.gateway.watching import StoreWatcher
-from dewridge.ids import StreamKey
+from dewridge.ids import FailureDomain, HostId, Release, ServiceName, StreamKey
 from dewridge.platform.names import SERVERS_PREFIX
 from dewridge.platform.store import Listing
-from dewridge.policy.streamversions import NEW_VERSION_DELAY, Origin, ReleaseHistory
+from dewridge.policy.streamversions import (
+    NEW_VERSION_DELAY,
+    Origin,
+    OriginSource,
+    ReleaseHistory,
+)
 from dewridge.sentinels import Failure
+from dewridge.tests.gateway.crashing_tests import make_job
 from dewridge.tests.gateway.memorystore import COMPACTED, MemoryStore, StoreData
 from dewridge.tests.gateway.resuming_tests import (
     begin_streams,
     open_scene,
     resume_all,
 )
-from dewridge.tests.gateway.world import ENGINE, make_configuration, make_state
+from dewridge.tests.gateway.world import (
+    ENGINE,
+    make_configuration,
+    make_state,
+    open_world,
+)
 
 OLD, NEW = "v1", "v2"
 JOINED_AFTER = 0.1
@@ -383,3 +402,69 @@
         found = [await host.copies.find(ENGINE, StreamKey(number)) for number in (1, 2)]
     assert all(isinstance(origin, Origin) for origin in found)
     assert host.store.calls == 1
+
+
+OLD_RELEASE = make_release(ENGINE, OLD)
+NEW_RELEASE = make_release(ENGINE, NEW)
+
+
+@pytest.mark.parametrize("known", [None, NEW_RELEASE])
+@pytest.mark.parametrize(
+    ("answers", "silent"),
+    [([Release(0)], 0), ([Release(0), None], 0), ([Release(0), OLD_RELEASE], 1)],
+)
+async def test_peers_that_know_several_versions_outweigh_the_copies(
+    answers: list[Release | None], silent: int, known: Release | None
+) -> None:
+    """Guards against a store without copies that names a version peers contradict.
+
+    The host has just started and has seen servers of the old version only, and a
+    restore of the store lost the copies. A copy that has the stream itself counts.
+    """
+    hosts = [HostId(f"host-{number}") for number in range(len(answers) + silent)]
+    async with open_world() as world:
+        state = world.state
+        state.versions.history = ReleaseHistory(complete_since=trio.current_time())
+        state.versions.history.record(ENGINE, OLD, trio.current_time())
+        state.versions.view.confirm(read_boot_clock(), ConfirmedBy.STORE)
+        job = make_job(world, b"a-1")
+        link = VersionLink(
+            None,  # type: ignore[arg-type]
+            state.versions,
+            state.host,
+            state.failure_domain,
+            lambda: [make_host(host) for host in hosts],
+            list,
+            lambda service: None,
+        )
+
+        async def answer(number: int, query: int) -> None:
+            only = answers[number]
+            link.receive_answer(StreamVersionAnswer(hosts[number], query, {}, only))
+
+        def send(address: str, message: StreamVersionMessage) -> None:
+            assert isinstance(message, StreamVersionQuery)
+            if int(address) < len(answers):
+                world.nursery.start_soon(answer, int(address), message.number)
+
+        async def find_stored(
+            service: ServiceName, stream: StreamKey
+        ) -> Origin | Failure | None:
+            if known is not None:
+                state.versions.ledger.record(stream, known, trio.current_time())
+            return Origin(known or OLD_RELEASE, OriginSource.STORE)
+
+        link.send = send  # type: ignore[method-assign]
+        world.nursery.start_soon(link.run)
+        await trio.testing.wait_all_tasks_blocked()
+        state.ask_peers_for_origin = link.ask
+        state.find_stored_origin = find_stored
+        origin, doubts = await search_origin(state, job)
+    assert (origin.release if origin else None) == known
+    assert bool(doubts) == (silent > 0 and known is None)
+
+
+def make_host(host: HostId) -> HostEntry:
+    """Return a registered host whose address is its number."""
+    number = host.removeprefix("host-")
+    return HostEntry(host, 1, "", number, FailureDomain("d-1"), is_ready=True)
