Ask servers for their start time while the list may be outdated

Streams of the old version went on at servers that had started again under their names and addresses as another version, when callers resumed them at a host that was cut off from the store and its peers meanwhile.

Cause: a host asks a server whether it is still the process of its record only if an attempt there failed. A host that had no request at the server when it ended has seen no failure, and its list still has the old record.

Change: while the list of servers is more than 1 s old, a server is asked before it gets a stream that has begun, each one once a second at most. In touch nothing is asked, which a test shows for one version.

It works because the report names the start time of the process, and a server whose start time differs is dropped. Not covered: servers without a report, servers reached by a relay, and new streams, whose events are taken for those of the old version until the record is read. A report for each of those would load the servers of the whole fleet in an outage of the store.

--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -580,6 +580,8 @@
         self.versions.record_servers(self.servers.list_all(), now)
         listed = {record.id for record in self.servers.list_all()}
         self.versions.doubtful_servers &= listed
+        for server in self.versions.confirmed_servers.keys() - listed:
+            del self.versions.confirmed_servers[server]
         self.pushback.drop_expired(listed, now)
         self.placement.drop_departed(listed)
         self.suspects.drop_expired(now)
--- a/dewridge/gateway/versions/records.py
+++ b/dewridge/gateway/versions/records.py
@@ -72,6 +72,8 @@
         view: when this host last certainly knew all versions.
         ledger: versions of the streams of this host and of its peers.
         doubtful_servers: servers that were unreachable, and may be another process now.
+        confirmed_servers: time on the boot clock at which a server was last asked, and
+            was still the process of its record.
         on_due: called when there are streams that other hosts have to keep.
         on_mixed: called regularly while a service has several versions.
         on_new: called when a version is seen the first time.
@@ -83,6 +85,7 @@
     view: VersionView = field(default_factory=VersionView)
     ledger: StreamLedger = field(default_factory=StreamLedger)
     doubtful_servers: set[BackendServerId] = field(default_factory=set)
+    confirmed_servers: dict[BackendServerId, float] = field(default_factory=dict)
     on_due: Callable[[], None] = lambda: None
     on_mixed: Callable[[], None] = lambda: None
     on_new: Callable[[], None] = lambda: None
--- a/dewridge/tests/gateway/outofstep_tests.py
+++ b/dewridge/tests/gateway/outofstep_tests.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable, Iterator
 from contextlib import AsyncExitStack, contextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 import msgspec
@@ -11,7 +11,7 @@
 import trio
 import trio.testing
 
-from dewridge.digests import make_release
+from dewridge.digests import make_release, make_stream_key
 from dewridge.gateway.clock import read_boot_clock
 from dewridge.gateway.hosts import HostEntry
 from dewridge.gateway.reports import (
@@ -30,6 +30,7 @@
 from dewridge.platform.names import SERVERS_PREFIX
 from dewridge.platform.store import Listing
 from dewridge.policy.streamversions import (
+    MAX_VIEW_AGE,
     NEW_VERSION_DELAY,
     Origin,
     OriginSource,
@@ -43,8 +44,11 @@
     open_scene,
     resume_all,
 )
+from dewridge.tests.gateway.versionedengines import resume_stream
 from dewridge.tests.gateway.world import (
+    ACCOUNT,
     ENGINE,
+    ServerExchange,
     make_configuration,
     make_state,
     open_world,
@@ -468,3 +472,64 @@
     """Return a registered host whose address is its number."""
     number = host.removeprefix("host-")
     return HostEntry(host, 1, "", number, FailureDomain("d-1"), is_ready=True)
+
+
+@pytest.mark.parametrize("is_known", [True, False])
+@pytest.mark.parametrize("age", [MAX_VIEW_AGE + 0.5, 5.0, 8.0])
+async def test_a_server_that_came_back_as_another_version_gets_no_old_stream(
+    age: float, *, is_known: bool
+) -> None:
+    """Guards against streams that go on at a server that was replaced unnoticed.
+
+    The host is cut off from the store and its peer while its servers start again under
+    their names and addresses. It had no request there that could have failed.
+    """
+    running = [OLD]
+    async with AsyncExitStack() as stack:
+        scene = await open_scene(stack, (), 2)
+        engines = scene.engines
+
+        async def answer(exchange: ServerExchange) -> None:
+            await engines._answer(exchange, running[-1])
+
+        for number in range(2):
+            await scene.fleet.add_server(f"s-{number}", answer, ENGINE, OLD)
+        for world in scene.worlds:
+            for record in world.state.servers.list_service(ENGINE):
+                dated = replace(record, started_at_ms=1)
+                world.state.servers.update(dated, trio.current_time())
+        streams = await begin_streams(scene, STREAMS)
+        scene.fleet.network.silent.add(scene.find_address(1))
+        cut = scene.worlds.pop()
+        versions = cut.state.versions
+        if is_known:
+            for stream in streams:
+                key = make_stream_key(ACCOUNT, stream.first_attempt.encode())
+                versions.ledger.record(key, OLD_RELEASE, trio.current_time())
+        versions.view.confirmed_at = read_boot_clock() - age
+        running.append(NEW)
+        engines.started_at_ms = 2
+        async with trio.open_nursery() as nursery:
+            for number, stream in enumerate(streams):
+                nursery.start_soon(resume_stream, cut, stream, f"b-{number}")
+    assert [stream for stream in streams if len(stream.versions) > 1] == []
+    assert {stream.status for stream in streams} == {503}
+
+
+async def test_servers_are_not_asked_for_each_stream_of_a_host_in_touch() -> None:
+    """Guards against a message for each stream that is resumed in calm."""
+    async with AsyncExitStack() as stack:
+        scene = await open_scene(stack, (OLD,), 2)
+        for world in scene.worlds:
+            for record in world.state.servers.list_service(ENGINE):
+                dated = replace(record, started_at_ms=1)
+                world.state.servers.update(dated, trio.current_time())
+        streams = await begin_streams(scene, STREAMS)
+        await resume_all(scene, streams, lambda number: 1)
+        targets = [
+            exchange.target
+            for server in scene.engines.servers[OLD]
+            for exchange in server.received
+        ]
+    assert all(stream.is_whole for stream in streams)
+    assert b"/-/report" not in targets
