Delay the first events of a version that other hosts may not know

Streams that began at a new version as soon as it came were joined to the old one when they broke within a second and were resumed at a host that had lost touch shortly before. That is a release in which the servers of the old version are leaving or full when those of the new one register.

Cause: a host names the only version if its list is less than a second old, since the first servers of a version get no streams for a second. But they did while no other server could take them, and at a host that had just started, to which all versions are equally new.

Change: the stream begins at once, but its caller gets the first event when the version has been known for a second. This holds for streams that may be resumed, in services with several recent versions. A host that has just started prefers the version whose servers have run for longest, and counts it as known; without start times it delays all versions, for one second after its start at most.

It works because a caller can resume a stream only after its first event. By then each host knows the version, or its list is older than a second and it asks. Services with one version wait for nothing and send nothing.

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -34,8 +34,11 @@
     record_answer,
     record_survival,
 )
-from dewridge.gateway.versions.eligibility import has_bound_servers
-from dewridge.gateway.versions.origins import record_first_event
+from dewridge.gateway.versions.eligibility import (
+    compute_event_delay,
+    has_bound_servers,
+)
+from dewridge.gateway.versions.origins import is_resumed, record_first_event
 from dewridge.gateway.versions.processes import is_same_process
 from dewridge.gateway.waiting import ServerChooser
 from dewridge.gateway.weighing import ServerChoice, has_open_server
@@ -460,10 +463,21 @@
             job.first_event_at = job.last_event_at
             self._record_prefill_rate(job, job.first_event_at)
         if not responder.has_started:
+            await self._await_known_version(job, server)
             await responder.send_head(200, clean_answer_headers(answer.head.headers))
         await responder.send_body_part(b"".join(new_events))
         return True
 
+    async def _await_known_version(self, job: Job, server: ServerRecord) -> None:
+        """Delay the first event of a stream whose version other hosts may not know."""
+        if not job.route.is_resumable or is_resumed(job):
+            return
+        now = trio.current_time()
+        delay = compute_event_delay(self._state, job, server.release, now)
+        if delay > 0:
+            self._state.metrics.add("streams_delayed_total", service=job.service)
+            await trio.sleep(delay)
+
     def _record_prefill_rate(self, job: Job, now: float) -> None:
         if job.prefill_measured_from is not None:
             meter = self._state.prefill_rate_meters[job.service]
--- a/dewridge/gateway/versions/eligibility.py
+++ b/dewridge/gateway/versions/eligibility.py
@@ -1,13 +1,19 @@
 """Servers that a request may be sent to by its software version."""
 
+from collections import defaultdict
+
 import trio
 
 from dewridge.codes import ResultCode
 from dewridge.gateway.jobs import Job
 from dewridge.gateway.model import RouteKind, ServerRecord
 from dewridge.gateway.state import GatewayState
+from dewridge.ids import Release
 from dewridge.policy.rollouts import Stage
-from dewridge.policy.streamversions import compute_return_delay
+from dewridge.policy.streamversions import (
+    compute_return_delay,
+    find_longest_running,
+)
 from dewridge.sentinels import Failure
 
 
@@ -50,13 +56,38 @@
     """
     if job.route.kind is not RouteKind.STREAM or job.release is not None:
         return servers
-    history = state.versions.history
-    if not history.is_mixed(job.service, now):
+    if not state.versions.history.is_mixed(job.service, now):
         return servers
-    known = [server for server in servers if not history.is_new(server.release, now)]
+    known = [
+        server
+        for server in servers
+        if compute_event_delay(state, job, server.release, now) <= 0
+    ]
     return known or servers
 
 
+def compute_event_delay(
+    state: GatewayState, job: Job, release: Release, now: float
+) -> float:
+    """Return the seconds for which no caller may have an event of a version's stream.
+
+    A host that was in touch less than a second ago may take another version for the
+    only one. For a host that has just started all versions are new; those that have run
+    for longest are known to the others.
+    """
+    history = state.versions.history
+    if not history.is_mixed(job.service, now):
+        return 0.0
+    delay = history.compute_delay(release, now)
+    recent = history.list_recent(job.service, now)
+    if delay <= 0 or not all(history.is_new(known, now) for known in recent):
+        return delay
+    starts: dict[Release, list[int]] = defaultdict(list)
+    for server in state.servers.list_service(job.service):
+        starts[server.release].append(server.started_at_ms)
+    return 0.0 if find_longest_running(starts) == release else delay
+
+
 def list_same_version(state: GatewayState, source: ServerRecord) -> list[ServerRecord]:
     """Return the other servers that can use the engine memory of a server."""
     servers = state.servers.list_release(source.service, source.release)
--- a/dewridge/policy/streamversions.py
+++ b/dewridge/policy/streamversions.py
@@ -23,7 +23,8 @@
 dropped first."""
 NEW_VERSION_DELAY = 1.0
 """Seconds during which the first servers of a version get no new streams while others
-can take them, so that all hosts know the version before a stream of it is resumed."""
+can take them, and callers get no events of such streams. All hosts know the version
+before a stream of it is resumed, or know that they are out of step."""
 MAX_VIEW_AGE = NEW_VERSION_DELAY
 """Age in seconds of this host's knowledge of the versions that serve up to which a
 version that it does not know has no streams yet."""
@@ -172,6 +173,11 @@
         """Whether other hosts may not know the version yet."""
         return now - self._first_seen.get(release, now) < NEW_VERSION_DELAY
 
+    def compute_delay(self, release: Release, now: float) -> float:
+        """Return the seconds until other hosts know a version or are out of step."""
+        first_seen = self._first_seen.get(release, now)
+        return max(0.0, first_seen + NEW_VERSION_DELAY - now)
+
     def list_services(self) -> list[ServiceName]:
         """Return the services that have had servers."""
         return sorted(self._last_seen)
@@ -212,6 +218,21 @@
         return recent[0]
 
 
+def find_longest_running(starts: Mapping[Release, list[int]]) -> Release | None:
+    """Return the version whose servers began to run before those of all others.
+
+    Args:
+        starts: start times of the servers of each version; 0 if unknown.
+
+    Returns:
+        None if that is not known.
+    """
+    first = {release: min(times, default=0) for release, times in starts.items()}
+    earliest = min(first.values(), default=0)
+    found = [release for release, started_at in first.items() if started_at == earliest]
+    return found[0] if earliest > 0 and len(found) == 1 else None
+
+
 def choose_replicas(
     local_host: HostId,
     domains: Mapping[HostId, FailureDomain],
--- a/dewridge/tests/gateway/outofstep_tests.py
+++ b/dewridge/tests/gateway/outofstep_tests.py
@@ -533,3 +533,48 @@
         ]
     assert all(stream.is_whole for stream in streams)
     assert b"/-/report" not in targets
+
+
+class Beginning(Enum):
+    """Why a host begins streams at a version that came just now."""
+
+    OLD_LEAVES = "all servers of the old version are leaving"
+    OLD_FULL = "the servers of the old version take no more requests"
+    STARTED = "the host has just started"
+
+
+@pytest.mark.parametrize("beginning", Beginning)
+async def test_streams_begun_at_once_at_a_new_version_are_not_joined(
+    beginning: Beginning,
+) -> None:
+    """Guards against streams of a version that a host out of step can't know yet.
+
+    The host lost touch shortly before the version came. Its list of servers is less
+    than a second old when the streams are resumed there.
+    """
+    async with AsyncExitStack() as stack:
+        scene = await open_scene(stack, (OLD,), 3)
+        state = scene.worlds[0].state
+        scene.fleet.network.silent.add(scene.find_address(2))
+        await trio.sleep(0.2)
+        cut = scene.worlds.pop()
+        for number in range(2):
+            await scene.engines.add(f"n-{number}", NEW)
+        now = trio.current_time()
+        for record in state.servers.list_service(ENGINE):
+            if record.version == OLD and beginning is Beginning.OLD_LEAVES:
+                state.servers.drop(record.id, now, "it drains", 2.0)
+            if record.version == OLD and beginning is Beginning.OLD_FULL:
+                state.pushback.record_answer(record.id, 503, [(b"retry-after", b"2")])
+            if beginning is Beginning.STARTED:
+                is_old = record.version == OLD
+                dated = replace(record, started_at_ms=1 if is_old else 2)
+                state.servers.update(dated, now)
+        if beginning is Beginning.STARTED:
+            scene.forget(0)
+        streams = await begin_streams(scene, STREAMS)
+        async with trio.open_nursery() as nursery:
+            for number, stream in enumerate(streams):
+                nursery.start_soon(resume_stream, cut, stream, f"b-{number}")
+    assert [stream for stream in streams if len(stream.versions) > 1] == []
+    assert all(stream.events for stream in streams)
--- a/dewridge/tests/policy/streamversions_tests.py
+++ b/dewridge/tests/policy/streamversions_tests.py
@@ -26,6 +26,7 @@
     choose_replicas,
     compute_report_delay,
     compute_return_delay,
+    find_longest_running,
     pack_streams,
     unpack_streams,
 )
@@ -179,3 +180,34 @@
     assert compute_return_delay(None) is None
     assert compute_return_delay(CRASH_RESTART_TIME + 1) is None
     assert compute_return_delay(0.5) is not None
+
+
+@pytest.mark.parametrize(
+    ("starts", "expected"),
+    [
+        ({1: [100, 900], 2: [800]}, 1),
+        ({1: [900], 2: [800, 950]}, 2),
+        ({1: [800], 2: [800]}, None),
+        ({1: [0, 100], 2: [800]}, None),
+        ({1: [100], 2: [0]}, None),
+        ({1: [100]}, 1),
+        ({}, None),
+    ],
+)
+def test_the_longest_running_version_is_no_guess(
+    starts: dict[int, list[int]], expected: int | None
+) -> None:
+    """Guards against a new version that a host that has just started takes for old."""
+    by_release = {Release(release): times for release, times in starts.items()}
+    assert find_longest_running(by_release) == expected
+
+
+def test_first_events_of_a_new_version_wait_until_all_hosts_know_it() -> None:
+    """Guards against events of a version that another host takes for absent."""
+    history = ReleaseHistory(complete_since=-math.inf)
+    release = make_release(SERVICE, "v1")
+    assert history.compute_delay(release, 0.0) == NEW_VERSION_DELAY
+    history.record(SERVICE, "v1", 0.0)
+    history.record(SERVICE, "v1", 0.5)
+    assert history.compute_delay(release, 0.6) == pytest.approx(NEW_VERSION_DELAY - 0.6)
+    assert history.compute_delay(release, 5.0) == 0.0
