Test resumed streams at hosts that were out of step in further ways

15 cases: cut off from the peers only, from peers and store, just awake with the streams waiting in the socket, just started, and without any message on the streams, with a list that is 1.5 to 8 s old. No stream is joined, and all go on where a peer can know them; the others are refused with a time to return.

--- a/dewridge/tests/gateway/outofstep_tests.py
+++ b/dewridge/tests/gateway/outofstep_tests.py
@@ -35,6 +35,7 @@
     Origin,
     OriginSource,
     ReleaseHistory,
+    StreamLedger,
 )
 from dewridge.sentinels import Failure
 from dewridge.tests.gateway.crashing_tests import make_job
@@ -581,3 +582,55 @@
                 nursery.start_soon(resume_stream, cut, stream, f"b-{number}")
     assert [stream for stream in streams if len(stream.versions) > 1] == []
     assert all(stream.events for stream in streams)
+
+
+class Trouble(Enum):
+    """What a host went through while a version came that stays."""
+
+    PEERS = "cut off from its peers only"
+    ALL = "cut off from the store and from its peers"
+    WAKES = "wakes up, and resumed streams wait in its socket"
+    STARTED = "has just started"
+    UNINFORMED = "got no message with the versions of streams"
+
+
+@pytest.mark.parametrize("seconds", [1.5, 4.0, 8.0])
+@pytest.mark.parametrize("trouble", Trouble)
+async def test_streams_stay_at_their_version_at_a_host_out_of_step(
+    trouble: Trouble, seconds: float
+) -> None:
+    """Guards against a guess of the version, and against refusing what peers know."""
+    async with AsyncExitStack() as stack:
+        scene = await open_scene(stack, (OLD,), 4)
+        host = scene.worlds[3]
+        versions = host.state.versions
+        address = scene.find_address(3)
+        if trouble is not Trouble.PEERS:
+            scene.fleet.without_store.add(host.state.host)
+        if trouble in {Trouble.PEERS, Trouble.ALL, Trouble.WAKES}:
+            scene.fleet.network.silent.add(address)
+        for number in range(2):
+            await scene.engines.add(f"n-{number}", NEW)
+        await trio.sleep(NEW_VERSION_DELAY + 0.1)
+        streams = await begin_streams(scene, STREAMS)
+        if trouble in {Trouble.ALL, Trouble.WAKES}:
+            scene.worlds.remove(host)
+            versions.history = ReleaseHistory(complete_since=float("-inf"))
+            versions.history.record(ENGINE, OLD, trio.current_time())
+            versions.view.confirmed_at = read_boot_clock() - seconds
+        if trouble is Trouble.WAKES:
+            scene.fleet.network.silent.clear()
+        if trouble is Trouble.STARTED:
+            scene.forget(3)
+        for world in {Trouble.UNINFORMED: scene.worlds[1:]}.get(trouble, []):
+            world.state.versions.ledger = StreamLedger()
+        async with trio.open_nursery() as nursery:
+            for number, stream in enumerate(streams):
+                nursery.start_soon(resume_stream, host, stream, f"b-{number}")
+    assert {stream.events[0][1] for stream in streams} == {OLD, NEW}
+    assert [stream for stream in streams if len(stream.versions) > 1] == []
+    if trouble in {Trouble.PEERS, Trouble.ALL}:
+        assert {stream.status for stream in streams} == {503}
+        assert all(b"retry-after" in stream.headers for stream in streams)
+    else:
+        assert all(stream.is_whole for stream in streams)
