Draw unframed answers, stopped runs and early answers in the soak

The soak drew none of the answers that end with their connection, none of the orders that stop a run, and no answer that comes before the end of its request's body. So no run could show that a caller gets a part as whole: streams cut by an order whose reply was lost, parts of plain answers, and answers that a server resets while an upload is written.

`unframed` is the percentage of the answers, streams and plain ones, without a length or chunks. `moves` lets one or two engines leave with streams that hosts order to stop and to move. Orders get good, lost, late, failed, unreadable and handle-less replies, 503 with a handle, 409 and 404, or never arrive; some runs end by themselves as the order comes. Stopped streams end at or within an event. `uploads` starts callers of bodies of 0.5 to 4 MB, a third of which are answered in part and reset before they are read, and some in full.

New checks: memory is gone on from at most once and not asked for again, memory that a reply told is used or freed 4 s after its stream ended, and at least half of the sound unframed answers reach their callers whole. Parts that look whole, lost and repeated events, and streams that ran anew are seen by the checks that were there. A cut stream is excused if the last reply to its orders failed, or if one failed and the source's notice is at its end. Requests that go on from memory count as arrivals, not as runs.

--- a/dewridge/tests/gateway/world.py
+++ b/dewridge/tests/gateway/world.py
@@ -237,10 +237,12 @@
         received: all requests received so far.
         closed_connections: number of connections that have ended.
         has_crashed: whether `crash` was called.
+        is_early: returns whether a request is answered before its body is read.
     """
 
     id: BackendServerId
     script: Script
+    is_early: Callable[[h11.Request], bool] = lambda head: False
     received: list[ServerExchange] = field(default_factory=list)
     closed_connections: int = 0
     has_crashed: bool = False
@@ -297,6 +299,8 @@
                 state.receive_data(bytes(data))
             elif isinstance(event, h11.Request):
                 head = event
+                if self.is_early(head):
+                    break
             elif isinstance(event, h11.Data):
                 body += bytes(event.data)
             else:
--- a/dewridge/tests/soak/__main__.py
+++ b/dewridge/tests/soak/__main__.py
@@ -68,6 +68,16 @@
     store_rate: Annotated[
         float, typer.Option(help="Bytes per second of each host's link to the store.")
     ] = 1_250_000.0,
+    unframed: Annotated[
+        int, typer.Option(help="Percentage of answers without a length or chunks.")
+    ] = 30,
+    moves: Annotated[
+        int,
+        typer.Option(help="Times that engines leave whose runs are stopped and moved."),
+    ] = 2,
+    uploads: Annotated[
+        int, typer.Option(help="Callers of uploads that servers may answer early.")
+    ] = 1,
     kept: Annotated[bool, typer.Option(help="The seeds that once failed.")] = False,
     folder: Annotated[Path, typer.Option(help="For logs.")] = Path("build/soak"),
 ) -> None:
@@ -91,6 +101,9 @@
         bad_parts=bad_parts,
         routes=routes,
         store_rate=store_rate,
+        unframed=unframed,
+        moves=moves,
+        uploads=uploads,
     )
     planned_runs = [(run_seed, size) for run_seed in range(first, first + runs)]
     if kept:
--- a/dewridge/tests/soak/callers.py
+++ b/dewridge/tests/soak/callers.py
@@ -160,6 +160,7 @@
 
 
 def _encode_request(state: h11.Connection, request: SentRequest) -> bytes:
+    content = request.content.encode().ljust(request.upload_bytes, b".")
     head = h11.Request(
         method="POST",
         target=f"/{request.kind.value}/x",
@@ -169,13 +170,13 @@
             ("X-Deadline-Ms", str(round(find_timeout(request) * 1000))),
             ("X-Api-Key", request.key),
             ("X-Token-Count", f"{request.tokens - 5},5"),
-            ("Content-Length", str(len(request.content))),
+            ("Content-Length", str(len(content))),
             *_list_resumption_headers(request),
             *_list_prompt_headers(request),
         ],
     )
     data = state.send(head) or b""
-    data += state.send(h11.Data(data=request.content.encode())) or b""
+    data += state.send(h11.Data(data=content)) or b""
     return data + (state.send(h11.EndOfMessage()) or b"")
 
 
--- a/dewridge/tests/soak/checks.py
+++ b/dewridge/tests/soak/checks.py
@@ -5,6 +5,7 @@
 from dewridge.codes import ResultCode
 from dewridge.tests.soak.departurechecks import check_late_arrivals
 from dewridge.tests.soak.documentchecks import check_documents, list_checked
+from dewridge.tests.soak.endchecks import check_ends, count_ends
 from dewridge.tests.soak.lostchecks import (
     Loss,
     check_exits,
@@ -74,6 +75,7 @@
         *check_documents(history),
         *check_bad_parts(history),
         *check_retries(history),
+        *check_ends(history),
     ]
 
 
@@ -206,6 +208,8 @@
         ):
             continue
         loss = Loss(request, request.ended_at)
+        if history.is_cut_by_order(request):
+            continue
         if loss.used_share >= 1 or was_cut_by_exit(history, loss, runs[request.id]):
             continue
         if request.id in server_by_request:
@@ -290,6 +294,7 @@
         and request.status != 429
         and not request.crashes_servers
         and not request.breaks_off
+        and not request.upload_bytes
     ]
     served = sum(
         request.status == 200 and request.is_complete for request in late_requests
@@ -355,6 +360,7 @@
         "falls": len(history.falls),
         **count_resumptions(history),
         **count_leaving(history),
+        **count_ends(history),
         "versions probed in touch": len(list_checked(history)),
     }
     counts.update({name: count for name, count in extras.items() if count})
--- /dev/null
+++ b/dewridge/tests/soak/engineruns.py
@@ -0,0 +1,261 @@
+"""Runs of engines that can be stopped, and their memory, which others go on from."""
+
+import json
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+
+import trio
+
+from dewridge.tests.gateway.stoppableengines import (
+    HANDLE_TARGET,
+    MOVE_TARGET,
+    Reply,
+)
+from dewridge.tests.gateway.world import ServerExchange
+from dewridge.tests.soak.records import (
+    Continuation,
+    EngineMemory,
+    History,
+    StopRecord,
+)
+
+REPLY_WEIGHTS = {
+    Reply.MOVED: 8,
+    Reply.LOST: 2,
+    Reply.LATE: 2,
+    Reply.FAILURE: 1,
+    Reply.UNREADABLE: 1,
+    Reply.WITHOUT_HANDLE: 1,
+    Reply.TARGET_FULL: 2,
+    Reply.NOT_REACHED: 2,
+    Reply.FINISHES: 2,
+}
+"""How often each reply to an order is drawn."""
+USABLE_REPLIES = frozenset({Reply.MOVED, Reply.TARGET_FULL})
+MIN_LATE, MAX_LATE = 0.6, 1.0
+"""Range of the seconds until a late reply; hosts wait for 0.6 seconds."""
+MAX_COPY_SECONDS = 0.08
+"""Maximum seconds that a good reply takes: the memory is copied first."""
+SAME_REPLY_PROBABILITY = 0.25
+"""Share of the runs whose orders all get the same kind of reply."""
+WITHIN_EVENT_PROBABILITY = 0.4
+"""Share of the stopped streams that end in the middle of an event."""
+STOP_SECONDS = 5.0
+"""Seconds within which a run that is ordered to stop has ended."""
+
+
+@dataclass
+class EndDraws:
+    """Draws how answers end, with a random generator of its own.
+
+    Attributes:
+        rng: the generator.
+        unframed_share: share of the answers without a length or chunks.
+    """
+
+    rng: random.Random = field(default_factory=partial(random.Random, 1))
+    unframed_share: float = 0.0
+
+    def draw(self, probability: float) -> bool:
+        """Return whether something of this probability happens."""
+        return probability > 0 and self.rng.random() < probability
+
+    def draw_reply(self) -> Reply:
+        """Return how an engine replies to an order."""
+        weights = list(REPLY_WEIGHTS.values())
+        return self.rng.choices(list(REPLY_WEIGHTS), weights)[0]
+
+
+@dataclass
+class StreamRun:
+    """A stream that an engine runs, or one that an order has stopped.
+
+    Attributes:
+        created: number of the last event that was made.
+        stop: set to stop it.
+        finish: set to let it make its other events at once.
+        ended: set when its connection was closed or reset.
+        is_finished: whether it has made its last event.
+        memory: its memory once it was stopped.
+        reply: the reply that all its orders get; None to draw each.
+        is_ordered: whether an order is in progress.
+    """
+
+    created: int = 0
+    stop: trio.Event = field(default_factory=trio.Event)
+    finish: trio.Event = field(default_factory=trio.Event)
+    ended: trio.Event = field(default_factory=trio.Event)
+    is_stopped: bool = False
+    is_finished: bool = False
+    memory: EngineMemory | None = None
+    reply: Reply | None = None
+    is_ordered: bool = False
+
+    async def wait_to_stop(self, seconds: float) -> bool:
+        """Wait until the next event is due; return whether the run stops before it."""
+        with trio.move_on_after(0.0 if self.finish.is_set() else seconds):
+            await self.stop.wait()
+        return self.stop.is_set()
+
+
+@dataclass
+class EngineRuns:
+    """The runs of one engine.
+
+    Attributes:
+        server: id of the engine.
+        history: records orders and memory.
+        draws: draws the replies.
+        find_server: returns the id of the server at an address; empty if unknown.
+    """
+
+    server: str
+    history: History
+    draws: EndDraws
+    find_server: Callable[[str], str]
+    _runs: dict[str, StreamRun] = field(default_factory=dict)
+
+    def begin(self, request_id: str, created: int) -> StreamRun:
+        """Register a run that goes on after a number of events."""
+        run = self._runs[request_id] = StreamRun(created)
+        if self.draws.draw(SAME_REPLY_PROBABILITY):
+            run.reply = self.draws.draw_reply()
+        return run
+
+    def end(self, request_id: str, run: StreamRun) -> None:
+        """Record that a run has ended; a stopped one is kept for further orders."""
+        run.ended.set()
+        if not run.is_stopped and self._runs.get(request_id) is run:
+            del self._runs[request_id]
+
+    def take_memory(self, request_id: str, handle: str) -> bool:
+        """Return whether a run may go on from memory here, and record that."""
+        memory = self.history.memories.get(handle)
+        can_run = (
+            memory is not None
+            and memory.id == request_id
+            and self.server in {memory.source, memory.target}
+            and self._is_kept(memory)
+        )
+        self.history.continuations.append(
+            Continuation(handle, request_id, self.server, time.monotonic(), can_run)
+        )
+        return can_run
+
+    async def answer_call(self, exchange: ServerExchange) -> bool:
+        """Answer an order or a call that frees memory; return whether it was one."""
+        if exchange.target == MOVE_TARGET:
+            await self._answer_order(exchange)
+            return True
+        if exchange.target.startswith(HANDLE_TARGET):
+            handle = exchange.target.removeprefix(HANDLE_TARGET).decode()
+            memory = self.history.memories.get(handle)
+            if memory is None or not self._is_kept(memory):
+                await exchange.answer(b"{}", 404)
+                return True
+            memory.freed_at = time.monotonic()
+            await exchange.answer(b"{}")
+            return True
+        return False
+
+    def _is_kept(self, memory: EngineMemory) -> bool:
+        return memory.freed_at is None and not any(
+            each.handle == memory.handle and each.has_run
+            for each in self.history.continuations
+        )
+
+    async def _answer_order(self, exchange: ServerExchange) -> None:
+        order = json.loads(exchange.body)
+        request_id = str(order["id"])
+        run = self._runs.get(request_id)
+        reply = (run.reply if run else None) or self.draws.draw_reply()
+        if reply is Reply.NOT_REACHED:
+            self._record(request_id, reply.value, is_usable=False)
+            exchange.reset()
+        elif run is None or run.is_finished:
+            await self._answer_no_run(exchange, request_id)
+        elif run.is_ordered:
+            self._record(request_id, Reply.IN_PROGRESS.value, is_usable=False)
+            await exchange.answer(b"{}", 409)
+        elif reply is Reply.FINISHES and run.memory is None:
+            self._record(request_id, reply.value, is_usable=False)
+            run.finish.set()
+            exchange.reset()
+        else:
+            run.is_ordered = True
+            try:
+                await self._carry_out(exchange, request_id, run, reply, order["target"])
+            finally:
+                run.is_ordered = False
+
+    async def _carry_out(
+        self,
+        exchange: ServerExchange,
+        request_id: str,
+        run: StreamRun,
+        reply: Reply,
+        target: str,
+    ) -> None:
+        run.stop.set()
+        with trio.move_on_after(STOP_SECONDS):
+            await run.ended.wait()
+        if not run.is_stopped:
+            await self._answer_no_run(exchange, request_id)
+            return
+        if run.memory is None:
+            is_full = reply is Reply.TARGET_FULL
+            holder = "" if is_full else self.find_server(target)
+            handle = f"{request_id}.{self.server}.{len(self.history.memories)}"
+            run.memory = EngineMemory(
+                handle, request_id, self.server, holder, time.monotonic()
+            )
+            self.history.memories[handle] = run.memory
+        elif not self._is_kept(run.memory):
+            await self._answer_no_run(exchange, request_id)
+            return
+        if reply is Reply.MOVED and not run.memory.target:
+            reply = Reply.TARGET_FULL
+        self._record(request_id, reply.value, is_usable=reply in USABLE_REPLIES)
+        await self._reply(exchange, reply, run.memory, run.created)
+
+    async def _answer_no_run(self, exchange: ServerExchange, request_id: str) -> None:
+        self._record(request_id, "no run", is_usable=True)
+        await exchange.answer(b"{}", 404)
+
+    async def _reply(
+        self,
+        exchange: ServerExchange,
+        reply: Reply,
+        memory: EngineMemory,
+        created: int,
+    ) -> None:
+        handle = json.dumps({"handle": memory.handle, "created": created}).encode()
+        match reply:
+            case Reply.LOST | Reply.FINISHES:
+                if self.draws.draw(0.5):
+                    exchange.reset()
+                else:
+                    await exchange.stream.aclose()
+            case Reply.LATE:
+                await trio.sleep(self.draws.rng.uniform(MIN_LATE, MAX_LATE))
+                await exchange.answer(handle)
+            case Reply.FAILURE:
+                await exchange.answer(b"failed", 500)
+            case Reply.UNREADABLE:
+                await exchange.answer(b"{")
+            case Reply.WITHOUT_HANDLE:
+                await exchange.answer(b"{}")
+            case _:
+                await trio.sleep(self.draws.rng.uniform(0, MAX_COPY_SECONDS))
+                await exchange.answer(
+                    handle, 503 if reply is Reply.TARGET_FULL else 200
+                )
+                memory.told_at = time.monotonic()
+
+    def _record(self, request_id: str, reply: str, *, is_usable: bool) -> None:
+        self.history.stop_records.append(
+            StopRecord(request_id, self.server, time.monotonic(), reply, is_usable)
+        )
--- a/dewridge/tests/soak/lostchecks.py
+++ b/dewridge/tests/soak/lostchecks.py
@@ -143,9 +143,15 @@
 
 
 def is_excused(history: History, loss: Loss, runs: Sequence[ServerRun]) -> bool:
-    """Whether the server, the request's time or the end of its host excuses a loss."""
+    """Whether a loss is excused.
+
+    The server, the request's time, the end of its host, or failed replies to orders to
+    stop its run excuse it.
+    """
     if any(run.has_broken_off for run in runs):
         return True
+    if history.is_cut_by_order(loss.request):
+        return True
     return loss.used_share >= 1 or was_cut_by_exit(history, loss, runs)
 
 
--- a/dewridge/tests/soak/partitionchecks.py
+++ b/dewridge/tests/soak/partitionchecks.py
@@ -36,6 +36,7 @@
         if begin <= request.sent_at < partition.end
         and not request.is_abandoned
         and not request.crashes_servers
+        and not request.upload_bytes
         and request.status != 429
         and request.key not in history.key_revoked_at
         and not _is_excused(history, request)
--- a/dewridge/tests/soak/partitions.py
+++ b/dewridge/tests/soak/partitions.py
@@ -54,6 +54,13 @@
                 link.cut(*self._cut)
         return link
 
+    def find_target(self, address: str) -> str:
+        """Return the address of the server behind a link; empty if there is none."""
+        return next(
+            (target for target, link in self._links.items() if link.address == address),
+            "",
+        )
+
     def cut(self, new: NewConnections, opened: OpenConnections) -> None:
         """Cut all links."""
         self._cut = (new, opened)
--- a/dewridge/tests/soak/records.py
+++ b/dewridge/tests/soak/records.py
@@ -12,6 +12,8 @@
 """The same where servers reject most requests, so that retries soon reach the limit."""
 
 
+NOTICE_MARGIN = 0.3
+"""Seconds before the end of an engine's notice in which no request has to reach it."""
 STREAM_SECONDS = 0.48
 """Usual length of a stream."""
 STREAM_ROUTE_TIMEOUT = 15.0
@@ -86,6 +88,7 @@
         is_kept: whether its connection had carried another request before.
         is_reset: whether the connection was reset, which also happens if the process at
             its other end had not read all that was sent.
+        upload_bytes: bytes of its body if that is an upload; 0 otherwise.
     """
 
     id: str
@@ -116,6 +119,7 @@
     sent_by: float = 0.0
     is_kept: bool = False
     is_reset: bool = False
+    upload_bytes: int = 0
 
 
 @dataclass
@@ -129,6 +133,8 @@
         ended_at: when the server had answered or saw that the connection was closed;
             None if it still runs.
         has_broken_off: whether the server itself broke the answer off.
+        is_unframed: whether its answer has neither a length nor chunks.
+        has_finished: whether the server sent the whole answer and ended it in order.
     """
 
     id: str
@@ -136,6 +142,8 @@
     began_at: float
     ended_at: float | None = None
     has_broken_off: bool = False
+    is_unframed: bool = False
+    has_finished: bool = False
 
     def end(self) -> None:
         """Record the end, unless it was recorded before."""
@@ -143,6 +151,59 @@
             self.ended_at = time.monotonic()
 
 
+@dataclass(frozen=True)
+class StopRecord:
+    """An order to stop a run and to move its memory, as an engine got it.
+
+    Attributes:
+        id: id of the request.
+        server: the engine.
+        at: monotonic time in seconds.
+        reply: what the engine replied, or what happened to the reply.
+        is_usable: whether the reply says what became of the run.
+    """
+
+    id: str
+    server: str
+    at: float
+    reply: str
+    is_usable: bool
+
+
+@dataclass
+class EngineMemory:
+    """Memory of a run that an engine has stopped.
+
+    Attributes:
+        handle: its handle.
+        id: id of the request.
+        source: the engine that ran it.
+        target: the engine that has a copy; empty if there is none.
+        created_at: monotonic time in seconds.
+        told_at: when the source replied with the handle in time; None if it did not.
+        freed_at: when it was freed; None if it was not.
+    """
+
+    handle: str
+    id: str
+    source: str
+    target: str
+    created_at: float
+    told_at: float | None = None
+    freed_at: float | None = None
+
+
+@dataclass(frozen=True)
+class Continuation:
+    """A request that asked to go on from memory; `has_run` if the engine ran it."""
+
+    handle: str
+    id: str
+    server: str
+    at: float
+    has_run: bool
+
+
 @dataclass(frozen=True)
 class HostSignal:
     """A signal that was sent to the process of a host.
@@ -345,6 +406,12 @@
         leavings: times that hosts left while callers went on to use them.
         retry_slack: retries that operators allow in a window beside a share of the
             requests.
+        stop_records: orders to stop runs.
+        memories: memory of stopped runs, by handle.
+        continuations: requests that asked to go on from memory.
+        continuation_arrivals: the same, as they reached servers.
+        notices: seconds that leaving engines said they would go on.
+        server_ended_at: when leaving engines ended.
         end: end of the observed period; later interruptions are ignored.
     """
 
@@ -372,6 +439,12 @@
     configurations_written_at: list[float] = field(default_factory=list)
     leavings: int = 0
     retry_slack: float = RETRY_SLACK
+    stop_records: list[StopRecord] = field(default_factory=list)
+    memories: dict[str, EngineMemory] = field(default_factory=dict)
+    continuations: list[Continuation] = field(default_factory=list)
+    continuation_arrivals: list[Execution] = field(default_factory=list)
+    notices: dict[str, float] = field(default_factory=dict)
+    server_ended_at: dict[str, float] = field(default_factory=dict)
     last_fault_end: float = 0.0
     end: float = 0.0
 
@@ -387,3 +460,28 @@
             and disturbance.end >= begin
             for disturbance in self.disturbances
         )
+
+    def is_cut_by_order(self, request: SentRequest) -> bool:
+        """Whether failed replies to orders to stop a stream excuse that it was cut.
+
+        A host may cut a stream if it can't learn whether it was stopped, or learns it
+        when the engine that has its memory is about to end.
+        """
+        ended_at = self.end if request.ended_at is None else request.ended_at
+        replies = [
+            record
+            for record in self.stop_records
+            if record.id == request.id and record.at <= ended_at
+        ]
+        failed = [record for record in replies if not record.is_usable]
+        if not failed:
+            return False
+        return failed[-1] is replies[-1] or any(
+            ended_at >= self._find_stop(record.server) - NOTICE_MARGIN
+            for record in replies
+        )
+
+    def _find_stop(self, server: str) -> float:
+        """Return when a leaving engine may end by its notice."""
+        notice = self.notices.get(server, float("inf"))
+        return self.server_departing_at.get(server, 0.0) + notice
--- a/dewridge/tests/soak/retrychecks.py
+++ b/dewridge/tests/soak/retrychecks.py
@@ -34,7 +34,7 @@
 def list_repeats(history: History) -> dict[str, list[float]]:
     """Return the times of the arrivals beyond the first of each request, by service."""
     arrivals: dict[str, list[float]] = defaultdict(list)
-    for arrival in history.all_arrivals:
+    for arrival in [*history.all_arrivals, *history.continuation_arrivals]:
         if arrival.id in history.requests:
             arrivals[arrival.id].append(arrival.at)
     repeats: dict[str, list[float]] = defaultdict(list)
--- a/dewridge/tests/soak/runs.py
+++ b/dewridge/tests/soak/runs.py
@@ -14,8 +14,10 @@
 from dewridge.tests.soak.crashing import CrashingCaller
 from dewridge.tests.soak.departures import make_servers_leave
 from dewridge.tests.soak.documents import LargeDocuments, probe_versions
+from dewridge.tests.soak.engineruns import EndDraws
 from dewridge.tests.soak.faults import Fault, draw_faults, inject_faults
 from dewridge.tests.soak.leaving import make_hosts_leave
+from dewridge.tests.soak.leavingengines import make_engines_leave
 from dewridge.tests.soak.newversions import add_version
 from dewridge.tests.soak.partitions import partition_hosts
 from dewridge.tests.soak.records import LOW_RETRY_SLACK, RequestKind
@@ -23,6 +25,7 @@
 from dewridge.tests.soak.resuming import ResumingCaller
 from dewridge.tests.soak.signals import BRITTLE_SLOTS, make_brittle, send_signals
 from dewridge.tests.soak.stage import QUOTAS, SoakEnvironment
+from dewridge.tests.soak.uploads import UploadingCaller
 
 WARM_UP_SECONDS = 4.0
 """Seconds from the start of the gateways until callers start."""
@@ -66,6 +69,14 @@
     """Number of unused routes of the configuration."""
     store_rate: float = 0.0
     """Bytes per second of each host's link to the store; 0 for no limit."""
+    unframed: int = 0
+    """Percentage of the answers without a length or chunks."""
+    moves: int = 0
+    """Number of times that engines leave whose runs can be stopped and moved."""
+    uploads: int = 0
+    """Number of callers of uploads, some of which are answered before their end."""
+    calm_seconds: float = FAULT_FREE_SECONDS
+    """Seconds without faults at the end; the check of recovery needs most of them."""
 
 
 @dataclass
@@ -108,6 +119,8 @@
         environment = SoakEnvironment(rng, folder, nursery)
         if size.brittle:
             environment.slots = BRITTLE_SLOTS
+        environment.draws = EndDraws(random.Random(f"ends {seed}"), size.unframed / 100)
+        environment.has_moves = size.moves > 0
         if size.rejecting:
             environment.history.retry_slack = LOW_RETRY_SLACK
         if size.versions:
@@ -122,10 +135,11 @@
             start_crashing_callers(environment, size, random.Random(f"crashing {seed}"))
             start_bad_part_callers(environment, size, random.Random(f"parts {seed}"))
             start_resuming_callers(environment, size, random.Random(f"resume {seed}"))
+            start_uploading_callers(environment, size, random.Random(f"uploads {seed}"))
             if size.routes:
                 nursery.start_soon(probe_versions, environment)
             await inject_all(environment, faults, size, seed)
-            await trio.sleep(FAULT_FREE_SECONDS)
+            await trio.sleep(size.calm_seconds)
             environment.history.end = time.monotonic()
             await trio.sleep(0.5)
         finally:
@@ -189,6 +203,12 @@
             drawn_rng = random.Random(leaving_rng.random())
             name = f"l{number}"
             nursery.start_soon(make_hosts_leave, environment, at, name, drawn_rng)
+        moves_rng = random.Random(f"moves {seed}")
+        for number in range(size.moves):
+            at = moves_rng.uniform(0, size.seconds)
+            drawn_rng = random.Random(moves_rng.random())
+            name = f"m{number}"
+            nursery.start_soon(make_engines_leave, environment, at, name, drawn_rng)
         for _ in range(size.signals):
             at = rng.uniform(0, size.seconds)
             nursery.start_soon(
@@ -272,3 +292,20 @@
             outdated_hosts=environment.outdated_hosts,
         )
         environment.nursery.start_soon(caller.run)
+
+
+def start_uploading_callers(
+    environment: SoakEnvironment, size: SoakSize, rng: random.Random
+) -> None:
+    """Start the callers of uploads, with a random generator of their own."""
+    for number in range(size.uploads):
+        caller = UploadingCaller(
+            name=f"u{number}",
+            key=rng.choice(
+                [account_keys[0] for account_keys in environment.keys.values()]
+            ),
+            history=environment.history,
+            gateways=environment.gateways,
+            rng=random.Random(rng.random()),
+        )
+        environment.nursery.start_soon(caller.run)
--- a/dewridge/tests/soak/servers.py
+++ b/dewridge/tests/soak/servers.py
@@ -8,18 +8,26 @@
 from enum import Enum
 from functools import partial
 
+import h11
 import trio
 
 from dewridge.ids import BackendServerId
 from dewridge.platform.engines import REPORT_PATH
 from dewridge.tests.gateway.memorystore import MemoryStore
 from dewridge.tests.gateway.world import ScriptedServer, ServerExchange
+from dewridge.tests.soak.engineruns import (
+    WITHIN_EVENT_PROBABILITY,
+    EndDraws,
+    EngineRuns,
+    StreamRun,
+)
 from dewridge.tests.soak.links import Link
 from dewridge.tests.soak.records import (
     Crash,
     Execution,
     Fall,
     History,
+    SentRequest,
     ServerRun,
     Signal,
     SignalAnswer,
@@ -37,6 +45,13 @@
 """Events of a stream, which usually takes half a second, so that faults hit many."""
 REJECTED_SHARE = 0.8
 """Share of the requests that a server rejects while its service rejects most."""
+EARLY_RESET_PROBABILITY, EARLY_ANSWER_PROBABILITY = 0.35, 0.3
+"""Shares of the uploads that a server answers in part and resets, or answers in full,
+before it reads them."""
+MAX_RESET_DELAY = 0.03
+"""Maximum seconds from the part of an early answer to the reset."""
+UPLOAD_DRAIN_SECONDS = 3.0
+"""Seconds for which a server reads an upload that it has answered."""
 
 SIGNAL_HEADERS = {
     Signal.LIMIT: b"Server-Limit: %.2f\r\n",
@@ -81,6 +96,9 @@
             any number.
         has_room: whether it runs more requests than `slots` at once.
         is_rejecting: returns whether it rejects most requests now.
+        draws: draws how its answers end.
+        find_server: returns the id of the server at an address; empty if unknown.
+        leaves_in: seconds until it stops, as its record says; None if it doesn't say.
     """
 
     id: str
@@ -99,6 +117,10 @@
     has_room: bool = True
     is_rejecting: Callable[[], bool] = lambda: False
     rng: random.Random = field(default_factory=partial(random.Random, 1))
+    draws: EndDraws = field(default_factory=EndDraws)
+    find_server: Callable[[str], str] = lambda address: ""
+    leaves_in: float | None = None
+    _engine_runs: EngineRuns | None = None
     _nursery: trio.Nursery | None = None
     _running: int = 0
     _rejections: list[float] = field(default_factory=list)
@@ -107,6 +129,10 @@
         """Start the server and its link."""
         self._nursery = nursery
         server = ScriptedServer(BackendServerId(self.id), self._handle_request)
+        server.is_early = self._is_answered_early
+        self._engine_runs = EngineRuns(
+            self.id, self.history, self.draws, self.find_server
+        )
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         port = listeners[0].socket.getsockname()[1]
         self.link.target = f"127.0.0.1:{port}"
@@ -119,7 +145,7 @@
         if not self.is_registered:
             store.remove(key)
             return
-        record = {
+        record: dict[str, str | int] = {
             "service": self.service,
             "address": self.link.address,
             "zone": "domain-a",
@@ -127,15 +153,67 @@
             "state": "draining" if self.is_draining else "ready",
             "version": self.version,
         }
+        if self.leaves_in is not None:
+            record["leaves_ms"] = round(self.leaves_in * 1000)
         store.write(key, json.dumps(record).encode())
 
+    @property
+    def runs(self) -> EngineRuns:
+        """Its runs and the memory of those that were stopped."""
+        assert self._engine_runs is not None
+        return self._engine_runs
+
+    def end_in_order(self) -> None:
+        """End without a crash: reset all connections and refuse new ones."""
+        now = time.monotonic()
+        self.history.server_ended_at[self.id] = now
+        for run in self.history.runs:
+            if run.server == self.id and run.ended_at is None:
+                run.has_broken_off = True
+        self.link.close()
+
+    def _is_answered_early(self, head: h11.Request) -> bool:
+        """Draw whether an upload is answered before it is read."""
+        request_id = dict(head.headers).get(b"x-attempt-id", b"").decode()
+        request = self.history.requests.get(request_id)
+        return (
+            request is not None
+            and request.upload_bytes > 0
+            and self.draws.draw(EARLY_RESET_PROBABILITY + EARLY_ANSWER_PROBABILITY)
+        )
+
+    def _has_unread_upload(self, exchange: ServerExchange) -> bool:
+        length = int(exchange.headers.get(b"content-length", b"0"))
+        return length > len(exchange.body)
+
     async def _handle_request(self, exchange: ServerExchange) -> None:
+        await self._answer_request(exchange)
+        if self._has_unread_upload(exchange):
+            await self._close_after_reading(exchange.stream)
+
+    async def _close_after_reading(self, stream: trio.SocketStream) -> None:
+        """End a connection in order whose upload has not been read.
+
+        A socket that is closed with unread input is reset.
+        """
+        await stream.send_eof()
+        with trio.move_on_after(UPLOAD_DRAIN_SECONDS):
+            while await stream.receive_some(65_536):
+                pass
+        await stream.aclose()
+
+    async def _answer_request(self, exchange: ServerExchange) -> None:
         if exchange.target == REPORT_PATH:
             await exchange.answer(b"", 404)
             return
+        if await self.runs.answer_call(exchange):
+            return
         request_id = exchange.headers.get(b"x-attempt-id", b"").decode()
         arrival = Execution(request_id, self.id, "", time.monotonic())
-        self.history.all_arrivals.append(arrival)
+        if b"kv-from" in exchange.headers:
+            self.history.continuation_arrivals.append(arrival)
+        else:
+            self.history.all_arrivals.append(arrival)
         expected = exchange.headers.get(b"x-expect-instance", b"").decode()
         if expected != self.id:
             await exchange.answer(b"", 421)
@@ -177,12 +255,18 @@
         request_id = exchange.headers.get(b"x-attempt-id", b"").decode()
         account = exchange.headers.get(b"x-tenant", b"").decode()
         execution = Execution(request_id, self.id, account, time.monotonic())
-        self.history.executions.append(execution)
+        source = exchange.headers.get(b"kv-from", b"").decode()
+        if not source:
+            self.history.executions.append(execution)
+        elif not self.runs.take_memory(request_id, source.partition("/")[2]):
+            await exchange.answer(b"", 503, b"X-Not-Executed: 1\r\n")
+            return
         run = ServerRun(request_id, self.id, execution.at)
         self.history.runs.append(run)
         watch = trio.CancelScope()
         assert self._nursery is not None
-        self._nursery.start_soon(_record_close, exchange.stream, run, watch)
+        if not self._has_unread_upload(exchange):
+            self._nursery.start_soon(_record_close, exchange.stream, run, watch)
         try:
             await self._execute(exchange, execution, run)
         finally:
@@ -233,39 +317,108 @@
         self, exchange: ServerExchange, run: ServerRun
     ) -> None:
         body = run.id.encode()
-        wait = self.history.requests[run.id].first_event_seconds
-        await trio.sleep(wait + PLAIN_RESPONSE_SECONDS)
+        request = self.history.requests[run.id]
+        run.is_unframed = self.draws.draw(self.draws.unframed_share)
+        if self._has_unread_upload(exchange):
+            await self._answer_upload_early(exchange, run, body)
+            return
+        await trio.sleep(request.first_event_seconds + PLAIN_RESPONSE_SECONDS)
         if self.mood is Mood.CUTTING:
             length = b"Content-Length: %d\r\n" % (len(body) + 5)
+            if run.is_unframed:
+                length, body = b"", body[:-1]
             await exchange.send(exchange.make_head(200, length) + body)
             run.has_broken_off = True
             exchange.reset()
             return
-        await exchange.answer(body)
-        if self.mood is Mood.REPEATING:
+        await self._answer(exchange, run, body)
+        if self.mood is Mood.REPEATING and not run.is_unframed:
             await trio.sleep(0.02)
             await exchange.answer(body)
 
+    async def _answer_upload_early(
+        self, exchange: ServerExchange, run: ServerRun, body: bytes
+    ) -> None:
+        """Answer before the upload is read: in part and with a reset, or in full."""
+        rng = self.draws.rng
+        total = EARLY_RESET_PROBABILITY + EARLY_ANSWER_PROBABILITY
+        if rng.random() < EARLY_RESET_PROBABILITY / total:
+            run.is_unframed = run.has_broken_off = True
+            await exchange.send(exchange.make_head(200) + body[: len(body) // 2])
+            await trio.sleep(rng.choice([0.0, rng.uniform(0, MAX_RESET_DELAY)]))
+            exchange.reset()
+            return
+        length = b"" if run.is_unframed else b"Content-Length: %d\r\n" % len(body)
+        await exchange.send(exchange.make_head(200, length) + body)
+        run.has_finished = True
+
+    async def _answer(
+        self, exchange: ServerExchange, run: ServerRun, body: bytes
+    ) -> None:
+        """Send a whole answer; one without a length ends with its connection."""
+        if run.is_unframed:
+            await exchange.send(exchange.make_head(200) + body)
+            run.has_finished = True
+            await exchange.stream.aclose()
+        else:
+            await exchange.answer(body)
+            run.has_finished = True
+
     async def _send_stream(self, exchange: ServerExchange, run: ServerRun) -> None:
-        request_id = run.id
+        request = self.history.requests[run.id]
         last_received = int(exchange.headers.get(b"last-event-id", b"0"))
-        request = self.history.requests[request_id]
+        run.is_unframed = self.draws.draw(self.draws.unframed_share)
         await trio.sleep(request.first_event_seconds)
-        await exchange.begin_stream()
-        for number in range(last_received + 1, EVENTS_PER_STREAM + 1):
-            await trio.sleep(request.stream_seconds / EVENTS_PER_STREAM)
-            last_marker = " last" if number == EVENTS_PER_STREAM else ""
-            owner = f"{request_id}#{self.version}" if self.version else request_id
-            padding = f"\n:{'.' * request.event_bytes}" if request.event_bytes else ""
-            event = f"id: {number}\ndata: {owner}{last_marker}{padding}\n\n".encode()
+        stream_run = self.runs.begin(run.id, last_received)
+        try:
+            await self._send_events(exchange, run, stream_run)
+        finally:
+            self.runs.end(run.id, stream_run)
+
+    async def _send_events(
+        self, exchange: ServerExchange, run: ServerRun, stream_run: StreamRun
+    ) -> None:
+        request = self.history.requests[run.id]
+        if run.is_unframed:
+            await exchange.send(exchange.make_head(200))
+        else:
+            await exchange.begin_stream()
+        for number in range(stream_run.created + 1, EVENTS_PER_STREAM + 1):
+            seconds = request.stream_seconds / EVENTS_PER_STREAM
+            is_stopped = await stream_run.wait_to_stop(seconds)
+            event = self._make_event(request, number)
+            if is_stopped:
+                if self.draws.draw(WITHIN_EVENT_PROBABILITY):
+                    await _send_piece(exchange, run, event[: len(event) // 2])
+                stream_run.is_stopped = True
+                await exchange.stream.aclose()
+                return
             if self.mood is Mood.CUTTING and number == EVENTS_PER_STREAM // 2:
-                event = event[: len(event) // 2]
-                await exchange.send(b"%x\r\n%s\r\n" % (len(event), event))
+                if not (run.is_unframed and self.draws.draw(0.5)):
+                    await _send_piece(exchange, run, event[: len(event) // 2])
                 run.has_broken_off = True
                 exchange.reset()
                 return
-            await exchange.send(b"%x\r\n%s\r\n" % (len(event), event))
-        await exchange.end_stream()
+            await _send_piece(exchange, run, event)
+            stream_run.created = number
+        stream_run.is_finished = run.has_finished = True
+        if run.is_unframed:
+            await exchange.stream.aclose()
+        else:
+            await exchange.end_stream()
+
+    def _make_event(self, request: SentRequest, number: int) -> bytes:
+        last_marker = " last" if number == EVENTS_PER_STREAM else ""
+        owner = f"{request.id}#{self.version}" if self.version else request.id
+        padding = f"\n:{'.' * request.event_bytes}" if request.event_bytes else ""
+        return f"id: {number}\ndata: {owner}{last_marker}{padding}\n\n".encode()
+
+
+async def _send_piece(exchange: ServerExchange, run: ServerRun, data: bytes) -> None:
+    """Send bytes of a stream, in a chunk if it has chunks."""
+    if not run.is_unframed:
+        data = b"%x\r\n%s\r\n" % (len(data), data)
+    await exchange.send(data)
 
 
 async def _record_close(
--- a/dewridge/tests/soak/soak_tests.py
+++ b/dewridge/tests/soak/soak_tests.py
@@ -28,6 +28,10 @@
 LEAVING_SEED = 70_102
 LEAVING_SECONDS = 2.0
 """Duration of the fault injection before hosts leave, which takes longer."""
+MOVES_SEED = 90_401
+MOVES_SECONDS, MOVES_CALM_SECONDS = 0.2, 1.0
+"""Duration of the fault injection, and of the time after it.
+The streams of leaving engines and the freeing of memory take some seconds between."""
 
 
 @pytest.mark.timeout(90)
@@ -160,6 +164,27 @@
     assert result.outcomes["sent to leaving hosts"] > 0
 
 
+@pytest.mark.timeout(60)
+async def test_no_part_of_a_stopped_or_unframed_answer_looks_whole(
+    tmp_path: Path,
+) -> None:
+    """Guards against streams cut by an order of unknown outcome that look whole."""
+    size = SoakSize(
+        hosts=3,
+        servers=10,
+        callers=6,
+        seconds=MOVES_SECONDS,
+        unframed=50,
+        moves=2,
+        calm_seconds=MOVES_CALM_SECONDS,
+    )
+    result = await run_soak(MOVES_SEED, size, tmp_path)
+    assert result.violations == []
+    assert result.outcomes["orders without a usable reply"] > 0
+    assert result.outcomes["stopped and whole"] > 0
+    assert result.outcomes["sound unframed, whole"] > 0
+
+
 @pytest.mark.timeout(90)
 async def test_large_configurations_are_in_force_in_time(tmp_path: Path) -> None:
     """Versions of 2,000 routes reach hosts with links of 10 Mbit/s within 3 s."""
--- a/dewridge/tests/soak/stage.py
+++ b/dewridge/tests/soak/stage.py
@@ -15,6 +15,7 @@
 
 from dewridge.standins.serving import Listener
 from dewridge.testbed.processes import Process, choose_ports
+from dewridge.tests.soak.engineruns import EndDraws
 from dewridge.tests.soak.links import Link
 from dewridge.tests.soak.partitions import ServerPaths
 from dewridge.tests.soak.records import (
@@ -115,6 +116,8 @@
         rejecting: number of troubles in which servers of a service reject now.
         outdated_hosts: hosts that may not know a new version, at which callers then
             resume streams.
+        draws: draws how answers end.
+        has_moves: whether the configuration lets engines move their runs.
     """
 
     rng: random.Random
@@ -133,6 +136,8 @@
     store_rate: float = 0.0
     outdated_hosts: set[str] = field(default_factory=set)
     rejecting: Counter[str] = field(default_factory=Counter)
+    draws: EndDraws = field(default_factory=EndDraws)
+    has_moves: bool = False
     _written_versions: list[int] = field(default_factory=list)
     _server_count: int = 0
 
@@ -222,6 +227,9 @@
             make_route("draft", "streaming", "engine", 1),
             *self.make_routes(self._written_versions),
         ]
+        engine: dict[str, int | bool] = {"slots": 16, "kv_capacity_tokens": 100_000}
+        if self.has_moves:
+            engine["moves"] = True
         document = {
             "version": self.written_version,
             "routes": routes,
@@ -230,7 +238,7 @@
                 {
                     "name": "engine",
                     "max_connections": 200,
-                    "engine": {"slots": 16, "kv_capacity_tokens": 100_000},
+                    "engine": engine,
                     "scaling": {
                         "min": 1,
                         "max": 8,
@@ -277,6 +285,8 @@
         self._server_count += 1
         server = SoakServer(f"{service}-{self._server_count}", service, self.history)
         server.slots = self.slots
+        server.draws = self.draws
+        server.find_server = self.find_server
         server.is_rejecting = lambda: self.rejecting[service] > 0
         if service == "engine":
             turn = self._server_count // 2 % len(self.versions)
@@ -289,6 +299,18 @@
             period = ServerPeriod(server.version, time.monotonic())
             self.history.server_periods[server.id] = period
 
+    def find_server(self, address: str) -> str:
+        """Return the id of the server at an address that a host has; empty if none."""
+        targets = {
+            gateway.paths.find_target(address)
+            for gateway in self.gateways
+            if gateway.paths is not None
+        }
+        return next(
+            (server.id for server in self.servers if server.link.address in targets),
+            "",
+        )
+
     def _handle_crash(self, server: SoakServer) -> None:
         for gateway in self.gateways:
             if gateway.paths is not None:
@@ -310,14 +332,17 @@
         server.is_registered = False
         server.write_record(self.store.memory_store)
 
-    async def replace_server(self, server: SoakServer, *, says_so: bool = True) -> None:
+    async def replace_server(
+        self, server: SoakServer, *, says_so: bool = True, version: str = ""
+    ) -> None:
         """Start a replacement of a server, then drain and deregister the server.
 
         Args:
             server: the server that leaves.
             says_so: whether its record says that it drains; it is removed otherwise.
+            version: version of the replacement; the next one in turn if empty.
         """
-        await self.add_server(server.service)
+        await self.add_server(server.service, version)
         await trio.sleep(0.5)
         if server not in self.servers:
             return
@@ -334,6 +359,14 @@
         if server in self.servers:
             self.servers.remove(server)
 
+    def end_server(self, server: SoakServer) -> None:
+        """End a server that has left; hosts are refused from now on."""
+        self.record_disturbance("", CRASH_IMPACT_SECONDS, affects_servers_only=True)
+        server.end_in_order()
+        for gateway in self.gateways:
+            if gateway.paths is not None:
+                gateway.paths.end(server.link.address)
+
     def _end_period(self, server: SoakServer) -> None:
         period = self.history.server_periods.get(server.id)
         if period is not None:
