Treat a failed write to the store as one that may be carried out

Nothing was seen by callers. A write that the store answered with 500, 502, 504 or an unexpected success status was reported as not carried out, as one that was not sent. The platform promises that only of 503.

Reads are as before.

--- a/dewridge/platform/store.py
+++ b/dewridge/platform/store.py
@@ -23,6 +23,8 @@
 STATUS_NOT_FOUND = 404
 STATUS_COMPACTED = 410
 STATUS_CONFLICT = 412
+STATUS_DOWN = 503
+"""Says that nothing was done. No other failure of the store says that."""
 STATUS_FAILURES = 500
 """The lowest status with which the store says that it can't serve anybody."""
 
@@ -383,4 +385,10 @@
     if isinstance(response, CallFailure):
         code = ResultCode.KEY_VALUE_UNKNOWN if is_write else ResultCode.KEY_VALUE_DOWN
         return Failure(code, "no answer")
-    return Failure(ResultCode.KEY_VALUE_DOWN, f"status {response.status}")
+    is_refused = response.status == STATUS_DOWN or 400 <= response.status < 500
+    code = (
+        ResultCode.KEY_VALUE_UNKNOWN
+        if is_write and not is_refused
+        else ResultCode.KEY_VALUE_DOWN
+    )
+    return Failure(code, f"status {response.status}")
--- a/dewridge/tests/platform/store_tests.py
+++ b/dewridge/tests/platform/store_tests.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
+import pytest
 import trio
 from hypothesis import given
 from hypothesis import strategies as st
@@ -168,6 +169,18 @@
     assert result.code is ResultCode.KEY_VALUE_DOWN
 
 
+@pytest.mark.parametrize("status", [500, 502, 504, 200, 202])
+async def test_failed_or_unreadable_write_has_unknown_outcome(status: int) -> None:
+    """Guards against a write that is carried out although it was taken as refused.
+
+    Of the failures, only 503 says that the store did nothing.
+    """
+    async with open_store(make_handler(status, "unreadable")) as store:
+        result = await store.change(writes=(Write("k", b"v"),))
+    assert isinstance(result, Failure)
+    assert result.code is ResultCode.KEY_VALUE_UNKNOWN
+
+
 async def test_conflict_and_ended_lease_have_different_codes() -> None:
     codes = []
     for status in (412, 404, 429, 503):
