Write a registration again after a write of unknown outcome

Callers could be sent to a host that does not take requests: a host wrote that it is ready, the answer was lost, it ceased to be ready at once, and the entry of before the lost write counted as the one in the store. So nothing was written, and the entry said ready until the next change, also when the store carried the lost write out late, after a newer one.

Change: the entry is written if its key has the revision that this host last knew, which refuses an own write that arrives late. After a write without an answer, or a conflict, the key is read, and the entry is written again.

The tests of usage reports, of the holder's key and of leases whose answers are lost pass before and after; there were none of their kind.

--- a/dewridge/gateway/hosts.py
+++ b/dewridge/gateway/hosts.py
@@ -106,6 +106,8 @@
         self.entry = entry
         self.lease_state = LeaseState()
         self._written_entry: HostEntry | None = None
+        self._revision = 0
+        self._has_unknown_write = False
         self._last_answer_at = read_boot_clock()
         self._changed = trio.Event()
 
@@ -141,24 +143,45 @@
     async def _ensure_registered(self) -> bool:
         if not await self._ensure_lease():
             return False
-        if self._written_entry == self.entry:
+        if self._written_entry == self.entry and not self._has_unknown_write:
             return True
         # Until this host incarnation is ready, keep the entry of the previous one: a
         # newer entry that is not ready would remove the host from all lists sent to
         # callers.
-        if self._written_entry is None and not self.entry.is_ready:
+        is_absent = self._written_entry is None and not self._has_unknown_write
+        if is_absent and not self.entry.is_ready:
             return True
+        return await self._write_entry()
+
+    async def _write_entry(self) -> bool:
+        """Write the entry if the key has the revision that this host last knew.
+
+        A write without an answer may be carried out seconds later. Without the
+        condition, it would replace a newer entry, which is not written again.
+        """
         entry = self.entry
         lease = self.lease_state.lease
         assert lease is not None
         write = Write(self.key, msgspec.json.encode(entry), lease.id)
-        result = await self._store.change(writes=(write,))
-        if isinstance(result, Failure):
-            if result.code is ResultCode.KEY_VALUE_LEASE_ENDED:
-                self._discard_lease()
-            return False
-        self._written_entry = entry
-        return True
+        result = await self._store.change(
+            expected={self.key: self._revision}, writes=(write,)
+        )
+        if not isinstance(result, Failure):
+            self._written_entry, self._revision = entry, result
+            self._has_unknown_write = False
+            return True
+        if result.code is ResultCode.KEY_VALUE_LEASE_ENDED:
+            self._discard_lease()
+        elif result.code in {
+            ResultCode.KEY_VALUE_UNKNOWN,
+            ResultCode.KEY_VALUE_CONFLICT,
+        }:
+            # Only this host writes the key, so a conflict shows an earlier own write.
+            self._has_unknown_write = True
+            item = await self._store.read(self.key)
+            if not isinstance(item, Failure):
+                self._revision = item.revision if item is not None else 0
+        return False
 
     async def _ensure_lease(self) -> bool:
         requested_at = read_boot_clock()
@@ -184,6 +207,8 @@
         self.lease_state.lease = None
         self.lease_state.valid_until = float("-inf")
         self._written_entry = None
+        self._has_unknown_write = False
+        self._revision = 0
 
     def handle_restore(self) -> None:
         """Discard the lease so that the host registers again.
@@ -191,7 +216,10 @@
         The restored store may lack the lease or the entry.
         """
         if self.lease_state.lease is not None:
+            # The copy has the entry with this revision, unless it is older than that.
+            revision = self._revision
             self._discard_lease()
+            self._revision = revision
 
     async def unregister(self) -> None:
         """End the lease, which removes the entry from the store."""
