Keep a usage sum that was read back after a write of unknown outcome

Nothing was seen by callers. A holder whose write of a window's sum had no answer read the sum back and reported it, but kept only sums whose write was answered. If the store then came back from a copy without the sum, and the holder's watch had not shown it, the holder wrote and reported a different sum for the same window.

Evidence: test_usage_whose_write_had_no_answer_outlasts_a_restore failed on the commit before (two different reports of one window) and passes now; the other tests of unknownoutcomes_tests, duties_tests and restores_tests pass.

Change: a sum that was read from the store is kept like one that was written.

--- a/dewridge/gateway/usage.py
+++ b/dewridge/gateway/usage.py
@@ -175,7 +175,9 @@
         item = await self._store.read(key)
         if isinstance(item, Failure) or not isinstance(item, Item):
             return None
-        return msgspec.json.decode(item.value, type=AccountCounts)
+        counts = msgspec.json.decode(item.value, type=AccountCounts)
+        self._persisted_counts[window] = counts
+        return counts
 
     def _find_persisted_counts(self, window: int, key: str) -> AccountCounts | None:
         """Return the persisted counts of a window, even if the store lost them.
--- a/dewridge/tests/gateway/unknownoutcomes_tests.py
+++ b/dewridge/tests/gateway/unknownoutcomes_tests.py
@@ -151,6 +151,24 @@
     assert len(set(client.bodies)) == 1
 
 
+async def test_usage_whose_write_had_no_answer_outlasts_a_restore(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against different sums if the store loses one that was read back."""
+    data = StoreData(era=1)
+    snapshot = data.take_snapshot()
+    client = RecordingClient(CallFailure.LOST)
+    store = MemoryStore(data)
+    store.loses_answers = True
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(report, store, client, {"a": 5}, 10.0)
+        await trio.sleep(8.0)
+        assert client.bodies
+        data.restore(snapshot)
+    assert len(client.bodies) > 2
+    assert len(set(client.bodies)) == 1
+
+
 @pytest.mark.parametrize("delay", [0.1, 0.5, 1.2, 2.5])
 async def test_late_write_of_the_holder_begins_one_term(
     delay: float, autojump_clock: trio.testing.MockClock
