Treat a relay's reply that is not understood as a call that may have run

A request that may run once ran three times. A partitioned host had a peer relay it; the peer passed it on, the server's connection broke, and the peer's reply gave a reason that the host did not know, as a host of a later version may. A reply without a known reason counted as one of a relay that passes nothing on, so the host asked two further relays. An order to an engine counted as not sent in the same case.

Change: such a reply counts as a call that was cut off, unless its status (4xx or 503) promises that the relay has not passed the call on.

--- a/dewridge/gateway/reach/protocol.py
+++ b/dewridge/gateway/reach/protocol.py
@@ -151,11 +151,17 @@
 
 
 def decode_loss(status: int, headers: Headers) -> tuple[LossReason, str] | None:
-    """Return why a relay has no answer; None if the answer is the server's."""
+    """Return why a relay has no answer; None if the answer is the server's.
+
+    A reply without a reason that is known here says nothing, unless its status promises
+    that the relay has not passed the call on.
+    """
     values = dict(headers)
     if ANSWERED in values:
         return None
     name = values.get(LOSS, b"").decode("latin-1")
     if name not in LossReason.__members__:
-        return LossReason.NO_PATH, f"status {status}"
+        is_refused = status == UNUSABLE_STATUS or 400 <= status < 500
+        loss = LossReason.NO_PATH if is_refused else LossReason.CUT_OFF
+        return loss, f"status {status}"
     return LossReason[name], values.get(DETAIL, b"").decode("latin-1")
--- a/dewridge/tests/gateway/partition_tests.py
+++ b/dewridge/tests/gateway/partition_tests.py
@@ -2,11 +2,19 @@
 
 from collections.abc import AsyncIterator, Iterable
 from contextlib import AsyncExitStack, asynccontextmanager
+from enum import Enum
 
 import pytest
 import trio
 
 from dewridge.gateway.directory import Directory
+from dewridge.gateway.forwarding import IncomingAnswer
+from dewridge.gateway.reach import relay
+from dewridge.gateway.reach.control import call_engine
+from dewridge.gateway.reach.protocol import LOSS, decode_loss
+from dewridge.gateway.responder import Responder
+from dewridge.http1.calls import CallFailure
+from dewridge.policy.losses import NOT_RUN_REASONS, LossReason
 from dewridge.policy.reachability import ServerPath
 from dewridge.policy.shutdown import schedule_shutdown
 from dewridge.tests.gateway.moving_tests import (
@@ -33,6 +41,7 @@
     World,
     answer_ok,
     read_answer,
+    reset,
 )
 
 CONTACT_SECONDS = 3.0
@@ -501,3 +510,108 @@
         digests = [suspect.digest for suspect in world.state.suspects.list_all()]
         assert len(digests) == 1
         assert world.state.suspects.count_crashes(digests[0], trio.current_time()) >= 1
+
+
+@pytest.mark.parametrize("status", [500, 502, 504, 200])
+@pytest.mark.parametrize("loss", ["", "A_REASON_OF_A_LATER_VERSION"])
+def test_an_unreadable_reply_of_a_relay_promises_nothing(
+    status: int, loss: str
+) -> None:
+    """Guards against a call that runs twice as its relay's reply was not understood."""
+    headers = [(LOSS, loss.encode())] if loss else []
+    decoded = decode_loss(status, headers)
+    assert decoded is not None
+    assert decoded[0] not in NOT_RUN_REASONS
+
+
+@pytest.mark.parametrize("status", [401, 408, 413, 429, 503])
+def test_a_relay_that_did_not_read_a_call_did_not_pass_it_on(status: int) -> None:
+    decoded = decode_loss(status, [])
+    assert decoded is not None
+    assert decoded[0] is LossReason.NO_PATH
+
+
+class RelayEnd(Enum):
+    """What happens after a relay has passed a request on."""
+
+    RELAY_BREAKS = "the relay's connection to its peer ends without a reply"
+    SERVER_BREAKS = "the server resets the relay's connection"
+    UNREADABLE = "the relay gives a reason that the peer does not know"
+    LATE = "the server answers after the peer's caller has given up"
+
+
+@pytest.mark.parametrize("end", list(RelayEnd))
+async def test_a_request_that_a_relay_passed_on_is_not_sent_again(
+    end: RelayEnd, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a request that runs at two servers, each by another relay."""
+
+    async def break_off(exchange: ServerExchange) -> None:
+        if end is RelayEnd.LATE:
+            await trio.sleep(1.5)
+        if end in {RelayEnd.LATE, RelayEnd.RELAY_BREAKS}:
+            await exchange.answer()
+        else:
+            reset(exchange.stream)
+
+    async def fail(answer: IncomingAnswer, responder: Responder) -> None:
+        raise RuntimeError("the relay ends")
+
+    def encode_unknown(*arguments: object) -> list[tuple[bytes, bytes]]:
+        return [(LOSS, b"A_REASON_OF_A_LATER_VERSION")]
+
+    async with open_linked_fleet(4) as linked:
+        servers = [await linked.add_server(f"s-{n}", answer_ok) for n in range(3)]
+        partition(linked, [0])
+        world = linked.fleet.worlds[0]
+        assert (await write(world, 0)).status == 200
+        for server in servers:
+            server.script = break_off
+            server.received.clear()
+        if end is RelayEnd.RELAY_BREAKS:
+            monkeypatch.setattr(relay, "forward_answer", fail)
+        if end is RelayEnd.UNREADABLE:
+            monkeypatch.setattr(relay, "encode_loss", encode_unknown)
+        deadline = 1_000 if end is RelayEnd.LATE else 4_000
+        answer = await world.request(
+            "/write/a", method="POST", request_id="w-1", deadline_ms=deadline
+        )
+        runs = sum(len(server.received) for server in servers)
+    assert runs == 1
+    # 503 would promise that the request has not run.
+    assert answer.status in {502, 504}
+
+
+@pytest.mark.parametrize("end", [RelayEnd.RELAY_BREAKS, RelayEnd.UNREADABLE])
+async def test_a_control_call_that_a_relay_passed_on_counts_as_sent(
+    end: RelayEnd, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an order to an engine that is taken as not carried out."""
+
+    async def fail(answer: IncomingAnswer, responder: Responder) -> None:
+        raise RuntimeError("the relay ends")
+
+    def encode_unknown(*arguments: object) -> list[tuple[bytes, bytes]]:
+        return [(LOSS, b"A_REASON_OF_A_LATER_VERSION")]
+
+    async def break_off(exchange: ServerExchange) -> None:
+        if end is RelayEnd.RELAY_BREAKS:
+            await exchange.answer()
+        else:
+            reset(exchange.stream)
+
+    async with open_linked_fleet(2) as linked:
+        engine = await linked.add_server("e-1", break_off, ENGINE)
+        world = linked.fleet.worlds[0]
+        linked.cut([0], NewConnections.REFUSED, OpenConnections.RESET, [engine])
+        await world.request("/chat/a")
+        assert world.state.links.find_path(ENGINE) is ServerPath.BY_PEER
+        monkeypatch.setattr(relay, "forward_answer", fail)
+        if end is RelayEnd.UNREADABLE:
+            monkeypatch.setattr(relay, "encode_loss", encode_unknown)
+        engine.received.clear()
+        record = world.state.servers.find(engine.id)
+        assert record is not None
+        reply = await call_engine(world.state, record, "POST", "/-/x", b"{}", 0.6)
+        assert len(engine.received) == 1
+    assert reply is CallFailure.LOST
