Delete a copy of a released request that was written late

Nothing was seen by callers. The copy of a quarantined request was written again after a write without an answer, the request was released, and its copy deleted. If the store then carried the first write out, the copy stayed until its lease ended, as it counted as deleted: a host that started meanwhile refused the request.

Evidence: test_late_copy_of_a_released_request_is_deleted failed in one of its two cases on (the write is carried out after 2 s; after 0.5 s it was right) and passes now. crashing_tests and crashingparts_tests pass.

Change: a copy counts as deleted if it is older than the deletion, by the store's revision.

test_late_write_of_a_stage_does_not_undo_a_decision passes before and after; rollouts had no test of an unknown outcome.

--- a/dewridge/gateway/suspectkeeping.py
+++ b/dewridge/gateway/suspectkeeping.py
@@ -74,7 +74,9 @@
         self._store = store
         self._has_duties = has_duties
         self._written: set[RequestDigest] = set()
-        self._deleted: set[str] = set()
+        self._deleted: dict[str, int] = {}
+        """Deleted copies, with the store's revision of the deletion. A write without an
+        answer may be carried out after it."""
 
     def apply_item(self, item: Item) -> None:
         """Merge a copy from the store; ignore items with other keys."""
@@ -127,7 +129,7 @@
         result = await self._store.change(writes=(write,))
         if not isinstance(result, Failure):
             self._written.add(suspect.digest)
-            self._deleted.discard(write.key)
+            self._deleted.pop(write.key, None)
 
     async def _delete_cleared(self) -> None:
         """Delete the copies of requests that were released from quarantine.
@@ -138,7 +140,7 @@
             result = await self._store.change(removed_keys=(key,))
             if isinstance(result, Failure):
                 return
-            self._deleted.add(key)
+            self._deleted[key] = result
 
     def _list_cleared(self) -> list[str]:
         now = trio.current_time()
@@ -146,7 +148,8 @@
         for suspect in self._state.suspects.list_all():
             key = make_key(suspect.digest)
             is_responsible = suspect.digest in self._written or self._has_duties()
-            is_stored = key in self._state.hosts.items and key not in self._deleted
+            item = self._state.hosts.items.get(key)
+            is_stored = item is not None and item.revision > self._deleted.get(key, 0)
             if is_responsible and is_stored and self._compute_left(suspect, now) <= 0:
                 cleared.append(key)
         return cleared
--- a/dewridge/tests/gateway/unknownoutcomes_tests.py
+++ b/dewridge/tests/gateway/unknownoutcomes_tests.py
@@ -16,15 +16,34 @@
 from dewridge.gateway import duties, hosts
 from dewridge.gateway.duties import HOLDER_KEY
 from dewridge.gateway.hosts import HostEntry, Registration
+from dewridge.gateway.reports import RolloutProgress
+from dewridge.gateway.rolloutduty import RolloutDuty, make_progress_key
+from dewridge.gateway.rollouts import AttemptResult
+from dewridge.gateway.suspectkeeping import SUSPECTS_PREFIX, SuspectPersistence
+from dewridge.gateway.suspects import clear_suspect, merge_suspects
 from dewridge.gateway.usage import UsageDuty
 from dewridge.http1.calls import CallFailure, Response, ServiceClient
-from dewridge.ids import ClientAccount, FailureDomain, HostId
+from dewridge.ids import (
+    BackendServerId,
+    ClientAccount,
+    FailureDomain,
+    HostId,
+    RequestDigest,
+)
 from dewridge.platform.cloud import Cloud
-from dewridge.platform.store import Lease
+from dewridge.platform.store import Item, Lease
+from dewridge.policy.rollouts import Stage
+from dewridge.policy.suspects import Crash, Suspect
 from dewridge.sentinels import Failure
 from dewridge.tests.gateway.duties_tests import AlwaysHolder, Candidate
 from dewridge.tests.gateway.memorystore import DOWN, MemoryStore, StoreData
-from dewridge.tests.gateway.world import make_configuration, make_state
+from dewridge.tests.gateway.rollouts_tests import (
+    ORDER,
+    SERVERS,
+    HolderHost,
+    record_attempts,
+)
+from dewridge.tests.gateway.world import PLAIN, make_configuration, make_state
 
 UNKNOWN = Failure(ResultCode.KEY_VALUE_UNKNOWN, "no answer")
 BEGIN = 1000.0
@@ -336,3 +355,77 @@
             await trio.sleep(0.1)
             assert registration.key not in data.items
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("delay", [0.5, 2.0])
+async def test_late_copy_of_a_released_request_is_deleted(
+    delay: float, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against a starting host that refuses a request that was released.
+
+    The copy is written again after the answer to its first write was lost, then it is
+    deleted, and then the first write is carried out.
+    """
+    data = StoreData()
+    state = make_state(make_configuration())
+    digest = RequestDigest("0123456789abcdef")
+    key = SUSPECTS_PREFIX + digest
+    async with trio.open_nursery() as nursery:
+        store = LateStore(data, nursery)
+        persistence = SuspectPersistence(state, store, lambda: True)
+        nursery.start_soon(persistence.run)
+        nursery.start_soon(follow, data, state.hosts.items)
+        store.late, store.delay = 1, delay
+        crashes = {
+            BackendServerId(f"s-{n}"): Crash(trio.current_time(), trio.current_time())
+            for n in range(3)
+        }
+        suspect = Suspect(digest, ClientAccount("a"), PLAIN, crashes)
+        merge_suspects(state, [suspect])
+        state.observed_crashes.add(digest)
+        await trio.sleep(1.0)
+        assert key in data.items
+        clear_suspect(state, digest, "test")
+        await trio.sleep(0.5)
+        if delay > 1.5:
+            assert key not in data.items
+        await trio.sleep(delay + 1.0)
+        assert store.outcomes
+        assert key not in data.items
+        nursery.cancel_scope.cancel()
+
+
+async def follow(data: StoreData, items: dict[str, Item]) -> None:
+    """Keep a host's table of items current."""
+    while True:
+        changed = data.changed
+        items.clear()
+        items.update(data.items)
+        await changed.wait()
+
+
+@pytest.mark.parametrize("delay", [0.1, 1.0, 3.0])
+async def test_late_write_of_a_stage_does_not_undo_a_decision(
+    delay: float, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against a version that is tried again although it was reverted."""
+    data = StoreData()
+    holder = HolderHost(data)
+    async with trio.open_nursery() as nursery:
+        store = LateStore(data, nursery)
+        store.late, store.delay = 1, delay
+        duty = RolloutDuty(holder.state, AlwaysHolder(), store)
+        holder.state.rollouts.apply_order(ORDER)
+        nursery.start_soon(duty.run)
+        await trio.sleep(0.6)
+        await record_attempts(
+            holder.state.rollouts, SERVERS[-1], AttemptResult.FAILED, 10
+        )
+        await trio.sleep(6.0)
+        assert store.outcomes
+        progress = data.items[make_progress_key(PLAIN)]
+        stored = msgspec.json.decode(progress.value, type=RolloutProgress)
+        assert stored.stage is Stage.REVERTED
+        assert holder.state.rollouts.find_stage(PLAIN) is Stage.REVERTED
+        assert holder.read_status() == "reverted"
+        nursery.cancel_scope.cancel()
