Write the needed servers again after a write of unknown outcome

The holder of the duties keeps the servers that each service needs in the store, for its successor. After a write without an answer, numbers that returned to those of before were not written again, and a write that was carried out late replaced newer numbers. A successor would begin with the plan of before.

Change: the numbers are written if the key has the revision that this host last knew. After a write without an answer, or a conflict, the revision is read and the numbers are written again.

--- a/dewridge/gateway/scaling.py
+++ b/dewridge/gateway/scaling.py
@@ -7,6 +7,7 @@
 import trio
 from loguru import logger as log
 
+from dewridge.codes import ResultCode
 from dewridge.gateway.duties import HolderElection
 from dewridge.gateway.model import Scaling, ServerRecord, Service
 from dewridge.gateway.state import GatewayState
@@ -73,6 +74,7 @@
         self._needed: dict[ServiceName, int] = {}
         self._previous_needed: dict[ServiceName, int] = {}
         self._written_needed: dict[ServiceName, int] = {}
+        self._needed_revision = 0
         self._lower_since: dict[ServerPool, float] = {}
         self._fencing_token = 0
         self._term_began_at = float("-inf")
@@ -251,6 +253,7 @@
         if isinstance(item, Failure):
             log.bind(reason=item.reason).warning("needed servers are not known")
             return {}
+        self._needed_revision = item.revision if item is not None else 0
         if item is None:
             return {}
         try:
@@ -265,12 +268,21 @@
         if needed == self._written_needed or self._election.find_active_term() is None:
             return
         write = Write(NEEDED_SERVERS_KEY, msgspec.json.encode(needed))
-        written = await self._store.change(writes=(write,))
+        # Without the condition, a write without an answer could replace a later one.
+        written = await self._store.change(
+            expected={NEEDED_SERVERS_KEY: self._needed_revision}, writes=(write,)
+        )
         if isinstance(written, Failure):
             # Retried at the next poll. Until then a new holder would read old numbers.
             log.bind(reason=written.reason).info("needed servers not written")
+            if written.code in {
+                ResultCode.KEY_VALUE_UNKNOWN,
+                ResultCode.KEY_VALUE_CONFLICT,
+            }:
+                await self._read_needed()
+                self._written_needed.clear()
             return
-        self._written_needed = needed
+        self._written_needed, self._needed_revision = needed, written
 
     def _try_count_initial_servers(self, service: ServiceName, now: float) -> bool:
         """Return whether the servers that run at the start have been counted.
--- a/dewridge/tests/gateway/unknownoutcomes_tests.py
+++ b/dewridge/tests/gateway/unknownoutcomes_tests.py
@@ -19,6 +19,7 @@
 from dewridge.gateway.reports import RolloutProgress
 from dewridge.gateway.rolloutduty import RolloutDuty, make_progress_key
 from dewridge.gateway.rollouts import AttemptResult
+from dewridge.gateway.scaling import NEEDED_SERVERS_KEY, ScalingDuty
 from dewridge.gateway.suspectkeeping import SUSPECTS_PREFIX, SuspectPersistence
 from dewridge.gateway.suspects import clear_suspect, merge_suspects
 from dewridge.gateway.usage import UsageDuty
@@ -404,6 +405,36 @@
         await changed.wait()
 
 
+@pytest.mark.parametrize("last", [2, 4])
+@pytest.mark.parametrize("delay", [0.5, 2.5])
+async def test_late_write_of_the_needed_servers_does_not_stay(
+    delay: float, last: int, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against a next holder that plans by numbers of before."""
+    data = StoreData()
+    async with trio.open_nursery() as nursery:
+        store = LateStore(data, nursery)
+        duty = ScalingDuty(
+            make_state(make_configuration()),
+            AlwaysHolder(),
+            store,
+            Cloud(RecordingClient(CallFailure.LOST)),
+        )
+        nursery.start_soon(duty.run)
+        duty._needed[PLAIN] = 4
+        await trio.sleep(1.5)
+        store.late, store.delay = 1, delay
+        duty._needed[PLAIN] = 9
+        await trio.sleep(1.0)
+        assert not store.late
+        duty._needed[PLAIN] = last
+        await trio.sleep(5.0)
+        assert store.outcomes
+        written = msgspec.json.decode(data.items[NEEDED_SERVERS_KEY].value)
+        assert written == {PLAIN: last}
+        nursery.cancel_scope.cancel()
+
+
 @pytest.mark.parametrize("delay", [0.1, 1.0, 3.0])
 async def test_late_write_of_a_stage_does_not_undo_a_decision(
     delay: float, autojump_clock: trio.testing.MockClock
