--- a/dewridge/tests/requests/fakes.py
+++ b/dewridge/tests/requests/fakes.py
@@ -335,6 +335,7 @@
         is_salted: whether each attempt computes different tokens.
         complete_answers: all answers computed to the end, by key.
         confirms: whether engines answer to cancellations.
+        loses_confirmations: whether engines cancel, and their answers are lost.
         crashing_inputs: inputs that crash the backend server that gets them.
         crashed_servers: backend servers that have crashed.
     """
@@ -351,6 +352,7 @@
         self.is_salted = False
         self.complete_answers: dict[RequestKey, list[list[str]]] = {}
         self.confirms = True
+        self.loses_confirmations = False
         self.cancelled_attempts: set[AttemptId] = set()
         self.finished_attempts: set[AttemptId] = set()
         self.crashing_inputs: set[str] = set()
@@ -429,6 +431,8 @@
         if attempt in self.finished_attempts:
             return Cancellation.DONE
         self.cancelled_attempts.add(attempt)
+        if self.loses_confirmations:
+            return Failure(ResultCode.BACKEND_SERVER_SILENT)
         return Cancellation.CANCELLED
 
     async def export_cache(
