Refuse a late write of an older copy of the streams' versions

Nothing was seen by callers. Each host keeps the versions of its running streams in the store, for the case that all hosts are lost. A write without an answer, carried out after a newer one, put the older copy back, up to 60 s until the next renewal if no stream began meanwhile. A service that had several versions only since then was missing in it: a host that started could have a stream go on at another version than that which began it.

Change: a copy is written if its key has the revision that this host last knew, which is read after a write without an answer or a conflict. After a restore of the store, the first write has no condition.

--- a/dewridge/gateway/versions/copies.py
+++ b/dewridge/gateway/versions/copies.py
@@ -88,6 +88,9 @@
         self._lease: Lease | None = None
         self._renewed_at = float("-inf")
         self._written: StoredStreams | None = None
+        self._revision: int | None = 0
+        """Revision of the key as far as known; None after a restore of the store, when
+        a condition would cost each host a further write."""
         self._written_bytes = 0
         self._reading = trio.Lock()
         self._read_at = float("-inf")
@@ -101,6 +104,7 @@
         """Have the copy written again, since the restored store may lack it."""
         self._lease = None
         self._written = None
+        self._revision = None
 
     async def run(self) -> None:
         """Write the copy while a service has several versions, forever."""
@@ -150,14 +154,25 @@
             value = msgspec.json.encode(stored)
             self._written_bytes = len(value)
             write = Write(self._key, value, lease.id)
-            result = await self._store.change(writes=(write,))
+            # Without the condition, a write without an answer could replace a later
+            # one, and lack the services that have several versions since.
+            known = self._revision
+            expected = {} if known is None else {self._key: known}
+            result = await self._store.change(expected=expected, writes=(write,))
         if not isinstance(result, Failure):
-            self._written = stored
+            self._written, self._revision = stored, result
             return
         if self._written is not None:
             log.bind(reason=result.reason).warning("stream versions not stored")
         # The lease may have ended while the store was away.
         self._lease, self._written = None, None
+        if result.code is not ResultCode.KEY_VALUE_DOWN:
+            await self._read_revision()
+
+    async def _read_revision(self) -> None:
+        item = await self._store.read(self._key)
+        if not isinstance(item, Failure):
+            self._revision = item.revision if item is not None else 0
 
     async def _hold_lease(self, now: float) -> Lease | Failure:
         """Return the lease, granted or renewed if that is due."""
@@ -178,6 +193,7 @@
         self._written = None
         if lease is not None:
             await self._store.end_lease(lease.id)
+            await self._read_revision()
 
     async def find(
         self, service: ServiceName, stream: StreamKey
--- a/dewridge/tests/gateway/unknownoutcomes_tests.py
+++ b/dewridge/tests/gateway/unknownoutcomes_tests.py
@@ -23,6 +23,8 @@
 from dewridge.gateway.suspectkeeping import SUSPECTS_PREFIX, SuspectPersistence
 from dewridge.gateway.suspects import clear_suspect, merge_suspects
 from dewridge.gateway.usage import UsageDuty
+from dewridge.gateway.versions.copies import StoredStreams, StreamCopies
+from dewridge.gateway.versions.records import StreamVersions
 from dewridge.http1.calls import CallFailure, Response, ServiceClient
 from dewridge.ids import (
     BackendServerId,
@@ -30,10 +32,12 @@
     FailureDomain,
     HostId,
     RequestDigest,
+    ServiceName,
 )
 from dewridge.platform.cloud import Cloud
 from dewridge.platform.store import Item, Lease
 from dewridge.policy.rollouts import Stage
+from dewridge.policy.streamversions import ReleaseHistory
 from dewridge.policy.suspects import Crash, Suspect
 from dewridge.sentinels import Failure
 from dewridge.tests.gateway.duties_tests import AlwaysHolder, Candidate
@@ -460,3 +464,36 @@
         assert holder.state.rollouts.find_stage(PLAIN) is Stage.REVERTED
         assert holder.read_status() == "reverted"
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("delay", [0.1, 1.5])
+async def test_late_copy_of_streams_does_not_replace_a_newer_one(
+    delay: float, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against a resumed stream that goes on at another version.
+
+    After a loss of all hosts, a service that is not in the copy counts as one whose
+    servers had one version.
+    """
+    data = StoreData()
+    services = [ServiceName("first"), ServiceName("second")]
+    versions = StreamVersions(ReleaseHistory(complete_since=0.0))
+    async with trio.open_nursery() as nursery:
+        store = LateStore(data, nursery)
+        copies = StreamCopies(versions, store, "streams/host-1/1", lambda: 2, 400.0)
+        versions.on_mixed = copies.handle_mixed
+        nursery.start_soon(copies.run)
+        store.late, store.delay = 1, delay
+        for service in services:
+            for name in ("v1", "v2"):
+                versions.history.record(service, name, trio.current_time())
+            copies.handle_mixed()
+            await trio.sleep(1.0)
+        await trio.sleep(2.0)
+        assert store.outcomes
+        item = data.items["streams/host-1/1"]
+        stored = msgspec.json.decode(item.value, type=StoredStreams)
+        assert set(stored.mixed) == set(services)
+        assert copies._lease is not None
+        assert item.lease == copies._lease.id
+        nursery.cancel_scope.cancel()
