--- a/dewridge/tests/configuration/service_tests.py
+++ b/dewridge/tests/configuration/service_tests.py
@@ -154,6 +154,27 @@
     assert [change["revision"] for change in head["recent"]] == [1]
 
 
+async def test_change_whose_outcome_can_not_be_read_is_unknown(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    # The write of the head is carried out, its answer is lost, and then the key-value
+    # service is down. If the change were reported as not made, the operator would
+    # publish again on the wrong revision.
+    fleet = Fleet(3)
+
+    def lose_from_head(key: str) -> None:
+        if key == HEAD_KEY:
+            fleet.key_value.answers_to_lose = 1
+            fleet.key_value.is_down = True
+
+    fleet.key_value.before_swap = lose_from_head
+    result = await fleet.hosts[0].publish_profile(make_profile("a"), 0, ANA)
+    assert isinstance(result, Failure)
+    assert result.code is ResultCode.CHANGE_UNKNOWN
+    fleet.key_value.is_down = False
+    assert json.loads(fleet.key_value.entries[HEAD_KEY].value)["revision"] == 1
+
+
 async def test_lost_write_is_retried(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
