--- a/dewridge/tests/requests/unknownoutcomes_tests.py
+++ b/dewridge/tests/requests/unknownoutcomes_tests.py
@@ -113,7 +113,7 @@
 
 
 @pytest.mark.parametrize("lost", ["answers_to_lose", "writes_to_lose"])
-async def test_address_is_registered_and_removed_if_answers_are_lost(
+async def test_address_is_registered_if_answers_are_lost(
     lost: str, autojump_clock: trio.testing.MockClock
 ) -> None:
     key_value = MemoryKeyValue()
