Report a change without a usable reply as unknown to operators

Operators got the result "internal error, ask again by the key" for a change of a profile or service whose reply was a failure such as 500, or a success that can't be read. The exit status said unknown, but the advice is that of a request: a change has no key, it has to be read back first, which CHANGE_UNKNOWN says.

Evidence: test_change_without_a_usable_reply_has_unknown_outcome failed in 4 of its 7 cases on (unreadable 200, 500 and 502 without a problem document, 500 with an internal error; no reply and cut replies were right) and passes now. commands_tests and operators_tests of the frontend pass.

Change: such replies to a change get CHANGE_UNKNOWN; refusals (4xx, and codes of their own) are as before.

--- a/dewridge/client/operators.py
+++ b/dewridge/client/operators.py
@@ -86,7 +86,7 @@
                 reason = f"{address} did not answer ({type(error).__name__})"
                 return Failure(ResultCode.CHANGE_UNKNOWN, reason)
             else:
-                return _decode(response)
+                return _decode_change(response)
         return failure
 
 
@@ -96,6 +96,15 @@
     return {"If-Match": f'"{expected}"'}
 
 
+def _decode_change(response: httpx.Response) -> Any | Failure:
+    """Decode the answer to a change; a failure within a host says nothing about it."""
+    result = _decode(response)
+    is_internal = isinstance(result, Failure) and result.code is ResultCode.INTERNAL
+    if is_internal and not response.is_client_error:
+        return Failure(ResultCode.CHANGE_UNKNOWN, result.reason)
+    return result
+
+
 def _decode(response: httpx.Response) -> Any | Failure:
     if not response.is_success:
         header = response.headers.get("Retry-After")
