Test streams whose continuation from copied memory is lost

A stream that may run once is cut and does not run again, one that may be resumed goes on at a third engine.

--- a/dewridge/tests/gateway/stoporders_tests.py
+++ b/dewridge/tests/gateway/stoporders_tests.py
@@ -9,6 +9,7 @@
     STOPPING_FAULTS,
     Framing,
     Reply,
+    StoppableEngine,
     StopScenario,
     join_events,
 )
@@ -220,3 +221,31 @@
         await trio.sleep(0.1)
     assert is_whole(answer)
     assert not [engine.released for engine in scenario.engines if engine.released]
+
+
+@any_framing
+async def test_a_stream_whose_continuation_is_lost_does_not_run_again(
+    framing: Framing,
+) -> None:
+    """Guards against a second run from memory that a lost run may have used."""
+    async with open_world(retry_slack=100) as world:
+        scenario = StopScenario(world, framing, [Reply.MOVED], loses_continuations=True)
+        answer = await scenario.run("/draft/a")
+    assert not answer.is_complete
+    assert scenario.count_arrivals() == 2
+
+
+@any_framing
+async def test_a_resumable_stream_goes_on_if_its_continuation_is_lost(
+    framing: Framing,
+) -> None:
+    """Guards against a lost continuation that ends a stream which may be resumed."""
+    async with open_world(retry_slack=100) as world:
+        scenario = StopScenario(world, framing, [Reply.MOVED], loses_continuations=True)
+        # Neither the source, which leaves, nor the target, which failed, takes it.
+        scenario.engines.append(StoppableEngine("s-3", framing, [Reply.MOVED]))
+        answer = await scenario.run("/chat/a")
+        handles = [run.memory for engine in scenario.engines for run in engine.runs]
+    assert is_whole(answer)
+    used = [handle for handle in handles if handle]
+    assert len(used) == len(set(used))
--- a/dewridge/tests/gateway/stoppableengines.py
+++ b/dewridge/tests/gateway/stoppableengines.py
@@ -103,6 +103,8 @@
         ends_when_stopped: whether the server ends together with a stopped stream.
         hangs_when_stopped: whether the connection of a stopped stream stays open.
         rejects_continuations: whether runs from copied memory are not executed.
+        loses_continuations: whether runs from copied memory are executed, and their
+            connection is reset before the answer begins.
         runs: the runs, by order of their start.
         orders: bodies of the orders to stop.
         released: handles whose memory was freed.
@@ -118,6 +120,7 @@
         self.server: ScriptedServer | None = None
         self.hangs_when_stopped = False
         self.rejects_continuations = False
+        self.loses_continuations = False
         self.runs: list[EngineRun] = []
         self.orders: list[dict[str, object]] = []
         self.released: list[bytes] = []
@@ -133,6 +136,10 @@
             await exchange.answer(b"{}")
         elif self.rejects_continuations and b"kv-from" in exchange.headers:
             await exchange.answer(b"", 503, b"X-Not-Executed: 1\r\n")
+        elif self.loses_continuations and b"kv-from" in exchange.headers:
+            first = int(exchange.headers[b"last-event-id"]) + 1
+            self.runs.append(EngineRun(first, exchange.headers[b"kv-from"]))
+            exchange.reset()
         else:
             await self._run(exchange)
 
