Stop no stream by a repeated order that has no retry

Callers saw a stream cut that its server ran soundly: the server had got an order without a reply, the run went on at it from its memory, and the order was repeated. The retry of that order had been used by the run, and the repetition stopped it before another retry was asked for. With none left, the stream ended. A repetition to another target, as the first one had left, counted as one that had a retry, so that its run was beyond the budget.

The order to move a stream is now prepared in one place: an earlier order is repeated, to a target that serves, only with a retry of its own. Without one the run goes on; an order that is carried out late is still asked for after the end of the stream.

--- a/dewridge/gateway/moves.py
+++ b/dewridge/gateway/moves.py
@@ -44,7 +44,7 @@
     processed again. The connection of the stopped stream closes without an end marker;
     events still in transit are forwarded first.
     """
-    order = _find_order(state, job, server) or _make_order(state, job, server)
+    order = _prepare_order(state, job, server)
     if order is None:
         stream.moves_at = float("inf")
         return
@@ -56,24 +56,22 @@
     stream.await_remaining_events(trio.current_time())
 
 
-def _find_order(
+def _prepare_order(
     state: GatewayState, job: Job, server: ServerRecord
 ) -> StopOrder | None:
-    """Return an earlier order without a reply, to a target that still serves."""
-    order = job.find_order(server.id)
-    if order is None or state.servers.find(order.target.id) is not None:
-        return order
-    target = choose_move_target(state, server, trio.current_time())
-    return order if target is None else StopOrder(server, target)
+    """Return an order whose retry is used; None without a target or a retry.
 
-
-def _make_order(
-    state: GatewayState, job: Job, server: ServerRecord
-) -> StopOrder | None:
-    """Return an order whose retry is used; None without a target or a retry."""
+    An earlier order without a reply is repeated. Its retry may have been used by the
+    run that this one would stop.
+    """
     now = trio.current_time()
-    target = choose_move_target(state, server, now)
-    if target is None or not _acquire_move(state, job, now):
+    earlier = job.find_order(server.id)
+    target = None if earlier is None else state.servers.find(earlier.target.id)
+    target = target or choose_move_target(state, server, now)
+    if target is None and earlier is not None:
+        target = earlier.target
+    has_retry = earlier is not None and earlier.has_retry
+    if target is None or not (has_retry or _acquire_move(state, job, now)):
         return None
     return StopOrder(server, target)
 
--- a/dewridge/tests/gateway/stoporders_tests.py
+++ b/dewridge/tests/gateway/stoporders_tests.py
@@ -173,6 +173,58 @@
     assert len(runs) == 2
 
 
+@any_framing
+async def test_a_stream_that_returned_is_not_stopped_without_a_retry(
+    framing: Framing,
+) -> None:
+    """Guards against a repeated order that stops a sound stream and has no retry."""
+    async with open_world(retry_slack=10) as world:
+        replies = [Reply.NOT_REACHED, Reply.TARGET_FULL]
+        scenario = StopScenario(world, framing, replies)
+
+        async def use_up_retries() -> None:
+            await scenario.wait_for_run()
+            while not scenario.source.orders:  # noqa: ASYNC110
+                await trio.sleep(0.005)
+            now = trio.current_time()
+            cause, overdraft = RetryCause.RETURNED, -MAX_RETURN_OVERDRAFT
+            while world.state.retries.acquire(ENGINE, cause, now, overdraft):
+                pass
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(use_up_retries)
+            answer = await scenario.run("/draft/a")
+    assert is_whole(answer)
+    assert len(scenario.source.runs) == 2
+
+
+async def test_a_repeated_order_to_another_target_uses_a_retry() -> None:
+    """Guards against a run beyond the budget as the target of an order has left."""
+    async with open_world(retry_slack=100) as world:
+        replies = [Reply.NOT_REACHED, Reply.TARGET_FULL, Reply.MOVED]
+        scenario = StopScenario(world, Framing.UNFRAMED, replies)
+        scenario.engines.append(StoppableEngine("s-3", Framing.UNFRAMED, replies))
+
+        async def remove_target() -> None:
+            await scenario.wait_for_run()
+            while len(scenario.source.runs) < 2:  # noqa: ASYNC110
+                await trio.sleep(0.005)
+            servers = world.state.servers
+            for engine in scenario.engines:
+                record = servers.find(engine.id)
+                if record and record.address == scenario.source.orders[-1]["target"]:
+                    servers.drop(record.id, trio.current_time(), "it ended")
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(remove_target)
+            answer = await scenario.run("/draft/a")
+        budgets = world.state.retries.describe(trio.current_time())
+    assert is_whole(answer)
+    assert len({order["target"] for order in scenario.source.orders}) == 2
+    assert scenario.count_arrivals() == 3
+    assert budgets["engine"]["retries"] == 2
+
+
 async def test_a_stream_that_returned_is_not_moved_again_at_once() -> None:
     """Guards against a stream that is stopped for each event it makes."""
     async with open_world(retry_slack=100) as world:
