Name the server in each control call to an engine

Callers could see a part of a stream as complete: the order to stop its run had no usable reply, and until the source was asked again another server had its address. That one answered 404, which counted as the source saying that the run had ended by itself, and accepted the probe. A call that frees memory could have freed that of another run there.

Control calls did not name the server that they are meant for, so that the 421 which the code expects could never come. They do now, directly and by a relay, and the signals of a 421 are not put down to the server that was meant.

A server that starts again under its own name is not told apart by the header.

--- a/dewridge/gateway/reach/control.py
+++ b/dewridge/gateway/reach/control.py
@@ -13,6 +13,7 @@
 from dewridge.gateway.state import GatewayState
 from dewridge.http1.calls import CallFailure, Response, ServiceClient
 from dewridge.http1.client import ClientConnection, ConnectionBrokenError
+from dewridge.platform import names
 from dewridge.policy.reachability import ServerPath
 
 MAX_ENGINE_ANSWER_BYTES = 65_536
@@ -46,7 +47,9 @@
         )
         response: Response | CallFailure = CallFailure.LOST
         with trio.move_on_after(timeout):
-            response = await client.call(method, path, body=body)
+            response = await client.call(
+                method, path, body=body, headers=[_make_address_check(server)]
+            )
         client.close_idle()
         return response
     with trio.move_on_after(timeout):
@@ -54,6 +57,11 @@
     return CallFailure.LOST
 
 
+def _make_address_check(server: ServerRecord) -> tuple[bytes, bytes]:
+    """Return the header by which another server that has the address by now refuses."""
+    return (names.EXPECTED_SERVER, server.name.encode())
+
+
 async def _call_by_relay(
     state: GatewayState, server: ServerRecord, method: str, path: str, body: bytes
 ) -> Response | CallFailure:
@@ -69,6 +77,7 @@
         (b"host", server.address.encode()),
         (b"content-type", b"application/json"),
         (b"content-length", str(len(body)).encode()),
+        _make_address_check(server),
     ]
     call = RelayedCall(
         RelayCall.CONTROL, server, method.encode(), path.encode(), headers, body
--- a/dewridge/platform/engines.py
+++ b/dewridge/platform/engines.py
@@ -149,7 +149,9 @@
     if isinstance(response, CallFailure):
         is_sent = response is not CallFailure.NOT_SENT
         return StopReply(Effect.UNKNOWN if is_sent else Effect.REFUSED, response.value)
-    on_answer(response.status, response.headers)
+    if response.status != STATUS_MISDIRECTED:
+        # Otherwise another server's signals would apply to this one.
+        on_answer(response.status, response.headers)
     return _decode_stop_reply(source, response)
 
 
--- a/dewridge/tests/gateway/stoporders_tests.py
+++ b/dewridge/tests/gateway/stoporders_tests.py
@@ -250,6 +250,18 @@
     assert is_resumable is is_whole(answer)
 
 
+@any_framing
+async def test_another_server_does_not_say_that_a_run_ended_by_itself(
+    framing: Framing,
+) -> None:
+    """Guards against a part that looks whole as its server's address is used again."""
+    async with open_world(retry_slack=100) as world:
+        replies = [Reply.LOST, Reply.OTHER_SERVER]
+        scenario = StopScenario(world, framing, replies)
+        answer = await scenario.run("/draft/a")
+    assert not answer.is_complete
+
+
 @pytest.mark.parametrize("replies", [[Reply.LOST, Reply.MOVED], [Reply.MOVED]])
 async def test_a_moved_stream_uses_the_retry_of_its_order(replies: list[Reply]) -> None:
     """Guards against an order that is asked for twice and counted twice."""
--- a/dewridge/tests/gateway/stoppableengines.py
+++ b/dewridge/tests/gateway/stoppableengines.py
@@ -64,6 +64,8 @@
     """The engine says that it has not carried the order out."""
     IN_PROGRESS = "in progress"
     """The reply says that an earlier order is being carried out."""
+    OTHER_SERVER = "other server"
+    """Another server has the address by now; it has no such run."""
 
 
 STOPPING_FAULTS = (
@@ -154,6 +156,10 @@
         self.orders.append(json.loads(exchange.body))
         reply = self.replies.pop(0) if len(self.replies) > 1 else self.replies[0]
         run = self.runs[-1]
+        if reply is Reply.OTHER_SERVER:
+            is_refused = b"x-expect-instance" in exchange.headers
+            await exchange.answer(b"{}", 421 if is_refused else 404)
+            return
         if run.is_finished:
             await exchange.answer(b"{}", 404)
             return
--- a/dewridge/tests/platform/engines_tests.py
+++ b/dewridge/tests/platform/engines_tests.py
@@ -194,3 +194,19 @@
     memory = CacheCopy("s:1", "a/../b ?", is_at_target=True)
     assert await free_memory(memory, call) is effect
     assert paths == [("DELETE", "/-/kv-handle/a%2F..%2Fb%20%3F", b"")]
+
+
+@pytest.mark.parametrize(("status", "count"), [(421, 0), (404, 1), (200, 1)])
+async def test_signals_of_another_server_do_not_apply(status: int, count: int) -> None:
+    """Guards against a server that rests as another one at its address asked for it."""
+    heads: list[int] = []
+
+    async def call(
+        method: str, path: str, body: bytes, timeout: float
+    ) -> Response | CallFailure:
+        return Response(status, b"{}")
+
+    await stop_and_move(
+        "s:1", AttemptKey("r-1"), "t:1", call, lambda status, _: heads.append(status)
+    )
+    assert len(heads) == count
