Take a handle that no header can carry for an unreadable reply

Callers saw a stream cut, also one that may be resumed: the reply to the order to stop it had a handle with control characters, and the request to go on from it raised an error of the HTTP library. The handle now makes the reply one of unknown effect, so that the source is asked again.

Evidence: two added cases of test_an_order_without_a_usable_reply_may_have_been_carried_out failed before the change; platform/engines_tests.py passes.

--- a/dewridge/platform/engines.py
+++ b/dewridge/platform/engines.py
@@ -182,8 +182,10 @@
         moved = msgspec.json.decode(response.body, type=_MoveReply)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return StopReply(Effect.UNKNOWN, f"{detail}, malformed: {error}")
-    if moved.handle == "":
-        return StopReply(Effect.UNKNOWN, f"{detail} without a handle")
+    handle = str(moved.handle)
+    # Control characters can't be sent in a header.
+    if not handle or not handle.isprintable():
+        return StopReply(Effect.UNKNOWN, f"{detail} without a usable handle")
     is_at_target = response.status == STATUS_MOVED
-    memory = CacheCopy(source, str(moved.handle), is_at_target)
+    memory = CacheCopy(source, handle, is_at_target)
     return StopReply(Effect.DONE, "moved" if is_at_target else "target full", memory)
--- a/dewridge/tests/platform/engines_tests.py
+++ b/dewridge/tests/platform/engines_tests.py
@@ -115,6 +115,8 @@
     [
         CallFailure.LOST,
         CallFailure.TOO_LARGE,
+        Response(200, b'{"handle":"a\\r\\nb"}'),
+        Response(503, b'{"handle":"a\\u0000"}'),
         Response(200, b""),
         Response(200, b"{"),
         Response(200, b"\xff"),
