Free no memory at a server that rests

A server that asked for rest gets one call in it that a running stream can't do without. Calls that free the memory of ended runs counted as such, and used it up: a stream that had to move away from that server was then not moved.

They are now withheld during a rest; the engine frees the memory by itself after a time.

--- a/dewridge/gateway/moves.py
+++ b/dewridge/gateway/moves.py
@@ -158,10 +158,14 @@
 
 
 async def free_left_memory(state: GatewayState, left: LeftMemory) -> None:
-    """Have engines free the memory of a run that will not go on."""
+    """Have engines free the memory of a run that will not go on.
+
+    A server that rests frees it by itself after a time: its rest has room for what
+    streams can't go on without.
+    """
     memory = left.memory
     if memory is None:
-        acquire = state.pushback.acquire_control
+        acquire = partial(state.pushback.acquire_control, is_essential=False)
         memory = (await _order_stop(state, left.attempt, left.order, acquire)).memory
     if memory is None:
         return
@@ -178,7 +182,8 @@
 async def _free_memory(
     state: GatewayState, server: ServerRecord, memory: CacheCopy
 ) -> Effect:
-    if not state.pushback.acquire_control(server.id, trio.current_time()):
+    now = trio.current_time()
+    if not state.pushback.acquire_control(server.id, now, is_essential=False):
         return Effect.REFUSED
     return await free_memory(memory, partial(call_engine, state, server))
 
--- a/dewridge/gateway/pushback.py
+++ b/dewridge/gateway/pushback.py
@@ -234,14 +234,21 @@
             pacer.record_sent(now)
         return True
 
-    def acquire_control(self, server: BackendServerId, now: float) -> bool:
+    def acquire_control(
+        self, server: BackendServerId, now: float, *, is_essential: bool = True
+    ) -> bool:
         """Return whether a call about a run that has ended may be made, and count it.
 
-        It is no request, so a leaving server may get it as long as it runs. A rest has
-        room for few of them.
+        It is no request, so a leaving server may get it as long as it runs.
+
+        Args:
+            server: the server.
+            now: monotonic time.
+            is_essential: whether a running stream would be lost without the call. A
+                rest has room for few of them, and for no others.
         """
         known = self._by_server.get(server)
-        return known is None or known.rest.acquire(now, is_essential=True)
+        return known is None or known.rest.acquire(now, is_essential=is_essential)
 
     def acquire_relayed(
         self, server: BackendServerId, now: float, *, is_essential: bool = False
--- a/dewridge/tests/gateway/stoporders_tests.py
+++ b/dewridge/tests/gateway/stoporders_tests.py
@@ -4,8 +4,12 @@
 import trio
 
 from dewridge.gateway import streams
+from dewridge.gateway.endings.left import LeftMemory
+from dewridge.gateway.jobs import StopOrder
 from dewridge.gateway.limits.retries import RetryCause
-from dewridge.gateway.moves import MAX_RETURN_OVERDRAFT
+from dewridge.gateway.model import AttemptKey
+from dewridge.gateway.moves import MAX_RETURN_OVERDRAFT, free_left_memory
+from dewridge.platform.engines import CacheCopy
 from dewridge.tests.gateway.partition_tests import open_linked_fleet, partition
 from dewridge.tests.gateway.stoppableengines import (
     STOPPING_FAULTS,
@@ -341,6 +345,32 @@
         await wait_for_release(scenario)
 
 
+@pytest.mark.parametrize("is_known", [True, False])
+async def test_no_memory_is_freed_at_a_resting_server(is_known: bool) -> None:
+    """Guards against a stream that is lost as its server's rest was used up."""
+    async with open_world(retry_slack=100) as world:
+        scenario = StopScenario(world, Framing.UNFRAMED, [Reply.MOVED])
+        await scenario.start_engines()
+        state = world.state
+        source, target = (state.servers.find(engine.id) for engine in scenario.engines)
+        assert source is not None
+        assert target is not None
+        memory = CacheCopy(source.address, "h-1", is_at_target=True)
+        left = LeftMemory(
+            AttemptKey("r-1"),
+            StopOrder(source, target),
+            memory if is_known else None,
+        )
+        for record in (source, target):
+            state.pushback.apply_rest(record.id, 1.0, trio.current_time())
+        await free_left_memory(state, left)
+        calls = [len(e.server.received) for e in scenario.engines if e.server]
+        now = trio.current_time()
+        may_move = state.pushback.acquire(source.id, now, is_essential=True)
+    assert calls == [0, 0]
+    assert may_move
+
+
 async def test_used_memory_is_not_freed() -> None:
     """Guards against a call that may end the run that uses the memory."""
     async with open_world(retry_slack=100) as world:
