Keep the retry of a refused order for the next one

Each order to move a stream used a retry of its service's budget, also if the engine refused the order and the run went on: a stream that was ordered to move three times, and never did, used four. With the budget used up, other streams of leaving servers are not moved, and lost requests are not repeated.

The retry of a refused order is now left to the request, for its next order or attempt.

Evidence: test_refused_orders_use_one_retry failed in both cases before the change (four retries in place of one); with it, stoporders_tests.py, moving_tests.py and pushback_tests.py pass.

--- a/dewridge/gateway/moves.py
+++ b/dewridge/gateway/moves.py
@@ -70,9 +70,12 @@
     target = target or choose_move_target(state, server, now)
     if target is None and earlier is not None:
         target = earlier.target
-    has_retry = earlier is not None and earlier.has_retry
-    if target is None or not (has_retry or _acquire_move(state, job, now)):
+    if target is None:
         return None
+    if earlier is None or not earlier.has_retry:
+        if not (job.has_retry or _acquire_move(state, job, now)):
+            return None
+        job.has_retry = False
     return StopOrder(server, target)
 
 
@@ -106,6 +109,9 @@
         job.unanswered_orders[order.source.id] = order
     if record.stop is not Effect.UNKNOWN:
         job.drop_orders(order.source.id)
+    if record.stop is Effect.REFUSED:
+        # The run goes on, so that the retry is left for another order or attempt.
+        job.has_retry = job.has_retry or order.has_retry
     if reply.memory is not None:
         job.was_moved = True
         job.held_memory.append(HeldMemory(order, reply.memory))
--- a/dewridge/tests/gateway/stoporders_tests.py
+++ b/dewridge/tests/gateway/stoporders_tests.py
@@ -294,6 +294,18 @@
     assert budgets["engine"]["retries"] == scenario.count_arrivals() - 1
 
 
+@any_framing
+async def test_refused_orders_use_one_retry(framing: Framing) -> None:
+    """Guards against a budget that orders use up although no stream moves."""
+    async with open_world(retry_slack=100) as world:
+        scenario = StopScenario(world, framing, [Reply.REJECTED])
+        answer = await scenario.run("/draft/a")
+        budgets = world.state.retries.describe(trio.current_time())
+    assert is_whole(answer)
+    assert len(scenario.source.orders) > 1
+    assert budgets["engine"]["retries"] == 1
+
+
 @any_framing
 async def test_no_stream_is_stopped_without_a_retry(framing: Framing) -> None:
     """Guards against a stopped stream that may not go on anywhere."""
