--- a/dewridge/tests/gateway/partitions.py
+++ b/dewridge/tests/gateway/partitions.py
@@ -221,11 +221,17 @@
     links: dict[tuple[int, BackendServerId], CuttableLink] = field(default_factory=dict)
 
     async def add_server(
-        self, name: str, script: Script, service: ServiceName = PLAIN
+        self,
+        name: str,
+        script: Script,
+        service: ServiceName = PLAIN,
+        started_at_ms: int = 0,
     ) -> ScriptedServer:
         """Start a server that all gateways reach."""
         first = self.fleet.worlds[0]
-        server = await first.add_server(name, script, service)
+        server = await first.add_server(
+            name, script, service, started_at_ms=started_at_ms
+        )
         record = first.state.servers.find(server.id)
         assert record is not None
         for number, world in enumerate(self.fleet.worlds):
--- a/dewridge/tests/gateway/stoppableengines.py
+++ b/dewridge/tests/gateway/stoppableengines.py
@@ -8,18 +8,17 @@
 import trio
 
 from dewridge.gateway import streams
-from dewridge.ids import BackendServerId, ServiceName
+from dewridge.ids import BackendServerId
 from dewridge.tests.gateway.world import (
     ENGINE,
     CallerAnswer,
-    Script,
     ScriptedServer,
     ServerExchange,
     World,
     make_event,
 )
 
-AddServer = Callable[[str, Script, ServiceName], Awaitable[ScriptedServer]]
+AddServer = Callable[..., Awaitable[ScriptedServer]]
 
 LAST_EVENT = 12
 """Number of the last event of a complete stream; the first one has number 1."""
@@ -30,6 +29,9 @@
 """Seconds until a delayed order is carried out: after its repetition, which has a
 reply."""
 MOVE_TARGET = b"/-/kv-move"
+REPORT_TARGET = b"/-/report"
+FIRST_START, SECOND_START = 1_700_000_000_000, 1_700_000_005_000
+"""Start times of the processes of an engine, in milliseconds since 1970."""
 HANDLE_TARGET = b"/-/kv-handle/"
 
 
@@ -66,6 +68,12 @@
     """The reply says that an earlier order is being carried out."""
     OTHER_SERVER = "other server"
     """Another server has the address by now; it has no such run."""
+    NO_RUN = "no run"
+    """The engine says that it has no such run, whatever it has stopped."""
+    FINISHED = "finished"
+    """The run ends by itself before the engine reads the order, and it says so."""
+    RESTARTED = "restarted"
+    """The engine has started again under its name; it has no such run."""
 
 
 STOPPING_FAULTS = (
@@ -122,6 +130,7 @@
         orders: bodies of the orders to stop.
         released: handles whose memory was freed.
         used: handles from which runs have gone on here.
+        started_at_ms: start time of the process, as its reports say.
     """
 
     def __init__(self, name: str, framing: Framing, replies: list[Reply]) -> None:
@@ -138,12 +147,16 @@
         self.orders: list[dict[str, object]] = []
         self.released: list[bytes] = []
         self.used: list[bytes] = []
+        self.started_at_ms = FIRST_START
         self.has_started = trio.Event()
 
     async def answer(self, exchange: ServerExchange) -> None:
         """Answer a run, an order, or a call that frees memory."""
         if exchange.target == MOVE_TARGET:
             await self._answer_order(exchange)
+        elif exchange.target == REPORT_TARGET:
+            report = b'{"waiting":0,"running":0,"runs":[],"born":%d}'
+            await exchange.answer(report % self.started_at_ms)
         elif exchange.target.startswith(HANDLE_TARGET):
             self.released.append(exchange.target.removeprefix(HANDLE_TARGET))
             await exchange.answer(b"{}")
@@ -164,7 +177,13 @@
             is_refused = b"x-expect-instance" in exchange.headers
             await exchange.answer(b"{}", 421 if is_refused else 404)
             return
-        if run.is_finished:
+        if reply is Reply.RESTARTED:
+            self.started_at_ms = SECOND_START
+        if reply is Reply.FINISHED:
+            run.finish.set()
+            while not run.is_finished:  # noqa: ASYNC110
+                await trio.sleep(0.001)
+        if run.is_finished or reply in {Reply.NO_RUN, Reply.RESTARTED}:
             await exchange.answer(b"{}", 404)
             return
         if reply is Reply.FINISHES:
@@ -308,7 +327,9 @@
     async def start_engines(self) -> None:
         """Start the engines and make them known to the gateway."""
         for engine in self.engines:
-            engine.server = await self._add_server(engine.id, engine.answer, ENGINE)
+            engine.server = await self._add_server(
+                engine.id, engine.answer, ENGINE, started_at_ms=FIRST_START
+            )
 
     async def wait_for_run(self) -> None:
         """Wait until an engine runs the stream."""
--- a/dewridge/tests/gateway/world.py
+++ b/dewridge/tests/gateway/world.py
@@ -326,6 +326,7 @@
         script: Script,
         service: ServiceName = PLAIN,
         version: str = "",
+        started_at_ms: int = 0,
     ) -> ScriptedServer:
         """Start a server and add it to the gateway's server table."""
         server = ScriptedServer(BackendServerId(name), script)
@@ -341,6 +342,7 @@
             8,
             is_draining=False,
             version=ServerVersion(version),
+            started_at_ms=started_at_ms,
         )
         self.state.servers.update(record, trio.current_time())
         return server
--- a/dewridge/tests/soak/partitions.py
+++ b/dewridge/tests/soak/partitions.py
@@ -8,7 +8,9 @@
 import trio
 
 from dewridge.platform.names import SERVERS_PREFIX
+from dewridge.platform.servers import decode_server
 from dewridge.platform.store import Item
+from dewridge.sentinels import Failure
 from dewridge.tests.gateway.partitions import (
     CuttableLink,
     NewConnections,
@@ -37,9 +39,14 @@
         self._cut: tuple[NewConnections, OpenConnections] | None = None
 
     def rewrite(self, item: Item) -> Item:
-        """Return a server's record with the address of this gateway's link to it."""
+        """Return a server's record with the address of this gateway's link to it.
+
+        Entries that name no server stay as they are.
+        """
         if not item.key.startswith(SERVERS_PREFIX) or item.removed:
             return item
+        if isinstance(decode_server(item), Failure):
+            return item
         record = msgspec.json.decode(item.value)
         record["address"] = self._find_link(record["address"]).address
         return msgspec.structs.replace(item, value=msgspec.json.encode(record))
