Name the replies to orders in the line that an answer has ended

What operators saw: a part that counted as whole, with stop=refused in its line, whether no order was ever sent, or one had been lost and a later one got 404. The first case is right and the second was wrong, so the line could not tell them apart.

"answer ended" now has the replies to all orders of the attempt ("lost, status 404"), at most eight. No decision changes.

--- a/dewridge/gateway/endings/judging.py
+++ b/dewridge/gateway/endings/judging.py
@@ -26,6 +26,8 @@
 reply to the order itself may have been awaited for 0.6 s before."""
 ASK_DELAY = 0.02
 """Seconds until the source is asked again, doubled each time."""
+MAX_LOGGED_REPLIES = 8
+"""Replies to orders that one log line names; a source is asked a few times."""
 
 
 class EndJudge:
@@ -109,5 +111,6 @@
             framed=not record.is_close_delimited,
             fault=record.fault,
             stop=record.stop.value,
+            replies=", ".join(record.replies[:MAX_LOGGED_REPLIES]),
             probe=record.server.value if record.server else "",
         ).info("answer ended")
--- a/dewridge/gateway/moves.py
+++ b/dewridge/gateway/moves.py
@@ -104,7 +104,7 @@
     job.unknown_orders.append(order)
     acquire = state.pushback.acquire_control if has_ended else _acquire_order(state)
     reply = await _order_stop(state, job.request.id, order, acquire)
-    record.record_order(reply.effect)
+    record.record_order(reply.effect, reply.detail)
     if reply.effect is Effect.UNKNOWN:
         job.unanswered_orders[order.source.id] = order
     if record.stop is not Effect.UNKNOWN:
--- a/dewridge/policy/answerends.py
+++ b/dewridge/policy/answerends.py
@@ -5,7 +5,7 @@
 have ended it is known not to have done so.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from dewridge.effects import Effect
@@ -32,6 +32,7 @@
         is_close_delimited: whether the body ends with its connection.
         fault: why the body is known to be incomplete; empty if nothing shows it.
         stop: whether the run was stopped by an order; REFUSED without an order.
+        replies: what came back for each order, for the log.
         is_source_asked: whether the source was asked after the end, in vain.
         server: whether the server accepted a connection after the end; None before it
             was tried.
@@ -42,13 +43,15 @@
     stop: Effect = Effect.REFUSED
     is_source_asked: bool = False
     server: ConnectResult | None = None
+    replies: list[str] = field(default_factory=list)
 
-    def record_order(self, effect: Effect) -> None:
+    def record_order(self, effect: Effect, reply: str = "") -> None:
         """Record the outcome of an order to stop the run.
 
         An earlier order without a reply may still be carried out after one that was
         refused.
         """
+        self.replies.append(reply)
         if effect is not Effect.REFUSED:
             self.stop = effect
 
