Take only proof of a run's own end for a whole answer

What callers saw: a stream without a length or chunks ended as complete although an order had stopped its run (ORDER). The order's reply was lost, and the engine, asked again, answered 404.

Cause: the class is absence as evidence. An engine has no such run when the run ended by itself, but also when it was stopped and its memory is gone, and when the engine started again under its name. The same holds for a connection that is accepted after the end: the next process accepts it as well.

After the end of a close-delimited answer, engines are asked for a report, which names the start of the process; only the same process makes the answer whole. Plain servers say nothing of the kind, so that a connection counts there as before. An order that had no reply is known to have been carried out once its run had ended and the source then names the memory: it can't stop the run that returns to the source.

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -225,7 +225,7 @@
         )
         if isinstance(complete, LostAttempt):
             return complete
-        record = AnswerRecord(is_close_delimited=answer.is_unframed)
+        record = AnswerRecord(answer.is_unframed, can_identify=job.is_engine)
         return await self._ends.judge(job, server, record) or complete
 
     async def _send(
@@ -344,6 +344,7 @@
         stream = self._open_stream(job, server, is_direct=answer.relay is None)
         record = stream.record
         record.is_close_delimited = answer.is_unframed
+        record.can_identify = job.is_engine
         if job.expect_late_order(server.id):
             record.stop = Effect.UNKNOWN
         lost: LostAttempt | None = None
@@ -564,7 +565,8 @@
     """Return why a stream that has ended is incomplete; empty if nothing shows it."""
     if splitter.remainder:
         return "ended within an event"
-    if answer.is_unframed and job.attempt_first_event_at is None:
+    is_resumed = job.last_event is not None
+    if answer.is_unframed and job.attempt_first_event_at is None and not is_resumed:
         return "ended before an event"
     return ""
 
--- a/dewridge/gateway/endings/judging.py
+++ b/dewridge/gateway/endings/judging.py
@@ -4,6 +4,7 @@
 from loguru import logger as log
 
 from dewridge.effects import Effect
+from dewridge.gateway.endings.processes import ProcessExaminer
 from dewridge.gateway.forwarding import LostAttempt
 from dewridge.gateway.jobs import Job
 from dewridge.gateway.losses import LossHandler
@@ -13,6 +14,7 @@
 from dewridge.policy.answerends import (
     AnswerRecord,
     EndVerdict,
+    ProcessEvidence,
     describe_cut,
     judge_end,
 )
@@ -36,6 +38,7 @@
     def __init__(self, state: GatewayState, losses: LossHandler) -> None:
         self._state = state
         self._losses = losses
+        self._examiner = ProcessExaminer(state, losses)
 
     async def judge(
         self, job: Job, server: ServerRecord, record: AnswerRecord
@@ -45,8 +48,10 @@
             verdict = judge_end(record)
             if verdict is EndVerdict.ASK_SOURCE:
                 await self._ask_source(job, server, record)
-            elif verdict is EndVerdict.PROBE_SERVER:
-                record.server = await self._losses.probe_after_end(server)
+            elif verdict is EndVerdict.EXAMINE_PROCESS:
+                record.process = await self._examiner.examine(
+                    server, can_identify=record.can_identify, deadline=job.deadline
+                )
             else:
                 break
         if record.is_close_delimited or record.stop is not Effect.REFUSED:
@@ -58,9 +63,7 @@
             case EndVerdict.STOPPED:
                 target = job.continuation.server.id if job.continuation else ""
                 return LostAttempt(LossReason.MOVED, target)
-        return LostAttempt(
-            LossReason.CUT_OFF, describe_cut(record), reach=record.server
-        )
+        return LostAttempt(LossReason.CUT_OFF, describe_cut(record), reach=record.reach)
 
     async def _ask_source(
         self, job: Job, server: ServerRecord, record: AnswerRecord
@@ -75,14 +78,15 @@
     async def _ask_until_answered(
         self, job: Job, server: ServerRecord, record: AnswerRecord
     ) -> None:
-        """Ask until the source answers whether it did, or its server has ended."""
+        """Ask for the memory of the run until nothing more can be learned.
+
+        A source that has no such run does not show that the run ended by itself.
+        """
         order = job.find_order(server.id)
         delay = ASK_DELAY
         while order is not None:
             reply = await send_order(self._state, job, order, record, has_ended=True)
-            if reply.has_no_run:
-                record.record_run_ended()
-            if record.stop is not Effect.UNKNOWN:
+            if reply.is_final or record.stop is not Effect.UNKNOWN:
                 return
             # The server's own life is asked for where the order can't even be sent.
             if reply.effect is Effect.REFUSED and await self._has_ended(server, record):
@@ -93,7 +97,7 @@
     async def _has_ended(self, server: ServerRecord, record: AnswerRecord) -> bool:
         result = await self._losses.probe_after_end(server)
         if result is ConnectResult.REFUSED:
-            record.server = result
+            record.process = ProcessEvidence.ENDED
         return result is ConnectResult.REFUSED
 
     def _record(
@@ -112,5 +116,5 @@
             fault=record.fault,
             stop=record.stop.value,
             replies=", ".join(record.replies[:MAX_LOGGED_REPLIES]),
-            probe=record.server.value if record.server else "",
+            process=record.process.value if record.process else "",
         ).info("answer ended")
--- a/dewridge/gateway/jobs.py
+++ b/dewridge/gateway/jobs.py
@@ -1,5 +1,6 @@
 """State of one request over its attempts at servers."""
 
+from collections import defaultdict
 from dataclasses import dataclass, field, replace
 from functools import cached_property
 from hashlib import blake2b
@@ -118,7 +119,7 @@
         continuation: where and from which memory a stopped run continues.
         fallback: where it continues if the server of `continuation` rejects it.
         unknown_orders: orders to stop its runs whose outcome is unknown.
-        unanswered_orders: all orders that had no usable reply, by the server that got
+        unanswered_orders: orders that had no usable reply, by the server that got
             them. They may be carried out late, on a later run at that server.
         held_memory: memory of stopped runs that no run has used yet.
         withheld_servers: servers that asked for fewer requests when it was refused.
@@ -162,7 +163,9 @@
     continuation: "Continuation | None" = None
     fallback: "Continuation | None" = None
     unknown_orders: list[StopOrder] = field(default_factory=list)
-    unanswered_orders: dict[BackendServerId, StopOrder] = field(default_factory=dict)
+    unanswered_orders: dict[BackendServerId, list[StopOrder]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
     held_memory: list[HeldMemory] = field(default_factory=list)
     withheld_servers: list[BackendServerId] = field(default_factory=list)
     was_moved: bool = False
@@ -185,13 +188,20 @@
 
     def expect_late_order(self, server: BackendServerId) -> bool:
         """Return whether an earlier order may stop a run that begins at a server."""
-        order = self.unanswered_orders.get(server)
-        if order is None:
+        orders = self.unanswered_orders.get(server)
+        if not orders:
             return False
         if self.find_order(server) is None:
-            self.unknown_orders.append(replace(order, has_retry=False))
+            self.unknown_orders.append(replace(orders[-1], has_retry=False))
         return True
 
+    def record_carried_out(self, server: BackendServerId) -> None:
+        """Record that the first order without a reply has stopped the run.
+
+        Its run had ended before it was repeated, and the source has its memory.
+        """
+        del self.unanswered_orders[server][:1]
+
     def record_memory_used(self, memory: CacheCopy) -> None:
         """Record that a run goes on from the memory of a stopped one."""
         self.held_memory = [each for each in self.held_memory if each.memory != memory]
--- a/dewridge/gateway/losses.py
+++ b/dewridge/gateway/losses.py
@@ -9,7 +9,7 @@
 from dewridge.gateway.jobs import Job
 from dewridge.gateway.model import ServerRecord
 from dewridge.gateway.reach.peers import ask_peer
-from dewridge.gateway.reach.probes import ALL_RESULTS, SharedProbes
+from dewridge.gateway.reach.probes import SharedProbes
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.suspects import record_crash
 from dewridge.ids import HostId
@@ -44,7 +44,7 @@
 
     def __init__(self, state: GatewayState) -> None:
         self._state = state
-        self._probes = SharedProbes()
+        self._probes: SharedProbes[ConnectResult] = SharedProbes()
 
     async def handle(self, job: Job, server: ServerRecord, lost: LostAttempt) -> None:
         """Apply what a lost attempt shows about its server and about its request."""
@@ -115,7 +115,7 @@
         self,
         server: ServerRecord,
         max_age: float = 0.0,
-        reusable: frozenset[ConnectResult] = ALL_RESULTS,
+        reusable: frozenset[ConnectResult] | None = None,
     ) -> ConnectResult:
         """Return whether a server accepts connections; jobs share one probe."""
         path = self._state.links.find_path(server.service)
--- a/dewridge/gateway/moves.py
+++ b/dewridge/gateway/moves.py
@@ -106,7 +106,9 @@
     reply = await _order_stop(state, job.request.id, order, acquire)
     record.record_order(reply.effect, reply.detail)
     if reply.effect is Effect.UNKNOWN:
-        job.unanswered_orders[order.source.id] = order
+        job.unanswered_orders[order.source.id].append(order)
+    if has_ended and reply.effect is Effect.DONE:
+        job.record_carried_out(order.source.id)
     if record.stop is not Effect.UNKNOWN:
         job.drop_orders(order.source.id)
     if record.stop is Effect.REFUSED:
--- a/dewridge/gateway/reach/probes.py
+++ b/dewridge/gateway/reach/probes.py
@@ -3,39 +3,37 @@
 import math
 from collections.abc import Awaitable, Callable, Hashable
 from dataclasses import dataclass, field
+from typing import Generic, TypeVar
 
 import trio
 
-from dewridge.policy.losses import ConnectResult
-
 MAX_AGE = 1.0
 """Seconds for which results are kept."""
-ALL_RESULTS = frozenset(ConnectResult)
 
-Connect = Callable[[], Awaitable[ConnectResult]]
+Result = TypeVar("Result")
 
 
 @dataclass
-class _Probe:
+class _Probe(Generic[Result]):
     began_at: float = math.inf
-    result: ConnectResult | None = None
+    result: Result | None = None
     """None also if the task that probed was cancelled."""
     done: trio.Event = field(default_factory=trio.Event)
 
 
-class SharedProbes:
+class SharedProbes(Generic[Result]):
     """Probes that are in progress, and the results of recent ones."""
 
     def __init__(self) -> None:
-        self._probes: dict[Hashable, _Probe] = {}
+        self._probes: dict[Hashable, _Probe[Result]] = {}
 
     async def probe(
         self,
         key: Hashable,
-        connect: Connect,
+        connect: Callable[[], Awaitable[Result]],
         max_age: float = 0.0,
-        reusable: frozenset[ConnectResult] = ALL_RESULTS,
-    ) -> ConnectResult:
+        reusable: frozenset[Result] | None = None,
+    ) -> Result:
         """Return the result of a probe; one probe at a time runs for each key.
 
         Args:
@@ -43,7 +41,8 @@
             connect: probes it.
             max_age: seconds for which the probe may have begun before this call. With
                 0, the result shows what is true after the call.
-            reusable: results that may be so old; others are from after the call.
+            reusable: results that may be so old, all if None; others are from after
+                the call.
         """
         called_at = trio.current_time()
         while True:
@@ -51,21 +50,27 @@
             if probe is None:
                 return await self._run(key, connect)
             await probe.done.wait()
-            age = max_age if probe.result in reusable else 0.0
-            if probe.result is not None and probe.began_at >= called_at - age:
-                return probe.result
+            result = probe.result
+            is_reusable = reusable is None or result in reusable
+            age = max_age if is_reusable else 0.0
+            if result is not None and probe.began_at >= called_at - age:
+                return result
             if self._probes.get(key) is probe:
                 del self._probes[key]
 
-    async def _run(self, key: Hashable, connect: Connect) -> ConnectResult:
+    async def _run(
+        self, key: Hashable, connect: Callable[[], Awaitable[Result]]
+    ) -> Result:
         self._drop_expired(trio.current_time())
-        probe = self._probes[key] = _Probe()
+        probe: _Probe[Result] = _Probe()
+        self._probes[key] = probe
         try:
             # Tasks whose connections ended at the same moment ask before it begins.
             await trio.lowlevel.checkpoint()
             probe.began_at = trio.current_time()
-            probe.result = await connect()
-            return probe.result
+            result = await connect()
+            probe.result = result
+            return result
         finally:
             probe.done.set()
 
--- a/dewridge/gateway/reach/relay.py
+++ b/dewridge/gateway/reach/relay.py
@@ -69,7 +69,7 @@
 
     def __init__(self, state: GatewayState) -> None:
         self._state = state
-        self._probes = SharedProbes()
+        self._probes: SharedProbes[ConnectResult] = SharedProbes()
         self.in_flight = 0
 
     async def serve(self, request: CallerRequest, responder: Responder) -> None:
--- a/dewridge/platform/engines.py
+++ b/dewridge/platform/engines.py
@@ -3,6 +3,7 @@
 import re
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from enum import Enum
 from typing import Annotated
 from urllib.parse import quote
 
@@ -26,6 +27,7 @@
 any engine."""
 HANDLE_PATTERN = re.compile(r"[!-~]{1,200}")
 """Handles that a header can carry: visible ASCII characters."""
+STATUS_OK = 200
 STATUS_MOVED = 200
 STATUS_NO_RUN = 404
 STATUS_MISDIRECTED = 421
@@ -88,6 +90,37 @@
     )
 
 
+class ReportedProcess(Enum):
+    """Which process a reply to the call for a report comes from."""
+
+    SAME = "same"
+    OTHER = "other"
+    UNKNOWN = "unknown"
+
+
+def identify_process(response: Response, started_at_ms: int) -> ReportedProcess:
+    """Return whether the process of a server's record has replied.
+
+    The call names the server, so that another one that has the address refuses it.
+
+    Args:
+        response: the reply to the call for a report.
+        started_at_ms: start of the process by its record; 0 if that names none, and a
+            server has another name after each start.
+    """
+    if response.status == STATUS_MISDIRECTED:
+        return ReportedProcess.OTHER
+    if response.status != STATUS_OK:
+        return ReportedProcess.UNKNOWN
+    report = decode_report(response.body)
+    if report is None:
+        return ReportedProcess.UNKNOWN
+    if not started_at_ms or report.started_at_ms == started_at_ms:
+        return ReportedProcess.SAME
+    is_unnamed = report.started_at_ms is None
+    return ReportedProcess.UNKNOWN if is_unnamed else ReportedProcess.OTHER
+
+
 CallEngine = Callable[[str, str, bytes, float], Awaitable[Response | CallFailure]]
 """Makes a control call with a method, a path, a JSON body and a timeout in seconds."""
 
@@ -120,13 +153,14 @@
         effect: whether the run was stopped.
         detail: why, for the log.
         memory: memory of the stopped run; None unless the effect is known to be done.
-        has_no_run: whether the engine says that it has no such run, running or stopped.
+        is_final: whether asking again can bring no memory: the engine says that it has
+            no such run, or another one has its address.
     """
 
     effect: Effect
     detail: str
     memory: CacheCopy | None = None
-    has_no_run: bool = False
+    is_final: bool = False
 
 
 async def stop_and_move(
@@ -174,10 +208,9 @@
 
 def _decode_stop_reply(source: str, response: Response) -> StopReply:
     detail = f"status {response.status}"
-    if response.status == STATUS_NO_RUN:
-        return StopReply(Effect.REFUSED, detail, has_no_run=True)
-    is_not_executed = response.find_header(names.NOT_EXECUTED) is not None
-    if is_not_executed or response.status == STATUS_MISDIRECTED:
+    if response.status in {STATUS_NO_RUN, STATUS_MISDIRECTED}:
+        return StopReply(Effect.REFUSED, detail, is_final=True)
+    if response.find_header(names.NOT_EXECUTED) is not None:
         return StopReply(Effect.REFUSED, detail)
     if response.status not in {STATUS_MOVED, STATUS_TARGET_FULL}:
         return StopReply(Effect.UNKNOWN, detail)
--- a/dewridge/tests/gateway/probing_tests.py
+++ b/dewridge/tests/gateway/probing_tests.py
@@ -122,6 +122,7 @@
         for number, script in enumerate(scripts):
             engine = Engine(script)
             engine.server = await world.add_server(f"s-{number}", engine.serve, ENGINE)
+            engine.server.answers_reports = False
             engines.append(engine)
         if staleness:
             report = Report(HostId("host-2"), 1, 1, True, 1.0, Totals())
--- a/dewridge/tests/gateway/restarts_tests.py
+++ b/dewridge/tests/gateway/restarts_tests.py
@@ -126,6 +126,7 @@
 
     async with open_world() as world:
         server = await world.add_server("s-1", crash_once, ENGINE)
+        server.answers_reports = False
         answer = await world.request("/chat/a", method="POST", body=b"x")
         counted = [sum(counts.values()) for counts in world.state.usage_counts.values()]
         seen = [
