Know no unframed answer whole that ends before its request is written

Cause: the end of the connection was taken for the end of the answer although the server had not read the request. A server that breaks off and one that answers early send the same end; absence as evidence again. A write that the kernel has taken is not read either: it may be in the buffers of this side.

Change: at the end of a close-delimited body, all of the request must have been written, and acknowledged by the other side's kernel (TIOCOUTQ). An answer acknowledges all that its server has read, so that a server which read the whole request is not affected. A request that may be repeated runs elsewhere, any other gets 502.

--- a/dewridge/http1/client.py
+++ b/dewridge/http1/client.py
@@ -9,7 +9,12 @@
 import trio
 from loguru import logger as log
 
-from dewridge.http1.sockets import has_input, receive_some, send_all
+from dewridge.http1.sockets import (
+    count_unacknowledged,
+    has_input,
+    receive_some,
+    send_all,
+)
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -177,11 +182,21 @@
                 raise ConnectionBrokenError("reset") from error
             if not data and self._has_write_met_reset:
                 raise ConnectionBrokenError("reset while sending")
+            if not data and self.is_close_delimited and not self._is_request_read():
+                # A server that closes early ends its answer and its input alike.
+                raise ConnectionBrokenError("ended before the request was written")
             try:
                 self._state.receive_data(data)
             except h11.RemoteProtocolError as error:
                 raise ConnectionBrokenError("bytes after the end") from error
 
+    def _is_request_read(self) -> bool:
+        """Return whether all of the request has reached the server's kernel.
+
+        An answer acknowledges all that its server has read before.
+        """
+        return self._is_body_sent and not count_unacknowledged(self._stream.socket)
+
     def finish_exchange(self, now: float) -> bool:
         """Prepare for the next exchange; False if the connection can't be reused."""
         is_received = self._state.their_state is h11.DONE
--- a/dewridge/http1/sockets.py
+++ b/dewridge/http1/sockets.py
@@ -6,8 +6,11 @@
 time.
 """
 
+import fcntl
 import os
 import socket
+import struct
+import termios
 
 import trio
 
@@ -99,6 +102,21 @@
             ) from error
 
 
+def count_unacknowledged(connection: trio.socket.SocketType) -> int:
+    """Return the bytes written that the other side's kernel has not acknowledged.
+
+    Returns 0 for a connection that is closed on this side, or if the system can't say.
+    """
+    if connection.fileno() < 0:
+        return 0
+    try:
+        answer = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return 0
+    count: int = struct.unpack("i", answer)[0]
+    return count
+
+
 def has_input(connection: trio.socket.SocketType) -> bool:
     """Whether the kernel holds unread input, or the end of the connection.
 
