--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -226,7 +226,12 @@
         if isinstance(complete, LostAttempt):
             return complete
         record = AnswerRecord(answer.is_unframed, can_identify=job.is_engine)
-        return await self._ends.judge(job, server, record) or complete
+        buffers = self._state.answer_buffers
+        buffers.grow(0, len(complete.body))
+        try:
+            return await self._ends.judge(job, server, record) or complete
+        finally:
+            buffers.release(len(complete.body))
 
     async def _send(
         self, job: Job, server: ServerRecord, continuation: Continuation | None
@@ -565,8 +570,8 @@
     """Return why a stream that has ended is incomplete; empty if nothing shows it."""
     if splitter.remainder:
         return "ended within an event"
-    is_resumed = job.last_event is not None
-    if answer.is_unframed and job.attempt_first_event_at is None and not is_resumed:
+    is_empty = answer.is_unframed and job.attempt_first_event_at is None
+    if is_empty and not job.may_have_ended:
         return "ended before an event"
     return ""
 
--- a/dewridge/gateway/endings/judging.py
+++ b/dewridge/gateway/endings/judging.py
@@ -28,6 +28,9 @@
 reply to the order itself may have been awaited for 0.6 s before."""
 ASK_DELAY = 0.02
 """Seconds until the source is asked again, doubled each time."""
+DEADLINE_MARGIN = 0.005
+"""Seconds before its deadline from which an answer counts as ended by it: servers stop
+at the deadline that they are given, in whole milliseconds."""
 MAX_LOGGED_REPLIES = 8
 """Replies to orders that one log line names; a source is asked a few times."""
 
@@ -44,18 +47,21 @@
         self, job: Job, server: ServerRecord, record: AnswerRecord
     ) -> LostAttempt | None:
         """Return why an answer that has ended is not whole; None if it is."""
+        has_reached_deadline = trio.current_time() >= job.deadline - DEADLINE_MARGIN
+        if record.is_close_delimited and not record.fault and has_reached_deadline:
+            record.fault = "ended at its deadline"
         while True:
             verdict = judge_end(record)
             if verdict is EndVerdict.ASK_SOURCE:
                 await self._ask_source(job, server, record)
             elif verdict is EndVerdict.EXAMINE_PROCESS:
-                record.process = await self._examiner.examine(
-                    server, can_identify=record.can_identify, deadline=job.deadline
-                )
+                record.process = await self._examiner.examine(job, server)
             else:
                 break
         if record.is_close_delimited or record.stop is not Effect.REFUSED:
             self._record(job, server, record, verdict)
+        is_cut = verdict is EndVerdict.CUT_OFF
+        job.may_have_ended = is_cut and record.is_close_delimited and not record.fault
         match verdict:
             case EndVerdict.WHOLE:
                 job.drop_orders(server.id)
--- a/dewridge/gateway/endings/processes.py
+++ b/dewridge/gateway/endings/processes.py
@@ -8,28 +8,33 @@
 
 import trio
 
+from dewridge.gateway.jobs import Job
 from dewridge.gateway.losses import LossHandler
 from dewridge.gateway.model import ServerRecord
-from dewridge.gateway.reach.control import call_engine
+from dewridge.gateway.reach.control import call_relay_for_report
 from dewridge.gateway.reach.probes import SharedProbes
+from dewridge.gateway.reach.reports import fetch_report
 from dewridge.gateway.state import GatewayState
-from dewridge.http1.calls import Response
-from dewridge.platform.engines import (
-    REPORT_PATH,
-    ReportedProcess,
-    identify_process,
-)
+from dewridge.platform.engines import ReportedProcess, ReportReply
 from dewridge.policy.answerends import ProcessEvidence
 from dewridge.policy.losses import ConnectResult
+from dewridge.policy.reachability import ServerPath
 
 REPORT_TIMEOUT = 0.4
 """Seconds for one report; an engine needs no slot for it."""
-EXAMINATION_SECONDS = 1.2
-"""Seconds in which a process is examined. Callers disconnect two seconds after the last
-event."""
+EXAMINATION_SECONDS = 1.7
+"""Seconds in which a process is examined: sound servers fall silent for a second or so.
+Callers disconnect two seconds after the last event."""
+RESUMABLE_EXAMINATION_SECONDS = 0.8
+"""The same for a stream that may run anew elsewhere, which takes a moment as well."""
 RETRY_DELAY = 0.03
 """Seconds until an engine is asked again that accepts connections but sends no usable
 report, doubled each time."""
+DEADLINE_GRACE = 0.08
+"""Seconds after its deadline in which a request is still examined; it is given up 0.1
+seconds after it."""
+REFUSALS = frozenset({429, 503})
+"""Statuses by which an engine asks not to be called again."""
 
 EVIDENCE = {
     ConnectResult.ACCEPTED: ProcessEvidence.LISTENING,
@@ -47,34 +52,44 @@
         self._losses = losses
         self._shared: SharedProbes[ProcessEvidence] = SharedProbes()
 
-    async def examine(
-        self, server: ServerRecord, *, can_identify: bool, deadline: float
-    ) -> ProcessEvidence:
+    async def examine(self, job: Job, server: ServerRecord) -> ProcessEvidence:
         """Return what is known of a server's process after this call.
 
-        Args:
-            server: the record of the process.
-            can_identify: whether the process says which one it is.
-            deadline: monotonic time at which the answer is due.
+        Engines say which process they are. Other servers name it only where a request
+        takes a slot, so that all that is known there is what listens.
         """
-        if not can_identify:
-            return EVIDENCE[await self._losses.probe_after_end(server)]
-        ends_at = min(deadline, trio.current_time() + EXAMINATION_SECONDS)
-        with trio.move_on_at(ends_at):
-            path = self._state.links.find_path(server.service)
-            examine = partial(self._ask_until_known, server)
-            return await self._shared.probe((server.id, path), examine)
-        return ProcessEvidence.SILENT
+        evidence = ProcessEvidence.SILENT
+        if not job.is_engine:
+            evidence = EVIDENCE[await self._losses.probe_after_end(server)]
+        else:
+            seconds = EXAMINATION_SECONDS
+            if job.route.is_resumable:
+                seconds = RESUMABLE_EXAMINATION_SECONDS
+            ends_at = min(job.deadline + DEADLINE_GRACE, trio.current_time() + seconds)
+            with trio.move_on_at(ends_at):
+                path = self._state.links.find_path(server.service)
+                examine = partial(self._ask_until_known, server)
+                evidence = await self._shared.probe((server.id, path), examine)
+        if self._state.servers.has_later_process(server):
+            return ProcessEvidence.OTHER
+        if evidence is ProcessEvidence.OTHER:
+            now = trio.current_time()
+            self._state.servers.drop(server.id, now, "it started again", 0.0)
+        return evidence
 
     async def _ask_until_known(self, server: ServerRecord) -> ProcessEvidence:
         ends_at = trio.current_time() + EXAMINATION_SECONDS
         delay = RETRY_DELAY
         while True:
-            match await self._ask(server):
-                case ReportedProcess.SAME:
-                    return ProcessEvidence.SAME
-                case ReportedProcess.OTHER:
-                    return ProcessEvidence.OTHER
+            reply = await self._call(server)
+            if reply is not None:
+                match reply.identify_process(server.started_at_ms):
+                    case ReportedProcess.SAME:
+                        return ProcessEvidence.SAME
+                    case ReportedProcess.OTHER:
+                        return ProcessEvidence.OTHER
+                if reply.status in REFUSALS:
+                    return ProcessEvidence.LISTENING
             evidence = EVIDENCE[await self._losses.probe_after_end(server)]
             is_late = trio.current_time() + delay >= ends_at
             if is_late or evidence is not ProcessEvidence.LISTENING:
@@ -82,11 +97,11 @@
             await trio.sleep(delay)
             delay *= 2
 
-    async def _ask(self, server: ServerRecord) -> ReportedProcess:
-        path = REPORT_PATH.decode()
-        response = await call_engine(
-            self._state, server, "GET", path, b"", REPORT_TIMEOUT
-        )
-        if not isinstance(response, Response):
-            return ReportedProcess.UNKNOWN
-        return identify_process(response, server.started_at_ms)
+    async def _call(self, server: ServerRecord) -> ReportReply | None:
+        """Return the reply of a server to one call for its report."""
+        if self._state.links.find_path(server.service) is not ServerPath.DIRECT:
+            return await call_relay_for_report(self._state, server, REPORT_TIMEOUT)
+        with trio.move_on_after(REPORT_TIMEOUT):
+            reply = await fetch_report(self._state.pool, server)
+            return reply if isinstance(reply, ReportReply) else None
+        return None
--- a/dewridge/gateway/jobs.py
+++ b/dewridge/gateway/jobs.py
@@ -119,8 +119,10 @@
         continuation: where and from which memory a stopped run continues.
         fallback: where it continues if the server of `continuation` rejects it.
         unknown_orders: orders to stop its runs whose outcome is unknown.
-        unanswered_orders: orders that had no usable reply, by the server that got
-            them. They may be carried out late, on a later run at that server.
+        unanswered_orders: orders that had no reply, by the server that got them. They
+            may be carried out late, on a later run at that server.
+        may_have_ended: whether the last attempt may have sent all events: its answer
+            ended in order, and only its run may have been stopped.
         held_memory: memory of stopped runs that no run has used yet.
         withheld_servers: servers that asked for fewer requests when it was refused.
         was_moved: whether it was stopped and moved; it is never started anew then.
@@ -166,6 +168,7 @@
     unanswered_orders: dict[BackendServerId, list[StopOrder]] = field(
         default_factory=lambda: defaultdict(list)
     )
+    may_have_ended: bool = False
     held_memory: list[HeldMemory] = field(default_factory=list)
     withheld_servers: list[BackendServerId] = field(default_factory=list)
     was_moved: bool = False
@@ -198,7 +201,8 @@
     def record_carried_out(self, server: BackendServerId) -> None:
         """Record that the first order without a reply has stopped the run.
 
-        Its run had ended before it was repeated, and the source has its memory.
+        The engine had ended the answer before the order was repeated, and has the run's
+        memory.
         """
         del self.unanswered_orders[server][:1]
 
--- a/dewridge/gateway/moves.py
+++ b/dewridge/gateway/moves.py
@@ -103,11 +103,14 @@
     job.drop_orders(order.source.id)
     job.unknown_orders.append(order)
     acquire = state.pushback.acquire_control if has_ended else _acquire_order(state)
+    unanswered = job.unanswered_orders[order.source.id]
+    unanswered.append(order)
     reply = await _order_stop(state, job.request.id, order, acquire)
     record.record_order(reply.effect, reply.detail)
-    if reply.effect is Effect.UNKNOWN:
-        job.unanswered_orders[order.source.id].append(order)
-    if has_ended and reply.effect is Effect.DONE:
+    if not reply.may_come_late:
+        unanswered.remove(order)
+    has_ended_in_order = has_ended and record.is_close_delimited and not record.fault
+    if has_ended_in_order and reply.effect is Effect.DONE:
         job.record_carried_out(order.source.id)
     if record.stop is not Effect.UNKNOWN:
         job.drop_orders(order.source.id)
--- a/dewridge/gateway/placement/probing.py
+++ b/dewridge/gateway/placement/probing.py
@@ -15,15 +15,9 @@
 from dewridge.gateway.placement.expected import make_prompt
 from dewridge.gateway.placement.loads import compute_staleness, read_speed
 from dewridge.gateway.pool import ConnectionPool
+from dewridge.gateway.reach.reports import ReportFailure, fetch_report
 from dewridge.gateway.state import GatewayState
-from dewridge.http1.client import (
-    ClientConnection,
-    ConnectFailure,
-    ConnectionBrokenError,
-)
-from dewridge.platform import names
-from dewridge.platform.engines import REPORT_PATH, EngineReport, decode_report
-from dewridge.platform.headers import read_request_id
+from dewridge.platform.engines import EngineReport
 from dewridge.policy.expectedtime import ExpectedPlacement, ServerLoad, choose_soonest
 from dewridge.policy.loadprobes import (
     ProbedLoad,
@@ -35,10 +29,6 @@
 )
 from dewridge.policy.reachability import ServerPath
 
-MAX_REPORT_BYTES = 262_144
-"""Maximum size of an answer. A report of a hundred runs takes some 5,000 bytes."""
-STATUS_OK = 200
-
 
 @dataclass(frozen=True, slots=True)
 class ProbeResult:
@@ -182,45 +172,7 @@
     pool: ConnectionPool, server: ServerRecord
 ) -> EngineReport | str:
     """Return the load report of an engine, or the outcome without one."""
-    connection = pool.acquire_idle(server, is_non_retryable=False)
-    if connection is None:
-        opened = await pool.open(server)
-        if isinstance(opened, ConnectFailure):
-            return "refused"
-        connection = opened
-    is_reusable = False
-    try:
-        report = await _exchange(connection, server)
-        # After an invalid answer, the real one may still arrive, and a later request
-        # would read it.
-        is_reusable = report is not None and connection.finish_exchange(
-            trio.current_time()
-        )
-        return "invalid" if report is None else report
-    except ConnectionBrokenError as error:
-        return "invalid" if error.is_framing_fault else "broken"
-    finally:
-        if is_reusable:
-            pool.release(server, connection)
-        else:
-            connection.close()
-
-
-async def _exchange(
-    connection: ClientConnection, server: ServerRecord
-) -> EngineReport | None:
-    headers = [
-        (b"host", server.address.encode()),
-        (names.EXPECTED_SERVER, server.name.encode()),
-    ]
-    await connection.send(b"GET", REPORT_PATH, headers, b"")
-    head = await connection.receive_head()
-    # An answer that names a request is a second answer to an earlier one.
-    if head.status != STATUS_OK or read_request_id(head):
-        return None
-    body = bytearray()
-    while (part := await connection.receive_body()) is not None:
-        body += part
-        if len(body) > MAX_REPORT_BYTES:
-            return None
-    return decode_report(bytes(body))
+    reply = await fetch_report(pool, server)
+    if isinstance(reply, ReportFailure):
+        return reply.value
+    return ReportFailure.INVALID.value if reply.report is None else reply.report
--- a/dewridge/gateway/reach/control.py
+++ b/dewridge/gateway/reach/control.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from dewridge.gateway.hosts import HostEntry
 from dewridge.gateway.model import ServerRecord
 from dewridge.gateway.reach.peers import (
     RelayedCall,
@@ -13,9 +14,13 @@
 from dewridge.gateway.state import GatewayState
 from dewridge.http1.calls import CallFailure, Response, ServiceClient
 from dewridge.http1.client import ClientConnection, ConnectionBrokenError
+from dewridge.ids import HostId
 from dewridge.platform import names
+from dewridge.platform.engines import REPORT_PATH, ReportReply, read_report
 from dewridge.policy.reachability import ServerPath
 
+MAX_REPORT_RELAYS = 2
+"""Relays that are asked for one report. One may be leaving, or partitioned too."""
 MAX_ENGINE_ANSWER_BYTES = 65_536
 """Bytes of an engine's answer to a control call, which takes some hundred."""
 
@@ -62,14 +67,60 @@
     return (names.EXPECTED_SERVER, server.name.encode())
 
 
+async def call_relay_for_report(
+    state: GatewayState, server: ServerRecord, timeout: float
+) -> ReportReply | None:
+    """Have a relay call an engine for its report; ask another one if it can't.
+
+    By the report, this host judges an answer: relays that are busy or leave pass the
+    call on as well.
+
+    Args:
+        state: the state of this host.
+        server: the engine.
+        timeout: seconds for the call of each relay.
+    """
+    excluded: set[HostId] = set()
+    for _ in range(MAX_REPORT_RELAYS):
+        peer = _choose_relay(state, server, excluded)
+        if peer is None:
+            return None
+        with trio.move_on_after(timeout):
+            path = REPORT_PATH.decode()
+            reply = await _call_peer(state, peer, server, "GET", path, is_fresh=True)
+            if isinstance(reply, Response):
+                return read_report(reply.status, reply.body)
+        excluded.add(peer.id)
+    return None
+
+
+def _choose_relay(
+    state: GatewayState, server: ServerRecord, excluded: set[HostId]
+) -> HostEntry | None:
+    return state.links.choose_relay(
+        server.service, excluded, state.failure_domain, state.count_domain_hosts()
+    )
+
+
 async def _call_by_relay(
     state: GatewayState, server: ServerRecord, method: str, path: str, body: bytes
 ) -> Response | CallFailure:
-    peer = state.links.choose_relay(
-        server.service, set(), state.failure_domain, state.count_domain_hosts()
-    )
+    peer = _choose_relay(state, server, set())
     if peer is None:
         return CallFailure.NOT_SENT
+    return await _call_peer(state, peer, server, method, path, body)
+
+
+async def _call_peer(
+    state: GatewayState,
+    peer: HostEntry,
+    server: ServerRecord,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    *,
+    is_fresh: bool = False,
+) -> Response | CallFailure:
     connection = await open_relay(peer)
     if isinstance(connection, RelayFailure):
         return CallFailure.NOT_SENT
@@ -80,7 +131,13 @@
         _make_address_check(server),
     ]
     call = RelayedCall(
-        RelayCall.CONTROL, server, method.encode(), path.encode(), headers, body
+        RelayCall.CONTROL,
+        server,
+        method.encode(),
+        path.encode(),
+        headers,
+        body,
+        is_fresh=is_fresh,
     )
     try:
         head = await call_by_relay(connection, state.host, peer, call)
--- a/dewridge/gateway/reach/peers.py
+++ b/dewridge/gateway/reach/peers.py
@@ -50,6 +50,7 @@
         headers: headers for the server.
         body: the body.
         is_last_resort: whether no other relay is known.
+        is_fresh: whether the sender judges an answer by the reply.
     """
 
     call: RelayCall
@@ -59,6 +60,7 @@
     headers: Headers
     body: bytes = b""
     is_last_resort: bool = False
+    is_fresh: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +120,7 @@
         sender,
         call.call,
         servers,
+        is_fresh=call.is_fresh,
         is_last_resort=call.is_last_resort,
     )
     headers = [*call.headers, *encode_order(order)]
--- a/dewridge/gateway/reach/protocol.py
+++ b/dewridge/gateway/reach/protocol.py
@@ -62,7 +62,8 @@
         sender: the peer.
         call: what it asks for.
         servers: the server, or the servers to probe.
-        is_fresh: whether no results of earlier probes may be used.
+        is_fresh: whether the peer judges an answer by the reply, so that no results of
+            earlier probes may be used.
         is_last_resort: whether no other relay is known.
     """
 
--- a/dewridge/gateway/reach/relay.py
+++ b/dewridge/gateway/reach/relay.py
@@ -124,9 +124,12 @@
         if order.call is RelayCall.CONTROL:
             server = self._find_record(order.servers[0])
             ends_by = trio.current_time() + MAX_CONTROL_TIME
-        unusable = self._find_obstacle(
-            server, ends_by, is_last_resort=order.is_last_resort
-        )
+        if order.call is RelayCall.CONTROL and order.is_fresh:
+            unusable = self._find_path_obstacle(server)
+        else:
+            unusable = self._find_obstacle(
+                server, ends_by, is_last_resort=order.is_last_resort
+            )
         if server is None or unusable:
             await self._send_loss(responder, LossReason.NO_PATH, unusable)
             return
@@ -200,7 +203,8 @@
         self, order: RelayOrder, request: ServerRequest, server: ServerRecord
     ) -> IncomingAnswer | LostAttempt:
         if order.call is RelayCall.CONTROL:
-            return await self._send_control(request, server)
+            is_essential = not order.is_fresh
+            return await self._send_control(request, server, is_essential=is_essential)
         state = self._state
         is_essential = any(name == names.CACHE_COPY for name, _ in request.headers)
         acquire = partial(state.pushback.acquire_relayed, is_essential=is_essential)
@@ -215,10 +219,11 @@
         )
 
     async def _send_control(
-        self, request: ServerRequest, server: ServerRecord
+        self, request: ServerRequest, server: ServerRecord, *, is_essential: bool
     ) -> IncomingAnswer | LostAttempt:
         now = trio.current_time()
-        if not self._state.pushback.acquire_control(server.id, now):
+        may_send = self._state.pushback.acquire_control
+        if is_essential and not may_send(server.id, now):
             return LostAttempt(LossReason.WITHHELD)
         opened = await self._state.pool.open(server)
         if isinstance(opened, ConnectFailure):
--- a/dewridge/gateway/servers.py
+++ b/dewridge/gateway/servers.py
@@ -234,6 +234,11 @@
         if record.is_reclaimable:
             self.drained_at[record.service, record.failure_domain] = now
 
+    def has_later_process(self, record: ServerRecord) -> bool:
+        """Return whether a server is known to have started again since a record."""
+        known = self._newest_processes.get(record.name)
+        return known is not None and known.started_at_ms > record.started_at_ms
+
     def _is_newest_process(self, record: ServerRecord, now: float) -> bool:
         """Return whether no later process has the name; drop the earlier one if so."""
         known = self._newest_processes.get(record.name)
--- a/dewridge/gateway/versions/processes.py
+++ b/dewridge/gateway/versions/processes.py
@@ -34,8 +34,10 @@
         report = await request_report(state.pool, server)
     if report is None or isinstance(report, str):
         return True
+    if report.started_at_ms is None:
+        return True
     state.versions.doubtful_servers.discard(server.id)
-    if report.started_at_ms in {None, server.started_at_ms}:
+    if report.started_at_ms == server.started_at_ms:
         state.versions.confirmed_servers[server.id] = asked_at
         return True
     log.bind(id=job.request.id, server=server.id, started_at=report.started_at_ms).info(
--- a/dewridge/platform/engines.py
+++ b/dewridge/platform/engines.py
@@ -98,27 +98,41 @@
     UNKNOWN = "unknown"
 
 
-def identify_process(response: Response, started_at_ms: int) -> ReportedProcess:
-    """Return whether the process of a server's record has replied.
-
-    The call names the server, so that another one that has the address refuses it.
+@dataclass(frozen=True, slots=True)
+class ReportReply:
+    """The reply to a call for a report.
 
-    Args:
-        response: the reply to the call for a report.
-        started_at_ms: start of the process by its record; 0 if that names none, and a
-            server has another name after each start.
+    Attributes:
+        status: its status.
+        report: the report; None without a valid one.
     """
-    if response.status == STATUS_MISDIRECTED:
-        return ReportedProcess.OTHER
-    if response.status != STATUS_OK:
-        return ReportedProcess.UNKNOWN
-    report = decode_report(response.body)
-    if report is None:
-        return ReportedProcess.UNKNOWN
-    if not started_at_ms or report.started_at_ms == started_at_ms:
-        return ReportedProcess.SAME
-    is_unnamed = report.started_at_ms is None
-    return ReportedProcess.UNKNOWN if is_unnamed else ReportedProcess.OTHER
+
+    status: int
+    report: EngineReport | None
+
+    def identify_process(self, started_at_ms: int) -> ReportedProcess:
+        """Return whether the process of a server's record has replied.
+
+        The call names the server, so that another one that has the address refuses it.
+
+        Args:
+            started_at_ms: start of the process by its record; 0 if that names none,
+                and a server has another name after each start.
+        """
+        if self.status == STATUS_MISDIRECTED:
+            return ReportedProcess.OTHER
+        if self.report is None:
+            return ReportedProcess.UNKNOWN
+        if not started_at_ms or self.report.started_at_ms == started_at_ms:
+            return ReportedProcess.SAME
+        is_unnamed = self.report.started_at_ms is None
+        return ReportedProcess.UNKNOWN if is_unnamed else ReportedProcess.OTHER
+
+
+def read_report(status: int, body: bytes) -> ReportReply:
+    """Decode the reply to a call for a report."""
+    report = decode_report(body) if status == STATUS_OK else None
+    return ReportReply(status, report)
 
 
 CallEngine = Callable[[str, str, bytes, float], Awaitable[Response | CallFailure]]
@@ -153,6 +167,8 @@
         effect: whether the run was stopped.
         detail: why, for the log.
         memory: memory of the stopped run; None unless the effect is known to be done.
+        may_come_late: whether the order was sent and had no reply, so that it may still
+            arrive.
         is_final: whether asking again can bring no memory: the engine says that it has
             no such run, or another one has its address.
     """
@@ -160,6 +176,7 @@
     effect: Effect
     detail: str
     memory: CacheCopy | None = None
+    may_come_late: bool = False
     is_final: bool = False
 
 
@@ -184,8 +201,10 @@
     body = msgspec.json.encode({"id": attempt, "target": target, "last": True})
     response = await call("POST", MOVE_PATH, body, MOVE_TIMEOUT)
     if isinstance(response, CallFailure):
-        is_sent = response is not CallFailure.NOT_SENT
-        return StopReply(Effect.UNKNOWN if is_sent else Effect.REFUSED, response.value)
+        if response is CallFailure.NOT_SENT:
+            return StopReply(Effect.REFUSED, response.value)
+        is_lost = response is CallFailure.LOST
+        return StopReply(Effect.UNKNOWN, response.value, may_come_late=is_lost)
     if response.status != STATUS_MISDIRECTED:
         # Otherwise another server's signals would apply to this one.
         on_answer(response.status, response.headers)
@@ -195,6 +214,7 @@
 async def free_memory(memory: CacheCopy, call: CallEngine) -> Effect:
     """Free the memory of a stopped run, at its engine and at the target.
 
+    An engine that does not have the handle, or has forgotten it, has freed nothing.
     Without the call, an engine keeps it for some time, in place of running requests.
     """
     path = FREE_PATH + quote(memory.handle, safe="")
@@ -202,8 +222,9 @@
     if isinstance(response, CallFailure):
         is_sent = response is not CallFailure.NOT_SENT
         return Effect.UNKNOWN if is_sent else Effect.REFUSED
-    is_free = response.status < 300 or response.status == STATUS_NO_RUN
-    return Effect.DONE if is_free else Effect.UNKNOWN
+    if response.status == STATUS_NO_RUN:
+        return Effect.REFUSED
+    return Effect.DONE if response.status < 300 else Effect.UNKNOWN
 
 
 def _decode_stop_reply(source: str, response: Response) -> StopReply:
--- a/dewridge/policy/answerends.py
+++ b/dewridge/policy/answerends.py
@@ -40,13 +40,14 @@
 
 
 CONNECT_RESULTS = {
-    ProcessEvidence.OTHER: ConnectResult.REFUSED,
+    ProcessEvidence.OTHER: ConnectResult.ACCEPTED,
     ProcessEvidence.ENDED: ConnectResult.REFUSED,
     ProcessEvidence.SAME: ConnectResult.ACCEPTED,
     ProcessEvidence.LISTENING: ConnectResult.ACCEPTED,
     ProcessEvidence.SILENT: ConnectResult.SILENT,
 }
-"""What a new connection to the process itself would show."""
+"""What a new connection shows. The process before another one may have ended before it
+got the request, which is not to blame then."""
 
 
 @dataclass
--- a/dewridge/tests/gateway/endless_tests.py
+++ b/dewridge/tests/gateway/endless_tests.py
@@ -342,6 +342,7 @@
     """Guards against a placement that waits for an engine's bytes without end."""
     async with open_world() as world:
         server = await world.add_server("s-1", send, ENGINE)
+        server.answers_reports = False
         record = world.state.servers.find(server.id)
         assert record is not None
         tracemalloc.start()
