Decode the platform's listings record by record, with bounded members

A single entry, notice or record that could not be decoded could hide all others: the listings of the key-value store and of the cloud were decoded as a whole, and half a surrogate pair or 50,000 levels of nesting ended the calling task with RecursionError, which is no DecodeError. Numbers and names had no bounds, and an address any text.

All three listings now go through one function and the common decoder. A record that can't be used is left out, counted, and the first of them logged once until a listing has none. A record nested deeper than the decoder goes still costs its whole listing, as a refusal.

--- a/dewridge/providers/channel.py
+++ b/dewridge/providers/channel.py
@@ -1,6 +1,6 @@
 """HTTP calls to one of the platform's services, with metrics and typed failures."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from enum import Enum
@@ -11,6 +11,7 @@
 
 from dewridge.bodies import IDENTITY_HEADERS, read_bounded
 from dewridge.metrics.registry import Metrics
+from dewridge.sentinels import Failure
 
 if TYPE_CHECKING:
     import httpx
@@ -65,6 +66,7 @@
         self._timeout = timeout
         self._metrics = metrics
         self._is_up = True
+        self._has_skipped = False
 
     async def call(
         self,
@@ -141,6 +143,20 @@
         """Count an answer that cannot be decoded."""
         self._count_failure(kind, "malformed")
 
+    def record_skipped(self, failures: Sequence[Failure]) -> None:
+        """Count the records of a listing that cannot be decoded.
+
+        The first is logged when a listing has any for the first time, or again after
+        one without: a listing is read several times a second.
+        """
+        for _ in failures:
+            self.record_malformed("record")
+        if failures and not self._has_skipped:
+            log.bind(reason=failures[0].reason, records=len(failures)).warning(
+                "the {} lists records that can't be read", self._service
+            )
+        self._has_skipped = bool(failures)
+
     def _count_failure(self, kind: str, reason: str) -> None:
         self._metrics.add(
             "platform_failures_total", service=self._service, kind=kind, reason=reason
--- a/dewridge/providers/cloud.py
+++ b/dewridge/providers/cloud.py
@@ -3,21 +3,16 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-import msgspec
-
 from dewridge.codes import ResultCode
 from dewridge.metrics.registry import Metrics
 from dewridge.providers.channel import CallFailure, Channel, open_channel
+from dewridge.providers.listings import decode_listing
 from dewridge.providers.model import Cloud, ReclaimNotice
 from dewridge.sentinels import Failure
 
 STATUS_OK = 200
 
 
-class _Notices(msgspec.Struct):
-    notices: list[ReclaimNotice]
-
-
 class HttpCloud:
     """Implements `dewridge.providers.model.Cloud`."""
 
@@ -31,11 +26,13 @@
             return Failure(ResultCode.PLATFORM_DOWN, f"cloud: {answer.value}")
         if answer.status != STATUS_OK:
             return Failure(ResultCode.PLATFORM_DOWN, f"cloud: status {answer.status}")
-        try:
-            return msgspec.json.decode(answer.content, type=_Notices).notices
-        except msgspec.DecodeError:
+        notices = decode_listing(
+            answer.content, "notices", ReclaimNotice, self._channel
+        )
+        if isinstance(notices, Failure):
             self._channel.record_malformed("notices")
             return Failure(ResultCode.PLATFORM_MALFORMED, "cloud: malformed")
+        return notices
 
 
 @asynccontextmanager
--- a/dewridge/providers/hostlist.py
+++ b/dewridge/providers/hostlist.py
@@ -3,21 +3,16 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-import msgspec
-
 from dewridge.codes import ResultCode
 from dewridge.metrics.registry import Metrics
 from dewridge.providers.channel import CallFailure, Channel, open_channel
+from dewridge.providers.listings import decode_listing
 from dewridge.providers.model import HostList, ListedServer
 from dewridge.sentinels import Failure
 
 STATUS_OK = 200
 
 
-class _Listing(msgspec.Struct):
-    hosts: list[msgspec.Raw]
-
-
 class HttpHostList:
     """Implements `dewridge.providers.model.HostList`."""
 
@@ -32,25 +27,16 @@
         if answer.status != STATUS_OK:
             reason = f"host list: status {answer.status}"
             return Failure(ResultCode.PLATFORM_DOWN, reason)
-        try:
-            records = msgspec.json.decode(answer.content, type=_Listing).hosts
-        except msgspec.DecodeError:
+        servers = decode_listing(
+            answer.content,
+            "hosts",
+            ListedServer,
+            self._channel,
+            lambda listed: listed.has_address,
+        )
+        if isinstance(servers, Failure):
             self._channel.record_malformed("list")
-            return Failure(ResultCode.PLATFORM_MALFORMED, "host list: malformed")
-        return self._decode(records)
-
-    def _decode(self, records: list[msgspec.Raw]) -> list[ListedServer] | Failure:
-        # A newer release of the platform may list a server of an unknown kind. Only
-        # that record is skipped: rejecting the full list would hide every server of
-        # the deployment.
-        servers = []
-        for record in records:
-            try:
-                servers.append(msgspec.json.decode(record, type=ListedServer))
-            except msgspec.DecodeError:
-                self._channel.record_malformed("record")
-        if records and not servers:
-            reason = "host list: no record could be read"
+            reason = f"host list: {servers.reason}"
             return Failure(ResultCode.PLATFORM_MALFORMED, reason)
         return servers
 
--- a/dewridge/providers/keyvalue.py
+++ b/dewridge/providers/keyvalue.py
@@ -7,8 +7,10 @@
 import msgspec
 
 from dewridge.codes import ResultCode
+from dewridge.decoding import decode_json
 from dewridge.metrics.registry import Metrics
 from dewridge.providers.channel import Answer, CallFailure, Channel, open_channel
+from dewridge.providers.listings import decode_listing
 from dewridge.providers.model import Entry, KeyValue
 from dewridge.sentinels import Failure
 
@@ -19,10 +21,6 @@
 STATUS_CONFLICT = 409
 
 
-class _Listing(msgspec.Struct):
-    entries: list[Entry]
-
-
 class _Swap(msgspec.Struct):
     value: bytes
     expected_revision: int
@@ -41,7 +39,7 @@
         )
 
     async def list_entries(self, prefix: str) -> list[Entry] | Failure:
-        """Read all keys with a prefix."""
+        """Read all keys with a prefix, without entries that cannot be decoded."""
         answer = await self._channel.call(
             "list", "GET", "/v1/keys", params={"prefix": prefix}
         )
@@ -49,10 +47,8 @@
         if failure is not None:
             return failure
         assert isinstance(answer, Answer)
-        try:
-            return msgspec.json.decode(answer.content, type=_Listing).entries
-        except msgspec.DecodeError:
-            return self._fail_malformed("list")
+        entries = decode_listing(answer.content, "entries", Entry, self._channel)
+        return self._fail_malformed("list") if isinstance(entries, Failure) else entries
 
     async def compare_and_swap(
         self, key: str, value: bytes, expected_revision: int
@@ -128,10 +124,8 @@
 
 def decode_entry(answer: Answer) -> Entry | None:
     """Decode the entry in an answer; None if it is malformed."""
-    try:
-        return msgspec.json.decode(answer.content, type=Entry)
-    except msgspec.DecodeError:
-        return None
+    entry = decode_json(answer.content, Entry)
+    return None if isinstance(entry, Failure) else entry
 
 
 def find_read_failure(answer: Answer | CallFailure) -> Failure | None:
--- a/dewridge/providers/model.py
+++ b/dewridge/providers/model.py
@@ -2,11 +2,16 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import Protocol
+from typing import Annotated, Protocol
 
+import msgspec
+
+from dewridge.decoding import MAX_NAME, Amount, Count, Name, is_address
 from dewridge.ids import BackendServerId, FailureDomain, ServiceName
 from dewridge.sentinels import Failure
 
+NAME_LENGTH = msgspec.Meta(max_length=MAX_NAME)
+
 
 @dataclass(frozen=True, slots=True)
 class Entry:
@@ -20,7 +25,7 @@
 
     key: str
     value: bytes
-    revision: int
+    revision: Count
 
     @property
     def is_absent(self) -> bool:
@@ -92,18 +97,23 @@
         version: version of its software; empty if the list does not say.
     """
 
-    backend_server: BackendServerId
-    address: str
-    failure_domain: FailureDomain
+    backend_server: Annotated[BackendServerId, NAME_LENGTH]
+    address: Name
+    failure_domain: Annotated[FailureDomain, NAME_LENGTH]
     kind: ServerKind
-    services: tuple[ServiceName, ...]
-    machine_class: str
-    price: float
+    services: tuple[Annotated[ServiceName, NAME_LENGTH], ...]
+    machine_class: Name
+    price: Amount
     reclaimable: bool
-    capacity: int
+    capacity: Count
     checks_fencing: bool
     state: HostState
-    version: str = ""
+    version: Name = ""
+
+    @property
+    def has_address(self) -> bool:
+        """Whether its address is one that hosts can connect to."""
+        return is_address(self.address)
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,8 +125,8 @@
         at: Unix time in seconds at which the host is shut down.
     """
 
-    subject: str
-    at: float
+    subject: Name
+    at: Amount
 
 
 class HostList(Protocol):
