Decode all that backend servers send, and rumors of them, with the common decoder

Fifty thousand levels of nesting in an error answer, an event, an answer of a plain service or the reply to a control call raised RecursionError, which ended the task of the attempt or order. So did a plain service's answer that was not UTF-8, and a stored fencing number of over 4,300 digits. A reclaim at 1e308 s has no version, as int() of an infinite number raises OverflowError. Counts of tokens had no bound, and no message between hosts carries an engine's 10**30.

Names, counts and times are now bounded where they are decoded. A record with an address that hosts can't connect to is left out, and a Retry-After that is no finite number ignored.

--- a/dewridge/fleet/dispatch.py
+++ b/dewridge/fleet/dispatch.py
@@ -11,6 +11,7 @@
 
 from dewridge.bodies import read_bounded
 from dewridge.codes import ResultCode
+from dewridge.decoding import decode_json, is_finite
 from dewridge.fleet.clients import ClientTable, open_clients
 from dewridge.fleet.events import EventReader, LineBuffer
 from dewridge.fleet.model import (
@@ -119,6 +120,8 @@
                     )
                     value = response.headers.get("retry-after", "").encode()
                     rest = parse_retry_after(value, time.time())
+                    if rest is not None and not is_finite(rest):
+                        rest = None
                     refusal = read_refusal(response.status_code, content, rest)
                     yield self._record_failure(order, refusal)
                 elif server.listed.kind is ServerKind.ENGINE:
@@ -199,9 +202,9 @@
             return self._record_failure(
                 order, Failure(ResultCode.BACKEND_SERVER_FAILED, reason)
             )
-        try:
-            answer = msgspec.json.decode(content, type=OperationAnswer)
-        except msgspec.DecodeError:
+        answer = decode_json(content, OperationAnswer)
+        body = None if isinstance(answer, Failure) else decode_text(bytes(answer.body))
+        if isinstance(answer, Failure) or body is None:
             reason = "the answer is malformed"
             return self._record_failure(
                 order, Failure(ResultCode.BACKEND_SERVER_FAILED, reason)
@@ -212,7 +215,7 @@
             return self._record_failure(
                 order, Failure(ResultCode.ANSWER_MISMATCHED, reason)
             )
-        return AttemptEnd(body=bytes(answer.body).decode())
+        return AttemptEnd(body=body)
 
     def _record_failure(self, order: AttemptOrder, failure: Failure) -> Failure:
         self._metrics.add(
@@ -248,6 +251,14 @@
     return "/v1/completions", msgspec.json.encode(completion)
 
 
+def decode_text(content: bytes) -> str | None:
+    """Decode UTF-8, which is not checked in a raw value; None if it is not."""
+    try:
+        return content.decode()
+    except UnicodeDecodeError:
+        return None
+
+
 async def drain(chunks: AsyncIterator[bytes]) -> None:
     """Read the rest of the body after the last event, to reuse the connection.
 
--- a/dewridge/fleet/events.py
+++ b/dewridge/fleet/events.py
@@ -1,10 +1,12 @@
 """Parser of an engine's event stream: checks and reorders an attempt's events."""
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
 from dewridge.codes import ResultCode
+from dewridge.decoding import MAX_COUNT, decode_json
 from dewridge.fleet.model import AttemptEnd, AttemptEvent, AttemptTokens
 from dewridge.ids import AttemptId
 from dewridge.sentinels import Failure
@@ -18,10 +20,16 @@
 MAX_DROPPED_EVENTS = 1_000
 """Events of an attempt that are dropped until it counts as failed. A server that sends
 nothing else would keep it open until its deadline."""
+MAX_TOKEN_COUNT = 100_000_000
+"""Largest count of tokens that an engine may report. Messages between hosts carry the
+sum of twenty such counts."""
 DATA_PREFIX = b"data:"
 END_MARKER = b"[DONE]"
 
 
+TokenCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKEN_COUNT)]
+
+
 class DropReason(Enum):
     """Reason for which an event was dropped."""
 
@@ -36,10 +44,10 @@
 
 
 class _Usage(msgspec.Struct):
-    prompt_tokens: int = 0
-    completion_tokens: int = 0
-    cached_tokens: int = 0
-    recomputed_tokens: int = 0
+    prompt_tokens: TokenCount = 0
+    completion_tokens: TokenCount = 0
+    cached_tokens: TokenCount = 0
+    recomputed_tokens: TokenCount = 0
 
 
 class _Error(msgspec.Struct):
@@ -48,7 +56,7 @@
 
 class _Event(msgspec.Struct):
     attempt: str = ""
-    sequence: int = -1
+    sequence: Annotated[int, msgspec.Meta(ge=-1, le=MAX_COUNT)] = -1
     tokens: list[str] | None = None
     choices: list[_Choice] = []
     usage: _Usage | None = None
@@ -84,7 +92,6 @@
         self._out_of_order: dict[int, list[str]] = {}
         self._dropped_in_a_row = 0
         self._end: _Event | None = None
-        self._decoder = msgspec.json.Decoder(_Event)
         self.dropped: dict[DropReason, int] = {}
 
     def read(self, lines: list[bytes]) -> list[AttemptEvent]:
@@ -123,9 +130,8 @@
     def _process_event(self, data: bytes, tokens: list[str]) -> Failure | None:
         if data == END_MARKER:
             return None
-        try:
-            event = self._decoder.decode(data)
-        except msgspec.DecodeError:
+        event = decode_json(data, _Event)
+        if isinstance(event, Failure):
             self._count_drop(DropReason.MALFORMED)
             return None
         if event.error is not None:
--- a/dewridge/fleet/orders.py
+++ b/dewridge/fleet/orders.py
@@ -12,6 +12,7 @@
 
 from dewridge.bodies import IDENTITY_HEADERS, read_bounded
 from dewridge.codes import ResultCode
+from dewridge.decoding import MAX_COUNT, Amount, Count, Name, decode_json
 from dewridge.fleet.model import BackendServer
 from dewridge.fleet.refusals import STATUS_OK, read_error_type
 from dewridge.ids import AttemptId
@@ -70,9 +71,9 @@
 class EngineState(msgspec.Struct, frozen=True):
     """State that an engine reports: loaded services, role, latest fencing number."""
 
-    services: tuple[str, ...]
-    role: str
-    fence: int = 0
+    services: tuple[Name, ...]
+    role: Name
+    fence: Count = 0
     leaving: bool = False
 
 
@@ -85,9 +86,9 @@
         running: running requests.
     """
 
-    at: float
-    queued: int
-    running: int
+    at: Amount
+    queued: Count
+    running: Count
 
 
 class _CancelReply(msgspec.Struct):
@@ -95,7 +96,7 @@
 
 
 class _ExportReply(msgspec.Struct):
-    cache_handle: str
+    cache_handle: Name
 
 
 class ControlClient:
@@ -180,11 +181,11 @@
         body = await self._send(method, url, content)
         if isinstance(body, Failure):
             return body
-        try:
-            return msgspec.json.decode(body, type=reply)
-        except msgspec.DecodeError:
+        answer = decode_json(body, reply)
+        if isinstance(answer, Failure):
             reason = "the answer is malformed"
             return Failure(ResultCode.BACKEND_SERVER_FAILED, reason)
+        return answer
 
     async def _send(
         self, method: str, url: str, content: bytes | None
@@ -242,9 +243,10 @@
         entry = await key_value.get(key)
         if isinstance(entry, Failure):
             return entry
-        if entry.value and not entry.value.isdigit():
+        stored = decode_json(entry.value or b"0", int)
+        if isinstance(stored, Failure) or not 0 <= stored < MAX_COUNT:
             return Failure(ResultCode.PLATFORM_MALFORMED, f"{key} is not a number")
-        number = int(entry.value or b"0") + 1
+        number = stored + 1
         written = await key_value.compare_and_swap(
             key, str(number).encode(), entry.revision
         )
--- a/dewridge/fleet/refusals.py
+++ b/dewridge/fleet/refusals.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from dewridge.codes import ResultCode
+from dewridge.decoding import decode_json
 from dewridge.sentinels import Failure
 
 STATUS_OK = 200
@@ -50,7 +51,5 @@
 
 def read_error_type(content: bytes) -> str:
     """Return the error type in an answer's body; empty if there is none."""
-    try:
-        return msgspec.json.decode(content, type=_Body).error.type
-    except msgspec.DecodeError:
-        return ""
+    body = decode_json(content, _Body)
+    return "" if isinstance(body, Failure) else body.error.type
--- a/dewridge/fleet/watcher.py
+++ b/dewridge/fleet/watcher.py
@@ -10,6 +10,7 @@
 import xxhash
 from loguru import logger as log
 
+from dewridge.decoding import Amount, Name, decode_json
 from dewridge.fleet.model import BackendServer, ServerState
 from dewridge.fleet.table import ServerTable
 from dewridge.ids import BackendServerId, HostId
@@ -76,14 +77,14 @@
 class LeavingPayload(msgspec.Struct):
     """Payload of a rumor that a backend server is leaving."""
 
-    at: float | None
-    source: str
+    at: Amount | None
+    source: Name
 
 
 class ReclaimPayload(msgspec.Struct):
     """Payload of a rumor that the cloud reclaims an entry host."""
 
-    at: float
+    at: Amount
 
 
 class ListingPayload(msgspec.Struct):
@@ -261,6 +262,9 @@
         payload = self._decode(rumor, ServerPayload)
         if payload is None:
             return
+        if not payload.listed.has_address:
+            self._metrics.add("fleet_rumors_malformed_total", kind=rumor.kind)
+            return
         if payload.gone:
             self._table.record_gone(payload.listed.backend_server)
         else:
@@ -293,11 +297,11 @@
         self._mismatches = 0 if is_same else self._mismatches + 1
 
     def _decode(self, rumor: Rumor, kind: type[T]) -> T | None:
-        try:
-            return msgspec.json.decode(rumor.payload, type=kind)
-        except msgspec.DecodeError:
+        payload = decode_json(rumor.payload, kind)
+        if isinstance(payload, Failure):
             self._metrics.add("fleet_rumors_malformed_total", kind=rumor.kind)
             return None
+        return payload
 
     def _compute_digest(self) -> int:
         if self._cached_digest is None:
