Take no address, age or time of another host that can't be used

A port of thirty digits raised OverflowError in the task that opens a connection to a member, where only OSError and ValueError count as an unreachable peer. A registered address nested 50,000 levels deep raised RecursionError in a starting host, and hid all others. A rumor whose age or lifetime is NaN is never dropped, and a refusal's `retry_after` could be infinite, which no JSON answer carries.

Registered addresses and the records of members are checked where they are decoded: an odd one is left out alone, and the first of the registered ones logged. So are ages, lifetimes and names of rumors.

--- a/dewridge/membership/messages.py
+++ b/dewridge/membership/messages.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from dewridge.decoding import MAX_COUNT, MAX_NAME, is_address
 from dewridge.ids import FailureDomain, HostId, Incarnation
 from dewridge.membership.model import Member, MemberState, Rumor
 from dewridge.membership.table import MemberTable
@@ -54,12 +55,17 @@
         state = MemberState(record.state)
     except ValueError:  # a state that only newer releases know
         return None
+    failure_domain = record.failure_domain or ""
+    if len(record.host) > MAX_NAME or len(failure_domain) > MAX_NAME:
+        return None
+    addresses = record.address or "", record.frontend_address or ""
+    if not all(not address or is_address(address) for address in addresses):
+        return None
     return Member(
         HostId(record.host),
         Incarnation(record.incarnation),
-        FailureDomain(record.failure_domain or ""),
-        record.address or "",
-        record.frontend_address or "",
+        FailureDomain(failure_domain),
+        *addresses,
         state,
         record.refutation,
     )
@@ -98,6 +104,10 @@
             has_names
             and _all_instances(int, item.version)
             and _all_instances(bytes, item.payload)
+            and max(len(item.kind), len(item.subject)) <= MAX_NAME
+            and _is_time(item.age)
+            and _is_time(item.lifetime)
+            and (item.lifetime is None or item.lifetime >= 0)
         ):
             rumor = Rumor(
                 item.kind,
@@ -157,5 +167,10 @@
     return table.is_newer(claim)
 
 
+def _is_time(seconds: float | None) -> bool:
+    """Whether a time is absent, or a number that ends; a rumor's is added to others."""
+    return seconds is None or seconds <= MAX_COUNT
+
+
 def _all_instances(kind: type, *values: Any) -> bool:
     return all(isinstance(value, kind) for value in values)
--- a/dewridge/membership/registration.py
+++ b/dewridge/membership/registration.py
@@ -2,7 +2,10 @@
 
 import msgspec
 import trio
+from loguru import logger as log
 
+from dewridge.codes import ResultCode
+from dewridge.decoding import MAX_NAME, Name, decode_json, is_address
 from dewridge.membership.model import Member
 from dewridge.providers.model import Entry, KeyValue
 from dewridge.sentinels import Failure
@@ -19,8 +22,8 @@
 class Address(msgspec.Struct, frozen=True):
     """An entry host's peer address, as stored in the key-value service."""
 
-    host: str
-    address: str
+    host: Name
+    address: Name
 
 
 class Registration:
@@ -41,6 +44,7 @@
         self._prefix = f"{prefix}hosts/"
         self._seeds = seeds
         self._local_member = local_member
+        self._has_logged = False
 
     @property
     def _key(self) -> str:
@@ -77,11 +81,28 @@
         entries = await self._key_value.list_entries(self._prefix)
         if not isinstance(entries, Failure):
             for entry in entries:
-                try:
-                    address = msgspec.json.decode(entry.value, type=Address)
-                except msgspec.DecodeError:
+                address = decode_address(entry.value)
+                if isinstance(address, Failure):
+                    self._log_once(entry, address)
                     continue
                 seeds.append(address.address)
         return [
             seed for seed in dict.fromkeys(seeds) if seed != self._local_member.address
         ]
+
+    def _log_once(self, entry: Entry, failure: Failure) -> None:
+        """Log the first entry that can't be read; a starting host reads them often."""
+        if not self._has_logged:
+            self._has_logged = True
+            log.bind(key=entry.key[:MAX_NAME], reason=failure.reason).warning(
+                "a host's registered address can't be read"
+            )
+
+
+def decode_address(value: bytes) -> Address | Failure:
+    """Decode a registered address, which hosts connect to."""
+    address = decode_json(value, Address)
+    if not isinstance(address, Failure) and not is_address(address.address):
+        reason = "`address` is not an IP number and port"
+        return Failure(ResultCode.PLATFORM_MALFORMED, reason)
+    return address
--- a/dewridge/peers/refusals.py
+++ b/dewridge/peers/refusals.py
@@ -1,6 +1,7 @@
 """Conversion between failures and the Refusal messages that carry them."""
 
 from dewridge.codes import ResultCode
+from dewridge.decoding import MAX_COUNT, MAX_NAME
 from dewridge.peers.model import Message
 from dewridge.peers.wire import ttypes
 from dewridge.sentinels import Failure
@@ -24,7 +25,10 @@
         code = ResultCode(refusal.code)
     except ValueError:  # a code that only newer releases know
         code = ResultCode.PEER_REFUSED
-    return Failure(code, refusal.reason or "", refusal.retry_after)
+    seconds = refusal.retry_after
+    if seconds is not None and not 0 <= seconds <= MAX_COUNT:
+        seconds = None
+    return Failure(code, (refusal.reason or "")[:MAX_NAME], seconds)
 
 
 def read_reply(message: Message | None) -> Message | Failure:
--- a/dewridge/peers/transport.py
+++ b/dewridge/peers/transport.py
@@ -8,6 +8,7 @@
 from loguru import logger as log
 
 from dewridge.codes import ResultCode
+from dewridge.decoding import is_address
 from dewridge.http1.sockets import limit_receive_buffers
 from dewridge.metrics.registry import Metrics
 from dewridge.peers.connection import Connection
@@ -292,5 +293,7 @@
 
 
 async def _open_stream(address: str) -> trio.SocketStream:
+    if not is_address(address):
+        raise ValueError("not an IP number and port")
     host, _, port = address.rpartition(":")
     return await trio.open_tcp_stream(host, int(port))
