Decode claims, rumors and the configuration with the common decoder

A bucket nested too deeply raised RecursionError in the committer, whose task then made no more claims, and so did a configuration object nested too deeply in the task that applies a revision, which kept the host from all other objects. Revisions had no bound: one above 2**64 can't be encoded in the rumor that confirms it.

A bucket is refused as a whole if one of its claims can't be read. Left out, the claim would make its request look unclaimed.

--- a/dewridge/configuration/head.py
+++ b/dewridge/configuration/head.py
@@ -11,6 +11,7 @@
 
 from dewridge.codes import ResultCode
 from dewridge.configuration.model import Configuration, Profile, Service
+from dewridge.decoding import Count, Name, convert, decode_json
 from dewridge.sentinels import Failure
 
 FORMAT = 1
@@ -30,8 +31,8 @@
 class ObjectLocation(msgspec.Struct, frozen=True):
     """Key of an object's bytes, and the configuration revision that wrote them."""
 
-    revision: int
-    key: str
+    revision: Count
+    key: Name
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -44,10 +45,10 @@
         operator: who made the change.
     """
 
-    revision: int
-    name: str
-    mark: str
-    operator: str
+    revision: Count
+    name: Name
+    mark: Name
+    operator: Name
 
 
 class Head(msgspec.Struct, frozen=True):
@@ -60,9 +61,9 @@
         recent: latest changes, oldest first.
     """
 
-    format: int = FORMAT
-    revision: int = 0
-    objects: dict[str, ObjectLocation] = {}
+    format: Count = FORMAT
+    revision: Count = 0
+    objects: dict[Name, ObjectLocation] = {}
     recent: tuple[Change, ...] = ()
 
 
@@ -78,10 +79,9 @@
     """Decode a head; empty bytes are the head before the first change."""
     if not value:
         return Head()
-    try:
-        head = msgspec.json.decode(value, type=Head)
-    except msgspec.DecodeError as error:
-        return Failure(ResultCode.PLATFORM_MALFORMED, f"configuration head: {error}")
+    head = decode_json(value, Head)
+    if isinstance(head, Failure):
+        return Failure(head.code, f"configuration head: {head.reason}")
     if head.format > FORMAT:
         return Failure(
             ResultCode.PLATFORM_MALFORMED,
@@ -114,15 +114,14 @@
     A newer release may have published the object during a rolling upgrade. With
     strict decoding, this release would drop the whole object and stop serving it.
     """
-    try:
-        return msgspec.json.decode(value, type=kind)
-    except msgspec.DecodeError:
-        pass
-    try:
-        decoded = msgspec.json.decode(value)
-        return msgspec.convert(_select_known_fields(decoded, kind), kind)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        return Failure(ResultCode.MALFORMED_PROFILE, str(error))
+    code = ResultCode.MALFORMED_PROFILE
+    strict = decode_json(value, kind, code)
+    if not isinstance(strict, Failure):
+        return strict
+    decoded = decode_json(value, object, code)
+    if isinstance(decoded, Failure):
+        return decoded
+    return convert(_select_known_fields(decoded, kind), kind, code)
 
 
 def _select_known_fields(decoded: object, kind: type) -> object:
--- a/dewridge/configuration/model.py
+++ b/dewridge/configuration/model.py
@@ -1,17 +1,21 @@
 """Profiles and services, as published by operators."""
 
-from typing import Literal
+from typing import Annotated, Literal
 
 import msgspec
 
+from dewridge.decoding import MAX_COUNT, Name
 from dewridge.ids import OperationName, ProfileName, ServiceName
 
+Number = Annotated[float, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
+"""A number to calculate with; the checks of a change name those of a wrong sign."""
+
 
 class PolicyChoice(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A policy by its registered name, with its parameters."""
 
-    name: str
-    parameters: dict[str, float] = {}
+    name: Name
+    parameters: dict[Name, Number] = {}
 
 
 class LatencyTargets(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -23,9 +27,9 @@
         whole_answer: from acceptance to the last token of an interactive answer.
     """
 
-    first_token: float = 0.41
-    between_tokens: float = 0.041
-    whole_answer: float = 2.0
+    first_token: Number = 0.41
+    between_tokens: Number = 0.041
+    whole_answer: Number = 2.0
 
 
 class CostLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -36,8 +40,8 @@
         per_answer: cost of one answer.
     """
 
-    per_hour: float = 0.0
-    per_answer: float = 0.0
+    per_hour: Number = 0.0
+    per_answer: Number = 0.0
 
 
 class Profile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -65,7 +69,7 @@
     name: OperationName
     work_class: Literal["interactive", "background"] = "interactive"
     idempotent: bool = True
-    expected_tokens: int = 1
+    expected_tokens: Annotated[int, msgspec.Meta(le=MAX_COUNT)] = 1
 
 
 class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -79,7 +83,7 @@
     kind: Literal["model", "plain"]
     profile: ProfileName
     operations: tuple[Operation, ...]
-    shares: dict[str, float] = {}
+    shares: dict[Name, Number] = {}
 
 
 class Configuration(msgspec.Struct, frozen=True):
--- a/dewridge/configuration/service.py
+++ b/dewridge/configuration/service.py
@@ -24,6 +24,7 @@
     ProposedChange,
     VersionedHead,
 )
+from dewridge.decoding import Name, decode_json
 from dewridge.ids import OperatorName, ProfileName, ServiceName
 from dewridge.membership.model import MembershipView, MemberState, Rumor, Rumors
 from dewridge.membership.ranking import has_duty
@@ -66,7 +67,7 @@
 
 
 class _Origin(msgspec.Struct, frozen=True):
-    address: str
+    address: Name
 
 
 class ConfigurationService:
@@ -320,11 +321,11 @@
         if rumor.version <= self._announced_revision:
             return
         self._announced_revision = rumor.version
-        try:
-            origin = msgspec.json.decode(rumor.payload, type=_Origin)
-            self._origin = origin.address
-        except msgspec.DecodeError:
+        origin = decode_json(rumor.payload, _Origin)
+        if isinstance(origin, Failure):
             self._metrics.add("configuration_rumors_malformed")
+        else:
+            self._origin = origin.address
         self._has_announcement.set()
 
     def _receive_confirmation(self, rumor: Rumor) -> None:
--- a/dewridge/requests/claims.py
+++ b/dewridge/requests/claims.py
@@ -11,9 +11,11 @@
 import msgspec
 import xxhash
 
+from dewridge.decoding import Count, Name, decode_msgpack
 from dewridge.ids import HostId, Incarnation, RequestId
 from dewridge.requests.keys import read_request_time
 from dewridge.requests.records import Ballot
+from dewridge.sentinels import Failure
 
 MAX_BUCKET_BYTES = 900_000
 """Size limit of a bucket's value. The key-value service accepts a megabyte; a write
@@ -31,11 +33,11 @@
             although no host uses it.
     """
 
-    host: str
-    incarnation: int
-    epoch: int
+    host: Name
+    incarnation: Count
+    epoch: Count
     released: bool = False
-    voided: tuple[tuple[str, int, int], ...] = ()
+    voided: tuple[tuple[Name, Count, Count], ...] = ()
 
     @property
     def ballot(self) -> Ballot:
@@ -77,15 +79,13 @@
     return f"{find_window(request, window)}/{index}"
 
 
-def decode_bucket(value: bytes) -> BucketValue:
+def decode_bucket(value: bytes) -> BucketValue | Failure:
     """Decode a bucket's value; empty bytes are an empty bucket.
 
-    Raises:
-        msgspec.DecodeError: the bytes are not the value of a bucket.
+    A claim that can't be read makes the whole bucket one that can't: without it, the
+    request would look unclaimed, and could be run a second time.
     """
-    if not value:
-        return BucketValue()
-    return msgspec.msgpack.decode(value, type=BucketValue)
+    return decode_msgpack(value, BucketValue) if value else BucketValue()
 
 
 def encode_bucket(bucket: BucketValue) -> bytes:
--- a/dewridge/requests/committer.py
+++ b/dewridge/requests/committer.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass, field
 
-import msgspec
 import trio
 from loguru import logger as log
 
@@ -172,10 +171,9 @@
         entry = await self._read(bucket)
         if entry is None:
             return None
-        try:
-            value = decode_bucket(entry.value)
-        except msgspec.DecodeError:
-            log.error("claims bucket {} is malformed", bucket)
+        value = decode_bucket(entry.value)
+        if isinstance(value, Failure):
+            log.error("claims bucket {} is malformed: {}", bucket, value.reason)
             return Failure(ResultCode.CLAIM_UNAVAILABLE, "the bucket is malformed")
         merged, grants = apply_intents(value, intents)
         if merged.claims == value.claims:
--- a/dewridge/requests/suspects.py
+++ b/dewridge/requests/suspects.py
@@ -2,12 +2,14 @@
 
 import random
 from collections.abc import Awaitable, Callable
+from typing import Annotated
 
 import msgspec
 import trio
 from loguru import logger as log
 
 from dewridge.codes import ResultCode
+from dewridge.decoding import MAX_NAME, Amount, decode_json
 from dewridge.digests import compute_content_digest
 from dewridge.fleet.model import BackendServer, ServerState
 from dewridge.ids import (
@@ -32,6 +34,7 @@
 from dewridge.requests.stopping import Attempt
 from dewridge.sentinels import Failure
 
+NAME_LENGTH = msgspec.Meta(max_length=MAX_NAME)
 KIND_CRASH = "server_ended"
 MAX_PROBED_SERVERS = 16
 """Other servers that are probed after a server seems to have crashed."""
@@ -49,10 +52,10 @@
         sent_at: when the request had been sent to the server.
     """
 
-    account: ClientAccount
-    service: ServiceName
-    at: float
-    sent_at: float
+    account: Annotated[ClientAccount, NAME_LENGTH]
+    service: Annotated[ServiceName, NAME_LENGTH]
+    at: Amount
+    sent_at: Amount
 
 
 class SuspectRequests:
@@ -197,10 +200,9 @@
         )
 
     def _receive_rumor(self, rumor: Rumor) -> None:
-        try:
-            payload = msgspec.json.decode(rumor.payload, type=CrashPayload)
-        except msgspec.DecodeError as error:
-            log.bind(subject=rumor.subject, reason=str(error)).warning(
+        payload = decode_json(rumor.payload, CrashPayload)
+        if isinstance(payload, Failure):
+            log.bind(subject=rumor.subject, reason=payload.reason).warning(
                 "undecodable rumor of a server crash"
             )
             return
--- a/dewridge/slopes/tables.py
+++ b/dewridge/slopes/tables.py
@@ -48,6 +48,7 @@
     encode_bucket,
 )
 from dewridge.requests.records import Ballot, Record, make_generation
+from dewridge.sentinels import Failure
 
 RUNS = 3
 INPUT_BYTES = 1_000
@@ -158,7 +159,9 @@
     value = encode_bucket(bucket)
     new_claims = [make_intent() for _ in range(10)]
     started = time.process_time()
-    merged, _ = apply_intents(decode_bucket(value), new_claims)
+    decoded = decode_bucket(value)
+    assert not isinstance(decoded, Failure)
+    merged, _ = apply_intents(decoded, new_claims)
     encoded = encode_bucket(merged)
     return encoded, time.process_time() - started
 
