Decode the answers of hosts and bodies of callers with the common decoder

An entry list, a document for an operator or a plain service's result nested too deeply raised RecursionError, or DecodeError for a result with half a surrogate pair, in the program that uses the client. An entry list, or the event that an answer has moved, could name an address that the HTTP library takes for no URL, which raises InvalidURL. A time to live of 1e308 s kept a client from reading the list again.

Such addresses are left out, times are bounded, and a list is read again after an hour at most. A result that can't be decoded is returned as its text, since the call has run.

--- a/dewridge/client/addresses.py
+++ b/dewridge/client/addresses.py
@@ -13,6 +13,8 @@
 """Seconds for which a failed address is ordered last. Longer than a host restart,
 shorter than the lifetime of an entry list."""
 
+MAX_REFRESH_INTERVAL = 3_600.0
+"""Maximum seconds for which an entry list is used, whatever time to live it states."""
 MIN_REFRESH_INTERVAL = 1.0
 """Minimum seconds between two fetches of the entry list. When a host crashes, all
 of its streams fail at the same moment; one fetch serves all of them."""
@@ -68,9 +70,8 @@
             self._refreshed_at = trio.current_time()
             if not isinstance(listed, Failure):
                 self._listed = [host.address for host in listed.hosts]
-                self._expires_at = self._refreshed_at + max(
-                    MIN_REFRESH_INTERVAL, listed.ttl
-                )
+                ttl = min(MAX_REFRESH_INTERVAL, listed.ttl)
+                self._expires_at = self._refreshed_at + max(MIN_REFRESH_INTERVAL, ttl)
                 return
             self._avoid_until[address] = self._refreshed_at + AVOID_TIME
         self._expires_at = self._refreshed_at + MIN_REFRESH_INTERVAL
--- a/dewridge/client/client.py
+++ b/dewridge/client/client.py
@@ -19,6 +19,7 @@
     FrameError,
     ListedHosts,
     StreamItem,
+    decode_entry_list,
     decode_problem,
     decode_result,
     read_events,
@@ -26,6 +27,7 @@
 from dewridge.client.model import Answer, Call, ClientLimits, OnEvent
 from dewridge.client.progress import Progress, Step
 from dewridge.codes import ResultCode
+from dewridge.decoding import decode_json
 from dewridge.ids import Generation, RequestKey
 from dewridge.requests.model import AnswerSummary, MovedEvent, TokensEvent
 from dewridge.sentinels import Failure
@@ -340,16 +342,22 @@
         return result
 
     async def _call_request(self, method: str, address: str, key: str) -> Any | Failure:
-        return await self._fetch(method, address, f"/v1/requests/{key}", Any)
+        path = f"/v1/requests/{key}"
+        content = await self._fetch(method, address, path)
+        if isinstance(content, Failure):
+            return content
+        return _name_address(address, decode_json(content, object, ResultCode.INTERNAL))
 
     async def _fetch_entry_list(self, address: str) -> ListedHosts | Failure:
-        entry_list = await self._fetch("GET", address, "/v1/entry-hosts", ListedHosts)
+        content = await self._fetch("GET", address, "/v1/entry-hosts")
+        if isinstance(content, Failure):
+            return content
+        entry_list = _name_address(address, decode_entry_list(content))
         assert isinstance(entry_list, ListedHosts | Failure)
         return entry_list
 
-    async def _fetch(
-        self, method: str, address: str, path: str, response_type: Any
-    ) -> Any | Failure:
+    async def _fetch(self, method: str, address: str, path: str) -> bytes | Failure:
+        """Return the body of a successful answer."""
         content: bytes | None = None
         try:
             async with self._http.stream(
@@ -368,10 +376,14 @@
             header = response.headers.get("Retry-After")
             status = response.status_code
             return decode_problem(content, status, header).failure
-        try:
-            return msgspec.json.decode(content, type=response_type)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            return Failure(ResultCode.INTERNAL, f"{address}: {error}")
+        return content
+
+
+def _name_address(address: str, result: Any | Failure) -> Any | Failure:
+    """Return a result; a failure to decode it names the host that sent it."""
+    if isinstance(result, Failure):
+        return Failure(result.code, f"{address}: {result.reason}")
+    return result
 
 
 def _is_unreachable(result: Any) -> bool:
--- a/dewridge/client/frames.py
+++ b/dewridge/client/frames.py
@@ -8,6 +8,7 @@
 
 from dewridge.bodies import split_lines
 from dewridge.codes import Outcome, ResultCode
+from dewridge.decoding import Amount, Count, Name, decode_json, is_address
 from dewridge.ids import Generation
 from dewridge.requests.model import (
     AnswerEvent,
@@ -46,14 +47,14 @@
 class _Frame(msgspec.Struct, frozen=True):
     """Union of the fields of all events."""
 
-    generation: int = 0
-    offset: int = 0
+    generation: Count = 0
+    offset: Count = 0
     tokens: tuple[str, ...] = ()
     attached: bool = False
     addresses: tuple[str, ...] = ()
     code: int = 0
     reason: str = ""
-    retry_after: float | None = None
+    retry_after: Amount | None = None
     result: msgspec.Raw = msgspec.Raw(b"")
     summary: AnswerSummary | None = None
 
@@ -63,14 +64,14 @@
     title: str = ""
     detail: str = ""
     outcome: str = ""
-    retry_after: float | None = None
+    retry_after: Amount | None = None
 
 
 class ListedHost(msgspec.Struct, frozen=True):
     """One address of the entry list."""
 
-    address: str
-    failure_domain: str = ""
+    address: Name
+    failure_domain: Name = ""
 
 
 class ListedHosts(msgspec.Struct, frozen=True):
@@ -80,6 +81,11 @@
     ttl: float
 
 
+class _ListedHosts(msgspec.Struct, frozen=True):
+    hosts: tuple[msgspec.Raw, ...]
+    ttl: Amount
+
+
 async def read_events(
     chunks: AsyncIterator[bytes],
 ) -> AsyncGenerator[StreamItem, None]:
@@ -102,10 +108,9 @@
 
 
 def _decode_event(name: str, data: str) -> StreamItem | None:
-    try:
-        frame = msgspec.json.decode(data, type=_Frame)
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise FrameError(str(error)) from error
+    frame = decode_json(data.encode(), _Frame)
+    if isinstance(frame, Failure):
+        raise FrameError(frame.reason)
     build = _EVENT_BUILDERS.get(name)
     return build(frame) if build else None  # ignores events of newer releases
 
@@ -124,7 +129,7 @@
     "accepted": lambda f: AcceptedEvent(Generation(f.generation), f.attached),
     "tokens": lambda f: TokensEvent(Generation(f.generation), f.offset, f.tokens),
     "restart": lambda f: RestartEvent(Generation(f.generation)),
-    "moved": lambda f: MovedEvent(f.addresses),
+    "moved": lambda f: MovedEvent(tuple(filter(is_address, f.addresses))),
     "heartbeat": lambda f: HeartbeatEvent(),
     "end": _build_end,
 }
@@ -154,9 +159,8 @@
 
 def decode_problem(content: bytes, status: int, header: str | None) -> Rejection:
     """Decode an error response; INTERNAL if it is not a problem document."""
-    try:
-        problem = msgspec.json.decode(content, type=_Problem)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+    problem = decode_json(content, _Problem)
+    if isinstance(problem, Failure):
         reason = f"the host answered {status} without a problem document"
         failure = Failure(ResultCode.INTERNAL, reason, _parse_retry_after(header))
         return Rejection(failure, False)
@@ -175,5 +179,28 @@
 
 
 def decode_result(body: str) -> Any:
-    """Decode the JSON answer of a plain service; None if it is empty."""
-    return msgspec.json.decode(body) if body else None
+    """Decode the JSON answer of a plain service; None if it is empty.
+
+    The text itself stands for a result that can't be decoded, such as one nested more
+    deeply than the decoder goes: the call has run, and its caller may parse it.
+    """
+    if not body:
+        return None
+    result = decode_json(body.encode(errors="replace"), object)
+    return body if isinstance(result, Failure) else result
+
+
+def decode_entry_list(content: bytes) -> ListedHosts | Failure:
+    """Decode an entry list, without the hosts whose address can't be used."""
+    listed = decode_json(content, _ListedHosts, ResultCode.INTERNAL)
+    if isinstance(listed, Failure):
+        return listed
+    hosts = [decode_json(host, ListedHost) for host in listed.hosts]
+    usable = [
+        host
+        for host in hosts
+        if not isinstance(host, Failure) and is_address(host.address)
+    ]
+    if hosts and not usable:
+        return Failure(ResultCode.INTERNAL, "the entry list has no usable address")
+    return ListedHosts(tuple(usable), listed.ttl)
--- a/dewridge/client/operators.py
+++ b/dewridge/client/operators.py
@@ -13,6 +13,7 @@
 from dewridge.bodies import IDENTITY_HEADERS, read_bounded
 from dewridge.client.frames import decode_problem
 from dewridge.codes import ResultCode
+from dewridge.decoding import decode_json
 from dewridge.sentinels import Failure
 
 CONNECT_TIMEOUT = 1.0
@@ -151,10 +152,10 @@
     if not answer.head.is_success:
         header = answer.head.headers.get("Retry-After")
         return decode_problem(answer.body, answer.head.status_code, header).failure
-    try:
-        return msgspec.json.decode(answer.body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Failure(ResultCode.INTERNAL, f"the answer is malformed: {error}")
+    result = decode_json(answer.body, object, ResultCode.INTERNAL)
+    if isinstance(result, Failure):
+        return Failure(result.code, f"the answer is malformed: {result.reason}")
+    return result
 
 
 def _describe_unreachable(address: str, error: Exception) -> Failure:
--- a/dewridge/frontend/bodies.py
+++ b/dewridge/frontend/bodies.py
@@ -7,6 +7,7 @@
 
 from dewridge.codes import ResultCode
 from dewridge.configuration.model import Service
+from dewridge.decoding import decode_json
 from dewridge.frontend.keys import parse_key
 from dewridge.ids import (
     ClientAccount,
@@ -22,7 +23,6 @@
 """Largest integer that messages between hosts can carry."""
 MAX_REQUESTED_TOKENS = 1_000_000
 MAX_NAME_CHARS = 128
-MAX_REASON_CHARS = 300
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT32)]
 T = TypeVar("T")
@@ -54,12 +54,7 @@
     body: bytes, body_type: type[T], code: ResultCode = ResultCode.MALFORMED_REQUEST
 ) -> T | Failure:
     """Decode a JSON body; a failure names the location, never the content."""
-    try:
-        return msgspec.json.decode(body, type=body_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Failure(code, str(error)[:MAX_REASON_CHARS])
-    except RecursionError:
-        return Failure(code, "nested too deeply")
+    return decode_json(body, body_type, code)
 
 
 def parse_count(text: str | None, name: str) -> int | Failure:
--- a/dewridge/frontend/events.py
+++ b/dewridge/frontend/events.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from dewridge.codes import CODE_TABLE, ResultCode
+from dewridge.decoding import decode_json
 from dewridge.requests.model import (
     Accepted,
     AnswerEvent,
@@ -16,6 +17,7 @@
     RestartEvent,
     TokensEvent,
 )
+from dewridge.sentinels import Failure
 
 
 class AcceptedFrame(msgspec.Struct, frozen=True):
@@ -137,9 +139,7 @@
     if not body:
         return None
     raw = body.encode(errors="replace")
-    try:
-        msgspec.json.decode(raw)
-    except (msgspec.DecodeError, RecursionError):
+    if isinstance(decode_json(raw, object), Failure):
         raw = msgspec.json.encode(body)
     return msgspec.Raw(raw)
 
