Take a host that started again for a failed one when a key is refused

A refusal promises "not run" if every host that may know the key says that it does not. A host that had started again under its name within the suspicion time counted as one that knows, although it has forgotten all requests; so did one whose new process refuted a suspicion. And only the first failure of a host was remembered: a later one, of a process that had accepted newer keys, was not. Failures are now kept for each process of a host, and a new process is the evidence that the one before has ended.

Four of the six tests fail on the code before; a host that had left first still leaves nothing uncertain.

--- a/dewridge/requests/refusals.py
+++ b/dewridge/requests/refusals.py
@@ -12,7 +12,7 @@
 import trio
 
 from dewridge.codes import ResultCode
-from dewridge.ids import HostId, RequestId
+from dewridge.ids import HostId, Incarnation, RequestId
 from dewridge.membership.model import Member, MemberState
 from dewridge.membership.ranking import make_preference_list
 from dewridge.peers.wire import ttypes as wire
@@ -32,23 +32,39 @@
 
 
 class MemberFailureLog:
-    """Records when members failed without announcing that they leave."""
+    """Records when processes of members failed without announcing that they leave.
+
+    A member that starts again has none of the requests of its earlier process. That it
+    does not know a key, or refutes a suspicion, says nothing about that process, whose
+    failure may have been too short for others to notice.
+    """
 
     def __init__(self, shared: Shared) -> None:
         self._shared = shared
-        self._failed_at: dict[HostId, float] = {}
-        self._leaving: set[HostId] = set()
+        self._failed_at: dict[tuple[HostId, Incarnation], float] = {}
+        self._leaving: set[tuple[HostId, Incarnation]] = set()
+        self._newest: dict[HostId, Incarnation] = {}
         shared.membership.subscribe(self._handle_member_change)
 
     def _handle_member_change(self, member: Member) -> None:
+        process = member.host, member.incarnation
+        newest = self._newest.setdefault(member.host, member.incarnation)
+        if newest < member.incarnation:
+            self._newest[member.host] = member.incarnation
+            self._record_failure((member.host, newest))
+            self._leaving.discard((member.host, newest))
         if member.state is MemberState.LEAVING:
-            self._leaving.add(member.host)
+            self._leaving.add(process)
         elif member.state is MemberState.ALIVE:
-            self._leaving.discard(member.host)
-            if member.host in self._failed_at and member.refutation:
-                del self._failed_at[member.host]
-        elif member.host not in self._leaving:
-            self._failed_at.setdefault(member.host, self._shared.clock())
+            self._leaving.discard(process)
+            if member.refutation:
+                self._failed_at.pop(process, None)
+        else:
+            self._record_failure(process)
+
+    def _record_failure(self, process: tuple[HostId, Incarnation]) -> None:
+        if process not in self._leaving:
+            self._failed_at.setdefault(process, self._shared.clock())
 
     def is_uncertain(self, request: RequestId) -> bool:
         """Whether a failed host may be the only one that knows a request.
@@ -59,11 +75,13 @@
         """
         now = self._shared.clock()
         limit = now - self._shared.settings.retention
-        self._failed_at = {h: at for h, at in self._failed_at.items() if at > limit}
+        self._failed_at = {p: at for p, at in self._failed_at.items() if at > limit}
         key_time = read_request_time(request)
-        failed_hosts = [
-            h for h, at in self._failed_at.items() if at > key_time - PARTITION_MARGIN
-        ]
+        failed_hosts = {
+            host
+            for (host, _), at in self._failed_at.items()
+            if at > key_time - PARTITION_MARGIN
+        }
         if not failed_hosts:
             return False
         members = {m.host: m for m in self._shared.membership.members()}
