Take no engine's "unknown" for proof that a call has stopped

A call that must run once at most was sent to another engine if its own one, asked to cancel it after the connection had broken, replied that it knows no such attempt. An engine that has started again replies that about every attempt, also one that ran to its end, and so does one whose list of past attempts is full. The call now ends with an unknown outcome; only the replies "cancelled" and "aborted", which an engine gives about attempts that it knows, let it go on elsewhere. A call whose order was lost before it arrived ends as unknown too, as no reply tells the two apart.

The test fails on the code before: the certificate was drafted twice.

--- a/dewridge/fleet/orders.py
+++ b/dewridge/fleet/orders.py
@@ -43,7 +43,8 @@
     DONE = "done"
     """The attempt had ended with a complete answer."""
     UNKNOWN = "unknown"
-    """The engine has not received the attempt and rejects it if it arrives later."""
+    """The engine knows no such attempt, and rejects it if it arrives later. Its process
+    may have started again since it ran the attempt."""
 
 
 class OrderKind(Enum):
@@ -114,8 +115,8 @@
     ) -> Cancellation | Failure:
         """Cancel an attempt.
 
-        Every reply but DONE proves that the attempt is not running and gives no
-        answer. After a failure it may still be running.
+        CANCELLED and ABORTED prove that the attempt is not running and gives no answer.
+        After UNKNOWN it may have given one; after a failure it may still be running.
         """
         path = f"/v1/attempts/{quote(attempt)}/cancel"
         answer = await self._call(server, "cancel", "POST", path, reply=_CancelReply)
--- a/dewridge/requests/stopping.py
+++ b/dewridge/requests/stopping.py
@@ -21,6 +21,12 @@
 5 s of notice, within which the request must also start on another server."""
 
 
+CONFIRMED_STOPS = (Cancellation.CANCELLED, Cancellation.ABORTED)
+"""Replies by which an engine shows that it knows the attempt, and that it stopped. One
+that has started again, or has forgotten the attempt, replies UNKNOWN although the
+attempt may have run to its end."""
+
+
 class EngineOrders(Protocol):
     """Calls to engines that control attempts: cancellation and cache export."""
 
@@ -29,8 +35,8 @@
     ) -> Cancellation | Failure:
         """Cancel an attempt.
 
-        A Cancellation other than DONE proves that the attempt has ended, or that its
-        order will be rejected if it still arrives. A Failure proves neither.
+        CANCELLED and ABORTED prove that the attempt has ended without a complete
+        answer. UNKNOWN, DONE and a Failure don't.
         """
 
     async def export_cache(
@@ -129,7 +135,7 @@
         reply: Cancellation | Failure | None = None
         with trio.move_on_after(STOP_TIMEOUT):
             reply = await orders.cancel(server, attempt)
-        is_stopped = isinstance(reply, Cancellation) and reply is not Cancellation.DONE
+        is_stopped = reply in CONFIRMED_STOPS
         self._shared.metrics.add("attempts_stopped", confirmed=str(is_stopped).lower())
         stop_confirmed.fulfil(is_stopped)
 
--- a/dewridge/tests/requests/fakes.py
+++ b/dewridge/tests/requests/fakes.py
@@ -336,6 +336,7 @@
         complete_answers: all answers computed to the end, by key.
         confirms: whether engines answer to cancellations.
         loses_confirmations: whether engines cancel, and their answers are lost.
+        forgets_attempts: whether engines know no attempt, as after a restart.
         crashing_inputs: inputs that crash the backend server that gets them.
         crashed_servers: backend servers that have crashed.
     """
@@ -353,6 +354,7 @@
         self.complete_answers: dict[RequestKey, list[list[str]]] = {}
         self.confirms = True
         self.loses_confirmations = False
+        self.forgets_attempts = False
         self.cancelled_attempts: set[AttemptId] = set()
         self.finished_attempts: set[AttemptId] = set()
         self.crashing_inputs: set[str] = set()
@@ -428,6 +430,8 @@
         await trio.sleep(0.002)
         if not self.confirms:
             return Failure(ResultCode.BACKEND_SERVER_SILENT)
+        if self.forgets_attempts:
+            return Cancellation.UNKNOWN
         if attempt in self.finished_attempts:
             return Cancellation.DONE
         self.cancelled_attempts.add(attempt)
--- a/dewridge/tests/requests/unknownoutcomes_tests.py
+++ b/dewridge/tests/requests/unknownoutcomes_tests.py
@@ -40,6 +40,20 @@
     run_cluster(scenario)
 
 
+def test_certificate_that_an_engine_has_forgotten_is_not_sent_again() -> None:
+    """Guards against "unknown" of a restarted engine as proof of "not run"."""
+
+    async def scenario(cluster: Cluster) -> None:
+        cluster.workers.forgets_attempts = True
+        cluster.workers.interruptions = 1
+        key = await submit(cluster, "host-0", "draft_certificate")
+        ended = await read_end(cluster, "host-1", key)
+        assert cluster.workers.count(key) == 1
+        assert ended.code is ResultCode.OUTCOME_UNKNOWN
+
+    run_cluster(scenario)
+
+
 def lose_replies(cluster: Cluster, hosts: list[str]) -> list[str]:
     """Lose replies of hosts to host-0; return the list of those it offers requests."""
     offered: list[str] = []
