Take no record that can't be read for proof that its server is gone

A server whose record in the host list could not be read, such as one of a state that only a newer platform knows, was left out of the list, and removed from use on all hosts after five seconds like one that is not listed. The ids of such records are now read by themselves, and their servers stay as they were. A record without a readable id still counts for no server.

The watcher's test fails on the code before; the 16 of the adapter need its new attribute.

--- a/dewridge/fleet/watcher.py
+++ b/dewridge/fleet/watcher.py
@@ -184,7 +184,8 @@
         # would reject every request; failed attempts soon show which servers are
         # down.
         if listing:
-            self._spread_absent({listed.backend_server for listed in listing})
+            present = {listed.backend_server for listed in listing}
+            self._spread_absent(present | self._host_list.unreadable)
         self._last_listing_at = self._clock()
         if self._polls % HEARTBEAT_PERIODS == 1:
             self._spread_heartbeat()
--- a/dewridge/providers/listings.py
+++ b/dewridge/providers/listings.py
@@ -12,6 +12,9 @@
 from dewridge.sentinels import Failure
 
 Record = TypeVar("Record")
+RawRecord = tuple[bytes, Failure | None]
+"""The JSON of a record, and why it can't be decoded as it is. Text in it that is not
+valid Unicode is replaced in the latter case."""
 
 
 def accept_all(record: object) -> bool:
@@ -19,12 +22,17 @@
     return True
 
 
+def ignore(record: bytes) -> None:
+    """Do nothing about a record that is left out."""
+
+
 def decode_listing(
     content: bytes,
     member: str,
     kind: type[Record],
     channel: Channel,
     is_sound: Callable[[Record], bool] = accept_all,
+    on_skipped: Callable[[bytes], None] = ignore,
 ) -> list[Record] | Failure:
     """Decode a listing, without the records that cannot be decoded.
 
@@ -37,6 +45,7 @@
         kind: the type of a record.
         channel: counts the records left out, and logs the first.
         is_sound: whether a record of that type can be used.
+        on_skipped: called with each record left out.
 
     Returns:
         The records, or a failure if there is no listing, or no record that is sound.
@@ -46,13 +55,14 @@
         return records
     decoded: list[Record] = []
     failures: list[Failure] = []
-    for record in records:
-        value = record if isinstance(record, Failure) else decode_json(record, kind)
+    for raw, failure in records:
+        value = decode_json(raw, kind) if failure is None else failure
+        if not isinstance(value, Failure) and not is_sound(value):
+            reason = "a member has no usable value"
+            value = Failure(ResultCode.PLATFORM_MALFORMED, reason)
         if isinstance(value, Failure):
             failures.append(value)
-        elif not is_sound(value):
-            reason = "a member has no usable value"
-            failures.append(Failure(ResultCode.PLATFORM_MALFORMED, reason))
+            on_skipped(raw)
         else:
             decoded.append(value)
     channel.record_skipped(failures)
@@ -61,12 +71,14 @@
     return decoded
 
 
-def split_listing(content: bytes, member: str) -> list[bytes | Failure] | Failure:
-    """Return the bytes of each record of a listing."""
+def split_listing(content: bytes, member: str) -> list[RawRecord] | Failure:
+    """Return the records of a listing."""
     listing = decode_json(content, dict[str, msgspec.Raw])
     if not isinstance(listing, Failure) and member in listing:
         records = decode_json(listing[member], list[msgspec.Raw])
-        return records if isinstance(records, Failure) else [*map(bytes, records)]
+        if isinstance(records, Failure):
+            return records
+        return [(bytes(record), None) for record in records]
     # The decoder takes no document in which a single text is not valid Unicode, such
     # as one half of a surrogate pair. The standard library's reads it.
     try:
@@ -80,9 +92,11 @@
     return [encode_record(record) for record in found]
 
 
-def encode_record(record: object) -> bytes | Failure:
+def encode_record(record: object) -> RawRecord:
     """Encode a record that the standard library decoded."""
     try:
-        return msgspec.json.encode(record)
+        return msgspec.json.encode(record), None
     except DECODE_ERRORS as error:
-        return make_failure(error, ResultCode.PLATFORM_MALFORMED)
+        text = json.dumps(record, ensure_ascii=False)
+        failure = make_failure(error, ResultCode.PLATFORM_MALFORMED)
+        return text.encode(errors="replace"), failure
--- a/dewridge/providers/model.py
+++ b/dewridge/providers/model.py
@@ -130,7 +130,13 @@
 
 
 class HostList(Protocol):
-    """The platform's list of live and leaving backend servers; it lags."""
+    """The platform's list of live and leaving backend servers; it lags.
+
+    Attributes:
+        unreadable: servers in the last list whose record can't be read otherwise.
+    """
+
+    unreadable: frozenset[BackendServerId]
 
     async def fetch(self) -> list[ListedServer] | Failure:
         """Read the full list; fails with PLATFORM_DOWN or PLATFORM_MALFORMED."""
--- a/dewridge/tests/entries/interface_tests.py
+++ b/dewridge/tests/entries/interface_tests.py
@@ -365,6 +365,19 @@
     assert notices.count(ReclaimNotice("engine-1", 1_700_000_000.0)) >= 2
 
 
+@pytest.mark.parametrize("member", ["address", "capacity", "state", "services"])
+@pytest.mark.parametrize("odd", ["127.0.0.1:70000", None, 10**30, "\ud800"])
+def test_a_record_that_is_left_out_names_its_server(member: str, odd: object) -> None:
+    """Guards against a record left out that looks like a server that is gone."""
+    odd_record = {**LISTED, "backend_server": "engine-2", member: odd}
+    content = json.dumps({"hosts": [LISTED, odd_record]}).encode()
+    host_list = HttpHostList(FixedChannel(content))
+    listing = trio.run(host_list.fetch)
+    assert isinstance(listing, list)
+    assert [listed.backend_server for listed in listing] == ["engine-1"]
+    assert host_list.unreadable == {"engine-2"}
+
+
 # ---- backend servers ---------------------------------------------------------
 
 
--- a/dewridge/tests/fleet/watcher_tests.py
+++ b/dewridge/tests/fleet/watcher_tests.py
@@ -49,6 +49,7 @@
     def __init__(self) -> None:
         self.listing: list[ListedServer] | Failure = [make_listed()]
         self.notices: list[ReclaimNotice] = []
+        self.unreadable: frozenset[BackendServerId] = frozenset()
         self.calls = 0
 
     async def fetch(self) -> list[ListedServer] | Failure:
@@ -179,6 +180,16 @@
     assert fleet.find_states() == {ServerState.LIVE}
 
 
+async def test_server_whose_record_can_not_be_read_is_not_removed(fleet: Fleet) -> None:
+    """Guards against a record that is left out as proof that its server is gone."""
+    await fleet.step()
+    fleet.platform.listing = [make_listed("engine-2")]
+    fleet.platform.unreadable = frozenset({ENGINE})
+    for _ in range(int(ABSENT_SECONDS / SETTINGS.poll_period) + 2):
+        await fleet.step()
+    assert fleet.find_states() == {ServerState.LIVE}
+
+
 async def test_host_without_heartbeats_polls_on_its_own(fleet: Fleet) -> None:
     # A host is partitioned from its peers. If it did not poll, it would send requests
     # to servers that were removed long ago.
