Let no rejection that ignores the key settle earlier submissions of it

A caller whose first submission was sent without an answer, and whose second one was rejected for its token, size or form, was told "not run". A host decides these before it looks the key up, so that they say nothing about the first submission, which may be running: a token may have been revoked meanwhile, or a host have another configuration. The outcome of the call is now unknown unless it was certain before; its reason names the rejection.

--- a/dewridge/client/client.py
+++ b/dewridge/client/client.py
@@ -312,7 +312,9 @@
             reason = "no entry host could be reached"
             failure = Failure(ResultCode.PEER_UNREACHABLE, reason)
         if ended is None and (progress.is_outcome_uncertain or progress.accepted):
-            reason = "no final answer came before the deadline"
+            reason = "no final answer came"
+            if failure.reason:
+                reason = f"{reason}; last: {failure.reason}"
             failure = Failure(ResultCode.OUTCOME_UNKNOWN, reason)
         is_complete = ended is not None and ended.code is ResultCode.OK
         return Answer(
--- a/dewridge/client/progress.py
+++ b/dewridge/client/progress.py
@@ -28,6 +28,20 @@
 )
 """Rejections that a retry with the same input and deadline cannot change."""
 
+UNCONFIRMED_REJECTIONS = frozenset(
+    {
+        ResultCode.MALFORMED_REQUEST,
+        ResultCode.MALFORMED_KEY,
+        ResultCode.BODY_TOO_LARGE,
+        ResultCode.HEAD_TOO_LARGE,
+        ResultCode.HEAD_TOO_SLOW,
+        ResultCode.UNAUTHENTICATED,
+        ResultCode.FORBIDDEN,
+    }
+)
+"""Rejections by a host that has not looked the key up. They show that this submission
+was not run, and nothing about earlier ones: a token may have been revoked meanwhile."""
+
 STALE_HOST_REJECTIONS = frozenset(
     {ResultCode.UNKNOWN_SERVICE, ResultCode.UNKNOWN_OPERATION}
 )
@@ -109,7 +123,8 @@
         self.last_failure = failure
         self.retry_after = failure.retry_after or 0.0
         if is_not_run and not self.accepted:
-            self.is_outcome_uncertain = False
+            is_confirmed = failure.code not in UNCONFIRMED_REJECTIONS
+            self.is_outcome_uncertain = not is_confirmed and self._was_uncertain_before
         if failure.code is ResultCode.UNKNOWN_REQUEST:
             # The request may have been accepted and lost with all its replicas.
             # Submitting the key again attaches to it, runs it or returns its
--- a/dewridge/tests/client/progress_tests.py
+++ b/dewridge/tests/client/progress_tests.py
@@ -1,9 +1,10 @@
 """Tests of the state of a call under events and rejections, without sockets."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from dewridge.client.progress import Progress, Step
+from dewridge.client.progress import UNCONFIRMED_REJECTIONS, Progress, Step
 from dewridge.codes import ResultCode
 from dewridge.ids import Generation
 from dewridge.requests.model import (
@@ -118,3 +119,19 @@
     end = EndedEvent(ResultCode.OUTCOME_UNKNOWN, retry_after=0.5)
     steps = [progress.handle_event(end) for _ in range(4)]
     assert steps == [Step.RECONNECT] * 4
+
+
+@pytest.mark.parametrize("code", sorted(UNCONFIRMED_REJECTIONS))
+def test_rejection_that_ignores_the_key_settles_no_earlier_submission(
+    code: ResultCode,
+) -> None:
+    """Guards against "not run" for a call whose first submission may be running."""
+    progress = Progress()
+    progress.begin_submission()
+    progress.begin_submission()
+    progress.handle_rejection(Failure(code), is_not_run=True)
+    assert progress.is_outcome_uncertain
+    first = Progress()
+    first.begin_submission()
+    first.handle_rejection(Failure(code), is_not_run=True)
+    assert not first.is_outcome_uncertain
