--- a/dewridge/fleet/orders.py
+++ b/dewridge/fleet/orders.py
@@ -12,6 +12,7 @@
 
 from dewridge.bodies import IDENTITY_HEADERS, read_bounded
 from dewridge.codes import ResultCode
+from dewridge.decoding import MAX_COUNT, Amount, Count, Name, decode_json
 from dewridge.fleet.model import BackendServer
 from dewridge.fleet.refusals import STATUS_OK, read_error_type
 from dewridge.ids import AttemptId
@@ -42,7 +43,8 @@
     DONE = "done"
     """The attempt had ended with a complete answer."""
     UNKNOWN = "unknown"
-    """The engine has not received the attempt and rejects it if it arrives later."""
+    """The engine knows no such attempt, and rejects it if it arrives later. Its process
+    may have started again since it ran the attempt."""
 
 
 class OrderKind(Enum):
@@ -70,9 +72,9 @@
 class EngineState(msgspec.Struct, frozen=True):
     """State that an engine reports: loaded services, role, latest fencing number."""
 
-    services: tuple[str, ...]
-    role: str
-    fence: int = 0
+    services: tuple[Name, ...]
+    role: Name
+    fence: Count = 0
     leaving: bool = False
 
 
@@ -85,9 +87,9 @@
         running: running requests.
     """
 
-    at: float
-    queued: int
-    running: int
+    at: Amount
+    queued: Count
+    running: Count
 
 
 class _CancelReply(msgspec.Struct):
@@ -95,7 +97,7 @@
 
 
 class _ExportReply(msgspec.Struct):
-    cache_handle: str
+    cache_handle: Name
 
 
 class ControlClient:
@@ -113,8 +115,8 @@
     ) -> Cancellation | Failure:
         """Cancel an attempt.
 
-        Every reply but DONE proves that the attempt is not running and gives no
-        answer. After a failure it may still be running.
+        CANCELLED and ABORTED prove that the attempt is not running and gives no answer.
+        After UNKNOWN it may have given one; after a failure it may still be running.
         """
         path = f"/v1/attempts/{quote(attempt)}/cancel"
         answer = await self._call(server, "cancel", "POST", path, reply=_CancelReply)
@@ -180,11 +182,11 @@
         body = await self._send(method, url, content)
         if isinstance(body, Failure):
             return body
-        try:
-            return msgspec.json.decode(body, type=reply)
-        except msgspec.DecodeError:
+        answer = decode_json(body, reply)
+        if isinstance(answer, Failure):
             reason = "the answer is malformed"
             return Failure(ResultCode.BACKEND_SERVER_FAILED, reason)
+        return answer
 
     async def _send(
         self, method: str, url: str, content: bytes | None
@@ -242,9 +244,10 @@
         entry = await key_value.get(key)
         if isinstance(entry, Failure):
             return entry
-        if entry.value and not entry.value.isdigit():
+        stored = decode_json(entry.value or b"0", int)
+        if isinstance(stored, Failure) or not 0 <= stored < MAX_COUNT:
             return Failure(ResultCode.PLATFORM_MALFORMED, f"{key} is not a number")
-        number = int(entry.value or b"0") + 1
+        number = stored + 1
         written = await key_value.compare_and_swap(
             key, str(number).encode(), entry.revision
         )
--- a/dewridge/providers/hostlist.py
+++ b/dewridge/providers/hostlist.py
@@ -2,20 +2,26 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from typing import Annotated
 
 import msgspec
 
 from dewridge.codes import ResultCode
+from dewridge.decoding import decode_json
+from dewridge.ids import BackendServerId
 from dewridge.metrics.registry import Metrics
 from dewridge.providers.channel import CallFailure, Channel, open_channel
-from dewridge.providers.model import HostList, ListedServer
+from dewridge.providers.listings import decode_listing
+from dewridge.providers.model import NAME_LENGTH, HostList, ListedServer
 from dewridge.sentinels import Failure
 
 STATUS_OK = 200
 
 
-class _Listing(msgspec.Struct):
-    hosts: list[msgspec.Raw]
+class _NamedRecord(msgspec.Struct):
+    """The id of a server whose record can't be read otherwise."""
+
+    backend_server: Annotated[BackendServerId, NAME_LENGTH]
 
 
 class HttpHostList:
@@ -23,6 +29,7 @@
 
     def __init__(self, channel: Channel) -> None:
         self._channel = channel
+        self.unreadable: frozenset[BackendServerId] = frozenset()
 
     async def fetch(self) -> list[ListedServer] | Failure:
         """Read the full list, without records that cannot be decoded."""
@@ -32,25 +39,22 @@
         if answer.status != STATUS_OK:
             reason = f"host list: status {answer.status}"
             return Failure(ResultCode.PLATFORM_DOWN, reason)
-        try:
-            records = msgspec.json.decode(answer.content, type=_Listing).hosts
-        except msgspec.DecodeError:
+        skipped: list[bytes] = []
+        servers = decode_listing(
+            answer.content,
+            "hosts",
+            ListedServer,
+            self._channel,
+            lambda listed: listed.has_address,
+            skipped.append,
+        )
+        names = (decode_json(record, _NamedRecord) for record in skipped)
+        self.unreadable = frozenset(
+            named.backend_server for named in names if not isinstance(named, Failure)
+        )
+        if isinstance(servers, Failure):
             self._channel.record_malformed("list")
-            return Failure(ResultCode.PLATFORM_MALFORMED, "host list: malformed")
-        return self._decode(records)
-
-    def _decode(self, records: list[msgspec.Raw]) -> list[ListedServer] | Failure:
-        # A newer release of the platform may list a server of an unknown kind. Only
-        # that record is skipped: rejecting the full list would hide every server of
-        # the deployment.
-        servers = []
-        for record in records:
-            try:
-                servers.append(msgspec.json.decode(record, type=ListedServer))
-            except msgspec.DecodeError:
-                self._channel.record_malformed("record")
-        if records and not servers:
-            reason = "host list: no record could be read"
+            reason = f"host list: {servers.reason}"
             return Failure(ResultCode.PLATFORM_MALFORMED, reason)
         return servers
 
