Refuse datagrams of peers that no message can be

What was seen: a datagram of 50 KB that nests lists in an added field ended the task that receives all messages with a RecursionError, which the decoding did not expect. Figures had no bounds: a time to leave could be NaN, infinite or 1e300, and became the deadline of streams; the record of a server that a peer passed on could have port 70000 or a line break in its id, which goes into a header.

Change: `decode_message` decodes each datagram, by the common decoder. The types of the messages bound each figure to what a number of either kind represents exactly, and names and windows in their length; records of servers have to meet the limits of those in the store. What a peer with another clock may send, such as a negative age, is still a message.

--- a/dewridge/decoding.py
+++ b/dewridge/decoding.py
@@ -6,6 +6,7 @@
 
 import ipaddress
 import math
+from collections.abc import Callable
 from typing import Annotated, Any, TypeVar
 
 import msgspec
@@ -74,6 +75,28 @@
         return make_failure(error, code)
 
 
+def make_msgpack_decoder(
+    kind: Any, code: ResultCode = ResultCode.PLATFORM_MALFORMED
+) -> Callable[[bytes], Any]:
+    """Return a function that decodes MessagePack as `decode_msgpack` does.
+
+    It looks at the type only once, which takes longer than decoding a short message.
+
+    Args:
+        kind: the type of the values, which may be a union.
+        code: the code of failures.
+    """
+    decoder = msgspec.msgpack.Decoder(kind)
+
+    def decode(data: bytes) -> Any:
+        try:
+            return decoder.decode(data)
+        except DECODE_ERRORS as error:
+            return make_failure(error, code)
+
+    return decode
+
+
 def convert(
     value: Any,
     kind: type[Value],
--- /dev/null
+++ b/dewridge/gateway/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Messages that hosts send each other, as they arrive."""
--- a/dewridge/gateway/reports.py
+++ b/dewridge/gateway/reports.py
@@ -6,10 +6,11 @@
 run, such as summing the usage of all hosts for billing.
 """
 
-from typing import NewType
+from typing import Annotated, NewType
 
 import msgspec
 
+from dewridge.decoding import MAX_COUNT, MAX_NAME, Amount, Count
 from dewridge.gateway.model import ServerRecord, ServerVersion
 from dewridge.ids import (
     BackendServerId,
@@ -24,12 +25,33 @@
 from dewridge.policy.rollouts import Stage
 from dewridge.policy.suspects import NO_PART
 
-DutyHolder = tuple[int, HostId]
+MAX_KEY = 2 * MAX_NAME
+"""Characters of a name in a message, which may be a key made of a name and numbers."""
+MAX_WINDOWS = 64
+"""Usage windows in a message: several times as many as hosts keep."""
+_KEY = msgspec.Meta(max_length=MAX_KEY)
+Host = Annotated[HostId, _KEY]
+Server = Annotated[BackendServerId, _KEY]
+AccountName = Annotated[ClientAccount, _KEY]
+Service = Annotated[ServiceName, _KEY]
+Key = Annotated[str, _KEY]
+Figure = Annotated[int, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
+"""A whole number that may be negative, as a total after a correction or an age by the
+clock of another host. Sums of many of them still fit into a message."""
+Age = Annotated[float, msgspec.Meta(ge=-MAX_COUNT)]
+"""Seconds; infinite for what never was, and below zero by the error of a clock."""
+ReleaseDigest = Annotated[Release, msgspec.Meta(ge=0, lt=2**32)]
+
+DutyHolder = tuple[Count, Host]
 """Fencing token and id of a holder of the duties; each holder has a higher token than
 the one before."""
 NO_HOLDER: DutyHolder = (0, HostId(""))
 UsageCounts = dict[int, dict[ClientAccount, int]]
 """Requests of each account that started to run, by usage window."""
+ReportedUsage = Annotated[
+    dict[Figure, dict[AccountName, Count]], msgspec.Meta(max_length=MAX_WINDOWS)
+]
+"""The same in a message."""
 HostIncarnation = tuple[HostId, int]
 """A host and the start time of its process, in microseconds since 1970."""
 OutcomeKey = NewType("OutcomeKey", str)
@@ -61,12 +83,12 @@
             builds neither send nor read the last two fields.
     """
 
-    requests: int = 0
-    tokens: int = 0
-    attempts: int = 0
-    failures: int = 0
-    pace_samples: int = 0
-    pace_sum: int = 0
+    requests: Figure = 0
+    tokens: Figure = 0
+    attempts: Figure = 0
+    failures: Figure = 0
+    pace_samples: Figure = 0
+    pace_sum: Figure = 0
 
     def __add__(self, other: "ServerTotals") -> "ServerTotals":
         return ServerTotals(
@@ -99,12 +121,12 @@
             missing in the reports of earlier builds, which ignore it.
     """
 
-    quota_usage: dict[ClientAccount, int] = {}
-    quota_demand: dict[ClientAccount, int] = {}
-    token_demand: dict[ServiceName, int] = {}
-    servers: dict[BackendServerId, ServerTotals] = {}
-    outcomes: dict[OutcomeKey, int] = {}
-    work_demand: dict[str, int] = {}
+    quota_usage: dict[AccountName, Figure] = {}
+    quota_demand: dict[AccountName, Figure] = {}
+    token_demand: dict[Service, Figure] = {}
+    servers: dict[Server, ServerTotals] = {}
+    outcomes: dict[Annotated[OutcomeKey, _KEY], Figure] = {}
+    work_demand: dict[Key, Figure] = {}
 
 
 class RolloutProgress(msgspec.Struct, frozen=True):
@@ -120,13 +142,13 @@
         duration: seconds after `ordered_at` within which the rollout must complete.
     """
 
-    service: ServiceName
-    target: ServerVersion
-    order: int
+    service: Service
+    target: Annotated[ServerVersion, _KEY]
+    order: Count
     stage: Stage
-    share: float
-    ordered_at: float
-    duration: float
+    share: Annotated[float, msgspec.Meta(ge=0, le=1)]
+    ordered_at: Amount
+    duration: Amount
 
 
 class SuspectUpdate(msgspec.Struct, frozen=True, array_like=True):
@@ -142,12 +164,12 @@
         part: digest of the suspected prompt part; empty for a whole request.
     """
 
-    digest: RequestDigest
-    account: ClientAccount
-    service: ServiceName
-    crashes: dict[BackendServerId, tuple[int, int]]
-    cleared: list[BackendServerId] = []
-    part: PartDigest = NO_PART
+    digest: Annotated[RequestDigest, _KEY]
+    account: AccountName
+    service: Service
+    crashes: dict[Server, tuple[Figure, Figure]]
+    cleared: list[Server] = []
+    part: Annotated[PartDigest, _KEY] = NO_PART
 
 
 class LimitUpdate(msgspec.Struct, frozen=True, array_like=True):
@@ -161,8 +183,8 @@
     """
 
     server: BackendServerId
-    limit: int
-    age_ms: int
+    limit: Figure
+    age_ms: Figure
     has_ended: bool = False
 
 
@@ -200,27 +222,27 @@
             failed; None likewise.
     """
 
-    host: HostId
-    boot: int
-    number: int
+    host: Host
+    boot: Count
+    number: Count
     is_ready: bool
-    age: float
+    age: Amount
     totals: Totals
-    usage_counts: UsageCounts = {}
-    version: int = 0
-    departing_servers: dict[BackendServerId, float] = {}
-    confirmed_age: float = float("inf")
-    last_received: dict[HostId, tuple[int, int]] = {}
+    usage_counts: ReportedUsage = {}
+    version: Count = 0
+    departing_servers: dict[Server, Amount] = {}
+    confirmed_age: Age = float("inf")
+    last_received: dict[Host, tuple[Count, Count]] = {}
     holder: DutyHolder = NO_HOLDER
     suspects: list[SuspectUpdate] = []
     rollouts: list[RolloutProgress] = []
     limits: list[LimitUpdate] = []
     is_partitioned: bool = False
-    rejections: dict[BackendServerId, int] = {}
-    releases: int | None = None
-    versions_age_ms: int | None = None
-    store_answer_age: int | None = None
-    store_failure_age: int | None = None
+    rejections: dict[Server, Figure] = {}
+    releases: Figure | None = None
+    versions_age_ms: Figure | None = None
+    store_answer_age: Figure | None = None
+    store_failure_age: Figure | None = None
 
 
 class CellReport(msgspec.Struct, frozen=True, array_like=True, tag="cell"):
@@ -248,30 +270,30 @@
             reports of earlier builds.
     """
 
-    host: HostId
-    boot: int
-    number: int
-    cell: CellName
-    members: list[HostId]
-    unready: list[HostId]
+    host: Host
+    boot: Count
+    number: Count
+    cell: Annotated[CellName, _KEY]
+    members: list[Host]
+    unready: list[Host]
     totals: Totals
-    version: int = 0
-    departing_servers: dict[BackendServerId, float] = {}
+    version: Count = 0
+    departing_servers: dict[Server, Amount] = {}
     holder: DutyHolder = NO_HOLDER
     suspects: list[SuspectUpdate] = []
     rollouts: list[RolloutProgress] = []
     limits: list[LimitUpdate] = []
-    partitioned: list[HostId] = []
-    rejections: dict[BackendServerId, int] = {}
-    releases: int | None = None
+    partitioned: list[Host] = []
+    rejections: dict[Server, Figure] = {}
+    releases: Figure | None = None
 
 
 class HostUsage(msgspec.Struct, frozen=True, array_like=True):
     """Requests that started at one incarnation of a host, counted for billing."""
 
-    host: HostId
-    boot: int
-    usage_counts: UsageCounts
+    host: Host
+    boot: Count
+    usage_counts: ReportedUsage
 
 
 class DepartureReport(msgspec.Struct, frozen=True, array_like=True, tag="left"):
@@ -284,8 +306,8 @@
             does not forward the message.
     """
 
-    host: HostId
-    departing_servers: dict[BackendServerId, float]
+    host: Host
+    departing_servers: dict[Server, Amount]
     is_cell_local: bool
 
 
@@ -299,7 +321,7 @@
             does not forward the message.
     """
 
-    host: HostId
+    host: Host
     suspects: list[SuspectUpdate]
     is_cell_local: bool
 
@@ -314,8 +336,8 @@
             does not forward the message.
     """
 
-    host: HostId
-    version: int
+    host: Host
+    version: Count
     is_cell_local: bool
 
 
@@ -331,10 +353,10 @@
         usage: usage of the sender, or of a departed incarnation of another host.
     """
 
-    host: HostId
-    boot: int
-    number: int
-    window: int
+    host: Host
+    boot: Count
+    number: Count
+    window: Figure
     usage: list[HostUsage]
 
 
@@ -348,8 +370,8 @@
     """
 
     holder: DutyHolder
-    boot: int
-    number: int
+    boot: Count
+    number: Count
 
 
 class UsageRequest(msgspec.Struct, frozen=True, array_like=True, tag="question"):
@@ -367,8 +389,8 @@
             (`dewridge.policy.streamversions`).
     """
 
-    host: HostId
-    streams: dict[Release, bytes]
+    host: Host
+    streams: dict[ReleaseDigest, bytes]
 
 
 class StreamVersionQuery(msgspec.Struct, frozen=True, array_like=True, tag="streams?"):
@@ -381,9 +403,9 @@
         streams: digests of the streams, 6 bytes each.
     """
 
-    host: HostId
-    number: int
-    service: ServiceName
+    host: Host
+    number: Count
+    service: Service
     streams: bytes
 
 
@@ -398,10 +420,10 @@
             if the sender does not know.
     """
 
-    host: HostId
-    number: int
-    streams: dict[Release, bytes]
-    only: Release | None = None
+    host: Host
+    number: Count
+    streams: dict[ReleaseDigest, bytes]
+    only: ReleaseDigest | None = None
 
 
 class ReportedRelease(msgspec.Struct, frozen=True, array_like=True):
@@ -414,10 +436,10 @@
         age_ms: milliseconds since a server was last seen.
     """
 
-    service: ServiceName
-    release: Release
-    name: str
-    age_ms: int
+    service: Service
+    release: ReleaseDigest
+    name: Key
+    age_ms: Figure
 
 
 class RecentReleases(msgspec.Struct, frozen=True, array_like=True, tag="releases"):
@@ -429,7 +451,7 @@
         wants_answer: whether the receiver has to send its own.
     """
 
-    host: HostId
+    host: Host
     releases: list[ReportedRelease]
     wants_answer: bool
 
@@ -445,11 +467,11 @@
         services: services whose servers the sender needs.
     """
 
-    host: HostId
-    number: int
-    servers: list[BackendServerId] = []
-    releases: list[Release] = []
-    services: list[ServiceName] = []
+    host: Host
+    number: Count
+    servers: list[Server] = []
+    releases: list[ReleaseDigest] = []
+    services: list[Service] = []
 
 
 class ServerAnswer(msgspec.Struct, frozen=True, array_like=True, tag="servers!"):
@@ -463,10 +485,10 @@
         is_last: whether no further answer to the request follows.
     """
 
-    host: HostId
-    number: int
+    host: Host
+    number: Count
     records: list[ServerRecord] = []
-    departed: dict[BackendServerId, float] = {}
+    departed: dict[Server, Amount] = {}
     is_last: bool = True
 
 
--- a/dewridge/gateway/sharinglink.py
+++ b/dewridge/gateway/sharinglink.py
@@ -19,6 +19,7 @@
 from dewridge.gateway.echoes import SentReportTimes
 from dewridge.gateway.hosts import HostEntry, HostTable
 from dewridge.gateway.limitsharing import merge_cell_limits
+from dewridge.gateway.messages.decoding import decode_message
 from dewridge.gateway.reports import (
     CellReport,
     DepartureReport,
@@ -43,6 +44,7 @@
 from dewridge.ids import BackendServerId, FailureDomain, HostId
 from dewridge.policy.cells import CellName, assign_cells, find_cell, list_receivers
 from dewridge.policy.documentsources import rank_hosts
+from dewridge.sentinels import Failure
 
 URGENT_BATCH_DELAY = 0.02
 """Seconds for which urgent updates are collected before they are sent: the servers of a
@@ -188,17 +190,15 @@
 
     async def receive(self) -> None:
         """Receive and apply messages forever."""
-        decoder: msgspec.msgpack.Decoder[HostMessage] = msgspec.msgpack.Decoder(
-            HostMessage
-        )
         while True:
             self.check_stall()
             batch = self._socket.receive_batch()
             for data, sender in batch:
-                try:
-                    message = decoder.decode(data)
-                except msgspec.DecodeError as error:
-                    log.bind(reason=str(error)).warning("datagram cannot be decoded")
+                message = decode_message(data)
+                if isinstance(message, Failure):
+                    log.bind(reason=message.reason).warning(
+                        "datagram cannot be decoded"
+                    )
                     continue
                 self.receive_message(message, sender)
             if len(batch) < MAX_BATCH:
