Judge a rollout by the outcomes that are known here only

What was seen: a key of an outcome without all of its parts, or of another kind, ended the task that receives messages while a rollout of the same order was in progress (ValueError, KeyError), and each description of the state and the metrics after it. So did bad answers of the old version that no count of its answers came with (ZeroDivisionError).

Change: keys of outcomes that this build does not know are ignored, as a later build may have more of them. Without answers of the old version, the expected ones are divided by one.

--- a/dewridge/gateway/reports.py
+++ b/dewridge/gateway/reports.py
@@ -6,6 +6,7 @@
 run, such as summing the usage of all hosts for billing.
 """
 
+import re
 from typing import Annotated, NewType
 
 import msgspec
@@ -57,6 +58,8 @@
 OutcomeKey = NewType("OutcomeKey", str)
 """Key of a counter of rollout outcomes: revision of the rollout order, version, kind of
 count and route."""
+OUTCOME_KEY = re.compile(r"\d+/(new|old)/(answers|bad)/")
+"""Beginning of such a key. The route comes last, as its name may contain slashes."""
 REPORTED_WINDOWS = 4
 """Number of usage windows that hosts report: the current one and those whose sum is
 still due."""
--- a/dewridge/gateway/sharing.py
+++ b/dewridge/gateway/sharing.py
@@ -18,6 +18,7 @@
 from dewridge.gateway.cellview import CellView, SourceView
 from dewridge.gateway.reports import (
     NO_HOLDER,
+    OUTCOME_KEY,
     CellReport,
     DutyHolder,
     OutcomeKey,
@@ -251,7 +252,9 @@
         ).items():
             self._cell_token_demand[service] += growth
             self.on_token_demand(service, growth, now)
-        for name, growth in compute_growth(totals.outcomes, earlier.outcomes).items():
+        for name, growth in compute_growth(
+            select_outcomes(totals.outcomes), earlier.outcomes
+        ).items():
             self._cell_outcomes[name] += growth
             self.on_outcomes(name, growth)
         for key, growth in compute_growth(
@@ -292,7 +295,9 @@
             source, totals.token_demand
         ).items():
             self.on_token_demand(service, growth, now)
-        for name, growth in cell.outcomes.record(source, totals.outcomes).items():
+        for name, growth in cell.outcomes.record(
+            source, select_outcomes(totals.outcomes)
+        ).items():
             self.on_outcomes(name, growth)
         self._apply_cell_work(cell, source, totals.work_demand, now)
         return True
@@ -487,6 +492,11 @@
                 self._server_sums.drop(name)
 
 
+def select_outcomes(reported: Mapping[OutcomeKey, int]) -> dict[OutcomeKey, int]:
+    """Return the reported outcomes without those of kinds that are not known here."""
+    return {key: count for key, count in reported.items() if OUTCOME_KEY.match(key)}
+
+
 def clear_bad_paces(servers: Mapping[BackendServerId, ServerTotals]) -> int:
     """Set reported paces that are not credible to zero; return their number.
 
--- a/dewridge/policy/rollouts.py
+++ b/dewridge/policy/rollouts.py
@@ -117,7 +117,8 @@
         return VersionVerdict.UNDECIDED
     for route, tally in evidence.baseline.items():
         seen = evidence.target.get(route, Tally()).answers
-        expected = target.answers * tally.answers / baseline.answers
+        # Other hosts may report bad answers without the answers that they are among.
+        expected = target.answers * tally.answers / max(1, baseline.answers)
         if expected >= ANSWERS_NEEDED > seen:
             return VersionVerdict.UNDECIDED
     is_enough = target.answers >= ANSWERS_NEEDED
--- a/dewridge/tests/entries/peers_tests.py
+++ b/dewridge/tests/entries/peers_tests.py
@@ -341,6 +341,17 @@
     assert isinstance(message, Failure | HostMessage)
 
 
+def test_bad_answers_without_answers_are_judged() -> None:
+    """Guards against a division by the answers of a version that no host reported."""
+    bad = {
+        OutcomeKey(f"{ROLLOUT_ORDER}/old/bad/read"): 1,
+        OutcomeKey(f"{ROLLOUT_ORDER}/new/answers/read"): 10,
+        OutcomeKey(f"{ROLLOUT_ORDER}/new/bad/read"): 1,
+    }
+    report = msgspec.structs.replace(REPORT, totals=Totals(outcomes=bad))
+    run(lambda host: check_outlasted(host, msgspec.msgpack.encode(report)))
+
+
 @pytest.mark.parametrize("seconds", [math.nan, math.inf, -math.inf, 1e300, -1.0])
 def test_a_departure_without_a_time_is_refused(seconds: float) -> None:
     """Guards against a deadline of a stream that is no time."""
