Keep sums and loads of peers within what can be calculated

What was seen: a negative number of attempts at a server raised "math domain error" for each request to this server while the report counted. The sum over a cell of large totals, or of totals of many incarnations, could not be encoded any more (OverflowError), which ended the task that sends reports.

Change: loads below zero count as zero, and a sum is cut to the largest figure that a message can carry.

--- a/dewridge/gateway/reports.py
+++ b/dewridge/gateway/reports.py
@@ -107,6 +107,11 @@
 ZERO_SERVER_TOTALS = ServerTotals()
 
 
+def limit_figure(figure: int) -> int:
+    """Return a figure that a message can carry, for a sum of several hosts."""
+    return max(-MAX_COUNT, min(MAX_COUNT, figure))
+
+
 class Totals(msgspec.Struct, frozen=True, array_like=True):
     """Running totals since the sender's start, and its current load on servers.
 
--- a/dewridge/gateway/sharing.py
+++ b/dewridge/gateway/sharing.py
@@ -12,9 +12,11 @@
 from dataclasses import dataclass, field
 from typing import TypeVar
 
+import msgspec
 import trio
 from loguru import logger as log
 
+from dewridge.decoding import MAX_COUNT
 from dewridge.gateway.cellview import CellView, SourceView
 from dewridge.gateway.reports import (
     NO_HOLDER,
@@ -26,6 +28,7 @@
     Report,
     ServerTotals,
     Totals,
+    limit_figure,
 )
 from dewridge.gateway.serversums import ServerSums
 from dewridge.gateway.usagecounts import FleetUsage
@@ -186,6 +189,7 @@
         """Apply a report; drop late ones and those of earlier incarnations."""
         if report.host == self.local_host:
             return
+        clear_negative_loads(report.totals.servers)
         ignored = clear_bad_paces(report.totals.servers)
         if ignored:
             self.on_ignored_paces(ignored)
@@ -497,6 +501,24 @@
     return {key: count for key, count in reported.items() if OUTCOME_KEY.match(key)}
 
 
+def clear_negative_loads(servers: Mapping[BackendServerId, ServerTotals]) -> None:
+    """Set reported loads below zero to zero.
+
+    No server has such a load, and a negative rate of attempts has no square root.
+    """
+    for totals in servers.values():
+        if (
+            totals.requests < 0
+            or totals.tokens < 0
+            or totals.attempts < 0
+            or totals.failures < 0
+        ):
+            totals.requests = max(0, totals.requests)
+            totals.tokens = max(0, totals.tokens)
+            totals.attempts = max(0, totals.attempts)
+            totals.failures = max(0, totals.failures)
+
+
 def clear_bad_paces(servers: Mapping[BackendServerId, ServerTotals]) -> int:
     """Set reported paces that are not credible to zero; return their number.
 
@@ -518,11 +540,16 @@
         for server, totals in part.servers.items():
             known = total.get(server)
             total[server] = totals if known is None else known + totals
-    return total
+    return {
+        server: totals
+        if max(msgspec.structs.astuple(totals)) <= MAX_COUNT
+        else ServerTotals(*map(limit_figure, msgspec.structs.astuple(totals)))
+        for server, totals in total.items()
+    }
 
 
 def _add(some: dict[Name, float], others: Mapping[Name, float]) -> dict[Name, int]:
     total = dict(some)
     for name, amount in others.items():
         total[name] = total.get(name, 0.0) + amount
-    return {name: round(amount) for name, amount in total.items()}
+    return {name: limit_figure(round(amount)) for name, amount in total.items()}
--- a/dewridge/tests/entries/peers_tests.py
+++ b/dewridge/tests/entries/peers_tests.py
@@ -352,6 +352,18 @@
     run(lambda host: check_outlasted(host, msgspec.msgpack.encode(report)))
 
 
+def test_sums_of_large_totals_fit_into_a_report() -> None:
+    """Guards against totals of many incarnations that no message can carry."""
+    largest = msgspec.structs.replace(
+        REPORT, totals=Totals(quota_usage={ACCOUNT: 2**53}, token_demand={PLAIN: 2**53})
+    )
+    reports = [
+        msgspec.msgpack.encode(msgspec.structs.replace(largest, boot=boot))
+        for boot in range(1, 2_100)
+    ]
+    run(lambda host: check_outlasted(host, *reports))
+
+
 @pytest.mark.parametrize("seconds", [math.nan, math.inf, -math.inf, 1e300, -1.0])
 def test_a_departure_without_a_time_is_refused(seconds: float) -> None:
     """Guards against a deadline of a stream that is no time."""
