Take no age of a peer for a time in the future

What was seen: a negative age in a report was taken for a time in the future. A crash there kept a request quarantined for years, a limit of a server outlasted all its later answers, and a confirmation of the configuration would have let revoked keys work without the store. An age beyond 2^53 ms was reported to other hosts in turn, and in the end no message could carry it (OverflowError in the task that sends reports).

Change: ages below zero count as zero, and the age of a crash is cut to twice the quarantine period, after which it does not count.

--- a/dewridge/gateway/echoes.py
+++ b/dewridge/gateway/echoes.py
@@ -41,7 +41,7 @@
         Returns None if the report answers no report whose send time is kept.
         """
         made_at = self.find_earliest_time(report)
-        return None if made_at is None else made_at - report.confirmed_age
+        return None if made_at is None else made_at - max(0.0, report.confirmed_age)
 
     def find_earliest_time(self, report: Report) -> float | None:
         """Return the earliest time at which a report can have been made.
--- a/dewridge/gateway/limitsharing.py
+++ b/dewridge/gateway/limitsharing.py
@@ -75,9 +75,12 @@
 
 
 def decode_notice(update: LimitUpdate, received_at: float) -> LimitNotice:
-    """Return a reported notice, with a monotonic time of this host."""
+    """Return a reported notice, with a monotonic time of this host.
+
+    A notice from the future would be newer than all that the server says from now on.
+    """
     return LimitNotice(
         update.limit / UNITS_PER_REQUEST,
-        received_at - update.age_ms / 1000,
+        received_at - max(0, update.age_ms) / 1000,
         update.has_ended,
     )
--- a/dewridge/gateway/suspects.py
+++ b/dewridge/gateway/suspects.py
@@ -15,7 +15,7 @@
 from dewridge.gateway.rotation import select_part
 from dewridge.gateway.state import GatewayState
 from dewridge.ids import BackendServerId, ClientAccount, RequestDigest
-from dewridge.policy.suspects import Crash, Suspect
+from dewridge.policy.suspects import QUARANTINE_PERIOD, Crash, Suspect
 from dewridge.sentinels import Failure
 
 SUSPECT_REPORT_TIME = 4.0
@@ -30,6 +30,8 @@
 PROBE_INTERVAL = 0.5
 """Seconds between two requests of all hosts that tell apart the parts set aside: about
 the time until their outcome is known to all."""
+MAX_CRASH_AGE_MS = round(2 * QUARANTINE_PERIOD * 1000)
+"""Milliseconds from which the age of a crash is not told apart; it no longer counts."""
 SUSPECTS_PER_REPORT = 4
 """Maximum number of updated suspects in a report, and of quarantined ones, which are
 repeated for hosts that missed them. The other suspects follow in later reports."""
@@ -242,8 +244,8 @@
         service=suspect.service,
         crashes={
             server: (
-                round((now - crash.crashed_at) * 1000),
-                round((now - crash.sent_at) * 1000),
+                limit_age(round((now - crash.crashed_at) * 1000)),
+                limit_age(round((now - crash.sent_at) * 1000)),
             )
             for server, crash in suspect.crashes.items()
         },
@@ -252,6 +254,14 @@
     )
 
 
+def limit_age(age_ms: int) -> int:
+    """Return an age in milliseconds that a crash can have.
+
+    One in the future would never end, and others would report it in turn.
+    """
+    return max(0, min(MAX_CRASH_AGE_MS, age_ms))
+
+
 def decode_suspect(update: SuspectUpdate, now: float) -> Suspect:
     """Return a suspect reported by another host, with monotonic times of this host."""
     return Suspect(
@@ -259,7 +269,9 @@
         update.account,
         update.service,
         {
-            server: Crash(now - crashed_ms / 1000, now - sent_ms / 1000)
+            server: Crash(
+                now - limit_age(crashed_ms) / 1000, now - limit_age(sent_ms) / 1000
+            )
             for server, (crashed_ms, sent_ms) in update.crashes.items()
         },
         set(update.cleared),
--- a/dewridge/tests/entries/peers_tests.py
+++ b/dewridge/tests/entries/peers_tests.py
@@ -54,6 +54,7 @@
 )
 from dewridge.policy.cells import CellName
 from dewridge.policy.rollouts import Stage
+from dewridge.policy.suspects import CRASH_THRESHOLD, QUARANTINE_PERIOD
 from dewridge.sentinels import Failure
 from dewridge.tests.entries.peerhost import (
     ROLLOUT_ORDER,
@@ -364,6 +365,52 @@
     run(lambda host: check_outlasted(host, *reports))
 
 
+@pytest.mark.parametrize("age", [-(2**53), -1, 0, 2**53])
+def test_a_crash_counts_for_the_quarantine_period_at_most(age: int) -> None:
+    """Guards against a crash in the future, which blocks a request for years."""
+    crashes = {BackendServerId(f"s-{n}"): (age, age) for n in range(CRASH_THRESHOLD)}
+    suspect = SuspectUpdate(SUSPECT.digest, ACCOUNT, PLAIN, crashes)
+
+    async def check(host: PeerHost) -> None:
+        report = SuspectReport(PEER, [suspect], True)
+        await host.receive(msgspec.msgpack.encode(report))
+        left = host.state.suspects.compute_quarantine_left(
+            suspect.digest, trio.current_time()
+        )
+        assert left <= QUARANTINE_PERIOD
+        await check_outlasted(host)
+
+    run(check)
+
+
+def test_a_limit_from_the_future_ends_with_the_next_answer() -> None:
+    """Guards against a notice that is newer than all answers of the server."""
+    limit = LimitUpdate(SERVER, 1, -(2**53), False)
+    report = msgspec.structs.replace(REPORT, limits=[limit])
+
+    async def check(host: PeerHost) -> None:
+        await host.receive(msgspec.msgpack.encode(report))
+        assert host.state.pushback.is_withheld(SERVER, trio.current_time())
+        await trio.sleep(1)
+        host.state.pushback.record_answer(SERVER, 200, [])
+        later = trio.current_time() + 60
+        assert not host.state.pushback.is_withheld(SERVER, later)
+
+    run(check)
+
+
+@pytest.mark.parametrize("age", [math.nan, -1e300, -60.0, math.inf])
+def test_no_report_confirms_the_configuration_for_the_future(age: float) -> None:
+    """Guards against a revoked key that goes on working without the store."""
+    report = msgspec.structs.replace(REPORT, confirmed_age=age)
+
+    async def check(host: PeerHost) -> None:
+        await host.receive(msgspec.msgpack.encode(report))
+        assert 0 <= host.state.configuration.age < 60
+
+    run(check)
+
+
 @pytest.mark.parametrize("seconds", [math.nan, math.inf, -math.inf, 1e300, -1.0])
 def test_a_departure_without_a_time_is_refused(seconds: float) -> None:
     """Guards against a deadline of a stream that is no time."""
