Discard usage of windows far ahead, and notices in this host's name

What was seen: counts of a usage window that lies years ahead were never too old to be kept, and were reported for departed hosts for ever. A notice of a version in the name of the host that receives it was repeated to all other hosts.

Change: windows more than 1,000 ahead of the oldest one kept are discarded like those before it. A host ignores notices in its own name.

--- a/dewridge/gateway/sharinglink.py
+++ b/dewridge/gateway/sharinglink.py
@@ -260,6 +260,8 @@
         self.schedule_urgent_send(Recipients.ALL)
 
     def _apply_version_notice(self, notice: VersionNotice) -> None:
+        if notice.host == self._sharing.local_host:
+            return
         self.on_version(notice.host, notice.version)
         if not notice.is_cell_local:
             self._notices[notice.host] = notice.version
--- a/dewridge/gateway/usagecounts.py
+++ b/dewridge/gateway/usagecounts.py
@@ -12,6 +12,10 @@
 )
 from dewridge.ids import ClientAccount
 
+MAX_WINDOWS_AHEAD = 1_000
+"""Windows ahead of the oldest retained one from which counts are discarded. Clocks
+differ by far less, and the counts of damaged reports would never be too old."""
+
 AccountCounts = dict[ClientAccount, int]
 
 
@@ -82,13 +86,14 @@
         return _add_counts([local, *self.counts_by_window.get(window, {}).values()])
 
     def discard_before(self, window: int) -> None:
-        """Discard the counts of windows before this one."""
-        for old in [known for known in self.counts_by_window if known < window]:
-            del self.counts_by_window[old]
+        """Discard the counts of windows before this one, and of those far ahead."""
+        retained = range(window, window + MAX_WINDOWS_AHEAD)
+        for other in [at for at in self.counts_by_window if at not in retained]:
+            del self.counts_by_window[other]
         self.complete_before = {
             incarnation: reported
             for incarnation, reported in self.complete_before.items()
-            if reported >= window
+            if reported in retained
         }
 
 
--- a/dewridge/tests/entries/peers_tests.py
+++ b/dewridge/tests/entries/peers_tests.py
@@ -334,6 +334,34 @@
     run(lambda host: check_outlasted(host, *list_odd_datagrams()))
 
 
+@pytest.mark.parametrize(
+    "message", MESSAGES, ids=lambda message: type(message).__name__
+)
+def test_each_figure_of_a_message_may_be_odd(message: HostMessage) -> None:
+    """Guards against a figure, a name or a key that breaks a step after decoding."""
+    sound = list_basic(message)
+    refused: list[Failure] = []
+
+    async def check(host: PeerHost) -> None:
+        for number, altered in enumerate(list_altered(sound)):
+            odd = msgspec.msgpack.encode(altered)
+            decoded = decode_message(odd)
+            if isinstance(decoded, Failure):
+                refused.append(decoded)
+                continue
+            if isinstance(message, Report | CellReport):
+                # The growth since the report before is what is counted.
+                odd, before = number_report(altered, message, number)
+                await host.receive(before)
+            await host.receive(odd)
+            if number % 50 == 0:
+                await host.work()
+        await check_outlasted(host)
+
+    run(check)
+    assert refused
+
+
 @settings(max_examples=400)
 @given(st.binary(max_size=60) | draw_damaged() | draw_altered())
 def test_any_datagram_is_a_message_or_refused(data: bytes) -> None:
@@ -342,6 +370,13 @@
     assert isinstance(message, Failure | HostMessage)
 
 
+@settings(max_examples=400, deadline=None)
+@given(st.lists(draw_altered() | draw_damaged(), min_size=1, max_size=3))
+def test_any_accepted_message_can_be_applied(datagrams: list[bytes]) -> None:
+    """Guards against figures that a message may carry and that break a later step."""
+    run(lambda host: check_outlasted(host, *datagrams))
+
+
 def test_bad_answers_without_answers_are_judged() -> None:
     """Guards against a division by the answers of a version that no host reported."""
     bad = {
@@ -411,6 +446,33 @@
     run(check)
 
 
+def test_usage_of_windows_far_ahead_is_discarded() -> None:
+    """Guards against counts that are never too old, and fill the memory."""
+    usage = [HostUsage(PEER, 1, {2**53: {ACCOUNT: 1}, -(2**53): {ACCOUNT: 1}})]
+    report = UsageReport(PEER, 1, 1, 2**53, usage)
+
+    async def check(host: PeerHost) -> None:
+        await host.receive(msgspec.msgpack.encode(report))
+        host.state.drop_expired()
+        assert not host.state.sharing.usage.counts_by_window
+        assert not host.state.sharing.usage.complete_before
+
+    run(check)
+
+
+def test_a_notice_in_the_name_of_this_host_is_not_repeated() -> None:
+    """Guards against a version that this host does not have, told to all hosts."""
+    notice = VersionNotice(HOST, 2**40, is_cell_local=False)
+
+    async def check(host: PeerHost) -> None:
+        await host.receive(msgspec.msgpack.encode(notice))
+        sent = [decode_message(data) for data in await host.work()]
+        assert sent
+        assert not any(isinstance(message, VersionNotice) for message in sent)
+
+    run(check)
+
+
 @pytest.mark.parametrize("seconds", [math.nan, math.inf, -math.inf, 1e300, -1.0])
 def test_a_departure_without_a_time_is_refused(seconds: float) -> None:
     """Guards against a deadline of a stream that is no time."""
