Restore only documents that a peer can have

What was seen: a transfer of a document with an added field that nests lists deeply ended the task that takes documents from peers (RecursionError). Runs of parts of the base may be beyond it, or name the same parts again and again: 4,000 runs of 1,000 parts took 96 MB before the digest was compared. A document passed on under another version than its own came into force as its own, and was passed on to others under the version that it does not have.

Change: transfers go through the common decoder, with versions and positions that are not negative. The version of a transfer has to be that of the document.

--- a/dewridge/gateway/documents/following.py
+++ b/dewridge/gateway/documents/following.py
@@ -160,6 +160,9 @@
             if parts.version <= self._configuration.version:
                 return True
             built = await self._builder.build(parts)
+            if not isinstance(built, Failure) and built.version != parts.version:
+                reason = f"version {parts.version} of a document of {built.version}"
+                built = Failure(ResultCode.PLATFORM_MALFORMED, reason)
             if isinstance(built, Failure):
                 log.bind(reason=built.reason).error("configuration of a peer rejected")
                 return False
--- a/dewridge/gateway/documents/transfer.py
+++ b/dewridge/gateway/documents/transfer.py
@@ -1,20 +1,22 @@
 """The form in which hosts pass a document on: what has changed, compressed."""
 
 import zlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 
 import msgspec
 import trio
 import xxhash
 
+from dewridge.decoding import Count, decode_msgpack
 from dewridge.gateway.documents.parts import DocumentParts
+from dewridge.sentinels import Failure
 
 SLICE_BYTES = 65_536
 """Bytes that are compressed before other tasks get a turn: less than 1 ms."""
 MAX_DOCUMENT_BYTES = 12 * 1024 * 1024
 """Maximum bytes of an uncompressed transfer, as of an answer of the store."""
 
-Run = tuple[int, int]
+Run = tuple[Count, Count]
 """First index and number of parts that are the same as in the base."""
 Parts = list[bytes | Run]
 
@@ -33,10 +35,10 @@
         accounts: the accounts in the same form; None if requests need no key.
     """
 
-    version: int
-    base: int
-    revision: int
-    era: int
+    version: Count
+    base: Count
+    revision: Count
+    era: Count
     digest: int
     head: bytes
     routes: Parts
@@ -90,25 +92,46 @@
 def restore_parts(
     transfer: DocumentTransfer, base: DocumentParts | None
 ) -> DocumentParts | None:
-    """Return the document of a transfer; None if the base or the digest differs."""
+    """Return the document of a transfer.
+
+    Returns:
+        None if the base or the digest differs, or if the document would be too large.
+    """
     if transfer.base != (base.version if base and transfer.base else 0):
         return None
     routes = _insert_known(transfer.routes, base.routes if base else ())
     known = (base.accounts or ()) if base else ()
-    accounts = None
+    accounts: tuple[bytes, ...] | None = None
     if transfer.accounts is not None:
         accounts = _insert_known(transfer.accounts, known)
+        if accounts is None:
+            return None
+    if routes is None:
+        return None
     parts = DocumentParts(transfer.version, transfer.head, routes, accounts)
     return parts if compute_digest(parts) == transfer.digest else None
 
 
-def _insert_known(parts: Parts, known: tuple[bytes, ...]) -> tuple[bytes, ...]:
+def _insert_known(parts: Parts, known: tuple[bytes, ...]) -> tuple[bytes, ...] | None:
+    """Return parts with those of the base; None if a run is not in it.
+
+    Runs of a few bytes can name the same parts again and again. What they would take in
+    memory is limited, each part with the byte that separates it in a document.
+    """
     result: list[bytes] = []
+    room = MAX_DOCUMENT_BYTES
     for part in parts:
         if isinstance(part, bytes):
-            result.append(part)
+            inserted: Sequence[bytes] = (part,)
         else:
-            result += known[part[0] : part[0] + part[1]]
+            first, count = part
+            if first + count > len(known):
+                return None
+            inserted = known[first : first + count]
+        room -= sum(map(len, inserted)) + len(inserted)
+        if room < 0:
+            return None
+        result += inserted
     return tuple(result)
 
 
@@ -131,9 +154,10 @@
             size += len(unpacked[-1])
             if size > MAX_DOCUMENT_BYTES or decompressor.unconsumed_tail:
                 return None
-        return msgspec.msgpack.decode(b"".join(unpacked), type=DocumentTransfer)
-    except (zlib.error, msgspec.DecodeError):
+    except zlib.error:
         return None
+    transfer = decode_msgpack(b"".join(unpacked), DocumentTransfer)
+    return None if isinstance(transfer, Failure) else transfer
 
 
 async def _iterate_slices(data: bytes) -> AsyncIterator[bytes]:
