Decode the answers of peers to probes by the common decoder

The odd answers in peercalls_tests.py were ignored before as well: the type of the list is checked before nesting gets deep, and text is checked by the decoder that was used. What is read from peers now goes through one place that knows all errors of decoding.

--- a/dewridge/gateway/reach/peers.py
+++ b/dewridge/gateway/reach/peers.py
@@ -3,9 +3,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-import msgspec
 import trio
 
+from dewridge.decoding import decode_json
 from dewridge.gateway.forwarding import SilenceLimit, wait_for_head
 from dewridge.gateway.hosts import HostEntry
 from dewridge.gateway.model import ServerRecord
@@ -29,6 +29,7 @@
 )
 from dewridge.ids import HostId
 from dewridge.policy.losses import NOT_RUN_REASONS, ConnectResult, LossReason
+from dewridge.sentinels import Failure
 
 CONNECT_TIMEOUT = 0.2
 """Seconds for a connection to a peer, which may have ended just now."""
@@ -155,7 +156,7 @@
             names = tuple(server.id for server in servers)
             order = RelayOrder(peer.relay_key, sender, RelayCall.PROBE, names, is_fresh)
             results = await _exchange_probe(connection, peer, order)
-        except (ConnectionBrokenError, msgspec.DecodeError):
+        except ConnectionBrokenError:
             return ()
         finally:
             connection.close()
@@ -175,4 +176,5 @@
         body += part
         if len(body) > MAX_PROBE_BYTES:
             return ()
-    return msgspec.json.decode(body, type=list[ConnectResult])
+    results = decode_json(body, list[ConnectResult])
+    return () if isinstance(results, Failure) else results
