--- a/dewridge/tests/entries/peers_tests.py
+++ b/dewridge/tests/entries/peers_tests.py
@@ -289,9 +289,9 @@
     """
     name = HostId(f"altered-{number}")
     first = msgspec.structs.replace(report, host=name, number=1)
-    if altered[1] == report.host:
+    if altered[1:2] == [report.host]:
         altered = [altered[0], name, *altered[2:]]
-    if altered[3] == report.number:
+    if altered[3:4] == [report.number]:
         altered = [*altered[:3], 2, *altered[4:]]
     return msgspec.msgpack.encode(altered), msgspec.msgpack.encode(first)
 
