Accept a host's reports again after one of a wrong order

What was seen: one report in the name of a host, with a later boot or a higher number than all that it sends, hid this host for as long as the receiver ran: its reports counted as late.

Change: reports that seem late are applied if the host has been silent for 10 s, in which datagrams on their way have arrived or are lost.

Evidence: the test failed before for reports of hosts.

--- a/dewridge/gateway/sharing.py
+++ b/dewridge/gateway/sharing.py
@@ -64,6 +64,9 @@
 CELL_STALENESS_PERIODS = 2.5
 """Staleness of reports in a fleet with cells, in periods: one more for the second hop,
 from cell to cell."""
+MAX_LATENESS = 10.0
+"""Seconds after which no earlier report of a host can arrive any more. If one seems to,
+the order of the last one was wrong, and would hide the host for ever."""
 CELL_RETENTION_TIME = 10.0
 """Seconds for which the cell report of a silent host is retained, so that a cell is not
 taken for a new one when a network partition of that length heals."""
@@ -208,9 +211,10 @@
         previous = None
         if known is not None:
             order = (known.report.boot, known.report.number)
-            if (report.boot, report.number) <= order:
+            is_late = (report.boot, report.number) <= order
+            if is_late and now - known.received_at <= MAX_LATENESS:
                 return False
-            if report.boot == known.report.boot:
+            if report.boot == known.report.boot and not is_late:
                 previous = known.report
         else:
             log.bind(host=report.host, boot=report.boot).info("peer heard")
--- a/dewridge/tests/entries/peers_tests.py
+++ b/dewridge/tests/entries/peers_tests.py
@@ -504,3 +504,25 @@
     record = dataclasses.replace(make_server("s-3"), **changes)
     answer = ServerAnswer(PEER, 1, [make_server("s-4"), record])
     assert isinstance(decode_message(msgspec.msgpack.encode(answer)), Failure)
+
+
+@pytest.mark.parametrize("report", [REPORT, CELL_REPORT], ids=["host", "cell"])
+def test_a_wrong_order_of_reports_hides_a_host_for_seconds_only(
+    report: Report | CellReport,
+) -> None:
+    """Guards against one report whose number is above all later ones of its host."""
+
+    async def check(host: PeerHost) -> None:
+        state = host.state
+        odd = msgspec.structs.replace(report, boot=2**53, number=2**53)
+        await host.receive(msgspec.msgpack.encode(odd))
+        await trio.sleep(15)
+        state.drop_expired()
+        for number in (1, 2):
+            sound = msgspec.structs.replace(report, number=number)
+            await host.receive(msgspec.msgpack.encode(sound))
+        assert not state.sharing.is_silent(report.host, trio.current_time())
+        assert state.sharing.reports_missed == 0
+        await check_outlasted(host)
+
+    run(check)
