--- a/dewridge/gateway/sharing.py
+++ b/dewridge/gateway/sharing.py
@@ -12,12 +12,15 @@
 from dataclasses import dataclass, field
 from typing import TypeVar
 
+import msgspec
 import trio
 from loguru import logger as log
 
+from dewridge.decoding import MAX_COUNT
 from dewridge.gateway.cellview import CellView, SourceView
 from dewridge.gateway.reports import (
     NO_HOLDER,
+    OUTCOME_KEY,
     CellReport,
     DutyHolder,
     OutcomeKey,
@@ -25,6 +28,7 @@
     Report,
     ServerTotals,
     Totals,
+    limit_figure,
 )
 from dewridge.gateway.serversums import ServerSums
 from dewridge.gateway.usagecounts import FleetUsage
@@ -60,6 +64,9 @@
 CELL_STALENESS_PERIODS = 2.5
 """Staleness of reports in a fleet with cells, in periods: one more for the second hop,
 from cell to cell."""
+MAX_LATENESS = 10.0
+"""Seconds after which no earlier report of a host can arrive any more. If one seems to,
+the order of the last one was wrong, and would hide the host for ever."""
 CELL_RETENTION_TIME = 10.0
 """Seconds for which the cell report of a silent host is retained, so that a cell is not
 taken for a new one when a network partition of that length heals."""
@@ -185,6 +192,7 @@
         """Apply a report; drop late ones and those of earlier incarnations."""
         if report.host == self.local_host:
             return
+        clear_negative_loads(report.totals.servers)
         ignored = clear_bad_paces(report.totals.servers)
         if ignored:
             self.on_ignored_paces(ignored)
@@ -203,9 +211,10 @@
         previous = None
         if known is not None:
             order = (known.report.boot, known.report.number)
-            if (report.boot, report.number) <= order:
+            is_late = (report.boot, report.number) <= order
+            if is_late and now - known.received_at <= MAX_LATENESS:
                 return False
-            if report.boot == known.report.boot:
+            if report.boot == known.report.boot and not is_late:
                 previous = known.report
         else:
             log.bind(host=report.host, boot=report.boot).info("peer heard")
@@ -251,7 +260,9 @@
         ).items():
             self._cell_token_demand[service] += growth
             self.on_token_demand(service, growth, now)
-        for name, growth in compute_growth(totals.outcomes, earlier.outcomes).items():
+        for name, growth in compute_growth(
+            select_outcomes(totals.outcomes), earlier.outcomes
+        ).items():
             self._cell_outcomes[name] += growth
             self.on_outcomes(name, growth)
         for key, growth in compute_growth(
@@ -292,7 +303,9 @@
             source, totals.token_demand
         ).items():
             self.on_token_demand(service, growth, now)
-        for name, growth in cell.outcomes.record(source, totals.outcomes).items():
+        for name, growth in cell.outcomes.record(
+            source, select_outcomes(totals.outcomes)
+        ).items():
             self.on_outcomes(name, growth)
         self._apply_cell_work(cell, source, totals.work_demand, now)
         return True
@@ -487,6 +500,29 @@
                 self._server_sums.drop(name)
 
 
+def select_outcomes(reported: Mapping[OutcomeKey, int]) -> dict[OutcomeKey, int]:
+    """Return the reported outcomes without those of kinds that are not known here."""
+    return {key: count for key, count in reported.items() if OUTCOME_KEY.match(key)}
+
+
+def clear_negative_loads(servers: Mapping[BackendServerId, ServerTotals]) -> None:
+    """Set reported loads below zero to zero.
+
+    No server has such a load, and a negative rate of attempts has no square root.
+    """
+    for totals in servers.values():
+        if (
+            totals.requests < 0
+            or totals.tokens < 0
+            or totals.attempts < 0
+            or totals.failures < 0
+        ):
+            totals.requests = max(0, totals.requests)
+            totals.tokens = max(0, totals.tokens)
+            totals.attempts = max(0, totals.attempts)
+            totals.failures = max(0, totals.failures)
+
+
 def clear_bad_paces(servers: Mapping[BackendServerId, ServerTotals]) -> int:
     """Set reported paces that are not credible to zero; return their number.
 
@@ -508,11 +544,16 @@
         for server, totals in part.servers.items():
             known = total.get(server)
             total[server] = totals if known is None else known + totals
-    return total
+    return {
+        server: totals
+        if max(msgspec.structs.astuple(totals)) <= MAX_COUNT
+        else ServerTotals(*map(limit_figure, msgspec.structs.astuple(totals)))
+        for server, totals in total.items()
+    }
 
 
 def _add(some: dict[Name, float], others: Mapping[Name, float]) -> dict[Name, int]:
     total = dict(some)
     for name, amount in others.items():
         total[name] = total.get(name, 0.0) + amount
-    return {name: round(amount) for name, amount in total.items()}
+    return {name: limit_figure(round(amount)) for name, amount in total.items()}
