Let the engines of the soak answer calls for a report

What the soak showed: with hosts that ask engines for a report after each close-delimited answer, its engines answered 404 to the call.

Cause: the stand-in knew no reports, and its records had no start time.

Change: engines report their runs and the start of their process, which their records name as `born`.

--- a/dewridge/tests/soak/engineruns.py
+++ b/dewridge/tests/soak/engineruns.py
@@ -131,6 +131,10 @@
         if not run.is_stopped and self._runs.get(request_id) is run:
             del self._runs[request_id]
 
+    def list_running(self) -> list[tuple[str, StreamRun]]:
+        """Return the ids and the runs that have not ended."""
+        return [item for item in self._runs.items() if not item[1].ended.is_set()]
+
     def take_memory(self, request_id: str, handle: str) -> bool:
         """Return whether a run may go on from memory here, and record that."""
         memory = self.history.memories.get(handle)
--- a/dewridge/tests/soak/servers.py
+++ b/dewridge/tests/soak/servers.py
@@ -99,6 +99,8 @@
         draws: draws how its answers end.
         find_server: returns the id of the server at an address; empty if unknown.
         leaves_in: seconds until it stops, as its record says; None if it doesn't say.
+        started_at_ms: start of its process in milliseconds since 1970, as its reports
+            say.
     """
 
     id: str
@@ -120,6 +122,7 @@
     draws: EndDraws = field(default_factory=EndDraws)
     find_server: Callable[[str], str] = lambda address: ""
     leaves_in: float | None = None
+    started_at_ms: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
     _engine_runs: EngineRuns | None = None
     _nursery: trio.Nursery | None = None
     _running: int = 0
@@ -152,6 +155,7 @@
             "slots": self.slots,
             "state": "draining" if self.is_draining else "ready",
             "version": self.version,
+            "born": self.started_at_ms,
         }
         if self.leaves_in is not None:
             record["leaves_ms"] = round(self.leaves_in * 1000)
@@ -204,7 +208,7 @@
 
     async def _answer_request(self, exchange: ServerExchange) -> None:
         if exchange.target == REPORT_PATH:
-            await exchange.answer(b"", 404)
+            await self._report(exchange)
             return
         if await self.runs.answer_call(exchange):
             return
@@ -229,6 +233,20 @@
         finally:
             self._running -= 1
 
+    async def _report(self, exchange: ServerExchange) -> None:
+        """Answer the call for a report, which only engines know."""
+        if self.service != "engine":
+            await exchange.answer(b"", 404)
+            return
+        runs = self.runs.list_running()
+        report = {
+            "waiting": 0,
+            "running": len(runs),
+            "runs": [[request_id, 0, run.created] for request_id, run in runs],
+            "born": self.started_at_ms,
+        }
+        await exchange.answer(json.dumps(report).encode())
+
     async def _reject_for_room(self, exchange: ServerExchange, tolerance: int) -> None:
         """Reject a request, and fall over if there were too many in a second."""
         now = time.monotonic()
