Draw engines that forget stopped runs, or start again, in the soak

What callers saw: streams without a length or chunks ended as complete although an order had stopped their runs, or their engine had started again. The soak did not draw this: its engines kept all that they had stopped.

Both have generators of their own.

A new check demands that streams whose runs ended by themselves are whole, and that resumable ones go on after a loss. A 404 after an order without a usable reply counts as no usable reply: it excuses a visible cut, and never a part that looks whole.

Checks changed: the history of cut_stopped_stream had a second run that ended by itself although the memory was left; that run is removed.

--- a/dewridge/tests/gateway/world.py
+++ b/dewridge/tests/gateway/world.py
@@ -275,6 +275,11 @@
             reset(stream)
         self._scope.cancel()
 
+    def close_connections(self) -> None:
+        """Close all connections in order, and go on accepting others."""
+        for stream in self._streams:
+            stream.socket.close()
+
     async def handle(self, stream: trio.SocketStream) -> None:
         """Answer the requests on a connection until it ends."""
         state = h11.Connection(h11.SERVER)
--- a/dewridge/tests/soak/__main__.py
+++ b/dewridge/tests/soak/__main__.py
@@ -75,6 +75,14 @@
         int,
         typer.Option(help="Times that engines leave whose runs are stopped and moved."),
     ] = 2,
+    losing: Annotated[
+        int,
+        typer.Option(help="Percentage of runs that engines don't have after an order."),
+    ] = 30,
+    restarts: Annotated[
+        int,
+        typer.Option(help="Times that engines start again under their names."),
+    ] = 1,
     uploads: Annotated[
         int, typer.Option(help="Callers of uploads that servers may answer early.")
     ] = 1,
@@ -103,6 +111,8 @@
         store_rate=store_rate,
         unframed=unframed,
         moves=moves,
+        losing=losing,
+        restarts=restarts,
         uploads=uploads,
     )
     planned_runs = [(run_seed, size) for run_seed in range(first, first + runs)]
--- a/dewridge/tests/soak/checks.py
+++ b/dewridge/tests/soak/checks.py
@@ -6,6 +6,7 @@
 from dewridge.tests.soak.departurechecks import check_late_arrivals
 from dewridge.tests.soak.documentchecks import check_documents, list_checked
 from dewridge.tests.soak.endchecks import check_ends, count_ends
+from dewridge.tests.soak.finishchecks import check_finished
 from dewridge.tests.soak.lostchecks import (
     Loss,
     check_exits,
@@ -76,6 +77,7 @@
         *check_bad_parts(history),
         *check_retries(history),
         *check_ends(history),
+        *check_finished(history),
     ]
 
 
@@ -210,6 +212,9 @@
         loss = Loss(request, request.ended_at)
         if history.is_cut_by_order(request):
             continue
+        if history.is_restarted(runs[request.id]):
+            # `check_finished` has streams that must go on elsewhere.
+            continue
         if loss.used_share >= 1 or was_cut_by_exit(history, loss, runs[request.id]):
             continue
         if request.id in server_by_request:
--- a/dewridge/tests/soak/endchecks.py
+++ b/dewridge/tests/soak/endchecks.py
@@ -108,6 +108,7 @@
         and memory.freed_at is None
         and memory.announced_at is not None
         and memory.source not in history.server_ended_at
+        and memory.source not in memory.forgotten_by
         and _must_be_free(history, memory)
     ]
 
@@ -176,6 +177,10 @@
         "memory freed": sum(
             memory.freed_at is not None for memory in history.memories.values()
         ),
+        "memory forgotten": sum(
+            memory.source in memory.forgotten_by for memory in history.memories.values()
+        ),
+        "engines started again": len(history.restarts),
         "memory left": sum(
             memory.freed_at is None and handle not in used
             for handle, memory in history.memories.items()
--- a/dewridge/tests/soak/endchecks_tests.py
+++ b/dewridge/tests/soak/endchecks_tests.py
@@ -115,6 +115,7 @@
     request = history.requests[STREAM]
     request.is_complete, request.events = False, request.events[:2]
     leave_memory(history)
+    history.runs = [run for run in history.runs if run.server != "s-2"]
     history.memories[HANDLE].freed_at = 15.0
 
 
@@ -190,6 +191,10 @@
     history.memories[HANDLE].announced_at = None
 
 
+def forget_at_source(history: History) -> None:
+    history.memories[HANDLE].forgotten_by.add("s-1")
+
+
 def end_source(history: History) -> None:
     history.server_ended_at["s-1"] = 12.0
 
@@ -208,7 +213,15 @@
 
 @pytest.mark.parametrize(
     "excuse",
-    [free_memory, never_tell_handle, end_source, end_host, disturb_host, rest_source],
+    [
+        free_memory,
+        never_tell_handle,
+        forget_at_source,
+        end_source,
+        end_host,
+        disturb_host,
+        rest_source,
+    ],
 )
 def test_memory_that_a_host_can_not_free_is_no_violation(excuse: Change) -> None:
     history = make_history()
--- a/dewridge/tests/soak/engineruns.py
+++ b/dewridge/tests/soak/engineruns.py
@@ -12,6 +12,7 @@
 from dewridge.tests.gateway.stoppableengines import (
     HANDLE_TARGET,
     MOVE_TARGET,
+    STOPPING_FAULTS,
     Reply,
 )
 from dewridge.tests.gateway.world import ServerExchange
@@ -45,6 +46,11 @@
 """Share of the stopped streams that end in the middle of an event."""
 STOP_SECONDS = 5.0
 """Seconds within which a run that is ordered to stop has ended."""
+LOSS_WEIGHTS = {Reply.NO_RUN: 3, Reply.FINISHED: 1, Reply.RESTARTED: 1}
+"""How often an engine that is ordered to stop a run has forgotten it afterwards, has
+ended it before, or starts again."""
+MAX_REFUSALS = 2
+"""Maximum orders refused with status 409 before an engine says that it has no run."""
 
 
 @dataclass
@@ -54,10 +60,14 @@
     Attributes:
         rng: the generator.
         unframed_share: share of the answers without a length or chunks.
+        losing_share: share of the runs that their engine does not have after an order.
+        losing_rng: generator of what becomes of these.
     """
 
     rng: random.Random = field(default_factory=partial(random.Random, 1))
     unframed_share: float = 0.0
+    losing_share: float = 0.0
+    losing_rng: random.Random = field(default_factory=partial(random.Random, 1))
 
     def draw(self, probability: float) -> bool:
         """Return whether something of this probability happens."""
@@ -68,6 +78,13 @@
         weights = list(REPLY_WEIGHTS.values())
         return self.rng.choices(list(REPLY_WEIGHTS), weights)[0]
 
+    def draw_loss(self) -> Reply | None:
+        """Return why an engine does not have a run after an order; None if it does."""
+        if not self.losing_share or self.losing_rng.random() >= self.losing_share:
+            return None
+        weights = list(LOSS_WEIGHTS.values())
+        return self.losing_rng.choices(list(LOSS_WEIGHTS), weights)[0]
+
 
 @dataclass
 class StreamRun:
@@ -82,6 +99,8 @@
         memory: its memory once it was stopped.
         reply: the reply that all its orders get; None to draw each.
         is_ordered: whether an order is in progress.
+        loss: why its engine does not have it after the first order; None if it does.
+        refusals: further orders that are refused with status 409 after a loss.
     """
 
     created: int = 0
@@ -93,6 +112,8 @@
     memory: EngineMemory | None = None
     reply: Reply | None = None
     is_ordered: bool = False
+    loss: Reply | None = None
+    refusals: int = 0
 
     async def wait_to_stop(self, seconds: float) -> bool:
         """Wait until the next event is due; return whether the run stops before it."""
@@ -110,12 +131,14 @@
         history: records orders and memory.
         draws: draws the replies.
         find_server: returns the id of the server at an address; empty if unknown.
+        restart: starts the engine again under its name.
     """
 
     server: str
     history: History
     draws: EndDraws
     find_server: Callable[[str], str]
+    restart: Callable[[], None]
     _runs: dict[str, StreamRun] = field(default_factory=dict)
 
     def begin(self, request_id: str, created: int) -> StreamRun:
@@ -123,6 +146,7 @@
         run = self._runs[request_id] = StreamRun(created)
         if self.draws.draw(SAME_REPLY_PROBABILITY):
             run.reply = self.draws.draw_reply()
+        run.loss = self.draws.draw_loss()
         return run
 
     def end(self, request_id: str, run: StreamRun) -> None:
@@ -131,6 +155,13 @@
         if not run.is_stopped and self._runs.get(request_id) is run:
             del self._runs[request_id]
 
+    def forget_all(self) -> None:
+        """Forget all runs and all memory, as a process that ends does."""
+        self._runs.clear()
+        for memory in self.history.memories.values():
+            if self.server in {memory.source, memory.target}:
+                memory.forgotten_by.add(self.server)
+
     def list_running(self) -> list[tuple[str, StreamRun]]:
         """Return the ids and the runs that have not ended."""
         return [item for item in self._runs.items() if not item[1].ended.is_set()]
@@ -166,6 +197,8 @@
         return False
 
     def _is_kept(self, memory: EngineMemory) -> bool:
+        if self.server in memory.forgotten_by:
+            return False
         return memory.freed_at is None and not any(
             each.handle == memory.handle and each.has_run
             for each in self.history.continuations
@@ -181,9 +214,16 @@
             exchange.reset()
         elif run is None or run.is_finished:
             await self._answer_no_run(exchange, request_id)
-        elif run.is_ordered:
+        elif run.is_ordered or run.refusals:
+            run.refusals = max(0, run.refusals - 1)
             self._record(request_id, Reply.IN_PROGRESS.value, is_usable=False)
             await exchange.answer(b"{}", 409)
+        elif run.loss is not None:
+            run.is_ordered = True
+            try:
+                await self._lose(exchange, request_id, run, run.loss)
+            finally:
+                run.is_ordered = False
         elif reply is Reply.FINISHES and run.memory is None:
             self._record(request_id, reply.value, is_usable=False)
             run.finish.set()
@@ -195,6 +235,30 @@
             finally:
                 run.is_ordered = False
 
+    async def _lose(
+        self, exchange: ServerExchange, request_id: str, run: StreamRun, loss: Reply
+    ) -> None:
+        """Answer an order after which the engine does not have the run."""
+        if loss is Reply.RESTARTED:
+            self._record(request_id, loss.value, is_usable=False)
+            self.restart()
+            return
+        if run.is_stopped:
+            await self._answer_no_run(exchange, request_id)
+            return
+        (run.finish if loss is Reply.FINISHED else run.stop).set()
+        with trio.move_on_after(STOP_SECONDS):
+            await run.ended.wait()
+        if not run.is_stopped:
+            await self._answer_no_run(exchange, request_id)
+            return
+        run.refusals = self.draws.losing_rng.randint(0, MAX_REFUSALS)
+        reply = self.draws.losing_rng.choice(STOPPING_FAULTS)
+        self._record(request_id, reply.value, is_usable=False)
+        memory = self._keep_memory(request_id, "")
+        memory.forgotten_by.add(self.server)
+        await self._reply(exchange, reply, memory, run.created)
+
     async def _carry_out(
         self,
         exchange: ServerExchange,
@@ -212,11 +276,7 @@
         if run.memory is None:
             is_full = reply is Reply.TARGET_FULL
             holder = "" if is_full else self.find_server(target)
-            handle = f"{request_id}.{self.server}.{len(self.history.memories)}"
-            run.memory = EngineMemory(
-                handle, request_id, self.server, holder, time.monotonic()
-            )
-            self.history.memories[handle] = run.memory
+            run.memory = self._keep_memory(request_id, holder)
         elif not self._is_kept(run.memory):
             await self._answer_no_run(exchange, request_id)
             return
@@ -225,8 +285,21 @@
         self._record(request_id, reply.value, is_usable=reply in USABLE_REPLIES)
         await self._reply(exchange, reply, run.memory, run.created)
 
+    def _keep_memory(self, request_id: str, holder: str) -> EngineMemory:
+        handle = f"{request_id}.{self.server}.{len(self.history.memories)}"
+        now = time.monotonic()
+        memory = EngineMemory(handle, request_id, self.server, holder, now)
+        self.history.memories[handle] = memory
+        return memory
+
     async def _answer_no_run(self, exchange: ServerExchange, request_id: str) -> None:
-        self._record(request_id, "no run", is_usable=True)
+        # After an order without a usable reply, the run may have been stopped by it.
+        has_lost = any(
+            not record.is_usable
+            for record in self.history.stop_records
+            if (record.id, record.server) == (request_id, self.server)
+        )
+        self._record(request_id, Reply.NO_RUN.value, is_usable=not has_lost)
         await exchange.answer(b"{}", 404)
 
     async def _reply(
--- a/dewridge/tests/soak/engineruns_tests.py
+++ b/dewridge/tests/soak/engineruns_tests.py
@@ -11,8 +11,9 @@
 import pytest
 import trio
 
+from dewridge.platform.engines import REPORT_PATH
 from dewridge.tests.gateway.stoppableengines import HANDLE_TARGET, MOVE_TARGET, Reply
-from dewridge.tests.soak.engineruns import EndDraws
+from dewridge.tests.soak.engineruns import LOSS_WEIGHTS, EndDraws
 from dewridge.tests.soak.records import History, RequestKind, SentRequest
 from dewridge.tests.soak.servers import EVENTS_PER_STREAM, SoakServer
 
@@ -35,6 +36,10 @@
         """Return the reply."""
         return self.reply
 
+    def draw_loss(self) -> Reply | None:
+        """Return the reply if the engine does not have the run after it."""
+        return self.reply if self.reply in LOSS_WEIGHTS else None
+
 
 @dataclass
 class Answer:
@@ -216,3 +221,57 @@
     assert whole.body.count(b"\n\n") == EVENTS_PER_STREAM
     assert ended.status == 404
     assert stage.history.memories == {}
+
+
+async def ask_until_answered(stage: Stage) -> list[int]:
+    """Order to stop the stream until the engine says that it has no run."""
+    statuses: list[int] = []
+    while 404 not in statuses and len(statuses) < 4:
+        statuses.append((await stage.order_stop()).status)
+    return statuses
+
+
+@pytest.mark.parametrize("seed", range(4))
+async def test_an_engine_has_forgotten_a_run_that_it_has_stopped(seed: int) -> None:
+    async with open_stage(Reply.NO_RUN) as stage:
+        stage.draws.losing_rng = random.Random(seed)
+        part, _ = await stage.stop_running()
+        statuses = await ask_until_answered(stage)
+        (memory,) = stage.history.memories.values()
+        rest = await stage.call(b"/draft/x", memory=memory.handle, last=1)
+    assert part.is_complete
+    assert part.body.count(b"\n\n") < EVENTS_PER_STREAM
+    assert set(statuses[:-1]) <= {409}
+    assert statuses[-1] == 404
+    assert rest.status == 503
+    assert not any(record.is_usable for record in stage.history.stop_records)
+
+
+async def test_a_run_that_ends_before_its_only_order_is_whole() -> None:
+    async with open_stage(Reply.FINISHED) as stage:
+        whole, order = await stage.stop_running()
+    assert whole.body.count(b"\n\n") == EVENTS_PER_STREAM
+    assert order.status == 404
+    assert [record.is_usable for record in stage.history.stop_records] == [True]
+
+
+async def read_start(stage: Stage) -> int:
+    """Return the start of the process by the engine's report."""
+    report = await stage.call(REPORT_PATH, method="GET")
+    started_at: int = json.loads(report.body)["born"]
+    return started_at
+
+
+async def test_an_engine_that_started_again_has_no_run_and_a_later_start() -> None:
+    async with open_stage(Reply.RESTARTED) as stage:
+        before = await read_start(stage)
+        part, order = await stage.stop_running()
+        repeated = await stage.order_stop()
+        after = await read_start(stage)
+        (restart,) = stage.history.restarts
+    assert part.is_complete
+    assert part.body.count(b"\n\n") < EVENTS_PER_STREAM
+    assert (order.status, repeated.status) == (0, 404)
+    assert before < after == stage.engine.started_at_ms
+    assert restart.affects(stage.history.runs[0])
+    assert stage.history.runs[0].has_broken_off
--- a/dewridge/tests/soak/leavingengines.py
+++ b/dewridge/tests/soak/leavingengines.py
@@ -1,4 +1,4 @@
-"""Engines that leave while they run streams, which hosts then stop and move."""
+"""Engines that leave, or start again, while they run streams."""
 
 import random
 
@@ -40,17 +40,35 @@
         rng: generator from which everything is drawn.
     """
     await trio.sleep(at)
-    count = rng.randint(MIN_STREAMS, MAX_STREAMS)
     async with trio.open_nursery() as nursery:
-        for number in range(count):
-            request_id = f"{name}-{number}"
-            nursery.start_soon(_run_stream, environment, request_id, fork(rng))
-        await trio.sleep(START_SECONDS + rng.uniform(0.0, 0.4))
+        await _start_streams(environment, nursery, name, rng)
         for engine in _list_busiest(environment)[: rng.randint(1, 2)]:
             nursery.start_soon(_leave, environment, engine, fork(rng))
             await trio.sleep(rng.choice([0.0, rng.uniform(0, 1.0)]))
 
 
+async def restart_engines(
+    environment: SoakEnvironment, at: float, name: str, rng: random.Random
+) -> None:
+    """Let one or two engines start again under their names within many streams."""
+    await trio.sleep(at)
+    async with trio.open_nursery() as nursery:
+        await _start_streams(environment, nursery, name, rng)
+        for engine in _list_busiest(environment)[: rng.randint(1, 2)]:
+            engine.restart()
+            await trio.sleep(rng.choice([0.0, rng.uniform(0, 1.0)]))
+
+
+async def _start_streams(
+    environment: SoakEnvironment, nursery: trio.Nursery, name: str, rng: random.Random
+) -> None:
+    count = rng.randint(MIN_STREAMS, MAX_STREAMS)
+    for number in range(count):
+        request_id = f"{name}-{number}"
+        nursery.start_soon(_run_stream, environment, request_id, fork(rng))
+    await trio.sleep(START_SECONDS + rng.uniform(0.0, 0.4))
+
+
 async def _run_stream(
     environment: SoakEnvironment, request_id: str, rng: random.Random
 ) -> None:
--- a/dewridge/tests/soak/lostchecks.py
+++ b/dewridge/tests/soak/lostchecks.py
@@ -152,6 +152,8 @@
         return True
     if history.is_cut_by_order(loss.request):
         return True
+    if history.is_restarted(runs):
+        return True
     return loss.used_share >= 1 or was_cut_by_exit(history, loss, runs)
 
 
--- a/dewridge/tests/soak/records.py
+++ b/dewridge/tests/soak/records.py
@@ -2,6 +2,7 @@
 
 import signal
 import time
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -14,6 +15,8 @@
 
 NOTICE_MARGIN = 0.3
 """Seconds before the end of an engine's notice in which no request has to reach it."""
+RESTART_IMPACT_SECONDS = 1.0
+"""Seconds in which hosts read a record, or ask which process has sent an answer."""
 STREAM_SECONDS = 0.48
 """Usual length of a stream."""
 STREAM_ROUTE_TIMEOUT = 15.0
@@ -183,6 +186,7 @@
         announced_at: when the source replied with the handle in time; None if it
             did not.
         freed_at: when it was freed; None if it was not.
+        forgotten_by: engines that don't have it any more although it was not freed.
     """
 
     handle: str
@@ -192,6 +196,31 @@
     created_at: float
     announced_at: float | None = None
     freed_at: float | None = None
+    forgotten_by: set[str] = field(default_factory=set)
+
+
+@dataclass
+class Restart:
+    """An engine that has closed its connections and started again under its name.
+
+    Attributes:
+        server: the engine.
+        at: monotonic time in seconds.
+        recorded_at: when its record had the new start time.
+    """
+
+    server: str
+    at: float
+    recorded_at: float = float("inf")
+
+    def affects(self, run: ServerRun) -> bool:
+        """Whether a host may not know which process an execution belongs to."""
+        ended_at = float("inf") if run.ended_at is None else run.ended_at
+        return (
+            run.server == self.server
+            and run.began_at <= self.recorded_at + RESTART_IMPACT_SECONDS
+            and ended_at >= self.at - RESTART_IMPACT_SECONDS
+        )
 
 
 @dataclass(frozen=True)
@@ -413,6 +442,7 @@
         continuation_arrivals: the same, as they reached servers.
         notices: seconds that leaving engines said they would go on.
         server_ended_at: when leaving engines ended.
+        restarts: engines that started again under their names.
         end: end of the observed period; later interruptions are ignored.
     """
 
@@ -446,6 +476,7 @@
     continuation_arrivals: list[Execution] = field(default_factory=list)
     notices: dict[str, float] = field(default_factory=dict)
     server_ended_at: dict[str, float] = field(default_factory=dict)
+    restarts: list[Restart] = field(default_factory=list)
     last_fault_end: float = 0.0
     end: float = 0.0
 
@@ -482,6 +513,10 @@
             for record in replies
         )
 
+    def is_restarted(self, runs: Iterable[ServerRun]) -> bool:
+        """Whether an engine of an execution started again meanwhile."""
+        return any(restart.affects(run) for run in runs for restart in self.restarts)
+
     def _find_stop(self, server: str) -> float:
         """Return when a leaving engine may end by its notice."""
         notice = self.notices.get(server, float("inf"))
--- a/dewridge/tests/soak/runs.py
+++ b/dewridge/tests/soak/runs.py
@@ -17,7 +17,7 @@
 from dewridge.tests.soak.engineruns import EndDraws
 from dewridge.tests.soak.faults import Fault, draw_faults, inject_faults
 from dewridge.tests.soak.leaving import make_hosts_leave
-from dewridge.tests.soak.leavingengines import make_engines_leave
+from dewridge.tests.soak.leavingengines import make_engines_leave, restart_engines
 from dewridge.tests.soak.newversions import add_version
 from dewridge.tests.soak.partitions import partition_hosts
 from dewridge.tests.soak.records import LOW_RETRY_SLACK, RequestKind
@@ -73,6 +73,10 @@
     """Percentage of the answers without a length or chunks."""
     moves: int = 0
     """Number of times that engines leave whose runs can be stopped and moved."""
+    losing: int = 0
+    """Percentage of the runs that their engine does not have after an order."""
+    restarts: int = 0
+    """Number of times that engines start again under their names."""
     uploads: int = 0
     """Number of callers of uploads, some of which are answered before their end."""
     calm_seconds: float = FAULT_FREE_SECONDS
@@ -119,7 +123,12 @@
         environment = SoakEnvironment(rng, folder, nursery)
         if size.brittle:
             environment.slots = BRITTLE_SLOTS
-        environment.draws = EndDraws(random.Random(f"ends {seed}"), size.unframed / 100)
+        environment.draws = EndDraws(
+            random.Random(f"ends {seed}"),
+            size.unframed / 100,
+            size.losing / 100,
+            random.Random(f"losing {seed}"),
+        )
         environment.has_moves = size.moves > 0
         if size.rejecting:
             environment.history.retry_slack = LOW_RETRY_SLACK
@@ -209,6 +218,12 @@
             drawn_rng = random.Random(moves_rng.random())
             name = f"m{number}"
             nursery.start_soon(make_engines_leave, environment, at, name, drawn_rng)
+        restarts_rng = random.Random(f"restarts {seed}")
+        for number in range(size.restarts):
+            at = restarts_rng.uniform(0, size.seconds)
+            drawn_rng = random.Random(restarts_rng.random())
+            name = f"r{number}"
+            nursery.start_soon(restart_engines, environment, at, name, drawn_rng)
         for _ in range(size.signals):
             at = rng.uniform(0, size.seconds)
             nursery.start_soon(
--- a/dewridge/tests/soak/servers.py
+++ b/dewridge/tests/soak/servers.py
@@ -27,6 +27,7 @@
     Execution,
     Fall,
     History,
+    Restart,
     SentRequest,
     ServerRun,
     Signal,
@@ -89,6 +90,7 @@
         is_registered: whether it has a record in the store.
         link: proxy in front of it.
         on_crash: called when it crashes under a request.
+        on_restart: called when it has started again under its name.
         signals: signals in its answers, with their values.
         has_signalled: whether it ever had signals.
         slots: requests that it runs at once, as its record says.
@@ -112,6 +114,7 @@
     is_registered: bool = True
     link: Link = field(default_factory=lambda: Link(""))
     on_crash: Callable[["SoakServer"], None] = lambda server: None
+    on_restart: Callable[["SoakServer", Restart], None] = lambda server, restart: None
     signals: dict[Signal, float] = field(default_factory=dict)
     has_signalled: bool = False
     slots: int = 16
@@ -124,6 +127,7 @@
     leaves_in: float | None = None
     started_at_ms: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
     _engine_runs: EngineRuns | None = None
+    _server: ScriptedServer | None = None
     _nursery: trio.Nursery | None = None
     _running: int = 0
     _rejections: list[float] = field(default_factory=list)
@@ -133,8 +137,9 @@
         self._nursery = nursery
         server = ScriptedServer(BackendServerId(self.id), self._handle_request)
         server.is_early = self._is_answered_early
+        self._server = server
         self._engine_runs = EngineRuns(
-            self.id, self.history, self.draws, self.find_server
+            self.id, self.history, self.draws, self.find_server, self.restart
         )
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         port = listeners[0].socket.getsockname()[1]
@@ -171,10 +176,27 @@
         """End without a crash: reset all connections and refuse new ones."""
         now = time.monotonic()
         self.history.server_ended_at[self.id] = now
+        self._break_runs_off()
+        self.link.close()
+
+    def restart(self) -> None:
+        """End, with all connections in order, and start again under the same name.
+
+        The next connection is accepted at once.
+        """
+        assert self._server is not None
+        restart = Restart(self.id, time.monotonic())
+        self.history.restarts.append(restart)
+        self._break_runs_off()
+        self.started_at_ms = max(self.started_at_ms + 1, time.time_ns() // 1_000_000)
+        self.runs.forget_all()
+        self._server.close_connections()
+        self.on_restart(self, restart)
+
+    def _break_runs_off(self) -> None:
         for run in self.history.runs:
-            if run.server == self.id and run.ended_at is None:
+            if run.server == self.id and run.ended_at is None and not run.has_finished:
                 run.has_broken_off = True
-        self.link.close()
 
     def _is_answered_early(self, head: h11.Request) -> bool:
         """Draw whether an upload is answered before it is read."""
--- a/dewridge/tests/soak/stage.py
+++ b/dewridge/tests/soak/stage.py
@@ -25,6 +25,7 @@
     History,
     HostBoot,
     HostSignal,
+    Restart,
     ServerPeriod,
 )
 from dewridge.tests.soak.servers import Mood, SoakServer
@@ -52,6 +53,8 @@
 CRASH_IMPACT_SECONDS = 1.0
 """Seconds after the restart in which the crash may still interrupt requests or leave
 too few servers for them."""
+MAX_RECORD_DELAY = 0.6
+"""Maximum seconds until the record of an engine that started again says so."""
 DEPARTURE_SECONDS = 3.0
 """Seconds that a departing server still serves."""
 QUOTA_RATE = 3_000.0
@@ -292,6 +295,9 @@
             turn = self._server_count // 2 % len(self.versions)
             server.version = version or self.versions[turn]
         server.on_crash = self._handle_crash
+        server.on_restart = lambda server, restart: self.nursery.start_soon(
+            self._record_restart, server, restart
+        )
         await server.start(self.nursery)
         server.write_record(self.store.memory_store)
         self.servers.append(server)
@@ -311,6 +317,11 @@
             "",
         )
 
+    async def _record_restart(self, server: SoakServer, restart: Restart) -> None:
+        await trio.sleep(self.draws.losing_rng.uniform(0, MAX_RECORD_DELAY))
+        server.write_record(self.store.memory_store)
+        restart.recorded_at = time.monotonic()
+
     def _handle_crash(self, server: SoakServer) -> None:
         for gateway in self.gateways:
             if gateway.paths is not None:
