Give the hosts of the replay of retries addresses that can be used

Registrations are validated now, and those of the replay had none, so that its hosts knew of no others: ten cases failed. The call for a report, which is no request, moved from probing.py to reports.py.

--- a/dewridge/tests/gateway/pushback_tests.py
+++ b/dewridge/tests/gateway/pushback_tests.py
@@ -187,7 +187,7 @@
     exchanges = list_files_with(r"\.receive_head\(") | list_files_with(
         "ServiceClient\\("
     )
-    assert exchanges.keys() - {"probing.py", "passing.py", "composition.py"} == {
+    assert exchanges.keys() - {"reports.py", "passing.py", "composition.py"} == {
         "forwarding.py",
         "control.py",
         "peers.py",
--- a/dewridge/tests/gateway/retryreplay.py
+++ b/dewridge/tests/gateway/retryreplay.py
@@ -17,6 +17,7 @@
 RETRY_RATIO = 0.2
 RETRY_WINDOW = 10.0
 SLACK_PER_HOST = 6.0
+ADDRESS = "127.0.0.1:9"
 REQUESTS_PER_HOST = 7.0
 """Requests per second for each host of the fleet, whether it serves or not."""
 MAX_RETRIES = 2
@@ -86,7 +87,9 @@
         items = [
             Item(
                 f"{HOSTS_PREFIX}{host}/1",
-                msgspec.json.encode(HostEntry(host, 1, "", "", DOMAIN, is_ready=True)),
+                msgspec.json.encode(
+                    HostEntry(host, 1, ADDRESS, ADDRESS, DOMAIN, is_ready=True)
+                ),
                 self._revision,
             )
             for host in self._registered
