Refuse records, ends and claims of other hosts whose fields can't be used

A deadline of NaN was stored, and is neither past nor to come.

Records and ends are checked as replies and messages arrive, with the bounds of the common decoder, and a message with an odd one is refused as malformed.

--- a/dewridge/requests/claiming.py
+++ b/dewridge/requests/claiming.py
@@ -4,6 +4,7 @@
 from loguru import logger as log
 
 from dewridge.codes import ResultCode
+from dewridge.decoding import MAX_COUNT, decode_json
 from dewridge.ids import HostId, Incarnation, RequestId
 from dewridge.membership.ranking import rank_members
 from dewridge.peers.model import PeerIdentity
@@ -126,7 +127,7 @@
             limit = min(timeout, settings.claim_timeout * COMMITTER_TIMEOUT_SHARE)
             with trio.move_on_after(limit):
                 reply = await self._shared.call(candidates[0].host, message, limit)
-                if not isinstance(reply, Failure):
+                if not isinstance(reply, Failure) and reply.results:
                     return decode_result(reply.results[0])
             self._shared.metrics.add("claims_committed_by_owner")
         return await self._committer.commit(
@@ -196,7 +197,9 @@
         return Grant(granted=True)
     if message.code != ResultCode.PEER_REFUSED:
         return make_unavailable(message.reason)
-    epoch = int(message.reason or "0")
+    epoch = decode_json((message.reason or "0").encode(), int)
+    if isinstance(epoch, Failure) or not 0 <= epoch <= MAX_COUNT:
+        return make_unavailable("the claim's holder has no epoch")
     holder = Ballot(
         epoch, HostId(message.holder), Incarnation(message.holder_incarnation)
     )
--- a/dewridge/requests/codec.py
+++ b/dewridge/requests/codec.py
@@ -1,8 +1,12 @@
 """Conversion of records and ends to and from the structures sent between hosts."""
 
-from typing import Any
+from collections.abc import Awaitable, Callable
+from typing import Annotated, Any
+
+import msgspec
 
 from dewridge.codes import ResultCode
+from dewridge.decoding import MAX_COUNT, Amount, Count, Name, convert
 from dewridge.ids import (
     Generation,
     HostId,
@@ -12,14 +16,101 @@
     RequestId,
     ServiceName,
 )
+from dewridge.peers.model import PeerIdentity
 from dewridge.peers.wire import ttypes as wire
 from dewridge.requests.model import AnswerSummary, EndedEvent
 from dewridge.requests.records import Ballot, Record
+from dewridge.sentinels import Failure
 
 NO_RETRY_AFTER = -1.0
 """Value of the wire field `retry_after` for None."""
 
 
+Number = Annotated[float, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
+Handler = Callable[[PeerIdentity, Any], Awaitable[Any]]
+
+
+class _RecordFields(msgspec.Struct):
+    """The fields of a record as another host may send them."""
+
+    request: Name
+    service_name: Name
+    operation: Name
+    number: Count
+    deadline: Number
+    input: str
+    max_tokens: Count
+    idempotent: bool
+    profile: Name
+    accepted_at: Number
+    owner: Name
+    owner_incarnation: Count
+    generation: int
+    replicas: list[Name]
+    attempts: Count
+    recomputed: Count
+    cost: Amount
+    claimed: bool
+    epoch: Count
+    cache_handle: Name | None
+    maybe_run: bool | None
+    pending: bool | None
+    digest: Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{0,64}$")] | None
+    version: Name | None
+
+
+class _EndFields(msgspec.Struct):
+    """The fields of an end as another host may send them."""
+
+    code: int
+    reason: str
+    retry_after: Number
+    body: str
+    tokens: Count
+    attempts: Count
+    recomputed: Count
+    cost: Amount
+    backend_server: str
+    failure_domain: str
+    profile: str
+
+
+RECORD_MEMBERS = ("record", "known")
+END_MEMBERS = ("ended", "known_end")
+
+
+def find_fault(message: Any) -> Failure | None:
+    """Return why a message can't be used; None if its records and ends are sound.
+
+    Args:
+        message: any message of another host, or a failure.
+    """
+    if getattr(message, "found", True) and getattr(message, "record", 0) is None:
+        return Failure(ResultCode.FRAME_MALFORMED, "no record")
+    parts: list[tuple[Any, type[msgspec.Struct]]]
+    parts = [(getattr(message, name, None), _RecordFields) for name in RECORD_MEMBERS]
+    parts += [(getattr(message, name, None), _EndFields) for name in END_MEMBERS]
+    parts += [(run.ended, _EndFields) for run in getattr(message, "runs", None) or ()]
+    for part, kind in parts:
+        if part is None:
+            continue
+        fields = {name: getattr(part, name, None) for name in kind.__struct_fields__}
+        fault = convert(fields, kind, ResultCode.FRAME_MALFORMED)
+        if isinstance(fault, Failure):
+            return fault
+    return None
+
+
+def check_messages(handler: Handler) -> Handler:
+    """Return a handler that refuses messages that can't be used."""
+
+    async def handle(peer: PeerIdentity, message: Any) -> Any:
+        fault = find_fault(message)
+        return await handler(peer, message) if fault is None else fault
+
+    return handle
+
+
 def encode_record(record: Record) -> Any:
     """Return the wire structure of a record, without its tokens."""
     return wire.RequestRecord(
--- a/dewridge/requests/service.py
+++ b/dewridge/requests/service.py
@@ -32,7 +32,7 @@
 from dewridge.requests.answers import Answer
 from dewridge.requests.attempts import Attempts
 from dewridge.requests.claiming import Claimer
-from dewridge.requests.codec import encode_end
+from dewridge.requests.codec import check_messages, encode_end
 from dewridge.requests.committer import Committer
 from dewridge.requests.ending import RequestFinisher
 from dewridge.requests.failover import Failover
@@ -189,12 +189,13 @@
         self._finisher.on_not_run = self._attempts.release_claim
         peers = self._shared.peers
         for kind, handler in self._handlers.list_handlers():
-            peers.handle(kind, handler)
+            peers.handle(kind, check_messages(handler))
         peers.handle(wire.Follow, self._followers.serve)
-        peers.handle(wire.FollowTokens, self._followers.receive)
+        peers.handle(wire.FollowTokens, check_messages(self._followers.receive))
         peers.handle(wire.StopFollow, self._followers.stop)
         peers.handle(wire.Claim, self._claims.serve)
-        peers.handle(wire.Handoff, self._handoff_receiver.receive_handoff)
+        receive_handoff = self._handoff_receiver.receive_handoff
+        peers.handle(wire.Handoff, check_messages(receive_handoff))
         peers.handle(wire.Cancel, self._serve_cancel)
 
     def list_tasks(self) -> list[tuple[str, TaskFunction]]:
--- a/dewridge/requests/shared.py
+++ b/dewridge/requests/shared.py
@@ -13,6 +13,7 @@
 from dewridge.membership.model import Member, MembershipView, MemberState
 from dewridge.metrics.registry import Metrics
 from dewridge.peers.model import Peers
+from dewridge.requests.codec import find_fault
 from dewridge.requests.records import Ballot
 from dewridge.requests.replicas import RecordTable
 from dewridge.sentinels import Failure
@@ -133,12 +134,18 @@
         return member
 
     async def call(self, host: HostId, message: Any, timeout: float = 0.0) -> Any:
-        """Call a host by name; return a Failure if it departed or does not answer."""
+        """Call a host by name.
+
+        Returns:
+            The reply; a Failure if the host departed, or has no reply that can be used.
+        """
         member = self.find_live(host)
         if member is None:
             return UNREACHABLE
         limit = timeout or self.settings.replica_timeout
-        return await self.peers.call(member.address, message, limit)
+        reply = await self.peers.call(member.address, message, limit)
+        fault = find_fault(reply)
+        return reply if fault is None else fault
 
 
 async def wait_until(condition: Callable[[], bool], period: float) -> None:
--- a/dewridge/tests/entries/interface_tests.py
+++ b/dewridge/tests/entries/interface_tests.py
@@ -22,6 +22,7 @@
     read_events,
 )
 from dewridge.client.operators import OperatorClient
+from dewridge.codes import ResultCode
 from dewridge.configuration.head import (
     Head,
     StoredObject,
@@ -66,6 +67,8 @@
     HostId,
     Incarnation,
     OperationName,
+    ProfileName,
+    RequestId,
     RequestKey,
     ServiceName,
 )
@@ -73,7 +76,7 @@
 from dewridge.membership.model import Member, Rumor
 from dewridge.membership.registration import Registration
 from dewridge.metrics.registry import Metrics
-from dewridge.peers.frames import decode_payload
+from dewridge.peers.frames import FrameContent, decode_payload, encode_frame
 from dewridge.peers.refusals import read_refusal as read_peer_refusal
 from dewridge.peers.transport import _open_stream
 from dewridge.peers.wire import ttypes
@@ -88,7 +91,17 @@
     ReclaimNotice,
     ServerKind,
 )
-from dewridge.requests.claims import BucketValue, decode_bucket
+from dewridge.requests.claiming import decode_result as decode_claim_result
+from dewridge.requests.claims import BucketValue, Grant, decode_bucket
+from dewridge.requests.codec import (
+    decode_end,
+    decode_record,
+    encode_end,
+    encode_record,
+    find_fault,
+)
+from dewridge.requests.model import EndedEvent
+from dewridge.requests.records import Ballot, Record, digest_input, make_generation
 from dewridge.requests.suspects import KIND_CRASH, SuspectRequests
 from dewridge.sentinels import Failure
 from dewridge.settings.schema import PlatformSettings
@@ -804,3 +817,80 @@
         await client.change("PUT", "/v1/x", 1, {})
 
     trio.run(run)
+
+
+# ---- records of other hosts -------------------------------------------------------
+
+WIRE_VALUES = st.none() | st.sampled_from(
+    [
+        *(0, -1, 2**31 - 1, 2**63 - 1, -(2**63), True),
+        *("", "x" * 20_000, "g", "0f"),
+        *(float("nan"), float("inf"), -1.0, 1e308),
+        *([], ["a"], ["x" * 20_000]),
+    ]
+)
+
+
+def make_wire_record() -> Any:
+    """Return a record as a host sends it."""
+    ballot = Ballot(1, HostId("host-1"), Incarnation(1))
+    record = Record(
+        request=RequestId("a/0190b8f0-0000-7000-8000-000000000000"),
+        service=ServiceName("engine"),
+        operation=OperationName("read"),
+        number=1,
+        deadline=1.0,
+        input="x",
+        max_tokens=1,
+        idempotent=True,
+        profile=ProfileName("p"),
+        accepted_at=1.0,
+        ballot=ballot,
+        generation=make_generation(ballot),
+        digest=digest_input(ServiceName("engine"), OperationName("read"), "x"),
+    )
+    return encode_record(record)
+
+
+@EXAMPLES
+@given(st.sampled_from(ttypes.RequestRecord.__slots__), WIRE_VALUES)
+def test_any_record_of_a_reply_is_one_or_refused(name: str, odd: Any) -> None:
+    """Guards against a record of another host that ends the task that asked for it."""
+    record = make_wire_record()
+    reply = ttypes.FindReply(found=True, record=record, tokens=0)
+    assert find_fault(reply) is None
+    assert find_fault(ttypes.FindReply(found=True, tokens=0)) is not None
+    assert find_fault(ttypes.FindReply(found=False, tokens=0)) is None
+    setattr(record, name, odd)
+    if find_fault(reply) is None:
+        found = decode_record(record)
+        encoded = FrameContent(0, 1, ttypes.FindReply(True, encode_record(found)))
+        assert isinstance(encode_frame(encoded, 1_000_000), bytes)
+        assert found.deadline == found.deadline
+        assert isinstance(found.request, str)
+
+
+@EXAMPLES
+@given(st.sampled_from(ttypes.RequestEnd.__slots__), WIRE_VALUES)
+def test_any_end_of_a_reply_is_one_or_refused(name: str, odd: Any) -> None:
+    """Guards against an end of another host that ends the task that asked for it."""
+    end = encode_end(EndedEvent(ResultCode.OK, body="1"), 1)
+    reply = ttypes.ReplicateReply(stored=False, ended=end)
+    assert find_fault(reply) is None
+    setattr(end, name, odd)
+    if find_fault(reply) is None:
+        found = decode_end(end)
+        assert isinstance(found.code, ResultCode)
+        assert found.retry_after is None or 0 <= found.retry_after <= MAX_COUNT
+
+
+@pytest.mark.parametrize("reason", ["", "x", "9" * 5_000, "-1", None])
+def test_any_result_of_a_claim_is_one_or_unavailable(reason: str | None) -> None:
+    """Guards against a committer's reply that ends the task that claims."""
+    message = ttypes.ClaimResult(
+        code=int(ResultCode.PEER_REFUSED),
+        holder="host-1",
+        holder_incarnation=1,
+        reason=reason,
+    )
+    assert isinstance(decode_claim_result(message), Grant | Failure)
