Count a request as maybe run if its owner does not know it any more

A duplicate of a submission that finds a live copy asks the copy's owner, and takes the request over if the owner does not know it. An owner that has started again knows nothing of what it ran, and the copy may be older than the attempt, so that the duplicate could end as "not run" although the request had run. The test fails on the code before.

--- a/dewridge/requests/acceptance.py
+++ b/dewridge/requests/acceptance.py
@@ -340,6 +340,10 @@
         if known.ended is not None:
             return await self._resolve_with_ended(answer, known)
         rival = await self._query_owner(known)
+        if rival is None and not self._shared.is_local_ballot(known.ballot):
+            # Its owner may have started again since it ran the request, and the copy
+            # may be older than the attempt.
+            answer.record.maybe_run = True
         if rival is None or self._is_rival_yielding(rival, answer.record):
             superseded = rival or known
             self._supersede(answer, superseded)
--- a/dewridge/tests/requests/failures_tests.py
+++ b/dewridge/tests/requests/failures_tests.py
@@ -4,10 +4,12 @@
 a non-idempotent call to a plain service, the registry.
 """
 
+from typing import Any
+
 import trio
 
 from dewridge.codes import ResultCode
-from dewridge.ids import RequestKey
+from dewridge.ids import RequestKey, make_request_id
 from dewridge.peers.wire import ttypes as wire
 from dewridge.requests.model import Accepted, EndedEvent, Submission
 from dewridge.requests.shared import wait_until
@@ -263,6 +265,35 @@
     run_cluster(scenario)
 
 
+def test_duplicate_of_a_request_that_its_owner_has_forgotten_may_have_run() -> None:
+    """Guards against "not found" of a restarted owner as proof of "not run"."""
+
+    async def scenario(cluster: Cluster) -> None:
+        # Copies are older than the attempt, which is told with the first tokens.
+        owner = cluster.nodes["host-0"]
+        owner.service._scheduling.on_assigned = lambda assignment: None
+        key = await submit(cluster, "host-0", "draft_finding")
+        request = make_request_id(ACCOUNT, key)
+        record = owner.service._shared.table.find(request)
+        assert record is not None
+
+        async def find_nothing(peer: Any, message: Any) -> Any:
+            return wire.FindReply(found=False, tokens=0)
+
+        owner.handlers[wire.Find] = find_nothing
+        name = next(n for n in cluster.nodes if n not in ("host-0", *record.replicas))
+        service = cluster.nodes[name].service
+        service._scheduling.on_assigned = lambda assignment: None
+        duplicate = cluster.make("draft_finding", key=key)
+        accepted = await service.submit(duplicate)
+        assert isinstance(accepted, Accepted) and not accepted.attached
+        taken = service._shared.table.find(request)
+        assert taken is not None
+        assert taken.maybe_run
+
+    run_cluster(scenario)
+
+
 # A submission is refused, and a duplicate that the network delayed arrives at another
 # entry host afterwards. The caller received "not run" and may have sent the work
 # elsewhere, so the duplicate must not run. The next submission may.
