Draw servers that close on uploads in order, in the soak

What callers saw: parts of answers to uploads that came as a success, where a server answered at once without a length or chunks and then closed. The soak drew resets only, and took a full early answer without a length for a sound one, which nothing on the wire tells from a part.

It has a generator of its own. Early answers without a length no longer count among the sound ones, of which half must be whole.

Checks changed: a test of the stand-in demanded that an early answer without a length be recorded as finished; the hosts must not take it for whole.

--- a/dewridge/tests/gateway/partitions.py
+++ b/dewridge/tests/gateway/partitions.py
@@ -17,6 +17,9 @@
 """Connections that fill the accept queue of a listener that accepts none, so that the
 kernel drops the first packets of all later ones."""
 CHUNK_BYTES = 65_536
+BUFFER_BYTES = 65_536
+"""Kernel buffers of a link on the way to its target. With larger ones, the link would
+acknowledge uploads that the target has not read."""
 
 
 class NewConnections(Enum):
@@ -116,6 +119,7 @@
             reset(client)
             self.end()
             return
+        limit_send_buffer(server)
         self.accepted += 1
         pair = (client, server)
         self._pairs.append(pair)
@@ -197,10 +201,16 @@
         self._fillers.clear()
 
 
+def limit_send_buffer(stream: trio.SocketStream) -> None:
+    """Limit the kernel's send buffer of a link's connection to its target."""
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
+
+
 def _bind(port: int) -> socket.socket:
     """Return a socket on a port that may be bound more than once."""
     bound = socket.socket()
     bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
     bound.setblocking(False)
     bound.bind(("127.0.0.1", port))
     return bound
--- a/dewridge/tests/soak/__main__.py
+++ b/dewridge/tests/soak/__main__.py
@@ -86,6 +86,12 @@
     uploads: Annotated[
         int, typer.Option(help="Callers of uploads that servers may answer early.")
     ] = 1,
+    closing: Annotated[
+        int,
+        typer.Option(
+            help="Percentage of uploads that are answered in part, and closed on."
+        ),
+    ] = 30,
     kept: Annotated[bool, typer.Option(help="The seeds that once failed.")] = False,
     folder: Annotated[Path, typer.Option(help="For logs.")] = Path("build/soak"),
 ) -> None:
@@ -114,6 +120,7 @@
         losing=losing,
         restarts=restarts,
         uploads=uploads,
+        closing=closing,
     )
     planned_runs = [(run_seed, size) for run_seed in range(first, first + runs)]
     if kept:
--- a/dewridge/tests/soak/endchecks.py
+++ b/dewridge/tests/soak/endchecks.py
@@ -188,6 +188,10 @@
         "uploads": len(uploads),
         "uploads, whole answer": sum(map(_is_whole, uploads)),
         "uploads answered in part": len(early),
+        "parts of uploads taken for whole": sum(
+            each.status == 200 and each.is_complete and not _is_whole(each)
+            for each in uploads
+        ),
     }
 
 
--- a/dewridge/tests/soak/engineruns.py
+++ b/dewridge/tests/soak/engineruns.py
@@ -62,12 +62,16 @@
         unframed_share: share of the answers without a length or chunks.
         losing_share: share of the runs that their engine does not have after an order.
         losing_rng: generator of what becomes of these.
+        closing_share: share of the uploads that servers answer in part and close on.
+        closing_rng: generator of how they close.
     """
 
     rng: random.Random = field(default_factory=partial(random.Random, 1))
     unframed_share: float = 0.0
     losing_share: float = 0.0
     losing_rng: random.Random = field(default_factory=partial(random.Random, 1))
+    closing_share: float = 0.0
+    closing_rng: random.Random = field(default_factory=partial(random.Random, 1))
 
     def draw(self, probability: float) -> bool:
         """Return whether something of this probability happens."""
--- a/dewridge/tests/soak/links.py
+++ b/dewridge/tests/soak/links.py
@@ -6,6 +6,7 @@
 import trio
 
 from dewridge.http1.sockets import send_all
+from dewridge.tests.gateway.partitions import BUFFER_BYTES, limit_send_buffer
 from dewridge.tests.gateway.world import reset
 
 CHUNK_BYTES = 65_536
@@ -67,6 +68,7 @@
     async def start(self, nursery: trio.Nursery) -> None:
         """Start to listen on a free port."""
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        limit_receive_buffer(listeners[0], BUFFER_BYTES)
         port = listeners[0].socket.getsockname()[1]
         self.address = f"127.0.0.1:{port}"
         nursery.start_soon(self._serve, listeners)
@@ -105,6 +107,7 @@
         except OSError:
             reset(client)
             return
+        limit_send_buffer(server)
         self._last_connection_id += 1
         connection_id = self._last_connection_id
         self._connections[connection_id] = (client, server)
@@ -164,3 +167,8 @@
         if self.mode is Mode.SILENT:
             return True
         return self.mode is Mode.ONE_WAY and not is_outbound
+
+
+def limit_receive_buffer(listener: trio.SocketListener, size: int) -> None:
+    """Limit the kernel's receive buffers of the connections of a listener."""
+    listener.socket.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, size)
--- a/dewridge/tests/soak/runs.py
+++ b/dewridge/tests/soak/runs.py
@@ -79,6 +79,8 @@
     """Number of times that engines start again under their names."""
     uploads: int = 0
     """Number of callers of uploads, some of which are answered before their end."""
+    closing: int = 0
+    """Percentage of the uploads that servers answer in part, and then close on."""
     calm_seconds: float = FAULT_FREE_SECONDS
     """Seconds without faults at the end; the check of recovery needs most of them."""
 
@@ -128,6 +130,8 @@
             size.unframed / 100,
             size.losing / 100,
             random.Random(f"losing {seed}"),
+            size.closing / 100,
+            random.Random(f"closing {seed}"),
         )
         environment.has_moves = size.moves > 0
         if size.rejecting:
--- a/dewridge/tests/soak/servers.py
+++ b/dewridge/tests/soak/servers.py
@@ -1,9 +1,11 @@
 """Backend servers that record the requests they execute and can misbehave."""
 
 import json
+import os
 import random
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from enum import Enum
 from functools import partial
@@ -21,7 +23,7 @@
     EngineRuns,
     StreamRun,
 )
-from dewridge.tests.soak.links import Link
+from dewridge.tests.soak.links import Link, limit_receive_buffer
 from dewridge.tests.soak.records import (
     Crash,
     Execution,
@@ -51,6 +53,8 @@
 before it reads them."""
 MAX_RESET_DELAY = 0.03
 """Maximum seconds from the part of an early answer to the reset."""
+UPLOAD_BUFFER_BYTES = 16_384
+"""Receive buffers of servers that don't read uploads: the kernel would take them."""
 UPLOAD_DRAIN_SECONDS = 3.0
 """Seconds for which a server reads an upload that it has answered."""
 
@@ -76,6 +80,16 @@
     """Rejects requests with status 503 and does not execute them."""
 
 
+class UploadEnd(Enum):
+    """How a server closes the connection of an upload that it has answered in part."""
+
+    UNREAD = "unread"
+    READ = "read"
+    """After it has read what has come: the kernel closes the connection in order."""
+    IN_ORDER = "in order"
+    """It ends its side first."""
+
+
 @dataclass
 class SoakServer:
     """One incarnation of a backend server behind its own link.
@@ -130,6 +144,7 @@
     _server: ScriptedServer | None = None
     _nursery: trio.Nursery | None = None
     _running: int = 0
+    _upload_ends: dict[str, UploadEnd] = field(default_factory=dict)
     _rejections: list[float] = field(default_factory=list)
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -142,6 +157,8 @@
             self.id, self.history, self.draws, self.find_server, self.restart
         )
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        if self.draws.closing_share:
+            limit_receive_buffer(listeners[0], UPLOAD_BUFFER_BYTES)
         port = listeners[0].socket.getsockname()[1]
         self.link.target = f"127.0.0.1:{port}"
         nursery.start_soon(trio.serve_listeners, server.handle, listeners)
@@ -202,11 +219,13 @@
         """Draw whether an upload is answered before it is read."""
         request_id = dict(head.headers).get(b"x-attempt-id", b"").decode()
         request = self.history.requests.get(request_id)
-        return (
-            request is not None
-            and request.upload_bytes > 0
-            and self.draws.draw(EARLY_RESET_PROBABILITY + EARLY_ANSWER_PROBABILITY)
-        )
+        if request is None or not request.upload_bytes:
+            return False
+        draws = self.draws
+        if draws.closing_share and draws.closing_rng.random() < draws.closing_share:
+            self._upload_ends[request_id] = draws.closing_rng.choice(list(UploadEnd))
+            return True
+        return draws.draw(EARLY_RESET_PROBABILITY + EARLY_ANSWER_PROBABILITY)
 
     def _has_unread_upload(self, exchange: ServerExchange) -> bool:
         length = int(exchange.headers.get(b"content-length", b"0"))
@@ -379,8 +398,16 @@
     async def _answer_upload_early(
         self, exchange: ServerExchange, run: ServerRun, body: bytes
     ) -> None:
-        """Answer before the upload is read: in part and with a reset, or in full."""
+        """Answer before the upload is read: in part, or in full.
+
+        Without a length, nothing shows that an answer in full is whole.
+        """
         rng = self.draws.rng
+        end = self._upload_ends.pop(run.id, None)
+        if end is not None:
+            run.is_unframed = run.has_broken_off = True
+            await self._close_early(exchange, end, body[: len(body) // 2])
+            return
         total = EARLY_RESET_PROBABILITY + EARLY_ANSWER_PROBABILITY
         if rng.random() < EARLY_RESET_PROBABILITY / total:
             run.is_unframed = run.has_broken_off = True
@@ -390,7 +417,22 @@
             return
         length = b"" if run.is_unframed else b"Content-Length: %d\r\n" % len(body)
         await exchange.send(exchange.make_head(200, length) + body)
-        run.has_finished = True
+        run.has_finished = not run.is_unframed
+
+    async def _close_early(
+        self, exchange: ServerExchange, end: UploadEnd, part: bytes
+    ) -> None:
+        """Send a part of an answer without a length, and close the connection."""
+        connection = exchange.stream.socket
+        if end is UploadEnd.READ:
+            with suppress(BlockingIOError):
+                while os.read(connection.fileno(), 65_536):
+                    pass
+        await exchange.send(exchange.make_head(200) + part)
+        if end is UploadEnd.IN_ORDER:
+            await exchange.stream.send_eof()
+            await trio.sleep(self.draws.closing_rng.uniform(0, MAX_RESET_DELAY))
+        connection.close()
 
     async def _answer(
         self, exchange: ServerExchange, run: ServerRun, body: bytes
--- a/dewridge/tests/soak/servers_tests.py
+++ b/dewridge/tests/soak/servers_tests.py
@@ -8,7 +8,7 @@
 
 from dewridge.tests.soak.engineruns import EndDraws
 from dewridge.tests.soak.records import History, RequestKind, SentRequest
-from dewridge.tests.soak.servers import Mood, SoakServer
+from dewridge.tests.soak.servers import Mood, SoakServer, UploadEnd
 
 UPLOAD = "u-1"
 UPLOAD_BYTES = 500_000
@@ -26,12 +26,15 @@
         return self.number
 
 
-async def upload(number: float, mood: Mood = Mood.GOOD) -> tuple[bytes, bool, History]:
+async def upload(
+    number: float, mood: Mood = Mood.GOOD, closing_share: float = 0.0
+) -> tuple[bytes, bool, History]:
     """Send a part of an upload, and read the answer before the rest is sent.
 
     Args:
         number: what the server draws.
         mood: how the server responds.
+        closing_share: share of the uploads that it answers in part and closes on.
 
     Returns:
         What was read, whether it ended without a reset, and the records.
@@ -43,7 +46,10 @@
     request.upload_bytes = UPLOAD_BYTES
     history.requests[UPLOAD] = request
     server = SoakServer("s-1", "plain", history, mood=mood)
-    server.draws = EndDraws(FixedRandom(number), unframed_share=1.0)
+    rng = FixedRandom(number)
+    server.draws = EndDraws(
+        rng, unframed_share=1.0, closing_share=closing_share, closing_rng=rng
+    )
     head = (
         f"POST /write/x HTTP/1.1\r\nHost: x\r\nX-Attempt-Id: {UPLOAD}\r\n"
         f"X-Expect-Instance: s-1\r\nContent-Length: {UPLOAD_BYTES}\r\n\r\n"
@@ -81,8 +87,23 @@
     assert b"content-length" not in data.lower()
     assert data.endswith(b"\r\n\r\nu-1")
     assert has_ended
+    # Without a length, its end is that of a part, which hosts must not take for whole.
+    assert [(run.has_broken_off, run.has_finished) for run in history.runs] == [
+        (False, False)
+    ]
+
+
+@pytest.mark.parametrize("end", UploadEnd)
+async def test_a_part_without_a_length_ends_before_the_upload_is_read(
+    end: UploadEnd,
+) -> None:
+    number = (list(UploadEnd).index(end) + 0.5) / len(UploadEnd)
+    data, can_send_on, history = await upload(number, closing_share=1.0)
+    assert b"content-length" not in data.lower()
+    assert data.endswith(b"\r\n\r\nu")
+    assert not can_send_on
     assert [(run.has_broken_off, run.has_finished) for run in history.runs] == [
-        (False, True)
+        (True, False)
     ]
 
 
