Draw odd entries in the store in the soak, and hosts that end by themselves

What operators saw: hosts ended over one odd entry in the store. The soak had no other writer, and asked for a clean exit of hosts that were told to leave only; one that ended by itself was started again unseen.

A configuration is written beside them, whose route hosts in touch must know 3 s later. A new check of all runs: no process of a host ends unless it was told to leave, or killed.

Evidence: the hosts still end over odd entries here.

--- a/dewridge/tests/soak/__main__.py
+++ b/dewridge/tests/soak/__main__.py
@@ -92,6 +92,10 @@
             help="Percentage of uploads that are answered in part, and closed on."
         ),
     ] = 30,
+    odd_entries: Annotated[
+        int,
+        typer.Option(help="Times that another writer leaves odd entries."),
+    ] = 4,
     kept: Annotated[bool, typer.Option(help="The seeds that once failed.")] = False,
     folder: Annotated[Path, typer.Option(help="For logs.")] = Path("build/soak"),
 ) -> None:
@@ -121,6 +125,7 @@
         restarts=restarts,
         uploads=uploads,
         closing=closing,
+        odd_entries=odd_entries,
     )
     planned_runs = [(run_seed, size) for run_seed in range(first, first + runs)]
     if kept:
--- a/dewridge/tests/soak/lostchecks.py
+++ b/dewridge/tests/soak/lostchecks.py
@@ -107,6 +107,24 @@
     return violations
 
 
+def check_own_ends(history: History) -> list[str]:
+    """Check that no process ends without a signal that asks for it or kills it."""
+    violations = []
+    for boot in history.boots:
+        if boot.exited_at is None or boot.exited_at > history.end:
+            continue
+        sent = {each.number for each in boot.signals if each.at <= boot.exited_at}
+        unhandled = {-each.number for each in boot.signals if not each.is_handled}
+        has_reason = signal.SIGTERM in sent or boot.status in unhandled
+        if boot.status != -signal.SIGKILL and not has_reason:
+            seconds = boot.exited_at - boot.started_at
+            violations.append(
+                f"{boot.host}: ended by itself after {seconds:.1f} s,"
+                f" status {boot.status}"
+            )
+    return violations
+
+
 def list_losses(history: History) -> list[Loss]:
     """Return the requests that were read and lost, and whose loss nothing excuses."""
     runs = group_runs(history)
--- a/dewridge/tests/soak/lostchecks_tests.py
+++ b/dewridge/tests/soak/lostchecks_tests.py
@@ -6,7 +6,12 @@
 import pytest
 
 from dewridge.tests.soak.checks import check_interruptions
-from dewridge.tests.soak.lostchecks import check_exits, check_lost, check_unanswered
+from dewridge.tests.soak.lostchecks import (
+    check_exits,
+    check_lost,
+    check_own_ends,
+    check_unanswered,
+)
 from dewridge.tests.soak.records import (
     Disturbance,
     Execution,
@@ -432,3 +437,26 @@
     boot.signals = [HostSignal(signal.SIGTERM, TERMINATED_AT, is_handled)]
     boot.status = status
     assert len(check_exits(history)) == expected
+
+
+@pytest.mark.parametrize(
+    ("status", "signals", "expected"),
+    [
+        (0, [], 1),
+        (1, [], 1),
+        (-signal.SIGSEGV, [], 1),
+        (1, [HostSignal(signal.SIGHUP, 99.0)], 1),
+        (1, [HostSignal(signal.SIGTERM, 99.0)], 0),
+        (1, [HostSignal(signal.SIGTERM, 101.0)], 1),
+        (-signal.SIGTERM, [HostSignal(signal.SIGTERM, 99.0, is_handled=False)], 0),
+        (-signal.SIGHUP, [HostSignal(signal.SIGHUP, 99.0, is_handled=False)], 0),
+        (-signal.SIGKILL, [], 0),
+    ],
+)
+def test_a_process_must_not_end_by_itself(
+    status: int, signals: list[HostSignal], expected: int
+) -> None:
+    """Guards against hosts that end over an entry in the store and start again."""
+    boot = HostBoot("host-1", 50.0, signals, exited_at=100.0, status=status)
+    history = History(end=200.0, boots=[boot, HostBoot("host-1", 100.3)])
+    assert len(check_own_ends(history)) == expected
--- a/dewridge/tests/soak/records.py
+++ b/dewridge/tests/soak/records.py
@@ -443,6 +443,7 @@
         notices: seconds that leaving engines said they would go on.
         server_ended_at: when leaving engines ended.
         restarts: engines that started again under their names.
+        odd_entries: odd entries that another writer left in the store.
         end: end of the observed period; later interruptions are ignored.
     """
 
@@ -477,6 +478,7 @@
     notices: dict[str, float] = field(default_factory=dict)
     server_ended_at: dict[str, float] = field(default_factory=dict)
     restarts: list[Restart] = field(default_factory=list)
+    odd_entries: int = 0
     last_fault_end: float = 0.0
     end: float = 0.0
 
--- a/dewridge/tests/soak/runs.py
+++ b/dewridge/tests/soak/runs.py
@@ -19,6 +19,7 @@
 from dewridge.tests.soak.leaving import make_hosts_leave
 from dewridge.tests.soak.leavingengines import make_engines_leave, restart_engines
 from dewridge.tests.soak.newversions import add_version
+from dewridge.tests.soak.oddentries import leave_odd_entries
 from dewridge.tests.soak.partitions import partition_hosts
 from dewridge.tests.soak.records import LOW_RETRY_SLACK, RequestKind
 from dewridge.tests.soak.rejections import reject_requests
@@ -81,6 +82,8 @@
     """Number of callers of uploads, some of which are answered before their end."""
     closing: int = 0
     """Percentage of the uploads that servers answer in part, and then close on."""
+    odd_entries: int = 0
+    """Number of times that another writer leaves odd entries in the store."""
     calm_seconds: float = FAULT_FREE_SECONDS
     """Seconds without faults at the end; the check of recovery needs most of them."""
 
@@ -138,8 +141,10 @@
             environment.history.retry_slack = LOW_RETRY_SLACK
         if size.versions:
             environment.versions = tuple(f"v{n}" for n in range(size.versions))
-        if size.routes:
+        has_probes = size.routes > 0 or size.odd_entries > 0
+        if has_probes:
             environment.make_routes = LargeDocuments(size.routes).list_routes
+        if size.routes:
             environment.store_rate = size.store_rate
         try:
             await environment.start(size.hosts, size.servers)
@@ -149,7 +154,7 @@
             start_bad_part_callers(environment, size, random.Random(f"parts {seed}"))
             start_resuming_callers(environment, size, random.Random(f"resume {seed}"))
             start_uploading_callers(environment, size, random.Random(f"uploads {seed}"))
-            if size.routes:
+            if has_probes:
                 nursery.start_soon(probe_versions, environment)
             await inject_all(environment, faults, size, seed)
             await trio.sleep(size.calm_seconds)
@@ -228,6 +233,12 @@
             drawn_rng = random.Random(restarts_rng.random())
             name = f"r{number}"
             nursery.start_soon(restart_engines, environment, at, name, drawn_rng)
+        odd_rng = random.Random(f"odd entries {seed}")
+        for number in range(size.odd_entries):
+            at = odd_rng.uniform(0, size.seconds)
+            drawn_rng = random.Random(odd_rng.random())
+            name = f"o{number}"
+            nursery.start_soon(leave_odd_entries, environment, at, name, drawn_rng)
         for _ in range(size.signals):
             at = rng.uniform(0, size.seconds)
             nursery.start_soon(
