Count a crash of an engine that starts again at once, free memory again

What callers could see: a request that crashes engines comes again and again, as an engine that has started again under its name accepts the connection by which a loss is judged: an accepted connection as proof that the process still runs. An engine that lost a request and accepts connections is asked for its start now; another one counts as a crash.

The memory of a run that will not go on was freed by one call; if that was lost, a slot was taken until the memory expired. The call has no further effect when it is repeated, and is made up to three times.

Both have a test that failed before.

--- a/dewridge/gateway/losses.py
+++ b/dewridge/gateway/losses.py
@@ -10,9 +10,11 @@
 from dewridge.gateway.model import ServerRecord
 from dewridge.gateway.reach.peers import ask_peer
 from dewridge.gateway.reach.probes import SharedProbes
+from dewridge.gateway.reach.reports import ReportFailure, fetch_report
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.suspects import record_crash
 from dewridge.ids import HostId
+from dewridge.platform.engines import ReportedProcess, ReportReply
 from dewridge.policy.losses import (
     INTERRUPTED_REASONS,
     ConnectResult,
@@ -30,6 +32,8 @@
 """Seconds for which a failed probe of a server is used for requests that it lost. A
 crash fails all requests on the server at the same moment, so one probe serves all of
 them."""
+REPORT_TIMEOUT = 0.2
+"""Seconds for the report of an engine that lost a request, which waits meanwhile."""
 MAX_END_PROBES = 3
 """Probes of a server that does not respond, or to which another path is found."""
 MAX_RELAYS_ASKED = 2
@@ -50,9 +54,13 @@
         """Apply what a lost attempt shows about its server and about its request."""
         state = self._state
         now = trio.current_time()
+        is_leaving = state.servers.find_departure(server.id) is not None
         connect_result = lost.reach
         if connect_result is None and lost.loss in INTERRUPTED_REASONS:
             connect_result = await self._probe_losing_server(server)
+            is_accepted = connect_result is ConnectResult.ACCEPTED
+            if is_accepted and job.is_engine and not lost.is_silent:
+                connect_result = await self._examine_accepting(server)
         path = state.links.find_path(server.service)
         is_broken = lost.loss in {*INTERRUPTED_REASONS, LossReason.NOT_CONNECTED}
         if is_broken and path is not ServerPath.DIRECT and lost.relay is None:
@@ -63,7 +71,7 @@
         verdict = classify_loss(
             lost.loss,
             connect_result,
-            is_leaving=state.servers.find_departure(server.id) is not None,
+            is_leaving=is_leaving,
             seconds_since_first_event=None
             if job.attempt_first_event_at is None
             else now - job.attempt_first_event_at,
@@ -97,6 +105,26 @@
             # No response, or the probe showed that the links of this host are at fault.
         return result
 
+    async def _examine_accepting(self, server: ServerRecord) -> ConnectResult:
+        """Return REFUSED if an engine that accepts connections has started again.
+
+        It lost its requests as one that has not; the request that crashed it would come
+        again and again.
+        """
+        is_direct = self._state.links.find_path(server.service) is ServerPath.DIRECT
+        if not server.started_at_ms or not is_direct:
+            return ConnectResult.ACCEPTED
+        reply: ReportReply | ReportFailure = ReportFailure.BROKEN
+        with trio.move_on_after(REPORT_TIMEOUT):
+            reply = await fetch_report(self._state.pool, server)
+        if isinstance(reply, ReportFailure):
+            return ConnectResult.ACCEPTED
+        if reply.identify_process(server.started_at_ms) is not ReportedProcess.OTHER:
+            return ConnectResult.ACCEPTED
+        now = trio.current_time()
+        self._state.servers.drop(server.id, now, "it started again", 0.0)
+        return ConnectResult.REFUSED
+
     async def _probe_losing_server(self, server: ServerRecord) -> ConnectResult:
         """Probe a server that lost a request; it counts as full meanwhile.
 
--- a/dewridge/gateway/moves.py
+++ b/dewridge/gateway/moves.py
@@ -30,6 +30,11 @@
 Acquire = Callable[[BackendServerId, float], bool]
 """Returns whether a server may get a call now, and counts it."""
 
+FREE_TRIES = 3
+"""Calls that free the memory of one run. Memory that no call frees takes a slot until
+it expires."""
+FREE_RETRY_DELAY = 0.2
+"""Seconds until the second call; twice as long until the third."""
 MAX_RETURN_OVERDRAFT = 1.0
 """Retries by which streams that return to their source may overdraw a budget."""
 
@@ -193,10 +198,16 @@
 async def _free_memory(
     state: GatewayState, server: ServerRecord, memory: CacheCopy
 ) -> Effect:
-    now = trio.current_time()
-    if not state.pushback.acquire_control(server.id, now, is_essential=False):
-        return Effect.REFUSED
-    return await free_memory(memory, partial(call_engine, state, server))
+    effect = Effect.UNKNOWN
+    for number in range(FREE_TRIES):
+        await trio.sleep(number * FREE_RETRY_DELAY)
+        now = trio.current_time()
+        if not state.pushback.acquire_control(server.id, now, is_essential=False):
+            return Effect.REFUSED
+        effect = await free_memory(memory, partial(call_engine, state, server))
+        if effect is not Effect.UNKNOWN:
+            break
+    return effect
 
 
 def _acquire_order(state: GatewayState) -> Acquire:
--- a/dewridge/tests/gateway/absentruns_tests.py
+++ b/dewridge/tests/gateway/absentruns_tests.py
@@ -485,3 +485,38 @@
         await engine.start(world)
         answer = await world.request("/draft/a", method="POST")
     assert not answer.is_complete
+
+
+async def test_a_request_that_crashes_an_engine_which_starts_again_is_blamed() -> None:
+    """Guards against crashes that do not count as the next process accepts."""
+
+    async def crash(exchange: ServerExchange) -> None:
+        exchange.reset()
+
+    async with open_world() as world:
+        server = await world.add_server("s-1", crash, ENGINE, started_at_ms=FIRST_START)
+        server.started_at_ms = FIRST_START + 1
+        await world.request("/draft/a", method="POST")
+        suspects = world.state.suspects.list_all()
+    assert len(suspects) == 1
+
+
+async def test_memory_is_freed_although_the_first_call_is_lost() -> None:
+    """Guards against a slot that is taken until the memory of a run expires."""
+    calls: list[bytes] = []
+
+    async def lose_first(exchange: ServerExchange) -> None:
+        calls.append(exchange.target)
+        if len(calls) == 1:
+            exchange.reset()
+        else:
+            await exchange.answer(b"{}")
+
+    async with open_world() as world:
+        server = await world.add_server("s-1", lose_first, ENGINE)
+        record = world.state.servers.find(server.id)
+        assert record is not None
+        memory = CacheCopy(record.address, "h-1", is_at_target=False)
+        left = LeftMemory(AttemptKey("r-1"), StopOrder(record, record), memory)
+        await free_left_memory(world.state, left)
+    assert len(calls) == 2
