--- a/dewridge/requests/suspects.py
+++ b/dewridge/requests/suspects.py
@@ -206,13 +206,16 @@
                 "undecodable rumor of a server crash"
             )
             return
+        # The clock of the host that reports may be ahead. A crash in the far future
+        # would never be too old to count.
+        now = self._shared.clock()
         digest, _, server_name = rumor.subject.partition("/")
         server = BackendServerId(server_name)
         suspect = Suspect(
             RequestDigest(digest),
             payload.account,
             payload.service,
-            {server: Crash(payload.at, payload.sent_at)},
+            {server: Crash(min(payload.at, now), min(payload.sent_at, now))},
             {server} if rumor.version >= VERSION_CLEARED else set(),
         )
         self._apply(suspect)
--- a/dewridge/tests/entries/interface_tests.py
+++ b/dewridge/tests/entries/interface_tests.py
@@ -4,6 +4,7 @@
 import json
 from collections.abc import Iterator
 from contextlib import contextmanager
+from types import SimpleNamespace
 from typing import Any, cast
 
 import httpx
@@ -68,6 +69,7 @@
     Incarnation,
     OperationName,
     ProfileName,
+    RequestDigest,
     RequestId,
     RequestKey,
     ServiceName,
@@ -80,6 +82,7 @@
 from dewridge.peers.refusals import read_refusal as read_peer_refusal
 from dewridge.peers.transport import _open_stream
 from dewridge.peers.wire import ttypes
+from dewridge.policy.suspects import QUARANTINE_PERIOD
 from dewridge.providers.channel import Answer, Channel
 from dewridge.providers.cloud import HttpCloud
 from dewridge.providers.hostlist import HttpHostList
@@ -540,6 +543,27 @@
     membership.spread(Rumor(KIND_CRASH, "digest/engine-1", 1, payload))
 
 
+@EXAMPLES
+@given(st.floats(0, MAX_COUNT), st.floats(0, MAX_COUNT))
+def test_a_crash_in_the_future_quarantines_no_longer_than_others(
+    at: float, sent_at: float
+) -> None:
+    """Guards against a time that keeps a request from all servers for ever."""
+    membership = make_membership()
+    now = 1_700_000_000.0
+    shared = SimpleNamespace(clock=lambda: now)
+    suspects = SuspectRequests(
+        cast(Any, shared), membership, cast(Any, None), lambda service: []
+    )
+    for number in range(4):
+        payload = {**CRASH, "at": at + number, "sent_at": sent_at}
+        content = json.dumps(payload).encode()
+        membership.spread(Rumor(KIND_CRASH, f"digest/s-{number}", 1, content))
+    ledger = suspects._ledger
+    left = ledger.compute_quarantine_left(RequestDigest("digest"), now)
+    assert left <= QUARANTINE_PERIOD
+
+
 @EXAMPLES
 @given(
     st.sampled_from([HEAD_RUMOR, CONFIRMED_RUMOR]),
