Run lost engine runs and closed uploads in the short soak, and mend its settings

A run of some 10 s with seed 91,004 joins the short soak: all runs of leaving engines are lost by them, and servers close on 60 percent of the uploads.

The check of hosts that end by themselves found a fault of the soak: a host ended with status 2 ('Empty strings are not legal JSON5') 0.2 s after its start, as the soak truncated its settings while it read them. They are replaced in one step now.

Runs of the soak without any other fault counted all requests as later than the recovery (seed 91,002: '82 of 108 served after recovery', with two engines that started again). Lost runs and restarts are faults from which the time is counted.

--- a/dewridge/tests/soak/engineruns.py
+++ b/dewridge/tests/soak/engineruns.py
@@ -243,6 +243,7 @@
         self, exchange: ServerExchange, request_id: str, run: StreamRun, loss: Reply
     ) -> None:
         """Answer an order after which the engine does not have the run."""
+        self.history.record_fault()
         if loss is Reply.RESTARTED:
             self._record(request_id, loss.value, is_usable=False)
             self.restart()
--- a/dewridge/tests/soak/records.py
+++ b/dewridge/tests/soak/records.py
@@ -482,6 +482,10 @@
     last_fault_end: float = 0.0
     end: float = 0.0
 
+    def record_fault(self) -> None:
+        """Record a fault from which most requests must recover after a time."""
+        self.last_fault_end = max(self.last_fault_end, time.monotonic())
+
     def is_disturbed(
         self, host: str, begin: float, end: float, *, include_server_faults: bool = True
     ) -> bool:
--- a/dewridge/tests/soak/servers.py
+++ b/dewridge/tests/soak/servers.py
@@ -204,6 +204,7 @@
         assert self._server is not None
         restart = Restart(self.id, time.monotonic())
         self.history.restarts.append(restart)
+        self.history.record_fault()
         self._break_runs_off()
         self.started_at_ms = max(self.started_at_ms + 1, time.time_ns() // 1_000_000)
         self.runs.forget_all()
--- a/dewridge/tests/soak/soak_tests.py
+++ b/dewridge/tests/soak/soak_tests.py
@@ -29,6 +29,7 @@
 LEAVING_SECONDS = 2.0
 """Duration of the fault injection before hosts leave, which takes longer."""
 MOVES_SEED = 90_401
+LOSING_SEED = 91_004
 MOVES_SECONDS, MOVES_CALM_SECONDS = 0.2, 1.0
 """Duration of the fault injection, and of the time after it.
 The streams of leaving engines and the freeing of memory take some seconds between."""
@@ -186,6 +187,30 @@
     assert result.outcomes["sound unframed, whole"] > 0
 
 
+@pytest.mark.timeout(60)
+async def test_no_part_looks_whole_as_its_engine_has_no_run_or_its_server_closed(
+    tmp_path: Path,
+) -> None:
+    """Guards against parts that count as whole as nothing is found that cut them."""
+    size = SoakSize(
+        hosts=3,
+        servers=12,
+        callers=4,
+        seconds=MOVES_SECONDS,
+        unframed=70,
+        moves=2,
+        losing=100,
+        uploads=2,
+        closing=60,
+        calm_seconds=MOVES_CALM_SECONDS,
+    )
+    result = await run_soak(LOSING_SEED, size, tmp_path)
+    assert result.violations == []
+    assert result.outcomes["memory forgotten"] > 0
+    assert result.outcomes["uploads answered in part"] > 0
+    assert result.outcomes["sound unframed, whole"] > 0
+
+
 @pytest.mark.timeout(90)
 async def test_large_configurations_are_in_force_in_time(tmp_path: Path) -> None:
     """Versions of 2,000 routes reach hosts with links of 10 Mbit/s within 3 s."""
--- a/dewridge/tests/soak/stage.py
+++ b/dewridge/tests/soak/stage.py
@@ -213,7 +213,10 @@
         # Later starts must not claim to be the first start of the host.
         settings = json.loads(gateway.settings_path.read_text())
         settings["host"]["is_first_start"] = False
-        gateway.settings_path.write_text(json.dumps(settings))
+        # The process that has just started may read the file now.
+        replacement = gateway.settings_path.with_suffix(".new")
+        replacement.write_text(json.dumps(settings))
+        replacement.replace(gateway.settings_path)
 
     def write_configuration(self, rng: random.Random | None = None) -> None:
         """Write the next configuration version to the store, as the operator does.
