--- a/dewridge/tests/gateway/versionlinks.py
+++ b/dewridge/tests/gateway/versionlinks.py
@@ -4,12 +4,12 @@
 from dataclasses import dataclass, field
 from functools import partial
 
-import msgspec
 import trio
 
 from dewridge.gateway.composition import fan_out
 from dewridge.gateway.datagrams import PeerAddress, Urgency
 from dewridge.gateway.hosts import HostEntry
+from dewridge.gateway.messages.decoding import decode_message
 from dewridge.gateway.reports import StreamVersionMessage
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.versions.link import VersionLink
@@ -57,7 +57,8 @@
         if receive is None or receiver in self.silent:
             return
         host, _, port = sender.rpartition(":")
-        message = msgspec.msgpack.decode(data, type=StreamVersionMessage)
+        message = decode_message(data)
+        assert isinstance(message, StreamVersionMessage), message
         receive(message, (host, int(port)))
 
 
