--- a/review/rig/fleet.py
+++ b/review/rig/fleet.py
@@ -93,6 +93,7 @@
     readiness: tuple[str, int]
     process: asyncio.subprocess.Process | None = None
     is_removed: bool = False
+    ends: int = 0
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
@@ -311,6 +312,7 @@
                 )
             self.record.add(f"{host.name}: started")
             status = await host.process.wait()
+            host.ends += not host.is_removed
             self.record.add(f"{host.name}: ended with status {status}")
             host.settings["host"]["is_first_start"] = False
             await asyncio.sleep(0.5)
