--- a/review/4/case.py
+++ b/review/4/case.py
@@ -148,4 +148,4 @@
 
 
 if __name__ == "__main__":
-    run_case(FOLDER, play)
+    run_case(FOLDER / "record.txt", play)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -161,4 +161,4 @@
 
 
 if __name__ == "__main__":
-    run_case(FOLDER, play)
+    run_case(FOLDER / "record.txt", play)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -125,4 +125,4 @@
 
 
 if __name__ == "__main__":
-    run_case(FOLDER, play)
+    run_case(FOLDER / "record.txt", play)
--- a/review/rig/fleet.py
+++ b/review/rig/fleet.py
@@ -45,10 +45,10 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to `record.txt`, with seconds."""
+    """Writes what was sent, answered and run to a file, with seconds."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file = (folder / "record.txt").open("w", buffering=1)
+    def __init__(self, record_path: Path) -> None:
+        self._file = record_path.open("w", buffering=1)
         self._started_at = time.time()
 
     def add(self, text: str) -> None:
@@ -163,8 +163,8 @@
 class Fleet:
     """The deployment of one run."""
 
-    def __init__(self, folder: Path) -> None:
-        self.record = Record(folder)
+    def __init__(self, record_path: Path) -> None:
+        self.record = Record(record_path)
         self.store = Store()
         self.hosts: list[Host] = []
         self.workers: list[Worker] = []
@@ -372,8 +372,8 @@
         self.record.close()
 
 
-async def _play(folder: Path, play: Callable[[Fleet], Awaitable[int]]) -> int:
-    fleet = Fleet(folder)
+async def _play(record_path: Path, play: Callable[[Fleet], Awaitable[int]]) -> int:
+    fleet = Fleet(record_path)
     try:
         return await asyncio.wait_for(play(fleet), MAX_SECONDS)
     except TimeoutError:
@@ -383,8 +383,8 @@
         await fleet.stop()
 
 
-def run_case(folder: Path, play: Callable[[Fleet], Awaitable[int]]) -> None:
+def run_case(record_path: Path, play: Callable[[Fleet], Awaitable[int]]) -> None:
     """Play a case, end all its processes, and exit with its status."""
-    status = asyncio.run(_play(folder, play))
+    status = asyncio.run(_play(record_path, play))
     sys.stdout.flush()
     os._exit(status)
