Leave out usage windows whose sum a restore may have lost

Callers saw two reports of one usage window with different counts, after the store had been restored from an older copy and the hosts had been restarted.

Cause: the sum of a window is final once it is in the store, but a restore can lose it. Only processes that had seen the sum remembered it. A holder that started later, or had not seen the sum, could not tell a lost sum from a window that was never summed, and made a new sum.

Change: an entry of the store names the era in which it was written and the first window that no host can have reported in an earlier one. The holder at the time of the restore writes it if its term was active, since it knows what it has not reported; otherwise the next holder does. Windows before that are reported with the sum that the holder or the store still has, or left out.

Why it works: within an era the store has one sum for a window at most, by compare-and-swap. In a later era only windows that had not been reported can get a new one. Windows that run at a restore are reported as before. Cost: one read a term and one write an era.

--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -513,6 +513,8 @@
         )
         scaling = ScalingDuty(self._state, self._election, self._store, self._cloud)
         self._era.on_restored.append(scaling.handle_restore)
+        # Depends on whether this host held the duties, so it comes before the election.
+        self._era.on_restored.insert(0, usage.handle_restore)
         return [
             ("tenancy", self._election.run),
             ("usage", usage.run),
--- a/dewridge/gateway/usage.py
+++ b/dewridge/gateway/usage.py
@@ -1,7 +1,8 @@
 """The duty to report usage for billing: one sum per usage window.
 
 Each report of a window carries the same sum, however often and by whichever holder of
-the duties it is sent.
+the duties it is sent. After a restore of the store, holders leave out the windows whose
+sum may have been lost, unless they know that sum.
 """
 
 import time
@@ -16,6 +17,7 @@
 from dewridge.gateway.duties import HolderElection
 from dewridge.gateway.hosts import SYSTEM_PREFIX, HostEntry
 from dewridge.gateway.state import GatewayState
+from dewridge.gateway.usageeras import UsageEra, settle_era
 from dewridge.ids import ClientAccount
 from dewridge.platform.cloud import CallOutcome, Cloud, DutyTerm
 from dewridge.platform.store import Item, Store, Write
@@ -59,17 +61,59 @@
         self._persisted_counts: dict[int, AccountCounts] = {}
         self._term: DutyTerm | None = None
         self._term_seen_at = 0.0
+        self._first_window_of_term = 0
+        self._era: UsageEra | None = None
+        self._first_window_after_restore: int | None = None
 
     async def run(self) -> None:
         """Report each window that is due, forever."""
         while True:
             term = self._election.find_active_term()
-            if term is not None and self._has_settled(term):
-                for window in self._list_due_windows():
-                    if self._is_ready_to_report(window):
-                        await self._report(term, window)
+            if await self._update_era(term) and term is not None:
+                await self._report_due_windows(term)
             await trio.sleep(POLL_INTERVAL)
 
+    async def _report_due_windows(self, term: DutyTerm) -> None:
+        if not self._has_settled(term):
+            return
+        for window in self._list_due_windows():
+            if self._is_ready_to_report(window):
+                await self._report(term, window)
+
+    async def _update_era(self, term: DutyTerm | None) -> bool:
+        """Store or read which windows may be summed; return whether that is known.
+
+        The holder at the time of a restore stores it, even if its term has ended since,
+        because it knows best which windows were not reported.
+        """
+        is_known = self._era is not None and self._era.era == self._store.era.number
+        if is_known:
+            return True
+        if term is None and self._first_window_after_restore is None:
+            return False
+        self._era = await settle_era(self._store, self._find_first_window)
+        return self._era is not None
+
+    def _find_first_window(self) -> int:
+        """Return the first window that can't have been reported in an earlier era."""
+        if self._first_window_after_restore is not None:
+            return self._first_window_after_restore
+        return self._state.compute_window(self._store.era.seen_at)
+
+    def handle_restore(self) -> None:
+        """Note which windows this host, if it is the holder, has not reported.
+
+        Has to be called before the term ends. A window that had not ended when the term
+        began can't have been reported by an earlier holder.
+        """
+        self._first_window_after_restore = None
+        term = self._election.find_active_term()
+        if term is not None and term == self._term:
+            newest = max(self._persisted_counts, default=self._first_window_of_term - 1)
+            self._first_window_after_restore = max(
+                self._first_window_of_term, newest + 1
+            )
+
     def _has_settled(self, term: DutyTerm) -> bool:
         """Whether the hosts have had time to report their counts to a new holder.
 
@@ -81,6 +125,7 @@
         if term != self._term:
             self._term = term
             self._term_seen_at = now
+            self._first_window_of_term = self._state.compute_window(time.time())
         settle_time = NEW_HOLDER_SUM_DELAY if self._state.sharing.has_cells else 0.0
         return now - self._term_seen_at >= settle_time
 
@@ -156,9 +201,28 @@
         final, so that each holder reports the same counts.
         """
         key = f"{USAGE_PREFIX}{window}"
-        counts = self._find_persisted_counts(window, key) or self._sum_counts(window)
+        if self._era is None or self._era.era != self._store.era.number:
+            return None
+        known = self._find_persisted_counts(window, key)
+        if known is None and window < self._era.first_window:
+            return await self._read_restored_counts(window, key)
+        counts = known or self._sum_counts(window)
         if not counts:
             return None
+        return await self._write_counts(window, key, counts, is_known=known is not None)
+
+    async def _write_counts(
+        self, window: int, key: str, counts: AccountCounts, *, is_known: bool
+    ) -> AccountCounts | None:
+        """Write counts, unless the window has some; return those that the store has.
+
+        Args:
+            window: the usage window.
+            key: its key.
+            counts: the counts.
+            is_known: whether they are those that were persisted before a restore.
+        """
+        era = self._store.era.number
         old = f"{USAGE_PREFIX}{window - RETAINED_WINDOWS}"
         result = await self._store.change(
             expected={key: 0},
@@ -166,6 +230,10 @@
             removed_keys=(old,) if old in self._state.hosts.items else (),
         )
         if isinstance(result, int):
+            if not is_known and self._store.era.number != era:
+                # The restore that came before the write may have lost another sum.
+                await self._store.change(expected={key: result}, removed_keys=(key,))
+                return None
             self._persisted_counts[window] = counts
             return counts
         if result.code not in {
@@ -176,13 +244,38 @@
         item = await self._store.read(key)
         if not isinstance(item, Item):
             return None
+        return await self._apply_stored_counts(window, item, counts)
+
+    async def _apply_stored_counts(
+        self, window: int, item: Item, counts: AccountCounts
+    ) -> AccountCounts | None:
+        """Return the stored counts; replace them by `counts` if they can't be read."""
         found = decode_counts(item)
         if isinstance(found, Failure):
-            log.bind(key=key, reason=found.reason).error("counts can't be read")
+            log.bind(key=item.key, reason=found.reason).error("counts can't be read")
             return await self._replace_counts(window, item, counts)
         self._persisted_counts[window] = found
         return found
 
+    async def _read_restored_counts(
+        self, window: int, key: str
+    ) -> AccountCounts | None:
+        """Return the counts of a window that must not be summed, if the store has them.
+
+        Without them the window is left out: a report with other counts would
+        contradict one that may have been accepted.
+        """
+        item = await self._store.read(key)
+        if isinstance(item, Failure):
+            return None
+        found = None if item is None else decode_counts(item)
+        if found is None or isinstance(found, Failure):
+            self._reported_windows.add(window)
+            log.bind(window=window).warning("usage window left out after a restore")
+            return None
+        self._persisted_counts[window] = found
+        return found
+
     async def _replace_counts(
         self, window: int, item: Item, counts: AccountCounts
     ) -> AccountCounts | None:
--- a/dewridge/platform/eras.py
+++ b/dewridge/platform/eras.py
@@ -4,6 +4,7 @@
 copy, so revisions of different eras are not comparable.
 """
 
+import time
 from collections.abc import Callable
 
 from loguru import logger as log
@@ -26,11 +27,13 @@
 
     Attributes:
         number: the number of the era; 0 until a response carries one.
+        seen_at: Unix time in seconds of its first response to this host.
         on_restored: callbacks to run whenever a known era is followed by a later one.
     """
 
     def __init__(self) -> None:
         self.number = 0
+        self.seen_at = 0.0
         self.on_restored: list[Callable[[], None]] = []
         self._logged: set[str] = set()
 
@@ -55,6 +58,7 @@
 
     def _start_era(self, number: int) -> None:
         previous, self.number = self.number, number
+        self.seen_at = time.time()
         if previous == 0:
             return
         log.bind(era=number, previous=previous).warning("store restored from a copy")
--- a/dewridge/tests/gateway/restores_tests.py
+++ b/dewridge/tests/gateway/restores_tests.py
@@ -14,9 +14,10 @@
 from dewridge.gateway.documents.following import StoreRole
 from dewridge.gateway.model import RolloutOrder
 from dewridge.gateway.servers import ServerTable
-from dewridge.gateway.usage import SUM_DELAY, UsageDuty
+from dewridge.gateway.usage import SUM_DELAY, USAGE_PREFIX, UsageDuty
 from dewridge.gateway.watching import StoreWatcher
-from dewridge.ids import ServerName, make_server_id
+from dewridge.ids import ClientAccount, ServerName, make_server_id
+from dewridge.platform.cloud import DutyTerm
 from dewridge.platform.eras import StoreEra
 from dewridge.platform.names import CONFIGURATION_KEY
 from dewridge.policy.rollouts import Stage
@@ -42,6 +43,11 @@
 
 STORE_WRITE_RATE = 1_200
 """Writes per second that the store accepts from all hosts together."""
+WINDOW = 200
+"""The usage window that runs at Unix time 1000."""
+WINDOW_ENDS_AT = 5.0
+REPORTED_AT = WINDOW_ENDS_AT + SUM_DELAY + 0.6
+"""Seconds from then until the window ends, and until its sum has been reported."""
 
 
 @pytest.fixture(autouse=True)
@@ -302,6 +308,136 @@
     assert all(counts == sums[0] for counts in sums)
 
 
+class FirstHolder(AlwaysHolder):
+    """An election that this host wins until the store is restored."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_over = False
+
+    def find_active_term(self) -> DutyTerm | None:
+        """Return the term; None after a restore."""
+        return None if self.is_over else super().find_active_term()
+
+    def handle_restore(self) -> None:
+        """End the term."""
+        self.is_over = True
+
+
+class UsageHost:
+    """A holder of the duties that counts the same number of requests in each window."""
+
+    def __init__(self, data: StoreData, cloud: RecordingCloud, count: int) -> None:
+        state = make_state(make_configuration())
+        for window in range(WINDOW, WINDOW + 20):
+            state.usage_counts[window][ACCOUNT] = count
+        self.store = MemoryStore(data)
+        election = FirstHolder()
+        self.duty = UsageDuty(state, election, self.store, cloud)
+        self.store.era.on_restored += [
+            self.duty.handle_restore,
+            election.handle_restore,
+        ]
+
+
+def list_sums(cloud: RecordingCloud, window: int) -> list[dict[ClientAccount, int]]:
+    """Return the sums that were reported for a window."""
+    return [counts for reported, counts in cloud.reports if reported == window]
+
+
+@pytest.mark.parametrize("restores", [1, 2])
+@pytest.mark.parametrize("delay", [0.1, 1.0, 4.0])
+async def test_a_host_that_starts_after_a_restore_reports_no_other_sum(
+    autojump_clock: trio.testing.MockClock,
+    monkeypatch: pytest.MonkeyPatch,
+    delay: float,
+    restores: int,
+) -> None:
+    """Guards against a second sum by a holder that never saw the lost one."""
+    monkeypatch.setattr(time, "time", lambda: 1000.0 + trio.current_time())
+    data = StoreData(era=1)
+    cloud = RecordingCloud()
+    snapshot = data.take_snapshot()
+    first = UsageHost(data, cloud, 128)
+    with trio.move_on_after(REPORTED_AT + delay):
+        await first.duty.run()
+    assert list_sums(cloud, WINDOW)
+    for _ in range(restores):
+        data.restore(snapshot)
+    second = UsageHost(data, cloud, 57)
+    with trio.move_on_after(20.0):
+        await second.duty.run()
+    assert {sums[ACCOUNT] for sums in list_sums(cloud, WINDOW)} == {128}
+    # The window that ran at the restore, and those after it, are reported as always.
+    running = int((1000.0 + REPORTED_AT + delay) // 5.0)
+    assert all(list_sums(cloud, window) for window in range(running, running + 3))
+
+
+async def test_windows_since_a_restore_are_reported_by_later_holders(
+    autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against leaving out windows that can't have been reported before."""
+    monkeypatch.setattr(time, "time", lambda: 1000.0 + trio.current_time())
+    data = StoreData(era=1)
+    cloud = RecordingCloud()
+    snapshot = data.take_snapshot()
+    with trio.move_on_after(REPORTED_AT):
+        await UsageHost(data, cloud, 128).duty.run()
+    data.restore(snapshot)
+    with trio.move_on_after(WINDOW_ENDS_AT + 10.0 + SUM_DELAY - 0.1 - REPORTED_AT):
+        await UsageHost(data, cloud, 57).duty.run()
+    assert not list_sums(cloud, WINDOW + 2)
+    # The next holder starts when this window is due, and reads since when it is sound.
+    with trio.move_on_after(3.0):
+        await UsageHost(data, cloud, 31).duty.run()
+    assert list_sums(cloud, WINDOW + 2) == [{ACCOUNT: 31}]
+
+
+async def test_a_window_that_the_holder_had_not_reported_is_reported_after_a_restore(
+    autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against leaving out a window that ended just before a restore."""
+    monkeypatch.setattr(time, "time", lambda: 1000.0 + trio.current_time())
+    data = StoreData(era=1)
+    cloud = RecordingCloud()
+    snapshot = data.take_snapshot()
+    first = UsageHost(data, cloud, 128)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(first.duty.run)
+        await trio.sleep(WINDOW_ENDS_AT + 1.0)
+        data.restore(snapshot)
+        await first.store.read("any")
+        # Its term has ended, but it still tells the next holder.
+        await trio.sleep(0.7)
+        nursery.cancel_scope.cancel()
+    second = UsageHost(data, cloud, 57)
+    with trio.move_on_after(5.0):
+        await second.duty.run()
+    assert list_sums(cloud, WINDOW) == [{ACCOUNT: 57}]
+
+
+async def test_a_sum_written_after_an_unnoticed_restore_is_not_kept(
+    autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a sum in the store that contradicts one that was lost."""
+    monkeypatch.setattr(time, "time", lambda: 1000.0 + trio.current_time())
+    data = StoreData(era=1)
+    cloud = RecordingCloud()
+    late = UsageHost(data, cloud, 57)
+    with trio.move_on_after(1.0):
+        await late.duty.run()
+    marked = data.take_snapshot()
+    with trio.move_on_after(REPORTED_AT - 1.0):
+        await UsageHost(data, cloud, 128).duty.run()
+    assert list_sums(cloud, WINDOW) == [{ACCOUNT: 128}]
+    data.restore(marked)
+    # Its next call is the write, which the restored store accepts.
+    with trio.move_on_after(5.0):
+        await late.duty.run()
+    assert f"{USAGE_PREFIX}{WINDOW}" not in data.items
+    assert list_sums(cloud, WINDOW) == [{ACCOUNT: 128}]
+
+
 async def test_a_closed_rollout_is_written_again(
     autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
 ) -> None:
