Don't renew or use a lease that a restored store gave to another host

After a restore the store grants lease ids again. A host whose first call in the new era was a renewal was answered 200 for a lease that another host had been granted meanwhile, and took it as its own: both shared it, so the end of one removed the other's registration. An entry or the holder's key that was written across the restore was attached to the other host's lease, too; the key then kept all hosts from the duties for as long as that host lived.

Evidence: two of the new tests failed on the code before as described ("1 == 2" leases, the holder's key under lease 1). The third had an error of its own then and was run with the fix only.

Change: a renewal, an entry or the holder's key counts only if the era is the same before and after the call. Otherwise the host asks for a new lease, writes its entry again with the revision that it knows, and removes the holder's key.

--- a/dewridge/gateway/duties.py
+++ b/dewridge/gateway/duties.py
@@ -140,8 +140,16 @@
         write = Write(HOLDER_KEY, self._holder_value, lease_id)
         unreadable = self._table.items.get(HOLDER_KEY)
         expected = {HOLDER_KEY: unreadable.revision if unreadable else 0}
+        era = self._store.era.number
         revision = await self._store.change(expected=expected, writes=(write,))
         if isinstance(revision, int):
+            if era not in {0, self._store.era.number}:
+                # After the restore, another host may renew the lease of the key, which
+                # would then keep all hosts from the duties.
+                await self._store.change(
+                    expected={HOLDER_KEY: revision}, removed_keys=(HOLDER_KEY,)
+                )
+                return
             self._begin_term(revision)
             return
         if revision.code is ResultCode.KEY_VALUE_UNKNOWN:
--- a/dewridge/gateway/hosts.py
+++ b/dewridge/gateway/hosts.py
@@ -203,10 +203,16 @@
         lease = self.lease_state.lease
         assert lease is not None
         write = Write(self.key, msgspec.json.encode(entry), lease.id)
+        era = self._store.era.number
         result = await self._store.change(
             expected={self.key: self._revision}, writes=(write,)
         )
         if not isinstance(result, Failure):
+            if self._has_new_era(era):
+                # The lease may be another host's now.
+                self._written_entry, self._revision = None, result
+                self._has_unknown_write = True
+                return False
             self._written_entry, self._revision = entry, result
             self._has_unknown_write = False
             return True
@@ -225,11 +231,15 @@
 
     async def _ensure_lease(self) -> bool:
         requested_at = read_boot_clock()
+        era = self._store.era.number
+        is_renewal = self.lease_state.lease is not None
         if self.lease_state.lease is None:
             granted = await self._store.grant_lease(LEASE_TTL)
         else:
             granted = await self._store.renew_lease(self.lease_state.lease.id)
         if isinstance(granted, Lease):
+            if is_renewal and self._has_new_era(era):
+                return False
             if self.lease_state.lease is None:
                 log.bind(lease=granted.id, ttl=granted.ttl).info("lease granted")
             self.lease_state.lease = granted
@@ -240,6 +250,13 @@
             self._discard_lease()
         return False
 
+    def _has_new_era(self, era: int) -> bool:
+        """Whether the store has been restored since `era`.
+
+        Its leases are granted again then, so that an id may name another host's lease.
+        """
+        return era not in {0, self._store.era.number}
+
     def _discard_lease(self) -> None:
         log.bind(lease=self.lease_state.lease and self.lease_state.lease.id).warning(
             "lease lost"
--- a/dewridge/tests/gateway/memorystore.py
+++ b/dewridge/tests/gateway/memorystore.py
@@ -43,6 +43,7 @@
         self.leases = dict(snapshot.leases)
         self.changes = list(snapshot.changes)
         self.revision = snapshot.revision
+        self.next_lease = snapshot.next_lease
         assert self.era is not None
         self.era += 1
         self.notify_watches()
--- a/dewridge/tests/gateway/restores_tests.py
+++ b/dewridge/tests/gateway/restores_tests.py
@@ -12,6 +12,7 @@
 from dewridge.gateway.configuration import ConfigurationState
 from dewridge.gateway.documents import following
 from dewridge.gateway.documents.following import StoreRole
+from dewridge.gateway.duties import HOLDER_KEY
 from dewridge.gateway.model import RolloutOrder
 from dewridge.gateway.servers import ServerTable
 from dewridge.gateway.usage import SUM_DELAY, USAGE_PREFIX, UsageDuty
@@ -151,6 +152,71 @@
     assert writes <= STORE_WRITE_RATE
 
 
+async def test_two_hosts_do_not_share_a_lease_that_is_granted_again(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against renewing the lease that the restored store gave another host."""
+    data = StoreData(era=1)
+    snapshot = data.take_snapshot()
+    first, second = Candidate("host-1", data), Candidate("host-2", data)
+    share_era(first)
+    await first.registration._ensure_registered()
+    data.restore(snapshot)
+    await second.registration._ensure_registered()
+    for _ in range(3):
+        await first.registration._ensure_registered()
+        await second.registration._ensure_registered()
+    leases = {data.items[host.registration.key].lease for host in (first, second)}
+    states = [host.registration.lease_state.lease for host in (first, second)]
+    assert len({lease and lease.id for lease in states}) == len(leases) == 2
+
+
+async def test_an_entry_written_across_a_restore_has_a_lease_of_its_host(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against an entry under the lease that another host has now."""
+    data = StoreData(era=1)
+    snapshot = data.take_snapshot()
+    first, second = Candidate("host-1", data), Candidate("host-2", data)
+    share_era(first)
+    await first.registration._ensure_registered()
+    data.restore(snapshot)
+    await second.registration._ensure_registered()
+    first.registration.set_ready(False)
+    await first.registration._write_entry()
+    for _ in range(3):
+        await first.registration._ensure_registered()
+    lease = first.registration.lease_state.lease
+    assert lease is not None
+    assert data.items[first.registration.key].lease == lease.id
+    assert data.items[second.registration.key].lease != lease.id
+
+
+async def test_duties_taken_across_a_restore_are_given_up(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a holder's key that lasts as long as another host's lease."""
+    data = StoreData(era=1)
+    snapshot = data.take_snapshot()
+    first, second = Candidate("host-1", data), Candidate("host-2", data)
+    share_era(first)
+    share_era(second)
+    await first.registration._ensure_registered()
+    lease = first.registration.lease_state.lease
+    assert lease is not None
+    data.restore(snapshot)
+    await second.registration._ensure_registered()
+    await first.election._try_to_acquire(lease.id)
+    assert HOLDER_KEY not in data.items
+    async with trio.open_nursery() as nursery:
+        for host in (first, second):
+            host.start(nursery)
+        await trio.sleep(9.0)
+        terms = [host.election.find_active_term() for host in (first, second)]
+        nursery.cancel_scope.cancel()
+    assert sum(term is not None for term in terms) == 1
+
+
 async def test_a_host_that_starts_after_a_restore_is_known_to_all(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
