Use a server again that registers again after its record had lapsed

Callers saw all requests of a service refused by all hosts, until these started again, after each of its servers had been cut off from the store once for 5 s. Streams of a version were lost in the same way. The servers worked all the while and their records were back at once.

Cause: a departure was final for a process, also if no more was known than that its record was missing. A record that came back under the same id was ignored.

Change: departures name the registration that ended if nothing else shows that the process left; era of the store, and revision that created the key. A later registration ends the departure. Hosts report lapses with their registration and returns, urgently and for 4 s, so that late reports of a lapse don't undo a return. Streams that were to move stay, crash counts and cache warmth are as before the lapse, and limits, failures and paces are kept meanwhile.

Why it works: of the sources only a write by the server itself has a later registration. A list that lags has the old one. In a restored store a record counts as written in the new era if its revision is higher than the first list's, or if it outlasts twice its expiry.

--- a/dewridge/gateway/attempts.py
+++ b/dewridge/gateway/attempts.py
@@ -400,7 +400,7 @@
             # Bytes that complete no event do not show that the server works.
             silent_at = waiting_since + self._compute_silence_timeout(job)
             with trio.move_on_at(min(silent_at, stream.moves_at)) as scope:
-                stream.scope = scope
+                stream.scope, stream.silent_at = scope, silent_at
                 piece = await answer.receive()
             if scope.cancelled_caught:
                 is_due = stream.is_due(trio.current_time())
--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -20,6 +20,7 @@
     apply_store_calls,
     apply_suspect_report,
     handle_server_left,
+    handle_server_returned,
 )
 from dewridge.gateway.directory import Directory
 from dewridge.gateway.documents.fetching import DocumentPeers
@@ -433,11 +434,15 @@
         state.sharing.on_token_demand = state.record_remote_demand
         connect_reports(state)
         state.servers.on_left = partial(handle_server_left, state, self._link)
+        state.servers.on_returned = partial(handle_server_returned, state, self._link)
         state.sharing.on_report = partial(apply_peer_update, state, watcher, self._link)
         self._link.on_departures = partial(apply_left_report, state, self._link)
         self._link.list_departing = lambda: state.servers.list_recently_left(
             trio.current_time()
         )
+        self._link.list_registrations = lambda: state.servers.list_registrations(
+            trio.current_time()
+        )
         self._link.on_suspects = partial(apply_suspect_report, state, self._link)
         self._link.list_suspects = make_urgent_lister(state)
         state.list_suspects = make_update_lister(state)
--- a/dewridge/gateway/departures.py
+++ b/dewridge/gateway/departures.py
@@ -1,4 +1,4 @@
-"""Handling of leaving and crashed servers: reports from peers, and reports to them."""
+"""Handling of leaving, returning and crashed servers, with reports between hosts."""
 
 import trio
 
@@ -11,6 +11,7 @@
     DepartureReport,
     PeriodicReport,
     Report,
+    ServerRegistrations,
     SuspectReport,
     SuspectUpdate,
 )
@@ -18,7 +19,7 @@
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.suspects import decode_suspect, merge_suspects
 from dewridge.gateway.watching import StoreWatcher
-from dewridge.ids import BackendServerId, HostId
+from dewridge.ids import BackendServerId, HostId, Registration
 
 MAX_REPORT_DELAY = 2.0
 """Seconds that a report may have taken if it shows when the store answered its sender:
@@ -37,7 +38,9 @@
     now = trio.current_time()
     added = state.unknown_servers.record(update.totals.servers, update.host, now)
     watcher.receive_servers(added)
-    is_new = drop_reported_servers(state, update.host, update.departing_servers)
+    is_new = apply_reported_servers(
+        state, update.host, update.departing_servers, update.registrations
+    )
     is_new |= apply_reported_suspects(state, update.suspects)
     apply_reported_limits(state, update)
     apply_reported_rejections(state, update)
@@ -77,11 +80,13 @@
 def apply_left_report(
     state: GatewayState, link: ReportLink, report: DepartureReport
 ) -> None:
-    """Apply a report of leaving servers.
+    """Apply a report of leaving and returning servers.
 
     A report from another cell is forwarded to the cell peers.
     """
-    is_new = drop_reported_servers(state, report.host, report.departing_servers)
+    is_new = apply_reported_servers(
+        state, report.host, report.departing_servers, report.registrations
+    )
     if is_new and not report.is_cell_local:
         link.schedule_urgent_send(Recipients.CELL_PEERS)
 
@@ -106,14 +111,40 @@
     return merge_suspects(state, [decode_suspect(suspect, now) for suspect in suspects])
 
 
-def drop_reported_servers(
-    state: GatewayState, reporter: HostId, left: dict[BackendServerId, float]
+def apply_reported_servers(
+    state: GatewayState,
+    reporter: HostId,
+    left: dict[BackendServerId, float],
+    registrations: ServerRegistrations,
 ) -> bool:
-    """Drop servers that a peer reports as leaving; return whether any was in use."""
+    """Apply that servers left or returned; return whether that changed the table.
+
+    Args:
+        state: the state of this host.
+        reporter: the peer that reports it.
+        left: seconds until each departing server stops serving.
+        registrations: tells which of them may return, and which servers have returned.
+    """
     previous_version = state.servers.version
     now = trio.current_time()
     for server, leaves_in in left.items():
-        state.servers.drop(server, now, f"{reporter} told", leaves_in, is_reported=True)
+        lapsed = registrations.lapsed.get(server)
+        state.servers.drop(
+            server,
+            now,
+            f"{reporter} told",
+            leaves_in,
+            is_reported=True,
+            lapsed=None if lapsed is None else Registration(*lapsed),
+        )
+    for server, registration in registrations.returned.items():
+        state.servers.apply_reported_return(server, Registration(*registration), now)
+    unknown = [
+        server
+        for server in registrations.returned
+        if not state.servers.has_known(server)
+    ]
+    state.unknown_servers.record(unknown, reporter, now)
     return state.servers.version != previous_version
 
 
@@ -138,3 +169,15 @@
     state.streams.schedule_moves(record.id, stops_at)
     if not is_reported_by_peer:
         link.schedule_urgent_send(Recipients.ALL)
+
+
+def handle_server_returned(
+    state: GatewayState,
+    link: ReportLink,
+    record: ServerRecord,
+    is_reported_by_peer: bool,
+) -> None:
+    """Let the streams on a returned server run on, and report it to the other hosts."""
+    state.streams.cancel_moves(record.id)
+    if not is_reported_by_peer:
+        link.schedule_urgent_send(Recipients.ALL)
--- a/dewridge/gateway/model.py
+++ b/dewridge/gateway/model.py
@@ -7,9 +7,11 @@
 
 from dewridge.digests import make_release
 from dewridge.ids import (
+    UNREGISTERED,
     BackendServerId,
     ClientAccount,
     FailureDomain,
+    Registration,
     Release,
     ServerName,
     ServiceName,
@@ -240,6 +242,7 @@
         started_at_ms: when the process started, in milliseconds since 1970; 0 if the
             record does not say.
         version: version of its software; empty if the record has none.
+        registration: when the server registered.
     """
 
     id: BackendServerId
@@ -254,6 +257,7 @@
     is_cold: bool = False
     started_at_ms: int = 0
     version: ServerVersion = ServerVersion("")
+    registration: Registration = field(default=UNREGISTERED, compare=False)
 
     @property
     def release(self) -> Release:
--- a/dewridge/gateway/reports.py
+++ b/dewridge/gateway/reports.py
@@ -43,6 +43,9 @@
 """Seconds; infinite for what never was, and below zero by the error of a clock."""
 ReleaseDigest = Annotated[Release, msgspec.Meta(ge=0, lt=2**32)]
 
+ReportedRegistration = tuple[Count, Count]
+"""Era and creating revision of a server's record
+(`dewridge.policy.serverregistrations`)."""
 DutyHolder = tuple[Count, Host]
 """Fencing token and id of a holder of the duties; each holder has a higher token than
 the one before."""
@@ -71,6 +74,26 @@
 """Units per attempt in which reports count attempts and failures."""
 
 
+class ServerRegistrations(msgspec.Struct, frozen=True, array_like=True):
+    """Registrations of servers that ended or began recently.
+
+    Attributes:
+        lapsed: the registrations that ended, of those departing servers of which no
+            more is known than that their record is gone. They may return.
+        returned: the registrations of servers that had lapsed and wrote their record
+            again.
+    """
+
+    lapsed: dict[Server, ReportedRegistration] = {}
+    returned: dict[Server, ReportedRegistration] = {}
+
+    def __bool__(self) -> bool:
+        return bool(self.lapsed or self.returned)
+
+
+NO_REGISTRATIONS = ServerRegistrations()
+
+
 class ServerTotals(msgspec.Struct, array_like=True):
     """Load and recent failures at one server.
 
@@ -210,7 +233,7 @@
             usage window.
         version: configuration version in force at the sender; 0 for none.
         departing_servers: servers that left recently, with the seconds until each stops
-            serving. Their ids are never reused.
+            serving.
         confirmed_age: seconds since that version was last known to be the newest.
         last_received: boot time and number of the last report that the sender received
             from each host of its cell.
@@ -228,6 +251,8 @@
             if that is long ago, as in the reports of earlier builds.
         store_failure_age: tenths of a second since a call of the sender to the store
             failed; None likewise.
+        registrations: registrations of servers that ended or began recently; missing in
+            the reports of earlier builds, which take a lapse for a departure for good.
     """
 
     host: Host
@@ -251,6 +276,7 @@
     versions_age_ms: Figure | None = None
     store_answer_age: Figure | None = None
     store_failure_age: Figure | None = None
+    registrations: ServerRegistrations = NO_REGISTRATIONS
 
 
 class CellReport(msgspec.Struct, frozen=True, array_like=True, tag="cell"):
@@ -276,6 +302,8 @@
         rejections: milliseconds since the last rejection of brittle servers.
         releases: digest of the versions that the sender saw recently; None in the
             reports of earlier builds.
+        registrations: registrations of servers that ended or began recently; missing in
+            the reports of earlier builds.
     """
 
     host: Host
@@ -294,6 +322,7 @@
     partitioned: list[Host] = []
     rejections: dict[Server, Figure] = {}
     releases: Figure | None = None
+    registrations: ServerRegistrations = NO_REGISTRATIONS
 
 
 class HostUsage(msgspec.Struct, frozen=True, array_like=True):
@@ -305,18 +334,21 @@
 
 
 class DepartureReport(msgspec.Struct, frozen=True, array_like=True, tag="left"):
-    """Urgent message about servers that left; the periodic reports repeat it.
+    """Urgent message about servers that left or returned; periodic reports repeat it.
 
     Attributes:
         host: the sender.
         departing_servers: seconds until each server stops serving.
         is_cell_local: whether the sender is in the receiver's cell; the receiver then
             does not forward the message.
+        registrations: registrations of servers that ended or began recently; missing in
+            the messages of earlier builds.
     """
 
     host: Host
     departing_servers: dict[Server, Amount]
     is_cell_local: bool
+    registrations: ServerRegistrations = NO_REGISTRATIONS
 
 
 class SuspectReport(msgspec.Struct, frozen=True, array_like=True, tag="suspects"):
@@ -491,6 +523,8 @@
         records: some of the servers.
         departed: servers asked for that have left, with the seconds until they stop.
         is_last: whether no further answer to the request follows.
+        registrations: the registrations that ended, of those departed servers that may
+            return.
     """
 
     host: Host
@@ -498,6 +532,7 @@
     records: list[ServerRecord] = []
     departed: dict[Server, Amount] = {}
     is_last: bool = True
+    registrations: ServerRegistrations = NO_REGISTRATIONS
 
 
 PeriodicReport = Report | CellReport
--- a/dewridge/gateway/servers.py
+++ b/dewridge/gateway/servers.py
@@ -1,7 +1,9 @@
 """Table of backend server processes, as the store lists them.
 
 A server that restarts under its name is a new process with a new id. A process that has
-left is never used again.
+announced its departure, or started again, is never used again. One of which no more is
+known than that its record is gone may have been cut off from the store; it is used
+again once it has registered anew.
 """
 
 from collections.abc import Callable, Iterable
@@ -10,9 +12,11 @@
 from loguru import logger as log
 
 from dewridge.gateway.model import ServerRecord
+from dewridge.gateway.reports import ServerRegistrations
 from dewridge.ids import (
     BackendServerId,
     FailureDomain,
+    Registration,
     Release,
     ServerName,
     ServiceName,
@@ -23,8 +27,8 @@
 )
 
 DEPARTURE_REPORT_TIME = 4.0
-"""Seconds for which a departure is included in reports to other hosts. They have to
-know within 2 s, and single reports get lost."""
+"""Seconds for which a departure or a return is included in reports to other hosts. They
+have to know within 2 s, and single reports get lost."""
 DEFAULT_NOTICE = 2.0
 """Seconds for which a leaving server is assumed to keep serving if it gives no time."""
 ARRIVAL_MARGIN = 0.2
@@ -59,6 +63,10 @@
         is_notice_known: whether that time is from the server's record in the store.
         is_notice_assumed: whether nothing has said when the process stops.
         record: the last record of the process; None if it had none.
+        lapsed: the registration that ended, if nothing else shows that the process has
+            left; None if the departure is final.
+        joined_at: when the process joined; None if this host had no record of it.
+        reported_from: time from which the departure is reported to other hosts.
     """
 
     learned_at: float
@@ -66,6 +74,9 @@
     is_notice_known: bool
     is_notice_assumed: bool
     record: ServerRecord | None
+    lapsed: Registration | None
+    joined_at: float | None
+    reported_from: float
 
     @property
     def notice_ends_at(self) -> float:
@@ -85,6 +96,8 @@
         on_left: called for each process that leaves, with its record, the time at which
             it stops, and whether the other hosts know it already; called again if that
             time turns out to be another.
+        on_returned: called with the record of each process that is used again although
+            it had left, and whether the other hosts know it already.
         on_serving: called with each record that is new or has changed, and the time;
             also with those of servers that leave.
         drained_at: when a reclaimable server last began to drain, by service and
@@ -97,12 +110,15 @@
 
     def __init__(self, outages: StoreOutages | None = None) -> None:
         self.on_left: Callable[[ServerRecord, float, bool], None] = lambda *_: None
+        self.on_returned: Callable[[ServerRecord, bool], None] = lambda *_: None
         self.on_serving: Callable[[ServerRecord, float], None] = lambda *_: None
         self.drained_at: dict[tuple[ServiceName, FailureDomain], float] = {}
         self._records: dict[BackendServerId, ServerRecord] = {}
         self._departures: dict[BackendServerId, Departure] = {}
         self._departing_records: dict[BackendServerId, ServerRecord] = {}
         self._joined_at: dict[BackendServerId, float] = {}
+        self._registered_at: dict[BackendServerId, float] = {}
+        self._returned_at: dict[BackendServerId, float] = {}
         self._missing_since: dict[BackendServerId, float] = {}
         self._newest_processes: dict[ServerName, ServerRecord] = {}
         self.outages = StoreOutages() if outages is None else outages
@@ -124,11 +140,11 @@
     ) -> None:
         """Update the table from a complete list that was current when it was requested.
 
-        Servers without a record are dropped, except those that joined after the request
-        and, if the list was requested shortly after an outage of the store, those that
-        may not have registered again. The list has to be read again at `recheck_at`
-        then. Records expire during an outage although the servers still run, and
-        dropping them all would leave no server to send requests to.
+        Servers without a record are dropped, except those that joined or returned after
+        the request and, if the list was requested shortly after an outage of the store,
+        those that may not have registered again. The list has to be read again at
+        `recheck_at` then. Records expire during an outage although the servers still
+        run, and dropping them all would leave no server to send requests to.
 
         Args:
             records: the list.
@@ -141,7 +157,7 @@
         missing = [
             known
             for known in self._records
-            if known not in listed and self._joined_at[known] < requested_at
+            if known not in listed and self._registered_at[known] < requested_at
         ]
         self._missing_since = {
             server: self._missing_since.get(server, now) for server in missing
@@ -155,7 +171,8 @@
             self._log_kept(now, grace_end - now)
             return
         for server in missing:
-            self.drop(server, now, "its record is gone")
+            lapsed = self._records[server].registration
+            self.drop(server, now, "its record is gone", lapsed=lapsed)
         self._missing_since.clear()
 
     def _log_kept(self, now: float, seconds_left: float) -> None:
@@ -170,8 +187,7 @@
         """Update the table from a list that may be seconds old.
 
         A server missing from the list is not dropped: it may have started since, or its
-        record may have expired and been written again, and a server dropped by mistake
-        never gets requests again.
+        record may have expired and been written again.
 
         Returns:
             Whether some server has been missing for so long that the current list has
@@ -196,6 +212,9 @@
         may restart while a stale read still returns its earlier process; taken for the
         new one, a draining record of that process would remove a running server.
         Requests, caches and counters of the earlier process do not carry over.
+
+        A server whose record had lapsed returns with a later registration. A record
+        that is not later is one from before: it was read late, or restored.
         """
         if record.is_draining:
             if record.leaves_in is not None:
@@ -206,25 +225,86 @@
         if record.is_draining or record.id in self._departures:
             # This host may have missed the time in which the server got new requests.
             self.on_serving(record, now)
-        if record.id in self._departures or not self._is_newest_process(record, now):
+        if not self._is_newest_process(record, now):
             return
         if record.is_draining:
             self.drop(record.id, now, "it drains", record.leaves_in)
             return
-        if self._records.get(record.id) != record:
-            if record.id not in self._records:
-                log.bind(
-                    server=record.id,
-                    service=record.service,
-                    server_version=record.version[:MAX_NAME_LENGTH],
-                ).info("server joined")
-                self._joined_at[record.id] = now
-            self._records[record.id] = record
-            self.version += 1
-            self.on_serving(record, now)
+        departure = self._departures.get(record.id)
+        if departure is None:
+            self._apply_record(record, now)
+        elif departure.lapsed is not None and record.registration > departure.lapsed:
+            self._restore(departure, record, now, is_reported=False)
+
+    def _apply_record(self, record: ServerRecord, now: float) -> None:
+        known = self._records.get(record.id)
+        if known is not None and known.registration > record.registration:
+            record = replace(record, registration=known.registration)
+        elif known is None or known.registration < record.registration:
+            self._registered_at[record.id] = now
+        self._records[record.id] = record
+        if known == record:
+            return
+        if known is None:
+            log.bind(
+                server=record.id,
+                service=record.service,
+                server_version=record.version[:MAX_NAME_LENGTH],
+            ).info("server joined")
+            self._joined_at[record.id] = now
+        self.version += 1
+        self.on_serving(record, now)
+
+    def _restore(
+        self,
+        departure: Departure,
+        record: ServerRecord,
+        now: float,
+        *,
+        is_reported: bool,
+    ) -> None:
+        """Use a server again that had left, as far as this host knew."""
+        del self._departures[record.id]
+        self._returned_at[record.id] = now
+        log.bind(
+            server=record.id,
+            service=record.service,
+            absent_s=round(now - departure.learned_at, 2),
+            is_reported=is_reported,
+        ).info("server returned")
+        self._apply_record(record, now)
+        if departure.joined_at is not None:
+            self._joined_at[record.id] = departure.joined_at
+        self.on_returned(record, is_reported)
+
+    def apply_reported_return(
+        self, server: BackendServerId, registration: Registration, now: float
+    ) -> None:
+        """Apply that another host saw a server return.
+
+        Reports of an earlier lapse may still arrive, and no longer apply afterwards.
+        """
+        departure = self._departures.get(server)
+        if departure is None:
+            known = self._records.get(server)
+            if known is not None and known.registration < registration:
+                self._apply_record(replace(known, registration=registration), now)
+            return
+        if departure.lapsed is None or departure.lapsed >= registration:
+            return
+        if departure.record is None:
+            # A list has the record.
+            del self._departures[server]
+            return
+        if not self.has_later_process(departure.record):
+            record = replace(departure.record, registration=registration)
+            self._restore(departure, record, now, is_reported=True)
 
     def record_replaced(self, record: ServerRecord, now: float) -> None:
         """Record that a server had a record that was removed or written again."""
+        if record.is_draining:
+            self.update(record, now)
+            return
         known = self._records.get(record.id)
         if known is None or known.version != record.version:
             self.on_serving(record, now)
@@ -257,8 +337,9 @@
         leaves_in: float | None = None,
         *,
         is_reported: bool = False,
+        lapsed: Registration | None = None,
     ) -> None:
-        """Remove a server process for good, whatever the store returns later.
+        """Remove a server process, for good unless only its registration lapsed.
 
         Args:
             server: the process.
@@ -266,33 +347,79 @@
             reason: reason for the log.
             leaves_in: seconds until it stops serving; None if unknown.
             is_reported: whether another host reported the departure.
+            lapsed: the registration that ended, if nothing else shows that the process
+                has left.
         """
         if server in self._departures:
+            self._confirm_departure(
+                server, now, reason, lapsed, is_reported=is_reported
+            )
             if is_reported and leaves_in is not None:
                 self._refine_notice(server, now, leaves_in, is_known=False)
             return
+        if lapsed is not None and self._has_registered_since(server, lapsed):
+            return
         missing = now - self._missing_since.pop(server, now)
         assumed_notice = max(0.0, DEFAULT_NOTICE - missing)
         notice = assumed_notice if leaves_in is None else leaves_in
         record = self._records.pop(server, None)
         is_notice_known = leaves_in is not None and not is_reported
         departure = Departure(
-            now, now + notice, is_notice_known, leaves_in is None, record
+            learned_at=now,
+            stops_at=now + notice,
+            is_notice_known=is_notice_known,
+            is_notice_assumed=leaves_in is None,
+            record=record,
+            lapsed=lapsed,
+            joined_at=self._joined_at.pop(server, None),
+            reported_from=now,
         )
         self._departures[server] = departure
-        self._joined_at.pop(server, None)
+        self._registered_at.pop(server, None)
+        self._returned_at.pop(server, None)
         if record is not None:
             log.bind(
                 server=server,
                 reason=reason,
                 leaves_in=round(notice, 2),
                 missing_s=round(missing, 2),
+                may_return=lapsed is not None,
             ).info("server left")
             self.version += 1
             self.on_left(record, departure.stops_at, is_reported)
         if len(self._departures) > 1000:
             self._drop_expired(now)
 
+    def _has_registered_since(
+        self, server: BackendServerId, lapsed: Registration
+    ) -> bool:
+        known = self._records.get(server)
+        return known is not None and known.registration > lapsed
+
+    def _confirm_departure(
+        self,
+        server: BackendServerId,
+        now: float,
+        reason: str,
+        lapsed: Registration | None,
+        *,
+        is_reported: bool,
+    ) -> None:
+        """Apply another sign of a known departure, which may show that it is final."""
+        departure = self._departures[server]
+        if departure.lapsed is None:
+            return
+        if lapsed is not None:
+            lapsed = max(lapsed, departure.lapsed)
+            self._departures[server] = replace(departure, lapsed=lapsed)
+            return
+        log.bind(server=server, reason=reason).info("server left for good")
+        # The departures are in the order in which they are reported from.
+        del self._departures[server]
+        self._departures[server] = replace(departure, lapsed=None, reported_from=now)
+        if departure.record is not None:
+            self.on_left(departure.record, departure.stops_at, is_reported)
+
     def _refine_notice(
         self, server: BackendServerId, now: float, leaves_in: float, *, is_known: bool
     ) -> None:
@@ -348,11 +475,37 @@
         """
         recent = {}
         for server, departure in reversed(self._departures.items()):
-            if now - departure.learned_at > DEPARTURE_REPORT_TIME:
+            if now - departure.reported_from > DEPARTURE_REPORT_TIME:
                 break
             recent[server] = round(max(0.0, departure.stops_at - now), 2)
         return recent
 
+    def list_registrations(self, now: float) -> ServerRegistrations:
+        """Return what qualifies the recent departures, for reports to other hosts."""
+        lapsed: dict[BackendServerId, tuple[int, int]] = {
+            server: departure.lapsed
+            for server in self.list_recently_left(now)
+            if (departure := self._departures[server]).lapsed is not None
+        }
+        self._returned_at = {
+            server: returned_at
+            for server, returned_at in self._returned_at.items()
+            if now - returned_at <= DEPARTURE_REPORT_TIME
+        }
+        returned: dict[BackendServerId, tuple[int, int]] = {
+            server: self._records[server].registration for server in self._returned_at
+        }
+        return ServerRegistrations(lapsed, returned)
+
+    def list_retained(self, now: float) -> set[BackendServerId]:
+        """Return the servers in use, and those that may still return."""
+        return self._records.keys() | {
+            server
+            for server, departure in self._departures.items()
+            if departure.lapsed is not None
+            and now - departure.learned_at < DEPARTURE_RETENTION
+        }
+
     def _drop_expired(self, now: float) -> None:
         self._departures = {
             server: departure
--- a/dewridge/gateway/sharinglink.py
+++ b/dewridge/gateway/sharinglink.py
@@ -25,6 +25,7 @@
     DepartureReport,
     HostMessage,
     Report,
+    ServerRegistrations,
     StreamVersionMessage,
     SuspectReport,
     SuspectUpdate,
@@ -138,6 +139,7 @@
     Attributes:
         on_departures: called with each urgent message about departing servers.
         list_departing: returns seconds until each departing server stops serving.
+        list_registrations: returns what qualifies these departures.
         on_suspects: called with each urgent message about suspect requests.
         list_suspects: returns the suspects not yet sent in an urgent message.
         on_dated_report: called with each report of a cell peer that can be dated, and
@@ -169,6 +171,7 @@
         self._on_confirmed = on_confirmed
         self.on_departures: Callable[[DepartureReport], None] = lambda report: None
         self.list_departing: Callable[[], dict[BackendServerId, float]] = dict
+        self.list_registrations: Callable[[], ServerRegistrations] = ServerRegistrations
         self.on_suspects: Callable[[SuspectReport], None] = lambda report: None
         self.list_suspects: Callable[[], list[SuspectUpdate]] = list
         self.on_dated_report: Callable[[Report, float], None] = lambda report, at: None
@@ -215,15 +218,21 @@
         """Ignore the periodic reports that arrived while this process did not run.
 
         They would show what their senders knew, and that they were alive, as of now.
-        Departures are final, and apply whenever they are read.
+        Departures and returns name the registration, and apply whenever they are read.
         """
         self._drops_reports = True
 
     def receive_message(self, message: HostMessage, sender: PeerAddress) -> None:
         """Apply a message of a peer."""
         if self._drops_reports and isinstance(message, Report | CellReport):
-            departing = message.departing_servers
-            self.on_departures(DepartureReport(message.host, departing, True))
+            self.on_departures(
+                DepartureReport(
+                    message.host,
+                    message.departing_servers,
+                    is_cell_local=True,
+                    registrations=message.registrations,
+                )
+            )
             return
         match message:
             case UsageReport():
@@ -351,14 +360,11 @@
         if recipients is None:
             return
         plan = self._plan_round()
-        departing = self.list_departing()
         suspects = self.list_suspects()
         self._send_notices(plan)
-        self._enqueue_urgent(plan.cell_peers, departing, suspects, is_cell_local=True)
+        self._enqueue_urgent(plan.cell_peers, suspects, is_cell_local=True)
         if recipients is Recipients.ALL:
-            self._enqueue_urgent(
-                plan.receivers, departing, suspects, is_cell_local=False
-            )
+            self._enqueue_urgent(plan.receivers, suspects, is_cell_local=False)
 
     def _send_notices(self, plan: Round) -> None:
         """Send notices of versions to the cell, and those of this host to all cells."""
@@ -374,14 +380,16 @@
     def _enqueue_urgent(
         self,
         peers: list[HostEntry],
-        departing: dict[BackendServerId, float],
         suspects: list[SuspectUpdate],
         *,
         is_cell_local: bool,
     ) -> None:
         local_host = self._sharing.local_host
-        if departing:
-            departures = DepartureReport(local_host, departing, is_cell_local)
+        departing, registrations = self.list_departing(), self.list_registrations()
+        if departing or registrations:
+            departures = DepartureReport(
+                local_host, departing, is_cell_local, registrations
+            )
             self._enqueue(peers, self._encoder.encode(departures), Urgency.URGENT)
         for begin in range(0, len(suspects), MAX_SUSPECTS_PER_DATAGRAM):
             part = suspects[begin : begin + MAX_SUSPECTS_PER_DATAGRAM]
@@ -416,6 +424,7 @@
             partitioned=partitioned,
             rejections=report.rejections,
             releases=report.releases,
+            registrations=report.registrations,
         )
 
     def _enqueue(self, peers: list[HostEntry], data: bytes, urgency: Urgency) -> None:
--- a/dewridge/gateway/state.py
+++ b/dewridge/gateway/state.py
@@ -389,6 +389,7 @@
             versions_age_ms=self.versions.view.age_ms,
             store_answer_age=_count_tenths(now - self.servers.outages.own_answer_at),
             store_failure_age=_count_tenths(now - self.servers.outages.own_failure_at),
+            registrations=self.servers.list_registrations(now),
         )
 
     def list_usage(self, windows: int) -> UsageCounts:
@@ -574,18 +575,17 @@
         ]:
             del self.usage_counts[old_window]
         self.sharing.discard_before(window, trio.current_time())
-        departed = [known for known in self.health if self.servers.find(known) is None]
-        for server in departed:
+        now = trio.current_time()
+        retained = self.servers.list_retained(now)
+        for server in self.health.keys() - retained:
             del self.health[server]
             self.metrics.remove_histogram(SERVER_ANSWER_TIME_METRIC, server=server)
-        now = trio.current_time()
         self.versions.record_servers(self.servers.list_all(), now)
-        listed = {record.id for record in self.servers.list_all()}
-        self.versions.doubtful_servers &= listed
-        for server in self.versions.confirmed_servers.keys() - listed:
+        self.versions.doubtful_servers &= retained
+        for server in self.versions.confirmed_servers.keys() - retained:
             del self.versions.confirmed_servers[server]
-        self.pushback.drop_expired(listed, now)
-        self.placement.drop_departed(listed)
+        self.pushback.drop_expired(retained, now)
+        self.placement.drop_departed(retained)
         self.suspects.drop_expired(now)
         self.observed_crashes = {
             digest for digest in self.observed_crashes if self.suspects.find(digest)
--- a/dewridge/gateway/streams.py
+++ b/dewridge/gateway/streams.py
@@ -29,6 +29,8 @@
         scope: scope in which its task waits for the next event.
         is_direct: whether its events arrive on a connection of this host.
         is_hanging: whether it moves because that connection brings no bytes any more.
+        is_stopped: whether its run was stopped for a move.
+        silent_at: time at which the wait for the next event ends if no move is due.
         record: what is known of all that could end its answer.
     """
 
@@ -37,6 +39,8 @@
     scope: trio.CancelScope | None = None
     is_direct: bool = True
     is_hanging: bool = False
+    is_stopped: bool = False
+    silent_at: float = float("inf")
     record: AnswerRecord = field(default_factory=AnswerRecord)
 
     def schedule_move(self, stops_at: float) -> None:
@@ -54,6 +58,14 @@
         self.schedule_move(stops_at)
         self.moves_at = max(self.moves_at, now + MOVE_RETRY_DELAY)
 
+    def cancel_move(self) -> None:
+        """Let the stream run on, unless it is being moved: its server stays."""
+        if self.is_hanging or self.is_stopped:
+            return
+        self.server_stops_at = self.moves_at = float("inf")
+        if self.scope is not None:
+            self.scope.deadline = self.silent_at
+
     def move_hanging(self, now: float) -> None:
         """Move the stream now unless that was tried already."""
         if not self.is_direct or self.is_hanging:
@@ -73,6 +85,7 @@
 
     def await_remaining_events(self, now: float) -> None:
         """Limit the wait for the events in transit of a stopped stream."""
+        self.is_stopped = True
         self.moves_at = now + DRAIN_TIME
 
     def is_due(self, now: float) -> bool:
@@ -110,3 +123,8 @@
         """Schedule moves for all streams on a leaving server."""
         for stream in self._by_server.get(server, ()):
             stream.schedule_move(stops_at)
+
+    def cancel_moves(self, server: BackendServerId) -> None:
+        """Cancel the moves of all streams on a server that does not leave."""
+        for stream in self._by_server.get(server, ()):
+            stream.cancel_move()
--- a/dewridge/gateway/versions/serversearch.py
+++ b/dewridge/gateway/versions/serversearch.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 import trio
@@ -15,11 +15,17 @@
 from dewridge.gateway.datagrams import PeerAddress
 from dewridge.gateway.hosts import HostEntry
 from dewridge.gateway.model import ServerRecord
-from dewridge.gateway.reports import ServerAnswer, ServerQuery, StreamVersionMessage
+from dewridge.gateway.reports import (
+    NO_REGISTRATIONS,
+    ServerAnswer,
+    ServerQuery,
+    ServerRegistrations,
+    StreamVersionMessage,
+)
 from dewridge.gateway.servers import ServerTable
 from dewridge.gateway.versions.releaseexchange import SendMessage
 from dewridge.gateway.versions.unknownservers import UnknownServers
-from dewridge.ids import BackendServerId, HostId, Release, ServiceName
+from dewridge.ids import BackendServerId, HostId, Registration, Release, ServiceName
 
 SEARCH_DELAY = 0.2
 """Seconds that the store has to show a server that a peer uses, and between two
@@ -171,6 +177,7 @@
         ]
         records += self._rng.sample(needed, min(len(needed), MAX_RECORDS))
         departed = self._list_departed(asked)
+        registrations = self._list_lapsed(departed)
         last = max(0, len(records) - 1) // RECORDS_PER_DATAGRAM
         for index in range(last + 1):
             first = index * RECORDS_PER_DATAGRAM
@@ -180,6 +187,7 @@
                 records[first : first + RECORDS_PER_DATAGRAM],
                 departed if index == 0 else {},
                 is_last=index == last,
+                registrations=registrations if index == 0 else NO_REGISTRATIONS,
             )
             self._send(address, answer)
 
@@ -197,6 +205,17 @@
             for server, departure in departures.items()
         }
 
+    def _list_lapsed(self, departed: Iterable[BackendServerId]) -> ServerRegistrations:
+        """Return the registrations that ended, of the departures that are not final."""
+        return ServerRegistrations(
+            {
+                server: departure.lapsed
+                for server in departed
+                if (departure := self._servers.find_departure(server)) is not None
+                and departure.lapsed is not None
+            }
+        )
+
     def _apply(self, answer: ServerAnswer) -> None:
         now = trio.current_time()
         is_any_added = False
@@ -210,7 +229,15 @@
             self.on_added()
         for server, leaves_in in answer.departed.items():
             reason = f"reported by {answer.host}"
-            self._servers.drop(server, now, reason, leaves_in, is_reported=True)
+            lapsed = answer.registrations.lapsed.get(server)
+            self._servers.drop(
+                server,
+                now,
+                reason,
+                leaves_in,
+                is_reported=True,
+                lapsed=None if lapsed is None else Registration(*lapsed),
+            )
         for search in self._searches.values():
             if search.number == answer.number:
                 if answer.is_last:
--- a/dewridge/gateway/watching.py
+++ b/dewridge/gateway/watching.py
@@ -11,6 +11,7 @@
 
 import random
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 import trio
 
@@ -38,6 +39,7 @@
 from dewridge.platform.names import SERVERS_PREFIX
 from dewridge.platform.servers import decode_server
 from dewridge.platform.store import Item, Listing, Store
+from dewridge.policy.serverregistrations import RegistrationDating
 from dewridge.sentinels import Failure
 
 READER_POLL_INTERVAL = 2.0
@@ -122,6 +124,7 @@
         self._servers_wake = trio.Event()
         self.configuration.on_watch_failed = self.wake_servers
         self._faults = EntryFaults()
+        self._dating = RegistrationDating(servers.outages.heartbeat)
         self._is_server_list_outdated = False
         self._is_poll_in_step = True
         self._requested_servers: set[BackendServerId] = set()
@@ -204,9 +207,14 @@
         self, listing: Listing, requested_at: float, *, may_lag: bool
     ) -> bool:
         """Apply a list of servers; return whether a current list has to be read."""
-        decoded = [self._decode_server(item) for item in listing.items]
-        records = [record for record in decoded if record is not None]
         now = trio.current_time()
+        listed_at = float("-inf")
+        if not may_lag:
+            listed_at = requested_at
+            era = self._watch_store.era.number
+            self._dating.record_list(era, listing.revision, now)
+        decoded = [self._decode_server(item, listed_at) for item in listing.items]
+        records = [record for record in decoded if record is not None]
         if may_lag:
             return self._servers.merge_stale_list(records, now)
         self._servers.apply_full_list(records, now, requested_at)
@@ -220,11 +228,26 @@
             if record is not None:
                 self._servers.record_replaced(record, now)
 
-    def _decode_server(self, item: Item) -> ServerRecord | None:
-        """Decode a record; log an invalid one once instead of at each poll."""
+    def _decode_server(
+        self, item: Item, listed_at: float = float("-inf")
+    ) -> ServerRecord | None:
+        """Decode a record; log an invalid one once instead of at each poll.
+
+        Args:
+            item: the record.
+            listed_at: monotonic time at which the list that it is from was requested,
+                if the list was current then.
+        """
         record = decode_server(item)
         if isinstance(record, ServerRecord):
-            return record
+            registration = self._dating.date(
+                self._watch_store.era.number,
+                item.created_revision,
+                item.revision,
+                trio.current_time(),
+                listed_at,
+            )
+            return replace(record, registration=registration)
         self._faults.report("server record can't be read", record)
         return None
 
--- a/dewridge/ids.py
+++ b/dewridge/ids.py
@@ -1,6 +1,6 @@
 """Types of identifiers, and functions that build and split them."""
 
-from typing import NewType
+from typing import NamedTuple, NewType
 
 HostId = NewType("HostId", str)
 """Name of a host that runs `dewridge serve`; unique in a deployment."""
@@ -31,6 +31,22 @@
 StreamKey = NewType("StreamKey", int)
 """Digest of an account and the id of an attempt: 48 bits."""
 
+
+class Registration(NamedTuple):
+    """When a backend server registered; a later registration compares as greater.
+
+    Attributes:
+        era: era of the store in which the server is known to have written its record.
+        created: revision at which the store created the record's key.
+    """
+
+    era: int
+    created: int
+
+
+UNREGISTERED = Registration(0, 0)
+"""Less than any registration of a record in the store."""
+
 AttemptId = NewType("AttemptId", str)
 """Identifies one dispatch of a request to a backend server."""
 
--- a/dewridge/tests/gateway/weaklinks_tests.py
+++ b/dewridge/tests/gateway/weaklinks_tests.py
@@ -1,6 +1,7 @@
 """Tests of reports and usage sums in a large fleet whose links are weak."""
 
 import time
+from dataclasses import replace
 from functools import partial
 
 import pytest
@@ -13,10 +14,11 @@
     apply_left_report,
     apply_suspect_report,
     handle_server_left,
+    handle_server_returned,
 )
 from dewridge.gateway.echoes import SentReportTimes
 from dewridge.gateway.hosts import HostEntry
-from dewridge.gateway.reports import REPORTED_WINDOWS
+from dewridge.gateway.reports import REPORTED_WINDOWS, DepartureReport
 from dewridge.gateway.sharinglink import Recipients, ReportLink
 from dewridge.gateway.state import GatewayState
 from dewridge.gateway.suspects import (
@@ -31,6 +33,7 @@
     ClientAccount,
     FailureDomain,
     HostId,
+    Registration,
     RequestDigest,
     ServiceName,
 )
@@ -76,9 +79,9 @@
     def __init__(self, number: int) -> None:
         self.id = HostId(f"host-{number:02}")
         self.state = make_host_state(self.id, FailureDomain(f"domain-{number % 3}"))
-        self.address = f"10.0.0.{number + 1}"
+        self.address = f"10.0.{number // 200}.{number % 200 + 1}"
         sharing = self.state.sharing
-        server = make_record("s-1")
+        server = replace(make_record("s-1"), registration=Registration(1, 10))
         self.state.servers.update(server, 0.0)
         self.departing_server = server.id
         self.socket = PacedSocket(
@@ -104,10 +107,19 @@
         )
         servers = self.state.servers
         servers.on_left = partial(handle_server_left, self.state, self.link)
+        servers.on_returned = partial(handle_server_returned, self.state, self.link)
         self.link.on_departures = partial(apply_left_report, self.state, self.link)
         self.link.list_departing = lambda: servers.list_recently_left(
             trio.current_time()
         )
+        self.link.list_registrations = lambda: servers.list_registrations(
+            trio.current_time()
+        )
+        self.state.sharing.on_report = lambda report: self.link.on_departures(
+            DepartureReport(
+                report.host, report.departing_servers, True, report.registrations
+            )
+        )
         self.link.on_suspects = partial(apply_suspect_report, self.state, self.link)
         self.link.list_suspects = make_urgent_lister(self.state)
         self.state.list_suspects = make_update_lister(self.state)
@@ -149,9 +161,9 @@
     return state
 
 
-def make_fleet() -> list[FleetHost]:
+def make_fleet(count: int = HOSTS) -> list[FleetHost]:
     """Return hosts that know of each other and of the holder of the duties."""
-    fleet = [FleetHost(number) for number in range(HOSTS)]
+    fleet = [FleetHost(number) for number in range(count)]
     entries = {
         f"hosts/{host.id}/1": HostEntry(
             host.id,
@@ -332,6 +344,55 @@
     assert not unaware
 
 
+RETURN_KNOWN_WITHIN = 2.0
+"""Seconds within which all hosts have to use a returned server again."""
+
+
+@pytest.mark.parametrize(
+    ("hosts", "lapses"), [(2, 2), (9, 2), (18, 2), (60, 2), (195, 1), (440, 1)]
+)
+async def test_a_returned_server_is_soon_used_by_all_hosts(
+    network: WeakNetwork,
+    autojump_clock: trio.testing.MockClock,
+    hosts: int,
+    lapses: int,
+) -> None:
+    """Guards against hosts that give no requests to a server that lapsed and is back.
+
+    One host learns it from the store. Reports of the lapse are repeated meanwhile.
+    """
+    fleet = make_fleet(hosts)
+    first = fleet[hosts // 2]
+    record = replace(make_record("s-1"), registration=Registration(1, 10))
+
+    def count_using() -> int:
+        return sum(host.state.servers.find(record.id) is not None for host in fleet)
+
+    async def wait_for(count: int) -> None:
+        for _ in range(round(RETURN_KNOWN_WITHIN / 0.05)):
+            if count_using() == count:
+                return
+            await trio.sleep(0.05)
+        pytest.fail(f"{count_using()} of {hosts} hosts use the server")
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(network.run)
+        for host in fleet:
+            await host.start(nursery)
+        await trio.sleep(1.0)
+        for lapse in range(lapses):
+            first.state.servers.drop(
+                record.id, trio.current_time(), "gone", lapsed=record.registration
+            )
+            await wait_for(0)
+            record = replace(record, registration=Registration(1, 20 + lapse))
+            first.state.servers.update(record, trio.current_time())
+            await wait_for(hosts)
+            await trio.sleep(3.0 if lapses > 1 else 0.5)
+            assert count_using() == hosts
+        nursery.cancel_scope.cancel()
+
+
 async def test_a_request_that_crashed_servers_at_three_hosts_is_refused_by_all(
     network: WeakNetwork, autojump_clock: trio.testing.MockClock
 ) -> None:
