Ask peers for their version before a host that starts trusts the store

Callers could use a revoked key at a host that had started right after the store came back from an older copy, until the operator wrote the configuration again.

Cause: a host that starts confirmed the first version that it read. It did not know of the restore, and peers send no reports to a host that is not registered yet.

A newer version at a peer keeps the older one unconfirmed, as a report of a peer does.

Why it works: hosts that have run since before the restore keep their version in force, and answer whoever asks. Without such a host nobody knows better than the copy.

--- a/dewridge/gateway/composition.py
+++ b/dewridge/gateway/composition.py
@@ -27,6 +27,7 @@
 from dewridge.gateway.documents.following import WATCH_WAIT
 from dewridge.gateway.documents.parts import DocumentParts
 from dewridge.gateway.documents.passing import DocumentLibrary, serve_peers
+from dewridge.gateway.documents.startcheck import StartCheck
 from dewridge.gateway.duties import HolderElection
 from dewridge.gateway.echoes import SentReportTimes
 from dewridge.gateway.endings.releasing import release_memory
@@ -402,6 +403,12 @@
 
     def _list_tasks(self) -> list[tuple[str, Task]]:
         state = self._state
+        start_check = StartCheck(
+            self._store,
+            state.hosts,
+            self._settings.bounds.usage_window,
+            state.rng,
+        )
         watcher = StoreWatcher(
             self._store,
             self._watch_store,
@@ -421,10 +428,16 @@
                 self._announce_document,
             ),
             state.versions.view,
+            None if self._settings.host.is_first_start else start_check.run,
         )
-        self._link.on_version = lambda host, version: (
+        start_check.ask = self._link.ask_version
+        self._link.get_version = lambda: state.configuration.version
+
+        def receive_version(host: HostId, version: int) -> None:
             watcher.configuration.receive_version(version, host)
-        )
+            start_check.record_answer(host)
+
+        self._link.on_version = receive_version
         self._server_search.on_added = watcher.request_current_list
         state.stalls.on_stall = partial(self._handle_stall, watcher)
         rollouts = RolloutDuty(state, self._election, self._store)
--- a/dewridge/gateway/documents/following.py
+++ b/dewridge/gateway/documents/following.py
@@ -109,7 +109,9 @@
         find_role: Callable[[], StoreRole],
         on_rollout_order: Callable[[RolloutOrder], None],
         peers: DocumentPeers,
+        check_start: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
+        self._check_start = check_start
         self._store = store
         self._watch_store = watch_store
         self._configuration = configuration
@@ -195,6 +197,9 @@
                 retry_delay = min(MAX_RETRY_DELAY, retry_delay * 2)
                 continue
             retry_delay = MIN_RETRY_DELAY
+            if self._check_start is not None:
+                await self._check_start()
+                self._check_start = None
             if self._stored_version and not self._is_outdated():
                 self._configuration.confirm(requested_at)
             else:
@@ -342,8 +347,11 @@
 
         A store restored from a copy returns an older version until the operator writes
         the newer one again. Until then, reads and watches of the store must not confirm
-        the older version. Nor may they while a peer has a newer one.
+        the older version. Nor may they while a peer has a newer one, or before peers
+        were asked after a start.
         """
+        if self._check_start is not None:
+            return True
         version = self._configuration.version
         is_older = 0 < self._stored_version < version
         return is_older or version < self._newest_peer_version
--- a/dewridge/gateway/reports.py
+++ b/dewridge/gateway/reports.py
@@ -381,6 +381,12 @@
     is_cell_local: bool
 
 
+class VersionQuery(msgspec.Struct, frozen=True, array_like=True, tag="version?"):
+    """Request of a host that starts for a notice of the receiver's version."""
+
+    host: Host
+
+
 class UsageReport(msgspec.Struct, frozen=True, array_like=True, tag="usage"):
     """Usage that a host of a large fleet reports to the holder of the duties.
 
@@ -550,6 +556,7 @@
     | DepartureReport
     | SuspectReport
     | VersionNotice
+    | VersionQuery
     | UsageReport
     | UsageConfirmation
     | UsageRequest
--- a/dewridge/gateway/sharinglink.py
+++ b/dewridge/gateway/sharinglink.py
@@ -34,6 +34,7 @@
     UsageReport,
     UsageRequest,
     VersionNotice,
+    VersionQuery,
 )
 from dewridge.gateway.sharing import (
     CELL_REPORTS_PER_SECOND,
@@ -146,6 +147,7 @@
             the earliest time on the boot clock at which it can have been made.
         on_stream_message: called with each message on the versions of streams.
         on_version: called with each host that has a version, and the version.
+        get_version: returns the version of the configuration in force; 0 for none.
         check_stall: called before messages are received.
         link_mbps: bandwidth of this host's link in Mbit/s; 0 if unknown.
     """
@@ -179,6 +181,7 @@
             lambda message, sender: None
         )
         self.on_version: Callable[[HostId, int], None] = lambda host, version: None
+        self.get_version: Callable[[], int] = lambda: 0
         self.link_mbps = 0.0
         self._notices: dict[HostId, int] = {}
         self._encoder = msgspec.msgpack.Encoder()
@@ -247,6 +250,8 @@
                 self.on_suspects(message)
             case VersionNotice():
                 self._apply_version_notice(message)
+            case VersionQuery():
+                self._answer_version_query(sender)
             case CellReport():
                 self._sharing.apply_report(message, trio.current_time())
             case Report():
@@ -268,6 +273,18 @@
         self._notices[self._sharing.local_host] = version
         self.schedule_urgent_send(Recipients.ALL)
 
+    def ask_version(self, peer: HostEntry) -> None:
+        """Ask a peer for a notice of its version."""
+        query = VersionQuery(self._sharing.local_host)
+        self._enqueue([peer], self._encoder.encode(query), Urgency.URGENT)
+
+    def _answer_version_query(self, sender: PeerAddress) -> None:
+        # The host that asks may not be registered yet.
+        notice = VersionNotice(
+            self._sharing.local_host, self.get_version(), is_cell_local=True
+        )
+        self._socket.enqueue(sender, self._encoder.encode(notice), Urgency.URGENT)
+
     def _apply_version_notice(self, notice: VersionNotice) -> None:
         if notice.host == self._sharing.local_host:
             return
--- a/dewridge/gateway/watching.py
+++ b/dewridge/gateway/watching.py
@@ -10,7 +10,7 @@
 """
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import replace
 
 import trio
@@ -103,6 +103,7 @@
         on_rollout_order: Callable[[RolloutOrder], None] = lambda order: None,
         peers: DocumentPeers | None = None,
         version_view: VersionView | None = None,
+        check_start: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
         self._rng = rng
         self._version_view = version_view or VersionView()
@@ -119,6 +120,7 @@
             find_role,
             on_rollout_order,
             peers or DocumentPeers(),
+            check_start,
         )
         self._server_list = ListMirror(store, SERVERS_PREFIX)
         self._servers_wake = trio.Event()
--- a/dewridge/tests/entries/peers_tests.py
+++ b/dewridge/tests/entries/peers_tests.py
@@ -42,6 +42,7 @@
     UsageReport,
     UsageRequest,
     VersionNotice,
+    VersionQuery,
 )
 from dewridge.ids import (
     BackendServerId,
@@ -144,6 +145,7 @@
     DepartureReport(PEER, {SERVER: 0.5}, False),
     SuspectReport(PEER, [SUSPECT], False),
     VersionNotice(PEER, 2, False),
+    VersionQuery(PEER),
     UsageReport(PEER, 1, 1, 7, [HostUsage(PEER, 1, {7: {ACCOUNT: 3}})]),
     UsageConfirmation((3, PEER), 1, 1),
     UsageRequest((3, PEER)),
