Restore the store and let records lapse in the soak; take documents in any era

The soak drew neither lapses of records of servers that work, nor restores of the store. The stand-in names eras in all its answers.

With eras, test_a_host_that_starts_takes_the_document_from_a_peer failed: a host that had no answer of the store yet did not know the era, and loaded a document from the store although a peer had passed it on. It takes the era of the peer now until the store names one; if that is another, it reads everything again, before it confirms anything.

--- a/dewridge/gateway/documents/following.py
+++ b/dewridge/gateway/documents/following.py
@@ -67,6 +67,8 @@
 CELL_WATCH_RETRY_DELAY = 1.0
 """Seconds until a failed watch is retried in a large fleet. The configuration is polled
 meanwhile, and each retry costs a call."""
+UNKNOWN_ERA = 0
+"""The era before the first answer of the store, and of a store that names none."""
 MIN_JITTER = 0.5
 MAX_JITTER = 1.5
 """Limits of the random factor on a delay, so that hosts that waited for the same event
@@ -176,7 +178,7 @@
 
     def _note_passed(self, passed: PassedDocument) -> None:
         """Record that the store need not send a document that a peer passed on."""
-        if passed.era != self._store.era.number:
+        if self._store.era.number not in {UNKNOWN_ERA, passed.era}:
             return
         if passed.revision <= self._document_revision:
             return
@@ -246,8 +248,10 @@
                 listing = await self._receive(self._read_changes)
             if listing is ANSWER_TOO_LARGE:
                 await self._skip_oversized()
-            if listing is not None:
-                return listing if isinstance(listing, Failure) else None
+            if isinstance(listing, Failure):
+                return listing
+            if listing is not None and self._has_revision():
+                return None
 
     async def _receive(
         self, call: Callable[[OnBegin], Awaitable[Listing | Failure]]
@@ -292,7 +296,8 @@
         return self._revision == revision
 
     def _has_revision(self) -> bool:
-        return self._revision is not None and self._era == self._store.era.number
+        is_same_era = self._store.era.number in {UNKNOWN_ERA, self._era}
+        return self._revision is not None and is_same_era
 
     async def _read_changes(self, on_begin: OnBegin) -> Listing | Failure:
         revision = self._revision
--- a/dewridge/tests/soak/__main__.py
+++ b/dewridge/tests/soak/__main__.py
@@ -96,6 +96,12 @@
         int,
         typer.Option(help="Times that another writer leaves odd entries."),
     ] = 4,
+    lapses: Annotated[
+        int, typer.Option(help="Times that records of servers lapse for a while.")
+    ] = 2,
+    restores: Annotated[
+        int, typer.Option(help="Times that the store comes back from an older copy.")
+    ] = 1,
     kept: Annotated[bool, typer.Option(help="The seeds that once failed.")] = False,
     folder: Annotated[Path, typer.Option(help="For logs.")] = Path("build/soak"),
 ) -> None:
@@ -126,6 +132,8 @@
         uploads=uploads,
         closing=closing,
         odd_entries=odd_entries,
+        lapses=lapses,
+        restores=restores,
     )
     planned_runs = [(run_seed, size) for run_seed in range(first, first + runs)]
     if kept:
--- a/dewridge/tests/soak/checks.py
+++ b/dewridge/tests/soak/checks.py
@@ -21,6 +21,7 @@
 from dewridge.tests.soak.partitionchecks import check_partitions
 from dewridge.tests.soak.records import Execution, History, SentRequest
 from dewridge.tests.soak.retrychecks import check_retries, list_repeats
+from dewridge.tests.soak.returnchecks import check_returns
 from dewridge.tests.soak.signalchecks import check_brittle_servers, check_signals
 from dewridge.tests.soak.versionchecks import check_versions, count_resumptions
 
@@ -80,6 +81,7 @@
         *check_retries(history),
         *check_ends(history),
         *check_finished(history),
+        *check_returns(history),
     ]
 
 
@@ -366,6 +368,8 @@
         "rejections for room": history.rejections_for_room,
         "falls": len(history.falls),
         "odd entries": history.odd_entries,
+        "servers returned": len(history.returns),
+        "restores": history.restores,
         **count_resumptions(history),
         **count_leaving(history),
         **count_ends(history),
--- a/dewridge/tests/soak/records.py
+++ b/dewridge/tests/soak/records.py
@@ -392,6 +392,23 @@
     end: float = float("inf")
 
 
+@dataclass
+class ServerReturn:
+    """The time from which a server is registered again after its record had lapsed.
+
+    Attributes:
+        server: the server.
+        service: its service.
+        at: when the store acknowledged its record.
+        until: when it left, or when something else kept requests from it.
+    """
+
+    server: str
+    service: str
+    at: float
+    until: float = float("inf")
+
+
 @dataclass(frozen=True)
 class VersionProbe:
     """A request on a route that a version of the configuration has added."""
@@ -444,6 +461,8 @@
         server_ended_at: when leaving engines ended.
         restarts: engines that started again under their names.
         odd_entries: odd entries that another writer left in the store.
+        returns: servers that registered again after their record had lapsed.
+        restores: restores of the store from an older copy.
         end: end of the observed period; later interruptions are ignored.
     """
 
@@ -479,9 +498,17 @@
     server_ended_at: dict[str, float] = field(default_factory=dict)
     restarts: list[Restart] = field(default_factory=list)
     odd_entries: int = 0
+    returns: list[ServerReturn] = field(default_factory=list)
+    restores: int = 0
     last_fault_end: float = 0.0
     end: float = 0.0
 
+    def end_returns(self, server: str) -> None:
+        """Record that a server may get no requests from now on."""
+        for returned in self.returns:
+            if returned.server == server:
+                returned.until = min(returned.until, time.monotonic())
+
     def record_fault(self) -> None:
         """Record a fault from which most requests must recover after a time."""
         self.last_fault_end = max(self.last_fault_end, time.monotonic())
--- a/dewridge/tests/soak/runs.py
+++ b/dewridge/tests/soak/runs.py
@@ -16,6 +16,7 @@
 from dewridge.tests.soak.documents import LargeDocuments, probe_versions
 from dewridge.tests.soak.engineruns import EndDraws
 from dewridge.tests.soak.faults import Fault, draw_faults, inject_faults
+from dewridge.tests.soak.lapses import lapse_records
 from dewridge.tests.soak.leaving import make_hosts_leave
 from dewridge.tests.soak.leavingengines import make_engines_leave, restart_engines
 from dewridge.tests.soak.newversions import add_version
@@ -23,6 +24,7 @@
 from dewridge.tests.soak.partitions import partition_hosts
 from dewridge.tests.soak.records import LOW_RETRY_SLACK, RequestKind
 from dewridge.tests.soak.rejections import reject_requests
+from dewridge.tests.soak.restores import restore_store
 from dewridge.tests.soak.resuming import ResumingCaller
 from dewridge.tests.soak.signals import BRITTLE_SLOTS, make_brittle, send_signals
 from dewridge.tests.soak.stage import QUOTAS, SoakEnvironment
@@ -84,6 +86,10 @@
     """Percentage of the uploads that servers answer in part, and then close on."""
     odd_entries: int = 0
     """Number of times that another writer leaves odd entries in the store."""
+    lapses: int = 0
+    """Number of times that records of servers lapse and are written again."""
+    restores: int = 0
+    """Number of times that the store comes back from an older copy."""
     calm_seconds: float = FAULT_FREE_SECONDS
     """Seconds without faults at the end; the check of recovery needs most of them."""
 
@@ -239,6 +245,16 @@
             drawn_rng = random.Random(odd_rng.random())
             name = f"o{number}"
             nursery.start_soon(leave_odd_entries, environment, at, name, drawn_rng)
+        lapse_rng = random.Random(f"lapses {seed}")
+        for _ in range(size.lapses):
+            at = lapse_rng.uniform(0, size.seconds)
+            drawn_rng = random.Random(lapse_rng.random())
+            nursery.start_soon(lapse_records, environment, at, drawn_rng)
+        restore_rng = random.Random(f"restores {seed}")
+        for _ in range(size.restores):
+            at = restore_rng.uniform(0, size.seconds)
+            drawn_rng = random.Random(restore_rng.random())
+            nursery.start_soon(restore_store, environment, at, drawn_rng)
         for _ in range(size.signals):
             at = rng.uniform(0, size.seconds)
             nursery.start_soon(
--- a/dewridge/tests/soak/soak_tests.py
+++ b/dewridge/tests/soak/soak_tests.py
@@ -28,6 +28,9 @@
 LEAVING_SEED = 70_102
 LEAVING_SECONDS = 2.0
 """Duration of the fault injection before hosts leave, which takes longer."""
+LAPSES_SEED = 85_001
+RESTORES_SEED = 85_506
+RESTORES, RESTORES_SECONDS = 3, 8.0
 MOVES_SEED = 90_401
 LOSING_SEED = 91_004
 MOVES_SECONDS, MOVES_CALM_SECONDS = 0.2, 1.0
@@ -85,6 +88,24 @@
     assert result.outcomes["brittle periods"] == 1
 
 
+@pytest.mark.timeout(90)
+async def test_servers_whose_records_lapse_get_requests_again(tmp_path: Path) -> None:
+    """Guards against servers that get no requests after a lapse of their record."""
+    size = SoakSize(hosts=3, servers=6, callers=30, seconds=FAULT_SECONDS, lapses=3)
+    result = await run_soak(LAPSES_SEED, size, tmp_path)
+    assert result.violations == []
+    assert result.outcomes["servers returned"] > 0
+
+
+@pytest.mark.timeout(90)
+async def test_usage_is_reported_once_across_restores(tmp_path: Path) -> None:
+    """Guards against two sums of a usage window after a restore of the store."""
+    size = SoakSize(hosts=2, servers=6, seconds=RESTORES_SECONDS, restores=RESTORES)
+    result = await run_soak(RESTORES_SEED, size, tmp_path)
+    assert result.violations == []
+    assert result.outcomes["restores"] == RESTORES
+
+
 @pytest.mark.timeout(90)
 async def test_streams_stay_at_their_version_over_hosts(tmp_path: Path) -> None:
     """Streams that callers resume at any host hold events of one version only."""
--- a/dewridge/tests/soak/stage.py
+++ b/dewridge/tests/soak/stage.py
@@ -121,6 +121,7 @@
             resume streams.
         draws: draws how answers end.
         has_moves: whether the configuration lets engines move their runs.
+        lapsed_servers: ids of the servers whose records may not be written again now.
     """
 
     rng: random.Random
@@ -141,6 +142,8 @@
     rejecting: Counter[str] = field(default_factory=Counter)
     draws: EndDraws = field(default_factory=EndDraws)
     has_moves: bool = False
+    lapsed_servers: set[str] = field(default_factory=set)
+    _last_document: bytes = b""
     _written_versions: list[int] = field(default_factory=list)
     _server_count: int = 0
 
@@ -267,9 +270,22 @@
             ],
             "limits": {},
         }
-        self.store.memory_store.write("op/config", json.dumps(document).encode())
+        self._last_document = json.dumps(document).encode()
+        self.store.memory_store.write("op/config", self._last_document)
         self.history.configurations_written_at.append(time.monotonic())
 
+    def rewrite_configuration(self) -> None:
+        """Write the newest configuration again, which a restore may have lost."""
+        self.store.memory_store.write("op/config", self._last_document)
+
+    def remove_expired_records(self) -> None:
+        """Remove the records of servers that have left."""
+        names = {f"servers/{server.id}" for server in self.servers}
+        store = self.store.memory_store
+        for key in list(store.data.items):
+            if key.startswith("servers/") and key not in names:
+                store.remove(key)
+
     def revoke_key(self) -> None:
         """Revoke a key of a random account if the account has more than two.
 
@@ -382,6 +398,7 @@
                 gateway.paths.end(server.link.address)
 
     def _end_period(self, server: SoakServer) -> None:
+        self.history.end_returns(server.id)
         period = self.history.server_periods.get(server.id)
         if period is not None:
             period.end = time.monotonic()
@@ -390,6 +407,8 @@
         while True:
             await trio.sleep(RECORD_CHECK_PERIOD)
             for server in self.servers:
+                if server.id in self.lapsed_servers:
+                    continue
                 if f"servers/{server.id}" not in self.store.memory_store.data.items:
                     server.write_record(self.store.memory_store)
 
--- a/dewridge/tests/soak/standins.py
+++ b/dewridge/tests/soak/standins.py
@@ -14,7 +14,7 @@
 from dewridge.platform.store import Item, Lease, Listing, Write
 from dewridge.sentinels import Failure
 from dewridge.standins.serving import Listener, make_app, reply
-from dewridge.tests.gateway.memorystore import MemoryStore
+from dewridge.tests.gateway.memorystore import MemoryStore, StoreData
 from dewridge.tests.soak.records import DutyCall, History
 
 STATUS_BY_CODE = {
@@ -39,7 +39,7 @@
     """
 
     def __init__(self) -> None:
-        self.memory_store = MemoryStore()
+        self.memory_store = MemoryStore(StoreData(era=1))
         self.drops_responses = False
         self._compacted_at = 0
         self._snapshots: deque[tuple[float, dict[str, Item], int]] = deque()
@@ -50,13 +50,21 @@
         self._compacted_at = self.memory_store.data.revision
         self.memory_store.data.changes.clear()
 
+    def restore(self, copy: StoreData) -> None:
+        """Come back from a copy, in a new era."""
+        self.memory_store.data.restore(copy)
+        self._compacted_at = min(self._compacted_at, copy.revision)
+        self._snapshots.clear()
+        self._record_snapshot()
+
+    def _record_snapshot(self) -> None:
+        data = self.memory_store.data
+        self._snapshots.append((trio.current_time(), dict(data.items), data.revision))
+
     async def record_snapshots(self) -> None:
         """Record snapshots of the store for stale reads until cancelled."""
         while True:
-            data = self.memory_store.data
-            self._snapshots.append(
-                (trio.current_time(), dict(data.items), data.revision)
-            )
+            self._record_snapshot()
             while self._snapshots[0][0] < trio.current_time() - STALE_READ_LAG:
                 self._snapshots.popleft()
             await trio.sleep(SNAPSHOT_PERIOD)
@@ -84,6 +92,11 @@
     app = make_app("store")
     store = stand_in.memory_store
 
+    @app.after_request
+    async def name_era(response: Response) -> Response:
+        response.headers["Store-Era"] = str(store.data.era)
+        return response
+
     @app.get("/-/kv-key")
     async def read() -> Response:
         item = await store.read(request.args["key"])
@@ -116,7 +129,8 @@
         wait_seconds = int(request.args["wait_ms"]) / 1000
         update = await store.watch(request.args["path_prefix"], after, wait_seconds)
         if isinstance(update, Failure):
-            return reply({}, 503)
+            is_gone = update.code is ResultCode.KEY_VALUE_COMPACTED
+            return reply({}, 410 if is_gone else 503)
         events = [rewrite(item) for item in update.items]
         return reply({"events": events, "current_rev": update.revision})
 
