Don't keep copies of streams and suspects under leases of an earlier era

A host that renewed the lease of its copy of streams' versions across a restore of the store took the lease that another host had been granted since, and wrote its copy under it. The copy then ended with that lease, so that after a loss of all hosts streams were not known. The copy of a suspect request could get a lease with another end in the same way.

Change: as for registrations, a lease or a write across eras does not count. StoreEra has the question as a method now, which hosts and duties use, too.

--- a/dewridge/gateway/duties.py
+++ b/dewridge/gateway/duties.py
@@ -143,7 +143,7 @@
         era = self._store.era.number
         revision = await self._store.change(expected=expected, writes=(write,))
         if isinstance(revision, int):
-            if era not in {0, self._store.era.number}:
+            if self._store.era.has_followed(era):
                 # After the restore, another host may renew the lease of the key, which
                 # would then keep all hosts from the duties.
                 await self._store.change(
--- a/dewridge/gateway/hosts.py
+++ b/dewridge/gateway/hosts.py
@@ -208,7 +208,7 @@
             expected={self.key: self._revision}, writes=(write,)
         )
         if not isinstance(result, Failure):
-            if self._has_new_era(era):
+            if self._store.era.has_followed(era):
                 # The lease may be another host's now.
                 self._written_entry, self._revision = None, result
                 self._has_unknown_write = True
@@ -238,7 +238,7 @@
         else:
             granted = await self._store.renew_lease(self.lease_state.lease.id)
         if isinstance(granted, Lease):
-            if is_renewal and self._has_new_era(era):
+            if is_renewal and self._store.era.has_followed(era):
                 return False
             if self.lease_state.lease is None:
                 log.bind(lease=granted.id, ttl=granted.ttl).info("lease granted")
@@ -250,13 +250,6 @@
             self._discard_lease()
         return False
 
-    def _has_new_era(self, era: int) -> bool:
-        """Whether the store has been restored since `era`.
-
-        Its leases are granted again then, so that an id may name another host's lease.
-        """
-        return era not in {0, self._store.era.number}
-
     def _discard_lease(self) -> None:
         log.bind(lease=self.lease_state.lease and self.lease_state.lease.id).warning(
             "lease lost"
--- a/dewridge/gateway/suspectkeeping.py
+++ b/dewridge/gateway/suspectkeeping.py
@@ -125,12 +125,16 @@
         return self._has_duties() and now - suspect.updated_at > FALLBACK_WRITE_DELAY
 
     async def _write(self, suspect: Suspect, now: float) -> None:
+        era = self._store.era.number
         lease = await self._store.grant_lease(self._compute_left(suspect, now))
         if isinstance(lease, Failure):
             return
         value = msgspec.json.encode(encode_stored(suspect, now))
         write = Write(make_key(suspect.digest), value, lease.id)
         result = await self._store.change(writes=(write,))
+        if self._store.era.has_followed(era):
+            # The lease may be another host's now, which ends at another time.
+            return
         if not isinstance(result, Failure):
             self._written.add(suspect.digest)
             self._deleted.pop(write.key, None)
--- a/dewridge/gateway/versions/copies.py
+++ b/dewridge/gateway/versions/copies.py
@@ -154,6 +154,7 @@
         return StoredStreams(streams, self._versions.history.list_mixed(now))
 
     async def _write(self, stored: StoredStreams, now: float) -> None:
+        era = self._store.era.number
         lease = await self._hold_lease(now)
         result: int | Failure = lease if isinstance(lease, Failure) else 0
         if not isinstance(lease, Failure):
@@ -167,6 +168,9 @@
             result = await self._store.change(expected=expected, writes=(write,))
         if not isinstance(result, Failure):
             self._written, self._revision = stored, result
+            if self._store.era.has_followed(era):
+                # The lease may be another host's now.
+                self._lease = self._written = None
             return
         if self._written is not None:
             log.bind(reason=result.reason).warning("stream versions not stored")
--- a/dewridge/platform/eras.py
+++ b/dewridge/platform/eras.py
@@ -37,6 +37,14 @@
         self.on_restored: list[Callable[[], None]] = []
         self._logged: set[str] = set()
 
+    def has_followed(self, number: int) -> bool:
+        """Return whether the store was restored since an era, if that was known.
+
+        Leases are granted again after a restore: an id may name the lease of another
+        host then.
+        """
+        return number not in {0, self.number}
+
     def accept(self, value: bytes | None) -> bool:
         """Process the era header of a response; return whether the response is valid.
 
--- a/dewridge/tests/gateway/copies_tests.py
+++ b/dewridge/tests/gateway/copies_tests.py
@@ -7,8 +7,9 @@
 from dewridge.gateway.versions.copies import StreamCopies
 from dewridge.gateway.versions.records import StreamVersions
 from dewridge.ids import ServiceName, StreamKey
+from dewridge.platform.store import Lease
 from dewridge.policy.streamversions import ReleaseHistory
-from dewridge.tests.gateway.memorystore import MemoryStore
+from dewridge.tests.gateway.memorystore import MemoryStore, StoreData
 
 SERVICE = ServiceName("chat")
 STREAM_SECONDS = 2.5
@@ -60,6 +61,38 @@
     assert worst <= MAX_UNKNOWN_SHARE
 
 
+async def test_a_copy_has_no_lease_of_another_host_after_a_restore(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a copy that ends with a lease that was granted again."""
+    data = StoreData(era=1)
+    snapshot = data.take_snapshot()
+    store, other = MemoryStore(data), MemoryStore(data)
+    versions = StreamVersions(ReleaseHistory(complete_since=0.0))
+    for name in ("v1", "v2"):
+        versions.history.record(SERVICE, name, trio.current_time())
+    release = versions.history.list_recent(SERVICE, trio.current_time())[0]
+    key = "streams/host-1/1"
+    copies = StreamCopies(versions, store, key, lambda: 2, 400.0)
+    store.era.on_restored.append(copies.handle_restore)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(copies.run)
+        copies.handle_mixed()
+        for number in range(8):
+            versions.begin(SERVICE, StreamKey(number), release, trio.current_time())
+            await trio.sleep(0.25)
+        data.restore(snapshot)
+        granted = await other.grant_lease(10.0)
+        assert isinstance(granted, Lease)
+        # Its next call renews the lease.
+        copies._renewed_at = float("-inf")
+        for number in range(8, 16):
+            versions.begin(SERVICE, StreamKey(number), release, trio.current_time())
+            await trio.sleep(0.25)
+        assert data.items[key].lease != granted.id
+        nursery.cancel_scope.cancel()
+
+
 async def read_copies(store: MemoryStore) -> StreamVersions:
     """Return what a host that starts now reads from the store."""
     started = StreamVersions(ReleaseHistory(complete_since=trio.current_time()))
