Compare registrations of servers by revision where their era is not known

A host that had just started took the records that it read for ones of the era before, until 7.2 s had passed. A report of a lapse before a server's return, which peers repeat, then counted as later than the record that the host had, so that it dropped the server again. A listener that got no report of the return would not have used it until the server wrote again.

Cause: the era of an undated record was guessed as the one before. Found by reading.

Change: a record keeps the era in which it was read and says whether it is dated. Undated ones are compared by the creating revision with registrations of other eras, which is right for records of the copy and of this era, since this era's revisions are higher than the copy's. A list that lags and shows an undated record of a lapsed server has the current list read.

The two new tests of returns_tests.py fail on the code before for want of the flag; the files of tests/entries and the gateway's tests of servers, restores and reports passed, four at a time.

--- a/dewridge/gateway/model.py
+++ b/dewridge/gateway/model.py
@@ -243,6 +243,7 @@
             record does not say.
         version: version of its software; empty if the record has none.
         registration: when the server registered.
+        is_dated: whether it is known to have registered in that era of the store.
     """
 
     id: BackendServerId
@@ -258,6 +259,7 @@
     started_at_ms: int = 0
     version: ServerVersion = ServerVersion("")
     registration: Registration = field(default=UNREGISTERED, compare=False)
+    is_dated: bool = field(default=True, compare=False)
 
     @property
     def release(self) -> Release:
--- a/dewridge/gateway/servers.py
+++ b/dewridge/gateway/servers.py
@@ -21,6 +21,7 @@
     ServerName,
     ServiceName,
 )
+from dewridge.policy.serverregistrations import is_later
 from dewridge.policy.storeoutages import StoreOutages
 from dewridge.policy.streamversions import (
     MAX_NAME_LENGTH,
@@ -190,8 +191,8 @@
         record may have expired and been written again.
 
         Returns:
-            Whether some server has been missing for so long that the current list has
-            to be read.
+            Whether the current list has to be read: some server has been missing for
+            long, or may have returned.
         """
         listed = {record.id: record for record in records}
         for record in listed.values():
@@ -201,9 +202,17 @@
             for server in self._records
             if server not in listed
         }
-        return any(
+        is_long_missing = any(
             now - since > MAX_MISSING_TIME for since in self._missing_since.values()
         )
+        return is_long_missing or any(map(self._may_have_returned, listed.values()))
+
+    def _may_have_returned(self, record: ServerRecord) -> bool:
+        """Whether only a current list can show if a server that had lapsed is back."""
+        departure = self._departures.get(record.id)
+        if departure is None or departure.lapsed is None or record.is_dated:
+            return False
+        return record.registration.era > departure.lapsed.era
 
     def update(self, record: ServerRecord, now: float) -> None:
         """Update the table from one record; a draining server counts as departed.
@@ -233,13 +242,17 @@
         departure = self._departures.get(record.id)
         if departure is None:
             self._apply_record(record, now)
-        elif departure.lapsed is not None and record.registration > departure.lapsed:
+        elif departure.lapsed is not None and _has_registered_since(
+            record, departure.lapsed
+        ):
             self._restore(departure, record, now, is_reported=False)
 
     def _apply_record(self, record: ServerRecord, now: float) -> None:
         known = self._records.get(record.id)
-        if known is not None and known.registration > record.registration:
-            record = replace(record, registration=known.registration)
+        if known is not None and _rank_registration(known) > _rank_registration(record):
+            record = replace(
+                record, registration=known.registration, is_dated=known.is_dated
+            )
         elif known is None or known.registration < record.registration:
             self._registered_at[record.id] = now
         self._records[record.id] = record
@@ -288,7 +301,8 @@
         if departure is None:
             known = self._records.get(server)
             if known is not None and known.registration < registration:
-                self._apply_record(replace(known, registration=registration), now)
+                record = replace(known, registration=registration, is_dated=True)
+                self._apply_record(record, now)
             return
         if departure.lapsed is None or departure.lapsed >= registration:
             return
@@ -297,7 +311,7 @@
             del self._departures[server]
             return
         if not self.has_later_process(departure.record):
-            record = replace(departure.record, registration=registration)
+            record = replace(departure.record, registration=registration, is_dated=True)
             self._restore(departure, record, now, is_reported=True)
 
     def record_replaced(self, record: ServerRecord, now: float) -> None:
@@ -357,7 +371,8 @@
             if is_reported and leaves_in is not None:
                 self._refine_notice(server, now, leaves_in, is_known=False)
             return
-        if lapsed is not None and self._has_registered_since(server, lapsed):
+        known = self._records.get(server)
+        if lapsed is not None and known and _has_registered_since(known, lapsed):
             return
         missing = now - self._missing_since.pop(server, now)
         assumed_notice = max(0.0, DEFAULT_NOTICE - missing)
@@ -390,12 +405,6 @@
         if len(self._departures) > 1000:
             self._drop_expired(now)
 
-    def _has_registered_since(
-        self, server: BackendServerId, lapsed: Registration
-    ) -> bool:
-        known = self._records.get(server)
-        return known is not None and known.registration > lapsed
-
     def _confirm_departure(
         self,
         server: BackendServerId,
@@ -590,3 +599,11 @@
     def list_all(self) -> list[ServerRecord]:
         """Return the records of all servers."""
         return list(self._records.values())
+
+
+def _has_registered_since(record: ServerRecord, lapsed: Registration) -> bool:
+    return is_later(record.registration, lapsed, is_dated=record.is_dated)
+
+
+def _rank_registration(record: ServerRecord) -> tuple[Registration, bool]:
+    return record.registration, record.is_dated
--- a/dewridge/gateway/watching.py
+++ b/dewridge/gateway/watching.py
@@ -35,7 +35,7 @@
 from dewridge.gateway.model import RolloutOrder, ServerRecord
 from dewridge.gateway.servers import ServerTable
 from dewridge.gateway.versions.freshness import ConfirmedBy, VersionView
-from dewridge.ids import BackendServerId
+from dewridge.ids import BackendServerId, Registration
 from dewridge.platform.names import SERVERS_PREFIX
 from dewridge.platform.servers import decode_server
 from dewridge.platform.store import Item, Listing, Store
@@ -242,14 +242,13 @@
         """
         record = decode_server(item)
         if isinstance(record, ServerRecord):
-            registration = self._dating.date(
-                self._watch_store.era.number,
-                item.created_revision,
-                item.revision,
-                trio.current_time(),
-                listed_at,
+            era = self._watch_store.era.number
+            now = trio.current_time()
+            return replace(
+                record,
+                registration=Registration(era, item.created_revision),
+                is_dated=self._dating.is_dated(era, item.revision, now, listed_at),
             )
-            return replace(record, registration=registration)
         self._faults.report("server record can't be read", record)
         return None
 
--- a/dewridge/policy/serverregistrations.py
+++ b/dewridge/policy/serverregistrations.py
@@ -47,19 +47,13 @@
             self._era, self._began_at = era, now
             self._first_revision = None
 
-    def date(
-        self,
-        era: int,
-        created: int,
-        revision: int,
-        now: float,
-        listed_at: float = float("-inf"),
-    ) -> Registration:
-        """Return the registration of a record.
+    def is_dated(
+        self, era: int, revision: int, now: float, listed_at: float = float("-inf")
+    ) -> bool:
+        """Return whether a record is known to have been written in the current era.
 
         Args:
             era: the era of the answer that has the record.
-            created: the revision at which the record's key was created.
             revision: the revision of the record.
             now: monotonic time.
             listed_at: monotonic time at which the list with the record was requested,
@@ -69,6 +63,23 @@
         is_new = self._first_revision is not None and revision > self._first_revision
         expiry = EXPIRY_HEARTBEATS * self.heartbeat
         is_mature = listed_at > self._began_at + MATURITY_EXPIRIES * expiry
-        if era == NO_ERA or is_new or is_mature:
-            return Registration(era, created)
-        return Registration(era - 1, created)
+        return era == NO_ERA or is_new or is_mature
+
+
+def is_later(
+    registration: Registration, earlier: Registration, *, is_dated: bool
+) -> bool:
+    """Return whether a registration is later than another.
+
+    A record that is not dated may have been restored. The copy's revisions are those
+    of the earlier era, and revisions of this era are higher than the copy's, so that a
+    higher one is later in either case.
+
+    Args:
+        registration: the registration of a record.
+        earlier: the registration of an earlier record of the same server.
+        is_dated: whether the record is known to have been written in its era.
+    """
+    if is_dated or registration.era == earlier.era:
+        return registration > earlier
+    return registration.created > earlier.created
--- a/dewridge/tests/gateway/returns_tests.py
+++ b/dewridge/tests/gateway/returns_tests.py
@@ -262,13 +262,40 @@
     """Guards against a live server that wrote before a host's first list of an era."""
     dating = RegistrationDating(HEARTBEAT)
     dating.record_list(2, 50, now=100.0)
-    assert dating.date(2, 40, 45, 100.0, listed_at=99.9) == Registration(1, 40)
-    assert dating.date(2, 40, 51, 101.0) == Registration(2, 40)
-    assert dating.date(2, 40, 45, 104.0, listed_at=103.9) == Registration(1, 40)
+    assert not dating.is_dated(2, 45, 100.0, listed_at=99.9)
+    assert dating.is_dated(2, 51, 101.0)
+    assert not dating.is_dated(2, 45, 104.0, listed_at=103.9)
     mature_at = 100.0 + 2 * LAPSE
-    assert dating.date(2, 40, 45, mature_at + 0.2, mature_at + 0.1).era == 2
-    assert dating.date(2, 40, 45, mature_at + 0.2) == Registration(1, 40)
-    assert dating.date(3, 40, 90, mature_at + 0.3) == Registration(2, 40)
+    assert dating.is_dated(2, 45, mature_at + 0.2, mature_at + 0.1)
+    assert not dating.is_dated(2, 45, mature_at + 0.2)
+    assert not dating.is_dated(3, 90, mature_at + 0.3)
+    assert dating.is_dated(0, 45, mature_at + 0.4)
+
+
+def test_a_host_that_has_just_started_ignores_a_lapse_before_the_return() -> None:
+    """Guards against a dated lapse that outweighs a return read after a start."""
+    table = ServerTable()
+    table.update(replace(register(SECOND), is_dated=False), 0.0)
+    table.drop(SERVER, 0.1, "told", 0.0, is_reported=True, lapsed=FIRST)
+    assert list_names(table) == [SERVER]
+    table.drop(SERVER, 0.2, "told", 0.0, is_reported=True, lapsed=SECOND)
+    assert list_names(table) == []
+
+
+def test_a_restored_record_does_not_outweigh_a_lapse_of_the_era_before() -> None:
+    """Guards against requests to a server that left just before a restore."""
+    table = make_table(lapsed=False)
+    restored = replace(register(Registration(2, 10)), is_dated=False)
+    table.update(restored, 1.0)
+    table.drop(SERVER, 1.1, "told", 0.0, is_reported=True, lapsed=FIRST)
+    assert list_names(table) == []
+    assert table.merge_stale_list([restored], 1.2)
+    table.update(restored, 1.3)
+    assert list_names(table) == []
+    table.update(replace(restored, is_dated=True), 2.0)
+    assert list_names(table) == [SERVER]
+    table.drop(SERVER, 2.1, "told", 0.0, is_reported=True, lapsed=FIRST)
+    assert list_names(table) == [SERVER]
 
 
 async def test_a_listener_uses_a_server_whose_return_a_peer_reports(
