Describe returns and restores for operators, and check the soak's check

Adds the counter servers_returned_total. The check of returned servers is tested on handmade histories: one without requests after the return breaks it, one with a request, or with a server that left meanwhile, does not.

--- a/dewridge/gateway/departures.py
+++ b/dewridge/gateway/departures.py
@@ -178,6 +178,7 @@
     is_reported_by_peer: bool,
 ) -> None:
     """Let the streams on a returned server run on, and report it to the other hosts."""
+    state.metrics.add("servers_returned_total", service=record.service)
     state.streams.cancel_moves(record.id)
     if not is_reported_by_peer:
         link.schedule_urgent_send(Recipients.ALL)
--- a/dewridge/tests/soak/checks_tests.py
+++ b/dewridge/tests/soak/checks_tests.py
@@ -14,6 +14,7 @@
     RequestKind,
     SentRequest,
     ServerPeriod,
+    ServerReturn,
     Signal,
     SignalAnswer,
 )
@@ -308,3 +309,39 @@
     history = make_history()
     resume_without_store(history, continued=6)
     assert check_all(history, QUOTAS) == []
+
+
+def make_return(*, is_used: bool, until: float = float("inf")) -> History:
+    """Return a history in which a server returned, and 40 requests came after it."""
+    history = make_history()
+    history.returns.append(ServerReturn("plain-1", "plain", 20.0, until))
+    for number in range(40):
+        sent_at = 23.0 + number / 10
+        request = SentRequest(
+            f"n-{number}", RequestKind.READ, "host-1", "key-1", 1, sent_at
+        )
+        request.status, request.ended_at = 200, sent_at + 0.1
+        request.is_signed = request.is_complete = True
+        request.body = request.id.encode()
+        history.requests[request.id] = request
+        server = "plain-1" if is_used and number == 0 else "plain-2"
+        execution = Execution(request.id, server, "account-a", sent_at)
+        history.executions.append(execution)
+        history.all_arrivals.append(execution)
+    return history
+
+
+def test_a_returned_server_without_requests_is_a_violation() -> None:
+    """Guards against a check that passes over servers that are refused for good."""
+    violations = check_all(make_return(is_used=False), QUOTAS)
+    assert violations == [
+        "plain-1: none of 40 requests of host-1 after it had registered again"
+    ]
+
+
+@pytest.mark.parametrize(
+    "history", [make_return(is_used=True), make_return(is_used=False, until=23.5)]
+)
+def test_a_returned_server_that_is_used_or_leaves_is_none(history: History) -> None:
+    """Guards against a check that demands requests to a server that has left."""
+    assert check_all(history, QUOTAS) == []
