--- a/dewridge/gateway/servers.py
+++ b/dewridge/gateway/servers.py
@@ -245,7 +245,7 @@
         elif departure.lapsed is not None and _has_registered_since(
             record, departure.lapsed
         ):
-            self._restore(departure, record, now, is_reported=False)
+            self._apply_return(departure, record, now, is_reported=False)
 
     def _apply_record(self, record: ServerRecord, now: float) -> None:
         known = self._records.get(record.id)
@@ -268,7 +268,7 @@
         self.version += 1
         self.on_serving(record, now)
 
-    def _restore(
+    def _apply_return(
         self,
         departure: Departure,
         record: ServerRecord,
@@ -312,7 +312,7 @@
             return
         if not self.has_later_process(departure.record):
             record = replace(departure.record, registration=registration, is_dated=True)
-            self._restore(departure, record, now, is_reported=True)
+            self._apply_return(departure, record, now, is_reported=True)
 
     def record_replaced(self, record: ServerRecord, now: float) -> None:
         """Record that a server had a record that was removed or written again."""
